Give every HTTP resource of an entry one shape

Cause: the callers' and the operators' resources are written side by side and must meet in one server. Change: Route, HttpExchange and HttpReply types. No behaviour yet, nothing to measure.

--- /dev/null
+++ b/packages/node/http/types.ts
@@ -0,0 +1,40 @@
+/** One shape for every HTTP resource of an entry; the server looks a request up in a list of these. */
+import type { OrganisationName, ValueOf } from "@coltsfootpond/common";
+
+/** Who may use a resource. */
+export const ACCESS = {
+  PUBLIC: "public",
+  OPERATOR: "operator",
+  ORGANISATION: "organisation",
+} as const;
+export type Access = ValueOf<typeof ACCESS>;
+
+/** One request, its body read whole and within the limit. */
+export interface HttpExchange {
+  readonly method: string;
+  readonly path: string;
+  /** Values of `{name}` parts of the pattern. */
+  readonly parameters: Readonly<Record<string, string>>;
+  readonly query: URLSearchParams;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Uint8Array;
+  readonly receivedMs: number;
+  /** Aborts when the caller has gone away. */
+  readonly signal: AbortSignal;
+  /** Set when the resource's access is `organisation`. */
+  readonly organisation?: OrganisationName;
+}
+
+export interface HttpReply {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Uint8Array;
+}
+
+/** A resource: `pattern` such as `/v1/requests/{requestId}`. */
+export interface Route {
+  readonly method: "GET" | "POST" | "PUT" | "DELETE";
+  readonly pattern: string;
+  readonly access: Access;
+  handle(exchange: HttpExchange): Promise<HttpReply>;
+}
