--- /dev/null
+++ b/packages/node/jobs/active_job.ts
@@ -0,0 +1,131 @@
+/** The state of one job in the memory of its owner, and pure questions about gangs. */
+import type {
+  AttemptId,
+  JobServiceDeclaration,
+  ValueOf,
+  WorkerName,
+} from "@coltsfootpond/common";
+import {
+  TASK_STATE,
+  type TaskReport,
+  type TaskState,
+} from "@coltsfootpond/platform";
+import type { Assignment, QueuedJob } from "@coltsfootpond/policy";
+import type { StoredJob } from "./job_rows.ts";
+
+/** Why an attempt is stopped before it has finished. */
+export const STOP_REASON = {
+  EVICTED: "evicted",
+  OVERRUN: "overrun",
+  CANCELLED: "cancelled",
+  MEMBER_LOST: "member_lost",
+  MEMBER_FAILED: "member_failed",
+  START_REFUSED: "start_refused",
+} as const;
+export type StopReason = ValueOf<typeof STOP_REASON>;
+
+/** Where one attempt at running a gang runs. */
+export interface GangPlacement {
+  readonly attemptId: AttemptId;
+  readonly assignments: readonly Assignment[];
+}
+
+/** A live job of an owned failure domain. */
+export interface LiveJob {
+  readonly stored: StoredJob;
+  readonly service: JobServiceDeclaration;
+  readonly knownAtMs: number;
+}
+
+/** What the reports of a gang's tasks add up to. */
+export type GangVerdict =
+  | { readonly kind: "running" }
+  | { readonly kind: "checkpointed" }
+  | { readonly kind: "finished"; readonly output: Uint8Array }
+  /** A member ended while others may run: the rest must be stopped. */
+  | {
+    readonly kind: "broken";
+    readonly reason: StopReason;
+    readonly workers: readonly WorkerName[];
+  };
+
+/** Judges a gang by the newest report of each task, in order of task index. */
+export function judgeGang(
+  reports: readonly (TaskReport | undefined)[],
+): GangVerdict {
+  const failed = filterByState(reports, [TASK_STATE.FAILED]);
+  if (failed.length > 0) {
+    return {
+      kind: "broken",
+      reason: STOP_REASON.MEMBER_FAILED,
+      workers: listWorkers(failed),
+    };
+  }
+  const lost = filterByState(reports, [TASK_STATE.LOST, TASK_STATE.STOPPED]);
+  if (lost.length > 0) {
+    return {
+      kind: "broken",
+      reason: STOP_REASON.MEMBER_LOST,
+      workers: listWorkers(lost),
+    };
+  }
+  const finished = filterByState(reports, [TASK_STATE.FINISHED]);
+  if (finished.length === reports.length) {
+    return { kind: "finished", output: decodeOutput(reports[0]) };
+  }
+  const checkpointed = filterByState(reports, [TASK_STATE.CHECKPOINTED]);
+  if (checkpointed.length === reports.length) return { kind: "checkpointed" };
+  return { kind: "running" };
+}
+
+function filterByState(
+  reports: readonly (TaskReport | undefined)[],
+  states: readonly TaskState[],
+): readonly TaskReport[] {
+  return reports.filter((report): report is TaskReport =>
+    report !== undefined && states.includes(report.state)
+  );
+}
+
+function listWorkers(reports: readonly TaskReport[]): readonly WorkerName[] {
+  return reports.map((report) => report.worker);
+}
+
+function decodeOutput(report: TaskReport | undefined): Uint8Array {
+  const output = atob(report?.outputBase64 ?? "");
+  return Uint8Array.from(output, (character) => character.charCodeAt(0));
+}
+
+/** The checkpoints of all tasks, or undefined when one has none. */
+export function collectCheckpoints(
+  reports: readonly (TaskReport | undefined)[],
+): readonly string[] | undefined {
+  const checkpoints = reports.flatMap((report) =>
+    report?.checkpoint === undefined ? [] : [report.checkpoint]
+  );
+  return checkpoints.length === reports.length ? checkpoints : undefined;
+}
+
+/** How long the job has waited and run so far, over all owners. */
+export function getWaitedMs(job: LiveJob, nowMs: number): number {
+  return job.stored.row.waitedMs + nowMs - job.knownAtMs;
+}
+
+/** The job as the placement engine sees it. */
+export function toQueuedJob(job: LiveJob, nowMs: number): QueuedJob {
+  const { service } = job;
+  const { jobId, organisation } = job.stored.row;
+  return {
+    jobId,
+    organisation,
+    service: service.name,
+    shape: service.shape,
+    priority: service.priority,
+    expectedRunMs: service.expectedRunMs,
+    maximumRunMs: service.maximumRunMs,
+    canCheckpoint: service.canCheckpoint,
+    checkpointMs: service.checkpointMs,
+    idempotent: service.idempotent,
+    waitedMs: getWaitedMs(job, nowMs),
+  };
+}
--- /dev/null
+++ b/packages/node/jobs/attempt_task.ts
@@ -0,0 +1,373 @@
+/**
+ * The life of one attempt at running a gang: start all, watch, checkpoint or stop all, record the
+ * end. Owns the attempt's state; the domain runner feeds it reports and hears one result.
+ */
+import {
+  assertNever,
+  type Clock,
+  type EventSink,
+  type EventSubject,
+  type WorkerName,
+} from "@coltsfootpond/common";
+import {
+  COMMAND_STATUS,
+  type CommandStatus,
+  type TaskReport,
+} from "@coltsfootpond/platform";
+import { ATTEMPT_END, type AttemptEnd } from "@coltsfootpond/policy";
+import type { JobEnd } from "../rows.ts";
+import {
+  collectCheckpoints,
+  type GangPlacement,
+  judgeGang,
+  type LiveJob,
+  STOP_REASON,
+  type StopReason,
+} from "./active_job.ts";
+import {
+  createTaskCommands,
+  type FleetCommander,
+  type GangStartOutcome,
+  startGang,
+} from "./gang_start.ts";
+import type { JobRecorder, RecordOutcome } from "./job_recorder.ts";
+import type { StoredJob, TransitionOutcome } from "./job_rows.ts";
+
+const STOP_RETRY_MS = 1_000;
+const MAXIMUM_JOB_FAILURES = 3;
+
+/** How the attempt ended, as the runner hears it. */
+export interface AttemptResult {
+  readonly end: AttemptEnd;
+  readonly ranMs: number;
+  /** Workers to blame. */
+  readonly workers: readonly WorkerName[];
+  readonly next:
+    | { readonly kind: "requeued"; readonly stored: StoredJob }
+    | { readonly kind: "ended" }
+    /** The row is no longer this owner's to write: cancelled, or moved on. */
+    | { readonly kind: "gone" };
+}
+
+export interface AttemptTaskOptions {
+  readonly job: LiveJob;
+  readonly placement: GangPlacement;
+  readonly clock: Clock;
+  readonly events: EventSink;
+  readonly subject: EventSubject;
+  readonly commander: FleetCommander;
+  readonly recorder: JobRecorder;
+  readonly recordPlacement: (
+    placement: GangPlacement,
+  ) => Promise<TransitionOutcome>;
+  readonly mayStart: () => boolean;
+  /** False once the failure domain is no longer held. */
+  readonly isHeld: () => boolean;
+  readonly onStarted: () => void;
+  readonly onEnded: (result: AttemptResult) => void;
+}
+
+type Phase =
+  | "starting"
+  | "running"
+  | "checkpointing"
+  | "stopping"
+  | "recording";
+
+/** One attempt. */
+export class AttemptTask {
+  readonly #options: AttemptTaskOptions;
+  readonly #reports = new Map<number, TaskReport>();
+  #stored: StoredJob;
+  #phase: Phase = "starting";
+  #everStarted = false;
+  #startedAtMs: number;
+  /** Set while the start is under way; carried out once it has settled. */
+  #stopWanted: StopReason | undefined;
+  #blamed: readonly WorkerName[] = [];
+
+  private constructor(options: AttemptTaskOptions) {
+    this.#options = options;
+    this.#stored = options.job.stored;
+    this.#startedAtMs = options.clock.nowMs();
+  }
+
+  static create(options: AttemptTaskOptions): AttemptTask {
+    return new AttemptTask(options);
+  }
+
+  get placement(): GangPlacement {
+    return this.#options.placement;
+  }
+
+  /** Whether tasks of this attempt may be running and need their leases renewed. */
+  get needsLease(): boolean {
+    return this.#everStarted;
+  }
+
+  /** Carries out the placement from the first hold on. */
+  async start(): Promise<void> {
+    const { job, placement, clock, commander, mayStart, events, subject } =
+      this.#options;
+    events.emit("job.placing", subject);
+    const outcome = await startGang({
+      row: job.stored.row,
+      service: job.service,
+      ...placement,
+    }, {
+      clock,
+      commander,
+      recordPlacement: () => this.#recordPlacement(),
+      mayStart: () => this.#stopWanted === undefined && mayStart(),
+    });
+    events.emit("job.start_settled", subject, outcome.kind);
+    this.#settleStart(outcome);
+  }
+
+  /** Goes on with an attempt that an earlier owner recorded. */
+  resume(reports: readonly TaskReport[], ranMs: number): void {
+    this.#everStarted = reports.some((report) => report.state !== "held");
+    this.#startedAtMs -= ranMs;
+    this.#phase = "running";
+    for (const report of reports) this.#reports.set(report.task.index, report);
+    const isWhole =
+      reports.length === this.#options.placement.assignments.length &&
+      reports.every((report) => report.state !== "held");
+    if (isWhole) this.#judge();
+    else this.stop(STOP_REASON.MEMBER_LOST);
+  }
+
+  observe(report: TaskReport): void {
+    this.#reports.set(report.task.index, report);
+    this.#judge();
+  }
+
+  /** Asks every task for a checkpoint and stops them when all have one, or after `checkpointMs`. */
+  evict(checkpointMs: number): void {
+    if (this.#phase === "starting") return this.stop(STOP_REASON.EVICTED);
+    if (this.#phase !== "running") return;
+    if (!this.#options.job.service.canCheckpoint || checkpointMs <= 0) {
+      return this.stop(STOP_REASON.EVICTED);
+    }
+    this.#phase = "checkpointing";
+    void this.#options.commander.command(this.#createCommands("checkpoint"));
+    this.#options.clock.after(checkpointMs, () => {
+      if (this.#phase === "checkpointing") this.stop(STOP_REASON.EVICTED);
+    });
+  }
+
+  stop(reason: StopReason): void {
+    if (this.#phase === "starting") {
+      this.#stopWanted ??= reason;
+      return;
+    }
+    if (this.#phase === "stopping" || this.#phase === "recording") return;
+    this.#phase = "stopping";
+    void this.#stopAll(reason);
+  }
+
+  #createCommands(kind: "checkpoint" | "stop") {
+    return createTaskCommands(kind, {
+      row: this.#stored.row,
+      ...this.#options.placement,
+    });
+  }
+
+  async #recordPlacement(): Promise<boolean> {
+    const transition = await this.#options.recordPlacement(
+      this.#options.placement,
+    );
+    if (transition.kind === "done" && transition.stored !== undefined) {
+      this.#stored = transition.stored;
+    }
+    if (transition.kind === "conflict") {
+      this.#stopWanted ??= STOP_REASON.CANCELLED;
+    }
+    return transition.kind === "done";
+  }
+
+  #settleStart(outcome: GangStartOutcome): void {
+    switch (outcome.kind) {
+      case "started":
+        this.#enterRunning();
+        this.#options.onStarted();
+        if (this.#stopWanted !== undefined) return this.stop(this.#stopWanted);
+        return this.#judge();
+      case "partly_started":
+        this.#enterRunning();
+        this.#blamed = outcome.workers;
+        return this.stop(STOP_REASON.START_REFUSED);
+      case "not_started":
+        this.#blamed = outcome.workers;
+        this.#phase = "recording";
+        if (this.#stopWanted === STOP_REASON.CANCELLED) {
+          return this.#report(ATTEMPT_END.REFUSED, { kind: "gone" });
+        }
+        if (outcome.recorded) {
+          return void this.#requeue(ATTEMPT_END.REFUSED, undefined, 0);
+        }
+        return this.#report(ATTEMPT_END.REFUSED, {
+          kind: "requeued",
+          stored: this.#stored,
+        });
+      default:
+        return assertNever(outcome);
+    }
+  }
+
+  #enterRunning(): void {
+    this.#phase = "running";
+    this.#everStarted = true;
+    this.#startedAtMs = this.#options.clock.nowMs();
+  }
+
+  #listReports(): readonly (TaskReport | undefined)[] {
+    return this.#options.placement.assignments.map((assignment) =>
+      this.#reports.get(assignment.index)
+    );
+  }
+
+  #judge(): void {
+    if (this.#phase !== "running" && this.#phase !== "checkpointing") return;
+    const verdict = judgeGang(this.#listReports());
+    switch (verdict.kind) {
+      case "running":
+        return;
+      case "checkpointed":
+        return this.#phase === "checkpointing"
+          ? this.stop(STOP_REASON.EVICTED)
+          : undefined;
+      case "finished":
+        this.#phase = "recording";
+        return void this.#recordAnswer(verdict.output);
+      case "broken":
+        this.#blamed = verdict.workers;
+        return this.stop(verdict.reason);
+      default:
+        return assertNever(verdict);
+    }
+  }
+
+  /** Repeats the stop until the fleet has confirmed it for every task. */
+  async #stopAll(reason: StopReason): Promise<void> {
+    const { commander, clock, isHeld, events, subject } = this.#options;
+    events.emit("job.stopping", subject, reason);
+    while (isHeld()) {
+      const answer = await commander.command(this.#createCommands("stop"));
+      if (answer.kind === "statuses" && answer.statuses.every(isTaskOver)) {
+        break;
+      }
+      await clock.sleep(STOP_RETRY_MS);
+    }
+    if (!isHeld()) return;
+    this.#phase = "recording";
+    await this.#recordStop(reason);
+  }
+
+  async #recordStop(reason: StopReason): Promise<void> {
+    const checkpoints = collectCheckpoints(this.#listReports());
+    switch (reason) {
+      case STOP_REASON.CANCELLED:
+        return this.#report(ATTEMPT_END.STOPPED, { kind: "gone" });
+      case STOP_REASON.OVERRUN:
+        return await this.#recordEnd(ATTEMPT_END.FAILED, {
+          state: "failed",
+          resultName: "JOB_OVERRAN",
+        });
+      case STOP_REASON.MEMBER_FAILED:
+        return await this.#recordFailure();
+      case STOP_REASON.EVICTED:
+      case STOP_REASON.MEMBER_LOST:
+      case STOP_REASON.START_REFUSED:
+        if (this.#mayRunAgain(checkpoints)) {
+          return await this.#requeue(ATTEMPT_END.STOPPED, checkpoints, 0);
+        }
+        return await this.#recordEnd(ATTEMPT_END.STOPPED, {
+          state: "failed",
+          resultName: "JOB_INTERRUPTED",
+        });
+      default:
+        return assertNever(reason);
+    }
+  }
+
+  /** It never ran, it left a whole checkpoint, or it is idempotent. */
+  #mayRunAgain(checkpoints: readonly string[] | undefined): boolean {
+    return !this.#everStarted || this.#options.job.service.idempotent ||
+      checkpoints !== undefined;
+  }
+
+  async #recordFailure(): Promise<void> {
+    const failures = this.#stored.row.failures + 1;
+    if (!this.#options.job.service.idempotent) {
+      return await this.#recordEnd(ATTEMPT_END.FAILED, {
+        state: "failed",
+        resultName: "JOB_FAILED",
+      });
+    }
+    if (failures >= MAXIMUM_JOB_FAILURES) {
+      return await this.#recordEnd(ATTEMPT_END.FAILED, {
+        state: "failed",
+        resultName: "JOB_FAILED_REPEATEDLY",
+      });
+    }
+    await this.#requeue(ATTEMPT_END.FAILED, undefined, 1);
+  }
+
+  async #recordAnswer(output: Uint8Array): Promise<void> {
+    const { recorder, placement } = this.#options;
+    this.#reportEnd(
+      ATTEMPT_END.FINISHED,
+      await recorder.recordAnswer(this.#stored, placement.attemptId, output),
+    );
+  }
+
+  async #recordEnd(end: AttemptEnd, jobEnd: JobEnd): Promise<void> {
+    this.#reportEnd(
+      end,
+      await this.#options.recorder.recordEnd(this.#stored, jobEnd),
+    );
+  }
+
+  #reportEnd(end: AttemptEnd, outcome: RecordOutcome): void {
+    if (outcome === undefined) return;
+    this.#report(end, { kind: outcome.kind === "done" ? "ended" : "gone" });
+  }
+
+  async #requeue(
+    end: AttemptEnd,
+    checkpoints: readonly string[] | undefined,
+    failures: number,
+  ): Promise<void> {
+    const { recorder } = this.#options;
+    const { attemptId: _attemptId, assignments: _assignments, ...row } =
+      this.#stored.row;
+    const outcome = await recorder.recordQueued(this.#stored, {
+      ...row,
+      state: "queued",
+      failures: row.failures + failures,
+      checkpoints: checkpoints ?? row.checkpoints,
+    });
+    if (outcome === undefined) return;
+    if (outcome.kind === "conflict" || outcome.stored === undefined) {
+      return this.#report(end, { kind: "gone" });
+    }
+    this.#report(end, { kind: "requeued", stored: outcome.stored });
+  }
+
+  #report(end: AttemptEnd, next: AttemptResult["next"]): void {
+    const ranMs = this.#everStarted
+      ? this.#options.clock.nowMs() - this.#startedAtMs
+      : 0;
+    this.#options.events.emit("job.attempt_ended", {
+      ...this.#options.subject,
+      durationMs: ranMs,
+    }, `${end} ${next.kind}`);
+    this.#options.onEnded({ end, ranMs, workers: this.#blamed, next });
+  }
+}
+
+function isTaskOver(status: CommandStatus): boolean {
+  return status === COMMAND_STATUS.DONE || status === COMMAND_STATUS.NO_TASK ||
+    status === COMMAND_STATUS.WORKER_DOWN;
+}
--- /dev/null
+++ b/packages/node/jobs/job_front.ts
@@ -0,0 +1,362 @@
+/**
+ * Jobs as callers see them, on whichever entry they ask: submit, look up, cancel, wait. The rows in
+ * the table service are the only authority; messages to the owner only save time.
+ */
+import { createHash } from "node:crypto";
+import {
+  createId,
+  type Digest,
+  type FailureDomainName,
+  type JobId,
+  type JobServiceDeclaration,
+  type OrganisationName,
+  type RequestId,
+} from "@coltsfootpond/common";
+import type { TablePort } from "@coltsfootpond/platform";
+import { type Observable, Subject } from "rxjs";
+import {
+  getJobKey,
+  getRequestKey,
+  type JobEnd,
+  type JobRow,
+  type RequestRow,
+} from "../rows.ts";
+import type {
+  ConfigurationView,
+  EntryContext,
+  JobLookup,
+  JobService,
+  JobStatus,
+  JobSubmission,
+  JobSubmitOutcome,
+} from "../types.ts";
+import {
+  endJob,
+  insertJob,
+  readJob,
+  readRequest,
+  type StoredJob,
+} from "./job_rows.ts";
+
+const OBJECT_TIMEOUT_MS = 2_000;
+const RETRY_AFTER_MS = 2_000;
+/** A waiting caller's row is read again this often, for notices that were lost. */
+const WAIT_RECHECK_MS = 5_000;
+
+/** Something that the owner of a failure domain should look at. */
+export interface JobNotice {
+  readonly kind: "submitted" | "cancelled";
+  readonly failureDomain: FailureDomainName;
+  readonly jobId: JobId;
+}
+
+/** Where a new job should wait; undefined when no failure domain can take it now. */
+export type ChooseHome = (
+  service: JobServiceDeclaration,
+  organisation: OrganisationName,
+) => HomeChoice;
+
+export type HomeChoice =
+  | { readonly kind: "home"; readonly failureDomain: FailureDomainName }
+  | { readonly kind: "none" }
+  /** The shape fits nowhere in the deployment. */
+  | { readonly kind: "never_fits"; readonly detail: string };
+
+export interface JobFrontOptions {
+  readonly context: EntryContext;
+  readonly table: TablePort;
+  readonly configuration: ConfigurationView;
+  readonly chooseHome: ChooseHome;
+  readonly notify: (notice: JobNotice) => void;
+  /** Jobs known to have ended. */
+  readonly endings: Observable<JobId>;
+}
+
+/** The callers' side of jobs. */
+export class JobFront implements JobService {
+  readonly #options: JobFrontOptions;
+
+  private constructor(options: JobFrontOptions) {
+    this.#options = options;
+  }
+
+  static create(options: JobFrontOptions): JobFront {
+    return new JobFront(options);
+  }
+
+  async submit(submission: JobSubmission): Promise<JobSubmitOutcome> {
+    const service = this.#findService(submission);
+    if (service === undefined) {
+      return { kind: "refused", resultName: "UNKNOWN_SERVICE" };
+    }
+    const choice = this.#options.chooseHome(service, submission.organisation);
+    if (choice.kind === "never_fits") {
+      return {
+        kind: "refused",
+        resultName: "SHAPE_NEVER_FITS",
+        detail: choice.detail,
+      };
+    }
+    if (choice.kind === "none") {
+      return {
+        kind: "refused",
+        resultName: "NO_OWNER",
+        retryAfterMs: RETRY_AFTER_MS,
+      };
+    }
+    const { failureDomain } = choice;
+    const row = createJobRow(submission);
+    const outcome = await insertJob(this.#options.table, failureDomain, row);
+    switch (outcome.kind) {
+      case "inserted":
+        this.#options.notify({
+          kind: "submitted",
+          failureDomain,
+          jobId: row.jobId,
+        });
+        this.#emit("job.accepted", submission, failureDomain);
+        return { kind: "accepted", jobId: row.jobId, failureDomain };
+      case "exists":
+        return this.#resubmit(submission, row.jobId, outcome.request);
+      case "unavailable":
+        return {
+          kind: "refused",
+          resultName: outcome.mayExist
+            ? "TABLE_UNSETTLED"
+            : "TABLE_UNAVAILABLE",
+          retryAfterMs: RETRY_AFTER_MS,
+        };
+    }
+  }
+
+  async get(
+    organisation: OrganisationName,
+    requestId: RequestId,
+  ): Promise<JobLookup> {
+    const request = await readRequest(
+      this.#options.table,
+      getRequestKey(organisation, requestId),
+    );
+    if (request === "unavailable") {
+      return { kind: "unavailable", resultName: "TABLE_UNAVAILABLE" };
+    }
+    if (request === undefined || request.kind !== "job") {
+      return { kind: "absent" };
+    }
+    const jobId = createJobId(organisation, requestId);
+    const { failureDomain, end } = request;
+    if (end !== undefined) {
+      return await this.#lookUpEnd(jobId, failureDomain, end);
+    }
+    const stored = await readJob(
+      this.#options.table,
+      getJobKey(failureDomain, jobId),
+    );
+    if (stored === "unavailable") {
+      return { kind: "unavailable", resultName: "TABLE_UNAVAILABLE" };
+    }
+    if (stored?.row.state === "queued") {
+      this.#options.notify({ kind: "submitted", failureDomain, jobId });
+    }
+    const state = stored?.row.state ?? "queued";
+    return { kind: "found", status: { jobId, state, failureDomain } };
+  }
+
+  /** Cancel and answer race at the job's row; one of them wins. */
+  async cancel(
+    organisation: OrganisationName,
+    requestId: RequestId,
+  ): Promise<JobLookup> {
+    const { table } = this.#options;
+    const request = await readRequest(
+      table,
+      getRequestKey(organisation, requestId),
+    );
+    if (request === "unavailable") {
+      return { kind: "unavailable", resultName: "TABLE_UNAVAILABLE" };
+    }
+    if (request === undefined || request.kind !== "job") {
+      return { kind: "absent" };
+    }
+    const jobId = createJobId(organisation, requestId);
+    const { failureDomain } = request;
+    if (request.end !== undefined) {
+      return await this.#lookUpEnd(jobId, failureDomain, request.end);
+    }
+    let stored = await readJob(table, getJobKey(failureDomain, jobId));
+    while (stored !== undefined && stored !== "unavailable") {
+      const next = await this.#tryCancel(failureDomain, stored);
+      if (next === "done") break;
+      stored = next;
+    }
+    if (stored === "unavailable") {
+      return { kind: "unavailable", resultName: "TABLE_UNSETTLED" };
+    }
+    return await this.get(organisation, requestId);
+  }
+
+  /** Resolves when the job has ended or `timeoutMs` has passed, whichever is first. */
+  async waitForEnd(
+    organisation: OrganisationName,
+    requestId: RequestId,
+    timeoutMs: number,
+  ): Promise<JobLookup> {
+    const { clock } = this.#options.context;
+    const jobId = createJobId(organisation, requestId);
+    const deadlineMs = clock.nowMs() + timeoutMs;
+    for (;;) {
+      const signal = this.#createEndSignal(jobId);
+      const lookup = await this.get(organisation, requestId);
+      const remainingMs = deadlineMs - clock.nowMs();
+      const isOver = lookup.kind === "absent" ||
+        (lookup.kind === "found" && isEnded(lookup.status));
+      if (isOver || remainingMs <= 0) {
+        signal.cancel();
+        return lookup;
+      }
+      await signal.wait(Math.min(remainingMs, WAIT_RECHECK_MS));
+    }
+  }
+
+  #createEndSignal(jobId: JobId): EndSignal {
+    const { clock } = this.#options.context;
+    const ended = new Subject<void>();
+    let seen = false;
+    const subscription = this.#options.endings.subscribe((endedId) => {
+      if (endedId !== jobId) return;
+      seen = true;
+      ended.next();
+    });
+    return {
+      cancel: () => subscription.unsubscribe(),
+      wait: (timeoutMs) =>
+        new Promise<void>((resolve) => {
+          const finish = (): void => {
+            timer.cancel();
+            subscription.unsubscribe();
+            resolve();
+          };
+          const timer = clock.after(seen ? 0 : timeoutMs, finish);
+          ended.subscribe(finish);
+        }),
+    };
+  }
+
+  #findService(submission: JobSubmission): JobServiceDeclaration | undefined {
+    const services =
+      this.#options.configuration.current()?.declarations.services ?? [];
+    const service = services.find((candidate) =>
+      candidate.name === submission.service
+    );
+    return service?.kind === "job" ? service : undefined;
+  }
+
+  #resubmit(
+    submission: JobSubmission,
+    jobId: JobId,
+    request: RequestRow,
+  ): JobSubmitOutcome {
+    if (
+      request.kind !== "job" || request.bodyDigest !== submission.bodyDigest
+    ) {
+      return { kind: "refused", resultName: "REQUEST_ID_CONFLICT" };
+    }
+    return { kind: "accepted", jobId, failureDomain: request.failureDomain };
+  }
+
+  async #tryCancel(
+    failureDomain: FailureDomainName,
+    stored: StoredJob,
+  ): Promise<StoredJob | undefined | "unavailable" | "done"> {
+    const end: JobEnd = { state: "cancelled", resultName: "JOB_CANCELLED" };
+    const outcome = await endJob(
+      this.#options.table,
+      failureDomain,
+      stored,
+      end,
+    );
+    if (outcome.kind === "unavailable") return "unavailable";
+    if (outcome.kind === "conflict") return outcome.current;
+    this.#options.notify({
+      kind: "cancelled",
+      failureDomain,
+      jobId: stored.row.jobId,
+    });
+    return "done";
+  }
+
+  async #lookUpEnd(
+    jobId: JobId,
+    failureDomain: FailureDomainName,
+    end: JobEnd,
+  ): Promise<JobLookup> {
+    const { state, resultName } = end;
+    const status: JobStatus = { jobId, state, failureDomain, resultName };
+    if (end.answer === undefined) return { kind: "found", status };
+    const { objects } = this.#options.context.platform;
+    const outcome = await objects.get(end.answer.objectKey, {
+      timeoutMs: OBJECT_TIMEOUT_MS,
+    });
+    const isWhole = outcome.kind === "found" &&
+      isContentWhole(outcome.content, end);
+    if (!isWhole) {
+      return { kind: "unavailable", resultName: "OBJECTS_UNAVAILABLE" };
+    }
+    return { kind: "found", status: { ...status, answer: outcome.content } };
+  }
+
+  #emit(
+    event: string,
+    submission: JobSubmission,
+    failureDomain: FailureDomainName,
+  ): void {
+    const { organisation, requestId, service } = submission;
+    this.#options.context.events.emit(event, {
+      organisation,
+      requestId,
+      service,
+      failureDomain,
+    });
+  }
+}
+
+interface EndSignal {
+  cancel(): void;
+  wait(timeoutMs: number): Promise<void>;
+}
+
+export function createJobId(
+  organisation: OrganisationName,
+  requestId: RequestId,
+): JobId {
+  return createId<JobId>(`${organisation}/${requestId}`);
+}
+
+export function isEnded(status: JobStatus): boolean {
+  return status.state !== "queued" && status.state !== "running" &&
+    status.state !== "placing";
+}
+
+function isContentWhole(content: Uint8Array, end: JobEnd): boolean {
+  const digest = createId<Digest>(
+    createHash("sha256").update(content).digest("hex"),
+  );
+  return content.byteLength === end.answer?.lengthBytes &&
+    digest === end.answer.digest;
+}
+
+function createJobRow(submission: JobSubmission): JobRow {
+  const { organisation, requestId, service, bodyDigest, payload } = submission;
+  return {
+    jobId: createJobId(organisation, requestId),
+    organisation,
+    requestId,
+    service,
+    bodyDigest,
+    payload,
+    state: "queued",
+    attempts: 0,
+    failures: 0,
+    waitedMs: 0,
+  };
+}
--- /dev/null
+++ b/packages/node/jobs/job_recorder.ts
@@ -0,0 +1,113 @@
+/**
+ * Makes the end of an attempt durable: the whole answer first, then the one transition of the row.
+ * Retries with full jitter for as long as the failure domain is held; what was not recorded is found
+ * again by the next owner in the fleet's report.
+ */
+import { createHash } from "node:crypto";
+import type {
+  AttemptId,
+  Clock,
+  Digest,
+  FailureDomainName,
+  Random,
+} from "@coltsfootpond/common";
+import { createId } from "@coltsfootpond/common";
+import type { ObjectPort, TablePort } from "@coltsfootpond/platform";
+import type { AnswerReference, JobEnd, JobRow } from "../rows.ts";
+import {
+  endJob,
+  replaceJob,
+  type StoredJob,
+  type TransitionOutcome,
+} from "./job_rows.ts";
+
+const OBJECT_TIMEOUT_MS = 5_000;
+const FIRST_BACKOFF_MS = 100;
+const MAXIMUM_BACKOFF_MS = 5_000;
+
+export interface JobRecorderOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly table: TablePort;
+  readonly objects: ObjectPort;
+  readonly failureDomain: FailureDomainName;
+  /** False once the failure domain is no longer held; ends all retries. */
+  readonly isHeld: () => boolean;
+}
+
+/** Undefined when the failure domain was lost before the outcome was known. */
+export type RecordOutcome =
+  | Exclude<TransitionOutcome, { readonly kind: "unavailable" }>
+  | undefined;
+
+/** Records ends and requeues of one failure domain's jobs. */
+export class JobRecorder {
+  readonly #options: JobRecorderOptions;
+
+  private constructor(options: JobRecorderOptions) {
+    this.#options = options;
+  }
+
+  static create(options: JobRecorderOptions): JobRecorder {
+    return new JobRecorder(options);
+  }
+
+  /** Stores the answer and ends the job as `answered`. */
+  async recordAnswer(
+    stored: StoredJob,
+    attemptId: AttemptId,
+    output: Uint8Array,
+  ): Promise<RecordOutcome> {
+    const objectKey = `answer/${stored.row.jobId}/${attemptId}`;
+    const answer: AnswerReference = {
+      objectKey,
+      lengthBytes: output.byteLength,
+      digest: createId<Digest>(
+        createHash("sha256").update(output).digest("hex"),
+      ),
+    };
+    const isStored = await this.#retry(async () => {
+      const outcome = await this.#options.objects.put(objectKey, output, {
+        timeoutMs: OBJECT_TIMEOUT_MS,
+      });
+      return outcome.kind === "stored" ? true : undefined;
+    });
+    if (isStored === undefined) return undefined;
+    return this.recordEnd(stored, {
+      state: "answered",
+      resultName: "ANSWERED",
+      answer,
+    });
+  }
+
+  recordEnd(stored: StoredJob, end: JobEnd): Promise<RecordOutcome> {
+    const { table, failureDomain } = this.#options;
+    return this.#settle(() => endJob(table, failureDomain, stored, end));
+  }
+
+  recordQueued(stored: StoredJob, next: JobRow): Promise<RecordOutcome> {
+    const { table, failureDomain } = this.#options;
+    return this.#settle(() => replaceJob(table, failureDomain, stored, next));
+  }
+
+  #settle(transit: () => Promise<TransitionOutcome>): Promise<RecordOutcome> {
+    return this.#retry(async () => {
+      const outcome = await transit();
+      return outcome.kind === "unavailable" ? undefined : outcome;
+    });
+  }
+
+  async #retry<Value>(
+    attempt: () => Promise<Value | undefined>,
+  ): Promise<Value | undefined> {
+    const { clock, random, isHeld } = this.#options;
+    let backoffMs = FIRST_BACKOFF_MS;
+    while (isHeld()) {
+      const value = await attempt();
+      if (value !== undefined) return value;
+      await clock.sleep(random.next() * backoffMs);
+      backoffMs = Math.min(backoffMs * 2, MAXIMUM_BACKOFF_MS);
+    }
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/node/jobs/jobs_controller.ts
@@ -0,0 +1,259 @@
+/**
+ * Keeps one domain runner per failure domain that this entry holds, passes notices between fronts
+ * and owners, and spreads the owners' summaries.
+ */
+import {
+  createId,
+  type FailureDomainName,
+  type JobId,
+  type Timer,
+} from "@coltsfootpond/common";
+import type { TablePort } from "@coltsfootpond/platform";
+import type {
+  DomainSummary,
+  PlacementEngine,
+  WaitReason,
+} from "@coltsfootpond/policy";
+import { type Observable, Subject, type Subscription } from "rxjs";
+import type { MeshDelivery } from "../mesh/messages.ts";
+import type {
+  ConfigurationView,
+  Controller,
+  DomainSummaryView,
+  EntryContext,
+  FailureDomainView,
+  Holding,
+  Mesh,
+  OwnershipChange,
+  OwnershipView,
+} from "../types.ts";
+import { DomainRunner } from "./domain_runner.ts";
+import type { JobNotice } from "./job_front.ts";
+import { moveJob, type StoredJob } from "./job_rows.ts";
+
+const SUMMARY_PERIOD_MS = 2_000;
+const AUDIT_PERIOD_MS = 300_000;
+/** A summary is sent again after this long even when nothing changed, for entries that missed it. */
+const SUMMARY_REFRESH_MS = 30_000;
+
+export interface JobsControllerOptions {
+  readonly context: EntryContext;
+  readonly table: TablePort;
+  readonly mesh: Mesh;
+  readonly configuration: ConfigurationView;
+  readonly failureDomains: FailureDomainView;
+  readonly ownership: OwnershipView;
+  readonly createEngine: () => PlacementEngine;
+  readonly configureEngine: (
+    engine: PlacementEngine,
+    failureDomain: FailureDomainName,
+  ) => void;
+  /** Another failure domain for a waiting job; undefined when there is none. */
+  readonly chooseOtherHome: (
+    stored: StoredJob,
+    from: FailureDomainName,
+  ) => FailureDomainName | undefined;
+}
+
+interface SentSummary {
+  readonly text: string;
+  readonly atMs: number;
+}
+
+/** Reconciles runners with holdings. */
+export class JobsController implements Controller, DomainSummaryView {
+  readonly name = "jobs";
+  readonly #options: JobsControllerOptions;
+  readonly #runners = new Map<FailureDomainName, DomainRunner>();
+  readonly #summaries = new Map<FailureDomainName, DomainSummary>();
+  readonly #sent = new Map<FailureDomainName, SentSummary>();
+  readonly #endings = new Subject<JobId>();
+  #timers: Timer[] = [];
+  #subscriptions: Subscription[] = [];
+
+  private constructor(options: JobsControllerOptions) {
+    this.#options = options;
+  }
+
+  static create(options: JobsControllerOptions): JobsController {
+    return new JobsController(options);
+  }
+
+  /** Ids of jobs that have ended anywhere. */
+  get endings(): Observable<JobId> {
+    return this.#endings;
+  }
+
+  get(failureDomain: FailureDomainName): DomainSummary | undefined {
+    return this.#runners.get(failureDomain)?.summarise() ??
+      this.#summaries.get(failureDomain);
+  }
+
+  /** Which rule holds a waiting job; undefined when its failure domain is owned elsewhere. */
+  explain(
+    failureDomain: FailureDomainName,
+    jobId: JobId,
+  ): WaitReason | undefined {
+    return this.#runners.get(failureDomain)?.explain(jobId);
+  }
+
+  start(): Promise<void> {
+    const { context, mesh, configuration, failureDomains, ownership } =
+      this.#options;
+    this.#subscriptions = [
+      ownership.changes.subscribe((change) => this.#applyOwnership(change)),
+      mesh.deliveries.subscribe((delivery) => this.#receive(delivery)),
+      configuration.changes.subscribe(() =>
+        this.#postAll({ kind: "configuration_changed" })
+      ),
+      failureDomains.changes.subscribe((status) =>
+        this.#runners.get(status.failureDomain)?.post({
+          kind: "domain_changed",
+        })
+      ),
+    ];
+    this.#timers = [
+      context.clock.every(SUMMARY_PERIOD_MS, () => this.#sendSummaries()),
+      context.clock.every(
+        AUDIT_PERIOD_MS,
+        () => this.#postAll({ kind: "audit" }),
+      ),
+    ];
+    for (const holding of ownership.listHeld()) this.#startRunner(holding);
+    return Promise.resolve();
+  }
+
+  stop(): Promise<void> {
+    for (const timer of this.#timers) timer.cancel();
+    for (const subscription of this.#subscriptions) subscription.unsubscribe();
+    for (const runner of this.#runners.values()) runner.stop();
+    this.#runners.clear();
+    return Promise.resolve();
+  }
+
+  /** Tells the owner of a failure domain, here or elsewhere, to look at a job's row. */
+  notify(notice: JobNotice): void {
+    const { failureDomain, jobId } = notice;
+    const runner = this.#runners.get(failureDomain);
+    if (runner !== undefined) {
+      return runner.post({
+        kind: notice.kind === "submitted" ? "job_noticed" : "job_end_noticed",
+        jobId,
+      });
+    }
+    const owner = this.#options.ownership.getOwner(failureDomain);
+    if (owner === undefined) return;
+    const kind = notice.kind === "submitted"
+      ? "job_submitted"
+      : "job_cancelled";
+    this.#options.mesh.send(owner, { kind, failureDomain, jobId });
+  }
+
+  #applyOwnership(change: OwnershipChange): void {
+    if (change.kind === "gained") return this.#startRunner(change.holding);
+    const runner = this.#runners.get(change.holding.failureDomain);
+    if (runner === undefined || runner.holding.epoch !== change.holding.epoch) {
+      return;
+    }
+    runner.stop();
+    this.#runners.delete(change.holding.failureDomain);
+  }
+
+  #startRunner(holding: Holding): void {
+    const { failureDomain } = holding;
+    const {
+      context,
+      table,
+      configuration,
+      failureDomains,
+      ownership,
+      createEngine,
+    } = this.#options;
+    this.#runners.get(failureDomain)?.stop();
+    const runner = DomainRunner.create({
+      context,
+      holding,
+      table,
+      engine: createEngine(),
+      configuration,
+      failureDomains,
+      mayAct: () => ownership.mayAct(holding),
+      configureEngine: (engine) =>
+        this.#options.configureEngine(engine, failureDomain),
+      moveAway: (stored) => this.#moveAway(stored, failureDomain),
+      onEnded: (jobId) => this.#announceEnd(failureDomain, jobId),
+    });
+    this.#runners.set(failureDomain, runner);
+    void runner.start();
+  }
+
+  async #moveAway(
+    stored: StoredJob,
+    from: FailureDomainName,
+  ): Promise<boolean> {
+    const to = this.#options.chooseOtherHome(stored, from);
+    if (to === undefined) return false;
+    const outcome = await moveJob(this.#options.table, from, to, stored);
+    if (outcome.kind !== "done") return false;
+    const { requestId, organisation, jobId } = stored.row;
+    this.#options.context.events.emit("job.moved", {
+      requestId,
+      organisation,
+      failureDomain: to,
+    }, `from ${from}`);
+    this.notify({ kind: "submitted", failureDomain: to, jobId });
+    return true;
+  }
+
+  #announceEnd(failureDomain: FailureDomainName, jobId: JobId): void {
+    this.#endings.next(jobId);
+    this.#options.mesh.broadcast({ kind: "job_ended", failureDomain, jobId });
+  }
+
+  #receive({ message }: MeshDelivery): void {
+    switch (message.kind) {
+      case "job_submitted":
+        return this.#runners.get(message.failureDomain)?.post({
+          kind: "job_noticed",
+          jobId: message.jobId,
+        });
+      case "job_cancelled":
+        return this.#runners.get(message.failureDomain)?.post({
+          kind: "job_end_noticed",
+          jobId: message.jobId,
+        });
+      case "job_ended":
+        return this.#endings.next(createId<JobId>(message.jobId));
+      case "domain_summary":
+        this.#summaries.set(message.failureDomain, message.summary);
+        return;
+      default:
+        return;
+    }
+  }
+
+  #postAll(message: Parameters<DomainRunner["post"]>[0]): void {
+    for (const runner of this.#runners.values()) runner.post(message);
+  }
+
+  /** Only summaries that changed are sent. */
+  #sendSummaries(): void {
+    const nowMs = this.#options.context.clock.nowMs();
+    for (const [failureDomain, runner] of this.#runners) {
+      const summary = runner.summarise();
+      const text = JSON.stringify(summary);
+      const sent = this.#sent.get(failureDomain);
+      if (sent?.text === text && nowMs - sent.atMs < SUMMARY_REFRESH_MS) {
+        continue;
+      }
+      this.#sent.set(failureDomain, { text, atMs: nowMs });
+      const { epoch } = runner.holding;
+      this.#options.mesh.broadcast({
+        kind: "domain_summary",
+        failureDomain,
+        epoch,
+        summary,
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/node/mesh/mesh_link.ts
@@ -0,0 +1,102 @@
+/** One connection to a peer: frames in and out, heartbeats, and the end of a silent connection. */
+import type {
+  Clock,
+  EntryName,
+  EventSink,
+  Incarnation,
+  Timer,
+} from "@coltsfootpond/common";
+import type { TrafficMeter } from "@coltsfootpond/platform";
+import type { RawData, WebSocket } from "ws";
+import type { Buffer } from "node:buffer";
+import { MESH_HEARTBEAT_MS, MESH_SILENCE_MS } from "../constants.ts";
+import { decodeMessage, encodeMessage } from "./codec.ts";
+import type { MeshMessage } from "./messages.ts";
+
+/** Frames queued beyond this are dropped: every message is a hint that comes again. */
+const MAXIMUM_BUFFERED_BYTES = 4 * 1_048_576;
+/** WebSocket, TCP and IP headers of one small frame. */
+const FRAME_OVERHEAD_BYTES = 46;
+
+export interface MeshLinkOptions {
+  readonly socket: WebSocket;
+  readonly peer: EntryName;
+  readonly incarnation: Incarnation;
+  readonly clock: Clock;
+  readonly events: EventSink;
+  readonly meter: TrafficMeter | undefined;
+  readonly createHeartbeat: () => MeshMessage;
+  readonly onMessage: (message: MeshMessage) => void;
+  readonly onClosed: () => void;
+}
+
+/** Owns one socket. A link with nothing received for `MESH_SILENCE_MS` is ended. */
+export class MeshLink {
+  readonly #options: MeshLinkOptions;
+  readonly #timer: Timer;
+  #lastHeardMs: number;
+  #closed = false;
+
+  private constructor(options: MeshLinkOptions) {
+    this.#options = options;
+    this.#lastHeardMs = options.clock.nowMs();
+    this.#timer = options.clock.every(MESH_HEARTBEAT_MS, () => this.#beat());
+    options.socket.on("message", (data) => this.#receive(data));
+    options.socket.on("error", (error) => this.close(error.message));
+    options.socket.on("close", () => this.close("closed by peer"));
+  }
+
+  static create(options: MeshLinkOptions): MeshLink {
+    const link = new MeshLink(options);
+    link.send(options.createHeartbeat());
+    return link;
+  }
+
+  get incarnation(): Incarnation {
+    return this.#options.incarnation;
+  }
+
+  /** Whether anything was heard within the silence bound. */
+  isHeard(): boolean {
+    return !this.#closed &&
+      this.#options.clock.nowMs() - this.#lastHeardMs < MESH_SILENCE_MS;
+  }
+
+  send(message: MeshMessage): void {
+    const { socket, meter } = this.#options;
+    if (this.#closed || socket.bufferedAmount > MAXIMUM_BUFFERED_BYTES) return;
+    const frame = encodeMessage(message);
+    meter?.addSent(frame.byteLength + FRAME_OVERHEAD_BYTES);
+    socket.send(frame);
+  }
+
+  close(reason: string): void {
+    if (this.#closed) return;
+    this.#closed = true;
+    this.#timer.cancel();
+    this.#options.socket.terminate();
+    this.#options.events.emit(
+      "mesh.closed",
+      { entry: this.#options.peer },
+      reason,
+    );
+    this.#options.onClosed();
+  }
+
+  #beat(): void {
+    const silentMs = this.#options.clock.nowMs() - this.#lastHeardMs;
+    if (silentMs >= MESH_SILENCE_MS) return this.close("silent");
+    this.send(this.#options.createHeartbeat());
+  }
+
+  #receive(data: RawData): void {
+    const frame = data as Buffer;
+    this.#lastHeardMs = this.#options.clock.nowMs();
+    this.#options.meter?.addReceived(frame.byteLength + FRAME_OVERHEAD_BYTES);
+    try {
+      this.#options.onMessage(decodeMessage(frame));
+    } catch (error) {
+      this.close(`malformed frame: ${String(error)}`);
+    }
+  }
+}
--- /dev/null
+++ b/packages/node/mesh/mesh_task.ts
@@ -0,0 +1,261 @@
+/**
+ * The mesh between entries: one WebSocket per pair, dialled by the entry whose name sorts first.
+ * Peers come from the membership; a peer whose connection ends is dialled again until it is gone
+ * from the membership.
+ */
+import type {
+  Clock,
+  EntryName,
+  EventSink,
+  Incarnation,
+  Timer,
+} from "@coltsfootpond/common";
+import { createId } from "@coltsfootpond/common";
+import type { TrafficMeter } from "@coltsfootpond/platform";
+import type { IncomingMessage } from "node:http";
+import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import type { Duplex } from "node:stream";
+import { type Observable, Subject } from "rxjs";
+import { WebSocket, WebSocketServer } from "ws";
+import {
+  MESH_HEARTBEAT_MS,
+  MESH_MAXIMUM_FRAME_BYTES,
+  MESH_SILENCE_MS,
+  MESH_VERSION,
+} from "../constants.ts";
+import type { Controller, EntryIdentity, Mesh } from "../types.ts";
+import {
+  createProof,
+  HELLO_HEADER,
+  isProofValid,
+  type MeshHello,
+} from "./codec.ts";
+import { MeshLink } from "./mesh_link.ts";
+import type { MeshDelivery, MeshMessage } from "./messages.ts";
+
+/** Where a peer's mesh server listens. */
+export interface MeshPeerAddress {
+  readonly entry: EntryName;
+  readonly host: string;
+  readonly port: number;
+}
+
+export interface MeshTaskOptions {
+  readonly identity: EntryIdentity;
+  readonly clock: Clock;
+  readonly events: EventSink;
+  readonly host: string;
+  /** 0 takes a free port. */
+  readonly port: number;
+  readonly secret: string;
+  readonly meter?: TrafficMeter;
+  readonly createHeartbeat: () => MeshMessage;
+}
+
+const MESH_PATH = "/mesh";
+
+/** Owns the mesh server and all links. */
+export class MeshTask implements Mesh, Controller {
+  readonly name = "mesh";
+  readonly #options: MeshTaskOptions;
+  readonly #deliveries = new Subject<MeshDelivery>();
+  readonly #links = new Map<EntryName, MeshLink>();
+  readonly #dialling = new Set<EntryName>();
+  readonly #server: Server = createServer((_request, response) =>
+    response.writeHead(426).end()
+  );
+  readonly #sockets = new WebSocketServer({
+    noServer: true,
+    maxPayload: MESH_MAXIMUM_FRAME_BYTES,
+  });
+  #peers: readonly MeshPeerAddress[] = [];
+  #redial: Timer | undefined;
+
+  private constructor(options: MeshTaskOptions) {
+    this.#options = options;
+    this.#server.on(
+      "upgrade",
+      (request, socket, head) => this.#accept(request, socket, head),
+    );
+  }
+
+  static create(options: MeshTaskOptions): MeshTask {
+    return new MeshTask(options);
+  }
+
+  get deliveries(): Observable<MeshDelivery> {
+    return this.#deliveries;
+  }
+
+  get port(): number {
+    return (this.#server.address() as AddressInfo).port;
+  }
+
+  start(): Promise<void> {
+    this.#redial = this.#options.clock.every(
+      MESH_HEARTBEAT_MS,
+      () => this.#dialMissing(),
+    );
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(this.#options.port, this.#options.host, resolve);
+    });
+  }
+
+  stop(): Promise<void> {
+    this.#redial?.cancel();
+    this.#peers = [];
+    for (const link of [...this.#links.values()]) link.close("stopping");
+    return new Promise((resolve) => this.#server.close(() => resolve()));
+  }
+
+  /** Replaces the list of peers; links to entries that are no longer listed are closed. */
+  setPeers(peers: readonly MeshPeerAddress[]): void {
+    this.#peers = peers.filter((peer) =>
+      peer.entry !== this.#options.identity.entry
+    );
+    const listed = new Set(this.#peers.map((peer) => peer.entry));
+    for (const [entry, link] of [...this.#links]) {
+      if (!listed.has(entry)) link.close("no longer a member");
+    }
+    this.#dialMissing();
+  }
+
+  send(to: EntryName, message: MeshMessage): void {
+    this.#links.get(to)?.send(message);
+  }
+
+  broadcast(message: MeshMessage): void {
+    for (const link of this.#links.values()) link.send(message);
+  }
+
+  listConnected(): readonly EntryName[] {
+    return [...this.#links].filter(([, link]) => link.isHeard()).map((
+      [entry],
+    ) => entry);
+  }
+
+  #dialMissing(): void {
+    for (const peer of this.#peers) {
+      const dials = this.#options.identity.entry < peer.entry;
+      if (
+        dials && !this.#links.has(peer.entry) && !this.#dialling.has(peer.entry)
+      ) this.#dial(peer);
+    }
+  }
+
+  #dial(peer: MeshPeerAddress): void {
+    const { identity, secret } = this.#options;
+    const hello: MeshHello = {
+      from: identity.entry,
+      incarnation: identity.incarnation,
+      to: peer.entry,
+    };
+    const socket = new WebSocket(`ws://${peer.host}:${peer.port}${MESH_PATH}`, {
+      handshakeTimeout: MESH_SILENCE_MS,
+      maxPayload: MESH_MAXIMUM_FRAME_BYTES,
+      perMessageDeflate: false,
+      headers: {
+        [HELLO_HEADER.FROM]: hello.from,
+        [HELLO_HEADER.INCARNATION]: hello.incarnation,
+        [HELLO_HEADER.VERSION]: String(MESH_VERSION),
+        [HELLO_HEADER.PROOF]: createProof(hello, secret),
+      },
+    });
+    this.#dialling.add(peer.entry);
+    let peerIncarnation: Incarnation | undefined;
+    socket.on(
+      "upgrade",
+      (response) => (peerIncarnation = this.#checkAnswer(response, peer.entry)),
+    );
+    socket.once("open", () => {
+      this.#dialling.delete(peer.entry);
+      if (peerIncarnation === undefined) return socket.terminate();
+      this.#addLink(socket, peer.entry, peerIncarnation);
+    });
+    socket.once("error", () => this.#dialling.delete(peer.entry));
+    socket.once("close", () => this.#dialling.delete(peer.entry));
+  }
+
+  /** The answering side proves itself in the headers of its upgrade response. */
+  #checkAnswer(
+    response: IncomingMessage,
+    from: EntryName,
+  ): Incarnation | undefined {
+    const incarnation = createId<Incarnation>(
+      String(response.headers[HELLO_HEADER.INCARNATION] ?? ""),
+    );
+    const proof = String(response.headers[HELLO_HEADER.PROOF] ?? "");
+    const hello: MeshHello = {
+      from,
+      incarnation,
+      to: this.#options.identity.entry,
+    };
+    if (isProofValid(hello, this.#options.secret, proof)) return incarnation;
+    this.#options.events.emit(
+      "mesh.refused",
+      { entry: from },
+      "the answering entry's proof is wrong",
+    );
+    return undefined;
+  }
+
+  #accept(request: IncomingMessage, socket: Duplex, head: Uint8Array): void {
+    const { identity, secret, events } = this.#options;
+    const from = createId<EntryName>(
+      String(request.headers[HELLO_HEADER.FROM] ?? ""),
+    );
+    const incarnation = createId<Incarnation>(
+      String(request.headers[HELLO_HEADER.INCARNATION] ?? ""),
+    );
+    const proof = String(request.headers[HELLO_HEADER.PROOF] ?? "");
+    const isVersionKnown =
+      request.headers[HELLO_HEADER.VERSION] === String(MESH_VERSION);
+    if (
+      !isVersionKnown ||
+      !isProofValid({ from, incarnation, to: identity.entry }, secret, proof)
+    ) {
+      events.emit(
+        "mesh.refused",
+        { entry: from },
+        isVersionKnown ? "wrong proof" : "unknown version",
+      );
+      socket.end("HTTP/1.1 401 Unauthorized\r\nconnection: close\r\n\r\n");
+      return;
+    }
+    const answer: MeshHello = {
+      from: identity.entry,
+      incarnation: identity.incarnation,
+      to: from,
+    };
+    this.#sockets.once("headers", (headers: string[]) => {
+      headers.push(`${HELLO_HEADER.INCARNATION}: ${identity.incarnation}`);
+      headers.push(`${HELLO_HEADER.PROOF}: ${createProof(answer, secret)}`);
+    });
+    this.#sockets.handleUpgrade(request, socket, head as never, (webSocket) => {
+      this.#addLink(webSocket, from, incarnation);
+    });
+  }
+
+  #addLink(socket: WebSocket, peer: EntryName, incarnation: Incarnation): void {
+    const { clock, events, meter, createHeartbeat } = this.#options;
+    this.#links.get(peer)?.close("replaced by a newer connection");
+    const link = MeshLink.create({
+      socket,
+      peer,
+      incarnation,
+      clock,
+      events,
+      meter,
+      createHeartbeat,
+      onMessage: (message) =>
+        this.#deliveries.next({ from: peer, incarnation, message }),
+      onClosed: () => {
+        if (this.#links.get(peer) === link) this.#links.delete(peer);
+      },
+    });
+    this.#links.set(peer, link);
+    events.emit("mesh.connected", { entry: peer });
+  }
+}
--- a/packages/node/mesh/messages.ts
+++ b/packages/node/mesh/messages.ts
@@ -28,7 +28,6 @@
     readonly tableReachable: boolean;
     readonly leaving: boolean;
   }
-  | { readonly kind: "heartbeat_reply"; readonly sequence: number }
   | { readonly kind: "configuration_accepted"; readonly version: number }
   | {
     readonly kind: "domain_changed";
--- a/packages/node/rows.ts
+++ b/packages/node/rows.ts
@@ -71,7 +71,10 @@
 } as const;
 export type JobState = ValueOf<typeof JOB_STATE>;
 
-/** `job/{failureDomain}/{jobId}`: one durable job, moved by compare-and-set. */
+/**
+ * `job/{failureDomain}/{jobId}`: one job that has not ended. The row is deleted by the transaction
+ * that records the job's end, so a scan of a failure domain reads only live jobs.
+ */
 export interface JobRow {
   readonly jobId: JobId;
   readonly organisation: OrganisationName;
@@ -79,18 +82,24 @@
   readonly service: ServiceName;
   readonly bodyDigest: Digest;
   readonly payload: string;
-  readonly state: JobState;
+  readonly state: "queued" | "running";
   readonly attempts: number;
   readonly failures: number;
   readonly attemptId?: AttemptId;
   readonly assignments?: readonly Assignment[];
-  readonly checkpoint?: string;
-  readonly answer?: AnswerReference;
-  readonly resultName?: ResultName;
+  /** Checkpoints of all tasks of the gang, in order of task index. */
+  readonly checkpoints?: readonly string[];
   /** How long it had waited when the row was last written. */
   readonly waitedMs: number;
 }
 
+/** How a job ended. */
+export interface JobEnd {
+  readonly state: "answered" | "failed" | "cancelled";
+  readonly resultName: ResultName;
+  readonly answer?: AnswerReference;
+}
+
 /** A whole answer in the object store. */
 export interface AnswerReference {
   readonly objectKey: string;
@@ -105,6 +114,8 @@
     readonly service: ServiceName;
     readonly bodyDigest: Digest;
     readonly failureDomain: FailureDomainName;
+    /** Absent while the job has not ended. */
+    readonly end?: JobEnd;
   }
   | {
     readonly kind: "call";
