Keep rows and objects in memory behind switchable faults

Cause: the controllers' tests and the platform stand-in need a table service and an object store with the platform's semantics and its failures. Change: MemoryTable, MemoryObjects; FaultSwitch (down, slow before and after the effect, lost answers) in front of either port. Not covered by tests yet; the table client's tests use it.

--- /dev/null
+++ b/packages/platform/table/fault_switch.ts
@@ -0,0 +1,141 @@
+/** Switchable faults in front of a table service or an object store. */
+import type { Clock } from "@coltsfootpond/common";
+import type {
+  CallOptions,
+  GetOutcome,
+  ObjectPort,
+  PutOutcome,
+  ReadOutcome,
+  TablePort,
+  TableTransaction,
+  TransactionOutcome,
+  Unavailable,
+} from "../types.ts";
+
+/** Faults in force; a test or an operator of the stand-in sets the fields. */
+export class FaultSwitch {
+  readonly #clock: Clock;
+  /** Refuses every call. */
+  down = false;
+  /** Delays a call on its way in; past the caller's timeout it still takes effect. */
+  delayBeforeMs = 0;
+  /** Delays the answer after the effect. */
+  delayAfterMs = 0;
+  /** So many answers to come are lost after the effect. */
+  loseAnswers = 0;
+
+  private constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  static create(clock: Clock): FaultSwitch {
+    return new FaultSwitch(clock);
+  }
+
+  /** Makes one call under the faults in force. */
+  pass<Outcome>(
+    options: CallOptions,
+    call: () => Promise<Outcome>,
+  ): Promise<Outcome | Unavailable> {
+    if (this.down) {
+      return Promise.resolve(
+        { kind: "unavailable", effect: "refused", reason: "down" },
+      );
+    }
+    if (this.delayBeforeMs === 0 && this.delayAfterMs === 0) {
+      return this.#answer(call());
+    }
+    return new Promise((resolve) => {
+      const timer = this.#clock.after(
+        options.timeoutMs,
+        () =>
+          resolve({ kind: "unavailable", effect: "lost", reason: "timeout" }),
+      );
+      void this.#passSlowly(call).then((outcome) => {
+        timer.cancel();
+        resolve(outcome);
+      });
+    });
+  }
+
+  async #passSlowly<Outcome>(
+    call: () => Promise<Outcome>,
+  ): Promise<Outcome | Unavailable> {
+    if (this.delayBeforeMs > 0) await this.#clock.sleep(this.delayBeforeMs);
+    const outcome = await this.#answer(call());
+    if (this.delayAfterMs > 0) await this.#clock.sleep(this.delayAfterMs);
+    return outcome;
+  }
+
+  async #answer<Outcome>(
+    pending: Promise<Outcome>,
+  ): Promise<Outcome | Unavailable> {
+    const outcome = await pending;
+    if (this.loseAnswers === 0) return outcome;
+    this.loseAnswers -= 1;
+    return { kind: "unavailable", effect: "lost", reason: "answer lost" };
+  }
+}
+
+/** A table service seen through a fault switch. */
+export class FaultyTable implements TablePort {
+  readonly #inner: TablePort;
+  readonly faults: FaultSwitch;
+
+  private constructor(inner: TablePort, faults: FaultSwitch) {
+    this.#inner = inner;
+    this.faults = faults;
+  }
+
+  static create(inner: TablePort, faults: FaultSwitch): FaultyTable {
+    return new FaultyTable(inner, faults);
+  }
+
+  transact(
+    transaction: TableTransaction,
+    options: CallOptions,
+  ): Promise<TransactionOutcome> {
+    return this.faults.pass(
+      options,
+      () => this.#inner.transact(transaction, options),
+    );
+  }
+
+  read(keys: readonly string[], options: CallOptions): Promise<ReadOutcome> {
+    return this.faults.pass(options, () => this.#inner.read(keys, options));
+  }
+
+  scan(prefix: string, options: CallOptions): Promise<ReadOutcome> {
+    return this.faults.pass(options, () => this.#inner.scan(prefix, options));
+  }
+}
+
+/** An object store seen through a fault switch. */
+export class FaultyObjects implements ObjectPort {
+  readonly #inner: ObjectPort;
+  readonly faults: FaultSwitch;
+
+  private constructor(inner: ObjectPort, faults: FaultSwitch) {
+    this.#inner = inner;
+    this.faults = faults;
+  }
+
+  static create(inner: ObjectPort, faults: FaultSwitch): FaultyObjects {
+    return new FaultyObjects(inner, faults);
+  }
+
+  put(
+    key: string,
+    content: Uint8Array,
+    options: CallOptions,
+  ): Promise<PutOutcome> {
+    return this.faults.pass(
+      options,
+      () => this.#inner.put(key, content, options),
+    );
+  }
+
+  get(key: string, options: CallOptions): Promise<GetOutcome> {
+    return this.faults.pass(options, () => this.#inner.get(key, options));
+  }
+}
--- /dev/null
+++ b/packages/platform/table/memory_table.ts
@@ -0,0 +1,140 @@
+/**
+ * A table service and an object store in memory, with the semantics of the platform's. Tests and
+ * the platform stand-in build on them; `fault_switch.ts` puts faults in front.
+ */
+import type { JsonValue } from "@coltsfootpond/common";
+import type {
+  GetOutcome,
+  ObjectPort,
+  PutOutcome,
+  ReadOutcome,
+  RowCondition,
+  TablePort,
+  TableRow,
+  TableTransaction,
+  TransactionOutcome,
+} from "../types.ts";
+
+/** Counts of the calls that reached the table. */
+export interface TableCallCounts {
+  readonly transactions: number;
+  readonly writes: number;
+  readonly reads: number;
+  readonly scans: number;
+}
+
+/** Rows in memory; every transaction is atomic. */
+export class MemoryTable implements TablePort {
+  readonly #rows = new Map<string, TableRow>();
+  /** Versions go on rising after a row was deleted, so that an old condition never holds again. */
+  readonly #versions = new Map<string, number>();
+  #transactions = 0;
+  #writes = 0;
+  #reads = 0;
+  #scans = 0;
+
+  private constructor() {}
+
+  static create(): MemoryTable {
+    return new MemoryTable();
+  }
+
+  transact(transaction: TableTransaction): Promise<TransactionOutcome> {
+    return Promise.resolve(this.transactNow(transaction));
+  }
+
+  read(keys: readonly string[]): Promise<ReadOutcome> {
+    this.#reads += 1;
+    return Promise.resolve({ kind: "rows", rows: this.#list(keys) });
+  }
+
+  scan(prefix: string): Promise<ReadOutcome> {
+    this.#scans += 1;
+    const keys = [...this.#rows.keys()]
+      .filter((key) => key.startsWith(prefix))
+      .sort();
+    return Promise.resolve({ kind: "rows", rows: this.#list(keys) });
+  }
+
+  /** The synchronous form of `transact`, for models. */
+  transactNow(transaction: TableTransaction): TransactionOutcome {
+    this.#transactions += 1;
+    if (!transaction.conditions.every((one) => this.#holds(one))) {
+      const keys = transaction.conditions.map((condition) => condition.key);
+      return { kind: "conflict", rows: this.#list(keys) };
+    }
+    for (const write of transaction.writes) {
+      const version = (this.#versions.get(write.key) ?? 0) + 1;
+      this.#versions.set(write.key, version);
+      this.#writes += 1;
+      if (write.kind === "delete") {
+        this.#rows.delete(write.key);
+        continue;
+      }
+      this.#rows.set(write.key, {
+        key: write.key,
+        version,
+        writeId: transaction.writeId,
+        value: write.value,
+      });
+    }
+    const keys = transaction.writes.map((write) => write.key);
+    return { kind: "committed", rows: this.#list(keys) };
+  }
+
+  getRow(key: string): TableRow | undefined {
+    return this.#rows.get(key);
+  }
+
+  getValue(key: string): JsonValue | undefined {
+    return this.#rows.get(key)?.value;
+  }
+
+  countCalls(): TableCallCounts {
+    return {
+      transactions: this.#transactions,
+      writes: this.#writes,
+      reads: this.#reads,
+      scans: this.#scans,
+    };
+  }
+
+  #holds(condition: RowCondition): boolean {
+    const row = this.#rows.get(condition.key);
+    if (condition.kind === "absent") return row === undefined;
+    return row?.version === condition.version;
+  }
+
+  #list(keys: readonly string[]): TableRow[] {
+    return [...new Set(keys)]
+      .map((key) => this.#rows.get(key))
+      .filter((row) => row !== undefined);
+  }
+}
+
+/** Objects in memory. */
+export class MemoryObjects implements ObjectPort {
+  readonly #objects = new Map<string, Uint8Array>();
+
+  private constructor() {}
+
+  static create(): MemoryObjects {
+    return new MemoryObjects();
+  }
+
+  put(key: string, content: Uint8Array): Promise<PutOutcome> {
+    this.#objects.set(key, content.slice());
+    return Promise.resolve({ kind: "stored" });
+  }
+
+  get(key: string): Promise<GetOutcome> {
+    const content = this.#objects.get(key);
+    return Promise.resolve(
+      content === undefined ? { kind: "absent" } : { kind: "found", content },
+    );
+  }
+
+  listKeys(): readonly string[] {
+    return [...this.#objects.keys()].sort();
+  }
+}
