Settle lost writes and keep the write budget in the table client

Change: ResilientTable retries within the deadline with full jitter and settles by write id; WriteGate ranks and bounds what waits.

--- a/packages/platform/mod.ts
+++ b/packages/platform/mod.ts
@@ -5,3 +5,8 @@
 export * from "./types.ts";
 export * from "./table/fault_switch.ts";
 export * from "./table/memory_table.ts";
+export * from "./table/backoff.ts";
+export * from "./table/resilient_table.ts";
+export * from "./table/settlement.ts";
+export * from "./table/types.ts";
+export * from "./table/write_gate.ts";
