Stand in for the platform: fleet, VM list, balancer and HTTP server

Cause: the path through separate processes, the tests and the demo need the platform's services, their faults and a ledger to check promises against. Change: stand_ins/platform with PlatformStandIn (in-process ports) and PlatformServer (HTTP+JSON of packages/platform/http); the table and the objects are packages/platform's in-memory ones behind its FaultSwitch. The fleet settles expiries, ends and checkpoints at the moment they fell due. Seen to fail: with the epoch comparison off and with expired holds kept, one test each.

--- a/stand_ins/mod.ts
+++ b/stand_ins/mod.ts
@@ -1,2 +1,2 @@
 /** Public face of the stand-ins: small replacements of the platform and of runners, for tests. */
-export {};
+export * from "./platform/mod.ts";
--- /dev/null
+++ b/stand_ins/platform/fleet.ts
@@ -0,0 +1,73 @@
+/** The fleet of workers behind its port, one `FleetDomain` per failure domain. */
+import type { Clock, Random } from "@coltsfootpond/common";
+import type {
+  CommandBatch,
+  CommandOutcome,
+  FleetPort,
+  FleetReportOutcome,
+  FleetReportRequest,
+} from "@coltsfootpond/platform";
+import { FleetDomain } from "./fleet_domain.ts";
+import type {
+  CapacitySample,
+  FleetDeclaration,
+  TaskRun,
+  WorkerFault,
+} from "./types.ts";
+
+const UNKNOWN_DOMAIN = {
+  kind: "unavailable",
+  effect: "refused",
+  reason: "unknown failure domain",
+} as const;
+
+export class Fleet implements FleetPort {
+  readonly #clock: Clock;
+  readonly #random: Random;
+  readonly #domains = new Map<string, FleetDomain>();
+
+  private constructor(clock: Clock, random: Random) {
+    this.#clock = clock;
+    this.#random = random;
+  }
+
+  static create(clock: Clock, random: Random): Fleet {
+    return new Fleet(clock, random);
+  }
+
+  declare(declaration: FleetDeclaration): void {
+    const domain = FleetDomain.create(declaration, this.#random);
+    this.#domains.set(declaration.failureDomain, domain);
+  }
+
+  command(batch: CommandBatch): Promise<CommandOutcome> {
+    const domain = this.#domains.get(batch.failureDomain);
+    if (domain === undefined) return Promise.resolve(UNKNOWN_DOMAIN);
+    const statuses = domain.command(batch, this.#clock.nowMs());
+    return Promise.resolve({ kind: "statuses", statuses });
+  }
+
+  report(request: FleetReportRequest): Promise<FleetReportOutcome> {
+    const domain = this.#domains.get(request.failureDomain);
+    if (domain === undefined) return Promise.resolve(UNKNOWN_DOMAIN);
+    const report = domain.report(request, this.#clock.nowMs());
+    return Promise.resolve({ kind: "report", report });
+  }
+
+  applyFault(fault: WorkerFault): void {
+    for (const domain of this.#domains.values()) {
+      domain.setCondition(fault.worker, fault.condition, this.#clock.nowMs());
+    }
+  }
+
+  listRuns(): readonly TaskRun[] {
+    return [...this.#domains.values()]
+      .flatMap((domain) => domain.listRuns(this.#clock.nowMs()))
+      .sort((left, right) => left.startMs - right.startMs);
+  }
+
+  sampleCapacity(): readonly CapacitySample[] {
+    return [...this.#domains.values()]
+      .flatMap((domain) => domain.sampleCapacity(this.#clock.nowMs()));
+  }
+}
--- /dev/null
+++ b/stand_ins/platform/platform_stand_in.ts
@@ -0,0 +1,124 @@
+/** The platform's services in one process: ports for tests, and what the HTTP server serves. */
+import type { Clock, Random, Timer } from "@coltsfootpond/common";
+import {
+  type CallOptions,
+  type CommandBatch,
+  FaultSwitch,
+  FaultyObjects,
+  FaultyTable,
+  type FleetPort,
+  type FleetReportRequest,
+  MemoryObjects,
+  MemoryTable,
+  type PlatformPorts,
+} from "@coltsfootpond/platform";
+import { Fleet } from "./fleet.ts";
+import type {
+  CapacitySample,
+  FaultRequest,
+  Ledger,
+  LedgerMark,
+  ServiceFault,
+} from "./types.ts";
+import { VmRegistry } from "./vm_list.ts";
+
+export interface PlatformStandInOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  /** Period of the capacity samples in the ledger; none when absent. */
+  readonly samplePeriodMs?: number;
+}
+
+const MAXIMUM_SAMPLES = 200_000;
+
+function createFaultyFleet(fleet: Fleet, faults: FaultSwitch): FleetPort {
+  return {
+    command: (batch: CommandBatch, options: CallOptions) =>
+      faults.pass(options, () => fleet.command(batch)),
+    report: (request: FleetReportRequest, options: CallOptions) =>
+      faults.pass(options, () => fleet.report(request)),
+  };
+}
+
+function setFault(faults: FaultSwitch, change: ServiceFault = {}): void {
+  faults.down = change.down ?? faults.down;
+  faults.delayBeforeMs = change.delayBeforeMs ?? faults.delayBeforeMs;
+  faults.delayAfterMs = change.delayAfterMs ?? faults.delayAfterMs;
+  faults.loseAnswers = change.loseAnswers ?? faults.loseAnswers;
+}
+
+/** Table service, object store, VM list and worker fleet, with switchable faults and a ledger. */
+export class PlatformStandIn {
+  readonly ports: PlatformPorts;
+  readonly fleet: Fleet;
+  readonly vms: VmRegistry;
+  readonly #clock: Clock;
+  readonly #table = MemoryTable.create();
+  readonly #tableFaults: FaultSwitch;
+  readonly #objectFaults: FaultSwitch;
+  readonly #fleetFaults: FaultSwitch;
+  readonly #marks: LedgerMark[] = [];
+  readonly #capacity: CapacitySample[] = [];
+  readonly #sampling: Timer | undefined;
+
+  private constructor(options: PlatformStandInOptions) {
+    const { clock, random, samplePeriodMs } = options;
+    this.#clock = clock;
+    this.fleet = Fleet.create(clock, random);
+    this.vms = VmRegistry.create(clock);
+    this.#tableFaults = FaultSwitch.create(clock);
+    this.#objectFaults = FaultSwitch.create(clock);
+    this.#fleetFaults = FaultSwitch.create(clock);
+    this.ports = {
+      table: FaultyTable.create(this.#table, this.#tableFaults),
+      objects: FaultyObjects.create(
+        MemoryObjects.create(),
+        this.#objectFaults,
+      ),
+      vms: this.vms,
+      fleet: createFaultyFleet(this.fleet, this.#fleetFaults),
+    };
+    if (samplePeriodMs !== undefined) {
+      this.#sampling = clock.every(samplePeriodMs, () => this.#sample());
+    }
+  }
+
+  static create(options: PlatformStandInOptions): PlatformStandIn {
+    return new PlatformStandIn(options);
+  }
+
+  stop(): void {
+    this.#sampling?.cancel();
+  }
+
+  changeFaults(request: FaultRequest): void {
+    setFault(this.#tableFaults, request.table);
+    setFault(this.#objectFaults, request.objects);
+    setFault(this.#fleetFaults, request.fleet);
+    this.vms.lagMs = request.vmListLagMs ?? this.vms.lagMs;
+    for (const fault of request.workers ?? []) this.fleet.applyFault(fault);
+  }
+
+  mark(name: string): LedgerMark {
+    const mark = { name, atMs: this.#clock.nowMs() };
+    this.#marks.push(mark);
+    return mark;
+  }
+
+  readLedger(): Ledger {
+    const counts = this.#table.countCalls();
+    return {
+      nowMs: this.#clock.nowMs(),
+      runs: this.fleet.listRuns(),
+      marks: this.#marks,
+      capacity: this.#capacity,
+      tableWrites: counts.writes,
+      tableReads: counts.reads + counts.scans,
+    };
+  }
+
+  #sample(): void {
+    if (this.#capacity.length >= MAXIMUM_SAMPLES) return;
+    this.#capacity.push(...this.fleet.sampleCapacity());
+  }
+}
