Read declarations and settings from TOML as a whole

Cause: a set of declarations has to be taken whole or not at all, and its author has to see all faults of it at once, with file, key path and what was expected. Secrets and digests are never repeated in a problem.

--- /dev/null
+++ b/packages/common/declarations/references.ts
@@ -0,0 +1,149 @@
+/** Checks that span the files of a set: names declared twice and references to nothing. */
+import {
+  describeFound,
+  formatPath,
+  type SourceProblem,
+} from "../toml/problem.ts";
+
+/** One parsed file, its shape not yet trusted. */
+export interface ParsedFile {
+  readonly name: string;
+  readonly table: Readonly<Record<string, unknown>>;
+}
+
+/** A value with the place where it stands. */
+interface Located {
+  readonly file: string;
+  readonly path: readonly PropertyKey[];
+  readonly value: unknown;
+}
+
+type ListKey =
+  | "organisations"
+  | "guarantees"
+  | "services"
+  | "failure_domains"
+  | "operator_token_digests";
+
+/** Finds every duplicate name and dangling reference, also beside faults of other kinds. */
+export function checkReferences(
+  files: readonly ParsedFile[],
+): readonly SourceProblem[] {
+  const organisations = listItems(files, "organisations");
+  const guarantees = listItems(files, "guarantees");
+  const services = listItems(files, "services");
+  const domains = listItems(files, "failure_domains");
+  const racks = domains.flatMap((item) => listInside(item, "racks"));
+  const workers = racks.flatMap(listWorkerNames);
+  const organisationNames = collectTexts(getFields(organisations, "name"));
+  const domainNames = collectTexts(getFields(domains, "name"));
+  const callers = services.flatMap((item) => listInside(item, "organisations"));
+  return [
+    ...findDuplicates(getFields(organisations, "name")),
+    ...findDuplicates(getFields(guarantees, "name")),
+    ...findDuplicates(getFields(services, "name")),
+    ...findDuplicates(getFields(domains, "name")),
+    ...findDuplicates(getFields(racks, "name")),
+    ...findDuplicates(workers),
+    ...findDuplicates([
+      ...listItems(files, "operator_token_digests"),
+      ...getFields(organisations, "token_digest"),
+    ]),
+    ...findDangling(
+      [...getFields(guarantees, "organisation"), ...callers],
+      organisationNames,
+      "a declared organisation",
+    ),
+    ...findDangling(
+      getFields(guarantees, "failure_domain"),
+      domainNames,
+      "a declared failure domain",
+    ),
+  ];
+}
+
+function listItems(
+  files: readonly ParsedFile[],
+  key: ListKey,
+): readonly Located[] {
+  return files.flatMap((file) =>
+    listInside({ file: file.name, path: [], value: file.table }, key)
+  );
+}
+
+function listInside(parent: Located, key: string): readonly Located[] {
+  const field = getField(parent, key);
+  if (field === undefined || !Array.isArray(field.value)) return [];
+  return field.value.map((value, index) => ({
+    ...field,
+    path: [...field.path, index],
+    value,
+  }));
+}
+
+function getField(parent: Located, key: string): Located | undefined {
+  const { value } = parent;
+  if (typeof value !== "object" || value === null) return undefined;
+  if (!Object.hasOwn(value, key)) return undefined;
+  const field = (value as Record<string, unknown>)[key];
+  return { ...parent, path: [...parent.path, key], value: field };
+}
+
+function getFields(items: readonly Located[], key: string): readonly Located[] {
+  return items.flatMap((item) => getField(item, key) ?? []);
+}
+
+function listWorkerNames(rack: Located): readonly Located[] {
+  const listed = getFields(listInside(rack, "workers"), "name");
+  const workers = getField(rack, "workers");
+  const prefix = workers && getField(workers, "prefix")?.value;
+  const count = workers && getField(workers, "count")?.value;
+  if (workers === undefined || typeof prefix !== "string") return listed;
+  if (typeof count !== "number" || !(count <= MAXIMUM_EXPANDED)) return listed;
+  return Array.from({ length: Math.max(0, Math.floor(count)) }, (_, index) => ({
+    ...workers,
+    value: `${prefix}${index + 1}`,
+  }));
+}
+
+/** Larger counts are refused by the schema. */
+const MAXIMUM_EXPANDED = 256;
+
+function collectTexts(items: readonly Located[]): ReadonlySet<string> {
+  return new Set(
+    items.flatMap((item) => typeof item.value === "string" ? item.value : []),
+  );
+}
+
+function findDuplicates(items: readonly Located[]): readonly SourceProblem[] {
+  const firstPlaces = new Map<string, string>();
+  const problems: SourceProblem[] = [];
+  for (const item of items) {
+    if (typeof item.value !== "string") continue;
+    const place = `${item.file}: ${formatPath(item.path)}`;
+    const first = firstPlaces.get(item.value);
+    if (first === undefined) firstPlaces.set(item.value, place);
+    else problems.push(createProblem(item, `no repetition of ${first}`));
+  }
+  return problems;
+}
+
+function findDangling(
+  references: readonly Located[],
+  known: ReadonlySet<string>,
+  expected: string,
+): readonly SourceProblem[] {
+  return references
+    .filter((item) => typeof item.value === "string" && !known.has(item.value))
+    .map((item) => createProblem(item, expected));
+}
+
+function createProblem(item: Located, expected: string): SourceProblem {
+  const path = formatPath(item.path);
+  return {
+    file: item.file,
+    path,
+    expected,
+    found: describeFound(item.value, path),
+  };
+}
--- /dev/null
+++ b/packages/common/toml/parse_toml.ts
@@ -0,0 +1,94 @@
+/** Reads one TOML file against a zod schema and reports every fault in it. */
+import { parse } from "smol-toml";
+import type { z } from "zod";
+import {
+  describeFound,
+  formatPath,
+  getAt,
+  type SourceProblem,
+} from "./problem.ts";
+
+/** A TOML file's name and text. */
+export interface TomlFile {
+  readonly name: string;
+  readonly text: string;
+}
+
+export type TomlOutcome =
+  | { readonly kind: "parsed"; readonly table: Record<string, unknown> }
+  | { readonly kind: "malformed"; readonly problem: SourceProblem };
+
+const MESSAGE_PREFIX = "Invalid TOML document: ";
+const UNIT_SUFFIX_PATTERN =
+  /_(ms|seconds?|s|minutes?|hours?|bytes|mib|kib|mb|gb)$/;
+
+/** Parses the text alone; the shape is checked by `checkSchema`. */
+export function parseToml(file: TomlFile): TomlOutcome {
+  try {
+    return { kind: "parsed", table: parse(file.text) };
+  } catch (error) {
+    return { kind: "malformed", problem: describeSyntaxError(file, error) };
+  }
+}
+
+function describeSyntaxError(file: TomlFile, error: unknown): SourceProblem {
+  const { line, column, message } = error as {
+    readonly line?: number;
+    readonly column?: number;
+    readonly message?: string;
+  };
+  const firstLine = String(message ?? error).split("\n")[0] ?? "";
+  return {
+    file: file.name,
+    path: line === undefined ? "(file)" : `line ${line}, column ${column}`,
+    expected: "a valid TOML document",
+    found: firstLine.replace(MESSAGE_PREFIX, ""),
+  };
+}
+
+export type SchemaOutcome<Output> =
+  | { readonly kind: "valid"; readonly output: Output }
+  | { readonly kind: "invalid"; readonly problems: readonly SourceProblem[] };
+
+/** Checks parsed TOML; problems come in the order of the file's keys. */
+export function checkSchema<Schema extends z.ZodType>(
+  schema: Schema,
+  table: unknown,
+  fileName: string,
+): SchemaOutcome<z.output<Schema>> {
+  const result = schema.safeParse(table);
+  if (result.success) return { kind: "valid", output: result.data };
+  const problems = result.error.issues.flatMap((issue) =>
+    describeIssue(issue, table, fileName)
+  );
+  return { kind: "invalid", problems };
+}
+
+function describeIssue(
+  issue: z.core.$ZodIssue,
+  table: unknown,
+  file: string,
+): readonly SourceProblem[] {
+  if (issue.code === "unrecognized_keys") {
+    return issue.keys.map((key) => ({
+      file,
+      path: formatPath([...issue.path, key]),
+      expected: describeKnownKey(key),
+      found: "an unknown key",
+    }));
+  }
+  const path = formatPath(issue.path);
+  return [{
+    file,
+    path: path === "" ? "(file)" : path,
+    expected: issue.message,
+    found: describeFound(getAt(table, issue.path), path),
+  }];
+}
+
+function describeKnownKey(key: string): string {
+  const stem = key.replace(UNIT_SUFFIX_PATTERN, "");
+  return stem === key
+    ? "a key of the reference"
+    : "a key of the reference, which carries its own unit (_ms, _mib, _bytes)";
+}
