Split the domain runner: live jobs apart from rows, reports and decisions

Change: LiveJobs owns jobs and attempts; the runner keeps mailbox, recovery and decisions; a batch fenced off by a newer epoch counts as no answer and blames no worker.

--- a/packages/node/jobs/domain_runner.ts
+++ b/packages/node/jobs/domain_runner.ts
@@ -1,53 +1,32 @@
 /**
- * Runs the queue and the workers of one failure domain that this entry owns. Owns the placement
- * engine and the live jobs; other tasks reach it through its mailbox.
+ * Runs the queue and the workers of one failure domain that this entry owns. Other tasks reach it
+ * through its mailbox; it drives the placement engine and carries out what the engine decides.
  */
-import {
-  assertNever,
-  type AttemptId,
-  createId,
-  createUniqueId,
-  type JobId,
-  type JobServiceDeclaration,
-  type ServiceName,
-} from "@coltsfootpond/common";
+import { assertNever, type JobId, type Timer } from "@coltsfootpond/common";
 import type {
   FleetReport,
   TablePort,
   TaskReport,
 } from "@coltsfootpond/platform";
 import type {
-  Assignment,
   Decision,
   DomainSummary,
   PlacementEngine,
   WaitReason,
 } from "@coltsfootpond/policy";
 import { Subject } from "rxjs";
-import {
-  FAILURE_DOMAIN_STATE,
-  getJobKey,
-  type JobEnd,
-  type JobRow,
-} from "../rows.ts";
+import { FAILURE_DOMAIN_STATE, getJobKey } from "../rows.ts";
 import type {
   ConfigurationView,
   EntryContext,
   FailureDomainView,
   Holding,
 } from "../types.ts";
-import {
-  type GangPlacement,
-  getWaitedMs,
-  type LiveJob,
-  STOP_REASON,
-  toQueuedJob,
-} from "./active_job.ts";
-import { type AttemptResult, AttemptTask } from "./attempt_task.ts";
 import { FleetTask } from "./fleet_task.ts";
 import { createFleetCommander, type FleetCommander } from "./gang_start.ts";
 import { JobRecorder } from "./job_recorder.ts";
-import { readJob, replaceJob, scanJobs, type StoredJob } from "./job_rows.ts";
+import { readJob, scanJobs, type StoredJob } from "./job_rows.ts";
+import { LiveJobs } from "./live_jobs.ts";
 
 const RECOVERY_RETRY_MS = 500;
 
@@ -77,44 +56,59 @@
   readonly onEnded: (jobId: JobId) => void;
 }
 
-/** The task that owns one failure domain's jobs. */
+/** The task that owns one failure domain. */
 export class DomainRunner {
   readonly #options: DomainRunnerOptions;
   readonly #mailbox = new Subject<RunnerMessage>();
-  readonly #jobs = new Map<JobId, LiveJob>();
-  readonly #attempts = new Map<AttemptId, AttemptTask>();
-  readonly #attemptOfJob = new Map<JobId, AttemptTask>();
   readonly #commander: FleetCommander;
-  readonly #recorder: JobRecorder;
   readonly #fleet: FleetTask;
+  readonly #jobs: LiveJobs;
   #stopped = false;
   #recovered = false;
   #decisionScheduled = false;
+  #nextDecision: Timer | undefined;
 
   private constructor(options: DomainRunnerOptions) {
     this.#options = options;
-    const { context, holding, table } = options;
+    const { context, holding, table, engine, configuration } = options;
+    const { clock, platform } = context;
+    const { failureDomain } = holding;
+    const isHeld = (): boolean => !this.#stopped;
     this.#commander = createFleetCommander({
-      fleet: context.platform.fleet,
+      fleet: platform.fleet,
       holding,
       entry: context.identity.entry,
-      mayAct: () => !this.#stopped && options.mayAct(),
+      mayAct: () => isHeld() && options.mayAct(),
     });
-    this.#recorder = JobRecorder.create({
-      clock: context.clock,
-      random: context.random,
+    this.#jobs = LiveJobs.create({
+      context,
+      holding,
       table,
-      objects: context.platform.objects,
-      failureDomain: holding.failureDomain,
-      isHeld: () => !this.#stopped,
+      engine,
+      configuration,
+      commander: this.#commander,
+      recorder: JobRecorder.create({
+        clock,
+        random: context.random,
+        table,
+        objects: platform.objects,
+        failureDomain,
+        isHeld,
+      }),
+      isHeld,
+      isDomainIn: () => this.#isDomainIn(),
+      moveAway: options.moveAway,
+      onChanged: () => this.#scheduleDecision(),
+      onEnded: options.onEnded,
+      onAttemptSettled: (attemptId) => this.#fleet.forget(attemptId),
     });
     this.#fleet = FleetTask.create({
-      clock: context.clock,
-      fleet: context.platform.fleet,
-      failureDomain: holding.failureDomain,
+      clock,
+      fleet: platform.fleet,
+      failureDomain,
       commander: this.#commander,
       onReport: (report) => this.#applyReport(report),
-      listLeasedWorkers: () => this.#listLeasedWorkers(),
+      listLeasedWorkers: () => this.#jobs.listLeasedWorkers(),
     });
     this.#mailbox.subscribe((message) => this.#handle(message));
   }
@@ -153,6 +147,7 @@
   /** Drops all memory; what runs goes on under its leases for the next owner. */
   stop(): void {
     this.#stopped = true;
+    this.#nextDecision?.cancel();
     this.#fleet.stop();
     this.#mailbox.complete();
   }
@@ -165,7 +160,7 @@
     if (this.#stopped || !this.#recovered) return;
     switch (message.kind) {
       case "job_noticed":
-        return void this.#loadJob(message.jobId);
+        return void this.#load(message.jobId);
       case "job_end_noticed":
         return void this.#confirmEnd(message.jobId);
       case "configuration_changed":
@@ -188,16 +183,13 @@
     const fence = await this.#commander.command([]);
     if (fence.kind === "no_answer") return false;
     const stored = await scanJobs(table, holding.failureDomain);
-    const report = stored === "unavailable"
-      ? undefined
-      : await this.#fleet.fetch();
-    if (stored === "unavailable" || report === undefined || this.#stopped) {
-      return false;
-    }
+    if (stored === "unavailable") return false;
+    const report = await this.#fleet.fetch();
+    if (report === undefined || this.#stopped) return false;
     this.#options.configureEngine(engine);
-    this.#applyDomainState();
     this.#applyWorkers(report);
-    for (const job of stored) this.#adopt(job, report.tasks);
+    this.#applyDomainState();
+    for (const job of stored) this.#jobs.adopt(job, report.tasks);
     this.#recovered = true;
     this.#stopOrphans(report.tasks);
     const { failureDomain, epoch } = holding;
@@ -209,64 +201,8 @@
     return true;
   }
 
-  #findService(name: ServiceName): JobServiceDeclaration | undefined {
-    const services =
-      this.#options.configuration.current()?.declarations.services ?? [];
-    const service = services.find((candidate) => candidate.name === name);
-    return service?.kind === "job" ? service : undefined;
-  }
-
-  #adopt(stored: StoredJob, tasks: readonly TaskReport[]): void {
-    const { row } = stored;
-    if (this.#jobs.has(row.jobId)) return;
-    const service = this.#findService(row.service);
-    if (service === undefined) {
-      const end: JobEnd = { state: "failed", resultName: "UNKNOWN_SERVICE" };
-      return void this.#recorder.recordEnd(stored, end).then(() =>
-        this.#options.onEnded(row.jobId)
-      );
-    }
-    const job: LiveJob = { stored, service, knownAtMs: this.#nowMs() };
-    this.#jobs.set(row.jobId, job);
-    if (row.attemptId !== undefined && row.assignments !== undefined) {
-      this.#restore(job, tasks);
-    } else this.#enqueue(job);
-  }
-
-  #enqueue(job: LiveJob): void {
-    const nowMs = this.#nowMs();
-    this.#options.engine.apply({
-      kind: "job_queued",
-      job: toQueuedJob(job, nowMs),
-    }, nowMs);
-    if (!this.#isDomainIn()) void this.#moveAway(job);
-  }
-
-  #restore(job: LiveJob, tasks: readonly TaskReport[]): void {
-    const { attemptId, assignments } = job.stored.row;
-    if (attemptId === undefined || assignments === undefined) return;
-    const own = tasks.filter((report) => report.task.attemptId === attemptId);
-    const ranMs = own.reduce(
-      (longest, report) => Math.max(longest, report.runMs),
-      0,
-    );
-    const nowMs = this.#nowMs();
-    const queued = toQueuedJob(job, nowMs);
-    this.#options.engine.apply({
-      kind: "job_restored",
-      job: queued,
-      assignments,
-      ranMs,
-    }, nowMs);
-    this.#createAttempt(job, { attemptId, assignments }).resume(own, ranMs);
-  }
-
-  /** Tasks that run for no recorded attempt are stopped. */
   #stopOrphans(tasks: readonly TaskReport[]): void {
-    const orphans = tasks.filter((report) =>
-      !this.#attempts.has(report.task.attemptId) &&
-      (report.state === "running" || report.state === "held")
-    );
+    const orphans = this.#jobs.listOrphans(tasks);
     if (orphans.length === 0) return;
     void this.#commander.command(
       orphans.map((report) => ({
@@ -277,7 +213,7 @@
     );
   }
 
-  async #loadJob(jobId: JobId): Promise<void> {
+  async #load(jobId: JobId): Promise<void> {
     if (this.#jobs.has(jobId)) return;
     const stored = await readJob(
       this.#options.table,
@@ -286,7 +222,7 @@
     if (this.#stopped || stored === undefined || stored === "unavailable") {
       return;
     }
-    this.#adopt(stored, []);
+    this.#jobs.adopt(stored, []);
     this.#scheduleDecision();
   }
 
@@ -297,10 +233,10 @@
     );
     if (this.#stopped || stored === "unavailable") return;
     for (const job of stored) {
-      if (job.row.state === "queued") this.#adopt(job, []);
+      if (job.row.state === "queued") this.#jobs.adopt(job, []);
     }
     const present = new Set(stored.map((job) => job.row.jobId));
-    for (const jobId of [...this.#jobs.keys()]) {
+    for (const jobId of this.#jobs.listIds()) {
       if (!present.has(jobId)) void this.#confirmEnd(jobId);
     }
     this.#scheduleDecision();
@@ -308,20 +244,12 @@
 
   /** A cancelled job's row is gone; only that counts, not the message. */
   async #confirmEnd(jobId: JobId): Promise<void> {
-    const job = this.#jobs.get(jobId);
-    if (job === undefined) return;
+    if (!this.#jobs.has(jobId)) return;
     const stored = await readJob(
       this.#options.table,
       getJobKey(this.holding.failureDomain, jobId),
     );
-    if (
-      this.#stopped || stored !== undefined || this.#jobs.get(jobId) !== job
-    ) return;
-    this.#options.engine.apply({ kind: "job_withdrawn", jobId }, this.#nowMs());
-    const attempt = this.#attemptOfJob.get(jobId);
-    if (attempt === undefined) this.#jobs.delete(jobId);
-    else attempt.stop(STOP_REASON.CANCELLED);
-    this.#scheduleDecision();
+    if (!this.#stopped && stored === undefined) this.#jobs.withdraw(jobId);
   }
 
   #isDomainIn(): boolean {
@@ -339,27 +267,13 @@
       declared.find((domain) => domain.name === this.holding.failureDomain)
         ?.drainMs ?? 0;
     engine.apply({ kind: "domain_out", drainMs }, this.#nowMs());
-    for (const job of this.#jobs.values()) {
-      if (!this.#attemptOfJob.has(job.stored.row.jobId)) {
-        void this.#moveAway(job);
-      }
-    }
-  }
-
-  async #moveAway(job: LiveJob): Promise<void> {
-    const { jobId } = job.stored.row;
-    const moved = await this.#options.moveAway(job.stored);
-    if (!moved || this.#stopped || this.#jobs.get(jobId) !== job) return;
-    this.#jobs.delete(jobId);
-    this.#options.engine.apply({ kind: "job_withdrawn", jobId }, this.#nowMs());
+    this.#jobs.moveWaitingAway();
   }
 
   #applyReport(report: FleetReport): void {
     if (this.#stopped) return;
     this.#applyWorkers(report);
-    for (const task of report.tasks) {
-      this.#attempts.get(task.task.attemptId)?.observe(task);
-    }
+    for (const task of report.tasks) this.#jobs.observe(task);
     if (report.workers.length > 0 || report.tasks.length > 0) {
       this.#scheduleDecision();
     }
@@ -377,15 +291,6 @@
     }
   }
 
-  #listLeasedWorkers() {
-    const leased = [...this.#attempts.values()].filter((attempt) =>
-      attempt.needsLease
-    );
-    return leased.flatMap((attempt) =>
-      attempt.placement.assignments.map((assignment) => assignment.worker)
-    );
-  }
-
   #scheduleDecision(): void {
     if (this.#decisionScheduled || this.#stopped) return;
     this.#decisionScheduled = true;
@@ -396,34 +301,33 @@
   }
 
   #decide(): void {
-    const { engine, context } = this.#options;
-    if (this.#stopped || !this.#recovered || !this.#options.mayAct()) return;
+    const { engine, context, mayAct } = this.#options;
+    if (this.#stopped || !this.#recovered || !mayAct()) return;
     for (const decision of engine.decide(this.#nowMs())) {
       this.#perform(decision);
     }
+    this.#nextDecision?.cancel();
     const dueMs = engine.nextDecisionMs();
-    if (dueMs !== undefined) {
-      context.clock.after(
-        Math.max(1, dueMs - this.#nowMs()),
-        () => this.#scheduleDecision(),
-      );
-    }
+    if (dueMs === undefined) return;
+    const delayMs = Math.max(1, dueMs - this.#nowMs());
+    this.#nextDecision = context.clock.after(
+      delayMs,
+      () => this.#scheduleDecision(),
+    );
   }
 
   #perform(decision: Decision): void {
-    const job = this.#jobs.get(decision.jobId);
-    if (job === undefined) return;
-    const attempt = this.#attemptOfJob.get(decision.jobId);
     switch (decision.kind) {
       case "place":
-        return void this.#place(job, decision.assignments);
+        this.#fleet.pollSoon();
+        return this.#jobs.place(decision.jobId, decision.assignments);
       case "evict":
         if (decision.reason === "overrun") {
-          return attempt?.stop(STOP_REASON.OVERRUN);
+          return this.#jobs.stopOverrun(decision.jobId);
         }
-        return attempt?.evict(decision.checkpointMs);
+        return this.#jobs.evict(decision.jobId, decision.checkpointMs);
       case "fail":
-        return void this.#fail(job, {
+        return void this.#jobs.end(decision.jobId, {
           state: "failed",
           resultName: decision.resultName,
         });
@@ -431,104 +335,4 @@
         return assertNever(decision);
     }
   }
-
-  #place(job: LiveJob, assignments: readonly Assignment[]): void {
-    const attemptId = createId<AttemptId>(createUniqueId());
-    void this.#createAttempt(job, { attemptId, assignments }).start();
-  }
-
-  async #fail(job: LiveJob, end: JobEnd): Promise<void> {
-    this.#jobs.delete(job.stored.row.jobId);
-    await this.#recorder.recordEnd(job.stored, end);
-    this.#options.onEnded(job.stored.row.jobId);
-  }
-
-  #createAttempt(job: LiveJob, placement: GangPlacement): AttemptTask {
-    const { context, configuration } = this.#options;
-    const { jobId, requestId, organisation } = job.stored.row;
-    const attempt = AttemptTask.create({
-      job,
-      placement,
-      clock: context.clock,
-      events: context.events,
-      subject: {
-        requestId,
-        organisation,
-        attemptId: placement.attemptId,
-        failureDomain: this.holding.failureDomain,
-        epoch: this.holding.epoch,
-      },
-      commander: this.#commander,
-      recorder: this.#recorder,
-      recordPlacement: () => this.#recordPlacement(job, placement),
-      mayStart: () => this.#isDomainIn() && configuration.isFresh(),
-      isHeld: () => !this.#stopped,
-      onStarted: () =>
-        this.#options.engine.apply(
-          { kind: "job_started", jobId },
-          this.#nowMs(),
-        ),
-      onEnded: (result) => this.#settleAttempt(job, placement, result),
-    });
-    this.#attempts.set(placement.attemptId, attempt);
-    this.#attemptOfJob.set(jobId, attempt);
-    return attempt;
-  }
-
-  #recordPlacement(job: LiveJob, placement: GangPlacement) {
-    const { row } = job.stored;
-    const waitedMs = getWaitedMs(job, this.#nowMs());
-    const next: JobRow = {
-      ...row,
-      ...placement,
-      state: "running",
-      attempts: row.attempts + 1,
-      waitedMs,
-    };
-    return replaceJob(
-      this.#options.table,
-      this.holding.failureDomain,
-      job.stored,
-      next,
-    );
-  }
-
-  #settleAttempt(
-    job: LiveJob,
-    placement: GangPlacement,
-    result: AttemptResult,
-  ): void {
-    if (this.#stopped) return;
-    const { jobId } = job.stored.row;
-    const { end, ranMs, workers, next } = result;
-    this.#attempts.delete(placement.attemptId);
-    this.#attemptOfJob.delete(jobId);
-    this.#fleet.forget(placement.attemptId);
-    const requeue = next.kind === "requeued";
-    this.#options.engine.apply({
-      kind: "attempt_ended",
-      jobId,
-      end,
-      requeue,
-      ranMs,
-      workers,
-    }, this.#nowMs());
-    if (next.kind === "requeued") this.#keepWaiting(job, next.stored);
-    else {
-      this.#jobs.delete(jobId);
-      this.#options.onEnded(jobId);
-    }
-    this.#scheduleDecision();
-  }
-
-  #keepWaiting(job: LiveJob, stored: StoredJob): void {
-    const { jobId } = stored.row;
-    const waiting: LiveJob = {
-      stored,
-      service: job.service,
-      knownAtMs: this.#nowMs(),
-    };
-    this.#jobs.set(jobId, waiting);
-    if (!this.#isDomainIn()) void this.#moveAway(waiting);
-  }
 }
--- a/packages/node/jobs/fleet_task.ts
+++ b/packages/node/jobs/fleet_task.ts
@@ -33,6 +33,7 @@
   #revision = 0;
   #forget: readonly AttemptId[] = [];
   #timers: Timer[] = [];
+  #nextPoll: Timer | undefined;
   #stopped = false;
 
   private constructor(options: FleetTaskOptions) {
@@ -47,13 +48,14 @@
     this.#timers = [
       this.#options.clock.every(RENEW_PERIOD_MS, () => void this.#renew()),
     ];
-    this.#schedule();
+    this.#schedule(REPORT_PERIOD_MS);
     void this.#renew();
   }
 
   stop(): void {
     this.#stopped = true;
     for (const timer of this.#timers) timer.cancel();
+    this.#nextPoll?.cancel();
   }
 
   /** The attempt's end has been recorded; its reports are no longer needed. */
@@ -77,19 +79,29 @@
     return outcome.report;
   }
 
-  #schedule(): void {
-    const isIdle = this.#options.listLeasedWorkers().length === 0;
-    this.#options.clock.after(
-      isIdle ? IDLE_REPORT_PERIOD_MS : REPORT_PERIOD_MS,
+  /** Something starts to run: the idle period is too long. */
+  pollSoon(): void {
+    if (!this.#stopped && this.#nextPoll !== undefined) {
+      this.#schedule(REPORT_PERIOD_MS);
+    }
+  }
+
+  #schedule(delayMs: number): void {
+    this.#nextPoll?.cancel();
+    this.#nextPoll = this.#options.clock.after(
+      delayMs,
       () => void this.#poll(),
     );
   }
 
   async #poll(): Promise<void> {
     if (this.#stopped) return;
+    this.#nextPoll = undefined;
     const report = await this.fetch();
     if (report !== undefined && !this.#stopped) this.#options.onReport(report);
-    if (!this.#stopped) this.#schedule();
+    if (this.#stopped) return;
+    const isIdle = this.#options.listLeasedWorkers().length === 0;
+    this.#schedule(isIdle ? IDLE_REPORT_PERIOD_MS : REPORT_PERIOD_MS);
   }
 
   async #renew(): Promise<void> {
--- a/packages/node/jobs/gang_start.ts
+++ b/packages/node/jobs/gang_start.ts
@@ -28,7 +28,7 @@
 
 /** Sends batches to one failure domain under one holding. */
 export interface FleetCommander {
-  /** Statuses in order of the commands; undefined when the fleet gave no answer. */
+  /** Statuses in order of the commands; a batch that a newer epoch fences off is no answer. */
   command(commands: readonly WorkerCommand[]): Promise<FleetAnswer>;
 }
 
@@ -66,8 +66,11 @@
   const outcome = await options.fleet.command(batch, {
     timeoutMs: COMMAND_TIMEOUT_MS,
   });
-  if (outcome.kind === "statuses") return outcome;
-  return { kind: "no_answer", mayHaveActed: outcome.effect === "lost" };
+  if (outcome.kind === "unavailable") {
+    return { kind: "no_answer", mayHaveActed: outcome.effect === "lost" };
+  }
+  const isFenced = outcome.statuses.includes(COMMAND_STATUS.STALE_EPOCH);
+  return isFenced ? { kind: "no_answer", mayHaveActed: false } : outcome;
 }
 
 export interface GangStart {
