--- a/packages/node/jobs/attempt_task.ts
+++ b/packages/node/jobs/attempt_task.ts
@@ -180,12 +180,19 @@
     if (transition.kind === "done" && transition.stored !== undefined) {
       this.#stored = transition.stored;
     }
-    if (transition.kind === "conflict") {
-      this.#stopWanted ??= STOP_REASON.CANCELLED;
-    }
+    if (transition.kind === "conflict") this.#followRow(transition.current);
     return transition.kind === "done";
   }
 
+  /**
+   * Only the owner writes a live job's row, so a row that is still there holds an earlier write of
+   * this owner whose answer was lost; a row that is gone means cancelled.
+   */
+  #followRow(current: StoredJob | undefined): void {
+    if (current === undefined) this.#stopWanted ??= STOP_REASON.CANCELLED;
+    else this.#stored = current;
+  }
+
   #settleStart(outcome: GangStartOutcome): void {
     switch (outcome.kind) {
       case "started":
@@ -349,10 +356,9 @@
       checkpoints: checkpoints ?? row.checkpoints,
     });
     if (outcome === undefined) return;
-    if (outcome.kind === "conflict" || outcome.stored === undefined) {
-      return this.#report(end, { kind: "gone" });
-    }
-    this.#report(end, { kind: "requeued", stored: outcome.stored });
+    const stored = outcome.kind === "done" ? outcome.stored : outcome.current;
+    if (stored === undefined) return this.#report(end, { kind: "gone" });
+    this.#report(end, { kind: "requeued", stored });
   }
 
   #report(end: AttemptEnd, next: AttemptResult["next"]): void {
--- /dev/null
+++ b/packages/node/jobs/attempt_task_test.ts
@@ -0,0 +1,292 @@
+/** One attempt against the fleet and table stand-ins: all or nothing, and every way to end. */
+import {
+  type AttemptId,
+  createId,
+  type EntryName,
+  type FailureDomainName,
+  type JobId,
+  type JobServiceDeclaration,
+  ManualClock,
+  NULL_EVENT_SINK,
+  type OrganisationName,
+  type RackName,
+  type RequestId,
+  SeededRandom,
+  type ServiceName,
+  type WorkerName,
+} from "@coltsfootpond/common";
+import { expect } from "chai";
+import { PlatformStandIn } from "../../../stand_ins/platform/platform_stand_in.ts";
+import { getJobKey, getRequestKey, type JobRow } from "../rows.ts";
+import { type AttemptResult, AttemptTask } from "./attempt_task.ts";
+import { createFleetCommander } from "./gang_start.ts";
+import { JobRecorder } from "./job_recorder.ts";
+import { endJob, insertJob, replaceJob, type StoredJob } from "./job_rows.ts";
+
+const DOMAIN = createId<FailureDomainName>("landsberg");
+const WORKERS = ["w0", "w1"].map((name) => createId<WorkerName>(name));
+const RESOURCES = { milliprocessors: 1_000, memoryMib: 64, accelerators: 8 };
+const HOLDING = { failureDomain: DOMAIN, epoch: 3 };
+
+const SERVICE: JobServiceDeclaration = {
+  kind: "job",
+  name: createId<ServiceName>("survey"),
+  organisations: [],
+  idempotent: true,
+  maximumBodyBytes: 1_000,
+  shape: { tasks: 2, perTask: RESOURCES, adjacency: "rack" },
+  priority: "normal",
+  expectedRunMs: 1_000,
+  maximumRunMs: 60_000,
+  canCheckpoint: true,
+  checkpointMs: 1_000,
+};
+
+const ROW: JobRow = {
+  jobId: createId<JobId>("org/r1"),
+  organisation: createId<OrganisationName>("org"),
+  requestId: createId<RequestId>("r1"),
+  service: SERVICE.name,
+  bodyDigest: createId("digest"),
+  payload: JSON.stringify({ run_ms: 1_000 }),
+  state: "queued",
+  attempts: 0,
+  failures: 0,
+  waitedMs: 0,
+};
+
+interface BenchOptions {
+  readonly service?: Partial<JobServiceDeclaration>;
+  readonly payload?: string;
+  /** Runs after all tasks are held and before the placement is recorded. */
+  readonly beforeRecord?: (bench: Bench) => Promise<void> | void;
+}
+
+class Bench {
+  readonly clock = ManualClock.create();
+  readonly platform = PlatformStandIn.create({
+    clock: this.clock,
+    random: SeededRandom.create(1),
+  });
+  readonly results: AttemptResult[] = [];
+  isDomainIn = true;
+  stored: StoredJob | undefined;
+  attempt: AttemptTask | undefined;
+  #revision = 0;
+
+  private constructor() {}
+
+  static async create(options: BenchOptions = {}): Promise<Bench> {
+    const bench = new Bench();
+    bench.platform.fleet.declare({
+      failureDomain: DOMAIN,
+      workers: WORKERS.map((name) => ({
+        name,
+        rack: createId<RackName>("rack"),
+        resources: RESOURCES,
+      })),
+    });
+    const row = { ...ROW, payload: options.payload ?? ROW.payload };
+    const { ports } = bench.platform;
+    const inserted = await insertJob(ports.table, DOMAIN, row);
+    if (inserted.kind !== "inserted") throw new Error("no row");
+    bench.stored = inserted.stored;
+    bench.attempt = bench.#createAttempt(inserted.stored, options);
+    return bench;
+  }
+
+  #createAttempt(stored: StoredJob, options: BenchOptions): AttemptTask {
+    const { clock, platform } = this;
+    const { table, objects, fleet } = platform.ports;
+    const isHeld = () => true;
+    return AttemptTask.create({
+      job: {
+        stored,
+        service: { ...SERVICE, ...options.service },
+        knownAtMs: 0,
+      },
+      placement: {
+        attemptId: createId<AttemptId>("a1"),
+        assignments: WORKERS.map((worker, index) => ({ index, worker })),
+      },
+      clock,
+      events: NULL_EVENT_SINK,
+      subject: {},
+      commander: createFleetCommander({
+        fleet,
+        holding: HOLDING,
+        entry: createId<EntryName>("entry-1"),
+        mayAct: isHeld,
+      }),
+      recorder: JobRecorder.create({
+        clock,
+        random: SeededRandom.create(2),
+        table,
+        objects,
+        failureDomain: DOMAIN,
+        isHeld,
+      }),
+      recordPlacement: async ({ attemptId, assignments }) => {
+        await options.beforeRecord?.(this);
+        const next: JobRow = {
+          ...stored.row,
+          state: "running",
+          attemptId,
+          assignments,
+        };
+        return await replaceJob(table, DOMAIN, stored, next);
+      },
+      mayStart: () => this.isDomainIn,
+      isHeld,
+      onStarted: () => {},
+      onEnded: (result) => this.results.push(result),
+    });
+  }
+
+  /** Moves time on, handing the fleet's reports to the attempt every 100 ms. */
+  async run(durationMs: number): Promise<void> {
+    for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 100) {
+      await this.clock.advance(100);
+      const outcome = await this.platform.ports.fleet.report({
+        failureDomain: DOMAIN,
+        sinceRevision: this.#revision,
+        forget: [],
+      }, { timeoutMs: 100 });
+      if (outcome.kind !== "report") continue;
+      this.#revision = outcome.report.revision;
+      for (const task of outcome.report.tasks) this.attempt?.observe(task);
+    }
+    await this.clock.advance(0);
+  }
+
+  async describe() {
+    const keys = [
+      getJobKey(DOMAIN, ROW.jobId),
+      getRequestKey(ROW.organisation, ROW.requestId),
+    ];
+    const outcome = await this.platform.ports.table.read(keys, {
+      timeoutMs: 100,
+    });
+    return {
+      results: this.results.map(({ end, workers, next }) => ({
+        end,
+        workers,
+        next: next.kind,
+      })),
+      rows: outcome.kind === "rows"
+        ? outcome.rows.map((row) => row.value)
+        : outcome,
+      runs: this.platform.readLedger().runs.map((run) =>
+        `${run.worker} ${run.state}`
+      ),
+    };
+  }
+}
+
+describe("AttemptTask", () => {
+  it("answers when every task has finished", async () => {
+    const bench = await Bench.create();
+    void bench.attempt?.start();
+    await bench.run(2_000);
+    expect(await bench.describe()).toMatchSnapshot();
+  });
+
+  it("runs nothing when one worker refuses its hold", async () => {
+    const bench = await Bench.create();
+    bench.platform.changeFaults({
+      workers: [{ worker: WORKERS[1]!, condition: "down" }],
+    });
+    void bench.attempt?.start();
+    await bench.run(500);
+    expect(await bench.describe()).toMatchSnapshot();
+  });
+
+  it("runs nothing when the job is cancelled before its placement is recorded", async () => {
+    const bench = await Bench.create({
+      beforeRecord: async ({ platform, stored }) => {
+        const end = {
+          state: "cancelled",
+          resultName: "JOB_CANCELLED",
+        } as const;
+        if (stored !== undefined) {
+          await endJob(platform.ports.table, DOMAIN, stored, end);
+        }
+      },
+    });
+    void bench.attempt?.start();
+    await bench.run(500);
+    expect(await bench.describe()).toMatchSnapshot();
+  });
+
+  it("runs nothing when the failure domain goes out while the placement is recorded", async () => {
+    const bench = await Bench.create({
+      beforeRecord: (self) => void (self.isDomainIn = false),
+    });
+    void bench.attempt?.start();
+    await bench.run(500);
+    expect(await bench.describe()).toMatchSnapshot();
+  });
+
+  it("runs nothing when recording took so long that a hold may lapse", async () => {
+    const bench = await Bench.create({
+      beforeRecord: ({ clock }) => clock.sleep(4_000),
+    });
+    void bench.attempt?.start();
+    await bench.run(6_000);
+    expect(await bench.describe()).toMatchSnapshot();
+  });
+
+  it("runs an idempotent job again after the answer to its start was lost", async () => {
+    const bench = await Bench.create({
+      beforeRecord: ({ platform }) =>
+        platform.changeFaults({ fleet: { loseAnswers: 1 } }),
+    });
+    void bench.attempt?.start();
+    await bench.run(500);
+    expect(await bench.describe()).toMatchSnapshot();
+  });
+
+  it("does not run a non-idempotent job again after the answer to its start was lost", async () => {
+    const bench = await Bench.create({
+      service: { idempotent: false, canCheckpoint: false },
+      beforeRecord: ({ platform }) =>
+        platform.changeFaults({ fleet: { loseAnswers: 1 } }),
+    });
+    void bench.attempt?.start();
+    await bench.run(500);
+    expect(await bench.describe()).toMatchSnapshot();
+  });
+
+  it("stops the whole gang when one worker fails", async () => {
+    const bench = await Bench.create();
+    bench.platform.changeFaults({
+      workers: [{ worker: WORKERS[0]!, condition: "bad" }],
+    });
+    void bench.attempt?.start();
+    await bench.run(500);
+    expect(await bench.describe()).toMatchSnapshot();
+  });
+
+  it("keeps the whole checkpoint of an evicted gang", async () => {
+    const bench = await Bench.create({
+      payload: JSON.stringify({ run_ms: 30_000, checkpoint_ms: 300 }),
+    });
+    void bench.attempt?.start();
+    await bench.run(2_000);
+    bench.attempt?.evict(1_000);
+    await bench.run(1_000);
+    expect(await bench.describe()).toMatchSnapshot();
+  });
+
+  it("records its answer after an outage of the table service", async () => {
+    const bench = await Bench.create();
+    void bench.attempt?.start();
+    await bench.run(500);
+    bench.platform.changeFaults({ table: { down: true } });
+    await bench.run(20_000);
+    const during = bench.results.length;
+    bench.platform.changeFaults({ table: { down: false } });
+    await bench.run(10_000);
+    expect({ during, after: await bench.describe() }).toMatchSnapshot();
+  });
+});
