--- a/packages/node/meters/meters_test.ts
+++ b/packages/node/meters/meters_test.ts
@@ -54,7 +54,7 @@
     meters.platform.table.addReceived(250);
     meters.addMeshSent("heartbeat", 60);
     meters.addMeshSent("heartbeat", 60);
-    meters.addMeshReceived("heartbeat_reply", 20);
+    meters.addMeshReceived("job_ended", 20);
     const calls = Promise.all([
       ports.table.read(["a"], OPTIONS),
       ports.table.transact(
