--- a/packages/node/meters/meters.ts
+++ b/packages/node/meters/meters.ts
@@ -1,6 +1,6 @@
 /** The meters of one entry: control bytes, processor time, memory, table use and latencies. */
 import type { Clock } from "@coltsfootpond/common";
-import type { PlatformMeters } from "@coltsfootpond/platform";
+import type { PlatformMeters, TrafficMeter } from "@coltsfootpond/platform";
 import type { MeshMessage } from "../mesh/messages.ts";
 import {
   type LatencyArea,
@@ -18,9 +18,9 @@
   readonly service: PlatformService;
 }
 
-/** Traffic of one kind of mesh message. */
+/** Traffic of one kind of mesh message; `all` counts the frames of every kind. */
 export interface MeshTraffic extends TrafficCounts {
-  readonly kind: MeshMessageKind;
+  readonly kind: MeshMessageKind | "all";
 }
 
 /** Use of the table service, in calls and in rows. */
@@ -48,7 +48,10 @@
 /** Owned by the entry; every part that uses a socket or the platform adds to it. */
 export class Meters {
   readonly platform: PlatformMeters;
+  /** All frames of the mesh. */
+  readonly mesh: TrafficMeter;
   readonly #counters: Readonly<Record<PlatformService, TrafficCounter>>;
+  readonly #meshTotal = TrafficCounter.create();
   readonly #mesh = new Map<MeshMessageKind, TrafficCounter>();
   readonly #latencies = LatencyRecorder.create();
   readonly #clock: Clock;
@@ -67,13 +70,14 @@
       fleet: TrafficCounter.create(),
     };
     this.platform = this.#counters;
+    this.mesh = this.#meshTotal;
   }
 
   static create(options: MetersOptions): Meters {
     return new Meters(options);
   }
 
-  /** Counts one mesh frame as sent, with its framing. */
+  /** Counts one mesh frame under its kind, with its framing; `mesh` counts it in the total. */
   addMeshSent(kind: MeshMessageKind, bytes: number): void {
     this.#getMesh(kind).addSent(bytes);
   }
@@ -125,10 +129,13 @@
         service: service as PlatformService,
         ...counter.snapshot(),
       })),
-      mesh: [...this.#mesh].map(([kind, counter]) => ({
-        kind,
-        ...counter.snapshot(),
-      })),
+      mesh: [
+        { kind: "all", ...this.#meshTotal.snapshot() },
+        ...[...this.#mesh].map(([kind, counter]) => ({
+          kind,
+          ...counter.snapshot(),
+        })),
+      ],
       table: this.#table,
       latencies: this.#latencies.snapshot(),
     };
