--- a/packages/node/mesh/mesh_link.ts
+++ b/packages/node/mesh/mesh_link.ts
@@ -6,7 +6,6 @@
   Incarnation,
   Timer,
 } from "@coltsfootpond/common";
-import type { TrafficMeter } from "@coltsfootpond/platform";
 import type { RawData, WebSocket } from "ws";
 import type { Buffer } from "node:buffer";
 import { MESH_HEARTBEAT_MS, MESH_SILENCE_MS } from "../constants.ts";
@@ -18,13 +17,19 @@
 /** WebSocket, TCP and IP headers of one small frame. */
 const FRAME_OVERHEAD_BYTES = 46;
 
+/** Counts frames with their framing. */
+export interface MeshMeter {
+  addMeshSent(kind: MeshMessage["kind"], bytes: number): void;
+  addMeshReceived(kind: MeshMessage["kind"], bytes: number): void;
+}
+
 export interface MeshLinkOptions {
   readonly socket: WebSocket;
   readonly peer: EntryName;
   readonly incarnation: Incarnation;
   readonly clock: Clock;
   readonly events: EventSink;
-  readonly meter: TrafficMeter | undefined;
+  readonly meter: MeshMeter | undefined;
   readonly createHeartbeat: () => MeshMessage;
   readonly onMessage: (message: MeshMessage) => void;
   readonly onClosed: () => void;
@@ -66,7 +71,10 @@
     const { socket, meter } = this.#options;
     if (this.#closed || socket.bufferedAmount > MAXIMUM_BUFFERED_BYTES) return;
     const frame = encodeMessage(message);
-    meter?.addSent(frame.byteLength + FRAME_OVERHEAD_BYTES);
+    meter?.addMeshSent(
+      message.kind,
+      frame.byteLength + FRAME_OVERHEAD_BYTES,
+    );
     socket.send(frame);
   }
 
@@ -92,11 +100,19 @@
   #receive(data: RawData): void {
     const frame = data as Buffer;
     this.#lastHeardMs = this.#options.clock.nowMs();
-    this.#options.meter?.addReceived(frame.byteLength + FRAME_OVERHEAD_BYTES);
+    const message = this.#decode(frame);
+    if (message === undefined) return;
+    const bytes = frame.byteLength + FRAME_OVERHEAD_BYTES;
+    this.#options.meter?.addMeshReceived(message.kind, bytes);
+    this.#options.onMessage(message);
+  }
+
+  #decode(frame: Buffer): MeshMessage | undefined {
     try {
-      this.#options.onMessage(decodeMessage(frame));
+      return decodeMessage(frame);
     } catch (error) {
       this.close(`malformed frame: ${String(error)}`);
+      return undefined;
     }
   }
 }
--- a/packages/node/mesh/mesh_task.ts
+++ b/packages/node/mesh/mesh_task.ts
@@ -11,7 +11,6 @@
   Timer,
 } from "@coltsfootpond/common";
 import { createId } from "@coltsfootpond/common";
-import type { TrafficMeter } from "@coltsfootpond/platform";
 import type { IncomingMessage } from "node:http";
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
@@ -31,7 +30,7 @@
   isProofValid,
   type MeshHello,
 } from "./codec.ts";
-import { MeshLink } from "./mesh_link.ts";
+import { MeshLink, type MeshMeter } from "./mesh_link.ts";
 import type { MeshDelivery, MeshMessage } from "./messages.ts";
 
 /** Where a peer's mesh server listens. */
@@ -49,7 +48,7 @@
   /** 0 takes a free port. */
   readonly port: number;
   readonly secret: string;
-  readonly meter?: TrafficMeter;
+  readonly meter?: MeshMeter;
   readonly createHeartbeat: () => MeshMessage;
 }
 
@@ -88,6 +87,7 @@
     return this.#deliveries;
   }
 
+  /** The port that was taken; known once started. */
   get port(): number {
     return (this.#server.address() as AddressInfo).port;
   }
--- a/packages/node/meters/meters.ts
+++ b/packages/node/meters/meters.ts
@@ -1,6 +1,6 @@
 /** The meters of one entry: control bytes, processor time, memory, table use and latencies. */
 import type { Clock } from "@coltsfootpond/common";
-import type { PlatformMeters, TrafficMeter } from "@coltsfootpond/platform";
+import type { PlatformMeters } from "@coltsfootpond/platform";
 import type { MeshMessage } from "../mesh/messages.ts";
 import {
   type LatencyArea,
@@ -48,8 +48,6 @@
 /** Owned by the entry; every part that uses a socket or the platform adds to it. */
 export class Meters {
   readonly platform: PlatformMeters;
-  /** All frames of the mesh. */
-  readonly mesh: TrafficMeter;
   readonly #counters: Readonly<Record<PlatformService, TrafficCounter>>;
   readonly #meshTotal = TrafficCounter.create();
   readonly #mesh = new Map<MeshMessageKind, TrafficCounter>();
@@ -70,19 +68,20 @@
       fleet: TrafficCounter.create(),
     };
     this.platform = this.#counters;
-    this.mesh = this.#meshTotal;
   }
 
   static create(options: MetersOptions): Meters {
     return new Meters(options);
   }
 
-  /** Counts one mesh frame under its kind, with its framing; `mesh` counts it in the total. */
+  /** Counts one mesh frame, with its framing, under its kind and in the total. */
   addMeshSent(kind: MeshMessageKind, bytes: number): void {
+    this.#meshTotal.addSent(bytes);
     this.#getMesh(kind).addSent(bytes);
   }
 
   addMeshReceived(kind: MeshMessageKind, bytes: number): void {
+    this.#meshTotal.addReceived(bytes);
     this.#getMesh(kind).addReceived(bytes);
   }
 
