Keep membership, ownership, configuration and failure domains in the table

Cause: entries need one agreed picture of who owns what, what is configured and what is out, with the platform's table service as the only referee. Change: MembershipController, ConfigurationController, FailureDomainController, OwnershipController over one shared read a period, with their decisions as pure functions; StateControllers wires them; the heartbeat tells what a sender holds and promises.

--- /dev/null
+++ b/packages/node/configuration/configuration_controller.ts
@@ -0,0 +1,245 @@
+/**
+ * Keeps the accepted configuration in force on this entry. The head is pushed over the mesh and
+ * polled; its version here only rises.
+ */
+import type { Declarations, Digest, EntryName } from "@coltsfootpond/common";
+import type { RankedTablePort } from "@coltsfootpond/platform";
+import { type Observable, Subject } from "rxjs";
+import { CONFIGURATION_PUSH_SPREAD_MS } from "../constants.ts";
+import type { PeerFacts } from "../membership/peer_facts.ts";
+import type { MeshDelivery } from "../mesh/messages.ts";
+import { CONFIGURATION_HEAD_KEY, type ConfigurationHeadRow } from "../rows.ts";
+import { isNewestConfiguration, isWorldClosed } from "../state/closed_world.ts";
+import type { RowSnapshot, RowWatcher } from "../state/row_watcher.ts";
+import { readValue } from "../state/rows_json.ts";
+import type { World } from "../state/world.ts";
+import type {
+  ActiveConfiguration,
+  ConfigurationView,
+  Controller,
+  EntryContext,
+  MembershipView,
+  Mesh,
+} from "../types.ts";
+import { applyConfiguration } from "./apply.ts";
+import { ChunkStore } from "./chunk_store.ts";
+import {
+  type ConfigurationKnowledge,
+  decideHead,
+  getConfirmationMs,
+  isConfirmationFresh,
+} from "./decisions.ts";
+import type {
+  ApplyOutcome,
+  ApplyRequest,
+  ConfigurationFile,
+  ConfigurationProblem,
+  InForceReport,
+  ParseOutcome,
+} from "./types.ts";
+
+export interface ConfigurationControllerOptions {
+  readonly context: EntryContext;
+  readonly mesh: Mesh;
+  readonly table: RankedTablePort;
+  readonly rows: RowWatcher;
+  readonly membership: MembershipView;
+  readonly peers: PeerFacts;
+  readonly world: World;
+  readonly parse: (files: readonly ConfigurationFile[]) => ParseOutcome;
+  /** Problems that make the guaranteed shapes infeasible; empty when they all fit. */
+  readonly checkFeasibility: (
+    declarations: Declarations,
+  ) => readonly ConfigurationProblem[];
+}
+
+const IN_FORCE_CHECK_MS = 100;
+const NO_DIGEST = "" as Digest;
+
+export class ConfigurationController implements Controller, ConfigurationView {
+  readonly name = "configuration";
+  readonly #options: ConfigurationControllerOptions;
+  readonly #chunks: ChunkStore;
+  readonly #changes = new Subject<ActiveConfiguration>();
+  #known: ConfigurationKnowledge = {
+    version: 0,
+    digest: NO_DIGEST,
+    confirmedMs: Number.NEGATIVE_INFINITY,
+  };
+  #active: ActiveConfiguration | undefined;
+  #advancing = false;
+
+  private constructor(options: ConfigurationControllerOptions) {
+    this.#options = options;
+    this.#chunks = ChunkStore.create(options.context.platform.objects);
+  }
+
+  static create(
+    options: ConfigurationControllerOptions,
+  ): ConfigurationController {
+    const controller = new ConfigurationController(options);
+    options.rows.add({
+      listKeys: () => [CONFIGURATION_HEAD_KEY],
+      learn: (snapshot) => controller.#learn(snapshot),
+    });
+    options.mesh.deliveries.subscribe((one) => controller.#receive(one));
+    return controller;
+  }
+
+  get changes(): Observable<ActiveConfiguration> {
+    return this.#changes;
+  }
+
+  current(): ActiveConfiguration | undefined {
+    return this.#active;
+  }
+
+  confirmedAgeMs(): number {
+    return this.#options.context.clock.nowMs() - this.#known.confirmedMs;
+  }
+
+  /** Confirmed within the bound, or in a closed world in which nobody can have replaced it. */
+  isFresh(): boolean {
+    const nowMs = this.#options.context.clock.nowMs();
+    if (isConfirmationFresh(this.#known, nowMs)) return true;
+    if (this.#known.version === 0) return false;
+    const members = this.#options.world.list();
+    return isWorldClosed(members) &&
+      isNewestConfiguration(members, this.#known.version);
+  }
+
+  start(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  stop(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  /** Checks a whole set and makes it the accepted one, or changes nothing. */
+  async apply(request: ApplyRequest): Promise<ApplyOutcome> {
+    const { context, table, mesh, parse, checkFeasibility } = this.#options;
+    const outcome = await applyConfiguration(request, {
+      entry: context.identity.entry,
+      table,
+      chunks: this.#chunks,
+      parse,
+      checkFeasibility,
+    });
+    if (outcome.kind !== "accepted") return outcome;
+    const { version } = outcome.head;
+    context.events.emit("configuration.accepted", { version });
+    mesh.broadcast({ kind: "configuration_accepted", version });
+    await this.#options.rows.refresh();
+    return outcome;
+  }
+
+  /** On which live members `version` or a newer one is in force now. */
+  reportInForce(version: number): InForceReport {
+    const inForceEntries: EntryName[] = [];
+    const missingEntries: EntryName[] = [];
+    for (const member of this.#options.membership.list()) {
+      const inForce = member.self
+        ? this.#known.version
+        : this.#options.peers.get(member.entry)?.configurationVersion ?? 0;
+      (inForce >= version ? inForceEntries : missingEntries).push(member.entry);
+    }
+    return { version, inForceEntries, missingEntries };
+  }
+
+  /** Resolves when `version` is in force on every registered entry, or after `timeoutMs`. */
+  async waitInForce(
+    version: number,
+    timeoutMs: number,
+  ): Promise<InForceReport> {
+    const { clock } = this.#options.context;
+    const deadlineMs = clock.nowMs() + timeoutMs;
+    while (true) {
+      const report = this.reportInForce(version);
+      const isDone = report.missingEntries.length === 0;
+      if (isDone || clock.nowMs() >= deadlineMs) return report;
+      await clock.sleep(IN_FORCE_CHECK_MS);
+    }
+  }
+
+  #learn(snapshot: RowSnapshot): void {
+    const row = snapshot.get(CONFIGURATION_HEAD_KEY);
+    const head = row && readValue<ConfigurationHeadRow>(row);
+    const decision = decideHead(this.#known, head);
+    switch (decision.kind) {
+      case "confirm":
+        return this.#confirm(snapshot.startedMs);
+      case "advance":
+        return void this.#advance(decision.head, snapshot.startedMs);
+      case "reject":
+        return this.#options.context.events.emit("configuration.rejected", {
+          version: head?.version ?? 0,
+        });
+    }
+  }
+
+  #confirm(confirmedMs: number): void {
+    if (confirmedMs <= this.#known.confirmedMs) return;
+    this.#known = { ...this.#known, confirmedMs };
+  }
+
+  async #advance(
+    head: ConfigurationHeadRow,
+    confirmedMs: number,
+  ): Promise<void> {
+    if (this.#advancing) return;
+    this.#advancing = true;
+    try {
+      const fetched = await this.#chunks.fetch(head.chunks);
+      if (fetched.kind === "failed") {
+        return this.#emitFailure(head, fetched.reason);
+      }
+      const parsed = this.#options.parse(fetched.files);
+      if (parsed.kind === "invalid") {
+        return this.#emitFailure(head, parsed.problems[0]?.message ?? "");
+      }
+      if (head.version <= this.#known.version) return;
+      const { version, digest } = head;
+      this.#known = { version, digest, confirmedMs };
+      this.#active = { version, head, declarations: parsed.declarations };
+      this.#options.context.events.emit("configuration.in_force", { version });
+      this.#changes.next(this.#active);
+      void this.#options.rows.refresh();
+    } finally {
+      this.#advancing = false;
+    }
+  }
+
+  #emitFailure(head: ConfigurationHeadRow, reason: string): void {
+    this.#options.context.events.emit(
+      "configuration.not_in_force",
+      { version: head.version },
+      reason,
+    );
+  }
+
+  #receive(delivery: MeshDelivery): void {
+    const { message } = delivery;
+    const { clock } = this.#options.context;
+    if (message.kind === "heartbeat") {
+      const peer = {
+        version: message.configurationVersion,
+        ageMs: message.configurationAgeMs,
+      };
+      const confirmedMs = getConfirmationMs(this.#known, peer, clock.nowMs());
+      if (confirmedMs !== undefined) this.#confirm(confirmedMs);
+    }
+    if (message.kind === "configuration_accepted") {
+      if (message.version > this.#known.version) this.#refreshSoon();
+    }
+  }
+
+  /** Spread, so that a push does not make all entries read in the same instant. */
+  #refreshSoon(): void {
+    const { clock, random } = this.#options.context;
+    clock.after(
+      random.next() * CONFIGURATION_PUSH_SPREAD_MS,
+      () => void this.#options.rows.refresh(),
+    );
+  }
+}
--- /dev/null
+++ b/packages/node/failure_domains/decisions.ts
@@ -0,0 +1,47 @@
+/** Pure decisions on whether a failure domain is in or out. */
+import { FAILURE_DOMAIN_STATE, type FailureDomainRow } from "../rows.ts";
+
+/** What an entry holds to be so. Provisional: in force in memory, not yet in the table service. */
+export interface FailureDomainFact extends FailureDomainRow {
+  readonly provisional: boolean;
+}
+
+/** The fact of a failure domain that no operator has ever changed. */
+export const UNCHANGED_FACT: FailureDomainFact = {
+  state: FAILURE_DOMAIN_STATE.IN,
+  version: 0,
+  provisional: false,
+};
+
+/**
+ * The fact that stands after hearing another. A higher version stands; of two with one version,
+ * the restrictive one, then the durable one. Commutative and idempotent, so late, crossed and
+ * repeated messages undo nothing.
+ */
+export function mergeFacts(
+  current: FailureDomainFact,
+  incoming: FailureDomainFact,
+): FailureDomainFact {
+  if (incoming.version !== current.version) {
+    return incoming.version > current.version ? incoming : current;
+  }
+  if (incoming.state !== current.state) {
+    return incoming.state === FAILURE_DOMAIN_STATE.OUT ? incoming : current;
+  }
+  return current.provisional ? incoming : current;
+}
+
+/** The row that makes a provisional fact durable; undefined when there is nothing to write. */
+export function decideDurableRow(
+  fact: FailureDomainFact,
+  row: FailureDomainRow | undefined,
+): FailureDomainRow | undefined {
+  if (!fact.provisional) return undefined;
+  const rowVersion = row?.version ?? 0;
+  if (rowVersion > fact.version) return undefined;
+  if (rowVersion === fact.version && row?.state === fact.state) {
+    return undefined;
+  }
+  const version = rowVersion === fact.version ? fact.version + 1 : fact.version;
+  return { state: fact.state, version };
+}
--- /dev/null
+++ b/packages/node/failure_domains/failure_domain_controller.ts
@@ -0,0 +1,280 @@
+/**
+ * Knows which failure domains are in and out, and changes it for operators. Out binds in memory at
+ * once on every entry that can be reached, and is made durable when the table service allows.
+ */
+import type {
+  EntryName,
+  FailureDomainName,
+  ResultName,
+  Timer,
+} from "@coltsfootpond/common";
+import {
+  getUnavailableResult,
+  type RankedTablePort,
+  type RowCondition,
+  type TableRow,
+} from "@coltsfootpond/platform";
+import { type Observable, Subject } from "rxjs";
+import {
+  DOMAIN_REBROADCAST_MS,
+  DOMAIN_SPREAD_MS,
+  STATE_CALL_TIMEOUT_MS,
+} from "../constants.ts";
+import {
+  FAILURE_DOMAIN_STATE,
+  type FailureDomainState,
+  getDomainKey,
+} from "../rows.ts";
+import type { RowSnapshot, RowWatcher } from "../state/row_watcher.ts";
+import type {
+  Controller,
+  EntryContext,
+  FailureDomainStatus,
+  FailureDomainView,
+  MembershipView,
+  Mesh,
+} from "../types.ts";
+import { DomainAnnouncer } from "./domain_announcer.ts";
+import { DomainFacts } from "./domain_facts.ts";
+
+export interface FailureDomainControllerOptions {
+  readonly context: EntryContext;
+  readonly mesh: Mesh;
+  readonly table: RankedTablePort;
+  readonly rows: RowWatcher;
+  readonly membership: MembershipView;
+  /** Names of the failure domains in the configuration in force. */
+  readonly listDeclared: () => readonly FailureDomainName[];
+  readonly getOwner: (
+    failureDomain: FailureDomainName,
+  ) => EntryName | undefined;
+}
+
+/** An operator's change. Without `baseVersion` it is made whatever stands. */
+export interface FailureDomainChangeRequest {
+  readonly failureDomain: FailureDomainName;
+  readonly state: FailureDomainState;
+  readonly baseVersion?: number;
+}
+
+export type ChangeOutcome =
+  | {
+    readonly kind: "changed";
+    readonly status: FailureDomainStatus;
+    /** Whether the table service holds it. */
+    readonly durable: boolean;
+    /** Entries on which it is in force now, this one included. */
+    readonly inForceEntries: readonly EntryName[];
+    readonly registeredEntries: number;
+    /** Whether the owner of the failure domain is among them. */
+    readonly ownerAcknowledged: boolean;
+  }
+  | {
+    readonly kind: "refused";
+    readonly resultName: ResultName;
+    /** What stands instead. */
+    readonly status?: FailureDomainStatus;
+  };
+
+/** How often an out is set above a newer in that this entry had not heard of. */
+const MAXIMUM_REBASES = 4;
+
+export class FailureDomainController implements Controller, FailureDomainView {
+  readonly name = "failure_domains";
+  readonly #options: FailureDomainControllerOptions;
+  readonly #facts: DomainFacts;
+  readonly #announcer: DomainAnnouncer;
+  readonly #changes = new Subject<FailureDomainStatus>();
+  /** When a provisional fact heard from a peer is written by this entry too. */
+  readonly #durableDueMs = new Map<FailureDomainName, number>();
+  #timer: Timer | undefined;
+
+  private constructor(options: FailureDomainControllerOptions) {
+    this.#options = options;
+    this.#facts = DomainFacts.create({
+      table: options.table,
+      onChanged: (status) => this.#onChanged(status),
+    });
+    this.#announcer = DomainAnnouncer.create({
+      mesh: options.mesh,
+      clock: options.context.clock,
+      facts: this.#facts,
+      onDurable: () => void options.rows.refresh(),
+    });
+  }
+
+  static create(
+    options: FailureDomainControllerOptions,
+  ): FailureDomainController {
+    const controller = new FailureDomainController(options);
+    options.rows.add({
+      listKeys: () => options.listDeclared().map(getDomainKey),
+      learn: (snapshot) => controller.#learn(snapshot),
+    });
+    return controller;
+  }
+
+  get changes(): Observable<FailureDomainStatus> {
+    return this.#changes;
+  }
+
+  get(failureDomain: FailureDomainName): FailureDomainStatus {
+    return this.#facts.get(failureDomain);
+  }
+
+  list(): readonly FailureDomainStatus[] {
+    return this.#options.listDeclared().map((name) => this.get(name));
+  }
+
+  start(): Promise<void> {
+    this.#announcer.start();
+    this.#timer = this.#options.context.clock.every(
+      DOMAIN_REBROADCAST_MS,
+      () => this.#writeProvisional(),
+    );
+    return Promise.resolve();
+  }
+
+  stop(): Promise<void> {
+    this.#announcer.stop();
+    this.#timer?.cancel();
+    return Promise.resolve();
+  }
+
+  /** The condition that the failure domain still stands as this entry knows it. */
+  createCondition(failureDomain: FailureDomainName): RowCondition {
+    return this.#facts.createCondition(failureDomain);
+  }
+
+  /** Takes in a row that came with another part's transaction. */
+  learnRow(failureDomain: FailureDomainName, row: TableRow | undefined): void {
+    this.#facts.learnRow(failureDomain, row);
+  }
+
+  async change(request: FailureDomainChangeRequest): Promise<ChangeOutcome> {
+    const { failureDomain, state, baseVersion } = request;
+    if (!this.#options.listDeclared().includes(failureDomain)) {
+      return { kind: "refused", resultName: "UNKNOWN_DOMAIN" };
+    }
+    const status = this.get(failureDomain);
+    if (baseVersion !== undefined && baseVersion !== status.version) {
+      return { kind: "refused", resultName: "DOMAIN_CONFLICT", status };
+    }
+    if (state === FAILURE_DOMAIN_STATE.IN) {
+      return await this.#takeIn(failureDomain, status.version);
+    }
+    return await this.#takeOut(failureDomain);
+  }
+
+  /** Out is restrictive: set above whatever turns up meanwhile, it loses no race. */
+  async #takeOut(failureDomain: FailureDomainName): Promise<ChangeOutcome> {
+    for (let rebases = 0; rebases < MAXIMUM_REBASES; rebases++) {
+      this.#facts.bindOut(failureDomain);
+      this.#announcer.announce(this.get(failureDomain));
+      await Promise.all([
+        this.#facts.makeDurable(failureDomain),
+        this.#announcer.waitForAll(failureDomain),
+      ]);
+      if (this.get(failureDomain).state === FAILURE_DOMAIN_STATE.OUT) break;
+    }
+    const status = this.get(failureDomain);
+    if (status.state === FAILURE_DOMAIN_STATE.OUT) {
+      return this.#report(failureDomain);
+    }
+    return { kind: "refused", resultName: "DOMAIN_CONFLICT", status };
+  }
+
+  /** In loosens, so it is in force only once the table service holds it. */
+  async #takeIn(
+    failureDomain: FailureDomainName,
+    baseVersion: number,
+  ): Promise<ChangeOutcome> {
+    const read = await this.#options.table.read([getDomainKey(failureDomain)], {
+      timeoutMs: STATE_CALL_TIMEOUT_MS,
+    });
+    if (read.kind === "unavailable") {
+      return { kind: "refused", resultName: "TABLE_UNAVAILABLE" };
+    }
+    this.#facts.learnRow(failureDomain, read.rows[0]);
+    const status = this.get(failureDomain);
+    if (status.version !== baseVersion) {
+      return { kind: "refused", resultName: "DOMAIN_CONFLICT", status };
+    }
+    if (status.state === FAILURE_DOMAIN_STATE.OUT) {
+      const refused = await this.#writeIn(failureDomain, baseVersion + 1);
+      if (refused !== undefined) return refused;
+    }
+    this.#announcer.announce(this.get(failureDomain));
+    await this.#announcer.waitForAll(failureDomain);
+    return this.#report(failureDomain);
+  }
+
+  async #writeIn(
+    failureDomain: FailureDomainName,
+    version: number,
+  ): Promise<ChangeOutcome | undefined> {
+    const outcome = await this.#facts.write(failureDomain, {
+      state: FAILURE_DOMAIN_STATE.IN,
+      version,
+    });
+    switch (outcome.kind) {
+      case "committed":
+        return undefined;
+      case "conflict": {
+        const status = this.get(failureDomain);
+        return { kind: "refused", resultName: "DOMAIN_CONFLICT", status };
+      }
+      case "unavailable": {
+        const resultName = getUnavailableResult(outcome.effect);
+        return { kind: "refused", resultName };
+      }
+    }
+  }
+
+  #report(failureDomain: FailureDomainName): ChangeOutcome {
+    const { context, membership, getOwner } = this.#options;
+    const inForceEntries = [
+      context.identity.entry,
+      ...this.#announcer.listAcknowledged(failureDomain),
+    ];
+    const owner = getOwner(failureDomain);
+    const status = this.get(failureDomain);
+    return {
+      kind: "changed",
+      status,
+      durable: !status.provisional,
+      inForceEntries,
+      registeredEntries: membership.list().length,
+      ownerAcknowledged: owner !== undefined && inForceEntries.includes(owner),
+    };
+  }
+
+  #learn(snapshot: RowSnapshot): void {
+    for (const failureDomain of this.#options.listDeclared()) {
+      const key = getDomainKey(failureDomain);
+      if (!snapshot.has(key)) continue;
+      this.#facts.learnRow(failureDomain, snapshot.get(key));
+    }
+  }
+
+  #onChanged(status: FailureDomainStatus): void {
+    const { context } = this.#options;
+    const { failureDomain, version, provisional } = status;
+    const spreadMs = context.random.next() * DOMAIN_SPREAD_MS;
+    this.#durableDueMs.set(failureDomain, context.clock.nowMs() + spreadMs);
+    context.events.emit(
+      `domain.${status.state}`,
+      { failureDomain, version },
+      provisional ? "provisional" : "durable",
+    );
+    this.#changes.next(status);
+  }
+
+  #writeProvisional(): void {
+    const nowMs = this.#options.context.clock.nowMs();
+    for (const { failureDomain } of this.#facts.listProvisional()) {
+      const dueMs = this.#durableDueMs.get(failureDomain) ?? 0;
+      if (nowMs >= dueMs) void this.#facts.makeDurable(failureDomain);
+    }
+  }
+}
--- /dev/null
+++ b/packages/node/failure_domains/pending_acknowledgements.ts
@@ -0,0 +1,79 @@
+/** Which entries have acknowledged the newest change of each failure domain. */
+import type {
+  Clock,
+  EntryName,
+  FailureDomainName,
+} from "@coltsfootpond/common";
+
+interface Collection {
+  version: number;
+  readonly entries: Set<EntryName>;
+  readonly waiters: Set<() => void>;
+}
+
+export class PendingAcknowledgements {
+  readonly #collections = new Map<FailureDomainName, Collection>();
+
+  private constructor() {}
+
+  static create(): PendingAcknowledgements {
+    return new PendingAcknowledgements();
+  }
+
+  /** Starts over when the version is newer than what was collected for. */
+  expect(failureDomain: FailureDomainName, version: number): void {
+    const known = this.#collections.get(failureDomain);
+    if (known !== undefined && known.version >= version) return;
+    known?.waiters.forEach((wake) => wake());
+    this.#collections.set(failureDomain, {
+      version,
+      entries: new Set(),
+      waiters: new Set(),
+    });
+  }
+
+  add(
+    failureDomain: FailureDomainName,
+    version: number,
+    entry: EntryName,
+  ): void {
+    const known = this.#collections.get(failureDomain);
+    if (known === undefined || version < known.version) return;
+    known.entries.add(entry);
+    known.waiters.forEach((wake) => wake());
+  }
+
+  list(failureDomain: FailureDomainName): ReadonlySet<EntryName> {
+    return this.#collections.get(failureDomain)?.entries ?? new Set();
+  }
+
+  listFailureDomains(): readonly FailureDomainName[] {
+    return [...this.#collections.keys()];
+  }
+
+  /** Resolves when all of `entries` have acknowledged, or after `timeoutMs`. */
+  waitFor(
+    failureDomain: FailureDomainName,
+    entries: readonly EntryName[],
+    clock: Clock,
+    timeoutMs: number,
+  ): Promise<void> {
+    const collection = this.#collections.get(failureDomain);
+    if (collection === undefined) return Promise.resolve();
+    const isComplete = () =>
+      entries.every((entry) => collection.entries.has(entry));
+    if (isComplete()) return Promise.resolve();
+    return new Promise((resolve) => {
+      const finish = () => {
+        timer.cancel();
+        collection.waiters.delete(check);
+        resolve();
+      };
+      const check = () => {
+        if (isComplete()) finish();
+      };
+      const timer = clock.after(timeoutMs, finish);
+      collection.waiters.add(check);
+    });
+  }
+}
--- a/packages/node/mesh/messages.ts
+++ b/packages/node/mesh/messages.ts
@@ -24,8 +24,13 @@
     readonly configurationVersion: number;
     /** Age of the sender's last confirmation of the head. */
     readonly configurationAgeMs: number;
-    /** Whether the sender's last call to the table service succeeded. */
+    /**
+     * False is a promise: the sender's last poll of the table service failed, no ownership that it
+     * asked for is unsettled, and it takes none before it has watched a full term again.
+     */
     readonly tableReachable: boolean;
+    /** The failure domains that the sender holds. */
+    readonly holdings: readonly HeldDomain[];
     readonly leaving: boolean;
   }
   | { readonly kind: "heartbeat_reply"; readonly sequence: number }
@@ -80,6 +85,12 @@
     readonly outcome: TransactionOutcome | ReadOutcome;
   };
 
+/** A failure domain and the epoch under which it is held. */
+export interface HeldDomain {
+  readonly failureDomain: FailureDomainName;
+  readonly epoch: number;
+}
+
 /** A table call made for a peer that cannot reach the table service itself. */
 export type RelayOperation =
   | { readonly kind: "transact"; readonly transaction: TableTransaction }
--- /dev/null
+++ b/packages/node/ownership/decisions.ts
@@ -0,0 +1,105 @@
+/**
+ * Pure decisions on the ownership of one failure domain: whether a lease lets its holder act, and
+ * what an entry does about a row. The property-based model runs exactly these functions.
+ */
+import type { EntryName, Incarnation } from "@coltsfootpond/common";
+import {
+  OWNERSHIP_EXTENSION_MS,
+  OWNERSHIP_MARGIN_MS,
+  OWNERSHIP_STAGGER_MS,
+  OWNERSHIP_TERM_MS,
+} from "../constants.ts";
+import type { OwnerRow } from "../rows.ts";
+import { type BeatObservation, getStillMs } from "../state/beat.ts";
+
+/** A lease as its holder knows it, on the holder's clock. */
+export interface HeldLease {
+  readonly epoch: number;
+  /** The holder acts only from here on. */
+  readonly actsFromMs: number;
+  /** The holder acts only before this. */
+  readonly actsUntilMs: number;
+}
+
+/** Until when the holder may act after a write of its beat that was sent at `writtenMs`. */
+export function grantLease(epoch: number, writtenMs: number): HeldLease {
+  const actsUntilMs = writtenMs + OWNERSHIP_TERM_MS - OWNERSHIP_MARGIN_MS;
+  return { epoch, actsFromMs: writtenMs, actsUntilMs };
+}
+
+/**
+ * A lease found standing in its row, by a write whose answer was lost. The write may have come so
+ * late that an earlier holder, relying on this entry's promise to take nothing, still acts; it has
+ * stopped a term after it can hear otherwise.
+ */
+export function adoptLease(epoch: number, foundMs: number): HeldLease {
+  return {
+    epoch,
+    actsFromMs: foundMs + OWNERSHIP_TERM_MS,
+    actsUntilMs: Number.NEGATIVE_INFINITY,
+  };
+}
+
+/** A confirmed beat moves the end on, never back. */
+export function renewLease(lease: HeldLease, writtenMs: number): HeldLease {
+  const { actsUntilMs } = grantLease(lease.epoch, writtenMs);
+  return {
+    ...lease,
+    actsUntilMs: Math.max(lease.actsUntilMs, actsUntilMs),
+  };
+}
+
+/**
+ * Goes on in a closed world. Each member has promised to take nothing before it has watched a full
+ * term, so the row is still this holder's even when the lease had run out meanwhile.
+ */
+export function extendLease(lease: HeldLease, nowMs: number): HeldLease {
+  const actsUntilMs = Math.max(
+    lease.actsUntilMs,
+    nowMs + OWNERSHIP_EXTENSION_MS,
+  );
+  return { ...lease, actsUntilMs };
+}
+
+export function mayActUnder(lease: HeldLease, nowMs: number): boolean {
+  return lease.actsFromMs <= nowMs && nowMs < lease.actsUntilMs;
+}
+
+/** What an entry knows when it decides about one failure domain. */
+export interface OwnershipInput {
+  readonly self: {
+    readonly entry: EntryName;
+    readonly incarnation: Incarnation;
+  };
+  /** The row as last read; undefined when there is none. */
+  readonly row: OwnerRow | undefined;
+  /** Its beat as observed; for an absent row, its absence. */
+  readonly beat: BeatObservation;
+  /** This entry's place in the order of preference among live eligible members, from 0. */
+  readonly rank: number | undefined;
+  /** Registered, and has met every registered member or seen it lapse. */
+  readonly hasMetEveryMember: boolean;
+  readonly leaving: boolean;
+}
+
+export type OwnershipDecision =
+  /** Someone else's, or not yet this entry's turn. */
+  | { readonly kind: "leave" }
+  | { readonly kind: "take"; readonly epoch: number }
+  /** It is this incarnation's own. */
+  | { readonly kind: "renew" };
+
+export function decideOwnership(input: OwnershipInput): OwnershipDecision {
+  const { row, self, beat, rank } = input;
+  const isOwn = row?.entry === self.entry &&
+    row.incarnation === self.incarnation;
+  if (isOwn && !row.released) return { kind: "renew" };
+  const mayTake = rank !== undefined && !input.leaving &&
+    input.hasMetEveryMember;
+  if (!mayTake) return { kind: "leave" };
+  const isFree = row === undefined || row.released;
+  const waitMs = (isFree ? 0 : OWNERSHIP_TERM_MS) +
+    rank * OWNERSHIP_STAGGER_MS;
+  if (getStillMs(beat) < waitMs) return { kind: "leave" };
+  return { kind: "take", epoch: (row?.epoch ?? 0) + 1 };
+}
--- /dev/null
+++ b/packages/node/ownership/ownership_controller.ts
@@ -0,0 +1,302 @@
+/**
+ * Owns failure domains: takes free and lapsed ones, keeps its leases, and hands them over. The
+ * owner row is the authority; epoch and lease keep a holder that has lost it from acting.
+ */
+import type {
+  EntryName,
+  FailureDomainDeclaration,
+  FailureDomainName,
+  Timer,
+} from "@coltsfootpond/common";
+import type { RankedTablePort } from "@coltsfootpond/platform";
+import { type Observable, Subject } from "rxjs";
+import {
+  OWNERSHIP_BEAT_MS,
+  OWNERSHIP_REBALANCE_MS,
+  OWNERSHIP_TICK_MS,
+  PAUSE_BOUND_MS,
+} from "../constants.ts";
+import type { FailureDomainController } from "../failure_domains/failure_domain_controller.ts";
+import type { MembershipController } from "../membership/membership_controller.ts";
+import type { PeerFacts } from "../membership/peer_facts.ts";
+import type { MeshDelivery } from "../mesh/messages.ts";
+import { getOwnerKey } from "../rows.ts";
+import { isUncontested, isWorldClosed } from "../state/closed_world.ts";
+import type { RowSnapshot, RowWatcher } from "../state/row_watcher.ts";
+import type { World } from "../state/world.ts";
+import type {
+  Controller,
+  EntryContext,
+  Holding,
+  Mesh,
+  OwnershipChange,
+  OwnershipView,
+} from "../types.ts";
+import { adoptLease, decideOwnership, mayActUnder } from "./decisions.ts";
+import { LeaseBook } from "./lease_book.ts";
+import { type ObservedOwner, OwnerObservations } from "./owner_observations.ts";
+import { rankCandidates } from "./preference.ts";
+import { Takeovers } from "./takeovers.ts";
+
+export interface OwnershipControllerOptions {
+  readonly context: EntryContext;
+  readonly mesh: Mesh;
+  readonly table: RankedTablePort;
+  readonly rows: RowWatcher;
+  readonly membership: MembershipController;
+  readonly peers: PeerFacts;
+  readonly world: World;
+  readonly failureDomains: FailureDomainController;
+  /** The failure domains of the configuration in force. */
+  readonly listDeclared: () => readonly FailureDomainDeclaration[];
+}
+
+export class OwnershipController implements Controller, OwnershipView {
+  readonly name = "ownership";
+  readonly #options: OwnershipControllerOptions;
+  readonly #changes = new Subject<OwnershipChange>();
+  readonly #owners = OwnerObservations.create();
+  readonly #leases: LeaseBook;
+  readonly #takeovers: Takeovers;
+  /** Held, but this holder has not been allowed to act since it last was. */
+  readonly #expired = new Set<FailureDomainName>();
+  #timer: Timer | undefined;
+  #lastTickMs = 0;
+  #renewedMs = Number.NEGATIVE_INFINITY;
+  #handedOverMs = Number.NEGATIVE_INFINITY;
+  #stopping = false;
+
+  private constructor(options: OwnershipControllerOptions) {
+    this.#options = options;
+    this.#leases = LeaseBook.create({
+      identity: options.context.identity,
+      clock: options.context.clock,
+      table: options.table,
+      failureDomains: options.failureDomains,
+      onLost: (failureDomain, epoch) => this.#lose(failureDomain, epoch),
+    });
+    this.#takeovers = Takeovers.create(options);
+  }
+
+  static create(options: OwnershipControllerOptions): OwnershipController {
+    const controller = new OwnershipController(options);
+    options.rows.add({
+      listKeys: () =>
+        options.listDeclared().map(({ name }) => getOwnerKey(name)),
+      learn: (snapshot) => controller.#learn(snapshot),
+      onUnreadable: () => controller.#owners.restart(),
+    });
+    options.mesh.deliveries.subscribe((one) => controller.#receive(one));
+    return controller;
+  }
+
+  get changes(): Observable<OwnershipChange> {
+    return this.#changes;
+  }
+
+  listHeld(): readonly Holding[] {
+    return this.#leases.list().map((failureDomain) => ({
+      failureDomain,
+      epoch: this.#leases.get(failureDomain)?.epoch ?? 0,
+    }));
+  }
+
+  mayAct(holding: Holding): boolean {
+    const lease = this.#leases.get(holding.failureDomain);
+    return lease !== undefined && lease.epoch === holding.epoch &&
+      mayActUnder(lease, this.#options.context.clock.nowMs());
+  }
+
+  getOwner(failureDomain: FailureDomainName): EntryName | undefined {
+    const { identity } = this.#options.context;
+    if (this.#leases.get(failureDomain) !== undefined) return identity.entry;
+    return this.#owners.getOwner(failureDomain);
+  }
+
+  /** Whether an ownership that this entry asked for may have been granted without its knowledge. */
+  hasUnsettled(): boolean {
+    return this.#takeovers.hasUnsettled();
+  }
+
+  start(): Promise<void> {
+    const { clock } = this.#options.context;
+    this.#lastTickMs = clock.nowMs();
+    this.#timer = clock.every(OWNERSHIP_TICK_MS, () => this.#tick());
+    return Promise.resolve();
+  }
+
+  /** Releases everything, so that the next owners need not wait for the leases to lapse. */
+  async stop(): Promise<void> {
+    this.#stopping = true;
+    this.#timer?.cancel();
+    await Promise.all(this.#leases.list().map((one) => this.release(one)));
+  }
+
+  /** Hands one failure domain over: stops acting, then frees the row, then tells the others. */
+  async release(failureDomain: FailureDomainName): Promise<void> {
+    const lease = this.#leases.get(failureDomain);
+    if (lease === undefined) return;
+    const { epoch } = lease;
+    const releasing = this.#leases.release(failureDomain);
+    this.#lose(failureDomain, epoch);
+    if (!await releasing) return;
+    this.#emit("ownership.released", failureDomain, epoch);
+    this.#options.mesh.broadcast({
+      kind: "ownership_released",
+      failureDomain,
+      epoch,
+    });
+  }
+
+  #tick(): void {
+    const { clock } = this.#options.context;
+    const nowMs = clock.nowMs();
+    const lateMs = nowMs - this.#lastTickMs - OWNERSHIP_TICK_MS;
+    this.#lastTickMs = nowMs;
+    if (lateMs > PAUSE_BOUND_MS) this.#notePause(lateMs);
+    this.#extendInClosedWorld();
+    for (const failureDomain of this.#leases.list()) {
+      this.#noteExpiry(failureDomain);
+    }
+    if (nowMs - this.#renewedMs < OWNERSHIP_BEAT_MS) return;
+    this.#renewedMs = nowMs;
+    void this.#leases.renew();
+  }
+
+  /** What waited in the sockets is of unknown age; nothing is concluded from it. */
+  #notePause(lateMs: number): void {
+    this.#options.peers.clear();
+    this.#owners.restart();
+    this.#options.context.events.emit("process.paused", { durationMs: lateMs });
+  }
+
+  #extendInClosedWorld(): void {
+    const { rows, world } = this.#options;
+    if (rows.isReadable()) return;
+    for (const { name, region } of this.#options.listDeclared()) {
+      const lease = this.#leases.get(name);
+      if (lease === undefined) continue;
+      const members = world.list(region);
+      if (!isWorldClosed(members)) continue;
+      if (!isUncontested(members, name, lease.epoch)) continue;
+      this.#leases.extend(name);
+    }
+  }
+
+  #noteExpiry(failureDomain: FailureDomainName): void {
+    const lease = this.#leases.get(failureDomain);
+    if (lease === undefined) return;
+    const mayAct = this.mayAct({ failureDomain, epoch: lease.epoch });
+    if (mayAct && this.#expired.delete(failureDomain)) {
+      this.#emit("ownership.resumed", failureDomain, lease.epoch);
+    }
+    if (!mayAct && !this.#expired.has(failureDomain)) {
+      this.#expired.add(failureDomain);
+      this.#emit("ownership.expired", failureDomain, lease.epoch);
+    }
+  }
+
+  #learn(snapshot: RowSnapshot): void {
+    for (const declared of this.#options.listDeclared()) {
+      const failureDomain = declared.name;
+      this.#owners.learn(failureDomain, snapshot);
+      const owner = this.#owners.get(failureDomain);
+      if (owner === undefined) continue;
+      if (!snapshot.has(getOwnerKey(failureDomain))) continue;
+      this.#leases.learnRow(failureDomain, owner.tableRow);
+      this.#takeovers.settle(failureDomain, snapshot.startedMs);
+      this.#decide(declared, owner);
+    }
+    this.#rebalance();
+  }
+
+  #decide(declared: FailureDomainDeclaration, owner: ObservedOwner): void {
+    const failureDomain = declared.name;
+    const isHeld = this.#leases.get(failureDomain) !== undefined;
+    const isAsked = this.#takeovers.isUnsettled(failureDomain);
+    if (isHeld || isAsked || this.#stopping) return;
+    const { context, membership } = this.#options;
+    const rank = this.#rankCandidates(declared).indexOf(context.identity.entry);
+    const decision = decideOwnership({
+      self: context.identity,
+      row: owner.row,
+      beat: owner.beat,
+      rank: rank < 0 ? undefined : rank,
+      hasMetEveryMember: membership.hasMetEveryMember(),
+      leaving: membership.isLeaving(),
+    });
+    switch (decision.kind) {
+      case "leave":
+        return;
+      case "take":
+        return void this.#take(failureDomain, decision.epoch, owner);
+      case "renew":
+        return this.#adopt(failureDomain, owner);
+    }
+  }
+
+  #rankCandidates(declared: FailureDomainDeclaration): readonly EntryName[] {
+    const candidates = this.#options.world.listCandidates(declared.region);
+    return rankCandidates(declared.name, candidates);
+  }
+
+  async #take(
+    failureDomain: FailureDomainName,
+    epoch: number,
+    owner: ObservedOwner,
+  ): Promise<void> {
+    const taken = await this.#takeovers.take(failureDomain, epoch, owner);
+    if (taken === undefined) return;
+    this.#leases.add(failureDomain, taken.lease, taken.tableRow);
+    this.#gain(failureDomain, epoch);
+  }
+
+  /** The row is this incarnation's, by a write whose answer was lost. */
+  #adopt(failureDomain: FailureDomainName, owner: ObservedOwner): void {
+    const { row, tableRow } = owner;
+    if (row === undefined || tableRow === undefined) return;
+    const foundMs = this.#options.context.clock.nowMs();
+    const lease = adoptLease(row.epoch, foundMs);
+    this.#leases.add(failureDomain, lease, tableRow);
+    this.#gain(failureDomain, row.epoch);
+  }
+
+  /** Hands one failure domain to a better preferred member that has been there for long enough. */
+  #rebalance(): void {
+    const { context, peers } = this.#options;
+    const nowMs = context.clock.nowMs();
+    if (nowMs - this.#handedOverMs < OWNERSHIP_REBALANCE_MS) return;
+    const declared = this.#options.listDeclared().find((one) => {
+      if (this.#leases.get(one.name) === undefined) return false;
+      const preferred = this.#rankCandidates(one)[0];
+      const peer = preferred === undefined ? undefined : peers.get(preferred);
+      return peer !== undefined && peer.tableReachable &&
+        nowMs - peer.connectedSinceMs >= OWNERSHIP_REBALANCE_MS;
+    });
+    if (declared === undefined) return;
+    this.#handedOverMs = nowMs;
+    void this.release(declared.name);
+  }
+
+  #receive(delivery: MeshDelivery): void {
+    if (delivery.message.kind !== "ownership_released") return;
+    void this.#options.rows.refresh();
+  }
+
+  #gain(failureDomain: FailureDomainName, epoch: number): void {
+    this.#emit("ownership.gained", failureDomain, epoch);
+    const holding = { failureDomain, epoch };
+    this.#changes.next({ kind: "gained", holding });
+  }
+
+  #lose(failureDomain: FailureDomainName, epoch: number): void {
+    this.#expired.delete(failureDomain);
+    this.#emit("ownership.lost", failureDomain, epoch);
+    const holding = { failureDomain, epoch };
+    this.#changes.next({ kind: "lost", holding });
+  }
+
+  #emit(event: string, failureDomain: FailureDomainName, epoch: number): void {
+    this.#options.context.events.emit(event, { failureDomain, epoch });
+  }
+}
--- /dev/null
+++ b/packages/node/ownership/takeovers.ts
@@ -0,0 +1,94 @@
+/** Writes that take a failure domain, and what is known of their outcome. */
+import type { FailureDomainName } from "@coltsfootpond/common";
+import {
+  type RankedTablePort,
+  type TableRow,
+  WRITE_RANK,
+} from "@coltsfootpond/platform";
+import type { FailureDomainController } from "../failure_domains/failure_domain_controller.ts";
+import { getDomainKey, getOwnerKey, type OwnerRow } from "../rows.ts";
+import {
+  createUnchangedCondition,
+  toJson,
+  transactChange,
+} from "../state/rows_json.ts";
+import type { EntryContext } from "../types.ts";
+import { grantLease, type HeldLease } from "./decisions.ts";
+import type { ObservedOwner } from "./owner_observations.ts";
+
+export interface TakeoversOptions {
+  readonly context: EntryContext;
+  readonly table: RankedTablePort;
+  readonly failureDomains: FailureDomainController;
+}
+
+/** A failure domain just taken. */
+export interface TakenLease {
+  readonly lease: HeldLease;
+  readonly tableRow: TableRow;
+}
+
+export class Takeovers {
+  readonly #options: TakeoversOptions;
+  /** When the write was given up without an answer; undefined while it is under way. */
+  readonly #unsettled = new Map<FailureDomainName, number | undefined>();
+
+  private constructor(options: TakeoversOptions) {
+    this.#options = options;
+  }
+
+  static create(options: TakeoversOptions): Takeovers {
+    return new Takeovers(options);
+  }
+
+  hasUnsettled(): boolean {
+    return this.#unsettled.size > 0;
+  }
+
+  isUnsettled(failureDomain: FailureDomainName): boolean {
+    return this.#unsettled.has(failureDomain);
+  }
+
+  /** A read sent after the write was given up shows what became of it. */
+  settle(failureDomain: FailureDomainName, readStartedMs: number): void {
+    const givenUpMs = this.#unsettled.get(failureDomain);
+    if (givenUpMs === undefined || readStartedMs < givenUpMs) return;
+    this.#unsettled.delete(failureDomain);
+  }
+
+  /** Undefined when the failure domain was not taken, as far as is known. */
+  async take(
+    failureDomain: FailureDomainName,
+    epoch: number,
+    owner: ObservedOwner,
+  ): Promise<TakenLease | undefined> {
+    const { context, table, failureDomains } = this.#options;
+    this.#unsettled.set(failureDomain, undefined);
+    const { entry, incarnation } = context.identity;
+    const beat = 0;
+    const row: OwnerRow = { entry, incarnation, epoch, beat, released: false };
+    const key = getOwnerKey(failureDomain);
+    const writtenMs = context.clock.nowMs();
+    const outcome = await transactChange(table, {
+      conditions: [
+        createUnchangedCondition(key, owner.tableRow),
+        failureDomains.createCondition(failureDomain),
+      ],
+      writes: [{ kind: "put", key, value: toJson(row) }],
+    }, WRITE_RANK.OWNERSHIP);
+    if (outcome.kind === "unavailable" && outcome.effect === "lost") {
+      this.#unsettled.set(failureDomain, context.clock.nowMs());
+      return undefined;
+    }
+    this.#unsettled.delete(failureDomain);
+    if (outcome.kind === "unavailable") return undefined;
+    const tableRow = outcome.rows.find((one) => one.key === key);
+    if (outcome.kind === "committed" && tableRow !== undefined) {
+      return { lease: grantLease(epoch, writtenMs), tableRow };
+    }
+    const domainKey = getDomainKey(failureDomain);
+    const domainRow = outcome.rows.find((one) => one.key === domainKey);
+    failureDomains.learnRow(failureDomain, domainRow);
+    return undefined;
+  }
+}
--- a/packages/node/rows.ts
+++ b/packages/node/rows.ts
@@ -40,6 +40,13 @@
   readonly version: number;
 }
 
+export const MEMBER_INDEX_KEY = "members";
+
+/** `members`: the names of all registered entries, so that nobody scans for them. */
+export interface MemberIndexRow {
+  readonly entries: readonly EntryName[];
+}
+
 /** `entry/{name}`: one registered entry. */
 export interface EntryRow {
   readonly incarnation: Incarnation;
--- /dev/null
+++ b/packages/node/state/row_watcher.ts
@@ -0,0 +1,126 @@
+/**
+ * One read a period for all the rows that the controllers watch. Controllers name their keys and
+ * are given the rows; none of them polls by itself.
+ */
+import type { Clock, EventSink, Timer } from "@coltsfootpond/common";
+import type { TablePort, TableRow } from "@coltsfootpond/platform";
+import { STATE_CALL_TIMEOUT_MS, STATE_POLL_MS } from "../constants.ts";
+import type { Controller } from "../types.ts";
+
+/** One successful read. */
+export interface RowSnapshot {
+  /** When the read was sent: what it shows is at least as new. */
+  readonly startedMs: number;
+  readonly answeredMs: number;
+  /** The row, undefined when it is absent. */
+  get(key: string): TableRow | undefined;
+  has(key: string): boolean;
+}
+
+/** A controller's part in the shared read. */
+export interface RowSubscription {
+  listKeys(): readonly string[];
+  /** Called for keys that were in the read. */
+  learn(snapshot: RowSnapshot): void;
+  /** Called when the read failed. */
+  onUnreadable?(): void;
+}
+
+export interface RowWatcherOptions {
+  readonly table: TablePort;
+  readonly clock: Clock;
+  readonly events: EventSink;
+}
+
+export class RowWatcher implements Controller {
+  readonly name = "row_watcher";
+  readonly #options: RowWatcherOptions;
+  readonly #subscriptions: RowSubscription[] = [];
+  #timer: Timer | undefined;
+  #running: Promise<boolean> | undefined;
+  #next: Promise<boolean> | undefined;
+  #readable = false;
+
+  private constructor(options: RowWatcherOptions) {
+    this.#options = options;
+  }
+
+  static create(options: RowWatcherOptions): RowWatcher {
+    return new RowWatcher(options);
+  }
+
+  add(subscription: RowSubscription): void {
+    this.#subscriptions.push(subscription);
+  }
+
+  /** Whether the last read succeeded. */
+  isReadable(): boolean {
+    return this.#readable;
+  }
+
+  async start(): Promise<void> {
+    this.#timer = this.#options.clock.every(
+      STATE_POLL_MS,
+      () => void this.#run(),
+    );
+    await this.refresh();
+  }
+
+  stop(): Promise<void> {
+    this.#timer?.cancel();
+    return Promise.resolve();
+  }
+
+  /**
+   * Resolves after a read that was sent after this call; calls during a read share the next one.
+   * False when the table service gave no answer.
+   */
+  refresh(): Promise<boolean> {
+    const running = this.#running;
+    if (running === undefined) return this.#run();
+    this.#next ??= running.then(() => {
+      this.#next = undefined;
+      return this.#run();
+    });
+    return this.#next;
+  }
+
+  #run(): Promise<boolean> {
+    this.#running ??= this.#read().finally(() => this.#running = undefined);
+    return this.#running;
+  }
+
+  async #read(): Promise<boolean> {
+    const { clock, table } = this.#options;
+    const keys = [
+      ...new Set(this.#subscriptions.flatMap((one) => one.listKeys())),
+    ];
+    const startedMs = clock.nowMs();
+    const outcome = await table.read(keys, {
+      timeoutMs: STATE_CALL_TIMEOUT_MS,
+    });
+    if (outcome.kind === "unavailable") {
+      this.#note(false, outcome.reason);
+      for (const one of this.#subscriptions) one.onUnreadable?.();
+      return false;
+    }
+    this.#note(true);
+    const rows = new Map(outcome.rows.map((row) => [row.key, row]));
+    const asked = new Set(keys);
+    const snapshot: RowSnapshot = {
+      startedMs,
+      answeredMs: clock.nowMs(),
+      get: (key) => rows.get(key),
+      has: (key) => asked.has(key),
+    };
+    for (const one of this.#subscriptions) one.learn(snapshot);
+    return true;
+  }
+
+  #note(readable: boolean, reason?: string): void {
+    if (this.#readable === readable) return;
+    this.#readable = readable;
+    const event = readable ? "table.reachable" : "table.unreachable";
+    this.#options.events.emit(event, {}, reason);
+  }
+}
--- /dev/null
+++ b/packages/node/state/state_controllers.ts
@@ -0,0 +1,129 @@
+/**
+ * The controllers of shared state, wired to each other: one read a period serves all of them, and
+ * one heartbeat tells the peers what they rely on.
+ */
+import type { Declarations } from "@coltsfootpond/common";
+import type { RankedTablePort } from "@coltsfootpond/platform";
+import { ConfigurationController } from "../configuration/configuration_controller.ts";
+import type {
+  ConfigurationFile,
+  ConfigurationProblem,
+  ParseOutcome,
+} from "../configuration/types.ts";
+import { FailureDomainController } from "../failure_domains/failure_domain_controller.ts";
+import {
+  type EntryAddress,
+  MembershipController,
+} from "../membership/membership_controller.ts";
+import { PeerFacts } from "../membership/peer_facts.ts";
+import type { MeshMessage } from "../mesh/messages.ts";
+import { OwnershipController } from "../ownership/ownership_controller.ts";
+import type { EntryContext, Mesh } from "../types.ts";
+import { RowWatcher } from "./row_watcher.ts";
+import { World } from "./world.ts";
+
+export interface StateControllersOptions {
+  readonly context: EntryContext;
+  readonly mesh: Mesh;
+  readonly table: RankedTablePort;
+  readonly address: EntryAddress;
+  readonly parse: (files: readonly ConfigurationFile[]) => ParseOutcome;
+  readonly checkFeasibility: (
+    declarations: Declarations,
+  ) => readonly ConfigurationProblem[];
+}
+
+export class StateControllers {
+  readonly rows: RowWatcher;
+  readonly peers: PeerFacts;
+  readonly membership: MembershipController;
+  readonly configuration: ConfigurationController;
+  readonly failureDomains: FailureDomainController;
+  readonly ownership: OwnershipController;
+  #sequence = 0;
+
+  private constructor(options: StateControllersOptions) {
+    const { context, mesh, table } = options;
+    const { identity, clock, events } = context;
+    const rows = RowWatcher.create({ table, clock, events });
+    const peers = PeerFacts.create(mesh, clock);
+    const shared = { context, mesh, table, rows, peers };
+    const membership = MembershipController.create({
+      ...shared,
+      address: options.address,
+    });
+    const world = World.create({ identity, membership, peers });
+    const configuration = ConfigurationController.create({
+      ...shared,
+      membership,
+      world,
+      parse: options.parse,
+      checkFeasibility: options.checkFeasibility,
+    });
+    const listDeclared = () =>
+      configuration.current()?.declarations.failureDomains ?? [];
+    const failureDomains = FailureDomainController.create({
+      ...shared,
+      membership,
+      listDeclared: () => listDeclared().map(({ name }) => name),
+      getOwner: (failureDomain) => this.ownership.getOwner(failureDomain),
+    });
+    this.ownership = OwnershipController.create({
+      ...shared,
+      membership,
+      world,
+      failureDomains,
+      listDeclared,
+    });
+    this.rows = rows;
+    this.peers = peers;
+    this.membership = membership;
+    this.configuration = configuration;
+    this.failureDomains = failureDomains;
+  }
+
+  static create(options: StateControllersOptions): StateControllers {
+    return new StateControllers(options);
+  }
+
+  /** The heartbeat that the mesh sends. */
+  createHeartbeat(): MeshMessage {
+    const { configuration, rows, ownership, membership } = this;
+    return {
+      kind: "heartbeat",
+      sequence: this.#sequence++,
+      configurationVersion: configuration.current()?.version ?? 0,
+      configurationAgeMs: Math.min(
+        configuration.confirmedAgeMs(),
+        Number.MAX_SAFE_INTEGER,
+      ),
+      tableReachable: rows.isReadable() || ownership.hasUnsettled(),
+      leaving: membership.isLeaving(),
+      holdings: ownership.listHeld(),
+    };
+  }
+
+  /** Starts in an order in which each finds what it needs. */
+  async start(): Promise<void> {
+    await this.rows.start();
+    await this.membership.start();
+    await this.configuration.start();
+    await this.failureDomains.start();
+    await this.ownership.start();
+  }
+
+  /** First half of a planned stop: tells the others and hands everything over. */
+  async leave(): Promise<void> {
+    await this.membership.leave();
+    await this.ownership.stop();
+  }
+
+  /** Second half, once nothing is in progress. */
+  async stop(): Promise<void> {
+    await this.ownership.stop();
+    await this.failureDomains.stop();
+    await this.configuration.stop();
+    await this.membership.stop();
+    await this.rows.stop();
+  }
+}
