--- a/packages/node/mesh/messages.ts
+++ b/packages/node/mesh/messages.ts
@@ -33,7 +33,6 @@
     readonly holdings: readonly HeldDomain[];
     readonly leaving: boolean;
   }
-  | { readonly kind: "heartbeat_reply"; readonly sequence: number }
   | { readonly kind: "configuration_accepted"; readonly version: number }
   | {
     readonly kind: "domain_changed";
