--- a/packages/policy/mod.ts
+++ b/packages/policy/mod.ts
@@ -1,2 +1,7 @@
 /** Public face of `@coltsfootpond/policy`: pure decisions on placement, order and balance. */
 export * from "./types.ts";
+export * from "./guarantees/guarantee_planner.ts";
+export * from "./placement/domain_choice.ts";
+export { createPlacementEngine } from "./placement/engine.ts";
+export type { PlacementEngineOptions } from "./placement/engine.ts";
+export * from "./placement/submission_check.ts";
--- /dev/null
+++ b/packages/policy/placement/borrowed_placement.ts
@@ -0,0 +1,163 @@
+/** Places a job on capacity that it borrows, where it harms the large shapes least. */
+import type { HealthTracker } from "./worker_health.ts";
+import {
+  countFree,
+  countUnreserved,
+  getFreeRoom,
+  type Place,
+  type RackState,
+  type WorkerState,
+} from "./capacity_model.ts";
+import type { HeadReservations } from "./head_reservations.ts";
+import type { JobRecord } from "./job_record.ts";
+import { findPlaces } from "./packing.ts";
+import type { PlacementState } from "./placement_state.ts";
+import { countFitting } from "./resources.ts";
+import { WAIT_REASON, type WaitReason } from "../types.ts";
+
+/** Weights of the lesser criteria against one accelerator's worth of lost large shapes. */
+const RESERVED_WEIGHT = 1e-3;
+const RACK_FREE_WEIGHT = 1e-5;
+const WORKER_FREE_WEIGHT = 1e-7;
+
+export type BorrowedOutcome =
+  | { readonly kind: "place"; readonly place: Place }
+  | { readonly kind: "wait"; readonly reason: WaitReason };
+
+export interface BorrowedPlacerOptions {
+  readonly state: PlacementState;
+  readonly reservations: HeadReservations;
+  readonly health: HealthTracker;
+}
+
+export class BorrowedPlacer {
+  readonly #state: PlacementState;
+  readonly #reservations: HeadReservations;
+  readonly #health: HealthTracker;
+
+  private constructor(options: BorrowedPlacerOptions) {
+    this.#state = options.state;
+    this.#reservations = options.reservations;
+    this.#health = options.health;
+  }
+
+  static create(options: BorrowedPlacerOptions): BorrowedPlacer {
+    return new BorrowedPlacer(options);
+  }
+
+  decide(
+    record: JobRecord,
+    estimateMs: number,
+    nowMs: number,
+  ): BorrowedOutcome {
+    if (record.pinned && this.#state.plan.hasBroken()) {
+      return { kind: "wait", reason: WAIT_REASON.GUARANTEES };
+    }
+    let sawFree = false;
+    let sawHeld = false;
+    const count = (worker: WorkerState): number => {
+      const free = this.#countAllowed(worker, record, nowMs);
+      if (free === 0) return 0;
+      sawFree = true;
+      const held = this.#reservations.isHeldFrom(
+        worker,
+        record,
+        estimateMs,
+        nowMs,
+      );
+      if (held) sawHeld = true;
+      if (held || !record.pinned) return held ? 0 : free;
+      return Math.min(free, countUnreserved(worker, record.job.shape.perTask));
+    };
+    const places = findPlaces(
+      this.#state.capacity.racks,
+      record.job.shape,
+      count,
+    );
+    const best = this.#chooseLeastHarm(places, record);
+    if (best !== undefined) return { kind: "place", place: best };
+    return { kind: "wait", reason: explainWait(record, sawFree, sawHeld) };
+  }
+
+  /** A quarantined worker that may be probed with this job. */
+  findProbe(record: JobRecord, nowMs: number): Place | undefined {
+    const { tasks, perTask } = record.job.shape;
+    if (tasks !== 1 || !record.job.idempotent) return undefined;
+    for (const worker of this.#state.capacity.workers) {
+      if (!worker.quarantined || !worker.up) continue;
+      if (record.failedOn.has(worker.name)) continue;
+      if (!this.#health.mayProbe(worker.name, nowMs)) continue;
+      if (countFitting(getFreeRoom(worker), perTask) === 0) continue;
+      return [{ worker, tasks }];
+    }
+    return undefined;
+  }
+
+  #countAllowed(
+    worker: WorkerState,
+    record: JobRecord,
+    nowMs: number,
+  ): number {
+    if (worker.avoidUntilMs > nowMs) return 0;
+    if (record.failedOn.size > 0 && record.failedOn.has(worker.name)) return 0;
+    return countFree(worker, record.job.shape.perTask);
+  }
+
+  #chooseLeastHarm(
+    places: readonly Place[],
+    record: JobRecord,
+  ): Place | undefined {
+    if (places.length <= 1) return places[0];
+    const rackFree = new Map<RackState, number>();
+    let best: Place | undefined;
+    let bestHarm = Infinity;
+    for (const place of places) {
+      const harm = this.#computeHarm(place, record, rackFree);
+      if (harm < bestHarm) [best, bestHarm] = [place, harm];
+    }
+    return best;
+  }
+
+  #computeHarm(
+    place: Place,
+    record: JobRecord,
+    rackFree: Map<RackState, number>,
+  ): number {
+    const { perTask } = record.job.shape;
+    let harm = this.#state.fragmentation.computeLoss(place, perTask);
+    for (const { worker, tasks } of place) {
+      const open = countUnreserved(worker, perTask);
+      harm += RESERVED_WEIGHT * Math.max(0, tasks - open) *
+        Math.max(1, perTask.accelerators);
+      harm += RACK_FREE_WEIGHT * getRackFree(worker.rack, rackFree);
+      harm += WORKER_FREE_WEIGHT * getFreeRoom(worker).milliprocessors / 1_000;
+    }
+    return harm;
+  }
+}
+
+/** Fuller racks come first, so that nearly empty ones drain. */
+function getRackFree(
+  rack: RackState,
+  known: Map<RackState, number>,
+): number {
+  let free = known.get(rack);
+  if (free === undefined) {
+    free = rack.workers.reduce(
+      (sum, worker) => sum + getFreeRoom(worker).accelerators,
+      0,
+    );
+    known.set(rack, free);
+  }
+  return free;
+}
+
+function explainWait(
+  record: JobRecord,
+  sawFree: boolean,
+  sawHeld: boolean,
+): WaitReason {
+  if (sawHeld) return WAIT_REASON.BEHIND_RESERVATION;
+  if (record.pinned && sawFree) return WAIT_REASON.GUARANTEES;
+  return WAIT_REASON.NO_CAPACITY;
+}
--- /dev/null
+++ b/packages/policy/placement/decision_round.ts
@@ -0,0 +1,237 @@
+/**
+ * The order in which waiting jobs are looked at: urgent work inside its guarantee, other work
+ * inside its guarantee, then borrowers by weighted dominant share with ageing (DRF, NSDI '11).
+ */
+import { PRIORITY } from "@coltsfootpond/common";
+import { type Decision, EVICTION_REASON, WAIT_REASON } from "../types.ts";
+import { BinaryHeap } from "./binary_heap.ts";
+import type { BorrowedPlacer } from "./borrowed_placement.ts";
+import type { Place } from "./capacity_model.ts";
+import {
+  AGEING_MS,
+  MAXIMUM_PLACEMENTS_PER_DECISION,
+  MAXIMUM_RESERVED_RACK_SHARE,
+  RECLAIM_CHECKPOINT_LIMIT_MS,
+  RESERVATION_AFTER_MS,
+} from "./constants.ts";
+import type { RunTimeEstimator } from "./estimates.ts";
+import type { GuaranteedPlacer } from "./guaranteed_placement.ts";
+import type { HeadReservations } from "./head_reservations.ts";
+import type { JobClass, JobQueue } from "./job_queue.ts";
+import { JOB_PHASE, type JobRecord } from "./job_record.ts";
+import type { PlacementState } from "./placement_state.ts";
+import type { HealthTracker } from "./worker_health.ts";
+
+export interface DecisionRoundOptions {
+  readonly state: PlacementState;
+  readonly queue: JobQueue;
+  readonly guaranteed: GuaranteedPlacer;
+  readonly borrowed: BorrowedPlacer;
+  readonly reservations: HeadReservations;
+  readonly estimator: RunTimeEstimator;
+  readonly health: HealthTracker;
+}
+
+interface RankedClass {
+  readonly jobClass: JobClass;
+  readonly head: JobRecord;
+  readonly tier: number;
+  readonly rank: number;
+}
+
+const TIER = { URGENT: 0, GUARANTEED: 1, BORROWED: 2 } as const;
+
+function compareRanks(left: RankedClass, right: RankedClass): number {
+  return left.tier - right.tier || left.rank - right.rank ||
+    (left.jobClass.key < right.jobClass.key ? -1 : 1);
+}
+
+function createPlacement(record: JobRecord, place: Place): Decision {
+  let index = 0;
+  const assignments = place.flatMap(({ worker, tasks }) =>
+    Array.from(
+      { length: tasks },
+      () => ({ index: index++, worker: worker.name }),
+    )
+  );
+  return { kind: "place", jobId: record.job.jobId, assignments };
+}
+
+export class DecisionRound {
+  readonly #options: DecisionRoundOptions;
+
+  private constructor(options: DecisionRoundOptions) {
+    this.#options = options;
+  }
+
+  static create(options: DecisionRoundOptions): DecisionRound {
+    return new DecisionRound(options);
+  }
+
+  /** Places what may be placed; true when the limit on one round left some unlooked at. */
+  run(nowMs: number, decisions: Decision[]): boolean {
+    const { state, reservations } = this.#options;
+    reservations.prune();
+    this.#startClaimed(nowMs, decisions);
+    let placements = 0;
+    const heap = BinaryHeap.create(compareRanks);
+    for (const jobClass of this.#options.queue.classes) {
+      this.#rankInto(heap, jobClass, nowMs);
+    }
+    while (heap.size > 0) {
+      if (placements >= MAXIMUM_PLACEMENTS_PER_DECISION) return true;
+      const { jobClass } = heap.pop()!;
+      const now = this.#rank(jobClass, nowMs);
+      if (now === undefined) continue;
+      const next = heap.peek();
+      if (next !== undefined && compareRanks(now, next) > 0) {
+        heap.push(now);
+        continue;
+      }
+      if (this.#tryPlace(jobClass, now.head, now.tier, nowMs, decisions)) {
+        placements++;
+        this.#rankInto(heap, jobClass, nowMs);
+      } else {
+        jobClass.blockedVersion = state.version;
+      }
+    }
+    this.#reserveForHeads(nowMs);
+    return false;
+  }
+
+  #rankInto(
+    heap: BinaryHeap<RankedClass>,
+    jobClass: JobClass,
+    nowMs: number,
+  ): void {
+    const ranked = this.#rank(jobClass, nowMs);
+    if (ranked !== undefined) heap.push(ranked);
+  }
+
+  #rank(jobClass: JobClass, nowMs: number): RankedClass | undefined {
+    const { state, queue, guaranteed } = this.#options;
+    if (jobClass.blockedVersion === state.version) return undefined;
+    const head = queue.peek(jobClass);
+    if (head === undefined) return undefined;
+    const waitedMs = nowMs - head.waitingSinceMs;
+    if (guaranteed.mayHold(head)) {
+      const urgent = head.job.priority === PRIORITY.URGENT;
+      const tier = urgent ? TIER.URGENT : TIER.GUARANTEED;
+      return { jobClass, head, tier, rank: -waitedMs };
+    }
+    const share = state.computeBorrowedShare(head.job.organisation);
+    const rank = share - waitedMs / AGEING_MS;
+    return { jobClass, head, tier: TIER.BORROWED, rank };
+  }
+
+  #tryPlace(
+    jobClass: JobClass,
+    head: JobRecord,
+    tier: number,
+    nowMs: number,
+    decisions: Decision[],
+  ): boolean {
+    const { state, estimator, borrowed } = this.#options;
+    if (!state.isWithinQuota(head)) {
+      jobClass.reason = WAIT_REASON.QUOTA;
+      return false;
+    }
+    if (tier !== TIER.BORROWED) {
+      if (this.#tryGuaranteed(jobClass, head, nowMs, decisions)) return true;
+    }
+    const probe = borrowed.findProbe(head, nowMs);
+    if (probe !== undefined) {
+      this.#options.health.startProbe(probe[0]!.worker.name, nowMs);
+      this.#place(jobClass, head, probe, nowMs, decisions);
+      return true;
+    }
+    const estimateMs = estimator.estimateMs(head.job);
+    const outcome = borrowed.decide(head, estimateMs, nowMs);
+    if (outcome.kind === "wait") {
+      jobClass.reason = outcome.reason;
+      return false;
+    }
+    this.#place(jobClass, head, outcome.place, nowMs, decisions);
+    return true;
+  }
+
+  #tryGuaranteed(
+    jobClass: JobClass,
+    head: JobRecord,
+    nowMs: number,
+    decisions: Decision[],
+  ): boolean {
+    const { state, queue, estimator, guaranteed } = this.#options;
+    const outcome = guaranteed.decide(head, nowMs);
+    if (outcome.kind === "none") return false;
+    queue.shift(jobClass);
+    if (outcome.kind === "place") {
+      head.estimateMs = estimator.estimateMs(head.job);
+      state.put(head, outcome.place, outcome.unit, nowMs);
+      decisions.push(createPlacement(head, outcome.place));
+      return true;
+    }
+    state.claim(head, outcome.place, outcome.unit);
+    for (const victim of outcome.victims) {
+      victim.phase = JOB_PHASE.EVICTING;
+      decisions.push({
+        kind: "evict",
+        jobId: victim.job.jobId,
+        reason: EVICTION_REASON.RECLAIM,
+        checkpointMs: victim.job.canCheckpoint
+          ? Math.min(victim.job.checkpointMs, RECLAIM_CHECKPOINT_LIMIT_MS)
+          : 0,
+      });
+    }
+    return true;
+  }
+
+  #place(
+    jobClass: JobClass,
+    head: JobRecord,
+    place: Place,
+    nowMs: number,
+    decisions: Decision[],
+  ): void {
+    const { state, queue, estimator, reservations } = this.#options;
+    queue.shift(jobClass);
+    head.estimateMs = estimator.estimateMs(head.job);
+    state.put(head, place, undefined, nowMs);
+    reservations.drop(head);
+    decisions.push(createPlacement(head, place));
+  }
+
+  /** Starts the jobs whose promised place has come free. */
+  #startClaimed(nowMs: number, decisions: Decision[]): void {
+    const { state, estimator } = this.#options;
+    for (const record of [...state.claiming]) {
+      const { place, unit } = record;
+      if (place === undefined || !state.isClear(place, record)) continue;
+      record.estimateMs = estimator.estimateMs(record.job);
+      state.put(record, place, unit, nowMs);
+      decisions.push(createPlacement(record, place));
+    }
+  }
+
+  /** Reserves capacity for the gangs that have waited longest. */
+  #reserveForHeads(nowMs: number): void {
+    const { state, queue, reservations } = this.#options;
+    const limit = Math.ceil(
+      state.capacity.workerCount * MAXIMUM_RESERVED_RACK_SHARE,
+    );
+    const heads: JobRecord[] = [];
+    for (const jobClass of queue.classes) {
+      if (jobClass.reason === WAIT_REASON.QUOTA) continue;
+      const head = queue.peek(jobClass);
+      if (head === undefined || reservations.has(head)) continue;
+      if (nowMs - head.waitingSinceMs < RESERVATION_AFTER_MS) continue;
+      if (head.pinned && state.plan.hasBroken()) continue;
+      heads.push(head);
+    }
+    heads.sort((left, right) => left.waitingSinceMs - right.waitingSinceMs);
+    for (const head of heads) {
+      if (reservations.workerCount >= limit) return;
+      reservations.reserve(head, nowMs);
+    }
+  }
+}
--- /dev/null
+++ b/packages/policy/placement/domain_choice.ts
@@ -0,0 +1,141 @@
+/**
+ * Chooses the home of a job from the owners' summaries. Summaries lag, so the choice is spread over
+ * all failure domains that would do, weighted by what they have free, by a hash of the job's id:
+ * entries with the same old summaries then do not all choose the same one.
+ */
+import {
+  ADJACENCY,
+  type FailureDomainName,
+  type JobId,
+  type Shape,
+} from "@coltsfootpond/common";
+import type { DomainSummary, QueuedJob } from "../types.ts";
+import { computeDemand } from "./resources.ts";
+
+/** A waiting job is offered another home no sooner than this. */
+const REHOME_AFTER_MS = 60_000;
+/** Each move doubles the wait before the next, up to this many doublings. */
+const MAXIMUM_DOUBLINGS = 6;
+/** Share of its accelerators by which the other home must be less loaded. */
+const REHOME_MINIMUM_GAIN = 0.25;
+
+export interface DomainChoiceOptions {
+  /** Failure domains that hold a guarantee for the job's organisation and shape. */
+  readonly guaranteeHolders?: ReadonlySet<FailureDomainName>;
+}
+
+export type DomainSummaries = ReadonlyMap<FailureDomainName, DomainSummary>;
+
+/** FNV-1a, 32 bits, as a number in [0, 1). */
+function hashToUnit(text: string): number {
+  let hash = 0x811c9dc5;
+  for (let index = 0; index < text.length; index++) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), 0x01000193);
+  }
+  hash ^= hash >>> 16;
+  hash = Math.imul(hash, 0x45d9f3b);
+  hash ^= hash >>> 16;
+  return (hash >>> 0) / 4_294_967_296;
+}
+
+function fitsNow(summary: DomainSummary, shape: Shape): boolean {
+  const demand = computeDemand(shape);
+  const free = shape.adjacency === ADJACENCY.FAILURE_DOMAIN
+    ? summary.freeAccelerators
+    : summary.largestRackFreeAccelerators;
+  return free >= demand.accelerators &&
+    summary.freeMilliprocessors >= demand.milliprocessors;
+}
+
+/** Accelerators asked for or in use, as a share of all. */
+function computeLoad(summary: DomainSummary): number {
+  const used = summary.totalAccelerators - summary.freeAccelerators;
+  return (used + summary.queuedAccelerators) /
+    Math.max(1, summary.totalAccelerators);
+}
+
+/** Weighted rendezvous: each failure domain wins in proportion to its weight. */
+function draw(
+  jobId: JobId,
+  weights: ReadonlyMap<FailureDomainName, number>,
+): FailureDomainName | undefined {
+  let best: FailureDomainName | undefined;
+  let bestScore = Number.NEGATIVE_INFINITY;
+  for (const [name, weight] of weights) {
+    const uniform = Math.max(hashToUnit(`${jobId}@${name}`), Number.MIN_VALUE);
+    const score = Math.log(uniform) / Math.max(weight, Number.MIN_VALUE);
+    if (score > bestScore) [best, bestScore] = [name, score];
+  }
+  return best;
+}
+
+/** The home of a new job; undefined when no failure domain is in. */
+export function chooseFailureDomain(
+  job: QueuedJob,
+  summaries: DomainSummaries,
+  domainsIn: readonly FailureDomainName[],
+  options: DomainChoiceOptions = {},
+): FailureDomainName | undefined {
+  const holders = domainsIn.filter((name) =>
+    options.guaranteeHolders?.has(name) ?? false
+  );
+  const candidates = holders.length > 0 ? holders : domainsIn;
+  const known = candidates.flatMap((name) => {
+    const summary = summaries.get(name);
+    return summary === undefined ? [] : [{ name, summary }];
+  });
+  if (known.length === 0) {
+    return draw(job.jobId, new Map(candidates.map((name) => [name, 1])));
+  }
+  const fitting = known.filter(({ summary }) =>
+    summary.queuedJobs === 0 && fitsNow(summary, job.shape)
+  );
+  if (fitting.length > 0) {
+    const weights = fitting.map(({ name, summary }) =>
+      [name, 1 + summary.freeAccelerators] as const
+    );
+    return draw(job.jobId, new Map(weights));
+  }
+  const weights = known.map(({ name, summary }) =>
+    [
+      name,
+      Math.max(1, summary.totalAccelerators) /
+      Math.max(0.1, computeLoad(summary)) ** 2,
+    ] as const
+  );
+  return draw(job.jobId, new Map(weights));
+}
+
+export interface RehomingOptions {
+  readonly job: QueuedJob;
+  readonly current: FailureDomainName;
+  /** How long it has waited at its current home. */
+  readonly waitedMs: number;
+  /** How often it has moved already. */
+  readonly moves: number;
+  readonly summaries: DomainSummaries;
+  readonly domainsIn: readonly FailureDomainName[];
+}
+
+/**
+ * A better home for a waiting job, or undefined. Each move doubles the wait before the next and
+ * must gain a clear margin, so that a job does not bounce on lagging summaries.
+ */
+export function chooseNewHome(
+  options: RehomingOptions,
+): FailureDomainName | undefined {
+  const { job, current, waitedMs, moves, summaries, domainsIn } = options;
+  if (!domainsIn.includes(current)) {
+    return chooseFailureDomain(job, summaries, domainsIn);
+  }
+  const patienceMs = REHOME_AFTER_MS * 2 ** Math.min(moves, MAXIMUM_DOUBLINGS);
+  const here = summaries.get(current);
+  if (waitedMs < patienceMs || here === undefined) return undefined;
+  const better = domainsIn.filter((name) => {
+    const summary = summaries.get(name);
+    return name !== current && summary !== undefined &&
+      fitsNow(summary, job.shape) &&
+      computeLoad(summary) + REHOME_MINIMUM_GAIN < computeLoad(here);
+  });
+  return chooseFailureDomain(job, summaries, better);
+}
--- /dev/null
+++ b/packages/policy/placement/engine_test.ts
@@ -0,0 +1,118 @@
+/** Tests of the placement engine on small failure domains. */
+import { expect } from "chai";
+import type { Decision, EngineEvent } from "../types.ts";
+import { createPlacementEngine } from "./engine.ts";
+import {
+  createGuarantee,
+  createJob,
+  createOrganisation,
+  createShape,
+  createWorkers,
+} from "./test_fixtures.ts";
+
+/** Runs a script of events, one step each, and notes what is decided after each. */
+function run(
+  steps: readonly {
+    readonly atMs: number;
+    readonly events: readonly EngineEvent[];
+  }[],
+): { atMs: number; decisions: readonly Decision[] }[] {
+  const engine = createPlacementEngine();
+  return steps.map(({ atMs, events }) => {
+    for (const event of events) engine.apply(event, atMs);
+    return { atMs, decisions: engine.decide(atMs) };
+  });
+}
+
+const ORGANISATIONS = [createOrganisation("gas"), createOrganisation("bids")];
+const WHOLE_WORKER = createShape(1, 8, "worker");
+const RACK_GANG = createShape(2, 8, "rack");
+
+function start(guarantees: readonly ReturnType<typeof createGuarantee>[]) {
+  return [
+    ...createWorkers(2, 2),
+    { kind: "configuration", guarantees, organisations: ORGANISATIONS },
+  ] as const;
+}
+
+function queue(options: Parameters<typeof createJob>[0]): EngineEvent {
+  return { kind: "job_queued", job: createJob(options) };
+}
+
+describe("PlacementEngine", () => {
+  it("places whole gangs within one rack and lets small work share a rack", () => {
+    const outcome = run([
+      {
+        atMs: 0,
+        events: [...start([]), queue({ id: "small", accelerators: 1 })],
+      },
+      { atMs: 1, events: [queue({ id: "gang", shape: RACK_GANG })] },
+      { atMs: 2, events: [queue({ id: "small2", accelerators: 1 })] },
+    ]);
+    expect(outcome).toMatchSnapshot();
+  });
+
+  it("reclaims a guarantee from the borrower that loses least", () => {
+    const started = (id: string): EngineEvent => ({
+      kind: "job_started",
+      jobId: createJob({ id }).jobId,
+    });
+    const fillers = ["a", "b", "c", "d"];
+    const outcome = run([
+      {
+        atMs: 0,
+        events: [
+          ...start([createGuarantee("desk", "gas", WHOLE_WORKER)]),
+          ...fillers.map((id) =>
+            queue({
+              id,
+              shape: WHOLE_WORKER,
+              organisation: "bids",
+              canCheckpoint: id === "b",
+            })
+          ),
+        ],
+      },
+      { atMs: 10, events: fillers.map(started) },
+      {
+        atMs: 60_000,
+        events: [
+          queue({ id: "urgent", shape: WHOLE_WORKER, priority: "urgent" }),
+        ],
+      },
+      {
+        atMs: 61_000,
+        events: [{
+          kind: "attempt_ended",
+          jobId: createJob({ id: "b" }).jobId,
+          end: "stopped",
+          requeue: true,
+          ranMs: 61_000,
+          workers: [],
+        }],
+      },
+    ]);
+    expect(outcome.slice(2)).toMatchSnapshot();
+  });
+
+  it("keeps pinned work off capacity that a guarantee needs", () => {
+    const outcome = run([
+      {
+        atMs: 0,
+        events: [
+          ...start([createGuarantee("desk", "gas", RACK_GANG)]),
+          ...["a", "b", "c"].map((id) =>
+            queue({
+              id,
+              shape: WHOLE_WORKER,
+              organisation: "bids",
+              idempotent: false,
+            })
+          ),
+        ],
+      },
+      { atMs: 5, events: [queue({ id: "gang", shape: RACK_GANG })] },
+    ]);
+    expect(outcome).toMatchSnapshot();
+  });
+});
--- /dev/null
+++ b/packages/policy/placement/guaranteed_placement.ts
@@ -0,0 +1,303 @@
+/**
+ * Places a job inside its organisation's guarantee: in the unit as it stands, with the unit moved
+ * to free capacity, with units of equal shape exchanged, or by evicting borrowers.
+ */
+import { PRIORITY } from "@coltsfootpond/common";
+import {
+  getUnitRoom,
+  type GuaranteeUnit,
+} from "../guarantees/reservation_plan.ts";
+import {
+  countFree,
+  isUsable,
+  type Place,
+  type WorkerState,
+} from "./capacity_model.ts";
+import type { JobRecord } from "./job_record.ts";
+import { findPlaces, type TaskCounter } from "./packing.ts";
+import type { PlacementState } from "./placement_state.ts";
+import {
+  computeDemand,
+  countFitting,
+  coversShape,
+  createShapeKey,
+  fitsWithin,
+} from "./resources.ts";
+import { chooseVictims } from "./victims.ts";
+
+export type GuaranteedOutcome =
+  | {
+    readonly kind: "place";
+    readonly place: Place;
+    readonly unit: GuaranteeUnit;
+  }
+  | {
+    readonly kind: "reclaim";
+    readonly place: Place;
+    readonly unit: GuaranteeUnit;
+    readonly victims: readonly JobRecord[];
+  }
+  | { readonly kind: "none" };
+
+interface ReclaimOption {
+  readonly unit: GuaranteeUnit;
+  /** Where the unit moves first; absent when it stays. */
+  readonly unitPlace?: Place;
+  readonly place: Place;
+  readonly victims: readonly JobRecord[];
+  readonly cost: number;
+}
+
+function isAllowed(
+  record: JobRecord,
+  worker: WorkerState,
+  nowMs: number,
+): boolean {
+  return isUsable(worker) && worker.avoidUntilMs <= nowMs &&
+    !record.failedOn.has(worker.name);
+}
+
+function findInUnit(
+  unit: GuaranteeUnit,
+  record: JobRecord,
+  count: TaskCounter,
+): Place[] {
+  if (unit.place === undefined) return [];
+  const { shape } = record.job;
+  const workers = new Map(
+    unit.place.map(({ worker }) => [worker, getUnitRoom(unit, worker)]),
+  );
+  const racks = new Set(unit.place.map(({ worker }) => worker.rack));
+  return findPlaces(racks, shape, (worker) => {
+    const room = workers.get(worker);
+    if (room === undefined) return 0;
+    return Math.min(countFitting(room, shape.perTask), count(worker));
+  });
+}
+
+function isFreePlace(place: Place, unit: GuaranteeUnit): boolean {
+  const { perTask } = unit.guarantee.shape;
+  return place.every(({ worker, tasks }) =>
+    countFree(worker, perTask) >= tasks
+  );
+}
+
+/** The whole gang's tasks inside a place of the unit's shape. */
+function fillUnitPlace(record: JobRecord, unitPlace: Place): Place {
+  let rest = record.job.shape.tasks;
+  return unitPlace.flatMap(({ worker, tasks }) => {
+    const taken = Math.min(rest, tasks);
+    rest -= taken;
+    return taken > 0 ? [{ worker, tasks: taken }] : [];
+  });
+}
+
+export class GuaranteedPlacer {
+  readonly #state: PlacementState;
+
+  private constructor(state: PlacementState) {
+    this.#state = state;
+  }
+
+  static create(state: PlacementState): GuaranteedPlacer {
+    return new GuaranteedPlacer(state);
+  }
+
+  /** Whether the organisation has a unit that could ever hold the job. */
+  mayHold(record: JobRecord): boolean {
+    return this.#state.plan.listOf(record.job.organisation).some((unit) =>
+      unit.place !== undefined &&
+      fitsWithin(record.demand, computeDemand(unit.guarantee.shape))
+    );
+  }
+
+  /** Decides, and moves the unit when its place changes; the caller places or claims. */
+  decide(record: JobRecord, nowMs: number): GuaranteedOutcome {
+    const units = this.#state.plan.listOf(record.job.organisation);
+    if (units.length === 0) return { kind: "none" };
+    return this.#placeInUnit(record, units, nowMs) ??
+      this.#placeByMove(record, units, nowMs) ??
+      this.#placeByExchange(record, units, nowMs) ??
+      this.#reclaim(record, units, nowMs) ??
+      this.#reclaimFromOwn(record, units, nowMs) ??
+      { kind: "none" };
+  }
+
+  #placeInUnit(
+    record: JobRecord,
+    units: readonly GuaranteeUnit[],
+    nowMs: number,
+  ): GuaranteedOutcome | undefined {
+    const { perTask } = record.job.shape;
+    for (const unit of units) {
+      const [place] = findInUnit(
+        unit,
+        record,
+        (worker) =>
+          isAllowed(record, worker, nowMs) ? countFree(worker, perTask) : 0,
+      );
+      if (place !== undefined) return { kind: "place", place, unit };
+    }
+    return undefined;
+  }
+
+  #placeByMove(
+    record: JobRecord,
+    units: readonly GuaranteeUnit[],
+    nowMs: number,
+  ): GuaranteedOutcome | undefined {
+    for (const unit of this.#listMovable(record, units)) {
+      const { perTask } = unit.guarantee.shape;
+      const places = this.#state.plan.findPlacesFor(
+        unit,
+        (worker) =>
+          isAllowed(record, worker, nowMs) ? countFree(worker, perTask) : 0,
+      );
+      const unitPlace = this.#chooseLeastHarm(places, unit);
+      if (unitPlace === undefined) continue;
+      this.#state.plan.move(unit, unitPlace);
+      return { kind: "place", place: fillUnitPlace(record, unitPlace), unit };
+    }
+    return undefined;
+  }
+
+  #placeByExchange(
+    record: JobRecord,
+    units: readonly GuaranteeUnit[],
+    nowMs: number,
+  ): GuaranteedOutcome | undefined {
+    for (const unit of this.#listMovable(record, units)) {
+      const key = createShapeKey(unit.guarantee.shape);
+      const other = this.#state.plan.units.find((candidate) =>
+        candidate !== unit && candidate.jobs.size === 0 &&
+        candidate.place !== undefined &&
+        createShapeKey(candidate.guarantee.shape) === key &&
+        candidate.place.every(({ worker }) =>
+          isAllowed(record, worker, nowMs)
+        ) &&
+        isFreePlace(candidate.place, unit)
+      );
+      if (other?.place === undefined) continue;
+      const { place } = other;
+      const own = unit.place;
+      this.#state.plan.move(other, undefined);
+      this.#state.plan.move(unit, place);
+      this.#state.plan.move(other, own);
+      return { kind: "place", place: fillUnitPlace(record, place), unit };
+    }
+    return undefined;
+  }
+
+  #reclaim(
+    record: JobRecord,
+    units: readonly GuaranteeUnit[],
+    nowMs: number,
+  ): GuaranteedOutcome | undefined {
+    let best: ReclaimOption | undefined;
+    for (const unit of units) {
+      for (const option of this.#listReclaimOptions(record, unit, nowMs)) {
+        if (best === undefined || option.cost < best.cost) best = option;
+      }
+    }
+    if (best === undefined) return undefined;
+    const { unit, unitPlace, place, victims } = best;
+    if (unitPlace !== undefined) this.#state.plan.move(unit, unitPlace);
+    if (victims.length === 0 && isClear(record, place)) {
+      return { kind: "place", place, unit };
+    }
+    return { kind: "reclaim", place, unit, victims };
+  }
+
+  /** Urgent work may put out its own organisation's ordinary work from the guarantee. */
+  #reclaimFromOwn(
+    record: JobRecord,
+    units: readonly GuaranteeUnit[],
+    nowMs: number,
+  ): GuaranteedOutcome | undefined {
+    if (record.job.priority !== PRIORITY.URGENT) return undefined;
+    for (const unit of units) {
+      if (!coversShape(unit.guarantee.shape, record.job.shape)) continue;
+      const jobs = [...unit.jobs].flatMap((jobId) =>
+        this.#state.records.get(jobId) ?? []
+      );
+      const mayGo = jobs.length > 0 &&
+        jobs.every((own) =>
+          own.job.priority !== PRIORITY.URGENT && !own.pinned &&
+          !this.#state.claiming.has(own)
+        );
+      if (!mayGo) continue;
+      for (const own of jobs) this.#state.expel(own);
+      return this.#reclaim(record, [unit], nowMs);
+    }
+    return undefined;
+  }
+
+  #listReclaimOptions(
+    record: JobRecord,
+    unit: GuaranteeUnit,
+    nowMs: number,
+  ): ReclaimOption[] {
+    const { perTask } = record.job.shape;
+    const options: ReclaimOption[] = [];
+    const inPlace = findInUnit(
+      unit,
+      record,
+      (worker) => isAllowed(record, worker, nowMs) ? Infinity : 0,
+    );
+    for (const place of inPlace) {
+      const choice = chooseVictims(this.#state, place, perTask, nowMs);
+      if (choice !== undefined) {
+        options.push({ unit, place, ...choice, cost: choice.lostWork });
+      }
+    }
+    if (this.#listMovable(record, [unit]).length === 0) return options;
+    const moves = this.#state.plan.findPlacesFor(
+      unit,
+      (worker) => isAllowed(record, worker, nowMs) ? Infinity : 0,
+    );
+    for (const unitPlace of moves) {
+      const place = fillUnitPlace(record, unitPlace);
+      const choice = chooseVictims(this.#state, place, perTask, nowMs);
+      if (choice === undefined) continue;
+      options.push({
+        unit,
+        unitPlace,
+        place,
+        ...choice,
+        cost: choice.lostWork,
+      });
+    }
+    return options;
+  }
+
+  #listMovable(
+    record: JobRecord,
+    units: readonly GuaranteeUnit[],
+  ): GuaranteeUnit[] {
+    return units.filter((unit) =>
+      unit.jobs.size === 0 && unit.place !== undefined &&
+      coversShape(unit.guarantee.shape, record.job.shape)
+    );
+  }
+
+  #chooseLeastHarm(
+    places: readonly Place[],
+    unit: GuaranteeUnit,
+  ): Place | undefined {
+    const { perTask } = unit.guarantee.shape;
+    let best: Place | undefined;
+    let bestLoss = Infinity;
+    for (const place of places) {
+      const loss = this.#state.fragmentation.computeLoss(place, perTask);
+      if (loss < bestLoss) [best, bestLoss] = [place, loss];
+    }
+    return best;
+  }
+}
+
+function isClear(record: JobRecord, place: Place): boolean {
+  const { perTask } = record.job.shape;
+  return place.every(({ worker, tasks }) =>
+    countFree(worker, perTask) >= tasks
+  );
+}
--- /dev/null
+++ b/packages/policy/placement/head_reservations.ts
@@ -0,0 +1,207 @@
+/**
+ * Capacity kept for gangs that waited too long. Each has workers reserved on which it will fit
+ * soonest by the corrected estimates; other work may start there only if it will be gone by then.
+ * After EASY backfill, with one reservation for each of several gangs.
+ */
+import { ADJACENCY, type Resources, type Shape } from "@coltsfootpond/common";
+import { assertNever } from "@coltsfootpond/common";
+import {
+  getFreeRoom,
+  getUnreservedRoom,
+  isUsable,
+  type RackState,
+  type WorkerState,
+} from "./capacity_model.ts";
+import { JOB_PHASE, type JobRecord, predictEndMs } from "./job_record.ts";
+import type { PlacementState } from "./placement_state.ts";
+import { addScaled, countFitting } from "./resources.ts";
+
+interface HeadReservation {
+  readonly record: JobRecord;
+  readonly workers: ReadonlySet<WorkerState>;
+  /** When the gang is expected to fit. */
+  readonly shadowMs: number;
+}
+
+interface Release {
+  readonly endMs: number;
+  readonly worker: WorkerState;
+  readonly perTask: Resources;
+  readonly tasks: number;
+}
+
+interface Forecast {
+  readonly workers: ReadonlySet<WorkerState>;
+  readonly shadowMs: number;
+}
+
+export class HeadReservations {
+  readonly #state: PlacementState;
+  readonly #byRecord = new Map<JobRecord, HeadReservation>();
+  readonly #byWorker = new Map<WorkerState, HeadReservation>();
+
+  private constructor(state: PlacementState) {
+    this.#state = state;
+  }
+
+  static create(state: PlacementState): HeadReservations {
+    return new HeadReservations(state);
+  }
+
+  get workerCount(): number {
+    return this.#byWorker.size;
+  }
+
+  has(record: JobRecord): boolean {
+    return this.#byRecord.has(record);
+  }
+
+  /** Whether `record`, running for `estimateMs` from now, would keep a waiting gang waiting. */
+  isHeldFrom(
+    worker: WorkerState,
+    record: JobRecord,
+    estimateMs: number,
+    nowMs: number,
+  ): boolean {
+    const reservation = this.#byWorker.get(worker);
+    if (reservation === undefined || reservation.record === record) {
+      return false;
+    }
+    return nowMs + estimateMs > reservation.shadowMs;
+  }
+
+  /** Drops reservations of gangs that no longer wait and those on workers that were lost. */
+  prune(): void {
+    for (const reservation of this.#byRecord.values()) {
+      const { record, workers } = reservation;
+      const stands = record.phase === JOB_PHASE.WAITING &&
+        [...workers].every(isUsable);
+      if (!stands) this.drop(record);
+    }
+  }
+
+  drop(record: JobRecord): void {
+    const reservation = this.#byRecord.get(record);
+    if (reservation === undefined) return;
+    this.#byRecord.delete(record);
+    for (const worker of reservation.workers) this.#byWorker.delete(worker);
+    this.#state.noteOpportunity();
+  }
+
+  /** Reserves the workers on which the gang fits soonest; false when it fits on none. */
+  reserve(record: JobRecord, nowMs: number): boolean {
+    const forecast = this.#forecast(record, nowMs);
+    if (forecast === undefined) return false;
+    const reservation = { record, ...forecast };
+    this.#byRecord.set(record, reservation);
+    for (const worker of forecast.workers) {
+      this.#byWorker.set(worker, reservation);
+    }
+    return true;
+  }
+
+  #forecast(record: JobRecord, nowMs: number): Forecast | undefined {
+    let soonest: Forecast | undefined;
+    for (const scope of this.#listScopes(record.job.shape)) {
+      const open = scope.filter((worker) =>
+        isUsable(worker) && !this.#byWorker.has(worker) &&
+        !record.failedOn.has(worker.name)
+      );
+      const forecast = this.#forecastScope(record, open, nowMs);
+      if (forecast === undefined) continue;
+      if (soonest === undefined || forecast.shadowMs < soonest.shadowMs) {
+        soonest = forecast;
+      }
+    }
+    return soonest;
+  }
+
+  #listScopes(shape: Shape): readonly (readonly WorkerState[])[] {
+    const racks: readonly RackState[] = [...this.#state.capacity.racks];
+    if (shape.tasks === 1) {
+      return racks.flatMap((rack) => rack.workers.map((worker) => [worker]));
+    }
+    switch (shape.adjacency) {
+      case ADJACENCY.WORKER:
+        return racks.flatMap((rack) => rack.workers.map((worker) => [worker]));
+      case ADJACENCY.RACK:
+        return racks.map((rack) => rack.workers);
+      case ADJACENCY.FAILURE_DOMAIN:
+        return [racks.flatMap((rack) => rack.workers)];
+      default:
+        return assertNever(shape.adjacency);
+    }
+  }
+
+  /** Lets running work end in the predicted order until the gang fits on the workers. */
+  #forecastScope(
+    record: JobRecord,
+    workers: readonly WorkerState[],
+    nowMs: number,
+  ): Forecast | undefined {
+    const { tasks, perTask } = record.job.shape;
+    const rooms = new Map(
+      workers.map((worker) => [worker, { ...getFreeRoom(worker) }]),
+    );
+    const limits = new Map(
+      workers.map((worker) => [
+        worker,
+        record.pinned
+          ? countFitting(getUnreservedRoom(worker), perTask)
+          : Infinity,
+      ]),
+    );
+    const counts = new Map<WorkerState, number>();
+    let total = 0;
+    const recount = (worker: WorkerState): void => {
+      const count = Math.min(
+        limits.get(worker)!,
+        countFitting(rooms.get(worker)!, perTask),
+      );
+      total += count - (counts.get(worker) ?? 0);
+      counts.set(worker, count);
+    };
+    for (const worker of workers) recount(worker);
+    if (total >= tasks) return chooseWorkers(counts, tasks, nowMs);
+    for (const release of this.#listReleases(workers, nowMs)) {
+      addScaled(rooms.get(release.worker)!, release.perTask, release.tasks);
+      recount(release.worker);
+      if (total >= tasks) return chooseWorkers(counts, tasks, release.endMs);
+    }
+    return undefined;
+  }
+
+  #listReleases(
+    workers: readonly WorkerState[],
+    nowMs: number,
+  ): Release[] {
+    const releases: Release[] = [];
+    for (const worker of workers) {
+      for (const [jobId, tasks] of worker.tasks) {
+        const record = this.#state.records.get(jobId);
+        if (record === undefined) continue;
+        const { perTask } = record.job.shape;
+        const endMs = predictEndMs(record, nowMs);
+        releases.push({ endMs, worker, perTask, tasks });
+      }
+    }
+    return releases.sort((left, right) => left.endMs - right.endMs);
+  }
+}
+
+/** As few workers as carry the gang, so that the others stay open to all. */
+function chooseWorkers(
+  counts: ReadonlyMap<WorkerState, number>,
+  tasks: number,
+  shadowMs: number,
+): Forecast {
+  const workers = new Set<WorkerState>();
+  let rest = tasks;
+  const byCount = [...counts].sort((left, right) => right[1] - left[1]);
+  for (const [worker, count] of byCount) {
+    if (rest <= 0) break;
+    workers.add(worker);
+    rest -= count;
+  }
+  return { workers, shadowMs };
+}
--- /dev/null
+++ b/packages/policy/placement/job_queue.ts
@@ -0,0 +1,126 @@
+/**
+ * Waiting jobs, in classes of interchangeable ones. A decision looks at the head of each class
+ * only, so its cost depends on the number of classes and not on the number of waiting jobs.
+ */
+import type { OrganisationName } from "@coltsfootpond/common";
+import { WAIT_REASON, type WaitReason } from "../types.ts";
+import { createClassKey, JOB_PHASE, type JobRecord } from "./job_record.ts";
+
+/** Interchangeable waiting jobs, longest wait first. */
+export interface JobClass {
+  readonly key: string;
+  jobs: JobRecord[];
+  /** Index of the first job that is still there. */
+  start: number;
+  /** Capacity version at which the head found no place. */
+  blockedVersion: number;
+  reason: WaitReason;
+}
+
+const COMPACTION_MINIMUM = 32;
+
+export class JobQueue {
+  readonly #classes = new Map<string, JobClass>();
+  readonly #perOrganisation = new Map<OrganisationName, number>();
+  #size = 0;
+  #accelerators = 0;
+
+  private constructor() {}
+
+  static create(): JobQueue {
+    return new JobQueue();
+  }
+
+  get size(): number {
+    return this.#size;
+  }
+
+  get accelerators(): number {
+    return this.#accelerators;
+  }
+
+  get classes(): Iterable<JobClass> {
+    return this.#classes.values();
+  }
+
+  countOf(organisation: OrganisationName): number {
+    return this.#perOrganisation.get(organisation) ?? 0;
+  }
+
+  get(record: JobRecord): JobClass | undefined {
+    return this.#classes.get(record.classKey);
+  }
+
+  add(record: JobRecord): void {
+    const key = createClassKey(record);
+    record.classKey = key;
+    let jobClass = this.#classes.get(key);
+    if (jobClass === undefined) {
+      jobClass = {
+        key,
+        jobs: [],
+        start: 0,
+        blockedVersion: -1,
+        reason: WAIT_REASON.NOT_LOOKED_AT,
+      };
+      this.#classes.set(key, jobClass);
+    }
+    insertByWait(jobClass, record);
+    this.#count(record, 1);
+  }
+
+  /** Constant work: the record is skipped when the queue next comes to it. */
+  drop(record: JobRecord): void {
+    record.phase = JOB_PHASE.GONE;
+    this.#count(record, -1);
+  }
+
+  /** Takes out the head of a class, which got a place. */
+  shift(jobClass: JobClass): void {
+    const record = this.peek(jobClass);
+    if (record === undefined) return;
+    jobClass.start++;
+    this.#count(record, -1);
+    compact(jobClass);
+  }
+
+  /** The job that has waited longest; an empty class is forgotten. */
+  peek(jobClass: JobClass): JobRecord | undefined {
+    while (jobClass.start < jobClass.jobs.length) {
+      const record = jobClass.jobs[jobClass.start]!;
+      if (record.phase === JOB_PHASE.WAITING) return record;
+      jobClass.start++;
+    }
+    this.#classes.delete(jobClass.key);
+    return undefined;
+  }
+
+  #count(record: JobRecord, sign: 1 | -1): void {
+    const { organisation } = record.job;
+    this.#size += sign;
+    this.#accelerators += sign * record.demand.accelerators;
+    const count = this.countOf(organisation) + sign;
+    if (count === 0) this.#perOrganisation.delete(organisation);
+    else this.#perOrganisation.set(organisation, count);
+  }
+}
+
+function insertByWait(jobClass: JobClass, record: JobRecord): void {
+  const { jobs } = jobClass;
+  let low = jobClass.start;
+  let high = jobs.length;
+  while (low < high) {
+    const middle = (low + high) >> 1;
+    if (jobs[middle]!.waitingSinceMs <= record.waitingSinceMs) low = middle + 1;
+    else high = middle;
+  }
+  if (low === jobs.length) jobs.push(record);
+  else jobs.splice(low, 0, record);
+}
+
+function compact(jobClass: JobClass): void {
+  const { start, jobs } = jobClass;
+  if (start < COMPACTION_MINIMUM || start * 2 < jobs.length) return;
+  jobClass.jobs = jobs.slice(start);
+  jobClass.start = 0;
+}
--- /dev/null
+++ b/packages/policy/placement/packing.ts
@@ -0,0 +1,114 @@
+/** Finds the places at which a whole gang fits, one candidate for each rack or worker. */
+import { ADJACENCY, type Shape } from "@coltsfootpond/common";
+import { assertNever } from "@coltsfootpond/common";
+import type {
+  Place,
+  RackState,
+  TaskGroup,
+  WorkerState,
+} from "./capacity_model.ts";
+
+/** How many tasks of the gang the worker may take. */
+export type TaskCounter = (worker: WorkerState) => number;
+
+interface CountedWorker {
+  readonly worker: WorkerState;
+  readonly count: number;
+}
+
+/** Workers with least room first, so that emptier ones stay whole. */
+function countWorkers(
+  workers: readonly WorkerState[],
+  count: TaskCounter,
+): CountedWorker[] {
+  const counted: CountedWorker[] = [];
+  for (const worker of workers) {
+    const fitting = count(worker);
+    if (fitting > 0) counted.push({ worker, count: fitting });
+  }
+  return counted;
+}
+
+function fill(counted: readonly CountedWorker[], tasks: number): Place {
+  const place: TaskGroup[] = [];
+  let rest = tasks;
+  for (const { worker, count } of counted) {
+    if (rest === 0) break;
+    const taken = Math.min(count, rest);
+    place.push({ worker, tasks: taken });
+    rest -= taken;
+  }
+  return place;
+}
+
+function sumCounts(counted: readonly CountedWorker[]): number {
+  return counted.reduce((sum, { count }) => sum + count, 0);
+}
+
+function byLeastRoom(left: CountedWorker, right: CountedWorker): number {
+  return left.count - right.count;
+}
+
+function findInWorkers(
+  racks: Iterable<RackState>,
+  shape: Shape,
+  count: TaskCounter,
+): Place[] {
+  const places: Place[] = [];
+  for (const rack of racks) {
+    for (const worker of rack.workers) {
+      if (count(worker) >= shape.tasks) {
+        places.push([{ worker, tasks: shape.tasks }]);
+      }
+    }
+  }
+  return places;
+}
+
+function findInRacks(
+  racks: Iterable<RackState>,
+  shape: Shape,
+  count: TaskCounter,
+): Place[] {
+  const places: Place[] = [];
+  for (const rack of racks) {
+    const counted = countWorkers(rack.workers, count);
+    if (sumCounts(counted) < shape.tasks) continue;
+    places.push(fill(counted.sort(byLeastRoom), shape.tasks));
+  }
+  return places;
+}
+
+/** One candidate: the racks with least room first. */
+function findInDomain(
+  racks: Iterable<RackState>,
+  shape: Shape,
+  count: TaskCounter,
+): Place[] {
+  const perRack = Array.from(
+    racks,
+    (rack) => countWorkers(rack.workers, count).sort(byLeastRoom),
+  );
+  perRack.sort((left, right) => sumCounts(left) - sumCounts(right));
+  const counted = perRack.flat();
+  return sumCounts(counted) < shape.tasks ? [] : [fill(counted, shape.tasks)];
+}
+
+/** All candidate places of a gang, in the order of racks and workers. */
+export function findPlaces(
+  racks: Iterable<RackState>,
+  shape: Shape,
+  count: TaskCounter,
+): Place[] {
+  if (shape.tasks === 1) return findInWorkers(racks, shape, count);
+  switch (shape.adjacency) {
+    case ADJACENCY.WORKER:
+      return findInWorkers(racks, shape, count);
+    case ADJACENCY.RACK:
+      return findInRacks(racks, shape, count);
+    case ADJACENCY.FAILURE_DOMAIN:
+      return findInDomain(racks, shape, count);
+    default:
+      return assertNever(shape.adjacency);
+  }
+}
--- /dev/null
+++ b/packages/policy/placement/placement_state.ts
@@ -0,0 +1,242 @@
+/** The one place that changes what is placed, promised and reserved in a failure domain. */
+import type {
+  JobId,
+  OrganisationDeclaration,
+  OrganisationName,
+  Resources,
+} from "@coltsfootpond/common";
+import {
+  type GuaranteeUnit,
+  ReservationPlan,
+} from "../guarantees/reservation_plan.ts";
+import { CapacityModel, isUsable, type Place } from "./capacity_model.ts";
+import { FragmentationModel } from "./fragmentation.ts";
+import { isPlaced, JOB_PHASE, type JobRecord } from "./job_record.ts";
+import {
+  addScaled,
+  computeDominantShare,
+  countFitting,
+  createEmptyResources,
+  fitsWithin,
+  type MutableResources,
+  subtractResources,
+} from "./resources.ts";
+
+interface OrganisationUsage {
+  /** Placed and promised. */
+  readonly used: MutableResources;
+  /** Placed outside the organisation's guarantees. */
+  readonly borrowed: MutableResources;
+}
+
+export class PlacementState {
+  readonly records = new Map<JobId, JobRecord>();
+  readonly claiming = new Set<JobRecord>();
+  readonly fragmentation = FragmentationModel.create();
+  readonly capacity: CapacityModel;
+  readonly plan: ReservationPlan;
+  readonly #usage = new Map<OrganisationName, OrganisationUsage>();
+  readonly #onUnclaimed: (record: JobRecord) => void;
+  #organisations = new Map<OrganisationName, OrganisationDeclaration>();
+  #version = 0;
+  #runningTasks = 0;
+
+  private constructor(onUnclaimed: (record: JobRecord) => void) {
+    this.#onUnclaimed = onUnclaimed;
+    this.capacity = CapacityModel.create({
+      onChange: (worker) => this.fragmentation.recount(worker),
+    });
+    this.plan = ReservationPlan.create({
+      capacity: this.capacity,
+      onDetach: (jobId) => this.#becomeBorrowed(jobId),
+    });
+  }
+
+  /** `onUnclaimed` is called for each job that lost a promised place and waits again. */
+  static create(
+    options: { readonly onUnclaimed: (record: JobRecord) => void },
+  ): PlacementState {
+    return new PlacementState(options.onUnclaimed);
+  }
+
+  /** Rises whenever something may fit that did not before. */
+  get version(): number {
+    return this.#version;
+  }
+
+  get runningTasks(): number {
+    return this.#runningTasks;
+  }
+
+  noteOpportunity(): void {
+    this.#version++;
+  }
+
+  setOrganisations(organisations: readonly OrganisationDeclaration[]): void {
+    this.#organisations = new Map(
+      organisations.map((organisation) => [organisation.name, organisation]),
+    );
+  }
+
+  getOrganisation(
+    name: OrganisationName,
+  ): OrganisationDeclaration | undefined {
+    return this.#organisations.get(name);
+  }
+
+  getUsed(organisation: OrganisationName): Resources {
+    return this.#getUsage(organisation).used;
+  }
+
+  isWithinQuota(record: JobRecord): boolean {
+    const quota = this.#organisations.get(record.job.organisation)?.quota;
+    if (quota === undefined) return true;
+    const rest = subtractResources(
+      quota,
+      this.getUsed(record.job.organisation),
+    );
+    return fitsWithin(record.demand, rest);
+  }
+
+  /** Dominant share of what an organisation borrows, by its weight. */
+  computeBorrowedShare(organisation: OrganisationName): number {
+    const weight = this.#organisations.get(organisation)?.weight ?? 1;
+    const { borrowed } = this.#getUsage(organisation);
+    return computeDominantShare(borrowed, this.capacity.total) /
+      Math.max(weight, Number.EPSILON);
+  }
+
+  /** Places a job; one that was promised a place keeps its unit. */
+  put(
+    record: JobRecord,
+    place: Place,
+    unit: GuaranteeUnit | undefined,
+    nowMs: number,
+  ): void {
+    if (record.phase === JOB_PHASE.CLAIMING) this.#endClaim(record);
+    const { job } = record;
+    const { perTask } = job.shape;
+    this.capacity.enter(place, perTask, "used", 1);
+    for (const { worker, tasks } of place) worker.tasks.set(job.jobId, tasks);
+    const usage = this.#getUsage(job.organisation);
+    addScaled(usage.used, record.demand, 1);
+    record.phase = JOB_PHASE.PLACED;
+    record.place = place;
+    record.placedAtMs = nowMs;
+    record.startedAtMs = undefined;
+    this.#runningTasks += job.shape.tasks;
+    if (unit === undefined) this.#enterBorrowed(record, 1);
+    else this.#attach(record, unit);
+  }
+
+  /** Takes a placed job off its workers. */
+  remove(record: JobRecord): void {
+    if (!isPlaced(record) || record.place === undefined) return;
+    const { job, place } = record;
+    this.capacity.enter(place, job.shape.perTask, "used", -1);
+    for (const { worker } of place) worker.tasks.delete(job.jobId);
+    addScaled(this.#getUsage(job.organisation).used, record.demand, -1);
+    this.#runningTasks -= job.shape.tasks;
+    if (record.unit === undefined) this.#enterBorrowed(record, -1);
+    else this.#detach(record, record.unit);
+    record.place = undefined;
+    this.#version++;
+  }
+
+  /** Promises a place inside a unit while evicted work leaves it. */
+  claim(record: JobRecord, place: Place, unit: GuaranteeUnit): void {
+    this.capacity.enter(place, record.job.shape.perTask, "claimed", 1);
+    addScaled(this.#getUsage(record.job.organisation).used, record.demand, 1);
+    record.phase = JOB_PHASE.CLAIMING;
+    record.place = place;
+    this.claiming.add(record);
+    this.#attach(record, unit);
+  }
+
+  /** Gives up a promised place. */
+  unclaim(record: JobRecord): void {
+    if (record.phase !== JOB_PHASE.CLAIMING) return;
+    if (record.unit !== undefined) this.#detach(record, record.unit);
+    this.#endClaim(record);
+    record.phase = JOB_PHASE.WAITING;
+    record.place = undefined;
+    this.#version++;
+  }
+
+  /** Whether the workers of a promised place have room for the job now. */
+  isClear(place: Place, record: JobRecord): boolean {
+    const { perTask } = record.job.shape;
+    return place.every(({ worker, tasks }) =>
+      isUsable(worker) &&
+      countFitting(subtractResources(worker.capacity, worker.used), perTask) >=
+        tasks
+    );
+  }
+
+  /** Makes a placed job of a unit a borrower, so that it can be evicted. */
+  expel(record: JobRecord): void {
+    if (record.unit === undefined || !isPlaced(record)) return;
+    this.#detach(record, record.unit);
+    this.#enterBorrowed(record, 1);
+  }
+
+  /** Counts a placed borrower inside a unit. */
+  adopt(record: JobRecord, unit: GuaranteeUnit): void {
+    this.#enterBorrowed(record, -1);
+    this.#attach(record, unit);
+  }
+
+  #endClaim(record: JobRecord): void {
+    if (record.place === undefined) return;
+    this.capacity.enter(record.place, record.job.shape.perTask, "claimed", -1);
+    addScaled(this.#getUsage(record.job.organisation).used, record.demand, -1);
+    this.claiming.delete(record);
+  }
+
+  #attach(record: JobRecord, unit: GuaranteeUnit): void {
+    const { job, place } = record;
+    if (place === undefined || unit.jobs.has(job.jobId)) return;
+    record.unit = unit;
+    this.plan.attach(unit, job.jobId, place, job.shape.perTask);
+  }
+
+  #detach(record: JobRecord, unit: GuaranteeUnit): void {
+    const { job, place } = record;
+    record.unit = undefined;
+    if (place === undefined) return;
+    this.plan.release(unit, job.jobId, place, job.shape.perTask);
+  }
+
+  /** The plan dropped the job's unit. */
+  #becomeBorrowed(jobId: JobId): void {
+    const record = this.records.get(jobId);
+    if (record === undefined) return;
+    record.unit = undefined;
+    if (record.phase === JOB_PHASE.CLAIMING) {
+      this.unclaim(record);
+      this.#onUnclaimed(record);
+    } else if (isPlaced(record)) {
+      this.#enterBorrowed(record, 1);
+    }
+  }
+
+  #enterBorrowed(record: JobRecord, sign: 1 | -1): void {
+    const { job, place, demand, pinned } = record;
+    addScaled(this.#getUsage(job.organisation).borrowed, demand, sign);
+    if (pinned && place !== undefined) {
+      this.capacity.enter(place, job.shape.perTask, "pinned", sign);
+    }
+  }
+
+  #getUsage(organisation: OrganisationName): OrganisationUsage {
+    let usage = this.#usage.get(organisation);
+    if (usage === undefined) {
+      usage = {
+        used: createEmptyResources(),
+        borrowed: createEmptyResources(),
+      };
+      this.#usage.set(organisation, usage);
+    }
+    return usage;
+  }
+}
--- /dev/null
+++ b/packages/policy/placement/test_fixtures.ts
@@ -0,0 +1,123 @@
+/** Short ways to write engine events in tests and benches. */
+import {
+  type Adjacency,
+  createId,
+  type GuaranteeDeclaration,
+  type OrganisationDeclaration,
+  type Priority,
+  type RackName,
+  type Shape,
+  type WorkerName,
+} from "@coltsfootpond/common";
+import type { EngineEvent, QueuedJob } from "../types.ts";
+
+const MILLIPROCESSORS_PER_ACCELERATOR = 16_000;
+const MEMORY_MIB_PER_ACCELERATOR = 62_500;
+
+/** Tasks with a worker's share of processors and memory for their accelerators. */
+export function createShape(
+  tasks: number,
+  accelerators: number,
+  adjacency: Adjacency,
+): Shape {
+  return {
+    tasks,
+    adjacency,
+    perTask: {
+      milliprocessors: Math.max(
+        1_000,
+        accelerators * MILLIPROCESSORS_PER_ACCELERATOR,
+      ),
+      memoryMib: Math.max(1_024, accelerators * MEMORY_MIB_PER_ACCELERATOR),
+      accelerators,
+    },
+  };
+}
+
+export interface JobOptions {
+  readonly id: string;
+  readonly organisation?: string;
+  readonly service?: string;
+  readonly accelerators?: number;
+  readonly shape?: Shape;
+  readonly priority?: Priority;
+  readonly expectedRunMs?: number;
+  readonly maximumRunMs?: number;
+  readonly canCheckpoint?: boolean;
+  readonly idempotent?: boolean;
+}
+
+export function createJob(options: JobOptions): QueuedJob {
+  const expectedRunMs = options.expectedRunMs ?? 600_000;
+  return {
+    jobId: createId(`job/${options.id}`),
+    organisation: createId(options.organisation ?? "gas"),
+    service: createId(options.service ?? "quote"),
+    shape: options.shape ??
+      createShape(1, options.accelerators ?? 1, "failure_domain"),
+    priority: options.priority ?? "normal",
+    expectedRunMs,
+    maximumRunMs: options.maximumRunMs ?? 4 * expectedRunMs,
+    canCheckpoint: options.canCheckpoint ?? false,
+    checkpointMs: 1_000,
+    idempotent: options.idempotent ?? true,
+    waitedMs: 0,
+  };
+}
+
+export function createGuarantee(
+  name: string,
+  organisation: string,
+  shape: Shape,
+  options: Partial<GuaranteeDeclaration> = {},
+): GuaranteeDeclaration {
+  return {
+    name: createId(name),
+    organisation: createId(organisation),
+    shape,
+    count: 1,
+    survivesDomainLoss: false,
+    ...options,
+  };
+}
+
+export function createOrganisation(
+  name: string,
+  options: Partial<OrganisationDeclaration> = {},
+): OrganisationDeclaration {
+  return {
+    name: createId(name),
+    tokenDigest: createId(""),
+    weight: 1,
+    quota: {
+      milliprocessors: Number.MAX_SAFE_INTEGER,
+      memoryMib: Number.MAX_SAFE_INTEGER,
+      accelerators: Number.MAX_SAFE_INTEGER,
+    },
+    requestsPerSecond: 1_000,
+    concurrentRequests: 1_000,
+    queuedJobs: 100_000,
+    ...options,
+  };
+}
+
+/** Events that bring up whole racks of workers with 8 accelerators each. */
+export function createWorkers(
+  racks: number,
+  workersPerRack: number,
+): EngineEvent[] {
+  const { perTask } = createShape(1, 8, "worker");
+  return Array.from({ length: racks * workersPerRack }, (_, index) => {
+    const rack = Math.floor(index / workersPerRack);
+    const worker = {
+      name: createId<WorkerName>(`worker-${rack}-${index % workersPerRack}`),
+      rack: createId<RackName>(`rack-${rack}`),
+      resources: {
+        milliprocessors: perTask.milliprocessors + 2_000,
+        memoryMib: perTask.memoryMib + 12_000,
+        accelerators: perTask.accelerators,
+      },
+    };
+    return { kind: "worker_up", worker } as const;
+  });
+}
--- a/packages/policy/types.ts
+++ b/packages/policy/types.ts
@@ -1,6 +1,7 @@
 /** Types of the placement decisions: what the engine is told, and what it decides. */
 import type {
   GuaranteeDeclaration,
+  GuaranteeName,
   JobId,
   OrganisationDeclaration,
   OrganisationName,
@@ -141,12 +142,22 @@
   readonly runningTasks: number;
 }
 
+/** A guaranteed gang for which lost capacity leaves no place. */
+export interface BrokenGuarantee {
+  readonly guarantee: GuaranteeName;
+  readonly organisation: OrganisationName;
+  readonly ordinal: number;
+  readonly resultName: ResultName;
+}
+
 /** Decides what runs where in one failure domain. */
 export interface PlacementEngine {
   apply(event: EngineEvent, nowMs: number): void;
   decide(nowMs: number): readonly Decision[];
   explain(jobId: JobId): WaitReason;
   summarise(): DomainSummary;
+  /** Guarantees that cannot be kept with the capacity that is left. */
+  listBrokenGuarantees(): readonly BrokenGuarantee[];
   /** When `decide` should run next even without an event; undefined when nothing is due. */
   nextDecisionMs(): number | undefined;
 }
