--- /dev/null
+++ b/packages/node/requests/constants.ts
@@ -0,0 +1,42 @@
+/** Timings and sizes of the request filters. */
+
+/** Longest wait that a caller may ask for on one connection. */
+export const MAXIMUM_WAIT_MS = 60_000;
+/** Wait for a job whose caller named none. */
+export const DEFAULT_WAIT_MS = 10_000;
+/** When a caller may ask for an unfinished job again. */
+export const POLL_AGAIN_MS = 1_000;
+/** When a caller may come back to an entry that cannot serve it now. */
+export const UNREADY_RETRY_AFTER_MS = 1_000;
+export const MAXIMUM_REQUEST_ID_LENGTH = 128;
+export const MAXIMUM_DEADLINE_MS = 86_400_000;
+
+/** Patience with the table service before a keyed call is refused. */
+export const TABLE_PATIENCE_MS = 500;
+/** Patience with the object store before an answer is passed on unrecorded. */
+export const RECORD_PATIENCE_MS = 1_000;
+/** Answers of keyed idempotent calls that may wait to be recorded. */
+export const MAXIMUM_PENDING_RECORDS = 256;
+/** Pause between tries to record an answer while the platform is unavailable. */
+export const RECORD_AGAIN_MS = 1_000;
+export const MAXIMUM_RECORD_TRIES = 120;
+
+export const BACKOFF_BASE_MS = 10;
+export const BACKOFF_MAXIMUM_MS = 500;
+export const MAXIMUM_ATTEMPTS = 5;
+/** Retries that a service may make before its share of fresh requests allows any. */
+export const RETRY_BUDGET_RESERVE = 10;
+export const RETRY_BUDGET_MAXIMUM = 100;
+
+/** Longest burst that a request rate lets through at once. */
+export const RATE_BURST_MS = 1_000;
+/** Requests of one service that may wait for a slot. */
+export const MAXIMUM_QUEUED_REQUESTS = 1_024;
+export const MINIMUM_CONCURRENCY = 1;
+/** Factor on the concurrency limit when runners refuse or time out. */
+export const CONCURRENCY_DECREASE = 0.9;
+/** Shortest time between two decreases. */
+export const CONCURRENCY_DECREASE_PERIOD_MS = 100;
+/** Waiting calls are looked at again this often, for capacity that came back by itself. */
+export const ADMISSION_CHECK_MS = 20;
+export const DURATION_SMOOTHING = 0.1;
--- /dev/null
+++ b/packages/node/requests/create_request_routes.ts
@@ -0,0 +1,212 @@
+/** The callers' resources of an entry, and the pool and filters behind them. */
+import {
+  CodedError,
+  createId,
+  type EntryName,
+  type OrganisationName,
+  type ServiceName,
+} from "@coltsfootpond/common";
+import type { TablePort } from "@coltsfootpond/platform";
+import {
+  ACCESS,
+  type HttpExchange,
+  type HttpReply,
+  type Route,
+} from "../http/types.ts";
+import type {
+  ConfigurationView,
+  EntryContext,
+  FailureDomainView,
+  JobService,
+  MembershipView,
+} from "../types.ts";
+import { BALANCING, type Balancing } from "../upstreams/balancing/choose.ts";
+import { type RunnerStatus, UpstreamPool } from "../upstreams/pool.ts";
+import { CallRecords } from "./call_records.ts";
+import { CallsInProgress } from "./calls_in_progress.ts";
+import type { Handler } from "./chain.ts";
+import { Admissions } from "./filters/admission.ts";
+import {
+  parseRequestId,
+  parseRequestKey,
+  parseWaitPreference,
+} from "./headers.ts";
+import { HeldWaits } from "./held_waits.ts";
+import { createRequestChain } from "./order.ts";
+import { Recorder } from "./recorder.ts";
+import { createOutcomeReply } from "./replies.ts";
+import { RequestLookup } from "./request_lookup.ts";
+import type { ReceivedRequest } from "./types.ts";
+
+export interface RequestRoutesOptions {
+  readonly context: EntryContext;
+  readonly configuration: ConfigurationView;
+  readonly failureDomains: FailureDomainView;
+  readonly table: TablePort;
+  readonly jobs: JobService;
+  /** Absent: this entry has the runners to itself. */
+  readonly membership?: MembershipView;
+  readonly balancing?: Balancing;
+}
+
+/** Load of one service on this entry. */
+export interface ServiceLoad {
+  readonly service: ServiceName;
+  readonly inProgress: number;
+  readonly queued: number;
+}
+
+/** What operators see of the calls of this entry. */
+export interface RequestsStatus {
+  readonly runners: readonly RunnerStatus[];
+  readonly services: readonly ServiceLoad[];
+  readonly pendingRecords: number;
+}
+
+/** The routes with the life of what stands behind them. */
+export interface RequestRoutes {
+  readonly routes: readonly Route[];
+  /** Resolves when the runners are known. */
+  start(): Promise<void>;
+  /** Call before the server stops: held callers get their 202 at once. */
+  releaseHeld(): void;
+  /** Call after the server has stopped: writes what is still to be recorded. */
+  stop(): Promise<void>;
+  describe(): RequestsStatus;
+}
+
+function createListEntries(
+  options: RequestRoutesOptions,
+): () => readonly EntryName[] {
+  const self = options.context.identity.entry;
+  return () => {
+    const members = options.membership?.list() ?? [];
+    const others = members
+      .filter((member) => !member.self && member.row.state === "live")
+      .map(({ entry }) => entry);
+    return [self, ...others];
+  };
+}
+
+function requireOrganisation(exchange: HttpExchange): OrganisationName {
+  if (exchange.organisation === undefined) {
+    throw CodedError.create("UNAUTHENTICATED");
+  }
+  return exchange.organisation;
+}
+
+function createSubmitRoute(
+  handle: Handler<ReceivedRequest>,
+  calls: CallsInProgress,
+): Route {
+  async function submit(exchange: HttpExchange): Promise<HttpReply> {
+    const organisation = requireOrganisation(exchange);
+    const serviceName = createId<ServiceName>(
+      exchange.parameters["service"] ?? "",
+    );
+    const key = parseRequestKey(exchange.headers);
+    const { requestId } = key;
+    if (!key.keyed) {
+      const outcome = await handle({ exchange, serviceName, ...key });
+      return createOutcomeReply(outcome, requestId);
+    }
+    const giveUp = new AbortController();
+    const signal = AbortSignal.any([exchange.signal, giveUp.signal]);
+    const outcome = await calls.track(
+      organisation,
+      requestId,
+      { cancel: () => giveUp.abort() },
+      () => handle({ exchange: { ...exchange, signal }, serviceName, ...key }),
+    );
+    return createOutcomeReply(outcome, requestId);
+  }
+  return {
+    method: "POST",
+    pattern: "/v1/services/{service}/requests",
+    access: ACCESS.ORGANISATION,
+    handle: submit,
+  };
+}
+
+function createLookupRoutes(lookup: RequestLookup): readonly Route[] {
+  const pattern = "/v1/requests/{requestId}";
+  const access = ACCESS.ORGANISATION;
+  return [{
+    method: "GET",
+    pattern,
+    access,
+    async handle(exchange) {
+      const organisation = requireOrganisation(exchange);
+      const requestId = parseRequestId(exchange.parameters["requestId"] ?? "");
+      const wait = parseWaitPreference(exchange.headers);
+      const outcome = await lookup.get(organisation, requestId, wait);
+      return createOutcomeReply(outcome, requestId);
+    },
+  }, {
+    method: "DELETE",
+    pattern,
+    access,
+    async handle(exchange) {
+      const organisation = requireOrganisation(exchange);
+      const requestId = parseRequestId(exchange.parameters["requestId"] ?? "");
+      const outcome = await lookup.cancel(organisation, requestId);
+      return createOutcomeReply(outcome, requestId);
+    },
+  }];
+}
+
+/** Builds the callers' side of an entry. */
+export function createRequestRoutes(
+  options: RequestRoutesOptions,
+): RequestRoutes {
+  const { context, configuration, failureDomains, table, jobs } = options;
+  const { clock, random, events, platform, identity } = context;
+  const listEntries = createListEntries(options);
+  const pool = UpstreamPool.create({
+    clock,
+    random,
+    events,
+    vms: platform.vms,
+    failureDomains,
+    self: identity.entry,
+    listEntries,
+    balancing: options.balancing ?? BALANCING.FIXED_SHARES,
+  });
+  const admissions = Admissions.create({ clock, pool });
+  const records = CallRecords.create({ table, objects: platform.objects });
+  const recorder = Recorder.create(clock);
+  const waits = HeldWaits.create({ clock, jobs });
+  const calls = CallsInProgress.create();
+  const handle = createRequestChain({
+    clock,
+    random,
+    events,
+    configuration,
+    jobs,
+    waits,
+    records,
+    recorder,
+    pool,
+    admissions,
+    countEntries: () => listEntries().length,
+  });
+  const lookup = RequestLookup.create({ jobs, records, calls, waits });
+  return {
+    routes: [createSubmitRoute(handle, calls), ...createLookupRoutes(lookup)],
+    start: () => pool.start(),
+    releaseHeld: () => waits.releaseAll(),
+    async stop() {
+      await recorder.flush();
+      pool.stop();
+    },
+    describe: () => ({
+      runners: pool.list(),
+      services: admissions.list().map(([service, admission]) => ({
+        service,
+        inProgress: admission.inProgress,
+        queued: admission.queued,
+      })),
+      pendingRecords: recorder.pendingCount,
+    }),
+  };
+}
--- /dev/null
+++ b/packages/node/requests/filters/admission.ts
@@ -0,0 +1,64 @@
+/** Admits calls within the adaptive limit of their service; the rest wait fairly or are refused. */
+import type { Clock, ServiceName } from "@coltsfootpond/common";
+import type { UpstreamPool } from "../../upstreams/pool.ts";
+import type { RequestFilter } from "../chain.ts";
+import { ServiceAdmission } from "../service_admission.ts";
+import { type CallRequest, failed, type RequestOutcome } from "../types.ts";
+
+export interface AdmissionOptions {
+  readonly clock: Clock;
+  readonly pool: UpstreamPool;
+}
+
+/** The admission of every service. */
+export class Admissions {
+  readonly #options: AdmissionOptions;
+  readonly #services = new Map<ServiceName, ServiceAdmission>();
+
+  private constructor(options: AdmissionOptions) {
+    this.#options = options;
+  }
+
+  static create(options: AdmissionOptions): Admissions {
+    return new Admissions(options);
+  }
+
+  get(service: ServiceName): ServiceAdmission {
+    let admission = this.#services.get(service);
+    if (admission === undefined) {
+      const { clock, pool } = this.#options;
+      admission = ServiceAdmission.create({
+        clock,
+        getCapacity: () => pool.getCapacity(service),
+      });
+      this.#services.set(service, admission);
+    }
+    return admission;
+  }
+
+  list(): readonly (readonly [ServiceName, ServiceAdmission])[] {
+    return [...this.#services];
+  }
+}
+
+export function createAdmissionFilter(
+  clock: Clock,
+  admissions: Admissions,
+): RequestFilter<CallRequest, CallRequest> {
+  return {
+    name: "admission",
+    async handle(request, next): Promise<RequestOutcome> {
+      const admission = admissions.get(request.service.name);
+      const refusal = await admission.enter(request);
+      if (refusal !== undefined) return refusal;
+      const startedMs = clock.nowMs();
+      let outcome: RequestOutcome = failed("INTERNAL");
+      try {
+        outcome = await next(request);
+        return outcome;
+      } finally {
+        admission.leave(outcome, clock.nowMs() - startedMs);
+      }
+    },
+  };
+}
--- /dev/null
+++ b/packages/node/requests/filters/attempt.ts
@@ -0,0 +1,95 @@
+/** The end of the chain: one attempt on one runner. */
+import {
+  type AttemptId,
+  type Clock,
+  createId,
+  createUniqueId,
+  type EventSink,
+  RESULT,
+} from "@coltsfootpond/common";
+import type { UpstreamPool } from "../../upstreams/pool.ts";
+import { BLAME, type UpstreamOutcome } from "../../upstreams/types.ts";
+import type { Handler } from "../chain.ts";
+import { UNREADY_RETRY_AFTER_MS } from "../constants.ts";
+import type { Admissions } from "./admission.ts";
+import { type AttemptRequest, failed, type RequestOutcome } from "../types.ts";
+
+export interface AttemptOptions {
+  readonly clock: Clock;
+  readonly events: EventSink;
+  readonly pool: UpstreamPool;
+  readonly admissions: Admissions;
+}
+
+function createHeaders(
+  request: AttemptRequest,
+  remainingMs: number,
+): Record<string, string> {
+  return {
+    "x-request-id": request.requestId,
+    "x-organisation": request.organisation.name,
+    "x-service": request.service.name,
+    "x-attempt-number": String(request.attemptNumber),
+    "x-deadline-ms": String(Math.ceil(remainingMs)),
+    "content-type": request.exchange.headers["content-type"] ??
+      "application/octet-stream",
+  };
+}
+
+export function createAttemptHandler(
+  options: AttemptOptions,
+): Handler<AttemptRequest> {
+  const { clock, events, pool } = options;
+
+  function emit(
+    request: AttemptRequest,
+    attemptId: AttemptId,
+    runner: string,
+    outcome: UpstreamOutcome,
+    startedMs: number,
+  ): void {
+    const resultName = outcome.kind === "answered"
+      ? "ANSWERED"
+      : outcome.resultName;
+    events.emit("call.attempt", {
+      requestId: request.requestId,
+      attemptId,
+      runner,
+      service: request.service.name,
+      organisation: request.organisation.name,
+      code: RESULT[resultName].code,
+      durationMs: clock.nowMs() - startedMs,
+    });
+  }
+
+  return async (request): Promise<RequestOutcome> => {
+    const startedMs = clock.nowMs();
+    const remainingMs = request.deadlineMs - startedMs;
+    if (remainingMs <= 0) return failed("DEADLINE_UNREACHABLE");
+    const runner = pool.choose(request.service.name, request.avoid);
+    if (runner === undefined) {
+      return failed("NO_UPSTREAM", { retryAfterMs: UNREADY_RETRY_AFTER_MS });
+    }
+    const attemptId = createId<AttemptId>(createUniqueId());
+    const outcome = await runner.run({
+      attemptId,
+      headers: createHeaders(request, remainingMs),
+      body: request.exchange.body,
+      idempotent: request.idempotent,
+      progressTimeoutMs: request.service.progressTimeoutMs,
+      deadlineMs: request.deadlineMs,
+      signal: request.signal,
+    });
+    emit(request, attemptId, runner.name, outcome, startedMs);
+    if (outcome.kind === "failed") {
+      if (outcome.blame === BLAME.FULL || outcome.blame === BLAME.SILENT) {
+        options.admissions.get(request.service.name).noteOverload();
+      }
+      const { resultName, detail } = outcome;
+      return failed(resultName, { detail, runner: runner.name });
+    }
+    const { status, contentType, body } = outcome;
+    const answer = { attemptId, status, contentType, body };
+    return { kind: "answered", answer };
+  };
+}
--- /dev/null
+++ b/packages/node/requests/filters/pin.ts
@@ -0,0 +1,27 @@
+/**
+ * Binds a request to the configuration in force when it entered. It comes first because every later
+ * filter reads its limits and rules from that version, whatever is applied meanwhile.
+ */
+import type { ConfigurationView } from "../../types.ts";
+import type { RequestFilter } from "../chain.ts";
+import { UNREADY_RETRY_AFTER_MS } from "../constants.ts";
+import { failed, type PinnedRequest, type ReceivedRequest } from "../types.ts";
+
+export function createPinFilter(
+  configuration: ConfigurationView,
+): RequestFilter<ReceivedRequest, PinnedRequest> {
+  return {
+    name: "pin",
+    async handle(request, next) {
+      const current = configuration.current();
+      const retryAfterMs = UNREADY_RETRY_AFTER_MS;
+      if (current === undefined) {
+        return failed("NO_CONFIGURATION", { retryAfterMs });
+      }
+      if (!configuration.isFresh()) {
+        return failed("CONFIGURATION_STALE", { retryAfterMs });
+      }
+      return await next({ ...request, configuration: current });
+    },
+  };
+}
--- /dev/null
+++ b/packages/node/requests/fixture_test.ts
@@ -0,0 +1,370 @@
+/** Fixture of the request tests: one or more entries on loopback, runner stand-ins, an in-memory platform. */
+import { createHash } from "node:crypto";
+import {
+  type CallServiceDeclaration,
+  createId,
+  createUniqueId,
+  type Declarations,
+  type Digest,
+  type EntryName,
+  NULL_EVENT_SINK,
+  type OrganisationDeclaration,
+  SeededRandom,
+  SystemClock,
+} from "@coltsfootpond/common";
+import type {
+  GetOutcome,
+  ObjectPort,
+  PlatformPorts,
+  PutOutcome,
+  ReadOutcome,
+  TablePort,
+  TableRow,
+  TableTransaction,
+  TransactionOutcome,
+  VmRecord,
+} from "@coltsfootpond/platform";
+import { RunnerStandIn } from "@coltsfootpond/stand-ins";
+import { Subject } from "rxjs";
+import { createAuthenticate } from "../http/authenticator.ts";
+import type { HttpLimits } from "../http/limits.ts";
+import { HttpServer } from "../http/server.ts";
+import type {
+  ConfigurationView,
+  FailureDomainView,
+  JobService,
+  MembershipView,
+} from "../types.ts";
+import type { Balancing } from "../upstreams/balancing/choose.ts";
+import {
+  createRequestRoutes,
+  type RequestRoutes,
+} from "./create_request_routes.ts";
+
+export const TOKEN = "token-of-desk";
+export const SERVICE = "quote";
+
+const clock = SystemClock.create();
+
+function digestToken(token: string): Digest {
+  return createId<Digest>(createHash("sha256").update(token).digest("hex"));
+}
+
+export const ORGANISATION: OrganisationDeclaration = {
+  name: createId("desk"),
+  tokenDigest: digestToken(TOKEN),
+  weight: 1,
+  quota: { milliprocessors: 1, memoryMib: 1, accelerators: 1 },
+  requestsPerSecond: 100_000,
+  concurrentRequests: 10_000,
+  queuedJobs: 10,
+};
+
+export const CALL_SERVICE: CallServiceDeclaration = {
+  kind: "call",
+  name: createId(SERVICE),
+  organisations: [],
+  idempotent: true,
+  maximumBodyBytes: 100_000,
+  timeoutMs: 2_000,
+  progressTimeoutMs: 120,
+  slotsPerRunner: 8,
+  retryBudgetShare: 0.2,
+};
+
+export const JOB_SERVICE_NAME = "survey";
+
+export function createDeclarations(
+  change: Partial<CallServiceDeclaration> = {},
+): Declarations {
+  return {
+    operatorTokenDigests: [digestToken("operator")],
+    organisations: [ORGANISATION],
+    guarantees: [],
+    services: [{ ...CALL_SERVICE, ...change }, {
+      kind: "job",
+      name: createId(JOB_SERVICE_NAME),
+      organisations: [],
+      idempotent: true,
+      maximumBodyBytes: 1_000,
+      shape: {
+        tasks: 1,
+        perTask: { milliprocessors: 1, memoryMib: 1, accelerators: 0 },
+        adjacency: "worker",
+      },
+      priority: "normal",
+      expectedRunMs: 1,
+      maximumRunMs: 10,
+      canCheckpoint: false,
+      checkpointMs: 0,
+    }],
+    failureDomains: [],
+  };
+}
+
+/** Transactions in memory; `mode` makes it fail the ways the platform's service does. */
+export class FakeTable implements TablePort {
+  readonly rows = new Map<string, TableRow>();
+  mode: "up" | "down" | "answer_lost" = "up";
+
+  transact(
+    transaction: TableTransaction,
+  ): Promise<TransactionOutcome> {
+    return Promise.resolve(this.#commit(transaction));
+  }
+
+  #commit(transaction: TableTransaction): TransactionOutcome {
+    if (this.mode === "down") return unavailable("refused");
+    const holds = transaction.conditions.every((condition) => {
+      const row = this.rows.get(condition.key);
+      return condition.kind === "absent"
+        ? row === undefined
+        : row?.version === condition.version;
+    });
+    const keys = transaction.conditions.map(({ key }) => key);
+    if (!holds) return { kind: "conflict", rows: this.#list(keys) };
+    for (const write of transaction.writes) {
+      if (write.kind === "delete") this.rows.delete(write.key);
+      else {
+        const version = (this.rows.get(write.key)?.version ?? 0) + 1;
+        const { key, value } = write;
+        const { writeId } = transaction;
+        this.rows.set(key, { key, version, writeId, value });
+      }
+    }
+    if (this.mode === "answer_lost") return unavailable("lost");
+    const written = transaction.writes.map(({ key }) => key);
+    return { kind: "committed", rows: this.#list(written) };
+  }
+
+  read(keys: readonly string[]): Promise<ReadOutcome> {
+    return Promise.resolve(
+      this.mode === "down"
+        ? unavailable("refused")
+        : { kind: "rows", rows: this.#list(keys) },
+    );
+  }
+
+  scan(): Promise<ReadOutcome> {
+    return Promise.resolve({ kind: "rows", rows: [...this.rows.values()] });
+  }
+
+  #list(keys: readonly string[]): TableRow[] {
+    return keys.flatMap((key) => this.rows.get(key) ?? []);
+  }
+}
+
+function unavailable(effect: "refused" | "lost") {
+  return { kind: "unavailable", effect, reason: "fake" } as const;
+}
+
+class FakeObjects implements ObjectPort {
+  readonly #contents = new Map<string, Uint8Array>();
+
+  put(key: string, content: Uint8Array): Promise<PutOutcome> {
+    this.#contents.set(key, content);
+    return Promise.resolve({ kind: "stored" });
+  }
+
+  get(key: string): Promise<GetOutcome> {
+    const content = this.#contents.get(key);
+    return Promise.resolve(
+      content === undefined ? { kind: "absent" } : { kind: "found", content },
+    );
+  }
+}
+
+/** What several entries of one test share. */
+export class World {
+  readonly table = new FakeTable();
+  readonly objects = new FakeObjects();
+  readonly runners: RunnerStandIn[] = [];
+  readonly servers: HttpServer[] = [];
+  readonly fronts: RequestRoutes[] = [];
+  vms: VmRecord[] = [];
+  domainState: "in" | "out" = "in";
+  declarations = createDeclarations();
+  fresh = true;
+  jobs: Partial<JobService> = {};
+  entryNames: readonly EntryName[] = [];
+
+  async addRunner(
+    change: Partial<Parameters<typeof RunnerStandIn.create>[0]> = {},
+  ): Promise<RunnerStandIn> {
+    const name = `runner-${this.runners.length}`;
+    const runner = RunnerStandIn.create({
+      clock,
+      random: SeededRandom.create(this.runners.length + 1),
+      name,
+      slots: 8,
+      serviceMs: 5,
+      ...change,
+    });
+    const { port } = await runner.listen("127.0.0.1", 0);
+    this.runners.push(runner);
+    this.vms.push({
+      name,
+      role: "runner",
+      state: "live",
+      host: "127.0.0.1",
+      port,
+      service: SERVICE,
+      failureDomain: "north",
+      slots: 8,
+    });
+    return runner;
+  }
+
+  /** The port of a new entry. */
+  async addEntry(
+    options: {
+      readonly limits?: Partial<HttpLimits>;
+      readonly balancing?: Balancing;
+    } = {},
+  ): Promise<number> {
+    const entry = createId<EntryName>(`entry-${this.servers.length}`);
+    const configuration = this.#createConfiguration();
+    const front = createRequestRoutes({
+      context: {
+        identity: {
+          entry,
+          incarnation: createId(createUniqueId()),
+          region: createId("valley"),
+          failureDomain: createId("north"),
+        },
+        clock,
+        random: SeededRandom.create(this.servers.length + 7),
+        events: NULL_EVENT_SINK,
+        platform: {
+          table: this.table,
+          objects: this.objects,
+          vms: {
+            list: () => Promise.resolve({ kind: "list", vms: this.vms }),
+          },
+        } as unknown as PlatformPorts,
+      },
+      configuration,
+      failureDomains: this.#createFailureDomains(),
+      table: this.table,
+      jobs: this.jobs as JobService,
+      membership: this.#createMembership(entry),
+      balancing: options.balancing,
+    });
+    const server = HttpServer.create({
+      routes: front.routes,
+      authenticate: createAuthenticate({
+        configuration,
+        bootstrapOperatorTokenDigests: [],
+      }),
+      limits: options.limits,
+      clock,
+      events: NULL_EVENT_SINK,
+    });
+    await front.start();
+    this.fronts.push(front);
+    this.servers.push(server);
+    return (await server.listen({ host: "127.0.0.1", port: 0 })).port;
+  }
+
+  async close(): Promise<void> {
+    await Promise.all(
+      this.servers.map((server) =>
+        server.stop({ timeoutMs: 100, lingerMs: 0 })
+      ),
+    );
+    await Promise.all(this.fronts.map((front) => front.stop()));
+    await Promise.all(this.runners.map((runner) => runner.close()));
+  }
+
+  #createConfiguration(): ConfigurationView {
+    return {
+      current: () => ({
+        version: 1,
+        head: {
+          version: 1,
+          digest: createId(""),
+          chunks: [],
+          acceptedBy: createId(""),
+        },
+        declarations: this.declarations,
+      }),
+      changes: new Subject(),
+      confirmedAgeMs: () => 0,
+      isFresh: () => this.fresh,
+    };
+  }
+
+  #createFailureDomains(): FailureDomainView {
+    return {
+      get: (failureDomain) => ({
+        failureDomain,
+        state: this.domainState,
+        version: 1,
+        provisional: false,
+      }),
+      list: () => [],
+      changes: new Subject(),
+    };
+  }
+
+  #createMembership(self: EntryName): MembershipView {
+    return {
+      list: () =>
+        this.entryNames.map((entry) => ({
+          entry,
+          row: {
+            incarnation: createId(""),
+            host: "",
+            httpPort: 0,
+            meshPort: 0,
+            region: "valley",
+            state: "live",
+            beat: 0,
+          },
+          connected: true,
+          self: entry === self,
+        })),
+      changes: new Subject(),
+    };
+  }
+}
+
+/** One call as a caller sees it. */
+export interface CallerReply {
+  readonly status: number;
+  readonly code: string | null;
+  readonly resultClass: string | null;
+  readonly retryAfter: string | null;
+  readonly body: string;
+}
+
+export interface CallerRequest {
+  readonly port: number;
+  readonly method?: string;
+  readonly path?: string;
+  readonly body?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly signal?: AbortSignal;
+}
+
+export async function send(request: CallerRequest): Promise<CallerReply> {
+  const { port, method = "POST", body, headers, signal } = request;
+  const path = request.path ?? `/v1/services/${SERVICE}/requests`;
+  const response = await fetch(`http://127.0.0.1:${port}${path}`, {
+    method,
+    body: method === "POST" ? body ?? "hello" : undefined,
+    headers: {
+      authorization: `Bearer ${TOKEN}`,
+      connection: "close",
+      ...headers,
+    },
+    signal,
+  });
+  return {
+    status: response.status,
+    code: response.headers.get("coltsfootpond-code"),
+    resultClass: response.headers.get("coltsfootpond-class"),
+    retryAfter: response.headers.get("retry-after"),
+    body: await response.text(),
+  };
+}
--- /dev/null
+++ b/packages/node/requests/headers.ts
@@ -0,0 +1,86 @@
+/** Reads the headers that callers steer a request with. */
+import {
+  CodedError,
+  createId,
+  createUniqueId,
+  MS_PER_SECOND,
+  type RequestId,
+} from "@coltsfootpond/common";
+import {
+  MAXIMUM_DEADLINE_MS,
+  MAXIMUM_REQUEST_ID_LENGTH,
+  MAXIMUM_WAIT_MS,
+} from "./constants.ts";
+import type { WaitPreference } from "./types.ts";
+
+type Headers = Readonly<Record<string, string>>;
+
+/** The id of a request and whether the caller chose it. */
+export interface RequestKey {
+  readonly requestId: RequestId;
+  readonly keyed: boolean;
+}
+
+const REQUEST_ID_PATTERN = /^[A-Za-z0-9._~:-]+$/;
+const WAIT_PATTERN = /^wait=(\d{1,6})$/;
+const INTEGER_PATTERN = /^\d{1,10}$/;
+
+function malformed(message: string): CodedError {
+  return CodedError.create("MALFORMED", { message });
+}
+
+/** Checks a request id that a caller chose. */
+export function parseRequestId(text: string): RequestId {
+  const valid = text.length <= MAXIMUM_REQUEST_ID_LENGTH &&
+    REQUEST_ID_PATTERN.test(text);
+  if (!valid) {
+    throw malformed(
+      `a request id is 1 to ${MAXIMUM_REQUEST_ID_LENGTH} of A-Z a-z 0-9 . _ ~ : -`,
+    );
+  }
+  return createId<RequestId>(text);
+}
+
+/** From `Idempotency-Key`; a fresh id when the caller sent none. */
+export function parseRequestKey(headers: Headers): RequestKey {
+  const text = headers["idempotency-key"];
+  if (text === undefined) {
+    return { requestId: createId<RequestId>(createUniqueId()), keyed: false };
+  }
+  const unquoted = text.replace(/^"(.*)"$/, "$1");
+  return { requestId: parseRequestId(unquoted), keyed: true };
+}
+
+/** From `Prefer`; preferences that it does not know are ignored, as RFC 7240 asks. */
+export function parseWaitPreference(headers: Headers): WaitPreference {
+  let respondAsync = false;
+  let waitMs: number | undefined;
+  for (const part of (headers["prefer"] ?? "").split(",")) {
+    const preference = part.trim().toLowerCase();
+    if (preference === "respond-async") respondAsync = true;
+    const seconds = WAIT_PATTERN.exec(preference)?.[1];
+    if (seconds !== undefined) {
+      waitMs = Math.min(Number(seconds) * MS_PER_SECOND, MAXIMUM_WAIT_MS);
+    }
+  }
+  return { respondAsync, waitMs };
+}
+
+/** From `Deadline-Ms`: the time that is left, not a time of day. */
+export function parseRemainingMs(headers: Headers): number | undefined {
+  const text = headers["deadline-ms"];
+  if (text === undefined) return undefined;
+  if (!INTEGER_PATTERN.test(text)) {
+    throw malformed("Deadline-Ms is the remaining time in whole milliseconds");
+  }
+  return Math.min(Number(text), MAXIMUM_DEADLINE_MS);
+}
+
+/** From `Coltsfootpond-Idempotent`: a caller may only be stricter than its service. */
+export function parseDeclaredNonIdempotent(headers: Headers): boolean {
+  const text = headers["coltsfootpond-idempotent"]?.toLowerCase();
+  if (text !== undefined && text !== "true" && text !== "false") {
+    throw malformed("Coltsfootpond-Idempotent is true or false");
+  }
+  return text === "false";
+}
--- /dev/null
+++ b/packages/node/requests/order.ts
@@ -0,0 +1,49 @@
+/** The one place where the order of the filters stands. */
+import type { Clock, EventSink, Random } from "@coltsfootpond/common";
+import type { UpstreamPool } from "../upstreams/pool.ts";
+import type { ConfigurationView, JobService } from "../types.ts";
+import type { CallRecords } from "./call_records.ts";
+import { FilterChain, type Handler } from "./chain.ts";
+import { type Admissions, createAdmissionFilter } from "./filters/admission.ts";
+import { createAttemptHandler } from "./filters/attempt.ts";
+import { createAuthoriseFilter } from "./filters/authorise.ts";
+import { createDeduplicateFilter } from "./filters/deduplicate.ts";
+import { createDispatchJobFilter } from "./filters/dispatch_job.ts";
+import { createIdentifyFilter } from "./filters/identify.ts";
+import { createLimitsFilter } from "./filters/limits.ts";
+import { createPinFilter } from "./filters/pin.ts";
+import { createRetryFilter } from "./filters/retry.ts";
+import type { HeldWaits } from "./held_waits.ts";
+import type { Recorder } from "./recorder.ts";
+import type { ReceivedRequest } from "./types.ts";
+
+export interface RequestChainOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly events: EventSink;
+  readonly configuration: ConfigurationView;
+  readonly jobs: JobService;
+  readonly waits: HeldWaits;
+  readonly records: CallRecords;
+  readonly recorder: Recorder;
+  readonly pool: UpstreamPool;
+  readonly admissions: Admissions;
+  readonly countEntries: () => number;
+}
+
+/** Every request passes these filters from top to bottom. */
+export function createRequestChain(
+  options: RequestChainOptions,
+): Handler<ReceivedRequest> {
+  const { clock, admissions } = options;
+  return FilterChain.create<ReceivedRequest>()
+    .through(createPinFilter(options.configuration))
+    .through(createIdentifyFilter())
+    .through(createAuthoriseFilter())
+    .through(createLimitsFilter(options))
+    .through(createDispatchJobFilter(options))
+    .through(createAdmissionFilter(clock, admissions))
+    .through(createDeduplicateFilter(options))
+    .through(createRetryFilter(options))
+    .end(createAttemptHandler(options));
+}
--- /dev/null
+++ b/packages/node/requests/request_lookup.ts
@@ -0,0 +1,89 @@
+/** Finds a request by its id: a job, a recorded call, or a call in progress on this entry. */
+import type { OrganisationName, RequestId } from "@coltsfootpond/common";
+import type { JobLookup, JobService } from "../types.ts";
+import type { CallRecords } from "./call_records.ts";
+import type { CallsInProgress } from "./calls_in_progress.ts";
+import { UNREADY_RETRY_AFTER_MS } from "./constants.ts";
+import type { HeldWaits } from "./held_waits.ts";
+import { replayCall } from "./replay.ts";
+import { failed, type RequestOutcome, type WaitPreference } from "./types.ts";
+
+export interface RequestLookupOptions {
+  readonly jobs: JobService;
+  readonly records: CallRecords;
+  readonly calls: CallsInProgress;
+  readonly waits: HeldWaits;
+}
+
+const RETRY_SOON = { retryAfterMs: UNREADY_RETRY_AFTER_MS };
+
+function toOutcome(lookup: JobLookup): RequestOutcome {
+  switch (lookup.kind) {
+    case "found":
+      return { kind: "job", status: lookup.status };
+    case "absent":
+      return failed("UNKNOWN_REQUEST");
+    case "unavailable":
+      return failed(lookup.resultName, RETRY_SOON);
+  }
+}
+
+/** Answers `GET` and `DELETE` of a request. */
+export class RequestLookup {
+  readonly #options: RequestLookupOptions;
+
+  private constructor(options: RequestLookupOptions) {
+    this.#options = options;
+  }
+
+  static create(options: RequestLookupOptions): RequestLookup {
+    return new RequestLookup(options);
+  }
+
+  /** A job that has not ended is waited for as long as the caller wants. */
+  async get(
+    organisation: OrganisationName,
+    requestId: RequestId,
+    wait: WaitPreference,
+  ): Promise<RequestOutcome> {
+    const { jobs, records, waits } = this.#options;
+    const found = await records.find(organisation, requestId);
+    if (found.kind === "found" && found.row.kind === "call") {
+      return await replayCall(records, found.row);
+    }
+    if (found.kind === "absent") {
+      return this.#isInProgress(organisation, requestId)
+        ? failed("ATTEMPT_UNSETTLED", RETRY_SOON)
+        : failed("UNKNOWN_REQUEST");
+    }
+    const held = (wait.waitMs ?? 0) > 0
+      ? await waits.hold({ organisation, requestId, wait })
+      : undefined;
+    return toOutcome(held ?? await jobs.get(organisation, requestId));
+  }
+
+  async cancel(
+    organisation: OrganisationName,
+    requestId: RequestId,
+  ): Promise<RequestOutcome> {
+    const { jobs, records, calls } = this.#options;
+    const call = calls.get(organisation, requestId);
+    if (call !== undefined) {
+      call.cancel();
+      return failed("ATTEMPT_UNSETTLED", RETRY_SOON);
+    }
+    const found = await records.find(organisation, requestId);
+    if (found.kind === "found" && found.row.kind === "call") {
+      return await replayCall(records, found.row);
+    }
+    if (found.kind === "absent") return failed("UNKNOWN_REQUEST");
+    return toOutcome(await jobs.cancel(organisation, requestId));
+  }
+
+  #isInProgress(
+    organisation: OrganisationName,
+    requestId: RequestId,
+  ): boolean {
+    return this.#options.calls.get(organisation, requestId) !== undefined;
+  }
+}
--- /dev/null
+++ b/packages/node/requests/service_admission.ts
@@ -0,0 +1,155 @@
+/** Decides which calls of one service go on now, which wait, and which are refused at once. */
+import type { Clock, Timer } from "@coltsfootpond/common";
+import { ConcurrencyLimit } from "./concurrency_limit.ts";
+import {
+  ADMISSION_CHECK_MS,
+  DURATION_SMOOTHING,
+  MAXIMUM_QUEUED_REQUESTS,
+  UNREADY_RETRY_AFTER_MS,
+} from "./constants.ts";
+import { FairQueue, type QueueItem } from "./fair_queue.ts";
+import {
+  type CallRequest,
+  failed,
+  type FailedOutcome,
+  type RequestOutcome,
+} from "./types.ts";
+
+/** Undefined: the call may go on and must call `leave` when it ends. */
+export type Admission = FailedOutcome | undefined;
+
+interface WaitingCall extends QueueItem {
+  readonly settle: (admission: Admission) => void;
+}
+
+export interface ServiceAdmissionOptions {
+  readonly clock: Clock;
+  /** Calls that the upstream pool can take from this entry now. */
+  readonly getCapacity: () => number;
+}
+
+export class ServiceAdmission {
+  readonly #options: ServiceAdmissionOptions;
+  readonly #limit: ConcurrencyLimit;
+  readonly #queue = FairQueue.create<WaitingCall>();
+  #inProgress = 0;
+  #meanDurationMs = 0;
+  #check: Timer | undefined;
+
+  private constructor(options: ServiceAdmissionOptions) {
+    this.#options = options;
+    this.#limit = ConcurrencyLimit.create(options.clock);
+  }
+
+  static create(options: ServiceAdmissionOptions): ServiceAdmission {
+    return new ServiceAdmission(options);
+  }
+
+  get inProgress(): number {
+    return this.#inProgress;
+  }
+
+  get queued(): number {
+    return this.#queue.size;
+  }
+
+  enter(request: CallRequest): Promise<Admission> {
+    const limit = this.#limit.get(this.#options.getCapacity());
+    if (limit === 0) {
+      return Promise.resolve(
+        failed("NO_UPSTREAM", { retryAfterMs: UNREADY_RETRY_AFTER_MS }),
+      );
+    }
+    if (this.#inProgress < limit && this.#queue.size === 0) {
+      return Promise.resolve(this.#admit(request.deadlineMs));
+    }
+    const refusal = this.#refuseEarly(request, limit);
+    if (refusal !== undefined) return Promise.resolve(refusal);
+    return this.#wait(request);
+  }
+
+  leave(outcome: RequestOutcome, durationMs: number): void {
+    if (outcome.kind === "answered") {
+      this.#limit.noteSuccess(this.#inProgress);
+      this.#meanDurationMs += DURATION_SMOOTHING *
+        (durationMs - this.#meanDurationMs);
+    }
+    this.#inProgress--;
+    this.#drain();
+  }
+
+  /** A runner refused or went silent. */
+  noteOverload(): void {
+    this.#limit.noteOverload(this.#inProgress);
+  }
+
+  #admit(deadlineMs: number): Admission {
+    if (!this.#isReachable(deadlineMs)) return failed("DEADLINE_UNREACHABLE");
+    this.#inProgress++;
+    return undefined;
+  }
+
+  #isReachable(deadlineMs: number): boolean {
+    return this.#options.clock.nowMs() + this.#meanDurationMs < deadlineMs;
+  }
+
+  #refuseEarly(request: CallRequest, limit: number): Admission {
+    const { name, weight } = request.organisation;
+    const ahead = this.#queue.countAhead(name, weight);
+    const waitMs = (ahead + 1) * this.#meanDurationMs / limit;
+    const retryAfterMs = Math.max(waitMs, UNREADY_RETRY_AFTER_MS);
+    if (this.#queue.size >= MAXIMUM_QUEUED_REQUESTS) {
+      return failed("QUEUE_FULL", { retryAfterMs });
+    }
+    if (!this.#isReachable(request.deadlineMs - waitMs)) {
+      return failed("DEADLINE_UNREACHABLE", { retryAfterMs });
+    }
+    return undefined;
+  }
+
+  /** Ends as soon as the deadline can no longer be met, not at the deadline. */
+  #wait(request: CallRequest): Promise<Admission> {
+    const { clock } = this.#options;
+    const { deadlineMs, organisation, exchange } = request;
+    return new Promise((resolve) => {
+      const giveUp = (): void => {
+        if (!this.#queue.remove(waiting)) return;
+        const retryAfterMs = UNREADY_RETRY_AFTER_MS;
+        waiting.settle(failed("DEADLINE_UNREACHABLE", { retryAfterMs }));
+      };
+      const lastStartMs = deadlineMs - this.#meanDurationMs;
+      const timer = clock.after(lastStartMs - clock.nowMs(), giveUp);
+      exchange.signal.addEventListener("abort", giveUp, { once: true });
+      const waiting: WaitingCall = {
+        organisation: organisation.name,
+        weight: organisation.weight,
+        deadlineMs,
+        settle: (admission) => {
+          timer.cancel();
+          exchange.signal.removeEventListener("abort", giveUp);
+          resolve(admission);
+        },
+      };
+      this.#queue.push(waiting);
+      this.#armCheck();
+    });
+  }
+
+  #drain(): void {
+    while (this.#queue.size > 0) {
+      const limit = this.#limit.get(this.#options.getCapacity());
+      if (this.#inProgress >= limit) return;
+      const waiting = this.#queue.pop();
+      waiting?.settle(this.#admit(waiting.deadlineMs));
+    }
+  }
+
+  /** Capacity may come back without any call ending. */
+  #armCheck(): void {
+    this.#check ??= this.#options.clock.after(ADMISSION_CHECK_MS, () => {
+      this.#check = undefined;
+      this.#drain();
+      if (this.#queue.size > 0) this.#armCheck();
+    });
+  }
+}
--- a/packages/node/rows.ts
+++ b/packages/node/rows.ts
@@ -114,6 +114,9 @@
     readonly state: "attempting" | "answered" | "not_run" | "unknown";
     readonly answer?: AnswerReference;
     readonly answerStatus?: number;
+    readonly answerContentType?: string;
+    /** Why it was not run. */
+    readonly resultName?: ResultName;
   };
 
 export function getDomainKey(failureDomain: FailureDomainName): string {
--- /dev/null
+++ b/packages/node/upstreams/balancing/choose.ts
@@ -0,0 +1,63 @@
+/** The ways of choosing a runner, as one union; `docs/decisions/0006-calls.md` weighs them. */
+import {
+  assertNever,
+  nextInteger,
+  type Random,
+  type ValueOf,
+} from "@coltsfootpond/common";
+import type { Candidate } from "../types.ts";
+import { chooseByFixedShares, getFixedShareLimit } from "./fixed_shares.ts";
+import { chooseByLeastLoad } from "./least_load.ts";
+
+export const BALANCING = {
+  FIXED_SHARES: "fixed_shares",
+  TWO_CHOICES: "two_choices",
+  LEAST_LOAD: "least_load",
+} as const;
+export type Balancing = ValueOf<typeof BALANCING>;
+
+/** Attempts that this entry may have in progress on the runner. */
+export function getSlotLimit(way: Balancing, candidate: Candidate): number {
+  switch (way) {
+    case BALANCING.FIXED_SHARES:
+      return getFixedShareLimit(candidate);
+    case BALANCING.TWO_CHOICES:
+    case BALANCING.LEAST_LOAD:
+      return candidate.slots;
+    default:
+      return assertNever(way);
+  }
+}
+
+/** The less used of two runners drawn at random (Mitzenmacher, 1996). */
+function chooseByTwoChoices(
+  candidates: readonly Candidate[],
+  random: Random,
+): Candidate | undefined {
+  const first = candidates[nextInteger(random, candidates.length)];
+  const second = candidates[nextInteger(random, candidates.length)];
+  if (first === undefined || second === undefined) return first;
+  return second.inUse < first.inUse ? second : first;
+}
+
+/** Undefined when no candidate has room for this entry. */
+export function chooseRunner(
+  way: Balancing,
+  candidates: readonly Candidate[],
+  random: Random,
+): Candidate | undefined {
+  const open = candidates.filter(
+    (candidate) => candidate.inUse < getSlotLimit(way, candidate),
+  );
+  if (open.length === 0) return undefined;
+  switch (way) {
+    case BALANCING.FIXED_SHARES:
+      return chooseByFixedShares(open, random);
+    case BALANCING.TWO_CHOICES:
+      return chooseByTwoChoices(open, random);
+    case BALANCING.LEAST_LOAD:
+      return chooseByLeastLoad(open, random);
+    default:
+      return assertNever(way);
+  }
+}
--- /dev/null
+++ b/packages/node/upstreams/exchange.ts
@@ -0,0 +1,247 @@
+/**
+ * One exchange with a runner over HTTP/1.1. What it claims is proven: `not_run` results only when no
+ * byte was handed to a standing connection, or the runner refused this very attempt; an answer only
+ * when it is whole and echoes the attempt id.
+ */
+import { Buffer } from "node:buffer";
+import { type ClientRequest, type IncomingMessage, request } from "node:http";
+import type { Clock, ResultName, Timer } from "@coltsfootpond/common";
+import {
+  CONNECT_TIMEOUT_MS,
+  MAXIMUM_ANSWER_BYTES,
+  PROVEN_IDLE_MS,
+  RUN_PATH,
+} from "./constants.ts";
+import type { RunnerAgent } from "./runner_agent.ts";
+import {
+  BLAME,
+  type Blame,
+  type LoadReport,
+  type UpstreamOutcome,
+  type UpstreamRequest,
+} from "./types.ts";
+
+/** Where the exchange goes. */
+export interface ExchangeTarget {
+  readonly host: string;
+  readonly port: number;
+  readonly agent: RunnerAgent;
+  readonly clock: Clock;
+}
+
+const HTTP_UNAVAILABLE = 503;
+const SERVER_ERROR = 500;
+const DEFAULT_CONTENT_TYPE = "application/octet-stream";
+
+function parseReport(incoming: IncomingMessage): LoadReport | undefined {
+  const slotsInUse = Number(incoming.headers["x-slots-in-use"] ?? NaN);
+  const slots = Number(incoming.headers["x-slots"] ?? NaN);
+  if (!Number.isFinite(slotsInUse) || !Number.isFinite(slots)) return undefined;
+  return {
+    slotsInUse,
+    slots,
+    leaving: incoming.headers["x-leaving"] === "true",
+  };
+}
+
+/** Owns one request and settles exactly once. */
+class Exchange {
+  readonly #target: ExchangeTarget;
+  readonly #upstream: UpstreamRequest;
+  readonly #resolve: (outcome: UpstreamOutcome) => void;
+  readonly #outgoing: ClientRequest;
+  #timer: Timer;
+  #connected = false;
+  #progressMs: number;
+  #report: LoadReport | undefined;
+  #settled = false;
+
+  private constructor(
+    target: ExchangeTarget,
+    upstream: UpstreamRequest,
+    resolve: (outcome: UpstreamOutcome) => void,
+  ) {
+    this.#target = target;
+    this.#upstream = upstream;
+    this.#resolve = resolve;
+    this.#progressMs = target.clock.nowMs();
+    this.#outgoing = this.#send();
+    this.#timer = this.#armTimer(
+      Math.min(CONNECT_TIMEOUT_MS, upstream.progressTimeoutMs),
+    );
+  }
+
+  static create(
+    target: ExchangeTarget,
+    upstream: UpstreamRequest,
+    resolve: (outcome: UpstreamOutcome) => void,
+  ): Exchange {
+    return new Exchange(target, upstream, resolve);
+  }
+
+  #send(): ClientRequest {
+    const { host, port, agent } = this.#target;
+    const { headers, body, attemptId, idempotent, signal } = this.#upstream;
+    if (!idempotent) agent.prune(PROVEN_IDLE_MS);
+    const outgoing = request({
+      host,
+      port,
+      agent,
+      method: "POST",
+      path: RUN_PATH,
+      headers: {
+        ...headers,
+        "x-attempt-id": attemptId,
+        "content-length": body.byteLength,
+      },
+    });
+    outgoing.on("socket", (socket) => {
+      agent.noteOpened(outgoing);
+      if (!socket.connecting) this.#noteConnected();
+      else socket.once("connect", () => this.#noteConnected());
+    });
+    outgoing.on("error", (error) => this.#failOnError(error));
+    outgoing.on("response", (incoming) => this.#receive(incoming));
+    signal?.addEventListener("abort", this.#abandon, { once: true });
+    outgoing.end(body);
+    return outgoing;
+  }
+
+  readonly #abandon = (): void => {
+    this.#fail("UPSTREAM_LOST", BLAME.NONE, "given up by its caller");
+  };
+
+  #noteConnected(): void {
+    this.#connected = true;
+    this.#progressMs = this.#target.clock.nowMs();
+  }
+
+  #armTimer(delayMs: number): Timer {
+    return this.#target.clock.after(delayMs, () => this.#checkProgress());
+  }
+
+  #checkProgress(): void {
+    const nowMs = this.#target.clock.nowMs();
+    const { deadlineMs, progressTimeoutMs } = this.#upstream;
+    if (nowMs >= deadlineMs) {
+      this.#fail("UPSTREAM_TIMEOUT", BLAME.NONE, "the deadline has passed");
+      return;
+    }
+    const limitMs = this.#connected ? progressTimeoutMs : CONNECT_TIMEOUT_MS;
+    const dueMs = Math.min(this.#progressMs + limitMs, deadlineMs);
+    if (nowMs < dueMs) {
+      this.#timer = this.#armTimer(dueMs - nowMs);
+      return;
+    }
+    this.#fail("UPSTREAM_TIMEOUT", BLAME.SILENT, "no progress in time");
+  }
+
+  #failOnError(error: Error): void {
+    this.#fail("UPSTREAM_LOST", BLAME.FAILURE, error.message);
+  }
+
+  #receive(incoming: IncomingMessage): void {
+    this.#progressMs = this.#target.clock.nowMs();
+    this.#report = parseReport(incoming);
+    incoming.on("error", () => this.#failTruncated());
+    incoming.on("aborted", () => this.#failTruncated());
+    if (incoming.headers["x-attempt-id"] !== this.#upstream.attemptId) {
+      this.#fail(
+        "UPSTREAM_MISMATCH",
+        BLAME.FAILURE,
+        "the reply belongs to another attempt",
+      );
+      return;
+    }
+    const framed = incoming.headers["content-length"] !== undefined ||
+      incoming.headers["transfer-encoding"] !== undefined;
+    if (!framed) {
+      this.#failTruncated();
+      return;
+    }
+    this.#readAnswer(incoming);
+  }
+
+  #readAnswer(incoming: IncomingMessage): void {
+    const chunks: Buffer[] = [];
+    let lengthBytes = 0;
+    incoming.on("data", (chunk: Buffer) => {
+      this.#progressMs = this.#target.clock.nowMs();
+      lengthBytes += chunk.byteLength;
+      if (lengthBytes > MAXIMUM_ANSWER_BYTES) this.#failTruncated();
+      else chunks.push(chunk);
+    });
+    incoming.on("end", () => {
+      if (!incoming.complete) this.#failTruncated();
+      else this.#finish(incoming, Buffer.concat(chunks, lengthBytes));
+    });
+  }
+
+  #finish(incoming: IncomingMessage, body: Buffer): void {
+    const status = incoming.statusCode ?? 0;
+    const refused = status === HTTP_UNAVAILABLE &&
+      incoming.headers["x-not-run"] === "true";
+    if (refused) {
+      this.#settle(
+        this.#createFailure("UPSTREAM_REFUSED", BLAME.FULL, "no free slot"),
+      );
+    } else if (status >= SERVER_ERROR) {
+      this.#settle(this.#createFailure(
+        "UPSTREAM_FAILED",
+        BLAME.FAILURE,
+        `status ${status}`,
+      ));
+    } else {
+      const contentType = incoming.headers["content-type"] ??
+        DEFAULT_CONTENT_TYPE;
+      const report = this.#report;
+      this.#settle({ kind: "answered", status, contentType, body, report });
+    }
+  }
+
+  #failTruncated(): void {
+    this.#fail("UPSTREAM_TRUNCATED", BLAME.FAILURE, "the reply was not whole");
+  }
+
+  /** Ends the connection too: what may still come on it belongs to nobody. */
+  #fail(resultName: ResultName, blame: Blame, detail: string): void {
+    if (this.#settled) return;
+    const failure = this.#connected
+      ? this.#createFailure(resultName, blame, detail)
+      : this.#createUnsentFailure(blame, detail);
+    this.#settle(failure);
+    this.#outgoing.destroy();
+  }
+
+  #createUnsentFailure(blame: Blame, detail: string): UpstreamOutcome {
+    return blame === BLAME.NONE
+      ? this.#createFailure("DEADLINE_UNREACHABLE", blame, detail)
+      : this.#createFailure("UPSTREAM_UNREACHABLE", BLAME.UNREACHABLE, detail);
+  }
+
+  #createFailure(
+    resultName: ResultName,
+    blame: Blame,
+    detail: string,
+  ): UpstreamOutcome {
+    return { kind: "failed", resultName, blame, detail, report: this.#report };
+  }
+
+  #settle(outcome: UpstreamOutcome): void {
+    if (this.#settled) return;
+    this.#settled = true;
+    this.#timer.cancel();
+    this.#upstream.signal?.removeEventListener("abort", this.#abandon);
+    this.#resolve(outcome);
+  }
+}
+
+/** Sends one request to one runner. Never rejects. */
+export function exchangeWithRunner(
+  target: ExchangeTarget,
+  upstream: UpstreamRequest,
+): Promise<UpstreamOutcome> {
+  return new Promise((resolve) => {
+    Exchange.create(target, upstream, resolve);
+  });
+}
--- /dev/null
+++ b/packages/node/upstreams/health.ts
@@ -0,0 +1,91 @@
+/** Ejects a failing runner for a growing time and gives it its load back slowly. */
+import type { Clock } from "@coltsfootpond/common";
+import {
+  CONSECUTIVE_FAILURES,
+  CONSECUTIVE_UNREACHABLE,
+  EJECTION_BASE_MS,
+  EJECTION_MAXIMUM_MS,
+  FAILURE_SHARE,
+  FAILURE_SMOOTHING,
+  SLOW_START_MS,
+} from "./constants.ts";
+import { BLAME, type Blame } from "./types.ts";
+
+/** Failures in a row after which each kind of failure ejects; absent: it never does. */
+const EJECTION_THRESHOLD: Readonly<Record<Blame, number | undefined>> = {
+  [BLAME.NONE]: undefined,
+  [BLAME.FULL]: undefined,
+  [BLAME.UNREACHABLE]: CONSECUTIVE_UNREACHABLE,
+  [BLAME.SILENT]: 1,
+  [BLAME.FAILURE]: CONSECUTIVE_FAILURES,
+};
+
+export interface RunnerHealthOptions {
+  readonly clock: Clock;
+  /** Whether one more runner may be ejected. */
+  readonly mayEject: () => boolean;
+}
+
+export class RunnerHealth {
+  readonly #options: RunnerHealthOptions;
+  #consecutiveFailures = 0;
+  #failureShare = 0;
+  #ejections = 0;
+  #ejectedUntilMs: number | undefined;
+
+  private constructor(options: RunnerHealthOptions) {
+    this.#options = options;
+  }
+
+  static create(options: RunnerHealthOptions): RunnerHealth {
+    return new RunnerHealth(options);
+  }
+
+  isEjected(): boolean {
+    return this.#ejectedUntilMs !== undefined &&
+      this.#options.clock.nowMs() < this.#ejectedUntilMs;
+  }
+
+  /** Share of its slots that it may be given, in (0, 1]. */
+  getLoadShare(): number {
+    if (this.#ejectedUntilMs === undefined) return 1;
+    const backMs = this.#options.clock.nowMs() - this.#ejectedUntilMs;
+    return Math.max(0.01, Math.min(1, backMs / SLOW_START_MS));
+  }
+
+  noteSuccess(): void {
+    this.#consecutiveFailures = 0;
+    this.#smooth(0);
+    if (this.#ejectedUntilMs !== undefined && this.getLoadShare() === 1) {
+      this.#ejectedUntilMs = undefined;
+      this.#ejections = 0;
+    }
+  }
+
+  /** True when it ejects the runner. */
+  noteFailure(blame: Blame): boolean {
+    const threshold = EJECTION_THRESHOLD[blame];
+    if (threshold === undefined) return false;
+    this.#consecutiveFailures++;
+    this.#smooth(1);
+    const failing = this.#consecutiveFailures >= threshold ||
+      this.#failureShare > FAILURE_SHARE;
+    if (!failing || this.isEjected() || !this.#options.mayEject()) return false;
+    this.#eject();
+    return true;
+  }
+
+  #smooth(sample: number): void {
+    this.#failureShare += FAILURE_SMOOTHING * (sample - this.#failureShare);
+  }
+
+  #eject(): void {
+    const durationMs = Math.min(
+      EJECTION_BASE_MS * 2 ** this.#ejections,
+      EJECTION_MAXIMUM_MS,
+    );
+    this.#ejections++;
+    this.#failureShare = 0;
+    this.#ejectedUntilMs = this.#options.clock.nowMs() + durationMs;
+  }
+}
--- /dev/null
+++ b/packages/node/upstreams/pool.ts
@@ -0,0 +1,223 @@
+/**
+ * All runners, as the platform's lagging list names them. A runner that leaves, fails or stands in a
+ * failure domain that is out gets no new work; what it has in progress finishes.
+ */
+import {
+  type Clock,
+  type EntryName,
+  type EventSink,
+  type FailureDomainName,
+  type Random,
+  RESULT,
+  type RunnerName,
+  type ServiceName,
+  type Timer,
+} from "@coltsfootpond/common";
+import type { VmListPort, VmRecord } from "@coltsfootpond/platform";
+import { FAILURE_DOMAIN_STATE } from "../rows.ts";
+import type { FailureDomainView } from "../types.ts";
+import {
+  type Balancing,
+  chooseRunner,
+  getSlotLimit,
+} from "./balancing/choose.ts";
+import {
+  MAXIMUM_EJECTED_SHARE,
+  MAXIMUM_IDLE_MS,
+  VM_POLL_MS,
+  VM_POLL_TIMEOUT_MS,
+} from "./constants.ts";
+import { Runner } from "./runner.ts";
+import { computeShare } from "./shares.ts";
+import type { Candidate } from "./types.ts";
+
+export interface UpstreamPoolOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly events: EventSink;
+  readonly vms: VmListPort;
+  readonly failureDomains: FailureDomainView;
+  readonly self: EntryName;
+  /** Entries that share the runners, `self` among them. */
+  readonly listEntries: () => readonly EntryName[];
+  readonly balancing: Balancing;
+}
+
+/** One runner in the status of the pool. */
+export interface RunnerStatus {
+  readonly runner: RunnerName;
+  readonly service: string | undefined;
+  readonly inUse: number;
+  readonly connections: number;
+  readonly leaving: boolean;
+  readonly ejected: boolean;
+}
+
+export class UpstreamPool {
+  readonly #options: UpstreamPoolOptions;
+  readonly #runners = new Map<string, Runner>();
+  readonly #shares = new Map<string, number>();
+  #sharedAmong = "";
+  #timer: Timer | undefined;
+  #polling: Promise<void> | undefined;
+
+  private constructor(options: UpstreamPoolOptions) {
+    this.#options = options;
+  }
+
+  static create(options: UpstreamPoolOptions): UpstreamPool {
+    return new UpstreamPool(options);
+  }
+
+  /** Resolves after the first reading of the list. */
+  async start(): Promise<void> {
+    this.#timer = this.#options.clock.every(
+      VM_POLL_MS,
+      () => void this.refresh(),
+    );
+    await this.refresh();
+  }
+
+  /** For use after the last request has ended. */
+  stop(): void {
+    this.#timer?.cancel();
+    for (const runner of this.#runners.values()) runner.destroy();
+  }
+
+  /** Reads the list; a reading in progress is joined. */
+  refresh(): Promise<void> {
+    this.#polling ??= this.#poll().finally(() => (this.#polling = undefined));
+    return this.#polling;
+  }
+
+  /** A runner with room for one more attempt; one of `avoid` only when there is no other. */
+  choose(
+    service: ServiceName,
+    avoid: ReadonlySet<RunnerName>,
+  ): Runner | undefined {
+    const candidates = this.#listCandidates(service);
+    const others = candidates.filter(({ runner }) => !avoid.has(runner));
+    const { balancing, random } = this.#options;
+    const chosen = chooseRunner(balancing, others, random) ??
+      chooseRunner(balancing, candidates, random);
+    return chosen === undefined ? undefined : this.#runners.get(chosen.runner);
+  }
+
+  /** Attempts that this entry may have in progress for the service. */
+  getCapacity(service: ServiceName): number {
+    const { balancing } = this.#options;
+    return this.#listCandidates(service).reduce(
+      (sum, candidate) => sum + getSlotLimit(balancing, candidate),
+      0,
+    );
+  }
+
+  list(): readonly RunnerStatus[] {
+    return [...this.#runners.values()].map((runner) => ({
+      runner: runner.name,
+      service: runner.vm.service,
+      inUse: runner.inUse,
+      connections: runner.connectionCount,
+      leaving: !runner.isStaying(),
+      ejected: runner.isEjected(),
+    }));
+  }
+
+  #listCandidates(service: ServiceName): Candidate[] {
+    this.#refreshShares();
+    const candidates: Candidate[] = [];
+    for (const runner of this.#runners.values()) {
+      const usable = runner.vm.service === service && runner.isUsable() &&
+        this.#isDomainIn(runner.vm);
+      if (usable) {
+        candidates.push(runner.createCandidate(this.#getShare(runner)));
+      }
+    }
+    return candidates;
+  }
+
+  #isDomainIn(vm: VmRecord): boolean {
+    if (vm.failureDomain === undefined) return true;
+    const failureDomain = vm.failureDomain as FailureDomainName;
+    return this.#options.failureDomains.get(failureDomain).state ===
+      FAILURE_DOMAIN_STATE.IN;
+  }
+
+  /** Shares are kept until the list of entries changes. */
+  #refreshShares(): void {
+    const sharedAmong = [...this.#options.listEntries()].sort().join("\0");
+    if (sharedAmong === this.#sharedAmong) return;
+    this.#sharedAmong = sharedAmong;
+    this.#shares.clear();
+  }
+
+  #getShare(runner: Runner): number {
+    const key = `${runner.name}\0${runner.slots}`;
+    let share = this.#shares.get(key);
+    if (share === undefined) {
+      const { self, listEntries } = this.#options;
+      share = computeShare({
+        runner: runner.name,
+        slots: runner.slots,
+        self,
+        entries: listEntries(),
+      });
+      this.#shares.set(key, share);
+    }
+    return share;
+  }
+
+  async #poll(): Promise<void> {
+    const outcome = await this.#options.vms.list({
+      timeoutMs: VM_POLL_TIMEOUT_MS,
+    });
+    if (outcome.kind !== "list") return;
+    const listed = outcome.vms.filter(({ role }) => role === "runner");
+    for (const vm of listed) this.#take(vm);
+    this.#retireUnlisted(new Set(listed.map(({ name }) => name)));
+    for (const runner of this.#runners.values()) runner.prune(MAXIMUM_IDLE_MS);
+  }
+
+  #take(vm: VmRecord): void {
+    const known = this.#runners.get(vm.name);
+    if (known !== undefined) {
+      known.update(vm);
+      return;
+    }
+    const { clock } = this.#options;
+    const runner: Runner = Runner.create({
+      clock,
+      vm,
+      mayEject: () => this.#mayEject(vm.service),
+      onEjected: (name) => this.#noteEjected(name),
+    });
+    this.#runners.set(vm.name, runner);
+  }
+
+  #retireUnlisted(listed: ReadonlySet<string>): void {
+    for (const [name, runner] of this.#runners) {
+      if (listed.has(name)) continue;
+      runner.retire();
+      if (runner.inUse === 0) {
+        runner.destroy();
+        this.#runners.delete(name);
+      }
+    }
+  }
+
+  /** Keeps a floor of runners in use however many seem to fail. */
+  #mayEject(service: string | undefined): boolean {
+    const peers = [...this.#runners.values()].filter((runner) =>
+      runner.vm.service === service && runner.isStaying()
+    );
+    const ejected = peers.filter((runner) => runner.isEjected()).length;
+    return ejected + 1 <= peers.length * MAXIMUM_EJECTED_SHARE;
+  }
+
+  #noteEjected(runner: RunnerName): void {
+    this.#options.events.emit("upstream.ejected", {
+      runner,
+      code: RESULT.UPSTREAM_FAILED.code,
+    });
+  }
+}
--- /dev/null
+++ b/packages/node/upstreams/runner.ts
@@ -0,0 +1,143 @@
+/** One runner as this entry knows it: its connections, attempts in progress, health and last report. */
+import type { Clock, RunnerName } from "@coltsfootpond/common";
+import type { VmRecord } from "@coltsfootpond/platform";
+import { BORROW_PAUSE_MS, DEFAULT_RUNNER_SLOTS } from "./constants.ts";
+import { exchangeWithRunner } from "./exchange.ts";
+import { RunnerHealth } from "./health.ts";
+import { RunnerAgent } from "./runner_agent.ts";
+import {
+  BLAME,
+  type Candidate,
+  type LoadReport,
+  type UpstreamOutcome,
+  type UpstreamRequest,
+} from "./types.ts";
+
+export interface RunnerOptions {
+  readonly clock: Clock;
+  readonly vm: VmRecord;
+  readonly mayEject: () => boolean;
+  readonly onEjected: (runner: RunnerName) => void;
+}
+
+export class Runner {
+  readonly name: RunnerName;
+  readonly #options: RunnerOptions;
+  readonly #agent: RunnerAgent;
+  readonly #health: RunnerHealth;
+  #vm: VmRecord;
+  #inUse = 0;
+  #report: LoadReport | undefined;
+  #reportedMs = -Infinity;
+  #refusedMs = -Infinity;
+
+  private constructor(options: RunnerOptions) {
+    this.#options = options;
+    this.#vm = options.vm;
+    this.name = options.vm.name as RunnerName;
+    this.#agent = RunnerAgent.create(options.clock);
+    this.#health = RunnerHealth.create(options);
+  }
+
+  static create(options: RunnerOptions): Runner {
+    return new Runner(options);
+  }
+
+  get vm(): VmRecord {
+    return this.#vm;
+  }
+
+  get inUse(): number {
+    return this.#inUse;
+  }
+
+  get slots(): number {
+    return this.#vm.slots ?? DEFAULT_RUNNER_SLOTS;
+  }
+
+  get connectionCount(): number {
+    return this.#agent.countConnections();
+  }
+
+  isEjected(): boolean {
+    return this.#health.isEjected();
+  }
+
+  /** Neither leaving by the platform's word nor by its own. */
+  isStaying(): boolean {
+    return this.#vm.state === "live" && this.#report?.leaving !== true;
+  }
+
+  isUsable(): boolean {
+    return this.isStaying() && !this.#health.isEjected();
+  }
+
+  /** Takes what the platform's list says now. */
+  update(vm: VmRecord): void {
+    const moved = vm.host !== this.#vm.host || vm.port !== this.#vm.port;
+    this.#vm = vm;
+    if (moved) {
+      this.#report = undefined;
+      this.#agent.suspectAll();
+    }
+    if (vm.state === "leaving") this.#agent.retire();
+  }
+
+  /** Gives it no new work; what is in progress finishes. */
+  retire(): void {
+    this.#vm = { ...this.#vm, state: "leaving" };
+    this.#agent.retire();
+  }
+
+  prune(maximumIdleMs: number): void {
+    this.#agent.prune(maximumIdleMs);
+  }
+
+  /** Cuts everything, also what is in progress. */
+  destroy(): void {
+    this.#agent.destroy();
+  }
+
+  createCandidate(share: number): Candidate {
+    const nowMs = this.#options.clock.nowMs();
+    const loadShare = this.#health.getLoadShare();
+    return {
+      runner: this.name,
+      inUse: this.#inUse,
+      share: Math.ceil(share * loadShare),
+      slots: Math.ceil(this.slots * loadShare),
+      reportedInUse: this.#report?.slotsInUse,
+      reportAgeMs: nowMs - this.#reportedMs,
+      refusedLately: nowMs - this.#refusedMs < BORROW_PAUSE_MS,
+    };
+  }
+
+  /** Takes a slot, sends the request and gives the slot back. */
+  async run(upstream: UpstreamRequest): Promise<UpstreamOutcome> {
+    this.#inUse++;
+    const { host, port } = this.#vm;
+    const { clock } = this.#options;
+    const target = { host, port, agent: this.#agent, clock };
+    const outcome = await exchangeWithRunner(target, upstream);
+    this.#inUse--;
+    this.#learn(outcome);
+    return outcome;
+  }
+
+  #learn(outcome: UpstreamOutcome): void {
+    const nowMs = this.#options.clock.nowMs();
+    if (outcome.report !== undefined) {
+      this.#report = outcome.report;
+      this.#reportedMs = nowMs;
+    }
+    if (outcome.kind === "answered") {
+      this.#health.noteSuccess();
+      return;
+    }
+    if (outcome.blame === BLAME.FULL) this.#refusedMs = nowMs;
+    if (outcome.blame === BLAME.SILENT) this.#agent.suspectAll();
+    if (this.#health.noteFailure(outcome.blame)) {
+      this.#options.onEjected(this.name);
+    }
+  }
+}
--- /dev/null
+++ b/packages/node/upstreams/runner_agent.ts
@@ -0,0 +1,100 @@
+/**
+ * The keep-alive connections to one runner. A connection is used again only while it is young, was
+ * heard from lately and does not stem from before the last silent failure.
+ */
+import { Agent, type ClientRequest } from "node:http";
+import type { Duplex } from "node:stream";
+import type { Clock } from "@coltsfootpond/common";
+import {
+  CONNECTIONS_PER_RUNNER,
+  MAXIMUM_CONNECTION_AGE_MS,
+  MAXIMUM_IDLE_MS,
+} from "./constants.ts";
+
+interface ConnectionRecord {
+  readonly openedMs: number;
+  readonly generation: number;
+  provenMs: number;
+}
+
+export class RunnerAgent extends Agent {
+  readonly #clock: Clock;
+  readonly #records = new WeakMap<object, ConnectionRecord>();
+  #generation = 0;
+
+  private constructor(clock: Clock) {
+    super({
+      keepAlive: true,
+      maxSockets: CONNECTIONS_PER_RUNNER,
+      maxFreeSockets: CONNECTIONS_PER_RUNNER,
+      scheduling: "lifo",
+      noDelay: true,
+    });
+    this.#clock = clock;
+  }
+
+  static create(clock: Clock): RunnerAgent {
+    return new RunnerAgent(clock);
+  }
+
+  /** Called by Node when a connection becomes idle; false closes it. */
+  override keepSocketAlive(socket: Duplex): boolean {
+    const record = this.#getRecord(socket);
+    record.provenMs = this.#clock.nowMs();
+    return this.#isUsable(record, MAXIMUM_IDLE_MS) &&
+      super.keepSocketAlive(socket) as unknown as boolean;
+  }
+
+  /** Called by Node when a request gets its connection. */
+  noteOpened(request: ClientRequest): void {
+    if (request.socket !== null) this.#getRecord(request.socket);
+  }
+
+  /** Closes idle connections that may not be used again. */
+  prune(maximumIdleMs: number): void {
+    for (const sockets of Object.values(this.freeSockets)) {
+      for (const socket of sockets ?? []) {
+        const record = this.#getRecord(socket);
+        if (!this.#isUsable(record, maximumIdleMs)) socket.destroy();
+      }
+    }
+  }
+
+  /** After a silent failure no connection opened before is used again. */
+  suspectAll(): void {
+    this.#generation++;
+    this.prune(MAXIMUM_IDLE_MS);
+  }
+
+  /** Lets requests in progress finish and closes the rest. */
+  retire(): void {
+    this.suspectAll();
+  }
+
+  countConnections(): number {
+    const count = (pool: NodeJS.ReadOnlyDict<unknown[]>): number =>
+      Object.values(pool).reduce(
+        (sum, sockets) => sum + (sockets?.length ?? 0),
+        0,
+      );
+    return count(this.sockets) + count(this.freeSockets);
+  }
+
+  #getRecord(socket: object): ConnectionRecord {
+    let record = this.#records.get(socket);
+    if (record === undefined) {
+      const nowMs = this.#clock.nowMs();
+      const generation = this.#generation;
+      record = { openedMs: nowMs, provenMs: nowMs, generation };
+      this.#records.set(socket, record);
+    }
+    return record;
+  }
+
+  #isUsable(record: ConnectionRecord, maximumIdleMs: number): boolean {
+    const nowMs = this.#clock.nowMs();
+    return record.generation === this.#generation &&
+      nowMs - record.openedMs < MAXIMUM_CONNECTION_AGE_MS &&
+      nowMs - record.provenMs < maximumIdleMs;
+  }
+}
--- /dev/null
+++ b/packages/node/upstreams/types.ts
@@ -0,0 +1,71 @@
+/** Types of the upstream pool: what a runner reports, and how one exchange with it can end. */
+import type {
+  AttemptId,
+  ResultName,
+  RunnerName,
+  ValueOf,
+} from "@coltsfootpond/common";
+
+/** What a runner says of itself with a reply. */
+export interface LoadReport {
+  readonly slotsInUse: number;
+  readonly slots: number;
+  /** It wants no new work. */
+  readonly leaving: boolean;
+}
+
+/** What a failed exchange says of the runner. */
+export const BLAME = {
+  /** The caller's deadline or departure ended it. */
+  NONE: "none",
+  /** The runner had no free slot. */
+  FULL: "full",
+  UNREACHABLE: "unreachable",
+  /** No progress in time: the connection, or the runner, has gone silent. */
+  SILENT: "silent",
+  FAILURE: "failure",
+} as const;
+export type Blame = ValueOf<typeof BLAME>;
+
+/** A request as it is sent to a runner. */
+export interface UpstreamRequest {
+  readonly attemptId: AttemptId;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Uint8Array;
+  readonly idempotent: boolean;
+  readonly progressTimeoutMs: number;
+  readonly deadlineMs: number;
+  readonly signal: AbortSignal | undefined;
+}
+
+/** How one exchange ended. Only `answered` carries a body, whole and of this very attempt. */
+export type UpstreamOutcome =
+  | {
+    readonly kind: "answered";
+    readonly status: number;
+    readonly contentType: string;
+    readonly body: Uint8Array;
+    readonly report?: LoadReport;
+  }
+  | {
+    readonly kind: "failed";
+    readonly resultName: ResultName;
+    readonly detail: string;
+    readonly blame: Blame;
+    readonly report?: LoadReport;
+  };
+
+/** A runner as a balancing way sees it. */
+export interface Candidate {
+  readonly runner: RunnerName;
+  /** Attempts of this entry in progress there. */
+  readonly inUse: number;
+  /** Slots that this entry may use there of its own right. */
+  readonly share: number;
+  /** All slots, lowered while it starts slowly. */
+  readonly slots: number;
+  readonly reportedInUse?: number;
+  readonly reportAgeMs: number;
+  /** It refused a short time ago. */
+  readonly refusedLately: boolean;
+}
--- a/stand_ins/mod.ts
+++ b/stand_ins/mod.ts
@@ -1,2 +1,4 @@
 /** Public face of the stand-ins: small replacements of the platform and of runners, for tests. */
-export {};
+export * from "./runner/faults.ts";
+export * from "./runner/ledger.ts";
+export * from "./runner/runner.ts";
