--- /dev/null
+++ b/packages/node/jobs/domain_runner.ts
@@ -0,0 +1,338 @@
+/**
+ * Runs the queue and the workers of one failure domain that this entry owns. Other tasks reach it
+ * through its mailbox; it drives the placement engine and carries out what the engine decides.
+ */
+import { assertNever, type JobId, type Timer } from "@coltsfootpond/common";
+import type {
+  FleetReport,
+  TablePort,
+  TaskReport,
+} from "@coltsfootpond/platform";
+import type {
+  Decision,
+  DomainSummary,
+  PlacementEngine,
+  WaitReason,
+} from "@coltsfootpond/policy";
+import { Subject } from "rxjs";
+import { FAILURE_DOMAIN_STATE, getJobKey } from "../rows.ts";
+import type {
+  ConfigurationView,
+  EntryContext,
+  FailureDomainView,
+  Holding,
+} from "../types.ts";
+import { FleetTask } from "./fleet_task.ts";
+import { createFleetCommander, type FleetCommander } from "./gang_start.ts";
+import { JobRecorder } from "./job_recorder.ts";
+import { readJob, scanJobs, type StoredJob } from "./job_rows.ts";
+import { LiveJobs } from "./live_jobs.ts";
+
+const RECOVERY_RETRY_MS = 500;
+
+/** What reaches the runner's mailbox. */
+export type RunnerMessage =
+  | { readonly kind: "job_noticed"; readonly jobId: JobId }
+  /** A job was cancelled; the row decides whether that is so. */
+  | { readonly kind: "job_end_noticed"; readonly jobId: JobId }
+  | { readonly kind: "configuration_changed" }
+  | { readonly kind: "domain_changed" }
+  /** Reads all rows again, for notices that were lost. */
+  | { readonly kind: "audit" };
+
+export interface DomainRunnerOptions {
+  readonly context: EntryContext;
+  readonly holding: Holding;
+  readonly table: TablePort;
+  readonly engine: PlacementEngine;
+  readonly configuration: ConfigurationView;
+  readonly failureDomains: FailureDomainView;
+  /** Asked right before every externally visible act. */
+  readonly mayAct: () => boolean;
+  /** Tells the engine the guarantees and organisations of the present configuration. */
+  readonly configureEngine: (engine: PlacementEngine) => void;
+  /** Tries to give a waiting job a home elsewhere; true when it has moved. */
+  readonly moveAway: (stored: StoredJob) => Promise<boolean>;
+  readonly onEnded: (jobId: JobId) => void;
+}
+
+/** The task that owns one failure domain. */
+export class DomainRunner {
+  readonly #options: DomainRunnerOptions;
+  readonly #mailbox = new Subject<RunnerMessage>();
+  readonly #commander: FleetCommander;
+  readonly #fleet: FleetTask;
+  readonly #jobs: LiveJobs;
+  #stopped = false;
+  #recovered = false;
+  #decisionScheduled = false;
+  #nextDecision: Timer | undefined;
+
+  private constructor(options: DomainRunnerOptions) {
+    this.#options = options;
+    const { context, holding, table, engine, configuration } = options;
+    const { clock, platform } = context;
+    const { failureDomain } = holding;
+    const isHeld = (): boolean => !this.#stopped;
+    this.#commander = createFleetCommander({
+      fleet: platform.fleet,
+      holding,
+      entry: context.identity.entry,
+      mayAct: () => isHeld() && options.mayAct(),
+    });
+    this.#jobs = LiveJobs.create({
+      context,
+      holding,
+      table,
+      engine,
+      configuration,
+      commander: this.#commander,
+      recorder: JobRecorder.create({
+        clock,
+        random: context.random,
+        table,
+        objects: platform.objects,
+        failureDomain,
+        isHeld,
+      }),
+      isHeld,
+      isDomainIn: () => this.#isDomainIn(),
+      moveAway: options.moveAway,
+      onChanged: () => this.#scheduleDecision(),
+      onEnded: options.onEnded,
+      onAttemptSettled: (attemptId) => this.#fleet.forget(attemptId),
+    });
+    this.#fleet = FleetTask.create({
+      clock,
+      fleet: platform.fleet,
+      failureDomain,
+      commander: this.#commander,
+      onReport: (report) => this.#applyReport(report),
+      listLeasedWorkers: () => this.#jobs.listLeasedWorkers(),
+    });
+    this.#mailbox.subscribe((message) => this.#handle(message));
+  }
+
+  static create(options: DomainRunnerOptions): DomainRunner {
+    return new DomainRunner(options);
+  }
+
+  get holding(): Holding {
+    return this.#options.holding;
+  }
+
+  post(message: RunnerMessage): void {
+    this.#mailbox.next(message);
+  }
+
+  explain(jobId: JobId): WaitReason {
+    return this.#options.engine.explain(jobId);
+  }
+
+  summarise(): DomainSummary {
+    return this.#options.engine.summarise();
+  }
+
+  /** Recovers what earlier owners left, then runs until stopped. */
+  async start(): Promise<void> {
+    const { clock } = this.#options.context;
+    while (!this.#stopped && !(await this.#recover())) {
+      await clock.sleep(RECOVERY_RETRY_MS);
+    }
+    if (this.#stopped) return;
+    this.#fleet.start();
+    this.#scheduleDecision();
+  }
+
+  /** Drops all memory; what runs goes on under its leases for the next owner. */
+  stop(): void {
+    this.#stopped = true;
+    this.#nextDecision?.cancel();
+    this.#fleet.stop();
+    this.#mailbox.complete();
+  }
+
+  #nowMs(): number {
+    return this.#options.context.clock.nowMs();
+  }
+
+  #handle(message: RunnerMessage): void {
+    if (this.#stopped || !this.#recovered) return;
+    switch (message.kind) {
+      case "job_noticed":
+        return void this.#load(message.jobId);
+      case "job_end_noticed":
+        return void this.#confirmEnd(message.jobId);
+      case "configuration_changed":
+        this.#options.configureEngine(this.#options.engine);
+        return this.#scheduleDecision();
+      case "domain_changed":
+        this.#applyDomainState();
+        return this.#scheduleDecision();
+      case "audit":
+        return void this.#audit();
+      default:
+        return assertNever(message);
+    }
+  }
+
+  /** The fence goes up first: after it, no command of an earlier owner has an effect. */
+  async #recover(): Promise<boolean> {
+    const { table, holding, context, engine, configuration } = this.#options;
+    if (configuration.current() === undefined) return false;
+    const fence = await this.#commander.command([]);
+    if (fence.kind === "no_answer") return false;
+    const stored = await scanJobs(table, holding.failureDomain);
+    if (stored === "unavailable") return false;
+    const report = await this.#fleet.fetch();
+    if (report === undefined || this.#stopped) return false;
+    this.#options.configureEngine(engine);
+    this.#applyWorkers(report);
+    this.#applyDomainState();
+    for (const job of stored) this.#jobs.adopt(job, report.tasks);
+    this.#recovered = true;
+    this.#stopOrphans(report.tasks);
+    const { failureDomain, epoch } = holding;
+    context.events.emit(
+      "domain.recovered",
+      { failureDomain, epoch },
+      `${stored.length} jobs`,
+    );
+    return true;
+  }
+
+  #stopOrphans(tasks: readonly TaskReport[]): void {
+    const orphans = this.#jobs.listOrphans(tasks);
+    if (orphans.length === 0) return;
+    void this.#commander.command(
+      orphans.map((report) => ({
+        kind: "stop",
+        worker: report.worker,
+        task: report.task,
+      })),
+    );
+  }
+
+  async #load(jobId: JobId): Promise<void> {
+    if (this.#jobs.has(jobId)) return;
+    const stored = await readJob(
+      this.#options.table,
+      getJobKey(this.holding.failureDomain, jobId),
+    );
+    if (this.#stopped || stored === undefined || stored === "unavailable") {
+      return;
+    }
+    this.#jobs.adopt(stored, []);
+    this.#scheduleDecision();
+  }
+
+  async #audit(): Promise<void> {
+    const stored = await scanJobs(
+      this.#options.table,
+      this.holding.failureDomain,
+    );
+    if (this.#stopped || stored === "unavailable") return;
+    for (const job of stored) {
+      if (job.row.state === "queued") this.#jobs.adopt(job, []);
+    }
+    const present = new Set(stored.map((job) => job.row.jobId));
+    for (const jobId of this.#jobs.listIds()) {
+      if (!present.has(jobId)) void this.#confirmEnd(jobId);
+    }
+    this.#scheduleDecision();
+  }
+
+  /** A cancelled job's row is gone; only that counts, not the message. */
+  async #confirmEnd(jobId: JobId): Promise<void> {
+    if (!this.#jobs.has(jobId)) return;
+    const stored = await readJob(
+      this.#options.table,
+      getJobKey(this.holding.failureDomain, jobId),
+    );
+    if (!this.#stopped && stored === undefined) this.#jobs.withdraw(jobId);
+  }
+
+  #isDomainIn(): boolean {
+    return this.#options.failureDomains.get(this.holding.failureDomain)
+      .state === FAILURE_DOMAIN_STATE.IN;
+  }
+
+  #applyDomainState(): void {
+    const { engine, configuration } = this.#options;
+    if (this.#isDomainIn()) {
+      return engine.apply({ kind: "domain_in" }, this.#nowMs());
+    }
+    const declared = configuration.current()?.declarations.failureDomains ?? [];
+    const drainMs =
+      declared.find((domain) => domain.name === this.holding.failureDomain)
+        ?.drainMs ?? 0;
+    engine.apply({ kind: "domain_out", drainMs }, this.#nowMs());
+    this.#jobs.moveWaitingAway();
+  }
+
+  #applyReport(report: FleetReport): void {
+    if (this.#stopped) return;
+    this.#applyWorkers(report);
+    for (const task of report.tasks) this.#jobs.observe(task);
+    if (report.workers.length > 0 || report.tasks.length > 0) {
+      this.#scheduleDecision();
+    }
+  }
+
+  #applyWorkers(report: FleetReport): void {
+    const { engine } = this.#options;
+    for (const worker of report.workers) {
+      if (worker.state === "up") {
+        engine.apply({ kind: "worker_up", worker }, this.#nowMs());
+      } else {engine.apply(
+          { kind: "worker_down", worker: worker.name },
+          this.#nowMs(),
+        );}
+    }
+  }
+
+  #scheduleDecision(): void {
+    if (this.#decisionScheduled || this.#stopped) return;
+    this.#decisionScheduled = true;
+    queueMicrotask(() => {
+      this.#decisionScheduled = false;
+      this.#decide();
+    });
+  }
+
+  #decide(): void {
+    const { engine, context, mayAct } = this.#options;
+    if (this.#stopped || !this.#recovered || !mayAct()) return;
+    for (const decision of engine.decide(this.#nowMs())) {
+      this.#perform(decision);
+    }
+    this.#nextDecision?.cancel();
+    const dueMs = engine.nextDecisionMs();
+    if (dueMs === undefined) return;
+    const delayMs = Math.max(1, dueMs - this.#nowMs());
+    this.#nextDecision = context.clock.after(
+      delayMs,
+      () => this.#scheduleDecision(),
+    );
+  }
+
+  #perform(decision: Decision): void {
+    switch (decision.kind) {
+      case "place":
+        this.#fleet.pollSoon();
+        return this.#jobs.place(decision.jobId, decision.assignments);
+      case "evict":
+        if (decision.reason === "overrun") {
+          return this.#jobs.stopOverrun(decision.jobId);
+        }
+        return this.#jobs.evict(decision.jobId, decision.checkpointMs);
+      case "fail":
+        return void this.#jobs.end(decision.jobId, {
+          state: "failed",
+          resultName: decision.resultName,
+        });
+      default:
+        return assertNever(decision);
+    }
+  }
+}
--- a/stand_ins/mod.ts
+++ b/stand_ins/mod.ts
@@ -2,3 +2,4 @@
 export * from "./runner/faults.ts";
 export * from "./runner/ledger.ts";
 export * from "./runner/runner.ts";
+export * from "./platform/mod.ts";
