Operate the deployment from a command line

Change: apps/coltsfootpond by yargs, each command one registered object, its arguments typed by its options; numbered exit codes that tell what may be concluded; status and timeline reach all entries through the membership that one of them tells; the time line aligns clocks by round trips (Cristian 1989). Seen to fail: with the answer taken to lie at the sending moment the property of the time line fails; with the client stopping at the first entry the test of sent commands fails.

--- /dev/null
+++ b/apps/coltsfootpond/commands/domain.ts
@@ -0,0 +1,66 @@
+/** `domain`: takes a failure domain out of service, brings it back, or lists them all. */
+import { defineCommand } from "../command.ts";
+import { EXIT_CODE } from "../exit_codes.ts";
+import { sendAndPrint } from "../results.ts";
+import {
+  type FailureDomainDocument,
+  formatFailureDomain,
+} from "../status_documents.ts";
+
+interface ChangeDocument {
+  readonly failureDomain: string;
+  readonly state: string;
+  readonly version: number;
+  readonly durable: boolean;
+  readonly inForceOn: readonly string[];
+  readonly notConfirmedBy: readonly string[];
+}
+
+interface DomainListDocument {
+  readonly failureDomains: readonly FailureDomainDocument[];
+}
+
+function formatChange(change: ChangeDocument): readonly string[] {
+  const lines = [
+    `${change.failureDomain} is ${change.state} (version ${change.version}, ${
+      change.durable ? "durable" : "NOT durable yet"
+    }), in force on ${change.inForceOn.join(", ") || "no entry"}`,
+  ];
+  if (change.notConfirmedBy.length > 0) {
+    lines.push(`not confirmed by ${change.notConfirmedBy.join(", ")}`);
+  }
+  return lines;
+}
+
+export const DOMAIN_COMMAND = defineCommand({
+  usage: "domain <action> [name]",
+  describe: "Take a failure domain out, bring it back in, or list them",
+  positionals: {
+    action: {
+      choices: ["out", "in", "list"] as const,
+      demandOption: true,
+      describe: "What to do",
+    },
+    name: { type: "string", describe: "The failure domain, for out and in" },
+  },
+  flags: {},
+  run(context, args) {
+    if (args.action === "list") {
+      return sendAndPrint<DomainListDocument>(
+        context,
+        { method: "GET", path: "/v1/failure-domains" },
+        (list) => list.failureDomains.map(formatFailureDomain),
+      );
+    }
+    if (args.name === undefined) {
+      context.printError(`domain ${args.action} needs a name`);
+      return Promise.resolve(EXIT_CODE.USAGE);
+    }
+    const name = encodeURIComponent(args.name);
+    return sendAndPrint<ChangeDocument>(
+      context,
+      { method: "POST", path: `/v1/failure-domains/${name}/${args.action}` },
+      formatChange,
+    );
+  },
+});
--- /dev/null
+++ b/apps/coltsfootpond/exit_codes.ts
@@ -0,0 +1,44 @@
+/** Numbered exit codes of the command line. */
+import { RESULT_CLASS, type ValueOf } from "@coltsfootpond/common";
+import type { Problem } from "./entry_client.ts";
+
+export const EXIT_CODE = {
+  OK: 0,
+  INTERNAL: 1,
+  USAGE: 2,
+  /** The declarations are invalid or cannot be honoured; nothing was applied. */
+  INVALID: 3,
+  /** Another operator's change came first. */
+  CONFLICT: 4,
+  /** Proven not to have run. */
+  NOT_RUN: 5,
+  /** It may have run. */
+  UNKNOWN: 6,
+  /** No entry could be reached. */
+  UNREACHABLE: 7,
+  /** The token is missing, wrong or not enough. */
+  DENIED: 8,
+  /** The request was answered with a failure of its own. */
+  FAILED: 9,
+  /** Accepted, but not seen in force everywhere in time. */
+  NOT_CONFIRMED: 10,
+} as const;
+export type ExitCode = ValueOf<typeof EXIT_CODE>;
+
+const STATUS_UNAUTHENTICATED = 401;
+const STATUS_FORBIDDEN = 403;
+const CONFLICT_STATUSES: readonly number[] = [409, 412];
+const STATUS_INVALID = 422;
+
+/** The exit code for a problem document. */
+export function getProblemExitCode(problem: Problem): ExitCode {
+  if (
+    problem.status === STATUS_UNAUTHENTICATED ||
+    problem.status === STATUS_FORBIDDEN
+  ) return EXIT_CODE.DENIED;
+  if (problem.class === RESULT_CLASS.UNKNOWN) return EXIT_CODE.UNKNOWN;
+  if (problem.class === RESULT_CLASS.ANSWERED) return EXIT_CODE.FAILED;
+  if (CONFLICT_STATUSES.includes(problem.status)) return EXIT_CODE.CONFLICT;
+  if (problem.status === STATUS_INVALID) return EXIT_CODE.INVALID;
+  return EXIT_CODE.NOT_RUN;
+}
--- a/apps/coltsfootpond/main.ts
+++ b/apps/coltsfootpond/main.ts
@@ -1,2 +1,31 @@
-/** Entry point; the parts behind it follow in the next commits. */
-export {};
+/** The `coltsfootpond` program. */
+import { readdir, readFile } from "node:fs/promises";
+import { join } from "node:path";
+import process from "node:process";
+import { type DeclarationFile, SystemClock } from "@coltsfootpond/common";
+import { hideBin } from "yargs/helpers";
+import { runCli } from "./cli.ts";
+
+/** Settings of an entry may lie beside the declarations and are none of them. */
+const SETTINGS_FILE_NAME = "node.toml";
+
+async function readDeclarations(
+  directory: string,
+): Promise<readonly DeclarationFile[]> {
+  const names = (await readdir(directory))
+    .filter((name) => name.endsWith(".toml") && name !== SETTINGS_FILE_NAME)
+    .sort();
+  return await Promise.all(names.map(async (name) => ({
+    name,
+    text: await readFile(join(directory, name), "utf8"),
+  })));
+}
+
+process.exitCode = await runCli(hideBin(process.argv), {
+  clock: SystemClock.create(),
+  variables: process.env,
+  print: (line) => void process.stdout.write(`${line}\n`),
+  printError: (line) => void process.stderr.write(`${line}\n`),
+  readFile: (path) => readFile(path),
+  readDeclarations,
+});
--- /dev/null
+++ b/apps/coltsfootpond/results.ts
@@ -0,0 +1,69 @@
+/** Turns what an entry answered into output and an exit code. */
+import type { CommandContext } from "./command.ts";
+import {
+  type EntryOutcome,
+  type EntryResponse,
+  type Problem,
+  readProblem,
+} from "./entry_client.ts";
+import { EXIT_CODE, type ExitCode, getProblemExitCode } from "./exit_codes.ts";
+
+function formatProblemText(problem: Problem): string {
+  const head = `${problem.code} ${problem.class}: ${problem.title}`;
+  return problem.detail === undefined ? head : `${head}\n${problem.detail}`;
+}
+
+/** Prints a problem or a failed exchange; undefined when the response is a success. */
+export function reportFailure(
+  context: CommandContext,
+  outcome: EntryOutcome,
+): ExitCode | undefined {
+  if (outcome.kind === "refused") {
+    context.printError(`no entry could be reached: ${outcome.reason}`);
+    return EXIT_CODE.UNREACHABLE;
+  }
+  if (outcome.kind === "lost") {
+    context.printError(`the outcome is unknown: ${outcome.reason}`);
+    return EXIT_CODE.UNKNOWN;
+  }
+  const problem = readProblem(outcome.response);
+  if (problem !== undefined) {
+    context.printError(
+      context.json ? JSON.stringify(problem) : formatProblemText(problem),
+    );
+    return getProblemExitCode(problem);
+  }
+  if (outcome.response.status < 400) return undefined;
+  context.printError(`unexpected status ${outcome.response.status}`);
+  return EXIT_CODE.UNKNOWN;
+}
+
+/** Sends nothing; reads a JSON body that an entry promised. */
+export function readJson<Content>(response: EntryResponse): Content {
+  return JSON.parse(response.body.toString("utf8")) as Content;
+}
+
+/** Prints `content` as JSON, or as the lines that `format` makes of it. */
+export function printResult<Content>(
+  context: CommandContext,
+  content: Content,
+  format: (content: Content) => readonly string[],
+): void {
+  if (context.json) context.print(JSON.stringify(content));
+  else for (const line of format(content)) context.print(line);
+}
+
+/** Sends a request and prints the JSON answer or the failure. */
+export async function sendAndPrint<Content>(
+  context: CommandContext,
+  request: Parameters<CommandContext["client"]["send"]>[0],
+  format: (content: Content) => readonly string[],
+): Promise<ExitCode> {
+  const outcome = await context.client.send(request);
+  const failure = reportFailure(context, outcome);
+  if (failure !== undefined || outcome.kind !== "response") {
+    return failure ?? EXIT_CODE.INTERNAL;
+  }
+  printResult(context, readJson<Content>(outcome.response), format);
+  return EXIT_CODE.OK;
+}
