--- a/packages/common/clock.ts
+++ b/packages/common/clock.ts
@@ -3,6 +3,7 @@
  * compared between processes.
  */
 import { performance } from "node:perf_hooks";
+import { setImmediate } from "node:timers";
 
 /** A scheduled callback that can be cancelled; cancelling twice is harmless. */
 export interface Timer {
@@ -54,8 +55,6 @@
   readonly callback: () => void;
 }
 
-const MICROTASK_ROUNDS_PER_TIMER = 20;
-
 /** A clock that moves only when a test says so. Timers fire in order of due time, then creation. */
 export class ManualClock implements Clock {
   #nowMs = 0;
@@ -134,9 +133,8 @@
     return fired;
   }
 
-  async #settle(): Promise<void> {
-    for (let round = 0; round < MICROTASK_ROUNDS_PER_TIMER; round++) {
-      await Promise.resolve();
-    }
+  /** Lets everything that waits on settled promises run. */
+  #settle(): Promise<void> {
+    return new Promise((resolve) => setImmediate(resolve));
   }
 }
--- /dev/null
+++ b/packages/node/entry.ts
@@ -0,0 +1,216 @@
+/**
+ * One entry as it runs on a VM: the HTTP front, the mesh and all controllers. Starts them in an
+ * order in which each finds what it needs, and stops so that no request in progress is cut.
+ */
+import {
+  type Clock,
+  createId,
+  createUniqueId,
+  EventRing,
+  type Incarnation,
+  type NodeSettings,
+  type Random,
+  type TimelineEvent,
+} from "@coltsfootpond/common";
+import { createHttpPlatform, ResilientTable } from "@coltsfootpond/platform";
+import type { Subscription } from "rxjs";
+import { EVENT_RING_CAPACITY } from "./constants.ts";
+import { EntryCore } from "./entry_core.ts";
+import { createAuthenticate } from "./http/authenticator.ts";
+import { HttpServer } from "./http/server.ts";
+import { MeshTask } from "./mesh/mesh_task.ts";
+import { createMeteredPlatform } from "./meters/metered_platform.ts";
+import { Meters } from "./meters/meters.ts";
+import { createOperatorRoutes } from "./operators/operator_routes.ts";
+import type { Readiness } from "./operators/types.ts";
+import {
+  createRequestRoutes,
+  type RequestRoutes,
+} from "./requests/create_request_routes.ts";
+import type { EntryContext, Member } from "./types.ts";
+
+/** How long the entry goes on taking requests after it has said that it is not ready. */
+const NOT_READY_LINGER_MS = 1_500;
+
+export interface EntryOptions {
+  readonly settings: NodeSettings;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly onEvent?: (event: TimelineEvent) => void;
+}
+
+/** Where a started entry listens. */
+export interface ListeningAddress {
+  readonly host: string;
+  readonly httpPort: number;
+  readonly meshPort: number;
+}
+
+/** One entry. */
+export class Entry {
+  readonly #options: EntryOptions;
+  readonly #events: EventRing;
+  readonly #meters: Meters;
+  readonly #context: EntryContext;
+  readonly #table: ResilientTable;
+  readonly #mesh: MeshTask;
+  #core: EntryCore | undefined;
+  #requests: RequestRoutes | undefined;
+  #server: HttpServer | undefined;
+  #peers: Subscription | undefined;
+  #isLeaving = false;
+
+  private constructor(options: EntryOptions) {
+    const { settings, clock, random, onEvent } = options;
+    const { entry, region, failureDomain } = settings;
+    const incarnation = createId<Incarnation>(createUniqueId());
+    this.#options = options;
+    this.#events = EventRing.create({
+      clock,
+      process: entry,
+      incarnation,
+      capacity: EVENT_RING_CAPACITY,
+      onEvent,
+    });
+    this.#meters = Meters.create({ clock });
+    const address = {
+      host: settings.platformHost,
+      port: settings.platformPort,
+    };
+    const platform = createMeteredPlatform(
+      createHttpPlatform(address, this.#meters.platform),
+      this.#meters,
+    );
+    this.#context = {
+      identity: { entry, incarnation, region, failureDomain },
+      clock,
+      random,
+      events: this.#events,
+      platform,
+    };
+    this.#table = ResilientTable.create({
+      port: platform.table,
+      clock,
+      random,
+    });
+    this.#mesh = MeshTask.create({
+      identity: this.#context.identity,
+      clock,
+      events: this.#events,
+      host: settings.host,
+      port: settings.meshPort,
+      secret: settings.meshSecret,
+      meter: this.#meters,
+      createHeartbeat: () => this.#getCore().state.createHeartbeat(),
+    });
+  }
+
+  static create(options: EntryOptions): Entry {
+    return new Entry(options);
+  }
+
+  async start(): Promise<ListeningAddress> {
+    const { host, httpPort } = this.#options.settings;
+    await this.#mesh.start();
+    const address = { host, httpPort, meshPort: this.#mesh.port };
+    const core = EntryCore.create({
+      context: this.#context,
+      mesh: this.#mesh,
+      table: this.#table,
+      address,
+    });
+    this.#core = core;
+    this.#requests = this.#createRequests(core);
+    this.#server = this.#createServer(core, this.#requests);
+    const bound = await this.#server.listen({ host, port: httpPort });
+    address.httpPort = bound.port;
+    this.#peers = core.state.membership.changes.subscribe((members) =>
+      this.#setPeers(members)
+    );
+    await core.start();
+    await this.#requests.start();
+    this.#events.emit("entry.started", { entry: this.#context.identity.entry });
+    return address;
+  }
+
+  /** Not ready, hand over, finish what is in progress, leave. */
+  async stop(): Promise<void> {
+    if (this.#isLeaving) return;
+    this.#isLeaving = true;
+    const { clock, events } = this.#context;
+    const { stopTimeoutMs } = this.#options.settings;
+    events.emit("entry.leaving");
+    await this.#core?.leave();
+    await clock.sleep(NOT_READY_LINGER_MS);
+    this.#requests?.releaseHeld();
+    await this.#server?.stop({ timeoutMs: stopTimeoutMs });
+    await this.#requests?.stop();
+    await this.#core?.stop();
+    this.#peers?.unsubscribe();
+    await this.#mesh.stop();
+    events.emit("entry.stopped");
+  }
+
+  #getCore(): EntryCore {
+    if (this.#core === undefined) throw new Error("the entry has not started");
+    return this.#core;
+  }
+
+  #createRequests(core: EntryCore): RequestRoutes {
+    const { configuration, failureDomains, membership } = core.state;
+    return createRequestRoutes({
+      context: this.#context,
+      configuration,
+      failureDomains,
+      table: this.#table,
+      jobs: core.front,
+      membership,
+    });
+  }
+
+  #createServer(core: EntryCore, requests: RequestRoutes): HttpServer {
+    const { clock } = this.#context;
+    const { bootstrapOperatorTokenDigests } = this.#options.settings;
+    const { configuration, failureDomains, membership, ownership } = core.state;
+    const operatorRoutes = createOperatorRoutes({
+      context: this.#context,
+      configuration,
+      failureDomains,
+      membership,
+      ownership,
+      summaries: core.jobs,
+      jobs: core.front,
+      events: this.#events,
+      meters: this.#meters,
+      getReadiness: () => this.#getReadiness(),
+    });
+    return HttpServer.create({
+      routes: [...requests.routes, ...operatorRoutes],
+      authenticate: createAuthenticate({
+        configuration,
+        bootstrapOperatorTokenDigests,
+      }),
+      clock,
+      events: this.#events,
+    });
+  }
+
+  #getReadiness(): Readiness {
+    if (this.#isLeaving) return { kind: "not_ready", reason: "leaving" };
+    const configuration = this.#core?.state.configuration;
+    if (configuration?.current() === undefined) {
+      return { kind: "not_ready", reason: "no configuration" };
+    }
+    return { kind: "ready" };
+  }
+
+  #setPeers(members: readonly Member[]): void {
+    this.#mesh.setPeers(
+      members.filter((member) => !member.self).map(({ entry, row }) => ({
+        entry,
+        host: row.host,
+        port: row.meshPort,
+      })),
+    );
+  }
+}
--- /dev/null
+++ b/packages/node/entry_core.ts
@@ -0,0 +1,130 @@
+/**
+ * The controllers of one entry, wired to each other without any socket of their own: shared state,
+ * jobs, and the callers' side of jobs. The daemon gives it a real mesh, scenarios a fake one.
+ */
+import {
+  type Declarations,
+  type FailureDomainName,
+  formatProblem,
+  parseDeclarations,
+} from "@coltsfootpond/common";
+import type { RankedTablePort } from "@coltsfootpond/platform";
+import {
+  createPlacementEngine,
+  listGuaranteesHeld,
+  type PlacementEngine,
+  planGuarantees,
+} from "@coltsfootpond/policy";
+import type {
+  ConfigurationFile,
+  ConfigurationProblem,
+  ParseOutcome,
+} from "./configuration/types.ts";
+import { JobFront } from "./jobs/job_front.ts";
+import { JobHomes } from "./jobs/job_homes.ts";
+import { JobsController } from "./jobs/jobs_controller.ts";
+import type { EntryAddress } from "./membership/membership_controller.ts";
+import { StateControllers } from "./state/state_controllers.ts";
+import type { EntryContext, Mesh } from "./types.ts";
+
+export interface EntryCoreOptions {
+  readonly context: EntryContext;
+  readonly mesh: Mesh;
+  readonly table: RankedTablePort;
+  readonly address: EntryAddress;
+}
+
+/** All controllers of one entry. */
+export class EntryCore {
+  readonly state: StateControllers;
+  readonly jobs: JobsController;
+  readonly front: JobFront;
+  readonly #context: EntryContext;
+  readonly #homes: JobHomes;
+
+  private constructor(options: EntryCoreOptions) {
+    const { context, mesh, table } = options;
+    this.#context = context;
+    this.state = StateControllers.create({
+      ...options,
+      parse,
+      checkFeasibility,
+    });
+    const { configuration, failureDomains, ownership } = this.state;
+    const shared = { configuration, failureDomains, ownership };
+    this.#homes = JobHomes.create({ ...shared, summaries: () => this.jobs });
+    this.jobs = JobsController.create({
+      ...shared,
+      context,
+      table,
+      mesh,
+      createEngine: () => createPlacementEngine(),
+      configureEngine: (engine, failureDomain) =>
+        this.#configureEngine(engine, failureDomain),
+      chooseOtherHome: (stored, from) => this.#homes.chooseOther(stored, from),
+    });
+    this.front = JobFront.create({
+      context,
+      table,
+      configuration,
+      chooseHome: (service, row) => this.#homes.choose(service, row),
+      notify: (notice) => this.jobs.notify(notice),
+      explain: (failureDomain, jobId) =>
+        this.jobs.explain(failureDomain, jobId),
+      endings: this.jobs.endings,
+    });
+  }
+
+  static create(options: EntryCoreOptions): EntryCore {
+    return new EntryCore(options);
+  }
+
+  async start(): Promise<void> {
+    await this.jobs.start();
+    await this.state.start();
+  }
+
+  /** Tells the others and hands over every failure domain; requests in progress go on. */
+  async leave(): Promise<void> {
+    await this.state.leave();
+    await this.jobs.stop();
+  }
+
+  async stop(): Promise<void> {
+    await this.jobs.stop();
+    await this.state.stop();
+  }
+
+  #configureEngine(
+    engine: PlacementEngine,
+    failureDomain: FailureDomainName,
+  ): void {
+    const declarations = this.state.configuration.current()?.declarations;
+    if (declarations === undefined) return;
+    engine.apply({
+      kind: "configuration",
+      guarantees: listGuaranteesHeld(
+        this.#homes.getPlan(),
+        failureDomain,
+      ),
+      organisations: declarations.organisations,
+    }, this.#context.clock.nowMs());
+  }
+}
+
+function parse(files: readonly ConfigurationFile[]): ParseOutcome {
+  const outcome = parseDeclarations(files);
+  if (outcome.kind === "valid") return outcome;
+  const problems = outcome.problems.map((problem) => ({
+    fileName: problem.file,
+    message: formatProblem(problem),
+  }));
+  return { kind: "invalid", problems };
+}
+
+function checkFeasibility(
+  declarations: Declarations,
+): readonly ConfigurationProblem[] {
+  const { problems } = planGuarantees(declarations, []);
+  return problems.map((problem) => ({ message: problem.detail }));
+}
--- a/packages/node/jobs/job_front.ts
+++ b/packages/node/jobs/job_front.ts
@@ -13,6 +13,7 @@
   type RequestId,
 } from "@coltsfootpond/common";
 import type { TablePort } from "@coltsfootpond/platform";
+import type { WaitReason } from "@coltsfootpond/policy";
 import { type Observable, Subject } from "rxjs";
 import {
   getJobKey,
@@ -53,7 +54,7 @@
 /** Where a new job should wait; undefined when no failure domain can take it now. */
 export type ChooseHome = (
   service: JobServiceDeclaration,
-  organisation: OrganisationName,
+  row: JobRow,
 ) => HomeChoice;
 
 export type HomeChoice =
@@ -68,6 +69,11 @@
   readonly configuration: ConfigurationView;
   readonly chooseHome: ChooseHome;
   readonly notify: (notice: JobNotice) => void;
+  /** Which rule holds a waiting job; undefined when its owner is elsewhere. */
+  readonly explain: (
+    failureDomain: FailureDomainName,
+    jobId: JobId,
+  ) => WaitReason | undefined;
   /** Jobs known to have ended. */
   readonly endings: Observable<JobId>;
 }
@@ -89,7 +95,8 @@
     if (service === undefined) {
       return { kind: "refused", resultName: "UNKNOWN_SERVICE" };
     }
-    const choice = this.#options.chooseHome(service, submission.organisation);
+    const row = createJobRow(submission);
+    const choice = this.#options.chooseHome(service, row);
     if (choice.kind === "never_fits") {
       return {
         kind: "refused",
@@ -105,7 +112,6 @@
       };
     }
     const { failureDomain } = choice;
-    const row = createJobRow(submission);
     const outcome = await insertJob(this.#options.table, failureDomain, row);
     switch (outcome.kind) {
       case "inserted":
@@ -159,7 +165,9 @@
       this.#options.notify({ kind: "submitted", failureDomain, jobId });
     }
     const state = stored?.row.state ?? "queued";
-    return { kind: "found", status: { jobId, state, failureDomain } };
+    const waitReason = this.#options.explain(failureDomain, jobId);
+    const status: JobStatus = { jobId, state, failureDomain, waitReason };
+    return { kind: "found", status };
   }
 
   /** Cancel and answer race at the job's row; one of them wins. */
--- a/packages/node/jobs/jobs_controller.ts
+++ b/packages/node/jobs/jobs_controller.ts
@@ -106,10 +106,8 @@
       configuration.changes.subscribe(() =>
         this.#postAll({ kind: "configuration_changed" })
       ),
-      failureDomains.changes.subscribe((status) =>
-        this.#runners.get(status.failureDomain)?.post({
-          kind: "domain_changed",
-        })
+      failureDomains.changes.subscribe(({ failureDomain }) =>
+        this.#applyDomainState(failureDomain)
       ),
     ];
     this.#timers = [
@@ -149,6 +147,12 @@
     this.#options.mesh.send(owner, { kind, failureDomain, jobId });
   }
 
+  /** Guarantees move between failure domains when one goes out or comes back. */
+  #applyDomainState(failureDomain: FailureDomainName): void {
+    this.#runners.get(failureDomain)?.post({ kind: "domain_changed" });
+    this.#postAll({ kind: "configuration_changed" });
+  }
+
   #applyOwnership(change: OwnershipChange): void {
     if (change.kind === "gained") return this.#startRunner(change.holding);
     const runner = this.#runners.get(change.holding.failureDomain);
--- a/packages/node/mesh/mesh_task_test.ts
+++ b/packages/node/mesh/mesh_task_test.ts
@@ -59,6 +59,7 @@
         configurationAgeMs: 0,
         tableReachable: true,
         leaving: false,
+        holdings: [],
       }),
     });
     this.task.deliveries.subscribe(({ message }) =>
