--- a/packages/node/mod.ts
+++ b/packages/node/mod.ts
@@ -1,7 +1,12 @@
 /** Public face of `@coltsfootpond/node`: the entry's filters, controllers and mesh. */
 export * from "./constants.ts";
+export * from "./http/authenticator.ts";
+export * from "./http/limits.ts";
+export * from "./http/problem.ts";
+export * from "./http/server.ts";
 export * from "./http/types.ts";
 export * from "./mesh/messages.ts";
+export * from "./requests/create_request_routes.ts";
 export * from "./meters/latency.ts";
 export * from "./meters/metered_platform.ts";
 export * from "./meters/meters.ts";
@@ -19,3 +24,4 @@
 export * from "./ownership/preference.ts";
 export * from "./state/row_watcher.ts";
 export * from "./state/state_controllers.ts";
+export * from "./upstreams/balancing/choose.ts";
