Let operators apply, take domains out and look in over HTTP

Change: createOperatorRoutes with configuration (If-Match, ETag), failure domains, status with one job and why it waits, the event ring, Prometheus text, health and readiness; the command line reads the replies' fields.

--- a/apps/coltsfootpond/commands/domain.ts
+++ b/apps/coltsfootpond/commands/domain.ts
@@ -12,8 +12,9 @@
   readonly state: string;
   readonly version: number;
   readonly durable: boolean;
-  readonly inForceOn: readonly string[];
-  readonly notConfirmedBy: readonly string[];
+  readonly ownerAcknowledged: boolean;
+  readonly inForceEntries: readonly string[];
+  readonly registeredEntries: number;
 }
 
 interface DomainListDocument {
@@ -21,14 +22,15 @@
 }
 
 function formatChange(change: ChangeDocument): readonly string[] {
+  const { inForceEntries, registeredEntries } = change;
+  const durability = change.durable ? "durable" : "NOT durable yet";
   const lines = [
-    `${change.failureDomain} is ${change.state} (version ${change.version}, ${
-      change.durable ? "durable" : "NOT durable yet"
-    }), in force on ${change.inForceOn.join(", ") || "no entry"}`,
+    `${change.failureDomain} is ${change.state}, version ${change.version}, ${durability}`,
+    `in force on ${inForceEntries.length} of ${registeredEntries} entries: ${
+      inForceEntries.join(", ")
+    }`,
   ];
-  if (change.notConfirmedBy.length > 0) {
-    lines.push(`not confirmed by ${change.notConfirmedBy.join(", ")}`);
-  }
+  if (!change.ownerAcknowledged) lines.push("NOT confirmed by its owner yet");
   return lines;
 }
 
--- a/apps/coltsfootpond/commands/status.ts
+++ b/apps/coltsfootpond/commands/status.ts
@@ -16,13 +16,21 @@
   return parts.join(", ");
 }
 
+function formatConfiguration(
+  { version, confirmedAgeMs, fresh }: StatusDocument["configuration"],
+): string {
+  const state = fresh ? "confirmed" : "NOT confirmed in time";
+  const age = confirmedAgeMs === null
+    ? "never confirmed"
+    : `last confirmed ${Math.round(confirmedAgeMs)} ms ago`;
+  return `configuration ${version}, ${state}, ${age}`;
+}
+
 function formatStatus(status: StatusDocument): readonly string[] {
   const { configuration } = status;
   return [
     `entry ${status.entry} in ${status.failureDomain}`,
-    `configuration ${configuration.version}, ${
-      configuration.fresh ? "confirmed" : "NOT confirmed"
-    } ${Math.round(configuration.confirmedAgeMs)} ms ago`,
+    formatConfiguration(configuration),
     ...status.members.map((member) =>
       `member ${member.entry} ${member.host}:${member.httpPort} ${member.state}${
         member.self ? " (self)" : member.connected ? "" : " (not connected)"
--- a/apps/coltsfootpond/status_documents.ts
+++ b/apps/coltsfootpond/status_documents.ts
@@ -30,7 +30,8 @@
   readonly failureDomain: string;
   readonly configuration: {
     readonly version: number;
-    readonly confirmedAgeMs: number;
+    /** Null when it was never confirmed. */
+    readonly confirmedAgeMs: number | null;
     readonly fresh: boolean;
   };
   readonly members: readonly MemberDocument[];
--- a/packages/node/mod.ts
+++ b/packages/node/mod.ts
@@ -25,3 +25,5 @@
 export * from "./state/row_watcher.ts";
 export * from "./state/state_controllers.ts";
 export * from "./upstreams/balancing/choose.ts";
+export * from "./operators/operator_routes.ts";
+export * from "./operators/types.ts";
--- /dev/null
+++ b/packages/node/operators/failure_domain_routes.ts
@@ -0,0 +1,76 @@
+/** Failure domains: the list, and `POST /v1/failure-domains/{name}/out|in`. */
+import { assertNever, createId } from "@coltsfootpond/common";
+import { createProblemReply } from "../http/problem.ts";
+import {
+  ACCESS,
+  type HttpExchange,
+  type HttpReply,
+  type Route,
+} from "../http/types.ts";
+import { FAILURE_DOMAIN_STATE, type FailureDomainState } from "../rows.ts";
+import { createJsonReply, formatEntityTag, parseEntityTag } from "./replies.ts";
+import type { OperatorRouteOptions } from "./types.ts";
+
+/** `If-Match` is optional here: without it the change is made whatever stands. */
+async function changeDomain(
+  options: OperatorRouteOptions,
+  { parameters, headers }: HttpExchange,
+  state: FailureDomainState,
+): Promise<HttpReply> {
+  const outcome = await options.failureDomains.change({
+    failureDomain: createId(parameters["name"] ?? ""),
+    state,
+    baseVersion: parseEntityTag(headers["if-match"]),
+  });
+  switch (outcome.kind) {
+    case "changed": {
+      const { status, durable, ownerAcknowledged, inForceEntries } = outcome;
+      return createJsonReply({
+        ...status,
+        durable,
+        ownerAcknowledged,
+        inForceEntries,
+        registeredEntries: outcome.registeredEntries,
+      }, { etag: formatEntityTag(status.version) });
+    }
+    case "refused":
+      return createProblemReply(outcome.resultName, {
+        detail: outcome.status &&
+          `${outcome.status.failureDomain} is ${outcome.status.state}, ` +
+            `version ${outcome.status.version}`,
+      });
+    default:
+      return assertNever(outcome);
+  }
+}
+
+/** Each failure domain with its owner and the owner's latest summary. */
+export function describeFailureDomains(
+  options: OperatorRouteOptions,
+): readonly object[] {
+  return options.failureDomains.list().map((status) => ({
+    ...status,
+    owner: options.ownership.getOwner(status.failureDomain),
+    summary: options.summaries.get(status.failureDomain),
+  }));
+}
+
+export function createFailureDomainRoutes(
+  options: OperatorRouteOptions,
+): readonly Route[] {
+  const changes = Object.values(FAILURE_DOMAIN_STATE).map((state): Route => ({
+    method: "POST",
+    pattern: `/v1/failure-domains/{name}/${state}`,
+    access: ACCESS.OPERATOR,
+    handle: (exchange) => changeDomain(options, exchange, state),
+  }));
+  return [{
+    method: "GET",
+    pattern: "/v1/failure-domains",
+    access: ACCESS.OPERATOR,
+    handle: () =>
+      Promise.resolve(
+        createJsonReply({ failureDomains: describeFailureDomains(options) }),
+      ),
+  }, ...changes];
+}
--- /dev/null
+++ b/packages/node/operators/operator_routes_test.ts
@@ -0,0 +1,281 @@
+import { Buffer } from "node:buffer";
+import {
+  createId,
+  EventRing,
+  ManualClock,
+  SeededRandom,
+} from "@coltsfootpond/common";
+import { MemoryObjects, MemoryTable } from "@coltsfootpond/platform";
+import { expect } from "chai";
+import { EMPTY, NEVER } from "rxjs";
+import type { HttpExchange, HttpReply } from "../http/types.ts";
+import { Router } from "../http/router.ts";
+import { Meters } from "../meters/meters.ts";
+import type { JobLookup } from "../types.ts";
+import { createOperatorRoutes } from "./operator_routes.ts";
+import type { OperatorRouteOptions, Readiness } from "./types.ts";
+
+const HEAD = {
+  version: 4,
+  digest: createId<never>("d".repeat(64)),
+  chunks: [{ name: "a.toml", digest: createId<never>("a".repeat(64)) }],
+  acceptedBy: createId<never>("entry-2"),
+};
+const DOMAIN = {
+  failureDomain: createId<never>("landsberg"),
+  state: "out",
+  version: 7,
+  provisional: false,
+} as const;
+const JOB: JobLookup = {
+  kind: "found",
+  status: {
+    jobId: createId("desk/r1"),
+    state: "queued",
+    failureDomain: createId("landsberg"),
+    waitReason: "quota",
+    answer: Buffer.from("abc"),
+  },
+};
+
+interface Asked {
+  readonly kind: string;
+  readonly request: unknown;
+}
+
+/** Controllers that record what they are asked and reply as a test wants. */
+function createFixture(replies: {
+  readonly apply?: object;
+  readonly change?: object;
+  readonly job?: JobLookup;
+  readonly readiness?: Readiness;
+} = {}) {
+  const clock = ManualClock.create();
+  const asked: Asked[] = [];
+  const events = EventRing.create({
+    clock,
+    process: "entry-1",
+    incarnation: "i1",
+    capacity: 8,
+  });
+  const answer = (kind: string, reply: unknown) => (request: unknown) => {
+    asked.push({ kind, request });
+    return Promise.resolve(reply as never);
+  };
+  const getJob = () => Promise.resolve(replies.job ?? JOB);
+  const options: OperatorRouteOptions = {
+    context: {
+      identity: {
+        entry: createId("entry-1"),
+        incarnation: createId("i1"),
+        region: createId("bavaria"),
+        failureDomain: createId("landsberg"),
+      },
+      clock,
+      random: SeededRandom.create(1),
+      events,
+      platform: {
+        table: MemoryTable.create(),
+        objects: MemoryObjects.create(),
+      } as never,
+    },
+    configuration: {
+      current: () => ({ version: 4, head: HEAD, declarations: {} as never }),
+      changes: NEVER,
+      confirmedAgeMs: () => 120,
+      isFresh: () => true,
+      apply: answer("apply", replies.apply ?? { kind: "accepted", head: HEAD }),
+    },
+    failureDomains: {
+      get: () => DOMAIN,
+      list: () => [DOMAIN],
+      changes: EMPTY,
+      change: answer(
+        "change",
+        replies.change ?? {
+          kind: "changed",
+          status: DOMAIN,
+          durable: false,
+          inForceEntries: ["entry-1"],
+          registeredEntries: 3,
+          ownerAcknowledged: false,
+        },
+      ),
+    },
+    membership: { list: () => [], changes: EMPTY },
+    ownership: {
+      listHeld: () => [{ failureDomain: DOMAIN.failureDomain, epoch: 2 }],
+      mayAct: () => true,
+      getOwner: () => createId("entry-1"),
+      changes: EMPTY,
+    },
+    summaries: { get: () => undefined },
+    jobs: {
+      submit: () => Promise.reject(new Error("not used")),
+      get: getJob,
+      cancel: getJob,
+      waitForEnd: getJob,
+    },
+    events,
+    meters: Meters.create({ clock, readUsage: () => ZERO_USAGE }),
+    getReadiness: () => replies.readiness ?? { kind: "ready" },
+  };
+  return { asked, events, routes: createOperatorRoutes(options) };
+}
+
+const ZERO_USAGE = { processorMs: 0, residentBytes: 0 };
+
+interface Ask {
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string;
+}
+
+async function ask(
+  routes: ReturnType<typeof createFixture>["routes"],
+  method: string,
+  url: string,
+  { headers = {}, body = "" }: Ask = {},
+): Promise<HttpReply> {
+  const { pathname, searchParams } = new URL(url, "http://entry");
+  const match = Router.create(routes).find(method, pathname);
+  const exchange: HttpExchange = {
+    method,
+    path: pathname,
+    parameters: match.parameters,
+    query: searchParams,
+    headers,
+    body: Buffer.from(body),
+    receivedMs: 0,
+    signal: new AbortController().signal,
+  };
+  return await match.route.handle(exchange);
+}
+
+function show({ status, headers, body }: HttpReply): object {
+  const text = Buffer.from(body).toString();
+  const json = headers["content-type"]?.includes("json") === true;
+  return { status, headers, body: json ? JSON.parse(text) : text };
+}
+
+const FILES = JSON.stringify({ files: [{ name: "a.toml", text: "x = 1" }] });
+
+describe("operators' resources", () => {
+  it("let only operators in, but for health and readiness", () => {
+    const { routes } = createFixture();
+    expect(
+      routes.map(({ method, pattern, access }) =>
+        `${method} ${pattern} ${access}`
+      ),
+    ).toMatchSnapshot();
+  });
+
+  it("apply a set of files only with the version it was made from", async () => {
+    const { routes, asked } = createFixture();
+    const put = (entityTag: string | undefined, body: string) =>
+      ask(routes, "PUT", "/v1/configuration", {
+        headers: entityTag === undefined ? {} : { "if-match": entityTag },
+        body,
+      });
+    const seen = [
+      await put('"3"', FILES),
+      await put(undefined, FILES),
+      await put("*", FILES),
+      await put('W/"3"', FILES),
+      await put('"3"', "{"),
+      await put('"3"', '{"files":[]}'),
+      await put('"3"', '{"files":[{"name":"a.toml","text":1}]}'),
+      await put('"3"', FILES.replace("files", "file")),
+    ];
+    expect(seen.map(({ status }) => status))
+      .to.deep.equal([200, 428, 428, 428, 400, 400, 400, 400]);
+    expect(seen[0]?.headers["etag"]).to.equal('"4"');
+    expect(asked).to.deep.equal([{
+      kind: "apply",
+      request: { files: [{ name: "a.toml", text: "x = 1" }], baseVersion: 3 },
+    }]);
+  });
+
+  it("tell the loser of a race who won, and all problems at once", async () => {
+    const refusals = [
+      {
+        kind: "refused",
+        resultName: "CONFIGURATION_CONFLICT",
+        problems: [],
+        winner: HEAD,
+      },
+      {
+        kind: "refused",
+        resultName: "CONFIGURATION_INVALID",
+        problems: [
+          { fileName: "a.toml", message: "first" },
+          { message: "second" },
+        ],
+      },
+    ];
+    const seen: object[] = [];
+    for (const apply of refusals) {
+      const { routes } = createFixture({ apply });
+      const headers = { "if-match": '"3"' };
+      seen.push(show(
+        await ask(routes, "PUT", "/v1/configuration", { headers, body: FILES }),
+      ));
+    }
+    expect(seen).toMatchSnapshot();
+  });
+
+  it("take a failure domain out and in, saying how far it holds", async () => {
+    const { routes, asked } = createFixture();
+    const out = await ask(routes, "POST", "/v1/failure-domains/landsberg/out", {
+      headers: { "if-match": '"6"' },
+    });
+    await ask(routes, "POST", "/v1/failure-domains/landsberg/in");
+    const refused = createFixture({
+      change: {
+        kind: "refused",
+        resultName: "DOMAIN_CONFLICT",
+        status: DOMAIN,
+      },
+    });
+    const conflict = await ask(
+      refused.routes,
+      "POST",
+      "/v1/failure-domains/landsberg/in",
+    );
+    expect([show(out), show(conflict), asked]).toMatchSnapshot();
+  });
+
+  it("show status, one job, the time line, readiness and metrics", async () => {
+    const { routes, events } = createFixture();
+    events.emit("job.placed", { requestId: "r1" });
+    events.emit("job.ended", { requestId: "r1" });
+    const urls = [
+      "/v1/configuration",
+      "/v1/failure-domains",
+      "/v1/status?job=desk/r1",
+      "/v1/timeline?from=1",
+      "/healthz",
+      "/readyz",
+    ];
+    const seen: object[] = [];
+    for (const url of urls) seen.push(show(await ask(routes, "GET", url)));
+    expect(seen).toMatchSnapshot();
+    const metrics = await ask(routes, "GET", "/v1/metrics");
+    expect(Buffer.from(metrics.body).toString()).to.contain("# TYPE");
+  });
+
+  it("refuse what cannot be read and tell what is not there", async () => {
+    const { routes } = createFixture({ job: { kind: "absent" } });
+    const notReady = createFixture({
+      readiness: { kind: "not_ready", reason: "stopping" },
+    });
+    const replies = [
+      await ask(routes, "GET", "/v1/status?job=desk"),
+      await ask(routes, "GET", "/v1/status?job=desk/r9"),
+      await ask(routes, "GET", "/v1/timeline?from=-1"),
+      await ask(routes, "GET", "/v1/timeline?from=x"),
+      await ask(notReady.routes, "GET", "/readyz"),
+    ];
+    expect(replies.map(({ status }) => status))
+      .to.deep.equal([400, 404, 400, 400, 503]);
+  });
+});
