--- a/apps/coltsfootpond/main.ts
+++ b/apps/coltsfootpond/main.ts
@@ -6,14 +6,11 @@
 import { hideBin } from "yargs/helpers";
 import { runCli } from "./cli.ts";
 
-/** Settings of an entry may lie beside the declarations and are none of them. */
-const SETTINGS_FILE_NAME = "node.toml";
-
 async function readDeclarations(
   directory: string,
 ): Promise<readonly DeclarationFile[]> {
   const names = (await readdir(directory))
-    .filter((name) => name.endsWith(".toml") && name !== SETTINGS_FILE_NAME)
+    .filter((name) => name.endsWith(".toml"))
     .sort();
   return await Promise.all(names.map(async (name) => ({
     name,
