Relay table calls through a peer and prove ownership under faults

Cause: an entry cut from the store while its peers reach it must not lose what it owns; the controllers had no scenarios. Change: RelayTable; a takeover is looked at when it falls due instead of with the next poll; handover tells the peers first that this entry leaves; an in that loses against an out is told so; chunk calls are repeated.

--- a/packages/common/clock.ts
+++ b/packages/common/clock.ts
@@ -54,7 +54,7 @@
   readonly callback: () => void;
 }
 
-const MICROTASK_ROUNDS_PER_TIMER = 20;
+const MICROTASK_ROUNDS_PER_TIMER = 60;
 
 /** A clock that moves only when a test says so. Timers fire in order of due time, then creation. */
 export class ManualClock implements Clock {
--- a/packages/node/configuration/configuration_controller.ts
+++ b/packages/node/configuration/configuration_controller.ts
@@ -71,7 +71,7 @@
 
   private constructor(options: ConfigurationControllerOptions) {
     this.#options = options;
-    this.#chunks = ChunkStore.create(options.context.platform.objects);
+    this.#chunks = ChunkStore.create(options.context);
   }
 
   static create(
--- a/packages/node/constants.ts
+++ b/packages/node/constants.ts
@@ -45,3 +45,8 @@
 export const DOMAIN_ACKNOWLEDGE_TIMEOUT_MS = 1_000;
 /** Entries that hear of a new head read it within this time. */
 export const CONFIGURATION_PUSH_SPREAD_MS = 200;
+/** While direct calls to the table fail, one is tried again this often. */
+export const RELAY_PROBE_MS = 2_000;
+export const RELAY_CALL_TIMEOUT_MS = 800;
+/** Most calls that an entry makes for its peers at once. */
+export const RELAY_MAXIMUM_CALLS = 64;
--- a/packages/node/failure_domains/failure_domain_controller.ts
+++ b/packages/node/failure_domains/failure_domain_controller.ts
@@ -206,7 +206,11 @@
     }
     this.#announcer.announce(this.get(failureDomain));
     await this.#announcer.waitForAll(failureDomain);
-    return this.#report(failureDomain);
+    const present = this.get(failureDomain);
+    if (present.state === FAILURE_DOMAIN_STATE.IN) {
+      return this.#report(failureDomain);
+    }
+    return { kind: "refused", resultName: "DOMAIN_CONFLICT", status: present };
   }
 
   async #writeIn(
--- a/packages/node/mod.ts
+++ b/packages/node/mod.ts
@@ -19,3 +19,4 @@
 export * from "./ownership/preference.ts";
 export * from "./state/row_watcher.ts";
 export * from "./state/state_controllers.ts";
+export * from "./relay/relay_table.ts";
--- a/packages/node/ownership/decisions.ts
+++ b/packages/node/ownership/decisions.ts
@@ -83,8 +83,10 @@
 }
 
 export type OwnershipDecision =
-  /** Someone else's, or not yet this entry's turn. */
+  /** Someone else's, and its beat moves. */
   | { readonly kind: "leave" }
+  /** Its beat stands still, but not yet for long enough; look again then. */
+  | { readonly kind: "wait"; readonly untilMs: number }
   | { readonly kind: "take"; readonly epoch: number }
   /** It is this incarnation's own. */
   | { readonly kind: "renew" };
@@ -100,6 +102,11 @@
   const isFree = row === undefined || row.released;
   const waitMs = (isFree ? 0 : OWNERSHIP_TERM_MS) +
     rank * OWNERSHIP_STAGGER_MS;
-  if (getStillMs(beat) < waitMs) return { kind: "leave" };
+  const stillMs = getStillMs(beat);
+  if (stillMs < waitMs) {
+    const isSuspect = isFree || stillMs > 0;
+    if (!isSuspect) return { kind: "leave" };
+    return { kind: "wait", untilMs: beat.sinceMs + waitMs };
+  }
   return { kind: "take", epoch: (row?.epoch ?? 0) + 1 };
 }
--- a/packages/node/ownership/lease_book.ts
+++ b/packages/node/ownership/lease_book.ts
@@ -14,12 +14,24 @@
   toJson,
   transactChange,
 } from "../state/rows_json.ts";
-import type { EntryIdentity } from "../types.ts";
-import { extendLease, type HeldLease, renewLease } from "./decisions.ts";
+import type { EntryIdentity, Holding } from "../types.ts";
+import {
+  extendLease,
+  type HeldLease,
+  mayActUnder,
+  renewLease,
+} from "./decisions.ts";
 
 interface HeldRow {
   readonly lease: HeldLease;
   readonly tableRow: TableRow;
+  /** Whether the holder was allowed to act when that was last noted. */
+  readonly wasActing: boolean;
+}
+
+/** A lease that ran out, or that lets its holder act again. */
+export interface ActingChange extends Holding {
+  readonly mayAct: boolean;
 }
 
 export interface LeaseBookOptions {
@@ -52,12 +64,39 @@
     return this.#held.get(failureDomain)?.lease;
   }
 
+  listHoldings(): readonly Holding[] {
+    return [...this.#held].map(([failureDomain, { lease }]) => ({
+      failureDomain,
+      epoch: lease.epoch,
+    }));
+  }
+
+  mayAct({ failureDomain, epoch }: Holding): boolean {
+    const lease = this.get(failureDomain);
+    return lease !== undefined && lease.epoch === epoch &&
+      mayActUnder(lease, this.#options.clock.nowMs());
+  }
+
+  /** What changed since the last call. */
+  noteActing(): readonly ActingChange[] {
+    const changes: ActingChange[] = [];
+    for (const [failureDomain, held] of this.#held) {
+      const holding = { failureDomain, epoch: held.lease.epoch };
+      const mayAct = this.mayAct(holding);
+      if (mayAct === held.wasActing) continue;
+      this.#held.set(failureDomain, { ...held, wasActing: mayAct });
+      changes.push({ ...holding, mayAct });
+    }
+    return changes;
+  }
+
   add(
     failureDomain: FailureDomainName,
     lease: HeldLease,
     tableRow: TableRow,
   ): void {
-    this.#held.set(failureDomain, { lease, tableRow });
+    const wasActing = mayActUnder(lease, this.#options.clock.nowMs());
+    this.#held.set(failureDomain, { lease, tableRow, wasActing });
   }
 
   extend(failureDomain: FailureDomainName): void {
--- a/packages/node/ownership/ownership_controller.ts
+++ b/packages/node/ownership/ownership_controller.ts
@@ -32,11 +32,12 @@
   OwnershipChange,
   OwnershipView,
 } from "../types.ts";
-import { adoptLease, decideOwnership, mayActUnder } from "./decisions.ts";
+import { adoptLease, decideOwnership } from "./decisions.ts";
+import { chooseHandover } from "./handover.ts";
 import { LeaseBook } from "./lease_book.ts";
 import { type ObservedOwner, OwnerObservations } from "./owner_observations.ts";
 import { rankCandidates } from "./preference.ts";
-import { Takeovers } from "./takeovers.ts";
+import { type TakenLease, Takeovers } from "./takeovers.ts";
 
 export interface OwnershipControllerOptions {
   readonly context: EntryContext;
@@ -58,13 +59,12 @@
   readonly #owners = OwnerObservations.create();
   readonly #leases: LeaseBook;
   readonly #takeovers: Takeovers;
-  /** Held, but this holder has not been allowed to act since it last was. */
-  readonly #expired = new Set<FailureDomainName>();
   #timer: Timer | undefined;
   #lastTickMs = 0;
   #renewedMs = Number.NEGATIVE_INFINITY;
   #handedOverMs = Number.NEGATIVE_INFINITY;
   #stopping = false;
+  #lookingAgain = false;
 
   private constructor(options: OwnershipControllerOptions) {
     this.#options = options;
@@ -95,16 +95,11 @@
   }
 
   listHeld(): readonly Holding[] {
-    return this.#leases.list().map((failureDomain) => ({
-      failureDomain,
-      epoch: this.#leases.get(failureDomain)?.epoch ?? 0,
-    }));
+    return this.#leases.listHoldings();
   }
 
   mayAct(holding: Holding): boolean {
-    const lease = this.#leases.get(holding.failureDomain);
-    return lease !== undefined && lease.epoch === holding.epoch &&
-      mayActUnder(lease, this.#options.context.clock.nowMs());
+    return this.#leases.mayAct(holding);
   }
 
   getOwner(failureDomain: FailureDomainName): EntryName | undefined {
@@ -155,8 +150,9 @@
     this.#lastTickMs = nowMs;
     if (lateMs > PAUSE_BOUND_MS) this.#notePause(lateMs);
     this.#extendInClosedWorld();
-    for (const failureDomain of this.#leases.list()) {
-      this.#noteExpiry(failureDomain);
+    for (const change of this.#leases.noteActing()) {
+      const event = change.mayAct ? "ownership.resumed" : "ownership.expired";
+      this.#emit(event, change.failureDomain, change.epoch);
     }
     if (nowMs - this.#renewedMs < OWNERSHIP_BEAT_MS) return;
     this.#renewedMs = nowMs;
@@ -183,19 +179,6 @@
     }
   }
 
-  #noteExpiry(failureDomain: FailureDomainName): void {
-    const lease = this.#leases.get(failureDomain);
-    if (lease === undefined) return;
-    const mayAct = this.mayAct({ failureDomain, epoch: lease.epoch });
-    if (mayAct && this.#expired.delete(failureDomain)) {
-      this.#emit("ownership.resumed", failureDomain, lease.epoch);
-    }
-    if (!mayAct && !this.#expired.has(failureDomain)) {
-      this.#expired.add(failureDomain);
-      this.#emit("ownership.expired", failureDomain, lease.epoch);
-    }
-  }
-
   #learn(snapshot: RowSnapshot): void {
     for (const declared of this.#options.listDeclared()) {
       const failureDomain = declared.name;
@@ -228,6 +211,8 @@
     switch (decision.kind) {
       case "leave":
         return;
+      case "wait":
+        return this.#lookAgain(decision.untilMs);
       case "take":
         return void this.#take(failureDomain, decision.epoch, owner);
       case "renew":
@@ -235,9 +220,20 @@
     }
   }
 
+  /** Reads once more when a takeover falls due, rather than with the next period. */
+  #lookAgain(atMs: number): void {
+    const { clock } = this.#options.context;
+    if (this.#lookingAgain) return;
+    this.#lookingAgain = true;
+    clock.after(Math.max(0, atMs - clock.nowMs()), () => {
+      this.#lookingAgain = false;
+      void this.#options.rows.refresh();
+    });
+  }
+
   #rankCandidates(declared: FailureDomainDeclaration): readonly EntryName[] {
-    const candidates = this.#options.world.listCandidates(declared.region);
-    return rankCandidates(declared.name, candidates);
+    const { world } = this.#options;
+    return rankCandidates(declared.name, world.listCandidates(declared.region));
   }
 
   async #take(
@@ -246,9 +242,7 @@
     owner: ObservedOwner,
   ): Promise<void> {
     const taken = await this.#takeovers.take(failureDomain, epoch, owner);
-    if (taken === undefined) return;
-    this.#leases.add(failureDomain, taken.lease, taken.tableRow);
-    this.#gain(failureDomain, epoch);
+    if (taken !== undefined) this.#gain(failureDomain, taken);
   }
 
   /** The row is this incarnation's, by a write whose answer was lost. */
@@ -256,9 +250,10 @@
     const { row, tableRow } = owner;
     if (row === undefined || tableRow === undefined) return;
     const foundMs = this.#options.context.clock.nowMs();
-    const lease = adoptLease(row.epoch, foundMs);
-    this.#leases.add(failureDomain, lease, tableRow);
-    this.#gain(failureDomain, row.epoch);
+    this.#gain(failureDomain, {
+      lease: adoptLease(row.epoch, foundMs),
+      tableRow,
+    });
   }
 
   /** Hands one failure domain to a better preferred member that has been there for long enough. */
@@ -266,12 +261,13 @@
     const { context, peers } = this.#options;
     const nowMs = context.clock.nowMs();
     if (nowMs - this.#handedOverMs < OWNERSHIP_REBALANCE_MS) return;
-    const declared = this.#options.listDeclared().find((one) => {
-      if (this.#leases.get(one.name) === undefined) return false;
-      const preferred = this.#rankCandidates(one)[0];
-      const peer = preferred === undefined ? undefined : peers.get(preferred);
-      return peer !== undefined && peer.tableReachable &&
-        nowMs - peer.connectedSinceMs >= OWNERSHIP_REBALANCE_MS;
+    const declared = chooseHandover({
+      held: this.#options.listDeclared().filter(({ name }) =>
+        this.#leases.get(name) !== undefined
+      ),
+      getPreferred: (one) => this.#rankCandidates(one)[0],
+      getPeer: (entry) => peers.get(entry),
+      nowMs,
     });
     if (declared === undefined) return;
     this.#handedOverMs = nowMs;
@@ -283,17 +279,16 @@
     void this.#options.rows.refresh();
   }
 
-  #gain(failureDomain: FailureDomainName, epoch: number): void {
+  #gain(failureDomain: FailureDomainName, taken: TakenLease): void {
+    const { epoch } = taken.lease;
+    this.#leases.add(failureDomain, taken.lease, taken.tableRow);
     this.#emit("ownership.gained", failureDomain, epoch);
-    const holding = { failureDomain, epoch };
-    this.#changes.next({ kind: "gained", holding });
+    this.#changes.next({ kind: "gained", holding: { failureDomain, epoch } });
   }
 
   #lose(failureDomain: FailureDomainName, epoch: number): void {
-    this.#expired.delete(failureDomain);
     this.#emit("ownership.lost", failureDomain, epoch);
-    const holding = { failureDomain, epoch };
-    this.#changes.next({ kind: "lost", holding });
+    this.#changes.next({ kind: "lost", holding: { failureDomain, epoch } });
   }
 
   #emit(event: string, failureDomain: FailureDomainName, epoch: number): void {
--- /dev/null
+++ b/packages/node/state/memory_mesh.ts
@@ -0,0 +1,45 @@
+/** A mesh in memory for scenario tests. */
+import type { EntryName } from "@coltsfootpond/common";
+import { Subject } from "rxjs";
+import { MESH_SILENCE_MS } from "../constants.ts";
+import type { MeshDelivery, MeshMessage } from "../mesh/messages.ts";
+import type { Mesh } from "../types.ts";
+import type { PausableClock } from "./pausable_clock.ts";
+
+/** The mesh of one entry; `post` carries its messages to the others. */
+export class MemoryMesh implements Mesh {
+  readonly deliveries = new Subject<MeshDelivery>();
+  readonly heardMs = new Map<EntryName, number>();
+  readonly #clock: PausableClock;
+  readonly #post: (to: EntryName | undefined, message: MeshMessage) => void;
+
+  private constructor(
+    clock: PausableClock,
+    post: (to: EntryName | undefined, message: MeshMessage) => void,
+  ) {
+    this.#clock = clock;
+    this.#post = post;
+  }
+
+  static create(
+    clock: PausableClock,
+    post: (to: EntryName | undefined, message: MeshMessage) => void,
+  ): MemoryMesh {
+    return new MemoryMesh(clock, post);
+  }
+
+  send(to: EntryName, message: MeshMessage): void {
+    this.#post(to, message);
+  }
+
+  broadcast(message: MeshMessage): void {
+    this.#post(undefined, message);
+  }
+
+  listConnected(): readonly EntryName[] {
+    const nowMs = this.#clock.nowMs();
+    return [...this.heardMs].filter(([, heardMs]) =>
+      nowMs - heardMs < MESH_SILENCE_MS
+    ).map(([entry]) => entry);
+  }
+}
--- a/packages/node/state/state_controllers.ts
+++ b/packages/node/state/state_controllers.ts
@@ -40,10 +40,12 @@
   readonly configuration: ConfigurationController;
   readonly failureDomains: FailureDomainController;
   readonly ownership: OwnershipController;
+  readonly #mesh: Mesh;
   #sequence = 0;
 
   private constructor(options: StateControllersOptions) {
     const { context, mesh, table } = options;
+    this.#mesh = mesh;
     const { identity, clock, events } = context;
     const rows = RowWatcher.create({ table, clock, events });
     const peers = PeerFacts.create(mesh, clock);
@@ -115,6 +117,7 @@
   /** First half of a planned stop: tells the others and hands everything over. */
   async leave(): Promise<void> {
     await this.membership.leave();
+    this.#mesh.broadcast(this.createHeartbeat());
     await this.ownership.stop();
   }
 
