--- a/packages/node/entry.ts
+++ b/packages/node/entry.ts
@@ -12,7 +12,7 @@
   type Random,
   type TimelineEvent,
 } from "@coltsfootpond/common";
-import { createHttpPlatform, ResilientTable } from "@coltsfootpond/platform";
+import { createHttpPlatform } from "@coltsfootpond/platform";
 import type { Subscription } from "rxjs";
 import { EVENT_RING_CAPACITY } from "./constants.ts";
 import { EntryCore } from "./entry_core.ts";
@@ -52,7 +52,6 @@
   readonly #events: EventRing;
   readonly #meters: Meters;
   readonly #context: EntryContext;
-  readonly #table: ResilientTable;
   readonly #mesh: MeshTask;
   #core: EntryCore | undefined;
   #requests: RequestRoutes | undefined;
@@ -88,11 +87,6 @@
       events: this.#events,
       platform,
     };
-    this.#table = ResilientTable.create({
-      port: platform.table,
-      clock,
-      random,
-    });
     this.#mesh = MeshTask.create({
       identity: this.#context.identity,
       clock,
@@ -116,7 +110,6 @@
     const core = EntryCore.create({
       context: this.#context,
       mesh: this.#mesh,
-      table: this.#table,
       address,
     });
     this.#core = core;
@@ -162,7 +155,7 @@
       context: this.#context,
       configuration,
       failureDomains,
-      table: this.#table,
+      table: core.table,
       jobs: core.front,
       membership,
     });
--- a/packages/node/entry_core.ts
+++ b/packages/node/entry_core.ts
@@ -8,7 +8,7 @@
   formatProblem,
   parseDeclarations,
 } from "@coltsfootpond/common";
-import type { RankedTablePort } from "@coltsfootpond/platform";
+import { ResilientTable } from "@coltsfootpond/platform";
 import {
   createPlacementEngine,
   listGuaranteesHeld,
@@ -24,18 +24,19 @@
 import { JobHomes } from "./jobs/job_homes.ts";
 import { JobsController } from "./jobs/jobs_controller.ts";
 import type { EntryAddress } from "./membership/membership_controller.ts";
+import { RelayTable } from "./relay/relay_table.ts";
 import { StateControllers } from "./state/state_controllers.ts";
 import type { EntryContext, Mesh } from "./types.ts";
 
 export interface EntryCoreOptions {
   readonly context: EntryContext;
   readonly mesh: Mesh;
-  readonly table: RankedTablePort;
   readonly address: EntryAddress;
 }
 
 /** All controllers of one entry. */
 export class EntryCore {
+  readonly table: ResilientTable;
   readonly state: StateControllers;
   readonly jobs: JobsController;
   readonly front: JobFront;
@@ -43,10 +44,13 @@
   readonly #homes: JobHomes;
 
   private constructor(options: EntryCoreOptions) {
-    const { context, mesh, table } = options;
+    const { context, mesh } = options;
+    const table = createTable(options);
     this.#context = context;
+    this.table = table;
     this.state = StateControllers.create({
       ...options,
+      table,
       parse,
       checkFeasibility,
     });
@@ -112,6 +116,19 @@
   }
 }
 
+/** The table service, directly or through a peer, with lost answers settled. */
+function createTable({ context, mesh }: EntryCoreOptions): ResilientTable {
+  const { clock, random, events, platform } = context;
+  const port = RelayTable.create({
+    direct: platform.table,
+    mesh,
+    clock,
+    random,
+    events,
+  });
+  return ResilientTable.create({ port, clock, random });
+}
+
 function parse(files: readonly ConfigurationFile[]): ParseOutcome {
   const outcome = parseDeclarations(files);
   if (outcome.kind === "valid") return outcome;
--- a/scripts/scenarios/world.ts
+++ b/scripts/scenarios/world.ts
@@ -20,7 +20,7 @@
   type WorkerName,
 } from "@coltsfootpond/common";
 import { type EntryContext, EntryCore } from "@coltsfootpond/node";
-import { FaultSwitch, ResilientTable } from "@coltsfootpond/platform";
+import { FaultSwitch } from "@coltsfootpond/platform";
 import { PlatformStandIn } from "@coltsfootpond/stand-ins";
 import { stringify } from "smol-toml";
 import {
@@ -145,13 +145,8 @@
       platform: createGatedPorts(this.platform.ports, gate, store),
     };
     const mesh = FakeMesh.create(this.network, entry, incarnation, gate);
-    const table = ResilientTable.create({
-      port: context.platform.table,
-      clock: gate,
-      random: this.#random,
-    });
     const address = { host: "127.0.0.1", httpPort: 1, meshPort: 1 };
-    const core = EntryCore.create({ context, mesh, table, address });
+    const core = EntryCore.create({ context, mesh, address });
     this.network.join(entry, mesh);
     const heartbeat = gate.every(
       HEARTBEAT_MS,
