Repeat notices to owners until they are acknowledged, with a row as the last resort

Ruled out: a shorter audit, which scans all live jobs and would cost every owner table reads at idle. Change: NoticeBoard repeats until acknowledged and then changes one row that the owner's shared read covers already; a notice that comes during recovery leads to one audit.

--- a/packages/node/entry_core.ts
+++ b/packages/node/entry_core.ts
@@ -62,6 +62,7 @@
       context,
       table,
       mesh,
+      rows: this.state.rows,
       createEngine: () => createPlacementEngine(),
       configureEngine: (engine, failureDomain) =>
         this.#configureEngine(engine, failureDomain),
--- a/packages/node/jobs/domain_runner.ts
+++ b/packages/node/jobs/domain_runner.ts
@@ -65,6 +65,8 @@
   readonly #jobs: LiveJobs;
   #stopped = false;
   #recovered = false;
+  /** Something came during recovery, whose scan may have been too early to see it. */
+  #missedMessages = false;
   #decisionScheduled = false;
   #nextDecision: Timer | undefined;
 
@@ -141,6 +143,7 @@
     }
     if (this.#stopped) return;
     this.#fleet.start();
+    if (this.#missedMessages) void this.#audit();
     this.#scheduleDecision();
   }
 
@@ -157,7 +160,11 @@
   }
 
   #handle(message: RunnerMessage): void {
-    if (this.#stopped || !this.#recovered) return;
+    if (this.#stopped) return;
+    if (!this.#recovered) {
+      this.#missedMessages = true;
+      return;
+    }
     switch (message.kind) {
       case "job_noticed":
         return void this.#load(message.jobId);
--- a/packages/node/jobs/jobs_controller.ts
+++ b/packages/node/jobs/jobs_controller.ts
@@ -27,9 +27,11 @@
   OwnershipChange,
   OwnershipView,
 } from "../types.ts";
+import type { RowWatcher } from "../state/row_watcher.ts";
 import { DomainRunner } from "./domain_runner.ts";
 import type { JobNotice } from "./job_front.ts";
 import { moveJob, type StoredJob } from "./job_rows.ts";
+import { NoticeBoard } from "./notice_board.ts";
 
 const SUMMARY_PERIOD_MS = 2_000;
 const AUDIT_PERIOD_MS = 300_000;
@@ -43,6 +45,7 @@
   readonly configuration: ConfigurationView;
   readonly failureDomains: FailureDomainView;
   readonly ownership: OwnershipView;
+  readonly rows: RowWatcher;
   readonly createEngine: () => PlacementEngine;
   readonly configureEngine: (
     engine: PlacementEngine,
@@ -68,11 +71,24 @@
   readonly #summaries = new Map<FailureDomainName, DomainSummary>();
   readonly #sent = new Map<FailureDomainName, SentSummary>();
   readonly #endings = new Subject<JobId>();
+  readonly #notices: NoticeBoard;
   #timers: Timer[] = [];
   #subscriptions: Subscription[] = [];
 
   private constructor(options: JobsControllerOptions) {
     this.#options = options;
+    const { context, table, mesh, ownership } = options;
+    this.#notices = NoticeBoard.create({
+      clock: context.clock,
+      table,
+      mesh,
+      ownership,
+      deliver: (notice) => this.#deliver(notice),
+      onQueueChanged: (failureDomain) =>
+        this.#runners.get(failureDomain)?.post({ kind: "audit" }),
+      listHeld: () => [...this.#runners.keys()],
+    });
+    options.rows.add(this.#notices);
   }
 
   static create(options: JobsControllerOptions): JobsController {
@@ -117,11 +133,13 @@
         () => this.#postAll({ kind: "audit" }),
       ),
     ];
+    this.#notices.start();
     for (const holding of ownership.listHeld()) this.#startRunner(holding);
     return Promise.resolve();
   }
 
   stop(): Promise<void> {
+    this.#notices.stop();
     for (const timer of this.#timers) timer.cancel();
     for (const subscription of this.#subscriptions) subscription.unsubscribe();
     for (const runner of this.#runners.values()) runner.stop();
@@ -131,20 +149,16 @@
 
   /** Tells the owner of a failure domain, here or elsewhere, to look at a job's row. */
   notify(notice: JobNotice): void {
-    const { failureDomain, jobId } = notice;
+    this.#notices.post(notice);
+  }
+
+  #deliver({ kind, failureDomain, jobId }: JobNotice): boolean {
     const runner = this.#runners.get(failureDomain);
-    if (runner !== undefined) {
-      return runner.post({
-        kind: notice.kind === "submitted" ? "job_noticed" : "job_end_noticed",
-        jobId,
-      });
-    }
-    const owner = this.#options.ownership.getOwner(failureDomain);
-    if (owner === undefined) return;
-    const kind = notice.kind === "submitted"
-      ? "job_submitted"
-      : "job_cancelled";
-    this.#options.mesh.send(owner, { kind, failureDomain, jobId });
+    runner?.post({
+      kind: kind === "submitted" ? "job_noticed" : "job_end_noticed",
+      jobId,
+    });
+    return runner !== undefined;
   }
 
   /** Guarantees move between failure domains when one goes out or comes back. */
@@ -214,18 +228,10 @@
     this.#options.mesh.broadcast({ kind: "job_ended", failureDomain, jobId });
   }
 
-  #receive({ message }: MeshDelivery): void {
+  #receive(delivery: MeshDelivery): void {
+    const { message } = delivery;
+    this.#notices.receive(delivery);
     switch (message.kind) {
-      case "job_submitted":
-        return this.#runners.get(message.failureDomain)?.post({
-          kind: "job_noticed",
-          jobId: message.jobId,
-        });
-      case "job_cancelled":
-        return this.#runners.get(message.failureDomain)?.post({
-          kind: "job_end_noticed",
-          jobId: message.jobId,
-        });
       case "job_ended":
         return this.#endings.next(createId<JobId>(message.jobId));
       case "domain_summary":
--- /dev/null
+++ b/packages/node/jobs/notice_board.ts
@@ -0,0 +1,153 @@
+/**
+ * Notices to the owners of failure domains. A notice is repeated until an owner has acknowledged
+ * it; when none does, a row that every owner reads anyway tells it to look at all of its jobs.
+ */
+import {
+  type Clock,
+  createId,
+  createUniqueId,
+  type FailureDomainName,
+  type JobId,
+  type Timer,
+  type WriteId,
+} from "@coltsfootpond/common";
+import type { TablePort } from "@coltsfootpond/platform";
+import type { MeshDelivery } from "../mesh/messages.ts";
+import { getQueueKey } from "../rows.ts";
+import type { RowSnapshot, RowSubscription } from "../state/row_watcher.ts";
+import type { Mesh, OwnershipView } from "../types.ts";
+import type { JobNotice } from "./job_front.ts";
+
+const REPEAT_MS = 1_000;
+/** Repeats over the mesh before the row is written. */
+const MESH_TRIES = 2;
+/** Notices beyond this are left to the owner's audit. */
+const MAXIMUM_PENDING = 10_000;
+const TABLE_TIMEOUT_MS = 2_000;
+
+export interface NoticeBoardOptions {
+  readonly clock: Clock;
+  readonly table: TablePort;
+  readonly mesh: Mesh;
+  readonly ownership: OwnershipView;
+  /** Hands a notice to this entry's own runner; false when it has none for the failure domain. */
+  readonly deliver: (notice: JobNotice) => boolean;
+  /** The row of one of this entry's failure domains has changed. */
+  readonly onQueueChanged: (failureDomain: FailureDomainName) => void;
+  readonly listHeld: () => readonly FailureDomainName[];
+}
+
+interface PendingNotice {
+  readonly notice: JobNotice;
+  readonly tries: number;
+}
+
+/** Sends notices, receives them, and watches the rows that stand in for lost ones. */
+export class NoticeBoard implements RowSubscription {
+  readonly #options: NoticeBoardOptions;
+  readonly #pending = new Map<JobId, PendingNotice>();
+  readonly #seenVersions = new Map<FailureDomainName, number>();
+  #timer: Timer | undefined;
+
+  private constructor(options: NoticeBoardOptions) {
+    this.#options = options;
+  }
+
+  static create(options: NoticeBoardOptions): NoticeBoard {
+    return new NoticeBoard(options);
+  }
+
+  start(): void {
+    this.#timer = this.#options.clock.every(REPEAT_MS, () => this.#repeat());
+  }
+
+  stop(): void {
+    this.#timer?.cancel();
+  }
+
+  post(notice: JobNotice): void {
+    if (this.#options.deliver(notice)) return;
+    this.#send(notice);
+    if (this.#pending.size >= MAXIMUM_PENDING) return;
+    this.#pending.set(notice.jobId, { notice, tries: 1 });
+  }
+
+  receive({ from, message }: MeshDelivery): void {
+    switch (message.kind) {
+      case "job_submitted":
+      case "job_cancelled": {
+        const { failureDomain, jobId } = message;
+        const kind = message.kind === "job_submitted"
+          ? "submitted"
+          : "cancelled";
+        if (!this.#options.deliver({ kind, failureDomain, jobId })) return;
+        return this.#options.mesh.send(from, {
+          kind: "notice_acknowledged",
+          jobId,
+        });
+      }
+      case "notice_acknowledged":
+        this.#pending.delete(message.jobId);
+        return;
+      default:
+        return;
+    }
+  }
+
+  listKeys(): readonly string[] {
+    return this.#options.listHeld().map(getQueueKey);
+  }
+
+  learn(snapshot: RowSnapshot): void {
+    for (const failureDomain of this.#options.listHeld()) {
+      const key = getQueueKey(failureDomain);
+      if (!snapshot.has(key)) continue;
+      const version = snapshot.get(key)?.version ?? 0;
+      const seen = this.#seenVersions.get(failureDomain);
+      this.#seenVersions.set(failureDomain, version);
+      if (seen !== undefined && seen !== version) {
+        this.#options.onQueueChanged(failureDomain);
+      }
+    }
+  }
+
+  #send({ kind, failureDomain, jobId }: JobNotice): void {
+    const owner = this.#options.ownership.getOwner(failureDomain);
+    if (owner === undefined) return;
+    const message = kind === "submitted" ? "job_submitted" : "job_cancelled";
+    this.#options.mesh.send(owner, { kind: message, failureDomain, jobId });
+  }
+
+  #repeat(): void {
+    const unheard = new Set<FailureDomainName>();
+    for (const [jobId, { notice, tries }] of [...this.#pending]) {
+      if (this.#options.deliver(notice)) {
+        this.#pending.delete(jobId);
+        continue;
+      }
+      if (tries < MESH_TRIES) {
+        this.#send(notice);
+        this.#pending.set(jobId, { notice, tries: tries + 1 });
+        continue;
+      }
+      unheard.add(notice.failureDomain);
+    }
+    for (const failureDomain of unheard) void this.#writeRow(failureDomain);
+  }
+
+  /** One write stands for all pending notices of a failure domain. */
+  async #writeRow(failureDomain: FailureDomainName): Promise<void> {
+    const covered = [...this.#pending.values()].filter(({ notice }) =>
+      notice.failureDomain === failureDomain
+    );
+    const writeId = createId<WriteId>(createUniqueId());
+    const key = getQueueKey(failureDomain);
+    const outcome = await this.#options.table.transact({
+      writeId,
+      conditions: [],
+      writes: [{ kind: "put", key, value: writeId }],
+    }, { timeoutMs: TABLE_TIMEOUT_MS });
+    if (outcome.kind !== "committed") return;
+    for (const { notice } of covered) this.#pending.delete(notice.jobId);
+  }
+}
--- a/packages/node/mesh/messages.ts
+++ b/packages/node/mesh/messages.ts
@@ -68,6 +68,7 @@
     readonly failureDomain: FailureDomainName;
     readonly jobId: JobId;
   }
+  | { readonly kind: "notice_acknowledged"; readonly jobId: JobId }
   | {
     readonly kind: "job_ended";
     readonly failureDomain: FailureDomainName;
--- a/packages/node/rows.ts
+++ b/packages/node/rows.ts
@@ -149,6 +149,11 @@
   return `owner/${failureDomain}`;
 }
 
+/** A row that changes when the owner should read all jobs of the failure domain. */
+export function getQueueKey(failureDomain: FailureDomainName): string {
+  return `queue/${failureDomain}`;
+}
+
 export function getJobPrefix(failureDomain: FailureDomainName): string {
   return `job/${failureDomain}/`;
 }
