--- a/apps/coltsfootpond/commands/check.ts
+++ b/apps/coltsfootpond/commands/check.ts
@@ -1,11 +1,12 @@
-/** `check`: parses a directory of declarations and checks it without an entry. */
+/** `check`: parses a directory of declarations and checks it, guarantees included, without an entry. */
 import {
   type Declarations,
   formatProblem,
   parseDeclarations,
 } from "@coltsfootpond/common";
-import { defineCommand } from "../command.ts";
-import { EXIT_CODE } from "../exit_codes.ts";
+import { planGuarantees } from "@coltsfootpond/policy";
+import { type CommandContext, defineCommand } from "../command.ts";
+import { EXIT_CODE, type ExitCode } from "../exit_codes.ts";
 import { printResult } from "../results.ts";
 
 function summarise(declarations: Declarations) {
@@ -20,6 +21,17 @@
   };
 }
 
+/** Tells why nothing of the set would be applied. */
+function reportInvalid(
+  context: CommandContext,
+  problems: readonly string[],
+): ExitCode {
+  if (context.json) {
+    context.print(JSON.stringify({ kind: "invalid", problems }));
+  } else problems.forEach((problem) => context.printError(problem));
+  return EXIT_CODE.INVALID;
+}
+
 export const CHECK_COMMAND = defineCommand({
   usage: "check <directory>",
   describe: "Check a directory of declarations; nothing is sent",
@@ -31,13 +43,14 @@
     const files = await context.readDeclarations(args.directory);
     const outcome = parseDeclarations(files);
     if (outcome.kind === "invalid") {
-      if (context.json) context.print(JSON.stringify(outcome));
-      else {
-        outcome.problems.forEach((problem) =>
-          context.printError(formatProblem(problem))
-        );
-      }
-      return EXIT_CODE.INVALID;
+      return reportInvalid(context, outcome.problems.map(formatProblem));
+    }
+    const plan = planGuarantees(outcome.declarations, []);
+    if (plan.problems.length > 0) {
+      return reportInvalid(
+        context,
+        plan.problems.map(({ detail }) => detail),
+      );
     }
     const summary = summarise(outcome.declarations);
     printResult(context, { kind: "valid", ...summary }, () => [
