--- a/packages/node/mod.ts
+++ b/packages/node/mod.ts
@@ -2,7 +2,6 @@
 export * from "./configuration/configuration_controller.ts";
 export * from "./configuration/types.ts";
 export * from "./constants.ts";
-
 export * from "./entry_core.ts";
 export * from "./failure_domains/failure_domain_controller.ts";
 export * from "./http/authenticator.ts";
@@ -19,6 +18,8 @@
 export * from "./meters/process_usage.ts";
 export * from "./meters/prometheus.ts";
 export * from "./meters/traffic.ts";
+export * from "./operators/operator_routes.ts";
+export * from "./operators/types.ts";
 export * from "./ownership/ownership_controller.ts";
 export * from "./ownership/preference.ts";
 export * from "./relay/relay_table.ts";
