--- a/packages/node/mod.ts
+++ b/packages/node/mod.ts
@@ -2,6 +2,7 @@
 export * from "./configuration/configuration_controller.ts";
 export * from "./configuration/types.ts";
 export * from "./constants.ts";
+export * from "./entry.ts";
 export * from "./entry_core.ts";
 export * from "./failure_domains/failure_domain_controller.ts";
 export * from "./http/authenticator.ts";
