--- a/packages/platform/table/write_gate.ts
+++ b/packages/platform/table/write_gate.ts
@@ -107,31 +107,45 @@
     return true;
   }
 
+  /** Wakes for the next token or the next deadline, whichever is first. */
   #schedule(): void {
+    this.#timer?.cancel();
+    this.#timer = undefined;
     const first = this.#waiters[0];
-    if (first === undefined || this.#timer !== undefined) return;
+    if (first === undefined) return;
     const rate = this.#ratePerSecond();
     const needed = Math.min(first.admission.writes, rate * BURST_SECONDS);
-    const waitMs = Math.max(1, (needed - this.#tokens) * MS_PER_SECOND / rate);
+    const tokenMs = (needed - this.#tokens) * MS_PER_SECOND / rate;
+    const deadlinesMs = this.#waiters.map((one) => one.admission.deadlineMs);
+    const deadlineMs = Math.min(...deadlinesMs) - this.#clock.nowMs();
+    const waitMs = Math.max(1, Math.min(tokenMs, deadlineMs));
     this.#timer = this.#clock.after(waitMs, () => this.#drain());
   }
 
   #drain(): void {
     this.#timer = undefined;
     this.#fill();
-    const nowMs = this.#clock.nowMs();
-    for (let next = this.#waiters[0]; next; next = this.#waiters[0]) {
-      if (next.admission.deadlineMs <= nowMs) {
-        this.#waiters.shift();
-        next.resolve({ kind: "refused", reason: "deadline" });
-        continue;
-      }
-      if (!this.#take(next.admission.writes)) break;
+    this.#refuseOverdue();
+    while (this.#waiters.length > 0) {
+      const next = this.#waiters[0];
+      if (next === undefined || !this.#take(next.admission.writes)) break;
       this.#waiters.shift();
       next.resolve({ kind: "admitted" });
     }
     this.#schedule();
   }
+
+  #refuseOverdue(): void {
+    const nowMs = this.#clock.nowMs();
+    const overdue = this.#waiters.filter((one) =>
+      one.admission.deadlineMs <= nowMs
+    );
+    if (overdue.length === 0) return;
+    this.#waiters = this.#waiters.filter((one) => !overdue.includes(one));
+    for (const one of overdue) {
+      one.resolve({ kind: "refused", reason: "deadline" });
+    }
+  }
 }
 
 function compareWaiters(left: Waiter, right: Waiter): number {
