--- a/packages/node/entry.ts
+++ b/packages/node/entry.ts
@@ -23,6 +23,7 @@
 import { Meters } from "./meters/meters.ts";
 import { createOperatorRoutes } from "./operators/operator_routes.ts";
 import type { Readiness } from "./operators/types.ts";
+import { RelayTable } from "./relay/relay_table.ts";
 import {
   createRequestRoutes,
   type RequestRoutes,
@@ -97,6 +98,19 @@
       meter: this.#meters,
       createHeartbeat: () => this.#getCore().state.createHeartbeat(),
     });
+    const direct = platform.table;
+    const events = this.#events;
+    this.#table = ResilientTable.create({
+      port: RelayTable.create({
+        direct,
+        mesh: this.#mesh,
+        clock,
+        random,
+        events,
+      }),
+      clock,
+      random,
+    });
   }
 
   static create(options: EntryOptions): Entry {
@@ -198,6 +212,7 @@
   }
 
   #setPeers(members: readonly Member[]): void {
+    this.#table.setSharers(members.length);
     this.#mesh.setPeers(
       members.filter((member) => !member.self).map(({ entry, row }) => ({
         entry,
