--- a/packages/node/http/connections.ts
+++ b/packages/node/http/connections.ts
@@ -2,7 +2,8 @@
 import type { Socket } from "node:net";
 
 interface ConnectionState {
-  requestsInProgress: number;
+  /** What to call for each request in progress when the connection closes. */
+  readonly onCut: Set<() => void>;
   /** Bytes received when the connection last became idle. */
   settledBytes: number;
 }
@@ -28,34 +29,39 @@
   }
 
   opened(socket: Socket): void {
-    this.#states.set(socket, { requestsInProgress: 0, settledBytes: 0 });
+    const state: ConnectionState = { onCut: new Set(), settledBytes: 0 };
+    this.#states.set(socket, state);
     socket.once("close", () => {
       this.#states.delete(socket);
+      this.#requestsInProgress -= state.onCut.size;
+      for (const cut of state.onCut) cut();
       this.#notify();
     });
   }
 
-  requestBegan(socket: Socket): void {
-    this.#requestsInProgress++;
+  /** `cut` is called when the connection closes before `requestEnded`. */
+  requestBegan(socket: Socket, cut: () => void): void {
     const state = this.#states.get(socket);
-    if (state !== undefined) state.requestsInProgress++;
+    if (state === undefined) {
+      cut();
+      return;
+    }
+    this.#requestsInProgress++;
+    state.onCut.add(cut);
   }
 
-  requestEnded(socket: Socket): void {
-    this.#requestsInProgress--;
+  requestEnded(socket: Socket, cut: () => void): void {
     const state = this.#states.get(socket);
-    if (state !== undefined) {
-      state.requestsInProgress--;
-      state.settledBytes = socket.bytesRead;
-    }
-    this.#notify();
+    if (state?.onCut.delete(cut) !== true) return;
+    this.#requestsInProgress--;
+    state.settledBytes = socket.bytesRead;
   }
 
   /** Closes every connection with no request in progress and no part of one received. */
   closeIdle(): void {
     for (const [socket, state] of this.#states) {
       const partlyReceived = socket.bytesRead > state.settledBytes;
-      if (state.requestsInProgress === 0 && !partlyReceived) socket.destroy();
+      if (state.onCut.size === 0 && !partlyReceived) socket.destroy();
     }
   }
 
--- a/packages/node/http/server.ts
+++ b/packages/node/http/server.ts
@@ -146,7 +146,7 @@
       keepAliveTimeout: limits.keepAliveTimeoutMs,
       connectionsCheckingInterval: CONNECTIONS_CHECK_MS,
       insecureHTTPParser: false,
-      requireHostHeader: true,
+      requireHostHeader: false,
       noDelay: true,
     }, (incoming, outgoing) => void this.#serve(incoming, outgoing));
     server.maxHeadersCount = limits.maximumHeaders;
@@ -187,11 +187,9 @@
   ): Promise<void> {
     const { socket } = incoming;
     const caller = new AbortController();
-    this.#connections.requestBegan(socket);
-    outgoing.once("close", () => {
-      this.#connections.requestEnded(socket);
-      if (!outgoing.writableFinished) caller.abort();
-    });
+    const cut = (): void => caller.abort();
+    this.#connections.requestBegan(socket, cut);
+    outgoing.once("finish", () => this.#connections.requestEnded(socket, cut));
     const reply = await this.#handle(incoming, caller.signal).catch(
       (error) => {
         if (!(error instanceof CodedError)) {
@@ -219,6 +217,9 @@
         retryAfterMs: OVERLOAD_RETRY_AFTER_MS,
       });
     }
+    if (incoming.headers.host === undefined && incoming.httpVersion !== "1.0") {
+      throw CodedError.create("MALFORMED", { message: "Host is missing" });
+    }
     const url = this.#parseUrl(incoming.url ?? "");
     const method = incoming.method ?? "";
     const { route, parameters } = this.#router.find(method, url.pathname);
--- a/packages/node/requests/calls_test.ts
+++ b/packages/node/requests/calls_test.ts
@@ -1,19 +1,71 @@
 /** Promise scenarios of calls over loopback sockets against runner stand-ins. */
-import { createRunnerOutput } from "@coltsfootpond/stand-ins";
+import { createRunnerOutput, RUNNER_FAULT } from "@coltsfootpond/stand-ins";
 import { expect } from "chai";
-import { send, World } from "./fixture_test.ts";
+import { createServer, type Server } from "node:net";
+import type { AddressInfo } from "node:net";
+import {
+  createDeclarations,
+  ORGANISATION,
+  send,
+  SERVICE,
+  World,
+} from "./fixture_test.ts";
+
+const STRICT = { "coltsfootpond-idempotent": "false" };
+
+function sleep(delayMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, delayMs));
+}
+
+async function until(condition: () => boolean): Promise<void> {
+  for (let tries = 0; tries < 300 && !condition(); tries++) await sleep(5);
+  expect(condition()).to.equal(true);
+}
+
+function countExecutions(world: World, requestId?: string): number {
+  return world.runners
+    .flatMap((runner) => runner.ledger.list())
+    .filter((run) => requestId === undefined || run.requestId === requestId)
+    .length;
+}
 
 describe("calls", () => {
   let world: World;
+  let extraServers: Server[];
 
   beforeEach(() => {
     world = new World();
+    extraServers = [];
   });
 
   afterEach(async () => {
     await world.close();
+    for (const server of extraServers) server.close();
   });
 
+  /** A runner that answers with raw bytes; `{id}` stands for the attempt id. */
+  async function addRawRunner(reply: string): Promise<void> {
+    const server = createServer((socket) => {
+      socket.on("error", () => {});
+      socket.on("data", (chunk) => {
+        const id = /x-attempt-id: (\w+)/i.exec(chunk.toString())?.[1] ?? "";
+        socket.end(reply.replace("{id}", id));
+      });
+    });
+    extraServers.push(server);
+    await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
+    const { port } = server.address() as AddressInfo;
+    const name = `raw-${port}`;
+    world.vms.push({
+      name,
+      role: "runner",
+      state: "live",
+      host: "127.0.0.1",
+      port,
+      service: SERVICE,
+    });
+  }
+
   it("answers a call whole with the answer to its own request", async () => {
     await world.addRunner();
     const port = await world.addEntry();
@@ -33,4 +85,311 @@
       expect(reply).to.include({ status: 200, code: "1000", body: expected });
     }
   });
+
+  it("says what it can prove of each failure of a runner, and runs a strict call once", async () => {
+    const seen: Record<string, unknown> = {};
+    for (const fault of Object.values(RUNNER_FAULT)) {
+      const own = new World();
+      await own.addRunner({ fault });
+      const port = await own.addEntry();
+      const headers = { ...STRICT, "idempotency-key": "strict" };
+      const first = await send({ port, headers });
+      const again = await send({ port, headers });
+      const executions = countExecutions(own);
+      await own.close();
+      expect(executions).to.be.at.most(1);
+      seen[fault] = {
+        first: [first.code, first.resultClass],
+        again: [again.code, again.resultClass],
+        executions,
+      };
+    }
+    expect(seen).toMatchSnapshot();
+  });
+
+  it("passes on no reply that is cut, unframed, foreign or out of protocol", async () => {
+    const replies = {
+      cut:
+        "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\ncontent-length: 9\r\n\r\nhalf",
+      cutChunk:
+        "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+      unframed: "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\n\r\nanything",
+      foreign:
+        "HTTP/1.1 200 OK\r\nx-attempt-id: 0\r\ncontent-length: 2\r\n\r\nok",
+      foreignRefusal:
+        "HTTP/1.1 503 No\r\nx-attempt-id: 0\r\nx-not-run: true\r\ncontent-length: 0\r\n\r\n",
+      noProtocol: "hello\r\n\r\n",
+      nothing: "",
+    };
+    const seen: Record<string, unknown> = {};
+    for (const [name, reply] of Object.entries(replies)) {
+      world.vms = [];
+      await addRawRunner(reply);
+      const port = await world.addEntry();
+      const { code, resultClass } = await send({ port, headers: STRICT });
+      seen[name] = [code, resultClass];
+    }
+    expect(seen).toMatchSnapshot();
+  });
+
+  it("answers idempotent calls although runners are silent, cut, crossed or gone", async () => {
+    for (const fault of ["silent", "truncate", "cross", "reset"] as const) {
+      await world.addRunner({ fault });
+    }
+    for (let count = 0; count < 8; count++) await world.addRunner();
+    const gone = await world.addRunner();
+    await gone.close();
+    const port = await world.addEntry();
+    const replies = await Promise.all(
+      Array.from({ length: 40 }, () => send({ port })),
+    );
+    expect(replies.filter(({ status }) => status !== 200)).to.deep.equal([]);
+  });
+
+  it("calls an idempotent request unknown when one of its attempts may have run", async () => {
+    await world.addRunner({ fault: "crash" });
+    await world.addRunner({ fault: "refuse" });
+    const port = await world.addEntry();
+    for (let count = 0; count < 8; count++) {
+      const { resultClass } = await send({
+        port,
+        headers: { "idempotency-key": `k${count}` },
+      });
+      const ran = countExecutions(world, `k${count}`) > 0;
+      expect(resultClass).to.equal(ran ? "unknown" : "not_run");
+    }
+  });
+
+  it("leaves silent connections behind and suspects their siblings", async () => {
+    const runner = await world.addRunner();
+    const port = await world.addEntry();
+    await Promise.all(Array.from({ length: 6 }, () => send({ port })));
+    const before = world.fronts[0]!.describe().runners[0]!;
+    expect(before.connections).to.be.above(1);
+    runner.setFault("silent");
+    await send({ port, headers: STRICT });
+    await sleep(5);
+    expect(world.fronts[0]!.describe().runners[0]!.connections).to.equal(0);
+    runner.setFault("none");
+    expect((await send({ port })).status).to.equal(200);
+  });
+
+  it("gives a leaving runner nothing new and lets it finish what it has", async () => {
+    world.declarations = createDeclarations({ progressTimeoutMs: 2_000 });
+    const leaving = await world.addRunner({ serviceMs: 700 });
+    const port = await world.addEntry();
+    const running = send({ port, headers: STRICT });
+    await until(() => leaving.slotsInUse === 1);
+    world.vms = world.vms.map((vm) => ({ ...vm, state: "leaving" }));
+    const staying = await world.addRunner();
+    await until(() =>
+      world.fronts[0]!.describe().runners.some(({ leaving }) => leaving)
+    );
+    await Promise.all(Array.from({ length: 9 }, () => send({ port })));
+    expect(leaving.ledger.getCounts().executions).to.equal(1);
+    expect(staying.ledger.getCounts().executions).to.equal(9);
+    expect((await running).status).to.equal(200);
+  });
+
+  it("believes a runner that says itself that it leaves", async () => {
+    const runner = await world.addRunner();
+    runner.setLeaving(true);
+    const port = await world.addEntry();
+    expect((await send({ port })).status).to.equal(200);
+    expect((await send({ port })).code).to.equal("3006");
+  });
+
+  it("starts no call in a failure domain that is out", async () => {
+    await world.addRunner();
+    const port = await world.addEntry();
+    world.domainState = "out";
+    expect(await send({ port })).to.include({
+      code: "3006",
+      resultClass: "not_run",
+      retryAfter: "1",
+    });
+    expect(countExecutions(world)).to.equal(0);
+  });
+
+  it("never gives a full runner more than its slots through several entries", async () => {
+    const runner = await world.addRunner({ slots: 8, serviceMs: 20 });
+    world.entryNames = ["entry-0", "entry-1", "entry-2"] as never[];
+    const ports = [
+      await world.addEntry(),
+      await world.addEntry(),
+      await world.addEntry(),
+    ];
+    const replies = await Promise.all(
+      Array.from(
+        { length: 60 },
+        (_, index) => send({ port: ports[index % 3]! }),
+      ),
+    );
+    expect(replies.filter(({ status }) => status !== 200)).to.deep.equal([]);
+    expect(runner.ledger.getCounts().maximumInUse).to.be.at.most(8);
+  });
+
+  it("runs a keyed strict call once across resends to all entries", async () => {
+    await world.addRunner({ serviceMs: 40 });
+    await world.addRunner({ serviceMs: 40 });
+    const ports = [await world.addEntry(), await world.addEntry()];
+    const headers = { ...STRICT, "idempotency-key": "once" };
+    const sends = Array.from(
+      { length: 6 },
+      (_, index) => send({ port: ports[index % 2]!, headers }),
+    );
+    const replies = await Promise.all(sends);
+    const answered = replies.filter(({ status }) => status === 200);
+    expect(answered).to.have.lengthOf(1);
+    const codes = new Set(replies.map(({ code }) => code));
+    expect([...codes].sort()).to.deep.equal(["1000", "4007"]);
+    const later = await send({ port: ports[1]!, headers });
+    expect(later.body).to.equal(answered[0]!.body);
+    const other = await send({ port: ports[1]!, headers, body: "other" });
+    expect(other.code).to.equal("2008");
+    expect(countExecutions(world)).to.equal(1);
+  });
+
+  it("gives the answer again from another entry after the first is gone", async () => {
+    await world.addRunner();
+    const first = await world.addEntry();
+    const second = await world.addEntry();
+    const keys = [["a", STRICT], ["b", {}]] as const;
+    for (const [key, extra] of keys) {
+      const headers = { ...extra, "idempotency-key": key };
+      const { body } = await send({ port: first, headers });
+      if (key === "b") {
+        await world.servers[0]!.stop({ timeoutMs: 500 });
+        await world.fronts[0]!.stop();
+      }
+      const again = await send({
+        port: second,
+        method: "GET",
+        path: `/v1/requests/${key}`,
+      });
+      expect(again).to.include({ status: 200, code: "1000", body });
+    }
+  });
+
+  it("runs no keyed strict call without its row, and settles a lost answer", async () => {
+    await world.addRunner();
+    const port = await world.addEntry();
+    const headers = { ...STRICT, "idempotency-key": "k" };
+    world.table.mode = "down";
+    const down = await send({ port, headers });
+    const idempotent = await send({ port });
+    expect(countExecutions(world, "k")).to.equal(0);
+    world.table.mode = "answer_lost";
+    const lost = await send({ port, headers });
+    expect([down.code, idempotent.code, lost.code]).to.deep.equal([
+      "5000",
+      "1000",
+      "1000",
+    ]);
+    expect(countExecutions(world, "k")).to.equal(1);
+  });
+
+  it("cuts an idempotent attempt whose caller has gone, and finishes a strict one", async () => {
+    const runner = await world.addRunner({ serviceMs: 100 });
+    const port = await world.addEntry();
+    const services = () => world.fronts[0]!.describe().services[0]!;
+    for (const [key, extra] of [["soft", {}], ["hard", STRICT]] as const) {
+      const caller = new AbortController();
+      const sent = send({
+        port,
+        headers: { ...extra, "idempotency-key": key },
+        signal: caller.signal,
+      }).catch(() => "gone");
+      await until(() => runner.slotsInUse === 1);
+      caller.abort();
+      expect(await sent).to.equal("gone");
+      if (key === "soft") {
+        await until(() => services().inProgress === 0);
+        expect(runner.slotsInUse).to.equal(1);
+        await until(() => runner.slotsInUse === 0);
+      }
+    }
+    await until(() => services().inProgress === 0);
+    const kept = await send({ port, method: "GET", path: "/v1/requests/hard" });
+    expect(kept.status).to.equal(200);
+  });
+
+  it("stops without cutting a call in progress or a held caller", async () => {
+    world.jobs = {
+      submit: () =>
+        Promise.resolve({
+          kind: "accepted",
+          jobId: "desk/job" as never,
+          failureDomain: "north" as never,
+        }),
+      waitForEnd: () => new Promise(() => {}),
+    };
+    const runner = await world.addRunner({ serviceMs: 100 });
+    const port = await world.addEntry();
+    const call = send({ port });
+    const job = send({ port, path: "/v1/services/survey/requests" });
+    await until(() => runner.slotsInUse === 1);
+    world.fronts[0]!.releaseHeld();
+    await world.servers[0]!.stop({ timeoutMs: 5_000 });
+    expect((await call).status).to.equal(200);
+    expect((await job).code).to.equal("1001");
+    expect(await send({ port }).catch(() => "refused")).to.equal("refused");
+  });
+
+  it("refuses early, with a time to come back, what cannot be in time", async () => {
+    await world.addRunner({ serviceMs: 50, slots: 1 });
+    world.vms = world.vms.map((vm) => ({ ...vm, slots: 1 }));
+    const port = await world.addEntry();
+    for (let count = 0; count < 10; count++) await send({ port });
+    const replies = await Promise.all(
+      Array.from(
+        { length: 40 },
+        () => send({ port, headers: { "deadline-ms": "300" } }),
+      ),
+    );
+    const refused = replies.filter(({ status }) => status !== 200);
+    expect(refused.length).to.be.above(20);
+    for (const reply of refused) {
+      expect(reply).to.include({ code: "3003", resultClass: "not_run" });
+    }
+    expect(countExecutions(world)).to.equal(50 - refused.length);
+  });
+
+  it("holds organisations to their limits, as they stand when a call enters", async () => {
+    await world.addRunner({ serviceMs: 40 });
+    const port = await world.addEntry();
+    const limit = (change: object): void => {
+      const organisations = [{ ...ORGANISATION, ...change }];
+      world.declarations = { ...createDeclarations(), organisations };
+    };
+    const sendMany = async (count: number): Promise<unknown[]> => {
+      const sends = Array.from({ length: count }, () => send({ port }));
+      const codes = (await Promise.all(sends)).map(({ code }) => code);
+      return [codes.filter((code) => code === "1000").length, codes.sort()[0]];
+    };
+    limit({ concurrentRequests: 2 });
+    expect((await sendMany(5))[0]).to.equal(2);
+    limit({ requestsPerSecond: 1 });
+    expect((await sendMany(5))[0]).to.equal(1);
+    limit({});
+    expect((await sendMany(5))[0]).to.equal(5);
+    world.declarations = createDeclarations({ maximumBodyBytes: 3 });
+    expect((await send({ port })).code).to.equal("2005");
+    world.fresh = false;
+    expect((await send({ port, body: "a" })).code).to.equal("3008");
+  });
+
+  it("ejects a failing runner and keeps a floor of runners in use", async () => {
+    const bad = await world.addRunner({ fault: "fail" });
+    await world.addRunner();
+    const port = await world.addEntry();
+    for (let count = 0; count < 12; count++) await send({ port });
+    expect(world.fronts[0]!.describe().runners[0]!.ejected).to.equal(true);
+    const runs = bad.ledger.getCounts().executions;
+    await Promise.all(Array.from({ length: 8 }, () => send({ port })));
+    expect(bad.ledger.getCounts().executions).to.equal(runs);
+    world.runners[1]!.setFault("fail");
+    for (let count = 0; count < 12; count++) await send({ port });
+    expect(world.fronts[0]!.describe().runners[1]!.ejected).to.equal(false);
+  });
 });
--- a/packages/node/requests/filters/attempt.ts
+++ b/packages/node/requests/filters/attempt.ts
@@ -63,10 +63,15 @@
   }
 
   return async (request): Promise<RequestOutcome> => {
+    const { avoid, deadlineMs, signal } = request;
+    const service = request.service.name;
+    const runner = await pool.acquire({ service, avoid, deadlineMs, signal });
     const startedMs = clock.nowMs();
-    const remainingMs = request.deadlineMs - startedMs;
-    if (remainingMs <= 0) return failed("DEADLINE_UNREACHABLE");
-    const runner = pool.choose(request.service.name, request.avoid);
+    const remainingMs = deadlineMs - startedMs;
+    if (remainingMs <= 0) {
+      runner?.giveBack();
+      return failed("DEADLINE_UNREACHABLE");
+    }
     if (runner === undefined) {
       return failed("NO_UPSTREAM", { retryAfterMs: UNREADY_RETRY_AFTER_MS });
     }
--- a/packages/node/upstreams/constants.ts
+++ b/packages/node/upstreams/constants.ts
@@ -37,3 +37,6 @@
 export const BORROW_PAUSE_MS = 200;
 /** Time in which the weight of a report falls to 1/e. */
 export const REPORT_DECAY_MS = 250;
+
+/** An attempt that waits for room looks again this often. */
+export const ROOM_CHECK_MS = 10;
--- a/packages/node/upstreams/pool.ts
+++ b/packages/node/upstreams/pool.ts
@@ -24,6 +24,7 @@
 import {
   MAXIMUM_EJECTED_SHARE,
   MAXIMUM_IDLE_MS,
+  ROOM_CHECK_MS,
   VM_POLL_MS,
   VM_POLL_TIMEOUT_MS,
 } from "./constants.ts";
@@ -53,10 +54,19 @@
   readonly ejected: boolean;
 }
 
+/** What an attempt needs of a runner. */
+export interface AcquireRequest {
+  readonly service: ServiceName;
+  readonly avoid: ReadonlySet<RunnerName>;
+  readonly deadlineMs: number;
+  readonly signal: AbortSignal | undefined;
+}
+
 export class UpstreamPool {
   readonly #options: UpstreamPoolOptions;
   readonly #runners = new Map<string, Runner>();
   readonly #shares = new Map<string, number>();
+  readonly #wakes = new Set<() => void>();
   #sharedAmong = "";
   #timer: Timer | undefined;
   #polling: Promise<void> | undefined;
@@ -90,8 +100,41 @@
     return this.#polling;
   }
 
-  /** A runner with room for one more attempt; one of `avoid` only when there is no other. */
-  choose(
+  /**
+   * A runner with a slot taken on it, to be given back by `run` or `giveBack`; one of `avoid` only
+   * when there is no other. Waits for room while any runner is usable; undefined when none is, or
+   * none has room until `deadlineMs`.
+   */
+  async acquire(request: AcquireRequest): Promise<Runner | undefined> {
+    const { service, avoid, deadlineMs, signal } = request;
+    for (;;) {
+      const runner = this.#choose(service, avoid);
+      if (runner !== undefined) {
+        runner.takeSlot();
+        return runner;
+      }
+      const hopeless = this.#listCandidates(service).length === 0 ||
+        signal?.aborted === true ||
+        this.#options.clock.nowMs() >= deadlineMs;
+      if (hopeless) return undefined;
+      await this.#whenFreed();
+    }
+  }
+
+  /** Resolves when an attempt has ended, or after a short time in which limits may have moved. */
+  #whenFreed(): Promise<void> {
+    return new Promise((resolve) => {
+      const wake = (): void => {
+        timer.cancel();
+        this.#wakes.delete(wake);
+        resolve();
+      };
+      const timer = this.#options.clock.after(ROOM_CHECK_MS, wake);
+      this.#wakes.add(wake);
+    });
+  }
+
+  #choose(
     service: ServiceName,
     avoid: ReadonlySet<RunnerName>,
   ): Runner | undefined {
@@ -190,6 +233,7 @@
       vm,
       mayEject: () => this.#mayEject(vm.service),
       onEjected: (name) => this.#noteEjected(name),
+      onFreed: () => this.#wakes.forEach((wake) => wake()),
     });
     this.#runners.set(vm.name, runner);
   }
--- a/packages/node/upstreams/runner.ts
+++ b/packages/node/upstreams/runner.ts
@@ -18,6 +18,8 @@
   readonly vm: VmRecord;
   readonly mayEject: () => boolean;
   readonly onEjected: (runner: RunnerName) => void;
+  /** A slot has become free. */
+  readonly onFreed: () => void;
 }
 
 export class Runner {
@@ -112,15 +114,23 @@
     };
   }
 
-  /** Takes a slot, sends the request and gives the slot back. */
-  async run(upstream: UpstreamRequest): Promise<UpstreamOutcome> {
+  takeSlot(): void {
     this.#inUse++;
+  }
+
+  giveBack(): void {
+    this.#inUse--;
+    this.#options.onFreed();
+  }
+
+  /** Sends the request in the slot that was taken, and gives the slot back. */
+  async run(upstream: UpstreamRequest): Promise<UpstreamOutcome> {
     const { host, port } = this.#vm;
     const { clock } = this.#options;
     const target = { host, port, agent: this.#agent, clock };
     const outcome = await exchangeWithRunner(target, upstream);
-    this.#inUse--;
     this.#learn(outcome);
+    this.giveBack();
     return outcome;
   }
 
