Split the engine by task and prove its promises by properties

Cause: the engine's file had grown past one job, and nothing but three examples spoke for it. A property found a job that had failed on one worker of each rack waiting for ever. Change: outcomes of attempts, run limits, restoration and the summary have modules of their own; a job is no longer kept away from workers when no others could ever take it, and is failed after six failures. Seen failing, each by one edit: pinned work anywhere free; used capacity not entered; quota always met; no head reservations; pinned victims; gangs one task short; freed capacity not noted; no repair of the plan; claims not counted; victims by most lost work. The reclaim example is replaced by a stricter one that does fail under that edit.

--- a/packages/policy/placement/decision_round.ts
+++ b/packages/policy/placement/decision_round.ts
@@ -18,8 +18,9 @@
 import type { GuaranteedPlacer } from "./guaranteed_placement.ts";
 import type { HeadReservations } from "./head_reservations.ts";
 import type { JobClass, JobQueue } from "./job_queue.ts";
-import { JOB_PHASE, type JobRecord } from "./job_record.ts";
+import type { JobRecord } from "./job_record.ts";
 import type { PlacementState } from "./placement_state.ts";
+import { evict } from "./run_limits.ts";
 import type { HealthTracker } from "./worker_health.ts";
 
 export interface DecisionRoundOptions {
@@ -173,15 +174,8 @@
     }
     state.claim(head, outcome.place, outcome.unit);
     for (const victim of outcome.victims) {
-      victim.phase = JOB_PHASE.EVICTING;
-      decisions.push({
-        kind: "evict",
-        jobId: victim.job.jobId,
-        reason: EVICTION_REASON.RECLAIM,
-        checkpointMs: victim.job.canCheckpoint
-          ? Math.min(victim.job.checkpointMs, RECLAIM_CHECKPOINT_LIMIT_MS)
-          : 0,
-      });
+      const reason = EVICTION_REASON.RECLAIM;
+      decisions.push(evict(victim, reason, RECLAIM_CHECKPOINT_LIMIT_MS));
     }
     return true;
   }
--- a/packages/policy/placement/engine.ts
+++ b/packages/policy/placement/engine.ts
@@ -2,27 +2,22 @@
 import {
   assertNever,
   type JobId,
-  type RackName,
   type WorkerName,
 } from "@coltsfootpond/common";
 import {
-  type Assignment,
-  ATTEMPT_END,
   type BrokenGuarantee,
   type Decision,
   type DomainSummary,
   type EngineEvent,
-  EVICTION_REASON,
   type PlacementEngine,
   WAIT_REASON,
   type WaitReason,
 } from "../types.ts";
-import { BinaryHeap } from "./binary_heap.ts";
+import { type AttemptEnded, AttemptOutcomes } from "./attempt_outcomes.ts";
 import { BorrowedPlacer } from "./borrowed_placement.ts";
-import type { Place, WorkerState } from "./capacity_model.ts";
-import { getFreeRoom } from "./capacity_model.ts";
 import { MAXIMUM_QUEUED_JOBS, RESERVATION_AFTER_MS } from "./constants.ts";
 import { DecisionRound } from "./decision_round.ts";
+import { summariseDomain } from "./domain_summary.ts";
 import { RunTimeEstimator } from "./estimates.ts";
 import { GuaranteedPlacer } from "./guaranteed_placement.ts";
 import { HeadReservations } from "./head_reservations.ts";
@@ -33,12 +28,9 @@
   type JobRecord,
 } from "./job_record.ts";
 import { JobQueue } from "./job_queue.ts";
+import { restoreJob } from "./job_restoration.ts";
 import { PlacementState } from "./placement_state.ts";
-import {
-  countFitting,
-  coversShape,
-  createEmptyResources,
-} from "./resources.ts";
+import { RunLimits } from "./run_limits.ts";
 import { HealthTracker } from "./worker_health.ts";
 
 export interface PlacementEngineOptions {
@@ -46,30 +38,19 @@
   readonly maximumQueuedJobs?: number;
 }
 
-interface RunDeadline {
-  readonly dueMs: number;
-  readonly record: JobRecord;
-  readonly startedAtMs: number;
-}
-
-type AttemptEnded = Extract<EngineEvent, { readonly kind: "attempt_ended" }>;
-
 class Engine implements PlacementEngine {
   readonly #maximumQueuedJobs: number;
   readonly #queue = JobQueue.create();
   readonly #estimator = RunTimeEstimator.create();
-  readonly #health = HealthTracker.create();
   readonly #state: PlacementState;
   readonly #reservations: HeadReservations;
   readonly #round: DecisionRound;
-  readonly #deadlines = BinaryHeap.create<RunDeadline>(
-    (left, right) => left.dueMs - right.dueMs,
-  );
+  readonly #limits: RunLimits;
+  readonly #outcomes: AttemptOutcomes;
   #pending: Decision[] = [];
   #planIsStale = false;
   #isOut = false;
   #drainByMs = 0;
-  #avoidUntilMs: number | undefined;
   #hasMore = false;
   #lastDecisionMs = 0;
 
@@ -78,6 +59,14 @@
     this.#state = PlacementState.create({
       onUnclaimed: (record) => this.#queue.add(record),
     });
+    const health = HealthTracker.create();
+    this.#limits = RunLimits.create(this.#state.records);
+    this.#outcomes = AttemptOutcomes.create({
+      state: this.#state,
+      health,
+      estimator: this.#estimator,
+      onCapacityChange: () => this.#noteCapacityChange(),
+    });
     this.#reservations = HeadReservations.create(this.#state);
     this.#round = DecisionRound.create({
       state: this.#state,
@@ -86,11 +75,11 @@
       borrowed: BorrowedPlacer.create({
         state: this.#state,
         reservations: this.#reservations,
-        health: this.#health,
+        health,
       }),
       reservations: this.#reservations,
       estimator: this.#estimator,
-      health: this.#health,
+      health,
     });
   }
 
@@ -116,7 +105,7 @@
       case "domain_out":
         this.#isOut = true;
         this.#drainByMs = nowMs + event.drainMs;
-        this.#pending.push(...this.#drain(nowMs));
+        this.#drain(nowMs, this.#pending);
         return;
       case "job_queued":
         return this.#enqueue(createJobRecord(event.job, nowMs));
@@ -138,13 +127,13 @@
     this.#repairPlan();
     const decisions = this.#pending;
     this.#pending = [];
-    this.#stopOverruns(nowMs, decisions);
+    this.#limits.stopOverruns(nowMs, decisions);
     this.#hasMore = false;
     if (this.#isOut) {
-      decisions.push(...this.#drain(nowMs));
+      this.#drain(nowMs, decisions);
       return decisions;
     }
-    this.#noteTimedOpportunities(nowMs);
+    this.#outcomes.noteTimedOpportunities(nowMs);
     this.#hasMore = this.#round.run(nowMs, decisions);
     return decisions;
   }
@@ -170,31 +159,7 @@
   }
 
   summarise(): DomainSummary {
-    const free = createEmptyResources();
-    let largestRackFreeAccelerators = 0;
-    for (const rack of this.#state.capacity.racks) {
-      let rackFree = 0;
-      for (const worker of rack.workers) {
-        if (!worker.up || worker.quarantined) continue;
-        const room = getFreeRoom(worker);
-        rackFree += Math.max(0, room.accelerators);
-        free.milliprocessors += Math.max(0, room.milliprocessors);
-      }
-      free.accelerators += rackFree;
-      largestRackFreeAccelerators = Math.max(
-        largestRackFreeAccelerators,
-        rackFree,
-      );
-    }
-    return {
-      freeAccelerators: free.accelerators,
-      totalAccelerators: this.#state.capacity.total.accelerators,
-      largestRackFreeAccelerators,
-      freeMilliprocessors: free.milliprocessors,
-      queuedJobs: this.#queue.size,
-      queuedAccelerators: this.#queue.accelerators,
-      runningTasks: this.#state.runningTasks,
-    };
+    return summariseDomain(this.#state, this.#queue);
   }
 
   nextDecisionMs(): number | undefined {
@@ -202,7 +167,7 @@
       this.#hasMore || this.#pending.length > 0
         ? this.#lastDecisionMs
         : undefined,
-      this.#deadlines.peek()?.dueMs,
+      this.#limits.nextDueMs(),
       this.#isOut && this.#state.runningTasks > 0 ? this.#drainByMs : undefined,
       this.#queue.size > 0 ? this.#nextQueueTimeMs() : undefined,
     ].filter((timeMs) => timeMs !== undefined);
@@ -211,7 +176,7 @@
 
   #nextQueueTimeMs(): number | undefined {
     if (this.#isOut) return undefined;
-    const candidates = [this.#avoidUntilMs, this.#health.nextProbeMs()];
+    const candidates = [this.#outcomes.nextOpportunityMs()];
     for (const jobClass of this.#queue.classes) {
       const head = this.#queue.peek(jobClass);
       if (head === undefined) continue;
@@ -239,9 +204,7 @@
   #takeWorkerDown(name: WorkerName): void {
     const worker = this.#state.capacity.bringDown(name);
     if (worker === undefined) return;
-    if (this.#health.forget(name)) {
-      this.#state.capacity.setQuarantined(worker, false);
-    }
+    this.#outcomes.forget(worker);
     this.#noteCapacityChange();
   }
 
@@ -292,60 +255,15 @@
     this.#state.records.set(event.job.jobId, record);
     this.#learnShape(event.job.shape);
     record.estimateMs = this.#estimator.estimateMs(event.job);
-    const place = this.#findRestoredPlace(event.assignments);
-    this.#state.put(record, place, undefined, nowMs);
-    this.#adoptRestored(record, place);
-    this.#noteStart(event.job.jobId, nowMs - event.ranMs);
+    restoreJob(this.#state, record, event.assignments, nowMs);
+    this.#limits.noteStart(record, nowMs - event.ranMs);
     this.#planIsStale = true;
   }
 
-  #findRestoredPlace(assignments: readonly Assignment[]): Place {
-    const tasks = new Map<WorkerState, number>();
-    for (const { worker } of assignments) {
-      const state = this.#state.capacity.get(worker) ??
-        this.#addLostWorker(worker);
-      tasks.set(state, (tasks.get(state) ?? 0) + 1);
-    }
-    return Array.from(tasks, ([worker, count]) => ({ worker, tasks: count }));
-  }
-
-  /** A worker that has not been seen up; it counts for nothing until it is. */
-  #addLostWorker(name: WorkerName): WorkerState {
-    const worker = this.#state.capacity.bringUp({
-      name,
-      rack: `unknown/${name}` as RackName,
-      resources: createEmptyResources(),
-    });
-    this.#state.capacity.bringDown(name);
-    return worker;
-  }
-
-  /** Moves an open unit of the job's organisation to where the job already runs. */
-  #adoptRestored(record: JobRecord, place: Place): void {
-    const { plan } = this.#state;
-    const { job } = record;
-    const unit = plan.listOf(job.organisation).find((candidate) =>
-      candidate.jobs.size === 0 &&
-      candidate.guarantee.shape.tasks === job.shape.tasks &&
-      coversShape(candidate.guarantee.shape, job.shape)
-    );
-    if (unit === undefined) return;
-    const { perTask } = unit.guarantee.shape;
-    const held = unit.place;
-    plan.move(unit, undefined);
-    const mayMove = place.every(({ worker, tasks }) =>
-      worker.up && countFitting(worker.capacity, perTask) >= tasks
-    );
-    plan.move(unit, mayMove ? place : held);
-    if (mayMove) this.#state.adopt(record, unit);
-  }
-
-  #noteStart(jobId: JobId, startedAtMs: number): void {
+  #noteStart(jobId: JobId, nowMs: number): void {
     const record = this.#state.records.get(jobId);
     if (record === undefined || !isPlaced(record)) return;
-    record.startedAtMs = startedAtMs;
-    const dueMs = startedAtMs + record.job.maximumRunMs;
-    this.#deadlines.push({ dueMs, record, startedAtMs });
+    this.#limits.noteStart(record, nowMs);
   }
 
   #withdraw(jobId: JobId): void {
@@ -367,7 +285,7 @@
     if (record === undefined || !isPlaced(record)) return;
     const workers = (record.place ?? []).map(({ worker }) => worker);
     this.#state.remove(record);
-    const isGuilty = this.#learnFromEnd(record, workers, event, nowMs);
+    const isGuilty = this.#outcomes.learn(record, workers, event, nowMs);
     if (isGuilty) {
       this.#pending.push({
         kind: "fail",
@@ -384,133 +302,12 @@
     this.#state.records.delete(event.jobId);
   }
 
-  /** True when the job itself is to blame for having failed. */
-  #learnFromEnd(
-    record: JobRecord,
-    workers: readonly WorkerState[],
-    event: AttemptEnded,
-    nowMs: number,
-  ): boolean {
-    switch (event.end) {
-      case ATTEMPT_END.FINISHED:
-        this.#estimator.observe(record.job, event.ranMs);
-        for (const worker of workers) this.#noteSuccess(record, worker);
-        return false;
-      case ATTEMPT_END.FAILED:
-        return this.#noteFailure(record, event.workers, nowMs);
-      case ATTEMPT_END.REFUSED:
-        for (const name of event.workers) this.#noteRefusal(name, nowMs);
-        return false;
-      case ATTEMPT_END.STOPPED:
-        return false;
-      default:
-        return assertNever(event.end);
-    }
-  }
-
-  #noteSuccess(record: JobRecord, worker: WorkerState): void {
-    if (!this.#health.recordSuccess(record.job, worker.name)) return;
-    this.#state.capacity.setQuarantined(worker, false);
-    this.#noteCapacityChange();
-  }
-
-  #noteFailure(
-    record: JobRecord,
-    workers: readonly WorkerName[],
-    nowMs: number,
-  ): boolean {
-    let isGuilty = false;
-    for (const name of workers) {
-      const worker = this.#state.capacity.get(name);
-      if (worker === undefined) continue;
-      if (!worker.quarantined) record.failedOn.add(name);
-      const verdict = this.#health.recordFailure(
-        record.job,
-        name,
-        record.failedOn,
-        this.#state.capacity.workerCount,
-        nowMs,
-      );
-      if (verdict.kind === "job_guilty") isGuilty = true;
-      if (verdict.kind !== "worker_guilty") continue;
-      this.#state.capacity.setQuarantined(worker, true);
-      for (const other of this.#state.records.values()) {
-        other.failedOn.delete(name);
-      }
-      this.#noteCapacityChange();
-    }
-    return isGuilty;
-  }
-
-  #noteRefusal(name: WorkerName, nowMs: number): void {
-    const worker = this.#state.capacity.get(name);
-    if (worker === undefined) return;
-    worker.avoidUntilMs = this.#health.recordRefusal(name, nowMs);
-    this.#avoidUntilMs = Math.min(
-      this.#avoidUntilMs ?? worker.avoidUntilMs,
-      worker.avoidUntilMs,
-    );
-  }
-
-  #noteTimedOpportunities(nowMs: number): void {
-    const probeMs = this.#health.nextProbeMs();
-    if (probeMs !== undefined && probeMs <= nowMs) {
-      this.#state.noteOpportunity();
+  #drain(nowMs: number, decisions: Decision[]): void {
+    for (const record of [...this.#state.claiming]) {
+      this.#state.unclaim(record);
+      this.#queue.add(record);
     }
-    if (this.#avoidUntilMs === undefined || this.#avoidUntilMs > nowMs) return;
-    this.#avoidUntilMs = undefined;
-    for (const { avoidUntilMs } of this.#state.capacity.workers) {
-      if (avoidUntilMs <= nowMs) continue;
-      this.#avoidUntilMs = Math.min(
-        this.#avoidUntilMs ?? avoidUntilMs,
-        avoidUntilMs,
-      );
-    }
-    this.#state.noteOpportunity();
-  }
-
-  #stopOverruns(nowMs: number, decisions: Decision[]): void {
-    let next = this.#deadlines.peek();
-    while (next !== undefined && next.dueMs <= nowMs) {
-      this.#deadlines.pop();
-      const { record, startedAtMs } = next;
-      const stands = record.phase === JOB_PHASE.PLACED &&
-        record.startedAtMs === startedAtMs;
-      if (stands) {
-        record.phase = JOB_PHASE.EVICTING;
-        decisions.push({
-          kind: "evict",
-          jobId: record.job.jobId,
-          reason: EVICTION_REASON.OVERRUN,
-          checkpointMs: 0,
-        });
-      }
-      next = this.#deadlines.peek();
-    }
-  }
-
-  /** Sends work out of a failure domain that is out; pinned work may end until the deadline. */
-  #drain(nowMs: number): Decision[] {
-    const decisions: Decision[] = [];
-    const restMs = Math.max(0, this.#drainByMs - nowMs);
-    for (const record of this.#state.records.values()) {
-      if (record.phase === JOB_PHASE.CLAIMING) {
-        this.#state.unclaim(record);
-        this.#queue.add(record);
-      }
-      if (record.phase !== JOB_PHASE.PLACED) continue;
-      if (record.pinned && restMs > 0) continue;
-      record.phase = JOB_PHASE.EVICTING;
-      decisions.push({
-        kind: "evict",
-        jobId: record.job.jobId,
-        reason: EVICTION_REASON.DOMAIN_OUT,
-        checkpointMs: record.job.canCheckpoint
-          ? Math.min(record.job.checkpointMs, restMs)
-          : 0,
-      });
-    }
-    return decisions;
+    this.#limits.drain(Math.max(0, this.#drainByMs - nowMs), decisions);
   }
 }
 
--- a/packages/policy/placement/engine_test.ts
+++ b/packages/policy/placement/engine_test.ts
@@ -52,47 +52,55 @@
     expect(outcome).toMatchSnapshot();
   });
 
-  it("reclaims a guarantee from the borrower that loses least", () => {
+  it("reclaims from the borrowers that lose least, never from pinned work", () => {
     const started = (id: string): EngineEvent => ({
       kind: "job_started",
       jobId: createJob({ id }).jobId,
     });
-    const fillers = ["a", "b", "c", "d"];
+    const ended = (id: string): EngineEvent => ({
+      kind: "attempt_ended",
+      jobId: createJob({ id }).jobId,
+      end: "stopped",
+      requeue: true,
+      ranMs: 1,
+      workers: [],
+    });
+    const borrow = (id: string, more: object): EngineEvent =>
+      queue({ id, accelerators: 2, organisation: "bids", ...more });
     const outcome = run([
       {
         atMs: 0,
         events: [
-          ...start([createGuarantee("desk", "gas", WHOLE_WORKER)]),
-          ...fillers.map((id) =>
-            queue({
-              id,
-              shape: WHOLE_WORKER,
-              organisation: "bids",
-              canCheckpoint: id === "b",
-            })
-          ),
+          ...createWorkers(1, 1),
+          {
+            kind: "configuration",
+            guarantees: [
+              createGuarantee("desk", "gas", createShape(1, 4, "worker")),
+            ],
+            organisations: ORGANISATIONS,
+          },
+          borrow("longest", {}),
+          borrow("checkpoints", { canCheckpoint: true }),
         ],
       },
-      { atMs: 10, events: fillers.map(started) },
+      { atMs: 10, events: ["longest", "checkpoints"].map(started) },
       {
-        atMs: 60_000,
-        events: [
-          queue({ id: "urgent", shape: WHOLE_WORKER, priority: "urgent" }),
-        ],
+        atMs: 50_000,
+        events: [borrow("late", {})],
       },
       {
-        atMs: 61_000,
-        events: [{
-          kind: "attempt_ended",
-          jobId: createJob({ id: "b" }).jobId,
-          end: "stopped",
-          requeue: true,
-          ranMs: 61_000,
-          workers: [],
-        }],
+        atMs: 50_010,
+        events: [started("late"), borrow("pinned", { idempotent: false })],
+      },
+      { atMs: 59_000, events: [started("pinned")] },
+      {
+        atMs: 60_000,
+        events: [queue({ id: "urgent", accelerators: 4, priority: "urgent" })],
       },
+      { atMs: 61_000, events: [ended("checkpoints")] },
+      { atMs: 61_100, events: [ended("late")] },
     ]);
-    expect(outcome.slice(2)).toMatchSnapshot();
+    expect(outcome.slice(5)).toMatchSnapshot();
   });
 
   it("keeps pinned work off capacity that a guarantee needs", () => {
--- a/packages/policy/placement/job_record.ts
+++ b/packages/policy/placement/job_record.ts
@@ -35,7 +35,8 @@
   startedAtMs: number | undefined;
   /** Corrected estimate, set when it was placed. */
   estimateMs: number;
-  /** Healthy workers on which it failed. */
+  failures: number;
+  /** Healthy workers on which it failed; it is kept away from them. */
   readonly failedOn: Set<WorkerName>;
 }
 
@@ -52,6 +53,7 @@
     placedAtMs: 0,
     startedAtMs: undefined,
     estimateMs: job.expectedRunMs,
+    failures: 0,
     failedOn: new Set(),
   };
 }
--- a/packages/policy/placement/worker_health.ts
+++ b/packages/policy/placement/worker_health.ts
@@ -6,7 +6,10 @@
 import type { JobId, WorkerName } from "@coltsfootpond/common";
 import type { QueuedJob } from "../types.ts";
 
-const JOB_FAILURE_LIMIT = 3;
+/** Healthy workers on which a job may fail before it is to blame. */
+const JOB_WORKER_LIMIT = 3;
+/** Failures on any workers before it is to blame, where there are too few workers to tell. */
+const JOB_FAILURE_LIMIT = 6;
 const WORKER_SUSPICION_LIMIT = 2.5;
 const SERVICE_SUCCESS_DECAY = 0.7;
 const MAXIMUM_QUARANTINED_SHARE = 0.25;
@@ -26,6 +29,13 @@
   refusalDelayMs: number;
 }
 
+/** What is known of a job that failed, this failure included. */
+export interface FailedJob {
+  readonly job: QueuedJob;
+  readonly failedOn: ReadonlySet<WorkerName>;
+  readonly failures: number;
+}
+
 export type HealthVerdict =
   | { readonly kind: "none" }
   | { readonly kind: "job_guilty" }
@@ -43,11 +53,10 @@
     return new HealthTracker();
   }
 
-  /** A failure on one healthy worker; `failedOn` already counts it. */
+  /** A failure of a job on one worker. */
   recordFailure(
-    job: QueuedJob,
+    { job, failedOn, failures }: FailedJob,
     worker: WorkerName,
-    failedOn: ReadonlySet<WorkerName>,
     workerCount: number,
     nowMs: number,
   ): HealthVerdict {
@@ -59,7 +68,7 @@
     const service = `${job.organisation}/${job.service}`;
     const success = this.#serviceSuccess.get(service) ?? 1;
     this.#serviceSuccess.set(service, success * SERVICE_SUCCESS_DECAY);
-    if (failedOn.size >= JOB_FAILURE_LIMIT) {
+    if (failedOn.size >= JOB_WORKER_LIMIT || failures >= JOB_FAILURE_LIMIT) {
       this.#clearJob(job.jobId, failedOn);
       return { kind: "job_guilty" };
     }
