--- /dev/null
+++ b/scripts/bench_capacity/processor_slopes.ts
@@ -0,0 +1,221 @@
+/** Processor time of an entry's recurring work. */
+import {
+  createId,
+  type Declarations,
+  type EntryName,
+  type FailureDomainName,
+  parseDeclarations,
+  type WriteId,
+} from "@coltsfootpond/common";
+import {
+  createHttpPlatform,
+  HttpClient,
+  type PlatformPorts,
+  type ServiceAddress,
+  type WorkerCommand,
+} from "@coltsfootpond/platform";
+import {
+  createDeclarationFiles,
+  createJobTableRow,
+  createWorker,
+  createWorkerName,
+  FAILURE_DOMAIN,
+} from "./fixtures.ts";
+import { measureProcessor } from "./measure.ts";
+import { MeshPair } from "./mesh_pair.ts";
+import { startPlatformProcess } from "./platform_process.ts";
+import { TARGET } from "./target.ts";
+import type { Slope } from "./types.ts";
+
+const OPTIONS = { timeoutMs: 30_000 };
+const EXCHANGES = [250, 500, 1_000, 2_000];
+const RENEWED_WORKERS = [1_000, 2_000, 4_000, 8_000];
+const ENTRY = createId<EntryName>("entry-1");
+
+/** All slopes of processor time that need no placement engine. */
+export async function measureProcessorSlopes(): Promise<readonly Slope[]> {
+  const platform = await startPlatformProcess();
+  const address = { host: "127.0.0.1", port: platform.port };
+  const ports = createHttpPlatform(address);
+  try {
+    await declareWorkers(address);
+    return [
+      await measureHeartbeats(),
+      await measureConfigurationChange(),
+      await measureRowDecoding(),
+      ...await measureTable(ports),
+      ...await measureFleet(ports),
+    ];
+  } finally {
+    await platform.stop();
+  }
+}
+
+/** One heartbeat sent and one received, over a real link of the mesh. */
+async function measureHeartbeats(): Promise<Slope> {
+  const pair = await MeshPair.create();
+  try {
+    const slope = await measureProcessor({
+      name: "heartbeat_time",
+      per: "heartbeat sent and one received",
+      sizes: [1_000, 2_000, 4_000, 8_000],
+      prepare: (size) => () => pair.exchange(size),
+    });
+    return slope;
+  } finally {
+    await pair.stop();
+  }
+}
+
+function measureConfigurationChange(): Promise<Slope> {
+  return measureProcessor({
+    name: "configuration_parse_time",
+    per: "organisation of the set",
+    sizes: [9, 18, 36, 72],
+    prepare: (organisations) => {
+      const files = createDeclarationFiles({
+        organisations,
+        failureDomains: TARGET.failureDomains,
+        workers: TARGET.workers,
+      });
+      return () => {
+        const outcome = parseDeclarations(files);
+        if (outcome.kind === "invalid") throw new Error("fixture is invalid");
+        keep(outcome.declarations);
+      };
+    },
+  });
+}
+
+let kept: Declarations | undefined;
+
+/** Keeps the result from being optimised away. */
+function keep(declarations: Declarations): void {
+  kept = declarations;
+  void kept;
+}
+
+function measureRowDecoding(): Promise<Slope> {
+  return measureProcessor({
+    name: "row_decode_time",
+    per: "job row of 24 tasks decoded",
+    sizes: [500, 1_000, 2_000, 4_000],
+    prepare: (size) => {
+      const rows = Array.from(
+        { length: size },
+        (_, index) => createJobTableRow(index, 24),
+      );
+      const text = JSON.stringify({ kind: "rows", rows });
+      return () => void JSON.parse(text);
+    },
+  });
+}
+
+async function measureTable(ports: PlatformPorts): Promise<readonly Slope[]> {
+  const { table } = ports;
+  const rows = Array.from(
+    { length: 1_000 },
+    (_, index) => createJobTableRow(index, 24),
+  );
+  for (const row of rows) {
+    await table.transact({
+      writeId: row.writeId,
+      conditions: [],
+      writes: [{ kind: "put", key: row.key, value: row.value }],
+    }, OPTIONS);
+  }
+  const beat = { entry: "entry-1", incarnation: "i".repeat(32), beat: 1 };
+  return [
+    await measureProcessor({
+      name: "table_read_time",
+      per: "read of one small row",
+      sizes: EXCHANGES,
+      prepare: (size) => () =>
+        repeat(size, () => table.read(["owner/none"], OPTIONS)),
+    }),
+    await measureProcessor({
+      name: "table_write_time",
+      per: "write of one small row",
+      sizes: EXCHANGES,
+      prepare: (size) => () =>
+        repeat(size, (index) =>
+          table.transact({
+            writeId: createId<WriteId>(`write-${index}`),
+            conditions: [],
+            writes: [{ kind: "put", key: "owner/bench", value: beat }],
+          }, OPTIONS)),
+    }),
+    await measureProcessor({
+      name: "row_scan_time",
+      per: "job row of 24 tasks scanned over HTTP",
+      sizes: [1_000, 2_000, 4_000, 8_000],
+      prepare: (size) => () =>
+        repeat(size / 1_000, () => table.scan("job/", OPTIONS)),
+    }),
+  ];
+}
+
+async function measureFleet(ports: PlatformPorts): Promise<readonly Slope[]> {
+  const { fleet } = ports;
+  const failureDomain: FailureDomainName = FAILURE_DOMAIN;
+  return [
+    await measureProcessor({
+      name: "lease_renewal_time",
+      per: "worker renewed in one batch",
+      sizes: RENEWED_WORKERS,
+      prepare: (size) => {
+        const commands = createRenewals(size);
+        return async () => {
+          await fleet.command(
+            { failureDomain, epoch: 1, entry: ENTRY, commands },
+            OPTIONS,
+          );
+        };
+      },
+    }),
+    await measureProcessor({
+      name: "fleet_report_time",
+      per: "report with nothing new",
+      sizes: EXCHANGES,
+      prepare: (size) => () =>
+        repeat(size, () =>
+          fleet.report(
+            { failureDomain, sinceRevision: 1_000_000, forget: [] },
+            OPTIONS,
+          )),
+    }),
+  ];
+}
+
+async function declareWorkers(address: ServiceAddress): Promise<void> {
+  const client = HttpClient.create(address);
+  const workers = Array.from(
+    { length: RENEWED_WORKERS.at(-1) ?? 0 },
+    (_, index) => createWorker(index),
+  );
+  const declaration = { failureDomain: FAILURE_DOMAIN, workers };
+  await client.postJson("/fleet/workers", declaration, OPTIONS.timeoutMs);
+  client.close();
+}
+
+function createRenewals(workers: number): readonly WorkerCommand[] {
+  return Array.from({ length: workers }, (_, index) => ({
+    kind: "renew",
+    worker: createWorkerName(index),
+    leaseMs: 20_000,
+  }));
+}
+
+async function repeat(
+  count: number,
+  call: (index: number) => Promise<{ readonly kind: string }>,
+): Promise<void> {
+  for (let index = 0; index < count; index++) {
+    const outcome = await call(index);
+    if (outcome.kind === "unavailable") {
+      throw new Error(
+        `the platform gave no answer: ${JSON.stringify(outcome)}`,
+      );
+    }
+  }
+}
--- /dev/null
+++ b/scripts/bench_capacity/target.ts
@@ -0,0 +1,40 @@
+/** The size to design for, and what the measurements assume where it leaves a figure open. */
+export const TARGET = {
+  workers: 3_900,
+  accelerators: 5_100,
+  jobsPerDay: 6_700,
+  runningTasks: 40_000,
+  largestGang: 256,
+  organisations: 72,
+  urgentStartMs: 3_200,
+  regions: 4,
+  failureDomains: 14,
+  configurationChangesPerDay: 2_100,
+  configurationInForceMs: 16_000,
+  processorShare: 0.02,
+  memoryBytes: 256_000_000,
+  controlBytesPerSecond: 6_000,
+  vmFailuresPerDay: 29,
+  vmRestartsPerDay: 1_500,
+  tableWritesPerSecond: 300,
+  tableReadsPerSecond: 2_000,
+} as const;
+
+/** Chosen by us where the target is silent. */
+export const ASSUMED = {
+  workersPerRack: 8,
+  /** Mean run of a job: "most running for hours". */
+  meanRunHours: 6,
+  servicesPerOrganisation: 5,
+  guaranteesPerOrganisation: 2,
+  /** Runners of the call services in all regions: today's 30 for each failure domain. */
+  runners: 420,
+  /** IPv4 and TCP headers with time stamps, for one packet each way of every message. */
+  packetHeaderBytes: 52,
+  /** Queued jobs in all failure domains on a bad day: one day's jobs. */
+  queuedJobs: 6_700,
+} as const;
+
+/** Jobs running at once, from Little's law. */
+export const RUNNING_JOBS = TARGET.jobsPerDay * ASSUMED.meanRunHours / 24;
+export const TASKS_PER_JOB = TARGET.runningTasks / RUNNING_JOBS;
