--- a/packages/node/mod.ts
+++ b/packages/node/mod.ts
@@ -1,6 +1,15 @@
 /** Public face of `@coltsfootpond/node`: the entry's filters, controllers and mesh. */
+export * from "./configuration/configuration_controller.ts";
+export * from "./configuration/types.ts";
 export * from "./constants.ts";
+export * from "./failure_domains/failure_domain_controller.ts";
+export * from "./http/authenticator.ts";
+export * from "./http/limits.ts";
+export * from "./http/problem.ts";
+export * from "./http/server.ts";
 export * from "./http/types.ts";
+export * from "./membership/membership_controller.ts";
+export * from "./membership/peer_facts.ts";
 export * from "./mesh/messages.ts";
 export * from "./meters/latency.ts";
 export * from "./meters/metered_platform.ts";
@@ -8,5 +17,11 @@
 export * from "./meters/process_usage.ts";
 export * from "./meters/prometheus.ts";
 export * from "./meters/traffic.ts";
+export * from "./ownership/ownership_controller.ts";
+export * from "./ownership/preference.ts";
+export * from "./requests/create_request_routes.ts";
 export * from "./rows.ts";
+export * from "./state/row_watcher.ts";
+export * from "./state/state_controllers.ts";
 export * from "./types.ts";
+export * from "./upstreams/balancing/choose.ts";
--- a/packages/node/rows.ts
+++ b/packages/node/rows.ts
@@ -40,6 +40,13 @@
   readonly version: number;
 }
 
+export const MEMBER_INDEX_KEY = "members";
+
+/** `members`: the names of all registered entries, so that nobody scans for them. */
+export interface MemberIndexRow {
+  readonly entries: readonly EntryName[];
+}
+
 /** `entry/{name}`: one registered entry. */
 export interface EntryRow {
   readonly incarnation: Incarnation;
@@ -125,6 +132,9 @@
     readonly state: "attempting" | "answered" | "not_run" | "unknown";
     readonly answer?: AnswerReference;
     readonly answerStatus?: number;
+    readonly answerContentType?: string;
+    /** Why it was not run. */
+    readonly resultName?: ResultName;
   };
 
 export function getDomainKey(failureDomain: FailureDomainName): string {
