--- a/packages/node/mod.ts
+++ b/packages/node/mod.ts
@@ -2,6 +2,7 @@
 export * from "./configuration/configuration_controller.ts";
 export * from "./configuration/types.ts";
 export * from "./constants.ts";
+export * from "./entry_core.ts";
 export * from "./failure_domains/failure_domain_controller.ts";
 export * from "./http/authenticator.ts";
 export * from "./http/limits.ts";
@@ -17,6 +18,8 @@
 export * from "./meters/process_usage.ts";
 export * from "./meters/prometheus.ts";
 export * from "./meters/traffic.ts";
+export * from "./operators/operator_routes.ts";
+export * from "./operators/types.ts";
 export * from "./ownership/ownership_controller.ts";
 export * from "./ownership/preference.ts";
 export * from "./requests/create_request_routes.ts";
