Measure what one more of each thing costs an entry, first part

Change: least squares over four sizes; heap after collection, processor time against the platform stand-in in a process of its own, sizes of the real messages; the ledger of an entry computed from them.

--- a/packages/node/jobs/fleet_task.ts
+++ b/packages/node/jobs/fleet_task.ts
@@ -12,10 +12,10 @@
 import type { FleetPort, FleetReport } from "@coltsfootpond/platform";
 import { createRenewals, type FleetCommander } from "./gang_start.ts";
 
-const REPORT_PERIOD_MS = 500;
+export const REPORT_PERIOD_MS = 500;
 /** With nothing running, only workers that fail or return are of interest. */
-const IDLE_REPORT_PERIOD_MS = 2_000;
-const RENEW_PERIOD_MS = 6_000;
+export const IDLE_REPORT_PERIOD_MS = 2_000;
+export const RENEW_PERIOD_MS = 6_000;
 const FLEET_TIMEOUT_MS = 2_000;
 
 export interface FleetTaskOptions {
--- /dev/null
+++ b/scripts/bench_capacity/design.ts
@@ -0,0 +1,90 @@
+/** The periods and sizes on which an entry's control traffic depends. */
+import {
+  ENTRY_BEAT_MS,
+  MESH_HEARTBEAT_MS,
+  OWNERSHIP_BEAT_MS,
+  STATE_POLL_MS,
+} from "@coltsfootpond/node";
+import {
+  RENEW_PERIOD_MS,
+  REPORT_PERIOD_MS,
+} from "../../packages/node/jobs/fleet_task.ts";
+import { VM_POLL_MS } from "../../packages/node/upstreams/constants.ts";
+import { ASSUMED, TARGET } from "./target.ts";
+
+/** How many of everything there is. */
+export interface DeploymentSize {
+  readonly entries: number;
+  readonly entriesInRegion: number;
+  readonly failureDomains: number;
+  readonly failureDomainsInRegion: number;
+  readonly ownedFailureDomains: number;
+  readonly workersPerDomain: number;
+  readonly tasksPerDomain: number;
+  readonly queuedJobsPerDomain: number;
+  readonly runners: number;
+  readonly organisations: number;
+}
+
+/** One owner for each failure domain and one spare entry in each region. */
+export const TARGET_ENTRIES = TARGET.failureDomains + TARGET.regions;
+
+export const TARGET_SIZE: DeploymentSize = {
+  entries: TARGET_ENTRIES,
+  entriesInRegion: Math.ceil(TARGET.failureDomains / TARGET.regions) + 1,
+  failureDomains: TARGET.failureDomains,
+  failureDomainsInRegion: Math.ceil(TARGET.failureDomains / TARGET.regions),
+  ownedFailureDomains: 1,
+  workersPerDomain: Math.ceil(TARGET.workers / TARGET.failureDomains),
+  tasksPerDomain: Math.ceil(TARGET.runningTasks / TARGET.failureDomains),
+  queuedJobsPerDomain: Math.ceil(ASSUMED.queuedJobs / TARGET.failureDomains),
+  runners: ASSUMED.runners,
+  organisations: TARGET.organisations,
+};
+
+/** What may be redesigned. */
+export interface Design {
+  readonly heartbeatInRegionMs: number;
+  readonly heartbeatAcrossRegionsMs: number;
+  readonly statePollMs: number;
+  /** Whether the head row lists every file, or only the digest of a list kept as an object. */
+  readonly headListsFiles: boolean;
+  /** Whether rows of all failure domains are watched, or only the region's. */
+  readonly watchesAllDomains: boolean;
+  readonly entryBeatMs: number;
+  readonly ownershipBeatMs: number;
+  readonly renewMs: number;
+  readonly reportMs: number;
+  readonly vmPollMs: number;
+  /** Whether an unchanged VM list is answered without the list. */
+  readonly vmListIsConditional: boolean;
+}
+
+/** What the code does now: its own constants. */
+export const PRESENT_DESIGN: Design = {
+  heartbeatInRegionMs: MESH_HEARTBEAT_MS,
+  heartbeatAcrossRegionsMs: MESH_HEARTBEAT_MS,
+  statePollMs: STATE_POLL_MS,
+  headListsFiles: true,
+  watchesAllDomains: true,
+  entryBeatMs: ENTRY_BEAT_MS,
+  ownershipBeatMs: OWNERSHIP_BEAT_MS,
+  renewMs: RENEW_PERIOD_MS,
+  reportMs: REPORT_PERIOD_MS,
+  vmPollMs: VM_POLL_MS,
+  vmListIsConditional: false,
+};
+
+/** Not built: what would bring the lines under the limit. */
+export const PROPOSED_DESIGN: Design = {
+  ...PRESENT_DESIGN,
+  heartbeatInRegionMs: 2_000,
+  heartbeatAcrossRegionsMs: 10_000,
+  headListsFiles: false,
+  watchesAllDomains: false,
+  ownershipBeatMs: 2_000,
+  renewMs: 20_000,
+  reportMs: 2_000,
+  vmPollMs: 2_000,
+  vmListIsConditional: true,
+};
--- a/scripts/bench_capacity/fixtures.ts
+++ b/scripts/bench_capacity/fixtures.ts
@@ -29,10 +29,12 @@
   memoryMib: 500_000,
   accelerators: 8,
 };
+/** The target has 1.3 accelerators a worker and 10 tasks a worker: most tasks use none. */
+const WORKERS_PER_ACCELERATED_WORKER = 6;
 const TASK_RESOURCES: Resources = {
   milliprocessors: 8_000,
-  memoryMib: 32_000,
-  accelerators: 1,
+  memoryMib: 30_000,
+  accelerators: 0,
 };
 const HEX_ID_LENGTH = 32;
 
@@ -58,7 +60,10 @@
   return {
     name: createWorkerName(index),
     rack: createId<RackName>(`${FAILURE_DOMAIN}-r${rack}`),
-    resources: { ...WORKER_RESOURCES },
+    resources: {
+      ...WORKER_RESOURCES,
+      accelerators: index % WORKERS_PER_ACCELERATED_WORKER === 0 ? 8 : 0,
+    },
   };
 }
 
--- a/scripts/bench_capacity/main.ts
+++ b/scripts/bench_capacity/main.ts
@@ -8,6 +8,7 @@
 import process from "node:process";
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
+import { measureEngineSlopes } from "./engine_slopes.ts";
 import { measureMemorySlopes } from "./memory_slopes.ts";
 import { measureMessageSizes } from "./message_sizes.ts";
 import { measureProcessorSlopes } from "./processor_slopes.ts";
@@ -45,6 +46,7 @@
   const startedMs = performance.now();
   const slopes = [
     ...measureMemorySlopes(),
+    ...await measureEngineSlopes(),
     ...await measureProcessorSlopes(),
   ];
   return {
--- a/scripts/bench_capacity/measure.ts
+++ b/scripts/bench_capacity/measure.ts
@@ -4,6 +4,7 @@
 import type { Slope } from "./types.ts";
 
 const REPEATS = 5;
+const MICROSECONDS_PER_MS = 1_000;
 
 /** A slope to measure. */
 export interface SlopeOptions {
@@ -57,8 +58,30 @@
 }
 
 /** User and system time of the whole process as the count of operations grows. */
-export async function measureProcessor(
+export function measureProcessor(
   options: ProcessorSlopeOptions,
+): Promise<Slope> {
+  return measureTime(options, () => {
+    const before = process.cpuUsage();
+    return () => {
+      const { user, system } = process.cpuUsage(before);
+      return user + system;
+    };
+  });
+}
+
+/** Elapsed time as the count of operations grows. */
+export function measureWall(options: ProcessorSlopeOptions): Promise<Slope> {
+  return measureTime(options, () => {
+    const startedMs = performance.now();
+    return () => (performance.now() - startedMs) * MICROSECONDS_PER_MS;
+  });
+}
+
+/** `startTimer` gives a function that tells the microseconds since. */
+async function measureTime(
+  options: ProcessorSlopeOptions,
+  startTimer: () => () => number,
 ): Promise<Slope> {
   await options.prepare(options.sizes[0] ?? 1)();
   const values: number[] = [];
@@ -67,10 +90,9 @@
     for (let repeat = 0; repeat < REPEATS; repeat++) {
       const run = options.prepare(size);
       globalThis.gc?.();
-      const before = process.cpuUsage();
+      const readTimer = startTimer();
       await run();
-      const { user, system } = process.cpuUsage(before);
-      repeats.push(user + system);
+      repeats.push(readTimer());
     }
     values.push(median(repeats));
   }
--- a/scripts/bench_capacity/message_sizes.ts
+++ b/scripts/bench_capacity/message_sizes.ts
@@ -47,6 +47,7 @@
   configurationVersion: 120_000,
   configurationAgeMs: 1_234.567,
   tableReachable: true,
+  holdings: [{ failureDomain: FAILURE_DOMAIN, epoch: 4_000 }],
   leaving: false,
 };
 
@@ -190,17 +191,18 @@
   ];
 }
 
+export const VM_RECORD: VmRecord = {
+  name: "runner-bavaria-landsberg-017",
+  role: "runner",
+  state: "live",
+  host: "10.20.30.40",
+  port: 8_080,
+  service: "quoting",
+  failureDomain: FAILURE_DOMAIN,
+  slots: 8,
+};
+
 function measureOthers(): readonly MessageSize[] {
-  const vm: VmRecord = {
-    name: "runner-bavaria-landsberg-017",
-    role: "runner",
-    state: "live",
-    host: "10.20.30.40",
-    port: 8_080,
-    service: "quoting",
-    failureDomain: FAILURE_DOMAIN,
-    slots: 8,
-  };
   const files = createDeclarationFiles({
     organisations: 1,
     failureDomains: 1,
@@ -212,7 +214,7 @@
     writes: [],
   };
   return [
-    sizeJson("vm_record", vm),
+    sizeJson("vm_record", VM_RECORD),
     sizeJson("table_read_request", { keys: ["config/head"] }),
     sizeJson("table_rows_empty", { kind: "rows", rows: [] }),
     sizeJson("table_transaction_empty", transaction),
--- a/scripts/bench_capacity/processor_slopes.ts
+++ b/scripts/bench_capacity/processor_slopes.ts
@@ -23,12 +23,14 @@
 } from "./fixtures.ts";
 import { measureProcessor } from "./measure.ts";
 import { MeshPair } from "./mesh_pair.ts";
+import { VM_RECORD } from "./message_sizes.ts";
 import { startPlatformProcess } from "./platform_process.ts";
 import { TARGET } from "./target.ts";
 import type { Slope } from "./types.ts";
 
 const OPTIONS = { timeoutMs: 30_000 };
 const EXCHANGES = [250, 500, 1_000, 2_000];
+const VM_READINGS = 100;
 const RENEWED_WORKERS = [1_000, 2_000, 4_000, 8_000];
 const ENTRY = createId<EntryName>("entry-1");
 
@@ -45,6 +47,7 @@
       await measureRowDecoding(),
       ...await measureTable(ports),
       ...await measureFleet(ports),
+      await measureVmList(ports, address),
     ];
   } finally {
     await platform.stop();
@@ -187,6 +190,29 @@
   ];
 }
 
+function measureVmList(
+  ports: PlatformPorts,
+  address: ServiceAddress,
+): Promise<Slope> {
+  const client = HttpClient.create(address);
+  let registered = 0;
+  return measureProcessor({
+    name: "vm_list_time",
+    per: "VM in 100 readings of the list",
+    sizes: [100, 200, 400, 800],
+    prepare: (size) => async () => {
+      while (registered < size) {
+        await client.postJson(
+          "/vms/register",
+          { ...VM_RECORD, name: `runner-${registered++}` },
+          OPTIONS.timeoutMs,
+        );
+      }
+      await repeat(VM_READINGS, () => ports.vms.list(OPTIONS));
+    },
+  }).finally(() => client.close());
+}
+
 async function declareWorkers(address: ServiceAddress): Promise<void> {
   const client = HttpClient.create(address);
   const workers = Array.from(
--- a/scripts/bench_capacity/target.ts
+++ b/scripts/bench_capacity/target.ts
@@ -33,6 +33,8 @@
   packetHeaderBytes: 52,
   /** Queued jobs in all failure domains on a bad day: one day's jobs. */
   queuedJobs: 6_700,
+  /** 4,096 events of about 500 bytes. */
+  eventRingBytes: 2_048_000,
 } as const;
 
 /** Jobs running at once, from Little's law. */
