--- a/packages/node/mod.ts
+++ b/packages/node/mod.ts
@@ -2,6 +2,7 @@
 export * from "./configuration/configuration_controller.ts";
 export * from "./configuration/types.ts";
 export * from "./constants.ts";
+export * from "./entry.ts";
 export * from "./entry_core.ts";
 export * from "./failure_domains/failure_domain_controller.ts";
 export * from "./http/authenticator.ts";
@@ -22,6 +23,7 @@
 export * from "./operators/types.ts";
 export * from "./ownership/ownership_controller.ts";
 export * from "./ownership/preference.ts";
+export * from "./relay/relay_table.ts";
 export * from "./requests/create_request_routes.ts";
 export * from "./rows.ts";
 export * from "./state/row_watcher.ts";
