--- a/scripts/bench_capacity/fixtures.ts
+++ b/scripts/bench_capacity/fixtures.ts
@@ -31,6 +31,11 @@
 };
 /** The target has 1.3 accelerators a worker and 10 tasks a worker: most tasks use none. */
 const WORKERS_PER_ACCELERATED_WORKER = 6;
+const QUOTA: Resources = {
+  milliprocessors: 20_000_000,
+  memoryMib: 80_000_000,
+  accelerators: 500,
+};
 const TASK_RESOURCES: Resources = {
   milliprocessors: 8_000,
   memoryMib: 30_000,
@@ -189,7 +194,7 @@
     `name = "${name}"`,
     `token_digest = "${createDigest(name)}"`,
     "weight = 1.0",
-    `quota = ${createResourcesText(WORKER_RESOURCES)}`,
+    `quota = ${createResourcesText(QUOTA)}`,
     "requests_per_second = 50",
     "concurrent_requests = 500",
     "queued_jobs = 1000",
--- /dev/null
+++ b/scripts/bench_idle/processes.ts
@@ -0,0 +1,55 @@
+/** Programs of the build as processes: each says where it listens and is ended by its own id. */
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import process from "node:process";
+import { createInterface } from "node:readline";
+
+const START_TIMEOUT_MS = 20_000;
+const STOP_TIMEOUT_MS = 10_000;
+
+/** What a program prints when it is ready. */
+export interface ListeningLine {
+  readonly port?: number;
+  readonly httpPort?: number;
+}
+
+/** A started program. */
+export class Program {
+  readonly listening: ListeningLine;
+  readonly #child: ChildProcess;
+
+  private constructor(child: ChildProcess, listening: ListeningLine) {
+    this.#child = child;
+    this.listening = listening;
+  }
+
+  /** Starts `dist/{name}.mjs` and waits until it listens. */
+  static async start(name: string, args: readonly string[]): Promise<Program> {
+    const child = spawn(process.execPath, [`dist/${name}.mjs`, ...args], {
+      stdio: ["ignore", "pipe", "ignore"],
+    });
+    if (child.stdout === null) throw new Error(`${name} has no output`);
+    try {
+      const signal = AbortSignal.timeout(START_TIMEOUT_MS);
+      const lines = createInterface({ input: child.stdout });
+      const [line] = await once(lines, "line", { signal });
+      return new Program(child, JSON.parse(String(line)) as ListeningLine);
+    } catch (error) {
+      child.kill("SIGKILL");
+      throw error;
+    }
+  }
+
+  /** Asks it to stop, and ends it when it does not. */
+  async stop(): Promise<void> {
+    if (this.#child.exitCode !== null) return;
+    const ended = once(this.#child, "exit");
+    this.#child.kill("SIGTERM");
+    const timer = setTimeout(
+      () => this.#child.kill("SIGKILL"),
+      STOP_TIMEOUT_MS,
+    );
+    await ended;
+    clearTimeout(timer);
+  }
+}
