See the checks of the promises fail on deliberate faults

Cause: a check that cannot fail proves nothing. Change: npm run mutations puts each listed fault into a scratch copy and runs the named test.

--- /dev/null
+++ b/scripts/mutations/main.ts
@@ -0,0 +1,108 @@
+/**
+ * `npm run mutations`: puts each fault into a scratch copy of the committed tree, one at a time, and
+ * sees that the named test fails. Exit 1 when a fault goes unnoticed or its text is not found once.
+ */
+import { spawnSync } from "node:child_process";
+import {
+  mkdirSync,
+  mkdtempSync,
+  readdirSync,
+  readFileSync,
+  rmSync,
+  symlinkSync,
+  writeFileSync,
+} from "node:fs";
+import { tmpdir } from "node:os";
+import { join, resolve } from "node:path";
+import process from "node:process";
+import { MUTATIONS } from "./list.ts";
+import type { Mutation } from "./types.ts";
+
+const OWN_SCOPE = "@coltsfootpond";
+const TEST_TIMEOUT_MS = 120_000;
+
+function createCopy(): string {
+  const copy = mkdtempSync(join(tmpdir(), "coltsfootpond-mutations-"));
+  spawnSync("bash", ["-c", `git archive HEAD | tar -x -C "${copy}"`], {
+    stdio: "inherit",
+  });
+  const modules = resolve("node_modules");
+  mkdirSync(join(copy, "node_modules", OWN_SCOPE), { recursive: true });
+  for (const name of readdirSync(modules)) {
+    if (name !== OWN_SCOPE) {
+      symlinkSync(join(modules, name), join(copy, "node_modules", name));
+    }
+  }
+  const own = {
+    common: "packages/common",
+    policy: "packages/policy",
+    platform: "packages/platform",
+    node: "packages/node",
+    "stand-ins": "stand_ins",
+  };
+  for (const [name, folder] of Object.entries(own)) {
+    symlinkSync(
+      join("..", "..", folder),
+      join(copy, "node_modules", OWN_SCOPE, name),
+    );
+  }
+  return copy;
+}
+
+type Verdict = "noticed" | "UNNOTICED" | "TEXT NOT FOUND ONCE" | "NO SUCH TEST";
+
+function countTests(
+  copy: string,
+  mutation: Mutation,
+): { readonly passes: number; readonly failures: number } {
+  const run = spawnSync("npx", [
+    "mocha",
+    "--spec",
+    mutation.spec,
+    "-g",
+    mutation.title,
+    "--reporter",
+    "json",
+  ], {
+    cwd: copy,
+    env: { ...process.env, CI: "true" },
+    encoding: "utf8",
+    timeout: TEST_TIMEOUT_MS,
+  });
+  const passes = /"passes": (\d+)/.exec(run.stdout)?.[1] ?? "0";
+  const failures = /"failures": (\d+)/.exec(run.stdout)?.[1] ??
+    (run.status === 0 ? "0" : "1");
+  return { passes: Number(passes), failures: Number(failures) };
+}
+
+function tryMutation(copy: string, mutation: Mutation): Verdict {
+  const path = join(copy, mutation.file);
+  const original = readFileSync(path, "utf8");
+  if (original.split(mutation.find).length !== 2) return "TEXT NOT FOUND ONCE";
+  const before = countTests(copy, mutation);
+  if (before.passes === 0 || before.failures > 0) return "NO SUCH TEST";
+  writeFileSync(path, original.replace(mutation.find, () => mutation.replace));
+  const after = countTests(copy, mutation);
+  writeFileSync(path, original);
+  return after.failures > 0 ? "noticed" : "UNNOTICED";
+}
+
+const wanted = process.argv[2] ?? "";
+const copy = createCopy();
+let missed = 0;
+for (
+  const mutation of MUTATIONS.filter(({ name, promise }) =>
+    `${name} ${promise}`.includes(wanted)
+  )
+) {
+  const verdict = tryMutation(copy, mutation);
+  if (verdict !== "noticed") missed++;
+  console.log(
+    `${
+      verdict.padEnd(9)
+    } ${mutation.promise}: ${mutation.name} (${mutation.title})`,
+  );
+}
+rmSync(copy, { recursive: true, force: true });
+console.log(`${missed} not noticed`);
+process.exit(missed === 0 ? 0 : 1);
--- /dev/null
+++ b/scripts/mutations/types.ts
@@ -0,0 +1,14 @@
+/** One deliberate fault, and the test that must fail on it. */
+
+/** `find` stands exactly once in `file` and is replaced by `replace`. */
+export interface Mutation {
+  readonly name: string;
+  /** The promise of the brief that the fault breaks. */
+  readonly promise: string;
+  readonly file: string;
+  readonly find: string;
+  readonly replace: string;
+  /** The mocha spec that must fail, and a part of a test's title within it. */
+  readonly spec: string;
+  readonly title: string;
+}
