Run the whole path as a demo and hold its ledgers against each other

Change: scripts/demo starts platform stand-in, runners and three entries on loopback, applies an example, sends a seeded mix of calls and gangs through the balancer, takes a failure domain out and in, applies again, lets a runner leave, kills one entry and stops another; then compares the callers' ledger with those of runners and workers. Bounded in time and processes; each process is ended by its own id.

--- /dev/null
+++ b/scripts/demo/load_tool.ts
@@ -0,0 +1,216 @@
+/** Sends the planned requests through the balancer and keeps a ledger of what callers were told. */
+import { Buffer } from "node:buffer";
+import { performance } from "node:perf_hooks";
+import { RESULT, RESULT_CLASS, type ResultClass } from "@coltsfootpond/common";
+import {
+  EntryClient,
+  type EntryOutcome,
+  type EntryRequest,
+  readProblem,
+} from "../../apps/coltsfootpond/entry_client.ts";
+import { getOrganisationToken } from "./example.ts";
+import type { PlannedRequest } from "./load_plan.ts";
+
+const EXCHANGE_TIMEOUT_MS = 30_000;
+const WAIT_SECONDS = 5;
+const POLL_PERIOD_MS = 250;
+const STATUS_ACCEPTED = 202;
+
+/** A connection that ended before its answer. */
+export interface LostExchange {
+  readonly requestId: string;
+  readonly method: string;
+  readonly sentMs: number;
+  readonly lostMs: number;
+  readonly reason: string;
+}
+
+/** What the caller of one request knows in the end. */
+export interface LoadRecord {
+  readonly planned: PlannedRequest;
+  readonly sentMs: number;
+  endedMs: number | undefined;
+  class: ResultClass;
+  code: number | undefined;
+  answer: Buffer | undefined;
+  cancelSent: boolean;
+}
+
+/** What a lookup may say about the request itself and not about the lookup. */
+const FINAL_LOOKUP_CODES: ReadonlySet<number> = new Set([
+  RESULT.SHAPE_NEVER_FITS.code,
+  RESULT.JOB_FAILED.code,
+  RESULT.JOB_FAILED_REPEATEDLY.code,
+  RESULT.JOB_OVERRAN.code,
+  RESULT.JOB_CANCELLED.code,
+  RESULT.JOB_INTERRUPTED.code,
+]);
+
+function pause(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
+
+export class LoadTool {
+  readonly records: LoadRecord[] = [];
+  readonly lost: LostExchange[] = [];
+  readonly #port: number;
+  readonly #startMs = performance.now();
+  #stopped = false;
+
+  private constructor(balancerPort: number) {
+    this.#port = balancerPort;
+  }
+
+  static create(balancerPort: number): LoadTool {
+    return new LoadTool(balancerPort);
+  }
+
+  nowMs(): number {
+    return performance.now() - this.#startMs;
+  }
+
+  /** Callers give up; what is open stays `unknown`. */
+  stop(): void {
+    this.#stopped = true;
+  }
+
+  /** Resolves when every request has ended or `stop` was called. */
+  async run(plan: readonly PlannedRequest[]): Promise<void> {
+    const pending: Promise<void>[] = [];
+    for (const planned of plan) {
+      await pause(Math.max(0, planned.atMs - this.nowMs()));
+      if (this.#stopped) break;
+      pending.push(this.#runOne(planned));
+    }
+    await Promise.all(pending);
+  }
+
+  async #runOne(planned: PlannedRequest): Promise<void> {
+    const record: LoadRecord = {
+      planned,
+      sentMs: this.nowMs(),
+      endedMs: undefined,
+      class: RESULT_CLASS.UNKNOWN,
+      code: undefined,
+      answer: undefined,
+      cancelSent: false,
+    };
+    this.records.push(record);
+    if (planned.cancelAfterMs !== undefined) void this.#cancelLater(record);
+    const outcome = await this.#submit(record);
+    if (this.#settleSubmission(record, outcome)) return;
+    await this.#lookUpUntilEnded(record);
+  }
+
+  #submit({ planned }: LoadRecord): Promise<EntryOutcome> {
+    const { service, requestId, body } = planned;
+    return this.#send(planned, {
+      method: "POST",
+      path: `/v1/services/${service.name}/requests`,
+      headers: {
+        "content-type": "application/json",
+        "idempotency-key": requestId,
+        prefer: `wait=${WAIT_SECONDS}`,
+      },
+      body: Buffer.from(body),
+    });
+  }
+
+  /** False when the outcome has to be looked up. */
+  #settleSubmission(record: LoadRecord, outcome: EntryOutcome): boolean {
+    if (outcome.kind === "refused") {
+      this.#end(record, RESULT_CLASS.NOT_RUN, undefined);
+      return true;
+    }
+    if (outcome.kind === "lost") return false;
+    const problem = readProblem(outcome.response);
+    if (problem === undefined) return this.#settleAnswer(record, outcome);
+    if (
+      problem.class === RESULT_CLASS.UNKNOWN &&
+      problem.code !== RESULT.JOB_INTERRUPTED.code
+    ) {
+      record.code = problem.code;
+      return false;
+    }
+    this.#end(record, problem.class, problem.code);
+    return true;
+  }
+
+  #settleAnswer(record: LoadRecord, outcome: EntryOutcome): boolean {
+    if (outcome.kind !== "response") return false;
+    const { status, body } = outcome.response;
+    if (status === STATUS_ACCEPTED) return false;
+    record.answer = body;
+    this.#end(record, RESULT_CLASS.ANSWERED, RESULT.ANSWERED.code);
+    return true;
+  }
+
+  async #lookUpUntilEnded(record: LoadRecord): Promise<void> {
+    while (!this.#stopped) {
+      const outcome = await this.#send(record.planned, {
+        method: "GET",
+        path: `/v1/requests/${record.planned.requestId}`,
+        headers: { prefer: `wait=${WAIT_SECONDS}` },
+      });
+      if (this.#settleLookup(record, outcome)) return;
+      await pause(POLL_PERIOD_MS);
+    }
+  }
+
+  #settleLookup(record: LoadRecord, outcome: EntryOutcome): boolean {
+    if (outcome.kind !== "response") return false;
+    const problem = readProblem(outcome.response);
+    if (problem === undefined) return this.#settleAnswer(record, outcome);
+    if (record.planned.service.kind === "call") {
+      record.code = problem.code;
+      this.#end(record, RESULT_CLASS.UNKNOWN, problem.code);
+      return true;
+    }
+    if (!FINAL_LOOKUP_CODES.has(problem.code)) return false;
+    this.#end(record, problem.class, problem.code);
+    return true;
+  }
+
+  async #cancelLater(record: LoadRecord): Promise<void> {
+    await pause(record.planned.cancelAfterMs ?? 0);
+    record.cancelSent = true;
+    await this.#send(record.planned, {
+      method: "DELETE",
+      path: `/v1/requests/${record.planned.requestId}`,
+    });
+  }
+
+  #end(
+    record: LoadRecord,
+    resultClass: ResultClass,
+    code: number | undefined,
+  ): void {
+    record.class = resultClass;
+    record.code = code;
+    record.endedMs = this.nowMs();
+  }
+
+  async #send(
+    planned: PlannedRequest,
+    request: EntryRequest,
+  ): Promise<EntryOutcome> {
+    const client = EntryClient.create({
+      entries: [{ host: "127.0.0.1", port: this.#port }],
+      token: getOrganisationToken(planned.organisation.name),
+      timeoutMs: EXCHANGE_TIMEOUT_MS,
+      nowMs: () => this.nowMs(),
+    });
+    const sentMs = this.nowMs();
+    const outcome = await client.send(request);
+    if (outcome.kind === "lost") {
+      this.lost.push({
+        requestId: planned.requestId,
+        method: request.method,
+        sentMs,
+        lostMs: this.nowMs(),
+        reason: outcome.reason,
+      });
+    }
+    return outcome;
+  }
+}
--- a/scripts/demo/main.ts
+++ b/scripts/demo/main.ts
@@ -1,2 +1,89 @@
-/** Entry point; the parts behind it follow in the next commits. */
-export {};
+/**
+ * The demo: starts the platform stand-in, runners and entries as processes on loopback, sends a
+ * seeded mix of calls and gang jobs while things go wrong, and checks the promises afterwards.
+ * Exit codes: 0 all kept, 1 a promise was broken or the demo failed, 130 interrupted.
+ */
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import { Cluster } from "./cluster.ts";
+import { readExample } from "./example.ts";
+import { type DemoOptions, parseOptions } from "./options.ts";
+import { ProcessGroup } from "./process_group.ts";
+import { findBrokenPromises } from "./promises.ts";
+import { createReport, type DemoReport, formatReport } from "./report.ts";
+import { applyExample, listWithoutVersion, Scenario } from "./scenario.ts";
+
+const EXIT_CODE = { KEPT: 0, BROKEN: 1, INTERRUPTED: 130 } as const;
+const MS_PER_SECOND = 1_000;
+/** Start, drain and stop may take this much beside the load. */
+const OVERHEAD_MS = 90_000;
+
+async function runDemo(
+  options: DemoOptions,
+  processes: ProcessGroup,
+  directory: string,
+): Promise<DemoReport> {
+  const say = (line: string) => process.stderr.write(`${line}\n`);
+  const example = readExample(options.deployment);
+  const { seed } = options;
+  const cluster = await Cluster.create({ example, processes, directory, seed });
+  const first = cluster.entries[0];
+  if (first === undefined) throw new Error("no entry");
+  const version = await applyExample(example, first, 0);
+  const missing = await listWithoutVersion(cluster.entries, version);
+  if (missing.length > 0) throw new Error(`no configuration on ${missing}`);
+  await Promise.all(cluster.entries.map((entry) => cluster.waitReady(entry)));
+  say(`${processes.running} processes run ${options.deployment}`);
+  const evidence = await Scenario.create({
+    example,
+    cluster,
+    seed,
+    durationMs: options.seconds * MS_PER_SECOND,
+    say,
+  }).run();
+  return createReport({
+    declarations: example.declarations,
+    records: evidence.records,
+    ledger: evidence.ledger,
+    domainOut: evidence.domainOut,
+    connectionsLost: evidence.lost.length,
+    broken: findBrokenPromises(evidence),
+  });
+}
+
+async function main(): Promise<number> {
+  const options = parseOptions();
+  const directory = mkdtempSync(join(tmpdir(), "coltsfootpond-demo-"));
+  const processes = ProcessGroup.create(directory);
+  const finish = async (): Promise<void> => {
+    await processes.stopAll();
+    if (!options.keep) rmSync(directory, { recursive: true, force: true });
+  };
+  const abandon = (reason: string, exitCode: number): void => {
+    process.stderr.write(`${reason}\n`);
+    void finish().then(() => process.exit(exitCode));
+  };
+  process.once("SIGINT", () => abandon("interrupted", EXIT_CODE.INTERRUPTED));
+  process.once("SIGTERM", () => abandon("interrupted", EXIT_CODE.INTERRUPTED));
+  setTimeout(
+    () => abandon("the demo took too long", EXIT_CODE.BROKEN),
+    options.seconds * MS_PER_SECOND + OVERHEAD_MS,
+  ).unref();
+  try {
+    const report = await runDemo(options, processes, directory);
+    const lines = options.json
+      ? [JSON.stringify(report)]
+      : formatReport(report);
+    process.stdout.write(`${lines.join("\n")}\n`);
+    return report.broken.length === 0 ? EXIT_CODE.KEPT : EXIT_CODE.BROKEN;
+  } catch (error) {
+    process.stderr.write(`the demo failed: ${String(error)}\n`);
+    return EXIT_CODE.BROKEN;
+  } finally {
+    await finish();
+  }
+}
+
+process.exit(await main());
--- /dev/null
+++ b/scripts/demo/scenario.ts
@@ -0,0 +1,235 @@
+/** What the demo does to the system while the load runs, and the evidence that it gathers. */
+import { performance } from "node:perf_hooks";
+import { SeededRandom } from "@coltsfootpond/common";
+import { UPSTREAM_LEAVING_BOUND_MS } from "@coltsfootpond/node";
+import type { Cluster, EntryHandle, RunnerHandle } from "./cluster.ts";
+import type { Example } from "./example.ts";
+import { planLoad } from "./load_plan.ts";
+import { LoadTool } from "./load_tool.ts";
+import type {
+  Evidence,
+  LeavingRunner,
+  PlannedStop,
+  RunnerExecution,
+} from "./promises.ts";
+
+export interface ScenarioOptions {
+  readonly example: Example;
+  readonly cluster: Cluster;
+  readonly seed: number;
+  readonly durationMs: number;
+  readonly say: (line: string) => void;
+}
+
+/** When each step comes, as shares of the load's duration. */
+const STEP = {
+  RUNNER_LEAVES: 0.15,
+  DOMAIN_OUT: 0.2,
+  SECOND_APPLY: 0.4,
+  DOMAIN_IN: 0.6,
+  KILL: 0.7,
+  PLANNED_STOP: 0.85,
+} as const;
+/** Callers wait this long after the load for what is still open. */
+const DRAIN_MS = 20_000;
+const IN_FORCE_BOUND_MS = 5_000;
+const POLL_MS = 100;
+
+interface RunnerLedgerDocument {
+  readonly executions: readonly RunnerExecution[];
+}
+
+function pause(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
+
+function getAt<Item>(items: readonly Item[], index: number): Item {
+  const item = items[index];
+  if (item === undefined) throw new Error(`nothing at ${index}`);
+  return item;
+}
+
+async function listExecutions(
+  runner: RunnerHandle,
+): Promise<readonly RunnerExecution[]> {
+  const ledger = await runner.client.get<RunnerLedgerDocument>("/ledger");
+  return ledger.executions;
+}
+
+/** Applies the set through one entry; resolves with the accepted version. */
+export async function applyExample(
+  example: Example,
+  entry: EntryHandle,
+  baseVersion: number,
+): Promise<number> {
+  const accepted = await entry.operator.send<{ readonly version: number }>(
+    "PUT",
+    "/v1/configuration",
+    { files: example.files },
+    { "if-match": `"${baseVersion}"` },
+  );
+  return accepted.version;
+}
+
+/** Names of the entries that do not report `version` within the bound. */
+export async function listWithoutVersion(
+  entries: readonly EntryHandle[],
+  version: number,
+): Promise<readonly string[]> {
+  const endMs = performance.now() + IN_FORCE_BOUND_MS;
+  for (;;) {
+    const versions = await Promise.all(
+      entries.map((entry) =>
+        entry.operator.get<{ readonly version: number }>("/v1/configuration")
+          .then((document) => document.version, () => -1)
+      ),
+    );
+    const missing = entries.filter((_, index) =>
+      getAt(versions, index) < version
+    );
+    if (missing.length === 0 || performance.now() > endMs) {
+      return missing.map((entry) => entry.process.name);
+    }
+    await pause(POLL_MS);
+  }
+}
+
+/** Runs the load and the steps side by side. */
+export class Scenario {
+  readonly #options: ScenarioOptions;
+  readonly #tool: LoadTool;
+  readonly #domainOut: string;
+
+  private constructor(options: ScenarioOptions) {
+    this.#options = options;
+    this.#tool = LoadTool.create(options.cluster.balancerPort);
+    const { failureDomains } = options.example.declarations;
+    this.#domainOut = getAt(failureDomains, 0).name;
+  }
+
+  static create(options: ScenarioOptions): Scenario {
+    return new Scenario(options);
+  }
+
+  async run(): Promise<Evidence> {
+    const { cluster, durationMs, seed, example } = this.#options;
+    const plan = planLoad({
+      declarations: example.declarations,
+      random: SeededRandom.create(seed),
+      durationMs,
+    });
+    await cluster.mark("load");
+    const load = this.#tool.run(plan);
+    const [leavingRunner, withoutConfiguration, , killedAtMs, plannedStop] =
+      await Promise.all([
+        this.#letRunnerLeave(),
+        this.#applyAgain(),
+        this.#takeDomainOutAndIn(),
+        this.#killEntry(),
+        this.#stopEntry(),
+        this.#endLoad(load),
+      ]);
+    const executions = await Promise.all(cluster.runners.map(listExecutions));
+    const left = getAt(cluster.runners, 0);
+    return {
+      records: this.#tool.records,
+      lost: this.#tool.lost,
+      executions: executions.flat(),
+      ledger: await cluster.readLedger(),
+      domainOut: this.#domainOut,
+      killedAtMs,
+      plannedStop,
+      leavingRunner: {
+        ...leavingRunner,
+        executionsAtEnd: (await listExecutions(left)).length,
+      },
+      withoutConfiguration,
+    };
+  }
+
+  async #endLoad(load: Promise<void>): Promise<void> {
+    const { cluster, durationMs, say } = this.#options;
+    await this.#waitUntil(1);
+    await cluster.mark("load_end");
+    const open = this.#tool.records.filter(({ endedMs }) =>
+      endedMs === undefined
+    );
+    say(`all sent; waiting for ${open.length} open requests`);
+    const endMs = durationMs + DRAIN_MS;
+    await Promise.race([load, pause(endMs - this.#tool.nowMs())]);
+    this.#tool.stop();
+    await Promise.race([load, pause(IN_FORCE_BOUND_MS)]);
+  }
+
+  async #letRunnerLeave(): Promise<LeavingRunner> {
+    const { cluster } = this.#options;
+    const runner = getAt(cluster.runners, 0);
+    const { name } = runner.process;
+    await this.#waitUntil(STEP.RUNNER_LEAVES);
+    this.#say(`${name} leaves`);
+    await cluster.leave(name);
+    await pause(UPSTREAM_LEAVING_BOUND_MS);
+    const executionsAfterBound = (await listExecutions(runner)).length;
+    return { name, executionsAfterBound, executionsAtEnd: NaN };
+  }
+
+  /** Through an entry that is neither killed nor stopped. */
+  async #applyAgain(): Promise<readonly string[]> {
+    const { cluster, example } = this.#options;
+    await this.#waitUntil(STEP.SECOND_APPLY);
+    const entries = [...cluster.entries];
+    const version = await applyExample(example, getAt(entries, 0), 1);
+    this.#say(`version ${version} applied`);
+    return await listWithoutVersion(entries, version);
+  }
+
+  async #takeDomainOutAndIn(): Promise<void> {
+    const { cluster } = this.#options;
+    const path = `/v1/failure-domains/${this.#domainOut}`;
+    await this.#waitUntil(STEP.DOMAIN_OUT);
+    await getAt(cluster.entries, 1).operator.send("POST", `${path}/out`, {});
+    await cluster.mark("out");
+    this.#say(`${this.#domainOut} is out`);
+    await this.#waitUntil(STEP.DOMAIN_IN);
+    await cluster.mark("in");
+    await getAt(cluster.entries, 0).operator.send("POST", `${path}/in`, {});
+    this.#say(`${this.#domainOut} is in again`);
+  }
+
+  /** Kills one entry and starts another in its failure domain. */
+  async #killEntry(): Promise<number> {
+    const { cluster, example } = this.#options;
+    await this.#waitUntil(STEP.KILL);
+    const victim = getAt(cluster.entries, 1);
+    const killedAtMs = this.#tool.nowMs();
+    victim.process.kill("SIGKILL");
+    await victim.process.ended;
+    this.#say(`${victim.process.name} killed`);
+    await cluster.remove(victim.process.name);
+    const { region } = getAt(example.declarations.failureDomains, 0);
+    await cluster.startEntry(victim.failureDomain, region);
+    return killedAtMs;
+  }
+
+  async #stopEntry(): Promise<PlannedStop> {
+    const { cluster } = this.#options;
+    await this.#waitUntil(STEP.PLANNED_STOP);
+    const { process } = getAt(cluster.entries, 2);
+    this.#say(`${process.name} is asked to stop`);
+    process.kill("SIGTERM");
+    const { code } = await process.ended;
+    this.#say(`${process.name} ended with ${code ?? "a signal"}`);
+    await cluster.remove(process.name);
+    return { entry: process.name, exitCode: code };
+  }
+
+  #waitUntil(share: number): Promise<void> {
+    const dueMs = share * this.#options.durationMs;
+    return pause(Math.max(0, dueMs - this.#tool.nowMs()));
+  }
+
+  #say(line: string): void {
+    const seconds = (this.#tool.nowMs() / 1_000).toFixed(1).padStart(5);
+    this.#options.say(`${seconds} s  ${line}`);
+  }
+}
--- a/stand_ins/platform/fleet_domain.ts
+++ b/stand_ins/platform/fleet_domain.ts
@@ -117,6 +117,7 @@
         freeAccelerators: (before?.freeAccelerators ?? 0) + free,
         totalAccelerators: (before?.totalAccelerators ?? 0) +
           resources.accelerators,
+        totalWorkers: (before?.totalWorkers ?? 0) + 1,
         idleWorkers: (before?.idleWorkers ?? 0) + (idle ? 1 : 0),
       });
     }
--- a/stand_ins/platform/types.ts
+++ b/stand_ins/platform/types.ts
@@ -87,6 +87,7 @@
   readonly rack: RackName;
   readonly freeAccelerators: number;
   readonly totalAccelerators: number;
+  readonly totalWorkers: number;
   /** Workers of the rack with no task and no hold. */
   readonly idleWorkers: number;
 }
