--- a/packages/policy/guarantees/guarantee_planner.ts
+++ b/packages/policy/guarantees/guarantee_planner.ts
@@ -12,7 +12,8 @@
   RackName,
   WorkerName,
 } from "@coltsfootpond/common";
-import { CapacityModel } from "../placement/capacity_model.ts";
+import { CapacityModel, countUnreserved } from "../placement/capacity_model.ts";
+import { findPlaces } from "../placement/packing.ts";
 import { compareShapesHardestFirst } from "../placement/resources.ts";
 import { ReservationPlan } from "./reservation_plan.ts";
 
@@ -81,6 +82,7 @@
 class DomainPacker {
   readonly #domain: FailureDomainDeclaration;
   #guarantees: GuaranteeDeclaration[] = [];
+  #capacity = CapacityModel.create({ onChange: () => {} });
   #plan: ReservationPlan;
 
   private constructor(domain: FailureDomainDeclaration) {
@@ -100,6 +102,19 @@
     return this.#plan.units;
   }
 
+  /** Whether racks that hold guarantees already have room for one more. */
+  hasOpenRack({ shape }: GuaranteeDeclaration): boolean {
+    const racks = [...this.#capacity.racks].filter(({ workers }) =>
+      workers.some(({ reserved }) => reserved.milliprocessors > 0)
+    );
+    const places = findPlaces(
+      racks,
+      shape,
+      (worker) => countUnreserved(worker, shape.perTask),
+    );
+    return places.length > 0;
+  }
+
   /** Adds one unit if all still fit. */
   add(guarantee: GuaranteeDeclaration): boolean {
     const single = { ...guarantee, count: 1 };
@@ -119,6 +134,7 @@
 
   #pack(guarantees: readonly GuaranteeDeclaration[]): ReservationPlan {
     const capacity = CapacityModel.create({ onChange: () => {} });
+    this.#capacity = capacity;
     for (const rack of this.#domain.racks) {
       for (const worker of rack.workers) {
         capacity.bringUp({ ...worker, rack: rack.name });
@@ -148,7 +164,9 @@
     return new DeploymentPacker(packers);
   }
 
-  /** Homes the unit, where it was before if it can stay; false when no failure domain takes it. */
+  /**
+   * Homes the unit where it was before if it can stay, else in a rack that holds guarantees
+   * already, so that other racks stay whole; false when no failure domain takes it. */
   place(unit: PlannedUnit, preferred: FailureDomainName | undefined): boolean {
     const { failureDomain } = unit.guarantee;
     const packers = this.#packers
@@ -157,6 +175,8 @@
       )
       .sort((left, right) =>
         Number(right.name === preferred) - Number(left.name === preferred) ||
+        Number(right.hasOpenRack(unit.guarantee)) -
+          Number(left.hasOpenRack(unit.guarantee)) ||
         left.units.length - right.units.length ||
         compareText(left.name, right.name)
       );
--- a/packages/policy/placement/borrowed_placement.ts
+++ b/packages/policy/placement/borrowed_placement.ts
@@ -126,9 +126,11 @@
     const { perTask } = record.job.shape;
     let harm = this.#state.fragmentation.computeLoss(place, perTask);
     for (const { worker, tasks } of place) {
-      const open = countUnreserved(worker, perTask);
-      harm += RESERVED_WEIGHT * Math.max(0, tasks - open) *
-        Math.max(1, perTask.accelerators);
+      if (!record.job.canCheckpoint) {
+        const open = countUnreserved(worker, perTask);
+        harm += RESERVED_WEIGHT * Math.max(0, tasks - open) *
+          Math.max(1, perTask.accelerators);
+      }
       harm += RACK_FREE_WEIGHT * getRackFree(worker.rack, rackFree);
       harm += WORKER_FREE_WEIGHT * getFreeRoom(worker).milliprocessors / 1_000;
     }
--- a/packages/policy/placement/decision_round.ts
+++ b/packages/policy/placement/decision_round.ts
@@ -15,12 +15,16 @@
   RESERVATION_AFTER_MS,
 } from "./constants.ts";
 import type { RunTimeEstimator } from "./estimates.ts";
-import type { GuaranteedPlacer } from "./guaranteed_placement.ts";
+import type {
+  GuaranteedOutcome,
+  GuaranteedPlacer,
+} from "./guaranteed_placement.ts";
 import type { HeadReservations } from "./head_reservations.ts";
 import type { JobClass, JobQueue } from "./job_queue.ts";
 import type { JobRecord } from "./job_record.ts";
 import type { PlacementState } from "./placement_state.ts";
 import { evict } from "./run_limits.ts";
+import { chooseQuotaVictims } from "./victims.ts";
 import type { HealthTracker } from "./worker_health.ts";
 
 export interface DecisionRoundOptions {
@@ -131,15 +135,35 @@
     tier: number,
     nowMs: number,
     decisions: Decision[],
+  ): boolean {
+    const { guaranteed } = this.#options;
+    const mayAsk = tier !== TIER.BORROWED;
+    if (mayAsk) {
+      const free = guaranteed.decideFree(head, nowMs);
+      if (this.#take(free, jobClass, head, nowMs, decisions)) return true;
+    }
+    if (tier !== TIER.URGENT) {
+      if (this.#tryBorrowed(jobClass, head, nowMs, decisions)) return true;
+    }
+    if (mayAsk) {
+      const reclaim = guaranteed.decideReclaim(head, nowMs);
+      if (this.#take(reclaim, jobClass, head, nowMs, decisions)) return true;
+    }
+    return tier === TIER.URGENT &&
+      this.#tryBorrowed(jobClass, head, nowMs, decisions);
+  }
+
+  #tryBorrowed(
+    jobClass: JobClass,
+    head: JobRecord,
+    nowMs: number,
+    decisions: Decision[],
   ): boolean {
     const { state, estimator, borrowed } = this.#options;
-    if (!state.isWithinQuota(head)) {
+    if (!state.mayBorrow(head)) {
       jobClass.reason = WAIT_REASON.QUOTA;
       return false;
     }
-    if (tier !== TIER.BORROWED) {
-      if (this.#tryGuaranteed(jobClass, head, nowMs, decisions)) return true;
-    }
     const probe = borrowed.findProbe(head, nowMs);
     if (probe !== undefined) {
       this.#options.health.startProbe(probe[0]!.worker.name, nowMs);
@@ -156,24 +180,38 @@
     return true;
   }
 
-  #tryGuaranteed(
+  /** Carries out what was decided inside the guarantee; false when nothing was. */
+  #take(
+    outcome: GuaranteedOutcome,
     jobClass: JobClass,
     head: JobRecord,
     nowMs: number,
     decisions: Decision[],
   ): boolean {
-    const { state, queue, estimator, guaranteed } = this.#options;
-    const outcome = guaranteed.decide(head, nowMs);
+    const { state, queue, estimator } = this.#options;
     if (outcome.kind === "none") return false;
+    const own = chooseQuotaVictims(
+      state,
+      head.job.organisation,
+      head.demand,
+      nowMs,
+    );
+    if (own === undefined) {
+      jobClass.reason = WAIT_REASON.QUOTA;
+      return false;
+    }
     queue.shift(jobClass);
-    if (outcome.kind === "place") {
+    if (
+      outcome.kind === "place" && own.length === 0 && state.isWithinQuota(head)
+    ) {
       head.estimateMs = estimator.estimateMs(head.job);
       state.put(head, outcome.place, outcome.unit, nowMs);
       decisions.push(createPlacement(head, outcome.place));
       return true;
     }
     state.claim(head, outcome.place, outcome.unit);
-    for (const victim of outcome.victims) {
+    const victims = outcome.kind === "reclaim" ? outcome.victims : [];
+    for (const victim of new Set([...victims, ...own])) {
       const reason = EVICTION_REASON.RECLAIM;
       decisions.push(evict(victim, reason, RECLAIM_CHECKPOINT_LIMIT_MS));
     }
@@ -201,6 +239,7 @@
     for (const record of [...state.claiming]) {
       const { place, unit } = record;
       if (place === undefined || !state.isClear(place, record)) continue;
+      if (!state.isUnderQuota(record.job.organisation)) continue;
       record.estimateMs = estimator.estimateMs(record.job);
       state.put(record, place, unit, nowMs);
       decisions.push(createPlacement(record, place));
--- a/packages/policy/placement/domain_choice.ts
+++ b/packages/policy/placement/domain_choice.ts
@@ -1,7 +1,8 @@
 /**
- * Chooses the home of a job from the owners' summaries. Summaries lag, so the choice is spread over
- * all failure domains that would do, weighted by what they have free, by a hash of the job's id:
- * entries with the same old summaries then do not all choose the same one.
+ * Chooses the home of a job from the owners' summaries. Small work goes to the fullest failure
+ * domain that has room on workers already in use, so that whole racks stay free elsewhere; what
+ * is in doubt is drawn by a hash of the job's id, so that entries with the same old summaries do
+ * not all choose alike. Summaries lag: an entry debits what it sends until the next one comes.
  */
 import {
   ADJACENCY,
@@ -69,6 +70,56 @@
   return best;
 }
 
+interface KnownDomain {
+  readonly name: FailureDomainName;
+  readonly summary: DomainSummary;
+}
+
+/** Those with room on workers in use come first, then the one with least free. */
+function chooseFullest(
+  domains: readonly KnownDomain[],
+  shape: Shape,
+): FailureDomainName | undefined {
+  const hasOpenWorker = ({ summary }: KnownDomain): number =>
+    summary.partlyFreeAccelerators >= shape.perTask.accelerators ? 0 : 1;
+  const [best] = [...domains].sort((left, right) =>
+    hasOpenWorker(left) - hasOpenWorker(right) ||
+    left.summary.freeAccelerators - right.summary.freeAccelerators ||
+    left.summary.freeMilliprocessors - right.summary.freeMilliprocessors ||
+    (left.name < right.name ? -1 : 1)
+  );
+  return best?.name;
+}
+
+/** For a gang, the failure domains where no guarantee is in its way, if there are any. */
+function preferUnreserved(
+  domains: readonly KnownDomain[],
+  shape: Shape,
+): readonly KnownDomain[] {
+  if (shape.adjacency === ADJACENCY.FAILURE_DOMAIN) return domains;
+  const { accelerators } = computeDemand(shape);
+  const open = domains.filter(({ summary }) =>
+    summary.largestRackUnreservedAccelerators >= accelerators
+  );
+  return open.length > 0 ? open : domains;
+}
+
+/** The summary as it will be once a job just sent there has its place. */
+export function debitSummary(
+  summary: DomainSummary,
+  shape: Shape,
+): DomainSummary {
+  const { accelerators, milliprocessors } = computeDemand(shape);
+  return {
+    ...summary,
+    freeAccelerators: summary.freeAccelerators - accelerators,
+    largestRackFreeAccelerators: summary.largestRackFreeAccelerators -
+      accelerators,
+    partlyFreeAccelerators: summary.partlyFreeAccelerators - accelerators,
+    freeMilliprocessors: summary.freeMilliprocessors - milliprocessors,
+  };
+}
+
 /** The home of a new job; undefined when no failure domain is in. */
 export function chooseFailureDomain(
   job: QueuedJob,
@@ -87,16 +138,17 @@
   if (known.length === 0) {
     return draw(job.jobId, new Map(candidates.map((name) => [name, 1])));
   }
-  const fitting = known.filter(({ summary }) =>
-    summary.queuedJobs === 0 && fitsNow(summary, job.shape)
-  );
+  const fitting = known.filter(({ summary }) => fitsNow(summary, job.shape));
+  if (fitting.length > 0 && job.shape.tasks === 1) {
+    return chooseFullest(fitting, job.shape);
+  }
   if (fitting.length > 0) {
     const weights = fitting.map(({ name, summary }) =>
       [name, 1 + summary.freeAccelerators] as const
     );
     return draw(job.jobId, new Map(weights));
   }
-  const weights = known.map(({ name, summary }) =>
+  const weights = preferUnreserved(known, job.shape).map(({ name, summary }) =>
     [
       name,
       Math.max(1, summary.totalAccelerators) /
--- a/packages/policy/placement/engine.ts
+++ b/packages/policy/placement/engine.ts
@@ -71,7 +71,10 @@
     this.#round = DecisionRound.create({
       state: this.#state,
       queue: this.#queue,
-      guaranteed: GuaranteedPlacer.create(this.#state),
+      guaranteed: GuaranteedPlacer.create({
+        state: this.#state,
+        reservations: this.#reservations,
+      }),
       borrowed: BorrowedPlacer.create({
         state: this.#state,
         reservations: this.#reservations,
--- a/packages/policy/placement/guaranteed_placement.ts
+++ b/packages/policy/placement/guaranteed_placement.ts
@@ -13,15 +13,15 @@
   type Place,
   type WorkerState,
 } from "./capacity_model.ts";
+import type { HeadReservations } from "./head_reservations.ts";
 import type { JobRecord } from "./job_record.ts";
 import { findPlaces, type TaskCounter } from "./packing.ts";
 import type { PlacementState } from "./placement_state.ts";
 import {
-  computeDemand,
   countFitting,
   coversShape,
   createShapeKey,
-  fitsWithin,
+  suitsGuarantee,
 } from "./resources.ts";
 import { chooseVictims } from "./victims.ts";
 
@@ -92,37 +92,65 @@
   });
 }
 
+export interface GuaranteedPlacerOptions {
+  readonly state: PlacementState;
+  readonly reservations: HeadReservations;
+}
+
 export class GuaranteedPlacer {
   readonly #state: PlacementState;
+  readonly #reservations: HeadReservations;
 
-  private constructor(state: PlacementState) {
-    this.#state = state;
+  private constructor(options: GuaranteedPlacerOptions) {
+    this.#state = options.state;
+    this.#reservations = options.reservations;
   }
 
-  static create(state: PlacementState): GuaranteedPlacer {
-    return new GuaranteedPlacer(state);
+  static create(options: GuaranteedPlacerOptions): GuaranteedPlacer {
+    return new GuaranteedPlacer(options);
   }
 
   /** Whether the organisation has a unit that could ever hold the job. */
   mayHold(record: JobRecord): boolean {
-    return this.#state.plan.listOf(record.job.organisation).some((unit) =>
+    return this.#listUnits(record).length > 0;
+  }
+
+  #listUnits({ job }: JobRecord): readonly GuaranteeUnit[] {
+    return this.#state.plan.listOf(job.organisation).filter((unit) =>
       unit.place !== undefined &&
-      fitsWithin(record.demand, computeDemand(unit.guarantee.shape))
+      suitsGuarantee(unit.guarantee.shape, job.shape)
     );
   }
 
-  /** Decides, and moves the unit when its place changes; the caller places or claims. */
-  decide(record: JobRecord, nowMs: number): GuaranteedOutcome {
-    const units = this.#state.plan.listOf(record.job.organisation);
-    if (units.length === 0) return { kind: "none" };
+  /** Places without evicting anybody; moves the unit when its place changes. */
+  decideFree(record: JobRecord, nowMs: number): GuaranteedOutcome {
+    const units = this.#listUnits(record);
     return this.#placeInUnit(record, units, nowMs) ??
       this.#placeByMove(record, units, nowMs) ??
       this.#placeByExchange(record, units, nowMs) ??
-      this.#reclaim(record, units, nowMs) ??
+      { kind: "none" };
+  }
+
+  /** Asks the guarantee back; moves the unit when its place changes. */
+  decideReclaim(record: JobRecord, nowMs: number): GuaranteedOutcome {
+    const units = this.#listUnits(record);
+    return this.#reclaim(record, units, nowMs) ??
       this.#reclaimFromOwn(record, units, nowMs) ??
       { kind: "none" };
   }
 
+  /** Only urgent work may move into capacity that is kept for a gang that waited long. */
+  #mayMoveTo(record: JobRecord, worker: WorkerState, nowMs: number): boolean {
+    if (!isAllowed(record, worker, nowMs)) return false;
+    return record.job.priority === PRIORITY.URGENT ||
+      !this.#reservations.isHeldFrom(
+        worker,
+        record,
+        record.job.maximumRunMs,
+        nowMs,
+      );
+  }
+
   #placeInUnit(
     record: JobRecord,
     units: readonly GuaranteeUnit[],
@@ -151,7 +179,9 @@
       const places = this.#state.plan.findPlacesFor(
         unit,
         (worker) =>
-          isAllowed(record, worker, nowMs) ? countFree(worker, perTask) : 0,
+          this.#mayMoveTo(record, worker, nowMs)
+            ? countFree(worker, perTask)
+            : 0,
       );
       const unitPlace = this.#chooseLeastHarm(places, unit);
       if (unitPlace === undefined) continue;
@@ -173,7 +203,7 @@
         candidate.place !== undefined &&
         createShapeKey(candidate.guarantee.shape) === key &&
         candidate.place.every(({ worker }) =>
-          isAllowed(record, worker, nowMs)
+          this.#mayMoveTo(record, worker, nowMs)
         ) &&
         isFreePlace(candidate.place, unit)
       );
--- a/packages/policy/placement/placement_state.ts
+++ b/packages/policy/placement/placement_state.ts
@@ -27,6 +27,8 @@
   readonly used: MutableResources;
   /** Placed outside the organisation's guarantees. */
   readonly borrowed: MutableResources;
+  /** The part of `borrowed` that is pinned. */
+  readonly pinned: MutableResources;
 }
 
 export class PlacementState {
@@ -98,6 +100,37 @@
     return fitsWithin(record.demand, rest);
   }
 
+  isUnderQuota(organisation: OrganisationName): boolean {
+    const none = createEmptyResources();
+    return fitsWithin(this.computeExcess(organisation, none), none);
+  }
+
+  /**
+   * Whether borrowing stays under the quota. Pinned borrowers leave room under it for all of the
+   * organisation's guarantees, since they cannot be evicted when those are asked for.
+   */
+  mayBorrow(record: JobRecord): boolean {
+    if (!this.isWithinQuota(record)) return false;
+    const { organisation } = record.job;
+    const quota = this.#organisations.get(organisation)?.quota;
+    if (quota === undefined || !record.pinned) return true;
+    const { pinned } = this.#getUsage(organisation);
+    const rest = { ...subtractResources(quota, pinned) };
+    for (const { guarantee } of this.plan.listOf(organisation)) {
+      addScaled(rest, guarantee.shape.perTask, -guarantee.shape.tasks);
+    }
+    return fitsWithin(record.demand, rest);
+  }
+
+  /** What the organisation has placed and promised beyond its quota, once `extra` is added. */
+  computeExcess(organisation: OrganisationName, extra: Resources): Resources {
+    const quota = this.#organisations.get(organisation)?.quota;
+    if (quota === undefined) return createEmptyResources();
+    const excess = { ...subtractResources(this.getUsed(organisation), quota) };
+    addScaled(excess, extra, 1);
+    return excess;
+  }
+
   /** Dominant share of what an organisation borrows, by its weight. */
   computeBorrowedShare(organisation: OrganisationName): number {
     const weight = this.#organisations.get(organisation)?.weight ?? 1;
@@ -222,8 +255,11 @@
 
   #enterBorrowed(record: JobRecord, sign: 1 | -1): void {
     const { job, place, demand, pinned } = record;
-    addScaled(this.#getUsage(job.organisation).borrowed, demand, sign);
-    if (pinned && place !== undefined) {
+    const usage = this.#getUsage(job.organisation);
+    addScaled(usage.borrowed, demand, sign);
+    if (!pinned) return;
+    addScaled(usage.pinned, demand, sign);
+    if (place !== undefined) {
       this.capacity.enter(place, job.shape.perTask, "pinned", sign);
     }
   }
@@ -234,6 +270,7 @@
       usage = {
         used: createEmptyResources(),
         borrowed: createEmptyResources(),
+        pinned: createEmptyResources(),
       };
       this.#usage.set(organisation, usage);
     }
--- a/packages/policy/placement/resources.ts
+++ b/packages/policy/placement/resources.ts
@@ -90,6 +90,9 @@
   return `${shape.tasks}x${milliprocessors}/${memoryMib}/${accelerators}@${shape.adjacency}`;
 }
 
+/** A job takes up a guarantee only if it fills at least this share of it. */
+const MINIMUM_GUARANTEE_SHARE = 0.5;
+
 const ADJACENCY_RANK: Readonly<Record<Adjacency, number>> = {
   [ADJACENCY.WORKER]: 0,
   [ADJACENCY.RACK]: 1,
@@ -104,6 +107,17 @@
       ADJACENCY_RANK[outer.adjacency] <= ADJACENCY_RANK[inner.adjacency]);
 }
 
+/**
+ * Whether a job of shape `inner` may take up a guarantee of shape `outer`. Work that would leave
+ * most of it unused borrows instead, so that small jobs never use up a guarantee for a gang.
+ */
+export function suitsGuarantee(outer: Shape, inner: Shape): boolean {
+  const whole = computeDemand(outer);
+  const demand = computeDemand(inner);
+  return fitsWithin(demand, whole) &&
+    computeDominantShare(demand, whole) >= MINIMUM_GUARANTEE_SHARE;
+}
+
 /** Orders shapes with the hardest to place first. */
 export function compareShapesHardestFirst(left: Shape, right: Shape): number {
   const size = (shape: Shape): number =>
--- a/packages/policy/placement/victims.ts
+++ b/packages/policy/placement/victims.ts
@@ -1,11 +1,12 @@
 /** Chooses the borrowers that leave so that a guaranteed gang gets its place. */
-import type { Resources } from "@coltsfootpond/common";
+import type { OrganisationName, Resources } from "@coltsfootpond/common";
 import type { Place, TaskGroup, WorkerState } from "./capacity_model.ts";
 import { RECLAIM_CHECKPOINT_LIMIT_MS } from "./constants.ts";
 import { isEvictable, JOB_PHASE, type JobRecord } from "./job_record.ts";
 import type { PlacementState } from "./placement_state.ts";
 import {
   addScaled,
+  createEmptyResources,
   fitsWithin,
   type MutableResources,
   scaleResources,
@@ -130,3 +131,31 @@
     else ledger.enter(record, 1);
   }
 }
+
+/** The organisation's own borrowers that must go so that `extra` stays within its quota. */
+export function chooseQuotaVictims(
+  state: PlacementState,
+  organisation: OrganisationName,
+  extra: Resources,
+  nowMs: number,
+): readonly JobRecord[] | undefined {
+  const none = createEmptyResources();
+  const excess = { ...state.computeExcess(organisation, extra) };
+  const own = [...state.records.values()].filter((record) =>
+    record.job.organisation === organisation
+  );
+  for (const record of own) {
+    if (record.phase !== JOB_PHASE.EVICTING) continue;
+    addScaled(excess, record.demand, -1);
+  }
+  const candidates = own.filter(isEvictable)
+    .map((record) => ({ record, lostWork: computeLostWork(record, nowMs) }))
+    .sort((left, right) => left.lostWork - right.lostWork);
+  const victims: JobRecord[] = [];
+  for (const { record } of candidates) {
+    if (fitsWithin(excess, none)) break;
+    addScaled(excess, record.demand, -1);
+    victims.push(record);
+  }
+  return fitsWithin(excess, none) ? victims : undefined;
+}
--- a/packages/policy/types.ts
+++ b/packages/policy/types.ts
@@ -136,6 +136,10 @@
   readonly freeAccelerators: number;
   readonly totalAccelerators: number;
   readonly largestRackFreeAccelerators: number;
+  /** Accelerators of the rack that guarantees and pinned work leave most of. */
+  readonly largestRackUnreservedAccelerators: number;
+  /** Free accelerators of workers that run something already. */
+  readonly partlyFreeAccelerators: number;
   readonly freeMilliprocessors: number;
   readonly queuedJobs: number;
   readonly queuedAccelerators: number;
--- /dev/null
+++ b/scripts/bench_placement/deployments.ts
@@ -0,0 +1,163 @@
+/** The declared deployments that the placement bench replays: workers, guarantees and quotas. */
+import {
+  createId,
+  type Declarations,
+  type FailureDomainDeclaration,
+  type GuaranteeDeclaration,
+  MILLIPROCESSORS_PER_PROCESSOR,
+  type OrganisationDeclaration,
+  type RackName,
+  type Resources,
+  type Shape,
+  type ValueOf,
+  type WorkerName,
+} from "@coltsfootpond/common";
+
+export const DEPLOYMENT = {
+  LECHFELD: "lechfeld",
+  PROPUESTAS_ANDINAS: "propuestas_andinas",
+} as const;
+export type Deployment = ValueOf<typeof DEPLOYMENT>;
+
+export const SIZE = { TODAY: "today", TARGET: "target" } as const;
+export type Size = ValueOf<typeof SIZE>;
+
+const WORKER: Resources = {
+  milliprocessors: 130 * MILLIPROCESSORS_PER_PROCESSOR,
+  memoryMib: 500_000,
+  accelerators: 8,
+};
+const PROCESSOR_WORKER: Resources = { ...WORKER, accelerators: 0 };
+const WORKERS_PER_RACK = 8;
+const TODAY_WORKERS = [16, 8, 8] as const;
+
+/** A rack gang of whole workers: the large shape of both users. */
+export function createRackGang(workers: number): Shape {
+  return {
+    tasks: workers,
+    adjacency: "rack",
+    perTask: {
+      milliprocessors: 96 * MILLIPROCESSORS_PER_PROCESSOR,
+      memoryMib: 400_000,
+      accelerators: 8,
+    },
+  };
+}
+
+/** One task with its share of a worker for each accelerator. */
+export function createSmallShape(accelerators: number): Shape {
+  return {
+    tasks: 1,
+    adjacency: "failure_domain",
+    perTask: {
+      milliprocessors: accelerators * 12 * MILLIPROCESSORS_PER_PROCESSOR,
+      memoryMib: accelerators * 50_000,
+      accelerators,
+    },
+  };
+}
+
+function createDomain(
+  name: string,
+  workers: readonly Resources[],
+): FailureDomainDeclaration {
+  const racks: {
+    name: RackName;
+    workers: { name: WorkerName; resources: Resources }[];
+  }[] = [];
+  workers.forEach((resources, index) => {
+    const number = Math.floor(index / WORKERS_PER_RACK);
+    racks[number] ??= { name: createId(`${name}-r${number}`), workers: [] };
+    const worker = createId<WorkerName>(`${name}-w${index}`);
+    racks[number].workers.push({ name: worker, resources });
+  });
+  return {
+    name: createId(name),
+    region: createId(`${name}-region`),
+    racks,
+    drainMs: 60_000,
+  };
+}
+
+function repeat(resources: Resources, count: number): Resources[] {
+  return Array.from({ length: count }, () => resources);
+}
+
+function createOrganisations(
+  count: number,
+  acceleratorQuota: number,
+): OrganisationDeclaration[] {
+  return Array.from({ length: count }, (_, index) => ({
+    name: createId(`organisation-${index}`),
+    tokenDigest: createId(""),
+    weight: 1,
+    quota: {
+      milliprocessors: Number.MAX_SAFE_INTEGER,
+      memoryMib: Number.MAX_SAFE_INTEGER,
+      accelerators: acceleratorQuota,
+    },
+    requestsPerSecond: 1_000,
+    concurrentRequests: 1_000,
+    queuedJobs: 50_000,
+  }));
+}
+
+function createGuarantees(
+  organisations: readonly OrganisationDeclaration[],
+  gangWorkers: number,
+): GuaranteeDeclaration[] {
+  return organisations.map(({ name }) => ({
+    name: createId(`${name}-desk`),
+    organisation: name,
+    shape: createRackGang(gangWorkers),
+    count: 1,
+    survivesDomainLoss: false,
+  }));
+}
+
+function createToday(deployment: Deployment): Declarations {
+  const names = deployment === DEPLOYMENT.LECHFELD
+    ? ["landsberg", "diessen", "schwabmuenchen"]
+    : ["norte", "centro", "sur"];
+  const organisations = createOrganisations(4, 160);
+  return {
+    operatorTokenDigests: [],
+    organisations,
+    guarantees: createGuarantees(organisations, 2),
+    services: [],
+    failureDomains: names.map((name, index) =>
+      createDomain(name, repeat(WORKER, TODAY_WORKERS[index] ?? 0))
+    ),
+  };
+}
+
+/** 3,900 workers, of which 637 have 8 accelerators (5,096) and one has 4. */
+function createTarget(): Declarations {
+  const organisations = createOrganisations(72, 1_000);
+  const domains = Array.from({ length: 14 }, (_, index) => {
+    const total = index < 8 ? 279 : 278;
+    const accelerated = index < 7 ? 46 : 45;
+    const half: Resources[] = index === 13
+      ? [{ ...WORKER, accelerators: 4 }]
+      : [];
+    return createDomain(`domain-${String(index).padStart(2, "0")}`, [
+      ...repeat(WORKER, accelerated),
+      ...half,
+      ...repeat(PROCESSOR_WORKER, total - accelerated - half.length),
+    ]);
+  });
+  return {
+    operatorTokenDigests: [],
+    organisations,
+    guarantees: createGuarantees(organisations, 2),
+    services: [],
+    failureDomains: domains,
+  };
+}
+
+export function createDeployment(
+  deployment: Deployment,
+  size: Size,
+): Declarations {
+  return size === SIZE.TODAY ? createToday(deployment) : createTarget();
+}
--- /dev/null
+++ b/scripts/bench_placement/loaded_engine.ts
@@ -0,0 +1,72 @@
+/** Builds one engine under a given load, to measure its memory and its decisions. */
+import { createId, type JobId } from "@coltsfootpond/common";
+import {
+  createPlacementEngine,
+  type PlacementEngine,
+} from "@coltsfootpond/policy";
+import { createSmallShape } from "./deployments.ts";
+
+export interface LoadedEngineOptions {
+  readonly workers: number;
+  readonly runningTasks: number;
+  readonly queuedJobs: number;
+  readonly organisations: number;
+}
+
+const WORKERS_PER_RACK = 8;
+const RUN_MS = 3_600_000;
+
+/** An engine with that many workers, running single-task jobs, and jobs that wait. */
+export function createLoadedEngine(
+  options: LoadedEngineOptions,
+): PlacementEngine {
+  const engine = createPlacementEngine({
+    maximumQueuedJobs: options.queuedJobs + options.runningTasks + 1,
+  });
+  const tasksPerWorker = Math.ceil(options.runningTasks / options.workers);
+  for (let index = 0; index < options.workers; index++) {
+    const rack = Math.floor(index / WORKERS_PER_RACK);
+    engine.apply({
+      kind: "worker_up",
+      worker: {
+        name: createId(`worker-${index}`),
+        rack: createId(`rack-${rack}`),
+        resources: {
+          milliprocessors: tasksPerWorker * 12_000,
+          memoryMib: tasksPerWorker * 50_000,
+          accelerators: tasksPerWorker,
+        },
+      },
+    }, 0);
+  }
+  const total = options.runningTasks + options.queuedJobs;
+  for (let index = 0; index < total; index++) {
+    const organisation = `organisation-${index % options.organisations}`;
+    const jobId: JobId = createId(`${organisation}/job-${index}`);
+    const job = {
+      jobId,
+      organisation: createId<never>(organisation),
+      service: createId<never>("service"),
+      shape: createSmallShape(1),
+      priority: "normal",
+      expectedRunMs: RUN_MS,
+      maximumRunMs: 4 * RUN_MS,
+      canCheckpoint: true,
+      checkpointMs: 1_000,
+      idempotent: true,
+      waitedMs: 0,
+    } as const;
+    if (index >= options.runningTasks) {
+      engine.apply({ kind: "job_queued", job }, 0);
+      continue;
+    }
+    const worker = `worker-${index % options.workers}`;
+    engine.apply({
+      kind: "job_restored",
+      job,
+      assignments: [{ index: 0, worker: createId(worker) }],
+      ranMs: 0,
+    }, 0);
+  }
+  return engine;
+}
