Let a job wait in an unowned failure domain rather than refuse it

Change: with no owned failure domain in service, any in service is the home; the queued row waits for the next owner.

--- a/packages/node/jobs/job_homes.ts
+++ b/packages/node/jobs/job_homes.ts
@@ -101,10 +101,14 @@
     isCandidate: (name: FailureDomainName) => boolean,
   ): FailureDomainName | undefined {
     const names = declarations.failureDomains.map(({ name }) => name);
-    const candidates = names.filter((name) =>
-      isCandidate(name) && this.#isIn(name) &&
+    const inService = names.filter((name) =>
+      isCandidate(name) && this.#isIn(name)
+    );
+    const owned = inService.filter((name) =>
       this.#options.ownership.getOwner(name) !== undefined
     );
+    // A queued row outlives a change of owner, so an unowned home beats a refusal.
+    const candidates = owned.length > 0 ? owned : inService;
     const summaries = new Map<FailureDomainName, DomainSummary>();
     for (const name of candidates) {
       const summary = this.#options.summaries().get(name);
