Hold calls to declared slots, settle claims by write id, close the gaps that mutations showed

The pool also took 8 slots for granted where the VM list named none. Change: tests for those five; slots from the service's declaration; a claim recognises its own write in a conflict as well; answers are written with their rank; a stop waits a bounded time for records; the end of each request goes to the time line; backoff and the in-memory table come from the platform package instead of standing twice.

--- a/packages/node/http/server_test.ts
+++ b/packages/node/http/server_test.ts
@@ -150,6 +150,9 @@
       bareLineFeeds: "POST /echo/a HTTP/1.1\nHost: a\nContent-Length: 1\n\na",
       badChunkSize:
         `${head}Transfer-Encoding: chunked\r\n\r\n0x1\r\na\r\n0\r\n\r\n`,
+      longChunks: `${head}Transfer-Encoding: chunked\r\n\r\n41\r\n${
+        "x".repeat(65)
+      }\r\n0\r\n\r\n`,
       noHost: "GET /broken HTTP/1.1\r\n\r\n",
       absoluteTarget: "GET http://b/desk HTTP/1.1\r\nHost: a\r\n\r\n",
       longHeaders: `${head}X: ${"y".repeat(20_000)}\r\n\r\n`,
@@ -162,6 +165,13 @@
     expect(seen).toMatchSnapshot();
   });
 
+  it("closes a connection whose request it refused before reading it all", async () => {
+    await start();
+    const head = "POST /echo/a HTTP/1.1\r\nHost: a\r\nContent-Length: 99\r\n";
+    const received = await exchangeRaw(port, `${head}\r\nx`, 5_000);
+    expect(received).to.match(/^HTTP\/1\.1 413[^]*connection: close/i);
+  });
+
   it("cuts off trickled headers, trickled bodies and connections past its bound", async () => {
     await start({
       headersTimeoutMs: 50,
@@ -222,16 +232,22 @@
     let received = "";
     half.on("data", (chunk) => (received += chunk.toString()));
     half.write(`${head}\r\na`);
+    const headers = connect(port, "127.0.0.1");
+    let answered = "";
+    headers.on("data", (chunk) => (answered += chunk.toString()));
+    headers.write(head.slice(0, 30));
     const idle = connect(port, "127.0.0.1");
     await clock.sleep(30);
     const stopped = server.stop({ timeoutMs: 5_000 });
     await clock.sleep(20);
     half.write("b");
+    headers.write(`${head.slice(30)}\r\nab`);
     await stopped;
     expect(await slow).to.match(
       /^HTTP\/1\.1 200[^]*connection: close[^]*a=ab$/i,
     );
     expect(received).to.match(/a=ab$/);
+    expect(answered).to.match(/a=ab$/);
     expect(server.connectionCount).to.equal(0);
     idle.destroy();
   });
--- a/packages/node/requests/call_records.ts
+++ b/packages/node/requests/call_records.ts
@@ -14,11 +14,13 @@
   type ServiceName,
   type WriteId,
 } from "@coltsfootpond/common";
-import type {
-  ObjectPort,
-  RowCondition,
-  TablePort,
-  TableRow,
+import {
+  type ObjectPort,
+  type RankedCallOptions,
+  type RowCondition,
+  type TablePort,
+  type TableRow,
+  WRITE_RANK,
 } from "@coltsfootpond/platform";
 import {
   type AnswerReference,
@@ -63,6 +65,12 @@
   | { readonly kind: "found"; readonly answer: CallAnswer }
   | { readonly kind: "unavailable" };
 
+/** Answers go ahead of other writes while the platform is short of capacity. */
+const RECORD_OPTIONS: RankedCallOptions = {
+  timeoutMs: RECORD_PATIENCE_MS,
+  rank: WRITE_RANK.ANSWER,
+};
+
 export interface CallRecordsOptions {
   readonly table: TablePort;
   readonly objects: ObjectPort;
@@ -122,7 +130,7 @@
         key,
         value: { ...row, ...change } as unknown as JsonValue,
       }],
-    }, { timeoutMs: RECORD_PATIENCE_MS });
+    }, RECORD_OPTIONS);
     return outcome.kind !== "unavailable";
   }
 
@@ -146,7 +154,7 @@
       writeId: createId<WriteId>(createUniqueId()),
       conditions: [{ kind: "absent", key }],
       writes: [{ kind: "put", key, value: row as unknown as JsonValue }],
-    }, { timeoutMs: RECORD_PATIENCE_MS });
+    }, RECORD_OPTIONS);
     return outcome.kind !== "unavailable";
   }
 
@@ -198,10 +206,11 @@
       conditions: [condition],
       writes: [{ kind: "put", key, value: row as unknown as JsonValue }],
     }, { timeoutMs: TABLE_PATIENCE_MS });
-    if (outcome.kind === "conflict") return outcome;
-    const written = outcome.kind === "committed"
-      ? outcome.rows.find((candidate) => candidate.key === key)
-      : await this.#findOwnWrite(key, writeId);
+    const rows = outcome.kind === "unavailable"
+      ? await this.#readBack(key)
+      : outcome.rows;
+    const written = rows.find((candidate) => candidate.writeId === writeId);
+    if (written === undefined && outcome.kind === "conflict") return outcome;
     if (written === undefined) {
       return { kind: "done", outcome: { kind: "unavailable" } };
     }
@@ -209,16 +218,12 @@
     return { kind: "done", outcome: { kind: "claimed", claim } };
   }
 
-  /** Settles a write whose answer was lost by reading its write id back. */
-  async #findOwnWrite(
-    key: string,
-    writeId: WriteId,
-  ): Promise<TableRow | undefined> {
+  /** The row after a write whose answer was lost; its write id tells whose write it was. */
+  async #readBack(key: string): Promise<readonly TableRow[]> {
     const outcome = await this.#options.table.read([key], {
       timeoutMs: TABLE_PATIENCE_MS,
     });
-    if (outcome.kind === "unavailable") return undefined;
-    return outcome.rows.find((row) => row.writeId === writeId);
+    return outcome.kind === "unavailable" ? [] : outcome.rows;
   }
 
   #createRow(call: CallKey, attemptId: AttemptId): CallRow {
--- a/packages/node/requests/calls_test.ts
+++ b/packages/node/requests/calls_test.ts
@@ -118,6 +118,8 @@
         "HTTP/1.1 200 OK\r\nx-attempt-id: 0\r\ncontent-length: 2\r\n\r\nok",
       foreignRefusal:
         "HTTP/1.1 503 No\r\nx-attempt-id: 0\r\nx-not-run: true\r\ncontent-length: 0\r\n\r\n",
+      bareRefusal:
+        "HTTP/1.1 503 No\r\nx-attempt-id: {id}\r\ncontent-length: 0\r\n\r\n",
       noProtocol: "hello\r\n\r\n",
       nothing: "",
     };
@@ -275,11 +277,12 @@
     await world.addRunner();
     const port = await world.addEntry();
     const headers = { ...STRICT, "idempotency-key": "k" };
-    world.table.mode = "down";
+    world.faults.down = true;
     const down = await send({ port, headers });
     const idempotent = await send({ port });
     expect(countExecutions(world, "k")).to.equal(0);
-    world.table.mode = "answer_lost";
+    world.faults.down = false;
+    world.faults.loseAnswers = 1;
     const lost = await send({ port, headers });
     expect([down.code, idempotent.code, lost.code]).to.deep.equal([
       "5000",
--- a/packages/node/requests/constants.ts
+++ b/packages/node/requests/constants.ts
@@ -20,9 +20,11 @@
 /** Pause between tries to record an answer while the platform is unavailable. */
 export const RECORD_AGAIN_MS = 1_000;
 export const MAXIMUM_RECORD_TRIES = 120;
+/** A stop waits this long for answers that are still to be recorded. */
+export const RECORD_FLUSH_MS = 2_000;
 
-export const BACKOFF_BASE_MS = 10;
-export const BACKOFF_MAXIMUM_MS = 500;
+/** Backoff between the attempts of one call. */
+export const BACKOFF = { baseMs: 10, maximumMs: 500 } as const;
 export const MAXIMUM_ATTEMPTS = 5;
 /** Retries that a service may make before its share of fresh requests allows any. */
 export const RETRY_BUDGET_RESERVE = 10;
--- a/packages/node/requests/create_request_routes.ts
+++ b/packages/node/requests/create_request_routes.ts
@@ -4,6 +4,7 @@
   createId,
   type EntryName,
   type OrganisationName,
+  RESULT,
   type ServiceName,
 } from "@coltsfootpond/common";
 import type { TablePort } from "@coltsfootpond/platform";
@@ -95,6 +96,30 @@
   return exchange.organisation;
 }
 
+/** Adds the end of each request to the time line. */
+function withEvents(
+  context: EntryContext,
+  handle: Handler<ReceivedRequest>,
+): Handler<ReceivedRequest> {
+  return async (request) => {
+    const outcome = await handle(request);
+    const { clock, events } = context;
+    const resultName = outcome.kind === "failed"
+      ? outcome.resultName
+      : outcome.kind === "answered"
+      ? "ANSWERED"
+      : "ACCEPTED";
+    events.emit("request.ended", {
+      requestId: request.requestId,
+      service: request.serviceName,
+      organisation: request.exchange.organisation,
+      code: RESULT[resultName].code,
+      durationMs: clock.nowMs() - request.exchange.receivedMs,
+    });
+    return outcome;
+  };
+}
+
 function createSubmitRoute(
   handle: Handler<ReceivedRequest>,
   calls: CallsInProgress,
@@ -192,7 +217,10 @@
   });
   const lookup = RequestLookup.create({ jobs, records, calls, waits });
   return {
-    routes: [createSubmitRoute(handle, calls), ...createLookupRoutes(lookup)],
+    routes: [
+      createSubmitRoute(withEvents(context, handle), calls),
+      ...createLookupRoutes(lookup),
+    ],
     start: () => pool.start(),
     releaseHeld: () => waits.releaseAll(),
     async stop() {
--- a/packages/node/requests/filters/admission.ts
+++ b/packages/node/requests/filters/admission.ts
@@ -1,5 +1,9 @@
 /** Admits calls within the adaptive limit of their service; the rest wait fairly or are refused. */
-import type { Clock, ServiceName } from "@coltsfootpond/common";
+import type {
+  CallServiceDeclaration,
+  Clock,
+  ServiceName,
+} from "@coltsfootpond/common";
 import type { UpstreamPool } from "../../upstreams/pool.ts";
 import type { RequestFilter } from "../chain.ts";
 import { ServiceAdmission } from "../service_admission.ts";
@@ -23,15 +27,16 @@
     return new Admissions(options);
   }
 
-  get(service: ServiceName): ServiceAdmission {
-    let admission = this.#services.get(service);
+  get(service: CallServiceDeclaration): ServiceAdmission {
+    let admission = this.#services.get(service.name);
     if (admission === undefined) {
       const { clock, pool } = this.#options;
       admission = ServiceAdmission.create({
         clock,
-        getCapacity: () => pool.getCapacity(service),
+        service,
+        getCapacity: (declared) => pool.getCapacity(declared),
       });
-      this.#services.set(service, admission);
+      this.#services.set(service.name, admission);
     }
     return admission;
   }
@@ -48,7 +53,7 @@
   return {
     name: "admission",
     async handle(request, next): Promise<RequestOutcome> {
-      const admission = admissions.get(request.service.name);
+      const admission = admissions.get(request.service);
       const refusal = await admission.enter(request);
       if (refusal !== undefined) return refusal;
       const startedMs = clock.nowMs();
--- a/packages/node/requests/filters/attempt.ts
+++ b/packages/node/requests/filters/attempt.ts
@@ -64,7 +64,7 @@
 
   return async (request): Promise<RequestOutcome> => {
     const { avoid, deadlineMs, signal } = request;
-    const service = request.service.name;
+    const { service } = request;
     const runner = await pool.acquire({ service, avoid, deadlineMs, signal });
     const startedMs = clock.nowMs();
     const remainingMs = deadlineMs - startedMs;
@@ -88,7 +88,7 @@
     emit(request, attemptId, runner.name, outcome, startedMs);
     if (outcome.kind === "failed") {
       if (outcome.blame === BLAME.FULL || outcome.blame === BLAME.SILENT) {
-        options.admissions.get(request.service.name).noteOverload();
+        options.admissions.get(request.service).noteOverload();
       }
       const { resultName, detail } = outcome;
       return failed(resultName, { detail, runner: runner.name });
--- a/packages/node/requests/filters/filters_test.ts
+++ b/packages/node/requests/filters/filters_test.ts
@@ -15,12 +15,11 @@
 import { createLimitsFilter } from "./limits.ts";
 import { createPinFilter } from "./pin.ts";
 import { createRetryFilter } from "./retry.ts";
-import { CallRecords } from "../call_records.ts";
+import { CallRecords, type CallRow } from "../call_records.ts";
 import type { Handler } from "../chain.ts";
 import {
   CALL_SERVICE,
   createDeclarations,
-  FakeTable,
   ORGANISATION,
   World,
 } from "../fixture_test.ts";
@@ -254,6 +253,9 @@
     const late = run("late", 1, 5);
     await clock.advance(5);
     expect(getName(await late)).to.equal("DEADLINE_UNREACHABLE");
+    await clock.advance(45);
+    const hopeless = run("large", 1, clock.nowMs() + 10);
+    expect(getName(await hopeless)).to.equal("DEADLINE_UNREACHABLE");
     await clock.advance(200);
     await Promise.all(running);
     expect(started.join(" ")).toMatchSnapshot();
@@ -265,7 +267,7 @@
   it("admission: falls with refusals, never below one, and rises again", async () => {
     const clock = ManualClock.create();
     const pool = { getCapacity: () => 100 } as never;
-    const admission = Admissions.create({ clock, pool }).get(createId("s"));
+    const admission = Admissions.create({ clock, pool }).get(CALL_SERVICE);
     const enter = () => admission.enter(createCall({ deadlineMs: 1e9 }));
     for (let count = 0; count < 50; count++) await enter();
     for (let count = 0; count < 60; count++) {
@@ -294,10 +296,9 @@
       lost: failed("UPSTREAM_LOST"),
     };
     for (const [name, outcome] of Object.entries(outcomes)) {
-      const table = new FakeTable();
+      const { table, objects } = new World();
       const clock = ManualClock.create();
       const recorder = Recorder.create(clock);
-      const { objects } = new World();
       const records = CallRecords.create({ table, objects });
       const filter = createDeduplicateFilter({ records, recorder });
       const { next, seen: passed } = createNext<CallRequest>(outcome);
@@ -307,9 +308,10 @@
         getName(await filter.handle(strict, next)),
         getName(await filter.handle(createCall({ keyed: false }), next)),
       ];
-      const rows = [...table.rows.values()].map(({ value }) =>
-        (value as never as { state: string }).state
-      );
+      const scanned = await table.scan("", { timeoutMs: 1 });
+      const rows = scanned.kind === "rows"
+        ? scanned.rows.map(({ value }) => (value as never as CallRow).state)
+        : [];
       seen[name] = { results, rows, runs: passed.length };
     }
     expect(seen).toMatchSnapshot();
--- a/packages/node/requests/filters/retry.ts
+++ b/packages/node/requests/filters/retry.ts
@@ -12,12 +12,9 @@
   type RunnerName,
   type ServiceName,
 } from "@coltsfootpond/common";
+import { computeBackoffMs } from "@coltsfootpond/platform";
 import type { RequestFilter } from "../chain.ts";
-import {
-  BACKOFF_BASE_MS,
-  BACKOFF_MAXIMUM_MS,
-  MAXIMUM_ATTEMPTS,
-} from "../constants.ts";
+import { BACKOFF, MAXIMUM_ATTEMPTS } from "../constants.ts";
 import { RetryBudget } from "../retry_budget.ts";
 import type {
   AttemptRequest,
@@ -70,14 +67,6 @@
     return budget;
   }
 
-  function drawBackoffMs(attemptNumber: number): number {
-    const ceilingMs = Math.min(
-      BACKOFF_BASE_MS * 2 ** (attemptNumber - 1),
-      BACKOFF_MAXIMUM_MS,
-    );
-    return random.next() * ceilingMs;
-  }
-
   return {
     name: "retry",
     async handle(request, next): Promise<RequestOutcome> {
@@ -90,7 +79,7 @@
         if (outcome.kind !== "failed") return outcome;
         if (!isProvenNotRun(outcome)) unsettled = outcome;
         if (outcome.runner !== undefined) avoid.add(outcome.runner);
-        const backoffMs = drawBackoffMs(attemptNumber);
+        const backoffMs = computeBackoffMs(random, attemptNumber - 1, BACKOFF);
         const again = attemptNumber < MAXIMUM_ATTEMPTS &&
           mayTryAgain(request, outcome) &&
           clock.nowMs() + backoffMs < request.deadlineMs &&
--- a/packages/node/requests/fixture_test.ts
+++ b/packages/node/requests/fixture_test.ts
@@ -12,17 +12,13 @@
   SeededRandom,
   SystemClock,
 } from "@coltsfootpond/common";
-import type {
-  GetOutcome,
-  ObjectPort,
-  PlatformPorts,
-  PutOutcome,
-  ReadOutcome,
-  TablePort,
-  TableRow,
-  TableTransaction,
-  TransactionOutcome,
-  VmRecord,
+import {
+  FaultSwitch,
+  FaultyTable,
+  MemoryObjects,
+  MemoryTable,
+  type PlatformPorts,
+  type VmRecord,
 } from "@coltsfootpond/platform";
 import { RunnerStandIn } from "@coltsfootpond/stand-ins";
 import { Subject } from "rxjs";
@@ -102,82 +98,11 @@
   };
 }
 
-/** Transactions in memory; `mode` makes it fail the ways the platform's service does. */
-export class FakeTable implements TablePort {
-  readonly rows = new Map<string, TableRow>();
-  mode: "up" | "down" | "answer_lost" = "up";
-
-  transact(
-    transaction: TableTransaction,
-  ): Promise<TransactionOutcome> {
-    return Promise.resolve(this.#commit(transaction));
-  }
-
-  #commit(transaction: TableTransaction): TransactionOutcome {
-    if (this.mode === "down") return unavailable("refused");
-    const holds = transaction.conditions.every((condition) => {
-      const row = this.rows.get(condition.key);
-      return condition.kind === "absent"
-        ? row === undefined
-        : row?.version === condition.version;
-    });
-    const keys = transaction.conditions.map(({ key }) => key);
-    if (!holds) return { kind: "conflict", rows: this.#list(keys) };
-    for (const write of transaction.writes) {
-      if (write.kind === "delete") this.rows.delete(write.key);
-      else {
-        const version = (this.rows.get(write.key)?.version ?? 0) + 1;
-        const { key, value } = write;
-        const { writeId } = transaction;
-        this.rows.set(key, { key, version, writeId, value });
-      }
-    }
-    if (this.mode === "answer_lost") return unavailable("lost");
-    const written = transaction.writes.map(({ key }) => key);
-    return { kind: "committed", rows: this.#list(written) };
-  }
-
-  read(keys: readonly string[]): Promise<ReadOutcome> {
-    return Promise.resolve(
-      this.mode === "down"
-        ? unavailable("refused")
-        : { kind: "rows", rows: this.#list(keys) },
-    );
-  }
-
-  scan(): Promise<ReadOutcome> {
-    return Promise.resolve({ kind: "rows", rows: [...this.rows.values()] });
-  }
-
-  #list(keys: readonly string[]): TableRow[] {
-    return keys.flatMap((key) => this.rows.get(key) ?? []);
-  }
-}
-
-function unavailable(effect: "refused" | "lost") {
-  return { kind: "unavailable", effect, reason: "fake" } as const;
-}
-
-class FakeObjects implements ObjectPort {
-  readonly #contents = new Map<string, Uint8Array>();
-
-  put(key: string, content: Uint8Array): Promise<PutOutcome> {
-    this.#contents.set(key, content);
-    return Promise.resolve({ kind: "stored" });
-  }
-
-  get(key: string): Promise<GetOutcome> {
-    const content = this.#contents.get(key);
-    return Promise.resolve(
-      content === undefined ? { kind: "absent" } : { kind: "found", content },
-    );
-  }
-}
-
 /** What several entries of one test share. */
 export class World {
-  readonly table = new FakeTable();
-  readonly objects = new FakeObjects();
+  readonly faults = FaultSwitch.create(clock);
+  readonly table = FaultyTable.create(MemoryTable.create(), this.faults);
+  readonly objects = MemoryObjects.create();
   readonly runners: RunnerStandIn[] = [];
   readonly servers: HttpServer[] = [];
   readonly fronts: RequestRoutes[] = [];
--- a/packages/node/requests/recorder.ts
+++ b/packages/node/requests/recorder.ts
@@ -4,6 +4,7 @@
   MAXIMUM_PENDING_RECORDS,
   MAXIMUM_RECORD_TRIES,
   RECORD_AGAIN_MS,
+  RECORD_FLUSH_MS,
 } from "./constants.ts";
 
 /** One try at recording; true when it is done. */
@@ -36,9 +37,10 @@
     return true;
   }
 
-  /** Resolves when every record is written or given up. */
+  /** Resolves when every record is written, or after a bounded time. */
   async flush(): Promise<void> {
-    await Promise.all(this.#pending);
+    const written = Promise.all(this.#pending);
+    await Promise.race([written, this.#clock.sleep(RECORD_FLUSH_MS)]);
   }
 
   async #run(tryRecord: RecordTry): Promise<void> {
--- a/packages/node/requests/service_admission.ts
+++ b/packages/node/requests/service_admission.ts
@@ -1,5 +1,9 @@
 /** Decides which calls of one service go on now, which wait, and which are refused at once. */
-import type { Clock, Timer } from "@coltsfootpond/common";
+import type {
+  CallServiceDeclaration,
+  Clock,
+  Timer,
+} from "@coltsfootpond/common";
 import { ConcurrencyLimit } from "./concurrency_limit.ts";
 import {
   ADMISSION_CHECK_MS,
@@ -24,20 +28,24 @@
 
 export interface ServiceAdmissionOptions {
   readonly clock: Clock;
+  readonly service: CallServiceDeclaration;
   /** Calls that the upstream pool can take from this entry now. */
-  readonly getCapacity: () => number;
+  readonly getCapacity: (service: CallServiceDeclaration) => number;
 }
 
 export class ServiceAdmission {
   readonly #options: ServiceAdmissionOptions;
   readonly #limit: ConcurrencyLimit;
   readonly #queue = FairQueue.create<WaitingCall>();
+  /** As declared in the newest configuration that a call was pinned to. */
+  #service: CallServiceDeclaration;
   #inProgress = 0;
   #meanDurationMs = 0;
   #check: Timer | undefined;
 
   private constructor(options: ServiceAdmissionOptions) {
     this.#options = options;
+    this.#service = options.service;
     this.#limit = ConcurrencyLimit.create(options.clock);
   }
 
@@ -54,7 +62,8 @@
   }
 
   enter(request: CallRequest): Promise<Admission> {
-    const limit = this.#limit.get(this.#options.getCapacity());
+    this.#service = request.service;
+    const limit = this.#getLimit();
     if (limit === 0) {
       return Promise.resolve(
         failed("NO_UPSTREAM", { retryAfterMs: UNREADY_RETRY_AFTER_MS }),
@@ -83,6 +92,10 @@
     this.#limit.noteOverload(this.#inProgress);
   }
 
+  #getLimit(): number {
+    return this.#limit.get(this.#options.getCapacity(this.#service));
+  }
+
   #admit(deadlineMs: number): Admission {
     if (!this.#isReachable(deadlineMs)) return failed("DEADLINE_UNREACHABLE");
     this.#inProgress++;
@@ -137,7 +150,7 @@
 
   #drain(): void {
     while (this.#queue.size > 0) {
-      const limit = this.#limit.get(this.#options.getCapacity());
+      const limit = this.#getLimit();
       if (this.#inProgress >= limit) return;
       const waiting = this.#queue.pop();
       waiting?.settle(this.#admit(waiting.deadlineMs));
--- a/packages/node/upstreams/constants.ts
+++ b/packages/node/upstreams/constants.ts
@@ -1,7 +1,6 @@
 /** Timings and sizes of the upstream pool. */
 
 export const RUN_PATH = "/run";
-export const DEFAULT_RUNNER_SLOTS = 8;
 export const CONNECTIONS_PER_RUNNER = 8;
 export const CONNECT_TIMEOUT_MS = 1_000;
 export const MAXIMUM_ANSWER_BYTES = 16 * 1_048_576;
--- a/packages/node/upstreams/pool.ts
+++ b/packages/node/upstreams/pool.ts
@@ -3,6 +3,7 @@
  * failure domain that is out gets no new work; what it has in progress finishes.
  */
 import {
+  type CallServiceDeclaration,
   type Clock,
   type EntryName,
   type EventSink,
@@ -10,7 +11,6 @@
   type Random,
   RESULT,
   type RunnerName,
-  type ServiceName,
   type Timer,
 } from "@coltsfootpond/common";
 import type { VmListPort, VmRecord } from "@coltsfootpond/platform";
@@ -56,7 +56,7 @@
 
 /** What an attempt needs of a runner. */
 export interface AcquireRequest {
-  readonly service: ServiceName;
+  readonly service: CallServiceDeclaration;
   readonly avoid: ReadonlySet<RunnerName>;
   readonly deadlineMs: number;
   readonly signal: AbortSignal | undefined;
@@ -135,7 +135,7 @@
   }
 
   #choose(
-    service: ServiceName,
+    service: CallServiceDeclaration,
     avoid: ReadonlySet<RunnerName>,
   ): Runner | undefined {
     const candidates = this.#listCandidates(service);
@@ -147,7 +147,7 @@
   }
 
   /** Attempts that this entry may have in progress for the service. */
-  getCapacity(service: ServiceName): number {
+  getCapacity(service: CallServiceDeclaration): number {
     const { balancing } = this.#options;
     return this.#listCandidates(service).reduce(
       (sum, candidate) => sum + getSlotLimit(balancing, candidate),
@@ -166,14 +166,16 @@
     }));
   }
 
-  #listCandidates(service: ServiceName): Candidate[] {
+  #listCandidates(service: CallServiceDeclaration): Candidate[] {
     this.#refreshShares();
     const candidates: Candidate[] = [];
     for (const runner of this.#runners.values()) {
-      const usable = runner.vm.service === service && runner.isUsable() &&
+      const usable = runner.vm.service === service.name && runner.isUsable() &&
         this.#isDomainIn(runner.vm);
       if (usable) {
-        candidates.push(runner.createCandidate(this.#getShare(runner)));
+        const slots = runner.vm.slots ?? service.slotsPerRunner;
+        const share = this.#getShare(runner.name, slots);
+        candidates.push(runner.createCandidate({ slots, share }));
       }
     }
     return candidates;
@@ -194,17 +196,12 @@
     this.#shares.clear();
   }
 
-  #getShare(runner: Runner): number {
-    const key = `${runner.name}\0${runner.slots}`;
+  #getShare(runner: RunnerName, slots: number): number {
+    const key = `${runner}\0${slots}`;
     let share = this.#shares.get(key);
     if (share === undefined) {
       const { self, listEntries } = this.#options;
-      share = computeShare({
-        runner: runner.name,
-        slots: runner.slots,
-        self,
-        entries: listEntries(),
-      });
+      share = computeShare({ runner, slots, self, entries: listEntries() });
       this.#shares.set(key, share);
     }
     return share;
--- a/packages/node/upstreams/runner.ts
+++ b/packages/node/upstreams/runner.ts
@@ -1,7 +1,7 @@
 /** One runner as this entry knows it: its connections, attempts in progress, health and last report. */
 import type { Clock, RunnerName } from "@coltsfootpond/common";
 import type { VmRecord } from "@coltsfootpond/platform";
-import { BORROW_PAUSE_MS, DEFAULT_RUNNER_SLOTS } from "./constants.ts";
+import { BORROW_PAUSE_MS } from "./constants.ts";
 import { exchangeWithRunner } from "./exchange.ts";
 import { RunnerHealth } from "./health.ts";
 import { RunnerAgent } from "./runner_agent.ts";
@@ -22,6 +22,13 @@
   readonly onFreed: () => void;
 }
 
+/** Slots of a runner. */
+export interface RunnerSlots {
+  readonly slots: number;
+  /** Those of this entry's own right. */
+  readonly share: number;
+}
+
 export class Runner {
   readonly name: RunnerName;
   readonly #options: RunnerOptions;
@@ -53,10 +60,6 @@
     return this.#inUse;
   }
 
-  get slots(): number {
-    return this.#vm.slots ?? DEFAULT_RUNNER_SLOTS;
-  }
-
   get connectionCount(): number {
     return this.#agent.countConnections();
   }
@@ -100,14 +103,14 @@
     this.#agent.destroy();
   }
 
-  createCandidate(share: number): Candidate {
+  createCandidate({ slots, share }: RunnerSlots): Candidate {
     const nowMs = this.#options.clock.nowMs();
     const loadShare = this.#health.getLoadShare();
     return {
       runner: this.name,
       inUse: this.#inUse,
       share: Math.ceil(share * loadShare),
-      slots: Math.ceil(this.slots * loadShare),
+      slots: Math.ceil(slots * loadShare),
       reportedInUse: this.#report?.slotsInUse,
       reportAgeMs: nowMs - this.#reportedMs,
       refusedLately: nowMs - this.#refusedMs < BORROW_PAUSE_MS,
