--- a/packages/node/http/server_test.ts
+++ b/packages/node/http/server_test.ts
@@ -238,8 +238,8 @@
     headers.write(head.slice(0, 30));
     const idle = connect(port, "127.0.0.1");
     await clock.sleep(30);
-    const stopped = server.stop({ timeoutMs: 5_000 });
-    await clock.sleep(20);
+    const stopped = server.stop({ timeoutMs: 5_000, lingerMs: 0 });
+    await clock.sleep(30);
     half.write("b");
     headers.write(`${head.slice(30)}\r\nab`);
     await stopped;
