--- /dev/null
+++ b/packages/node/state/model_configuration.ts
@@ -0,0 +1,57 @@
+/** What one entry of the model knows of the configuration. */
+import type { TableRow } from "@coltsfootpond/platform";
+import {
+  type ConfigurationKnowledge,
+  decideHead,
+} from "../configuration/decisions.ts";
+import { CONFIGURATION_HEAD_KEY, type ConfigurationHeadRow } from "../rows.ts";
+import type { ModelEntry } from "./model_entry.ts";
+import type { ModelWorld } from "./model.ts";
+import { createUnchangedCondition, readValue } from "./rows_json.ts";
+
+export class ModelConfiguration {
+  readonly #world: ModelWorld;
+  readonly #entry: ModelEntry;
+  #known: ConfigurationKnowledge = { version: 0, digest: "", confirmedMs: 0 };
+  #row: TableRow | undefined;
+
+  private constructor(world: ModelWorld, entry: ModelEntry) {
+    this.#world = world;
+    this.#entry = entry;
+  }
+
+  static create(world: ModelWorld, entry: ModelEntry): ModelConfiguration {
+    return new ModelConfiguration(world, entry);
+  }
+
+  apply(): void {
+    const version = this.#known.version + 1;
+    const head: ConfigurationHeadRow = {
+      version,
+      digest:
+        `${version} by ${this.#entry.entry}` as ConfigurationHeadRow["digest"],
+      chunks: [],
+      acceptedBy: this.#entry.entry,
+    };
+    this.#world.transact(this.#entry, CONFIGURATION_HEAD_KEY, head, [
+      createUnchangedCondition(CONFIGURATION_HEAD_KEY, this.#row),
+    ]);
+  }
+
+  /** A read that shows less than is known, or another content, means that the head reverted. */
+  learn(row: TableRow | undefined): void {
+    const head = row && readValue<ConfigurationHeadRow>(row);
+    const decision = decideHead(this.#known, head);
+    this.#row = row;
+    if (decision.kind === "reject") this.#report("the head reverts");
+    if (decision.kind !== "advance") return;
+    const { version, digest } = decision.head;
+    if (version < this.#known.version) this.#report("the version falls");
+    const confirmedMs = this.#entry.nowMs();
+    this.#known = { version, digest, confirmedMs };
+  }
+
+  #report(what: string): void {
+    this.#world.violations.push(`${this.#entry.entry}: ${what}`);
+  }
+}
--- /dev/null
+++ b/packages/node/state/model_members.ts
@@ -0,0 +1,103 @@
+/** What one entry of the model knows of the other entries. */
+import type { EntryName } from "@coltsfootpond/common";
+import { ENTRY_BEAT_MS, ENTRY_TERM_MS, MESH_SILENCE_MS } from "../constants.ts";
+import type { HeldDomain } from "../mesh/messages.ts";
+import { getEntryKey } from "../rows.ts";
+import { type BeatObservation, getStillMs, observeBeat } from "./beat.ts";
+import type { WorldMember } from "./closed_world.ts";
+import type { ModelEntry } from "./model_entry.ts";
+import type { ModelWorld } from "./model.ts";
+
+/** The part of a heartbeat that matters here. */
+export interface ModelHeartbeat {
+  readonly tableReachable: boolean;
+  readonly holdings: readonly HeldDomain[];
+}
+
+interface Heard extends ModelHeartbeat {
+  readonly atMs: number;
+}
+
+export class ModelMembers {
+  readonly #world: ModelWorld;
+  readonly #entry: ModelEntry;
+  readonly #beats = new Map<EntryName, BeatObservation>();
+  readonly #heard = new Map<EntryName, Heard>();
+  #entries: readonly EntryName[] = [];
+  #isRegistered = false;
+  #hasMet = false;
+  #beatDueMs = 0;
+
+  private constructor(world: ModelWorld, entry: ModelEntry) {
+    this.#world = world;
+    this.#entry = entry;
+  }
+
+  static create(world: ModelWorld, entry: ModelEntry): ModelMembers {
+    return new ModelMembers(world, entry);
+  }
+
+  /** Registered entries as last read. */
+  get entries(): readonly EntryName[] {
+    return this.#entries;
+  }
+
+  get hasMet(): boolean {
+    return this.#hasMet;
+  }
+
+  hear(from: EntryName, heartbeat: ModelHeartbeat): void {
+    this.#heard.set(from, { ...heartbeat, atMs: this.#entry.nowMs() });
+  }
+
+  getHeard(entry: EntryName): Heard | undefined {
+    const heard = this.#heard.get(entry);
+    const isRecent = heard !== undefined &&
+      this.#entry.nowMs() - heard.atMs < MESH_SILENCE_MS;
+    return isRecent ? heard : undefined;
+  }
+
+  forgetHeard(): void {
+    this.#heard.clear();
+  }
+
+  /** As the closed-world rule counts them. */
+  listWorld(): readonly WorldMember[] {
+    const heard = [...this.#heard.keys()].filter((one) => this.getHeard(one));
+    const entries = new Set([...this.#entries, ...heard]);
+    entries.delete(this.#entry.entry);
+    return [...entries].map((entry) => {
+      const fact = this.getHeard(entry);
+      return { entry, heard: fact && { ...fact, configurationVersion: 0 } };
+    });
+  }
+
+  learn(nowMs: number): void {
+    const { table, entries } = this.#world;
+    this.#entries = entries.map(({ entry }) => entry)
+      .filter((entry) => table.getRow(getEntryKey(entry)));
+    for (const entry of this.#entries) {
+      const version = table.getRow(getEntryKey(entry))?.version ?? 0;
+      const beat = observeBeat(this.#beats.get(entry), version, nowMs);
+      this.#beats.set(entry, beat);
+    }
+    this.#hasMet ||= this.#isRegistered &&
+      this.#entries.every((entry) => this.#isMet(entry));
+  }
+
+  /** Writes the entry's own row; the first time that registers it. */
+  beat(nowMs: number): void {
+    if (nowMs < this.#beatDueMs) return;
+    this.#beatDueMs = nowMs + ENTRY_BEAT_MS;
+    const key = getEntryKey(this.#entry.entry);
+    const outcome = this.#world.transact(this.#entry, key, { nowMs }, []);
+    if (outcome.kind === "committed") this.#isRegistered = true;
+  }
+
+  #isMet(entry: EntryName): boolean {
+    const beat = this.#beats.get(entry);
+    const isLapsed = beat !== undefined && getStillMs(beat) >= ENTRY_TERM_MS;
+    return entry === this.#entry.entry || isLapsed ||
+      this.getHeard(entry) !== undefined;
+  }
+}
