Test the decisions on ownership at their edges

Cause: mutations of the joiner rule, of the gap in the reads and of adopting a late write survived the model (other rules cover them there). Change: direct tests of decideOwnership, leases, observation and preference.

--- /dev/null
+++ b/packages/node/ownership/decisions_test.ts
@@ -0,0 +1,131 @@
+/** Tests of the pure decisions on ownership, each at its edges. */
+import {
+  createId,
+  type EntryName,
+  type FailureDomainName,
+  type Incarnation,
+} from "@coltsfootpond/common";
+import { expect } from "chai";
+import {
+  DOMAIN_OUT_BOUND_MS,
+  OWNERSHIP_MARGIN_MS,
+  OWNERSHIP_TERM_MS,
+} from "../constants.ts";
+import { observeBeat } from "../state/beat.ts";
+import {
+  adoptLease,
+  decideOwnership,
+  grantLease,
+  mayActUnder,
+  type OwnershipInput,
+  renewLease,
+} from "./decisions.ts";
+import { rankCandidates } from "./preference.ts";
+
+const SELF = {
+  entry: createId<EntryName>("self"),
+  incarnation: createId<Incarnation>("1"),
+};
+const OTHER = {
+  entry: createId<EntryName>("other"),
+  incarnation: createId<Incarnation>("2"),
+};
+
+function createInput(changes: Partial<OwnershipInput>): OwnershipInput {
+  return {
+    self: SELF,
+    row: { ...OTHER, epoch: 4, beat: 1, released: false },
+    beat: { rowVersion: 1, sinceMs: 0, lastReadMs: OWNERSHIP_TERM_MS },
+    rank: 0,
+    hasMetEveryMember: true,
+    leaving: false,
+    ...changes,
+  };
+}
+
+describe("ownership decisions", () => {
+  it("take, renew, wait or leave", () => {
+    const still = (lastReadMs: number) => ({
+      rowVersion: 1,
+      sinceMs: 0,
+      lastReadMs,
+    });
+    const own = { ...SELF, epoch: 4, beat: 1, released: false };
+    const cases: Record<string, Partial<OwnershipInput>> = {
+      "another's, lapsed": {},
+      "another's, moving": { beat: still(0) },
+      "another's, a millisecond short": { beat: still(OWNERSHIP_TERM_MS - 1) },
+      "another's, lapsed, second in order": { rank: 1 },
+      "another's, lapsed, not a candidate": { rank: undefined },
+      "another's, lapsed, a joiner": { hasMetEveryMember: false },
+      "another's, lapsed, leaving": { leaving: true },
+      "another's, released": {
+        row: { ...own, ...OTHER, released: true },
+        beat: still(0),
+      },
+      "nobody's": { row: undefined, beat: still(0) },
+      "own": { row: own, beat: still(0) },
+      "own, released": { row: { ...own, released: true }, beat: still(0) },
+      "own of an earlier life": {
+        row: { ...own, incarnation: OTHER.incarnation },
+        beat: still(0),
+      },
+    };
+    const decisions = Object.entries(cases).map(([name, changes]) => [
+      name,
+      decideOwnership(createInput(changes)),
+    ]);
+    expect(decisions).toMatchSnapshot();
+  });
+
+  it("let the holder act a margin shorter than its observers wait", () => {
+    const lease = grantLease(1, 1_000);
+    const endMs = 1_000 + OWNERSHIP_TERM_MS - OWNERSHIP_MARGIN_MS;
+    expect([mayActUnder(lease, endMs - 1), mayActUnder(lease, endMs)]).to.eql([
+      true,
+      false,
+    ]);
+    expect(renewLease(lease, 500)).to.eql(lease);
+    expect(OWNERSHIP_TERM_MS - OWNERSHIP_MARGIN_MS)
+      .to.be.lessThan(DOMAIN_OUT_BOUND_MS);
+  });
+
+  it("keep the holder of a late write from acting for a term", () => {
+    const adopted = adoptLease(3, 1_000);
+    const renewed = renewLease(adopted, 1_000 + OWNERSHIP_TERM_MS - 1);
+    expect([
+      mayActUnder(renewLease(adopted, 2_000), 2_001),
+      mayActUnder(renewed, 1_000 + OWNERSHIP_TERM_MS - 1),
+      mayActUnder(renewed, 1_000 + OWNERSHIP_TERM_MS),
+    ]).to.eql([false, false, true]);
+  });
+
+  it("start the term again after a gap in the reads", () => {
+    const first = observeBeat(undefined, 7, 1_000);
+    const second = observeBeat(first, 7, 3_000);
+    const afterGap = observeBeat(second, 7, 60_000);
+    const moved = observeBeat(second, 8, 4_000);
+    expect([second, afterGap, moved].map(({ sinceMs }) => sinceMs)).to.eql([
+      1_000,
+      60_000,
+      4_000,
+    ]);
+  });
+
+  it("move only what a member that leaves had", () => {
+    const entries = Array.from(
+      { length: 9 },
+      (_, index) => createId<EntryName>(`entry-${index}`),
+    );
+    const domains = Array.from(
+      { length: 60 },
+      (_, index) => createId<FailureDomainName>(`domain-${index}`),
+    );
+    const [gone, ...rest] = entries;
+    for (const domain of domains) {
+      const before = rankCandidates(domain, entries)[0];
+      const after = rankCandidates(domain, rest)[0];
+      if (before !== gone) expect(after).to.equal(before);
+    }
+  });
+});
