--- a/packages/node/state/model.ts
+++ b/packages/node/state/model.ts
@@ -19,6 +19,7 @@
 import { DOMAIN_OUT_BOUND_MS } from "../constants.ts";
 import type { FailureDomainFact } from "../failure_domains/decisions.ts";
 import { getDomainKey, getOwnerKey } from "../rows.ts";
+import { ModelContacts, nameLink } from "./model_contacts.ts";
 import { ModelEntry } from "./model_entry.ts";
 import { toJson } from "./rows_json.ts";
 
@@ -42,6 +43,12 @@
     | "cut_link"
     | "mend_link"
     | "isolate"
+    | "mend_all_links"
+    /** A store outage in which one entry joins that reaches the store but not `entry`. */
+    | "join_in_outage"
+    /** `entry` is cut off for longer than a term; then the store fails and the links mend. */
+    | "takeover_then_outage"
+    | "stale_head"
     | "lose_answer"
     | "delay_write"
     | "out"
@@ -69,6 +76,7 @@
   /** Steps in which an entry acted although it had not written its beat for a whole term. */
   closedWorldSteps = 0;
   readonly #cuts = new Set<string>();
+  readonly #contacts = ModelContacts.create(this);
   #late: { readonly atMs: number; readonly transaction: TableTransaction }[] =
     [];
   #writes = 0;
@@ -197,6 +205,7 @@
     this.#late = this.#late.filter(({ atMs }) => atMs > this.nowMs);
     for (const { transaction } of due) this.table.transactNow(transaction);
     for (const entry of this.entries) if (entry.isRunning) entry.run();
+    this.#contacts.note();
     this.#checkHolders();
   }
 
@@ -210,9 +219,7 @@
     );
     for (const left of acting) {
       for (const right of acting) {
-        if (left === right || !left.knows(right) || !right.knows(left)) {
-          continue;
-        }
+        if (left === right || !this.#contacts.canKnow(left, right)) continue;
         const names = `${left.entry} and ${right.entry}`;
         this.violations.push(`${names} may act at ${this.nowMs}`);
       }
@@ -222,6 +229,25 @@
     }
   }
 
+  #isolate(entry: ModelEntry): void {
+    for (const one of this.entries) this.#cuts.add(nameLink(entry, one));
+  }
+
+  #joinInOutage(entry: ModelEntry): void {
+    for (const one of this.entries) one.isStoreUp = false;
+    this.join();
+    const joiner = this.entries.at(-1);
+    if (joiner !== undefined) this.#cuts.add(nameLink(entry, joiner));
+  }
+
+  #takeoverThenOutage(entry: ModelEntry): void {
+    this.#isolate(entry);
+    entry.isStoreUp = false;
+    this.run(OUTLAST_TERM_STEPS);
+    for (const one of this.entries) one.isStoreUp = false;
+    this.#cuts.clear();
+  }
+
   #perform(action: ModelAction, entry: ModelEntry, other: ModelEntry): void {
     switch (action.kind) {
       case "wait":
@@ -247,9 +273,15 @@
       case "mend_link":
         return void this.#cuts.delete(nameLink(entry, other));
       case "isolate":
-        return this.entries.forEach((one) =>
-          this.#cuts.add(nameLink(entry, one))
-        );
+        return this.#isolate(entry);
+      case "mend_all_links":
+        return this.#cuts.clear();
+      case "join_in_outage":
+        return this.#joinInOutage(entry);
+      case "takeover_then_outage":
+        return this.#takeoverThenOutage(entry);
+      case "stale_head":
+        return entry.readStaleHead();
       case "lose_answer":
         return void (entry.loseNext += 1);
       case "delay_write":
@@ -264,12 +296,7 @@
   }
 }
 
-function nameLink(left: ModelEntry, right: ModelEntry): string {
-  return left.entry < right.entry
-    ? `${left.entry} ${right.entry}`
-    : `${right.entry} ${left.entry}`;
-}
-
 const SETTLE_STEPS = 16;
+const OUTLAST_TERM_STEPS = 32;
 const MAXIMUM_ENTRIES = 4;
 const CLOCK_DRIFT = 0.01;
--- a/packages/node/state/model_configuration.ts
+++ b/packages/node/state/model_configuration.ts
@@ -14,6 +14,8 @@
   readonly #entry: ModelEntry;
   #known: ConfigurationKnowledge = { version: 0, digest: "", confirmedMs: 0 };
   #row: TableRow | undefined;
+  /** The head before the present one. */
+  #earlier: TableRow | undefined;
 
   private constructor(world: ModelWorld, entry: ModelEntry) {
     this.#world = world;
@@ -42,6 +44,7 @@
   learn(row: TableRow | undefined): void {
     const head = row && readValue<ConfigurationHeadRow>(row);
     const decision = decideHead(this.#known, head);
+    if (row?.version !== this.#row?.version) this.#earlier = this.#row;
     this.#row = row;
     if (decision.kind === "reject") this.#report("the head reverts");
     if (decision.kind !== "advance") return;
@@ -51,6 +54,17 @@
     this.#known = { version, digest, confirmedMs };
   }
 
+  /** An answer that was under way for long shows an earlier head. */
+  learnStale(): void {
+    const known = this.#known;
+    const head = this.#earlier &&
+      readValue<ConfigurationHeadRow>(this.#earlier);
+    const decision = decideHead(known, head);
+    if (decision.kind === "advance" && decision.head.version < known.version) {
+      this.#report("the version falls");
+    }
+  }
+
   #report(what: string): void {
     this.#world.violations.push(`${this.#entry.entry}: ${what}`);
   }
--- /dev/null
+++ b/packages/node/state/model_contacts.ts
@@ -0,0 +1,58 @@
+/** Which entries of the model have been in contact, and for how long. */
+import { MESH_SILENCE_MS, OWNERSHIP_TERM_MS } from "../constants.ts";
+import type { ModelEntry } from "./model_entry.ts";
+import type { ModelWorld } from "./model.ts";
+
+export class ModelContacts {
+  readonly #world: ModelWorld;
+  readonly #sinceMs = new Map<string, number>();
+
+  private constructor(world: ModelWorld) {
+    this.#world = world;
+  }
+
+  static create(world: ModelWorld): ModelContacts {
+    return new ModelContacts(world);
+  }
+
+  /** Called once a step. */
+  note(): void {
+    const { entries, nowMs } = this.#world;
+    for (const left of entries) {
+      for (const right of entries) {
+        if (left.entry >= right.entry) continue;
+        const name = nameLink(left, right);
+        const inContact = left.isRunning && this.#world.isLinked(left, right);
+        if (!inContact) this.#sinceMs.delete(name);
+        else if (!this.#sinceMs.has(name)) this.#sinceMs.set(name, nowMs);
+      }
+    }
+  }
+
+  /**
+   * Whether word of one has come to the other: by the rows that both have read, by contact, or
+   * through a third that is in contact with both.
+   */
+  canKnow(left: ModelEntry, right: ModelEntry): boolean {
+    const byRows = left.members.includes(right.entry) &&
+      right.members.includes(left.entry);
+    if (byRows || this.#lasts(left, right, MESH_SILENCE_MS)) return true;
+    return this.#world.entries.some((third) =>
+      third !== left && third !== right &&
+      this.#lasts(third, left, OWNERSHIP_TERM_MS) &&
+      this.#lasts(third, right, OWNERSHIP_TERM_MS)
+    );
+  }
+
+  #lasts(left: ModelEntry, right: ModelEntry, durationMs: number): boolean {
+    const sinceMs = this.#sinceMs.get(nameLink(left, right));
+    return sinceMs !== undefined && this.#world.nowMs - sinceMs >= durationMs;
+  }
+}
+
+/** The name of the link between two entries, the same from both sides. */
+export function nameLink(left: ModelEntry, right: ModelEntry): string {
+  return left.entry < right.entry
+    ? `${left.entry} ${right.entry}`
+    : `${right.entry} ${left.entry}`;
+}
--- a/packages/node/state/model_entry.ts
+++ b/packages/node/state/model_entry.ts
@@ -107,12 +107,6 @@
       this.nowMs() - this.#writtenMs >= OWNERSHIP_TERM_MS;
   }
 
-  knows(other: ModelEntry): boolean {
-    return this.members.includes(other.entry) ||
-      this.#members.getHeard(other.entry) !==
-        undefined;
-  }
-
   /** Directly, or through a peer that said it reaches the table. */
   hasAccess(): boolean {
     if (this.isStoreUp) return true;
@@ -154,6 +148,10 @@
     if (this.isRunning) this.#configuration.apply();
   }
 
+  readStaleHead(): void {
+    if (this.isRunning) this.#configuration.learnStale();
+  }
+
   nowMs(): number {
     return this.#world.nowMs * this.#options.rate;
   }
