--- a/packages/node/entry.ts
+++ b/packages/node/entry.ts
@@ -12,7 +12,7 @@
   type Random,
   type TimelineEvent,
 } from "@coltsfootpond/common";
-import { createHttpPlatform, ResilientTable } from "@coltsfootpond/platform";
+import { createHttpPlatform } from "@coltsfootpond/platform";
 import type { Subscription } from "rxjs";
 import { EVENT_RING_CAPACITY } from "./constants.ts";
 import { EntryCore } from "./entry_core.ts";
@@ -23,7 +23,6 @@
 import { Meters } from "./meters/meters.ts";
 import { createOperatorRoutes } from "./operators/operator_routes.ts";
 import type { Readiness } from "./operators/types.ts";
-import { RelayTable } from "./relay/relay_table.ts";
 import {
   createRequestRoutes,
   type RequestRoutes,
@@ -53,7 +52,6 @@
   readonly #events: EventRing;
   readonly #meters: Meters;
   readonly #context: EntryContext;
-  readonly #table: ResilientTable;
   readonly #mesh: MeshTask;
   #core: EntryCore | undefined;
   #requests: RequestRoutes | undefined;
@@ -99,19 +97,6 @@
       meter: this.#meters,
       createHeartbeat: () => this.#getCore().state.createHeartbeat(),
     });
-    const direct = platform.table;
-    const events = this.#events;
-    this.#table = ResilientTable.create({
-      port: RelayTable.create({
-        direct,
-        mesh: this.#mesh,
-        clock,
-        random,
-        events,
-      }),
-      clock,
-      random,
-    });
   }
 
   static create(options: EntryOptions): Entry {
@@ -125,7 +110,6 @@
     const core = EntryCore.create({
       context: this.#context,
       mesh: this.#mesh,
-      table: this.#table,
       address,
     });
     this.#core = core;
@@ -171,7 +155,7 @@
       context: this.#context,
       configuration,
       failureDomains,
-      table: this.#table,
+      table: core.table,
       jobs: core.front,
       membership,
     });
@@ -214,7 +198,7 @@
   }
 
   #setPeers(members: readonly Member[]): void {
-    this.#table.setSharers(members.length);
+    this.#core?.table.setSharers(members.length);
     this.#mesh.setPeers(
       members.filter((member) => !member.self).map(({ entry, row }) => ({
         entry,
