--- a/packages/node/operators/failure_domain_routes.ts
+++ b/packages/node/operators/failure_domain_routes.ts
@@ -27,6 +27,7 @@
       const { status, durable, ownerAcknowledged, inForceEntries } = outcome;
       return createJsonReply({
         ...status,
+        binding: outcome.binding,
         durable,
         ownerAcknowledged,
         inForceEntries,
--- a/packages/node/state/model.ts
+++ b/packages/node/state/model.ts
@@ -19,6 +19,7 @@
 import { DOMAIN_OUT_BOUND_MS } from "../constants.ts";
 import type { FailureDomainFact } from "../failure_domains/decisions.ts";
 import { getDomainKey, getOwnerKey } from "../rows.ts";
+import type { ModelAction } from "./model_action.ts";
 import { ModelContacts, nameLink } from "./model_contacts.ts";
 import { ModelEntry } from "./model_entry.ts";
 import { toJson } from "./rows_json.ts";
@@ -28,38 +29,6 @@
 export const MODEL_DOMAIN_KEY = getDomainKey(MODEL_DOMAIN);
 export const STEP_MS = 250;
 
-/** One fault or operator's act; `entry` and `other` are taken modulo the number of entries. */
-export interface ModelAction {
-  readonly kind:
-    | "wait"
-    | "pause"
-    | "thaw"
-    | "kill"
-    | "join"
-    | "cut_store"
-    | "mend_store"
-    | "cut_all_stores"
-    | "mend_all_stores"
-    | "cut_link"
-    | "mend_link"
-    | "isolate"
-    | "mend_all_links"
-    /** A store outage in which one entry joins that reaches the store but not `entry`. */
-    | "join_in_outage"
-    /** `entry` is cut off for longer than a term; then the store fails and the links mend. */
-    | "takeover_then_outage"
-    | "stale_head"
-    | "lose_answer"
-    | "delay_write"
-    | "out"
-    | "in"
-    | "apply";
-  readonly entry: number;
-  readonly other: number;
-  /** Steps that pass after it. */
-  readonly steps: number;
-}
-
 interface AnsweredOut {
   readonly version: number;
   readonly answeredMs: number;
@@ -229,12 +198,16 @@
     }
   }
 
+  #setStores(isUp: boolean): void {
+    for (const one of this.entries) one.isStoreUp = isUp;
+  }
+
   #isolate(entry: ModelEntry): void {
     for (const one of this.entries) this.#cuts.add(nameLink(entry, one));
   }
 
   #joinInOutage(entry: ModelEntry): void {
-    for (const one of this.entries) one.isStoreUp = false;
+    this.#setStores(false);
     this.join();
     const joiner = this.entries.at(-1);
     if (joiner !== undefined) this.#cuts.add(nameLink(entry, joiner));
@@ -244,7 +217,7 @@
     this.#isolate(entry);
     entry.isStoreUp = false;
     this.run(OUTLAST_TERM_STEPS);
-    for (const one of this.entries) one.isStoreUp = false;
+    this.#setStores(false);
     this.#cuts.clear();
   }
 
@@ -265,9 +238,9 @@
       case "mend_store":
         return void (entry.isStoreUp = true);
       case "cut_all_stores":
-        return this.entries.forEach((one) => one.isStoreUp = false);
+        return this.#setStores(false);
       case "mend_all_stores":
-        return this.entries.forEach((one) => one.isStoreUp = true);
+        return this.#setStores(true);
       case "cut_link":
         return void this.#cuts.add(nameLink(entry, other));
       case "mend_link":
--- a/packages/node/state/model_test.ts
+++ b/packages/node/state/model_test.ts
@@ -5,7 +5,8 @@
 import { expect } from "chai";
 import fc from "fast-check";
 import process from "node:process";
-import { type ModelAction, ModelWorld } from "./model.ts";
+import type { ModelAction } from "./model_action.ts";
+import { ModelWorld } from "./model.ts";
 
 const SEED = Number(process.env.MODEL_SEED ?? "1");
 const RUNS = Number(process.env.MODEL_RUNS ?? "10000");
