--- /dev/null
+++ b/scripts/bench_recovery/main.ts
@@ -0,0 +1,108 @@
+/**
+ * `npm run bench:recovery -- --measure kill --rounds 10`: times of recovery over real processes on
+ * loopback, under a steady load of short jobs.
+ */
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import yargs from "yargs";
+import { hideBin } from "yargs/helpers";
+import { Cluster } from "../demo/cluster.ts";
+import { readExample } from "../demo/example.ts";
+import { ProcessGroup } from "../demo/process_group.ts";
+import { applyExample } from "../demo/scenario.ts";
+import {
+  measureApply,
+  measureDomainOut,
+  type Measurement,
+  type MeasurementOptions,
+  measureOwnerEnd,
+} from "./measurements.ts";
+import { SteadyLoad } from "./steady_load.ts";
+
+const MEASURES = ["kill", "handover", "out", "apply"] as const;
+type Measure = typeof MEASURES[number];
+const MAXIMUM_ENTRIES = 9;
+const MAXIMUM_ROUNDS = 10;
+const WARM_UP_MS = 6_000;
+
+const options = yargs(hideBin(process.argv))
+  .scriptName("bench:recovery")
+  .option("measure", { choices: MEASURES, default: "kill" as Measure })
+  .option("entries", { type: "number", default: 3 })
+  .option("rounds", { type: "number", default: 10 })
+  .check(({ entries, rounds }) =>
+    entries >= 3 && entries <= MAXIMUM_ENTRIES && rounds >= 1 &&
+    rounds <= MAXIMUM_ROUNDS
+  )
+  .strict()
+  .parseSync();
+
+function measure(given: MeasurementOptions): Promise<readonly Measurement[]> {
+  switch (options.measure) {
+    case "kill":
+      return measureOwnerEnd(given, "SIGKILL");
+    case "handover":
+      return measureOwnerEnd(given, "SIGTERM");
+    case "out":
+      return measureDomainOut(given);
+    case "apply":
+      return measureApply(given);
+  }
+}
+
+function print(results: readonly Measurement[], load: SteadyLoad): void {
+  for (const { round, subject, ms } of results) {
+    console.log(`${round} ${subject}: ${ms?.toFixed(0) ?? "none"} ms`);
+  }
+  const times = results.map(({ ms }) => ms ?? Infinity)
+    .sort((left, right) => left - right);
+  const median = times[Math.floor((times.length - 1) / 2)] ?? NaN;
+  const highest = times.at(-1) ?? NaN;
+  console.log(
+    `${options.measure}, ${options.entries} entries, ${times.length} values: ` +
+      `p50 ${median.toFixed(0)} ms, maximum ${highest.toFixed(0)} ms; ` +
+      `jobs accepted ${load.accepted}, refused ${load.refused}`,
+  );
+}
+
+async function run(processes: ProcessGroup, directory: string): Promise<void> {
+  const example = readExample("lechfeld");
+  const seed = 1;
+  const cluster = await Cluster.create({ example, processes, directory, seed });
+  const domains = example.declarations.failureDomains;
+  while (cluster.entries.length < options.entries) {
+    const domain = domains[cluster.entries.length % domains.length];
+    await cluster.startEntry(domain?.name ?? "", domain?.region ?? "");
+  }
+  const first = cluster.entries[0];
+  if (first === undefined) throw new Error("no entry");
+  await applyExample(example, first, 0);
+  await Promise.all(cluster.entries.map((entry) => cluster.waitReady(entry)));
+  const { declarations } = example;
+  const { balancerPort } = cluster;
+  const load = SteadyLoad.create({ declarations, balancerPort });
+  load.start();
+  await new Promise((resolve) => setTimeout(resolve, WARM_UP_MS));
+  const say = (line: string) => console.error(line);
+  const { rounds } = options;
+  const results = await measure({ cluster, example, rounds, say });
+  load.stop();
+  print(results, load);
+}
+
+const directory = mkdtempSync(join(tmpdir(), "coltsfootpond-recovery-"));
+const processes = ProcessGroup.create(directory);
+async function finish(): Promise<void> {
+  await processes.stopAll();
+  rmSync(directory, { recursive: true, force: true });
+}
+process.once("SIGINT", () => void finish().then(() => process.exit(1)));
+process.once("SIGTERM", () => void finish().then(() => process.exit(1)));
+try {
+  await run(processes, directory);
+} finally {
+  await finish();
+}
+process.exit(0);
