Hold the demo's check of promises to made-up faults

Change: tests give the check one fault of each kind; an answer without a run counts as broken, which also ties the ledgers' names together; the kill is a window from the signal until the process was gone, so a connection may be lost only if it overlaps that window. Interrupting the demo ends with 130 always.

--- a/scripts/demo/main.ts
+++ b/scripts/demo/main.ts
@@ -61,7 +61,9 @@
     await processes.stopAll();
     if (!options.keep) rmSync(directory, { recursive: true, force: true });
   };
+  let abandonedWith: number | undefined;
   const abandon = (reason: string, exitCode: number): void => {
+    abandonedWith ??= exitCode;
     process.stderr.write(`${reason}\n`);
     void finish().then(() => process.exit(exitCode));
   };
@@ -79,6 +81,7 @@
     process.stdout.write(`${lines.join("\n")}\n`);
     return report.broken.length === 0 ? EXIT_CODE.KEPT : EXIT_CODE.BROKEN;
   } catch (error) {
+    if (abandonedWith !== undefined) return abandonedWith;
     process.stderr.write(`the demo failed: ${String(error)}\n`);
     return EXIT_CODE.BROKEN;
   } finally {
--- a/scripts/demo/promises.ts
+++ b/scripts/demo/promises.ts
@@ -46,6 +46,12 @@
   readonly exitCode: number | null;
 }
 
+/** From the signal until the killed entry was gone, on the load tool's clock. */
+export interface KillWindow {
+  readonly fromMs: number;
+  readonly toMs: number;
+}
+
 export interface Evidence {
   readonly records: readonly LoadRecord[];
   readonly lost: readonly LostExchange[];
@@ -53,8 +59,7 @@
   readonly ledger: Ledger;
   /** The failure domain taken out between the marks `out` and `in`. */
   readonly domainOut: string;
-  /** On the load tool's clock. */
-  readonly killedAtMs: number;
+  readonly kill: KillWindow;
   readonly plannedStop: PlannedStop;
   readonly leavingRunner: LeavingRunner;
   /** Entries that did not report the second configuration in time. */
@@ -84,6 +89,24 @@
   return `${planned.organisation.name}/${planned.requestId}`;
 }
 
+/** An answer comes from a run. Also holds the ledgers to the same names. */
+function checkAnsweredRan(
+  evidence: Evidence,
+  runsByJob: ReadonlyMap<string, readonly TaskRun[]>,
+  executionsById: ReadonlyMap<string, readonly RunnerExecution[]>,
+): BrokenPromise[] {
+  return evidence.records
+    .filter((record) =>
+      record.answer !== undefined && !runsByJob.has(getJobId(record)) &&
+      !executionsById.has(record.planned.requestId)
+    )
+    .map(({ planned }) => ({
+      promise: PROMISE.WHOLE_ANSWER,
+      subject: planned.requestId,
+      detail: "answered and never run",
+    }));
+}
+
 /** Each answer contains the digest of the body that it answers. */
 function checkAnswers(evidence: Evidence): BrokenPromise[] {
   return evidence.records
@@ -204,11 +227,11 @@
   }];
 }
 
-/** Only the killed entry may cut connections, and only at the moment it was killed. */
+/** Only the killed entry may cut connections, and only while it is being killed. */
 function checkPlannedStop(evidence: Evidence): BrokenPromise[] {
-  const { killedAtMs, plannedStop, lost } = evidence;
+  const { kill, plannedStop, lost } = evidence;
   const cut = lost
-    .filter(({ sentMs, lostMs }) => killedAtMs < sentMs || killedAtMs > lostMs)
+    .filter(({ sentMs, lostMs }) => sentMs > kill.toMs || lostMs < kill.fromMs)
     .map(({ requestId, method, lostMs, reason }) => ({
       promise: PROMISE.PLANNED_STOP,
       subject: `${method} ${requestId}`,
@@ -243,6 +266,7 @@
   );
   return [
     ...checkAnswers(evidence),
+    ...checkAnsweredRan(evidence, runsByJob, executionsById),
     ...checkNotRun(evidence, runsByJob, executionsById),
     ...checkAtMostOnce(evidence, runsByJob, executionsById),
     ...checkGangs(evidence),
--- /dev/null
+++ b/scripts/demo/promises_test.ts
@@ -0,0 +1,230 @@
+import { Buffer } from "node:buffer";
+import { createHash } from "node:crypto";
+import { createId, SeededRandom } from "@coltsfootpond/common";
+import type { TaskRun } from "@coltsfootpond/stand-ins";
+import { expect } from "chai";
+import { readExample } from "./example.ts";
+import { planLoad } from "./load_plan.ts";
+import type { LoadRecord } from "./load_tool.ts";
+import { type Evidence, findBrokenPromises } from "./promises.ts";
+
+const { declarations } = readExample("lechfeld");
+const BODY = "body";
+const ANSWER = Buffer.from(
+  `{"sha256":"${createHash("sha256").update(BODY).digest("hex")}"}`,
+);
+
+function getService(name: string) {
+  const service = declarations.services.find((one) => one.name === name);
+  if (service === undefined) throw new Error(name);
+  return service;
+}
+
+function createRecord(
+  service: string,
+  requestId: string,
+  change: Partial<LoadRecord> = {},
+): LoadRecord {
+  const organisation = declarations.organisations[0];
+  if (organisation === undefined) throw new Error("no organisation");
+  return {
+    planned: {
+      requestId,
+      atMs: 0,
+      organisation,
+      service: getService(service),
+      body: BODY,
+      cancelAfterMs: undefined,
+    },
+    sentMs: 0,
+    endedMs: 100,
+    class: "answered",
+    code: 1000,
+    answer: ANSWER,
+    cancelSent: false,
+    ...change,
+  };
+}
+
+function createRun(
+  requestId: string,
+  index: number,
+  change: Partial<TaskRun> = {},
+  attemptId = "a1",
+): TaskRun {
+  return {
+    task: {
+      jobId: createId(`${declarations.organisations[0]?.name}/${requestId}`),
+      attemptId: createId(attemptId),
+      index,
+    },
+    failureDomain: createId("landsberg"),
+    rack: createId("landsberg-1"),
+    worker: createId("landsberg-1-1"),
+    entry: createId("entry-1"),
+    epoch: 1,
+    gangTasks: 2,
+    adjacency: "rack",
+    resources: { milliprocessors: 0, memoryMib: 0, accelerators: 0 },
+    startMs: 1_000,
+    endMs: 2_000,
+    state: "finished",
+    ...change,
+  };
+}
+
+function createEvidence(
+  change: Partial<Evidence> = {},
+  runs: readonly TaskRun[] = [],
+): Evidence {
+  return {
+    records: [],
+    lost: [],
+    executions: [],
+    ledger: {
+      nowMs: 99_000,
+      runs,
+      marks: [{ name: "out", atMs: 10_000 }, { name: "in", atMs: 20_000 }],
+      capacity: [],
+      tableWrites: 0,
+      tableReads: 0,
+    },
+    domainOut: "landsberg",
+    kill: { fromMs: 500, toMs: 510 },
+    plannedStop: { entry: "entry-3", exitCode: 0 },
+    leavingRunner: {
+      name: "r1",
+      executionsAfterBound: 3,
+      executionsAtEnd: 3,
+    },
+    withoutConfiguration: [],
+    ...change,
+  };
+}
+
+function find(change: Partial<Evidence>, runs?: readonly TaskRun[]) {
+  return findBrokenPromises(createEvidence(change, runs))
+    .map(({ promise, subject, detail }) => `${promise}: ${subject}: ${detail}`);
+}
+
+function execution(requestId: string, attemptId: string) {
+  return { requestId, attemptId, service: "binding-quote" };
+}
+
+const GANG = [createRun("j", 0), createRun("j", 1)];
+
+describe("demo", () => {
+  it("finds nothing where every promise was kept", () => {
+    const records = [
+      createRecord("binding-quote", "c"),
+      createRecord("route-survey", "j"),
+      createRecord("quote-preview", "n", {
+        class: "not_run",
+        code: 3004,
+        answer: undefined,
+      }),
+    ];
+    const lost = [{
+      requestId: "c",
+      method: "POST",
+      sentMs: 400,
+      lostMs: 600,
+      reason: "reset",
+    }];
+    const executions = [execution("c", "a1")];
+    const early = createRun("k", 0, { startMs: 12_999, gangTasks: 1 });
+    expect(find({ records, lost, executions }, [...GANG, early]))
+      .to.deep.equal([]);
+  });
+
+  it("finds each kind of broken promise", () => {
+    const [first, second] = GANG as [TaskRun, TaskRun];
+    const cut = { requestId: "c", method: "POST", reason: "reset" };
+    const cases = {
+      "crossed answer": find({
+        records: [
+          createRecord("quote-preview", "c", { answer: Buffer.from("{}") }),
+        ],
+        executions: [execution("c", "a1")],
+      }),
+      "an answer without a run": find({
+        records: [createRecord("quote-preview", "c")],
+      }),
+      "call said not to have run": find({
+        records: [createRecord("quote-preview", "c", {
+          class: "not_run",
+          answer: undefined,
+        })],
+        executions: [execution("c", "a1")],
+      }),
+      "job said not to have run": find({
+        records: [createRecord("route-survey", "j", {
+          class: "not_run",
+          answer: undefined,
+        })],
+      }, GANG),
+      "call run twice": find({
+        records: [createRecord("binding-quote", "c")],
+        executions: [execution("c", "a1"), execution("c", "a2")],
+      }),
+      "idempotent call run twice": find({
+        records: [createRecord("quote-preview", "c")],
+        executions: [execution("c", "a1"), execution("c", "a2")],
+      }),
+      "job run twice": find({
+        records: [createRecord("price-sheet", "j")],
+      }, [
+        createRun("j", 0, { gangTasks: 1 }, "a1"),
+        createRun("j", 0, { gangTasks: 1 }, "a2"),
+      ]),
+      "half a gang": find({}, [first]),
+      "a task started twice": find({}, [first, second, second]),
+      "one task started in place of another": find({}, [first, first]),
+      "a gang across racks": find({}, [
+        first,
+        { ...second, rack: createId("landsberg-2") },
+      ]),
+      "a gang started apart": find({}, [first, { ...second, startMs: 2_001 }]),
+      "a late start": find({}, [
+        createRun("k", 0, { startMs: 13_001, gangTasks: 1 }),
+      ]),
+      "work for a leaving runner": find({
+        leavingRunner: {
+          name: "r1",
+          executionsAfterBound: 3,
+          executionsAtEnd: 4,
+        },
+      }),
+      "a request cut by a planned stop": find({
+        lost: [
+          { ...cut, sentMs: 511, lostMs: 700 },
+          { ...cut, sentMs: 300, lostMs: 499 },
+        ],
+      }),
+      "a planned stop that failed": find({
+        plannedStop: { entry: "entry-3", exitCode: null },
+      }),
+      "an entry without the configuration": find({
+        withoutConfiguration: ["entry-2"],
+      }),
+    };
+    expect(cases).toMatchSnapshot();
+  });
+
+  it("plans the same load for the same seed, and calls and gangs in it", () => {
+    const plan = (seed: number) =>
+      planLoad({
+        declarations,
+        random: SeededRandom.create(seed),
+        durationMs: 20_000,
+      }).map(({ requestId, atMs, organisation, service, body }) =>
+        [requestId, atMs, organisation.name, service.name, body].join(" ")
+      );
+    expect(plan(3)).to.deep.equal(plan(3));
+    expect(plan(3)).to.not.deep.equal(plan(4));
+    for (const { name } of declarations.services) {
+      expect(plan(3).some((line) => line.includes(` ${name} `)), name)
+        .to.equal(true);
+    }
+  });
+});
--- a/scripts/demo/scenario.ts
+++ b/scripts/demo/scenario.ts
@@ -8,6 +8,7 @@
 import { LoadTool } from "./load_tool.ts";
 import type {
   Evidence,
+  KillWindow,
   LeavingRunner,
   PlannedStop,
   RunnerExecution,
@@ -120,7 +121,7 @@
     });
     await cluster.mark("load");
     const load = this.#tool.run(plan);
-    const [leavingRunner, withoutConfiguration, , killedAtMs, plannedStop] =
+    const [leavingRunner, withoutConfiguration, , kill, plannedStop] =
       await Promise.all([
         this.#letRunnerLeave(),
         this.#applyAgain(),
@@ -137,7 +138,7 @@
       executions: executions.flat(),
       ledger: await cluster.readLedger(),
       domainOut: this.#domainOut,
-      killedAtMs,
+      kill,
       plannedStop,
       leavingRunner: {
         ...leavingRunner,
@@ -197,18 +198,19 @@
   }
 
   /** Kills one entry and starts another in its failure domain. */
-  async #killEntry(): Promise<number> {
+  async #killEntry(): Promise<KillWindow> {
     const { cluster, example } = this.#options;
     await this.#waitUntil(STEP.KILL);
     const victim = getAt(cluster.entries, 1);
-    const killedAtMs = this.#tool.nowMs();
+    const fromMs = this.#tool.nowMs();
     victim.process.kill("SIGKILL");
     await victim.process.ended;
+    const toMs = this.#tool.nowMs();
     this.#say(`${victim.process.name} killed`);
     await cluster.remove(victim.process.name);
     const { region } = getAt(example.declarations.failureDomains, 0);
     await cluster.startEntry(victim.failureDomain, region);
-    return killedAtMs;
+    return { fromMs, toMs };
   }
 
   async #stopEntry(): Promise<PlannedStop> {
