Write log lines whole

Cause: 'debug' leaves %s to the log function, which printed the pattern in place of the line: an entry's standard error held only '%s'.

--- a/packages/common/log.ts
+++ b/packages/common/log.ts
@@ -1,6 +1,7 @@
 /** JSON-lines log over the `debug` package; `DEBUG=coltsfootpond:*` selects what is written. */
 import createDebug from "debug";
 import process from "node:process";
+import { format } from "node:util";
 import type { TimelineEvent } from "./events.ts";
 
 const NAMESPACE_ROOT = "coltsfootpond";
@@ -9,7 +10,7 @@
 export function configureLog(enabledNamespaces: string): void {
   createDebug.formatArgs = () => {};
   createDebug.log = (...parts: unknown[]) =>
-    void process.stderr.write(`${String(parts[0])}\n`);
+    void process.stderr.write(`${format(...parts)}\n`);
   createDebug.enable(enabledNamespaces);
 }
 
