--- a/packages/node/entry.ts
+++ b/packages/node/entry.ts
@@ -198,6 +198,7 @@
   }
 
   #setPeers(members: readonly Member[]): void {
+    this.#core?.table.setSharers(members.length);
     this.#mesh.setPeers(
       members.filter((member) => !member.self).map(({ entry, row }) => ({
         entry,
