--- a/scripts/mutations/main.ts
+++ b/scripts/mutations/main.ts
@@ -4,6 +4,7 @@
  */
 import { spawnSync } from "node:child_process";
 import {
+  existsSync,
   mkdirSync,
   mkdtempSync,
   readdirSync,
@@ -20,6 +21,7 @@
 
 const OWN_SCOPE = "@coltsfootpond";
 const TEST_TIMEOUT_MS = 120_000;
+const MESSAGE_LENGTH = 160;
 
 function createCopy(): string {
   const copy = mkdtempSync(join(tmpdir(), "coltsfootpond-mutations-"));
@@ -51,40 +53,71 @@
 
 type Verdict = "noticed" | "UNNOTICED" | "TEXT NOT FOUND ONCE" | "NO SUCH TEST";
 
+interface TestRun {
+  readonly passes: number;
+  readonly failures: number;
+  /** Of the first failure. */
+  readonly message: string;
+}
+
+/** The part of mocha's JSON report that is read. */
+interface MochaReport {
+  readonly stats: { readonly passes: number; readonly failures: number };
+  readonly failures: readonly { readonly err: { readonly message: string } }[];
+}
+
+interface Judgement {
+  readonly verdict: Verdict;
+  readonly message: string;
+}
+
 function countTests(
   copy: string,
   mutation: Mutation,
-): { readonly passes: number; readonly failures: number } {
-  const run = spawnSync("npx", [
-    "mocha",
-    "--spec",
-    mutation.spec,
-    "-g",
-    mutation.title,
-    "--reporter",
-    "json",
-  ], {
-    cwd: copy,
-    env: { ...process.env, CI: "true" },
-    encoding: "utf8",
-    timeout: TEST_TIMEOUT_MS,
-  });
-  const passes = /"passes": (\d+)/.exec(run.stdout)?.[1] ?? "0";
-  const failures = /"failures": (\d+)/.exec(run.stdout)?.[1] ??
-    (run.status === 0 ? "0" : "1");
-  return { passes: Number(passes), failures: Number(failures) };
+): TestRun {
+  const reportPath = join(copy, "report.json");
+  rmSync(reportPath, { force: true });
+  spawnSync(
+    "npx",
+    [
+      "mocha",
+      ...["--spec", mutation.spec, "-g", mutation.title],
+      ...["--reporter", "json", "--reporter-option", `output=${reportPath}`],
+    ],
+    {
+      cwd: copy,
+      env: { ...process.env, CI: "true" },
+      stdio: "ignore",
+      timeout: TEST_TIMEOUT_MS,
+    },
+  );
+  if (!existsSync(reportPath)) {
+    return {
+      passes: 0,
+      failures: 1,
+      message: "the run ended without a report",
+    };
+  }
+  const report: MochaReport = JSON.parse(readFileSync(reportPath, "utf8"));
+  const { passes, failures } = report.stats;
+  return { passes, failures, message: report.failures[0]?.err.message ?? "" };
 }
 
-function tryMutation(copy: string, mutation: Mutation): Verdict {
+function tryMutation(copy: string, mutation: Mutation): Judgement {
   const path = join(copy, mutation.file);
   const original = readFileSync(path, "utf8");
-  if (original.split(mutation.find).length !== 2) return "TEXT NOT FOUND ONCE";
+  if (original.split(mutation.find).length !== 2) {
+    return { verdict: "TEXT NOT FOUND ONCE", message: "" };
+  }
   const before = countTests(copy, mutation);
-  if (before.passes === 0 || before.failures > 0) return "NO SUCH TEST";
+  if (before.passes === 0 || before.failures > 0) {
+    return { verdict: "NO SUCH TEST", message: before.message };
+  }
   writeFileSync(path, original.replace(mutation.find, () => mutation.replace));
   const after = countTests(copy, mutation);
   writeFileSync(path, original);
-  return after.failures > 0 ? "noticed" : "UNNOTICED";
+  const verdict = after.failures > 0 ? "noticed" : "UNNOTICED";
+  return { verdict, message: after.message };
 }
 
 const wanted = process.argv[2] ?? "";
@@ -95,13 +128,16 @@
     `${name} ${promise}`.includes(wanted)
   )
 ) {
-  const verdict = tryMutation(copy, mutation);
+  const { verdict, message } = tryMutation(copy, mutation);
   if (verdict !== "noticed") missed++;
   console.log(
     `${
       verdict.padEnd(9)
     } ${mutation.promise}: ${mutation.name} (${mutation.title})`,
   );
+  console.log(
+    `          ${message.replaceAll("\n", " ").slice(0, MESSAGE_LENGTH)}`,
+  );
 }
 rmSync(copy, { recursive: true, force: true });
 console.log(`${missed} not noticed`);
