Keep the list of declaration files out of the polled head row

Change: the row holds the digest of the list; the list is an object under that digest, stored before the head is moved, fetched once for each change.

--- a/packages/node/configuration/chunk_store.ts
+++ b/packages/node/configuration/chunk_store.ts
@@ -1,4 +1,4 @@
-/** Declaration files in the object store, each under the digest of its content. */
+/** Declaration files and their list in the object store, each under the digest of its content. */
 import { createId, type Digest } from "@coltsfootpond/common";
 import { computeBackoffMs, type ObjectPort } from "@coltsfootpond/platform";
 import { Buffer } from "node:buffer";
@@ -13,12 +13,16 @@
 const BACKOFF = { baseMs: 100, maximumMs: 1_000 };
 
 export type FetchOutcome =
-  | { readonly kind: "fetched"; readonly files: readonly ConfigurationFile[] }
+  | {
+    readonly kind: "fetched";
+    readonly chunks: readonly ConfigurationChunk[];
+    readonly files: readonly ConfigurationFile[];
+  }
   | { readonly kind: "failed"; readonly reason: string };
 
 export class ChunkStore {
   readonly #context: EntryContext;
-  /** Texts of the chunks last fetched or stored; only changed chunks travel. */
+  /** Texts of the list and chunks last fetched or stored; only changed chunks travel. */
   #texts = new Map<Digest, string>();
 
   private constructor(context: EntryContext) {
@@ -29,29 +33,43 @@
     return new ChunkStore(context);
   }
 
-  /** Stores what is not known to be stored; undefined when the object store gave no answer. */
+  /**
+   * Stores what is not known to be stored, the list of the files last; gives the list's digest, or
+   * undefined when the object store gave no answer.
+   */
   async store(
     files: readonly ConfigurationFile[],
-  ): Promise<readonly ConfigurationChunk[] | undefined> {
+  ): Promise<Digest | undefined> {
     const chunks: ConfigurationChunk[] = [];
-    for (const file of files) {
-      const digest = computeDigest(file.text);
-      if (!this.#texts.has(digest)) {
-        const content = Buffer.from(file.text, "utf8");
-        const outcome = await this.#retry((objects) =>
-          objects.put(getChunkKey(digest), content, CALL_OPTIONS)
-        );
-        if (outcome.kind === "unavailable") return undefined;
-        this.#texts.set(digest, file.text);
-      }
-      chunks.push({ name: file.name, digest });
+    for (const { name, text } of files) {
+      const digest = await this.#storeText(text);
+      if (digest === undefined) return undefined;
+      chunks.push({ name, digest });
     }
-    return chunks.sort((left, right) => left.name < right.name ? -1 : 1);
+    return await this.#storeText(formatList(chunks));
   }
 
-  /** Fetches what is not kept, checks every digest, and keeps just these chunks. */
-  async fetch(chunks: readonly ConfigurationChunk[]): Promise<FetchOutcome> {
-    const texts = new Map<Digest, string>();
+  async #storeText(text: string): Promise<Digest | undefined> {
+    const digest = computeDigest(text);
+    if (this.#texts.has(digest)) return digest;
+    const content = Buffer.from(text, "utf8");
+    const outcome = await this.#retry((objects) =>
+      objects.put(getChunkKey(digest), content, CALL_OPTIONS)
+    );
+    if (outcome.kind === "unavailable") return undefined;
+    this.#texts.set(digest, text);
+    return digest;
+  }
+
+  /** Fetches the list and what is not kept, checks every digest, and keeps just these chunks. */
+  async fetch(listDigest: Digest): Promise<FetchOutcome> {
+    const list = this.#texts.get(listDigest) ??
+      await this.#fetchText(listDigest);
+    if (list === undefined) {
+      return { kind: "failed", reason: "the list of chunks cannot be fetched" };
+    }
+    const chunks = parseList(list);
+    const texts = new Map<Digest, string>([[listDigest, list]]);
     for (const { name, digest } of chunks) {
       const text = this.#texts.get(digest) ?? await this.#fetchText(digest);
       if (text === undefined) {
@@ -64,7 +82,7 @@
       name,
       text: texts.get(digest) ?? "",
     }));
-    return { kind: "fetched", files };
+    return { kind: "fetched", chunks, files };
   }
 
   async #fetchText(digest: Digest): Promise<string | undefined> {
@@ -90,12 +108,17 @@
   }
 }
 
-/** The digest of a whole set: over the names and digests of its chunks in order of name. */
-export function computeSetDigest(
-  chunks: readonly ConfigurationChunk[],
-): Digest {
-  const lines = chunks.map(({ name, digest }) => `${name} ${digest}\n`);
-  return computeDigest(lines.join(""));
+/** The same set gives the same list, in whatever order its files come. */
+function formatList(chunks: readonly ConfigurationChunk[]): string {
+  const sorted = [...chunks].sort((left, right) =>
+    left.name < right.name ? -1 : 1
+  );
+  return JSON.stringify(sorted.map(({ name, digest }) => ({ name, digest })));
+}
+
+/** For texts whose digest has been checked. */
+function parseList(text: string): readonly ConfigurationChunk[] {
+  return JSON.parse(text) as readonly ConfigurationChunk[];
 }
 
 function computeDigest(text: string): Digest {
--- a/packages/node/rows.ts
+++ b/packages/node/rows.ts
@@ -19,11 +19,16 @@
 /** `config/head`: the accepted configuration. Its version only rises. */
 export interface ConfigurationHeadRow {
   readonly version: number;
+  /** Of the list of chunks, which is kept in the object store: every entry polls this row. */
   readonly digest: Digest;
-  readonly chunks: readonly ConfigurationChunk[];
   readonly acceptedBy: EntryName;
 }
 
+/** The accepted configuration with its list of chunks. */
+export interface ConfigurationHead extends ConfigurationHeadRow {
+  readonly chunks: readonly ConfigurationChunk[];
+}
+
 /** One declaration file, stored in the object store under its digest. */
 export interface ConfigurationChunk {
   readonly name: string;
--- a/packages/node/state/model_entry.ts
+++ b/packages/node/state/model_entry.ts
@@ -210,7 +210,6 @@
     const head: ConfigurationHeadRow = {
       version,
       digest: `${version} by ${this.entry}` as ConfigurationHeadRow["digest"],
-      chunks: [],
       acceptedBy: this.entry,
     };
     this.#world.transact(this, CONFIGURATION_HEAD_KEY, head, [
--- a/packages/node/state/operators_test.ts
+++ b/packages/node/state/operators_test.ts
@@ -109,7 +109,8 @@
     await cluster.watch(150);
     cluster.setTableDown(true);
     const [outcome] = await run(cluster, [cut]);
-    expect(cluster.objects.listKeys().length).to.equal(3);
+    /** Three files and the lists of both sets. */
+    expect(cluster.objects.listKeys().length).to.equal(5);
     cluster.setTableDown(false);
     faults.delayAfterMs = 0;
     const [invalid] = await run(cluster, [
--- a/scripts/bench_capacity/costs.ts
+++ b/scripts/bench_capacity/costs.ts
@@ -1,35 +1,59 @@
 /** The measured costs by name, with framing added to every message. */
-import type { DeploymentSize } from "./design.ts";
+import { type DeploymentSize, TARGET_SIZE } from "./design.ts";
 import { ASSUMED } from "./target.ts";
-import type { CapacityReport, IdleRun, Slope } from "./types.ts";
+import type { CapacityReport, Slope } from "./types.ts";
 
-/** WebSocket header with mask. */
-const FRAME_HEADER_BYTES = 6;
+/** Bytes around each message. */
+export interface Framing {
+  readonly frameBytes: number;
+  /** Around a request and its answer together. */
+  readonly exchangeBytes: number;
+}
+
+/** WebSocket header with mask, and the packets of the frame and its acknowledgement. */
+const WEBSOCKET_HEADER_BYTES = 6;
 /** As the HTTP client's meter counts them, for one message. */
 const HTTP_HEADER_BYTES = 180;
+/** As a mesh link's meter counts them. */
+const METERED_FRAME_BYTES = 46;
+
+/** What travels on the wire, each message in a packet of its own and acknowledged by another. */
+export const WIRE_FRAMING: Framing = {
+  frameBytes: WEBSOCKET_HEADER_BYTES + 2 * ASSUMED.packetHeaderBytes,
+  exchangeBytes: 2 * (HTTP_HEADER_BYTES + 2 * ASSUMED.packetHeaderBytes),
+};
+
+/** What the daemons' meters count. */
+export const METER_FRAMING: Framing = {
+  frameBytes: METERED_FRAME_BYTES,
+  exchangeBytes: 2 * HTTP_HEADER_BYTES,
+};
+
+/** Files in the measured list. */
+const LISTED_FILES = TARGET_SIZE.files;
 const VM_READINGS = 100;
-const PLACED_JOBS = 1;
+
+export interface CostsOptions {
+  readonly report: CapacityReport;
+  readonly framing: Framing;
+  /** What idle runs spent beyond the derived lines. */
+  readonly unexplainedProcessorShare: number;
+}
 
 /** Looks up the figures of one report. */
 export class Costs {
   readonly report: CapacityReport;
   readonly unexplainedProcessorShare: number;
+  readonly #framing: Framing;
 
-  private constructor(report: CapacityReport, unexplained: number) {
-    this.report = report;
-    this.unexplainedProcessorShare = unexplained;
-  }
-
-  /** `unexplainedProcessorShare`: what an idle run spent beyond the derived lines. */
-  static create(
-    report: CapacityReport,
-    unexplainedProcessorShare: number,
-  ): Costs {
-    return new Costs(report, unexplainedProcessorShare);
+  private constructor(options: CostsOptions) {
+    this.report = options.report;
+    this.unexplainedProcessorShare = options.unexplainedProcessorShare;
+    this.#framing = options.framing;
   }
 
-  get lastIdleRun(): IdleRun | undefined {
-    return this.report.idleRuns.at(-1);
+  static create(options: CostsOptions): Costs {
+    return new Costs(options);
   }
 
   /** The largest resident memory that an idle daemon had; 0 before the first run. */
@@ -52,16 +76,19 @@
     return message.bytes;
   }
 
-  /** A mesh message on the wire, with the packet that acknowledges it. */
+  /** A mesh message with its framing. */
   frame(name: string): number {
-    return this.bytes(name) + FRAME_HEADER_BYTES +
-      2 * ASSUMED.packetHeaderBytes;
+    return this.bytes(name) + this.#framing.frameBytes;
   }
 
-  /** An HTTP request and its answer on the wire, each with its acknowledgement. */
+  /** An HTTP request and its answer with their framing. */
   exchange(requestBytes: number, answerBytes: number): number {
-    return requestBytes + answerBytes +
-      2 * (HTTP_HEADER_BYTES + 2 * ASSUMED.packetHeaderBytes);
+    return requestBytes + answerBytes + this.#framing.exchangeBytes;
+  }
+
+  /** The list of the set's declaration files. */
+  listBytes(files: number): number {
+    return Math.ceil(this.bytes("configuration_list") * files / LISTED_FILES);
   }
 
   /** All declaration files of the set. */
@@ -75,10 +102,10 @@
     return (Math.max(0, intercept) + vms * slope) / VM_READINGS;
   }
 
-  /** One look at the queue, and one job placed. */
+  /** One job placed while others wait. */
   placementMicroseconds(queuedJobs: number): number {
-    return PLACED_JOBS * this.slope("placement_time") +
-      queuedJobs * this.slope("placement_with_queue_time");
+    const perQueuedJob = Math.max(0, this.slope("placement_with_queue_time"));
+    return this.slope("placement_time") + queuedJobs * perQueuedJob;
   }
 
   #getSlope(name: string): Slope {
--- a/scripts/bench_capacity/design.ts
+++ b/scripts/bench_capacity/design.ts
@@ -6,6 +6,7 @@
   STATE_POLL_MS,
 } from "@coltsfootpond/node";
 import {
+  IDLE_REPORT_PERIOD_MS,
   RENEW_PERIOD_MS,
   REPORT_PERIOD_MS,
 } from "../../packages/node/jobs/fleet_task.ts";
@@ -24,6 +25,11 @@
   readonly queuedJobsPerDomain: number;
   readonly runners: number;
   readonly organisations: number;
+  readonly jobsPerDay: number;
+  readonly configurationChangesPerDay: number;
+  readonly vmChangesPerDay: number;
+  /** Declaration files of the set. */
+  readonly files: number;
 }
 
 /** One owner for each failure domain and one spare entry in each region. */
@@ -40,8 +46,32 @@
   queuedJobsPerDomain: Math.ceil(ASSUMED.queuedJobs / TARGET.failureDomains),
   runners: ASSUMED.runners,
   organisations: TARGET.organisations,
+  jobsPerDay: TARGET.jobsPerDay,
+  configurationChangesPerDay: TARGET.configurationChangesPerDay,
+  vmChangesPerDay: TARGET.vmRestartsPerDay + TARGET.vmFailuresPerDay,
+  files: TARGET.organisations + TARGET.failureDomains + 1,
 };
 
+/** A run of `bench:idle`: nothing runs and nothing changes. */
+export function createIdleSize(entries: number): DeploymentSize {
+  return {
+    entries,
+    entriesInRegion: entries,
+    failureDomains: 3,
+    failureDomainsInRegion: 3,
+    ownedFailureDomains: 1,
+    workersPerDomain: 0,
+    tasksPerDomain: 0,
+    queuedJobsPerDomain: 0,
+    runners: 30,
+    organisations: 4,
+    jobsPerDay: 0,
+    configurationChangesPerDay: 0,
+    vmChangesPerDay: 0,
+    files: 4,
+  };
+}
+
 /** What may be redesigned. */
 export interface Design {
   readonly heartbeatInRegionMs: number;
@@ -58,6 +88,10 @@
   readonly vmPollMs: number;
   /** Whether an unchanged VM list is answered without the list. */
   readonly vmListIsConditional: boolean;
+  /** Whether the list holds only the VMs of the entry's region. */
+  readonly vmListIsOfRegion: boolean;
+  /** Whether one command renews all workers of a failure domain. */
+  readonly renewsDomainAtOnce: boolean;
 }
 
 /** What the code does now: its own constants. */
@@ -65,13 +99,28 @@
   heartbeatInRegionMs: MESH_HEARTBEAT_MS,
   heartbeatAcrossRegionsMs: MESH_HEARTBEAT_MS,
   statePollMs: STATE_POLL_MS,
-  headListsFiles: true,
+  headListsFiles: false,
   watchesAllDomains: true,
   entryBeatMs: ENTRY_BEAT_MS,
   ownershipBeatMs: OWNERSHIP_BEAT_MS,
   renewMs: RENEW_PERIOD_MS,
   reportMs: REPORT_PERIOD_MS,
   vmPollMs: VM_POLL_MS,
+  vmListIsConditional: true,
+  vmListIsOfRegion: false,
+  renewsDomainAtOnce: false,
+};
+
+/** The same with nothing running, when the fleet is polled more seldom. */
+export const IDLE_DESIGN: Design = {
+  ...PRESENT_DESIGN,
+  reportMs: IDLE_REPORT_PERIOD_MS,
+};
+
+/** Before the VM list was made conditional and the list of files left the head row. */
+export const EARLIER_DESIGN: Design = {
+  ...PRESENT_DESIGN,
+  headListsFiles: true,
   vmListIsConditional: false,
 };
 
@@ -80,11 +129,11 @@
   ...PRESENT_DESIGN,
   heartbeatInRegionMs: 2_000,
   heartbeatAcrossRegionsMs: 10_000,
-  headListsFiles: false,
+  statePollMs: 4_000,
   watchesAllDomains: false,
   ownershipBeatMs: 2_000,
-  renewMs: 20_000,
+  renewsDomainAtOnce: true,
   reportMs: 2_000,
   vmPollMs: 2_000,
-  vmListIsConditional: true,
+  vmListIsOfRegion: true,
 };
--- /dev/null
+++ b/scripts/bench_capacity/evaluate.ts
@@ -0,0 +1,136 @@
+/** Sums of ledgers, and how they compare with the idle runs. */
+import { Costs, METER_FRAMING, WIRE_FRAMING } from "./costs.ts";
+import {
+  createIdleSize,
+  type DeploymentSize,
+  type Design,
+  IDLE_DESIGN,
+} from "./design.ts";
+import { computeEntryLedger, type LedgerLine } from "./ledger.ts";
+import { TARGET } from "./target.ts";
+import type { CapacityReport, IdleEntry } from "./types.ts";
+
+/** Totals of a ledger. */
+export interface LedgerSum {
+  readonly bytesPerSecond: number;
+  readonly processorShare: number;
+  readonly memoryBytes: number;
+}
+
+/** The three limits of a node. */
+export const LIMITS: LedgerSum = {
+  bytesPerSecond: TARGET.controlBytesPerSecond,
+  processorShare: TARGET.processorShare,
+  memoryBytes: TARGET.memoryBytes,
+};
+
+export function sumLedger(lines: readonly LedgerLine[]): LedgerSum {
+  const sum = (pick: (line: LedgerLine) => number) =>
+    lines.reduce((total, line) => total + pick(line), 0);
+  return {
+    bytesPerSecond: sum((line) => line.bytesPerSecond),
+    processorShare: sum((line) => line.processorShare),
+    memoryBytes: sum((line) => line.memoryBytes),
+  };
+}
+
+/** The largest share of its limit that any one figure of the line takes. */
+export function getLimitShare(line: LedgerSum): number {
+  return Math.max(
+    line.bytesPerSecond / LIMITS.bytesPerSecond,
+    line.processorShare / LIMITS.processorShare,
+    line.memoryBytes / LIMITS.memoryBytes,
+  );
+}
+
+export function findClosestLine(lines: readonly LedgerLine[]): LedgerLine {
+  return [...lines].sort((left, right) =>
+    getLimitShare(right) - getLimitShare(left)
+  )[0] as LedgerLine;
+}
+
+/** Costs on the wire; the processor time that no line explains counts as one more line. */
+export function createCosts(report: CapacityReport): Costs {
+  return Costs.create({
+    report,
+    framing: WIRE_FRAMING,
+    unexplainedProcessorShare: Math.max(
+      0,
+      ...report.idleRuns.map(({ entries, perEntry }) => {
+        const derived = deriveIdle(report, entries).processorShare;
+        return getLargest(perEntry, (one) => one.processorShare) - derived;
+      }),
+    ),
+  });
+}
+
+/** What the lines give for an idle run, counted as the meters count. */
+export function deriveIdle(
+  report: CapacityReport,
+  entries: number,
+): LedgerSum {
+  const costs = Costs.create({
+    report,
+    framing: METER_FRAMING,
+    unexplainedProcessorShare: 0,
+  });
+  return sumLedger(
+    computeEntryLedger(costs, IDLE_DESIGN, createIdleSize(entries)),
+  );
+}
+
+export function getLargest(
+  entries: readonly IdleEntry[],
+  pick: (entry: IdleEntry) => number,
+): number {
+  return Math.max(0, ...entries.map(pick));
+}
+
+export function sumIdleBytes(entry: IdleEntry): number {
+  return entry.platformBytesPerSecond.reduce(
+    (sum, one) => sum + one.bytesPerSecond,
+    entry.meshBytesPerSecond,
+  );
+}
+
+/** The largest count up to `maximum` for which `fits` still holds; it must hold below that. */
+export function findLargest(
+  fits: (count: number) => boolean,
+  maximum: number,
+): number {
+  let low = 0;
+  let high = maximum;
+  while (low < high) {
+    const middle = Math.ceil((low + high) / 2);
+    if (fits(middle)) low = middle;
+    else high = middle - 1;
+  }
+  return low;
+}
+
+/** Whether what `count` adds over one keeps all limits by itself. */
+export function fitsAlone(
+  costs: Costs,
+  design: Design,
+  vary: (count: number) => DeploymentSize,
+  count: number,
+): boolean {
+  const sum = (size: DeploymentSize) =>
+    sumLedger(computeEntryLedger(costs, design, size));
+  const grown = sum(vary(count));
+  const least = sum(vary(1));
+  return getLimitShare({
+    bytesPerSecond: grown.bytesPerSecond - least.bytesPerSecond,
+    processorShare: grown.processorShare - least.processorShare,
+    memoryBytes: grown.memoryBytes - least.memoryBytes,
+  }) <= 1;
+}
+
+/** Whether the whole ledger keeps all limits. */
+export function fitsWhole(
+  costs: Costs,
+  design: Design,
+  size: DeploymentSize,
+): boolean {
+  return getLimitShare(sumLedger(computeEntryLedger(costs, design, size))) <= 1;
+}
--- a/scripts/bench_capacity/ledger.ts
+++ b/scripts/bench_capacity/ledger.ts
@@ -1,7 +1,7 @@
 /** Works out an entry's control traffic, processor time and memory from the measured slopes. */
 import type { DeploymentSize, Design } from "./design.ts";
-import { Costs } from "./costs.ts";
-import { ASSUMED, TARGET, TASKS_PER_JOB } from "./target.ts";
+import type { Costs } from "./costs.ts";
+import { ASSUMED, TASKS_PER_JOB } from "./target.ts";
 
 const MS_PER_SECOND = 1_000;
 const SECONDS_PER_DAY = 86_400;
@@ -67,7 +67,7 @@
   const far = size.entries - size.entriesInRegion;
   const pairsPerSecond = near * MS_PER_SECOND / design.heartbeatInRegionMs +
     far * MS_PER_SECOND / design.heartbeatAcrossRegionsMs;
-  const jobsPerSecond = TARGET.jobsPerDay / SECONDS_PER_DAY;
+  const jobsPerSecond = size.jobsPerDay / SECONDS_PER_DAY;
   const summariesPerDomain = 1 / SUMMARY_REFRESH_SECONDS +
     TRANSITIONS_PER_JOB * jobsPerSecond / size.failureDomains;
   const summaries = summariesPerDomain *
@@ -105,9 +105,8 @@
   const domains = design.watchesAllDomains
     ? size.failureDomains
     : size.failureDomainsInRegion;
-  const head = design.headListsFiles
-    ? costs.bytes("head_row")
-    : costs.bytes("owner_row") + costs.bytes("digest");
+  const list = costs.listBytes(size.files);
+  const head = costs.bytes("head_row") + (design.headListsFiles ? list : 0);
   const members = design.watchesAllDomains
     ? size.entries
     : size.entriesInRegion;
@@ -117,7 +116,7 @@
   /** The members' rows come with every second poll. */
   const memberRows = members * costs.bytes("entry_row") / 2;
   const beats = MS_PER_SECOND / design.entryBeatMs;
-  const changes = TARGET.configurationChangesPerDay / SECONDS_PER_DAY;
+  const changes = size.configurationChangesPerDay / SECONDS_PER_DAY;
   return [
     {
       role: "table service",
@@ -147,13 +146,14 @@
       bytesPerSecond: changes * (
         costs.exchange(0, costs.bytes("organisation_file")) +
         (size.entries - 1) * costs.frame("mesh_configuration_accepted") +
-        costs.exchange(costs.bytes("table_read_request"), head)
+        costs.exchange(costs.bytes("table_read_request"), head) +
+        (design.headListsFiles ? 0 : costs.exchange(0, list))
       ),
       processorShare: toShare(changes, costs.configurationParseMicroseconds),
       memoryBytes: CONFIGURATIONS_HELD *
           costs.slope("configuration_version_memory") +
         costs.setBytes(size),
-      mechanism: "changed files only, each under its digest",
+      mechanism: "the list and changed files, under their digests",
       file: "packages/node/configuration/chunk_store.ts",
     },
   ];
@@ -172,12 +172,15 @@
   size: DeploymentSize,
 ): readonly LedgerLine[] {
   const vmPolls = MS_PER_SECOND / design.vmPollMs;
-  const vms = size.runners + size.entries;
-  const vmChanges = TARGET.vmRestartsPerDay / SECONDS_PER_DAY;
+  const share = design.vmListIsOfRegion
+    ? size.entriesInRegion / size.entries
+    : 1;
+  const vms = Math.ceil((size.runners + size.entries) * share);
+  const vmChanges = size.vmChangesPerDay * share / SECONDS_PER_DAY;
   const fullLists = design.vmListIsConditional
     ? Math.min(vmChanges, vmPolls)
     : vmPolls;
-  const applies = TARGET.configurationChangesPerDay / SECONDS_PER_DAY /
+  const applies = size.configurationChangesPerDay / SECONDS_PER_DAY /
     size.entries;
   return [
     {
@@ -224,9 +227,12 @@
   size: DeploymentSize,
 ): readonly LedgerLine[] {
   const beats = MS_PER_SECOND / design.ownershipBeatMs;
-  const renewals = MS_PER_SECOND / design.renewMs;
+  const renewals = size.workersPerDomain === 0
+    ? 0
+    : MS_PER_SECOND / design.renewMs;
+  const renewed = design.renewsDomainAtOnce ? 1 : size.workersPerDomain;
   const reports = MS_PER_SECOND / design.reportMs;
-  const jobs = TARGET.jobsPerDay / SECONDS_PER_DAY / size.failureDomains;
+  const jobs = size.jobsPerDay / SECONDS_PER_DAY / size.failureDomains;
   const tasks = jobs * TASKS_PER_JOB;
   const status = costs.bytes("command_status") + 1;
   const perTaskCommands = costs.bytes("command_hold") +
@@ -247,16 +253,18 @@
       name: `renewals for ${size.workersPerDomain} workers`,
       bytesPerSecond: renewals * costs.exchange(
         costs.bytes("command_batch_empty") +
-          size.workersPerDomain * (costs.bytes("command_renew") + 1),
-        size.workersPerDomain * status,
+          renewed * (costs.bytes("command_renew") + 1),
+        renewed * status,
       ),
       processorShare: toShare(
         renewals,
         costs.slope("table_write_time") +
-          size.workersPerDomain * costs.slope("lease_renewal_time"),
+          renewed * costs.slope("lease_renewal_time"),
       ),
       memoryBytes: 0,
-      mechanism: "one batch, one command per worker",
+      mechanism: design.renewsDomainAtOnce
+        ? "one command for all"
+        : "one batch, one command per worker",
       file: "packages/node/jobs/fleet_task.ts",
     },
     {
--- /dev/null
+++ b/scripts/bench_capacity/ledger_tables.ts
@@ -0,0 +1,247 @@
+/** Tables of the ledgers of an entry and of a worker. */
+import type { Costs } from "./costs.ts";
+import {
+  type DeploymentSize,
+  type Design,
+  EARLIER_DESIGN,
+  PRESENT_DESIGN,
+  PROPOSED_DESIGN,
+  TARGET_SIZE,
+} from "./design.ts";
+import {
+  findClosestLine,
+  findLargest,
+  fitsAlone,
+  fitsWhole,
+  getLimitShare,
+  LIMITS,
+  sumLedger,
+} from "./evaluate.ts";
+import { computeEntryLedger, type LedgerLine } from "./ledger.ts";
+import {
+  type Cells,
+  formatMegabytes,
+  formatPercent,
+  formatTable,
+  formatUp,
+} from "./markdown.ts";
+import { TARGET } from "./target.ts";
+
+const LARGEST_SOUGHT = 100_000;
+
+/** The tables by name. */
+export function createLedgerTables(
+  costs: Costs,
+): Readonly<Record<string, string>> {
+  return {
+    ledger_present: createLedgerTable(costs, PRESENT_DESIGN),
+    ledger_proposed: createLedgerTable(costs, PROPOSED_DESIGN),
+    designs: createDesignTable(costs),
+    entries: createEntriesTable(costs),
+    stops: createStopTable(costs),
+    worker: createWorkerTable(costs),
+  };
+}
+
+function createLedgerTable(costs: Costs, design: Design): string {
+  const lines = computeEntryLedger(costs, design, TARGET_SIZE);
+  const sum = sumLedger(lines);
+  const closest = findClosestLine(lines);
+  return formatTable(
+    ["role", "line", "B/s", "core", "memory", "mechanism", "file"],
+    [
+      ...lines.map(createLedgerRow),
+      ["", "sum", ...formatSum(sum), "", ""],
+      ["", "limit", ...formatSum(LIMITS), "", ""],
+      [
+        "",
+        "share of the limit",
+        formatPercent(sum.bytesPerSecond / LIMITS.bytesPerSecond, 0),
+        formatPercent(sum.processorShare / LIMITS.processorShare, 0),
+        formatPercent(sum.memoryBytes / LIMITS.memoryBytes, 0),
+        `closest to its limit: ${closest.name}`,
+        "",
+      ],
+    ],
+  );
+}
+
+function createLedgerRow(line: LedgerLine): Cells {
+  return [
+    line.role,
+    line.name,
+    ...formatSum(line),
+    line.mechanism,
+    `\`${line.file}\``,
+  ];
+}
+
+function formatSum(sum: {
+  readonly bytesPerSecond: number;
+  readonly processorShare: number;
+  readonly memoryBytes: number;
+}): Cells {
+  return [
+    formatUp(sum.bytesPerSecond, 0),
+    formatPercent(sum.processorShare),
+    formatMegabytes(sum.memoryBytes),
+  ];
+}
+
+function createDesignTable(costs: Costs): string {
+  const designs: readonly (readonly [string, Design])[] = [
+    ["before the changes of this sitting", EARLIER_DESIGN],
+    ["now", PRESENT_DESIGN],
+    ["proposed, not built", PROPOSED_DESIGN],
+  ];
+  return formatTable(
+    ["design", "B/s", "core", "memory", "within all limits"],
+    designs.map(([name, design]) => {
+      const sum = sumLedger(computeEntryLedger(costs, design, TARGET_SIZE));
+      const fits = getLimitShare(sum) <= 1 ? "yes" : "no";
+      return [name, ...formatSum(sum), fits];
+    }),
+  );
+}
+
+function createEntriesTable(costs: Costs): string {
+  const counts = [9, TARGET_SIZE.entries, 28, 56];
+  return formatTable(
+    [
+      "entries in all",
+      "entries in a region",
+      "now B/s",
+      "now core",
+      "proposed B/s",
+      "proposed core",
+    ],
+    counts.map((entries) => {
+      const size = createSizeOf(entries);
+      const now = sumLedger(computeEntryLedger(costs, PRESENT_DESIGN, size));
+      const next = sumLedger(computeEntryLedger(costs, PROPOSED_DESIGN, size));
+      return [
+        String(entries),
+        String(size.entriesInRegion),
+        formatUp(now.bytesPerSecond, 0),
+        formatPercent(now.processorShare, 2),
+        formatUp(next.bytesPerSecond, 0),
+        formatPercent(next.processorShare, 2),
+      ];
+    }),
+  );
+}
+
+/** With fewer entries than failure domains, the fullest entry owns several. */
+function createSizeOf(entries: number): DeploymentSize {
+  return {
+    ...TARGET_SIZE,
+    entries,
+    entriesInRegion: Math.ceil(entries / TARGET.regions),
+    ownedFailureDomains: Math.ceil(TARGET_SIZE.failureDomains / entries),
+  };
+}
+
+/** What grows, and the size of the deployment when it has grown to a count. */
+const GROWTHS: readonly {
+  readonly name: string;
+  readonly target: number;
+  readonly vary: (count: number) => DeploymentSize;
+}[] = [
+  {
+    name: "entries in all",
+    target: TARGET_SIZE.entries,
+    vary: (count) => ({
+      ...TARGET_SIZE,
+      entries: count,
+      entriesInRegion: Math.ceil(count / TARGET.regions),
+    }),
+  },
+  {
+    name: "workers of one failure domain (10 tasks each)",
+    target: TARGET_SIZE.workersPerDomain,
+    vary: (count) => ({
+      ...TARGET_SIZE,
+      workersPerDomain: count,
+      tasksPerDomain: Math.ceil(count * TARGET.runningTasks / TARGET.workers),
+    }),
+  },
+  {
+    name: "failure domains owned by one entry",
+    target: 1,
+    vary: (count) => ({ ...TARGET_SIZE, ownedFailureDomains: count }),
+  },
+  {
+    name: "teams",
+    target: TARGET_SIZE.organisations,
+    vary: (count) => ({
+      ...TARGET_SIZE,
+      organisations: count,
+      files: count + TARGET_SIZE.failureDomains + 1,
+    }),
+  },
+  {
+    name: "runners",
+    target: TARGET_SIZE.runners,
+    vary: (count) => ({ ...TARGET_SIZE, runners: count }),
+  },
+  {
+    name: "jobs a day",
+    target: TARGET_SIZE.jobsPerDay,
+    vary: (count) => ({ ...TARGET_SIZE, jobsPerDay: count }),
+  },
+];
+
+function createStopTable(costs: Costs): string {
+  return formatTable(
+    [
+      "what grows",
+      "target",
+      "now: fills a limit alone after",
+      "proposed: whole ledger fits up to",
+    ],
+    GROWTHS.map(({ name, target, vary }) => [
+      name,
+      formatUp(target, 0),
+      formatLargest((count) => fitsAlone(costs, PRESENT_DESIGN, vary, count)),
+      formatLargest((count) => fitsWhole(costs, PROPOSED_DESIGN, vary(count))),
+    ]),
+  );
+}
+
+function formatLargest(fits: (count: number) => boolean): string {
+  const found = findLargest(fits, LARGEST_SOUGHT);
+  if (found === LARGEST_SOUGHT) return `over ${formatUp(found, 0)}`;
+  return found === 0 ? "never" : formatUp(found, 0);
+}
+
+/** A worker runs nothing of ours: only its share of the owner's traffic reaches it. */
+function createWorkerTable(costs: Costs): string {
+  const { workersPerDomain } = TARGET_SIZE;
+  const owner = computeEntryLedger(costs, PRESENT_DESIGN, TARGET_SIZE)
+    .filter((line) => line.role === "owner" && line.file.includes("/jobs/"));
+  const rows = owner
+    .filter((line) => !line.file.endsWith("job_rows.ts"))
+    .map((line) => ({
+      name: line.name,
+      bytesPerSecond: line.bytesPerSecond / workersPerDomain,
+    }));
+  const sum = rows.reduce((total, row) => total + row.bytesPerSecond, 0);
+  return formatTable(
+    ["line", "B/s for each worker", "core", "memory"],
+    [
+      ...rows.map(({ name, bytesPerSecond }) => [
+        `${name}, one worker's share`,
+        formatUp(bytesPerSecond, 1),
+        "the platform's agent",
+        "the platform's agent",
+      ]),
+      ["sum", formatUp(sum, 1), "0% of ours", "0 MB of ours"],
+      [
+        "limit",
+        formatUp(LIMITS.bytesPerSecond, 0),
+        formatPercent(LIMITS.processorShare, 0),
+        formatMegabytes(LIMITS.memoryBytes),
+      ],
+    ],
+  );
+}
--- a/scripts/bench_capacity/message_sizes.ts
+++ b/scripts/bench_capacity/message_sizes.ts
@@ -9,6 +9,7 @@
   type WriteId,
 } from "@coltsfootpond/common";
 import type {
+  ConfigurationChunk,
   ConfigurationHeadRow,
   EntryRow,
   FailureDomainRow,
@@ -124,21 +125,19 @@
   };
 }
 
-function createHeadRow(): ConfigurationHeadRow {
+const HEAD: ConfigurationHeadRow = {
+  version: 120_000,
+  digest: createDigest("head"),
+  acceptedBy: ENTRY,
+};
+
+function createList(): readonly ConfigurationChunk[] {
   const files = createDeclarationFiles({
     organisations: TARGET.organisations,
     failureDomains: TARGET.failureDomains,
     workers: TARGET.workers,
   });
-  return {
-    version: 120_000,
-    digest: createDigest("head"),
-    chunks: files.map((file) => ({
-      name: file.name,
-      digest: createDigest(file.text),
-    })),
-    acceptedBy: ENTRY,
-  };
+  return files.map(({ name, text }) => ({ name, digest: createDigest(text) }));
 }
 
 function measureRows(): readonly MessageSize[] {
@@ -163,7 +162,8 @@
     sizeJson("entry_row", createRow(`entry/${ENTRY}`, entry)),
     sizeJson("owner_row", createRow(`owner/${FAILURE_DOMAIN}`, owner)),
     sizeJson("domain_row", createRow(`domain/${FAILURE_DOMAIN}`, domain)),
-    sizeJson("head_row", createRow("config/head", createHeadRow())),
+    sizeJson("head_row", createRow("config/head", HEAD)),
+    sizeJson("configuration_list", createList()),
     sizeJson("job_row_24_tasks", createJobTableRow(1, 24)),
     sizeJson("job_row_256_tasks", createJobTableRow(1, 256)),
   ];
--- /dev/null
+++ b/scripts/bench_capacity/page.ts
@@ -0,0 +1,19 @@
+/** All tables of `docs/CAPACITY.md`, computed from a report. */
+import { createEventTables } from "./event_tables.ts";
+import { createCosts } from "./evaluate.ts";
+import { createLedgerTables } from "./ledger_tables.ts";
+import { createMeasuredTables } from "./measured_tables.ts";
+import type { CapacityReport } from "./types.ts";
+
+export const PAGE_PATH = "docs/CAPACITY.md";
+
+export function createTables(
+  report: CapacityReport,
+): Readonly<Record<string, string>> {
+  const costs = createCosts(report);
+  return {
+    ...createMeasuredTables(report),
+    ...createLedgerTables(costs),
+    ...createEventTables(costs),
+  };
+}
