Fetch the fleet's reports as soon as they matter

Cause: the owner heard of a finished gang up to 500 ms late, whatever ran, and polled as often for jobs of hours. Change: the period is a fiftieth of the shortest expected run time, from 200 ms (also while something is asked to go) to 2 s. A domain with jobs of 100 s and more is polled four times less often.

--- a/packages/node/constants.ts
+++ b/packages/node/constants.ts
@@ -32,6 +32,10 @@
 export const DOMAIN_SPREAD_MS = 5_000;
 export const OWNERSHIP_BEAT_MS = 1_000;
 export const TASK_LEASE_MS = 20_000;
+/** Period of the reports of a failure domain while something there is asked to go or runs briefly. */
+export const SHORTEST_REPORT_PERIOD_MS = 200;
+/** With nothing running, or only jobs of hours. */
+export const LONGEST_REPORT_PERIOD_MS = 2_000;
 export const HOLD_TTL_MS = 5_000;
 /** An entry that could not confirm the configuration head for this long starts nothing new. */
 export const CONFIGURATION_FRESHNESS_MS = 10_000;
--- a/packages/node/jobs/attempt_task.ts
+++ b/packages/node/jobs/attempt_task.ts
@@ -15,6 +15,10 @@
   type TaskReport,
 } from "@coltsfootpond/platform";
 import { ATTEMPT_END, type AttemptEnd } from "@coltsfootpond/policy";
+import {
+  LONGEST_REPORT_PERIOD_MS,
+  SHORTEST_REPORT_PERIOD_MS,
+} from "../constants.ts";
 import type { JobEnd } from "../rows.ts";
 import {
   collectCheckpoints,
@@ -35,6 +39,7 @@
 
 const STOP_RETRY_MS = 1_000;
 const MAXIMUM_JOB_FAILURES = 3;
+const REPORTS_PER_RUN = 50;
 
 /** How the attempt ended, as the runner hears it. */
 export interface AttemptResult {
@@ -105,6 +110,19 @@
     return this.#everStarted;
   }
 
+  /**
+   * How soon news of this attempt matters: at once while it is asked to go, else in proportion to
+   * its run time, so that a job of hours costs few reports and a short one is answered soon.
+   */
+  get reportPeriodMs(): number {
+    if (this.#phase !== "running") return SHORTEST_REPORT_PERIOD_MS;
+    const shareMs = this.#options.job.service.expectedRunMs / REPORTS_PER_RUN;
+    return Math.min(
+      Math.max(shareMs, SHORTEST_REPORT_PERIOD_MS),
+      LONGEST_REPORT_PERIOD_MS,
+    );
+  }
+
   /** Carries out the placement from the first hold on. */
   async start(): Promise<void> {
     const { job, placement, clock, commander, mayStart, events, subject } =
--- a/packages/node/jobs/domain_runner.ts
+++ b/packages/node/jobs/domain_runner.ts
@@ -111,6 +111,7 @@
       commander: this.#commander,
       onReport: (report) => this.#applyReport(report),
       listLeasedWorkers: () => this.#jobs.listLeasedWorkers(),
+      getReportPeriodMs: () => this.#jobs.getReportPeriodMs(),
     });
     this.#mailbox.subscribe((message) => this.#handle(message));
   }
@@ -326,13 +327,14 @@
   #perform(decision: Decision): void {
     switch (decision.kind) {
       case "place":
-        this.#fleet.pollSoon();
-        return this.#jobs.place(decision.jobId, decision.assignments);
+        this.#jobs.place(decision.jobId, decision.assignments);
+        return this.#fleet.pollSoon();
       case "evict":
         if (decision.reason === "overrun") {
           return this.#jobs.stopOverrun(decision.jobId);
         }
-        return this.#jobs.evict(decision.jobId, decision.checkpointMs);
+        this.#jobs.evict(decision.jobId, decision.checkpointMs);
+        return this.#fleet.pollSoon();
       case "fail":
         return void this.#jobs.end(decision.jobId, {
           state: "failed",
--- a/packages/node/jobs/fleet_task.ts
+++ b/packages/node/jobs/fleet_task.ts
@@ -12,9 +12,6 @@
 import type { FleetPort, FleetReport } from "@coltsfootpond/platform";
 import { createRenewals, type FleetCommander } from "./gang_start.ts";
 
-export const REPORT_PERIOD_MS = 500;
-/** With nothing running, only workers that fail or return are of interest. */
-export const IDLE_REPORT_PERIOD_MS = 2_000;
 export const RENEW_PERIOD_MS = 6_000;
 const FLEET_TIMEOUT_MS = 2_000;
 
@@ -25,6 +22,8 @@
   readonly commander: FleetCommander;
   readonly onReport: (report: FleetReport) => void;
   readonly listLeasedWorkers: () => readonly WorkerName[];
+  /** How soon the next report should be fetched, by what runs now. */
+  readonly getReportPeriodMs: () => number;
 }
 
 /** Owns the revision and the timers of one failure domain's reports. */
@@ -48,7 +47,7 @@
     this.#timers = [
       this.#options.clock.every(RENEW_PERIOD_MS, () => void this.#renew()),
     ];
-    this.#schedule(REPORT_PERIOD_MS);
+    this.#schedule(this.#options.getReportPeriodMs());
     void this.#renew();
   }
 
@@ -79,10 +78,10 @@
     return outcome.report;
   }
 
-  /** Something starts to run: the idle period is too long. */
+  /** Something has begun that the period drawn before did not know of. */
   pollSoon(): void {
     if (!this.#stopped && this.#nextPoll !== undefined) {
-      this.#schedule(REPORT_PERIOD_MS);
+      this.#schedule(this.#options.getReportPeriodMs());
     }
   }
 
@@ -100,8 +99,7 @@
     const report = await this.fetch();
     if (report !== undefined && !this.#stopped) this.#options.onReport(report);
     if (this.#stopped) return;
-    const isIdle = this.#options.listLeasedWorkers().length === 0;
-    this.#schedule(isIdle ? IDLE_REPORT_PERIOD_MS : REPORT_PERIOD_MS);
+    this.#schedule(this.#options.getReportPeriodMs());
   }
 
   async #renew(): Promise<void> {
--- a/packages/node/jobs/live_jobs.ts
+++ b/packages/node/jobs/live_jobs.ts
@@ -18,6 +18,7 @@
   EngineEvent,
   PlacementEngine,
 } from "@coltsfootpond/policy";
+import { LONGEST_REPORT_PERIOD_MS } from "../constants.ts";
 import type { JobEnd, JobRow } from "../rows.ts";
 import type { ConfigurationView, EntryContext, Holding } from "../types.ts";
 import {
@@ -86,6 +87,14 @@
       );
   }
 
+  /** The shortest period that any attempt asks for. */
+  getReportPeriodMs(): number {
+    const periods = [...this.#attempts.values()].map((attempt) =>
+      attempt.reportPeriodMs
+    );
+    return Math.min(LONGEST_REPORT_PERIOD_MS, ...periods);
+  }
+
   /** Takes over a job from its row; `tasks` are the fleet's reports when it may have been placed. */
   adopt(stored: StoredJob, tasks: readonly TaskReport[]): void {
     const { row } = stored;
