--- a/packages/policy/placement/borrowed_placement.ts
+++ b/packages/policy/placement/borrowed_placement.ts
@@ -1,4 +1,5 @@
 /** Places a job on capacity that it borrows, where it harms the large shapes least. */
+import { MS_PER_HOUR } from "@coltsfootpond/common";
 import type { HealthTracker } from "./worker_health.ts";
 import {
   countFree,
@@ -9,13 +10,15 @@
   type WorkerState,
 } from "./capacity_model.ts";
 import type { HeadReservations } from "./head_reservations.ts";
-import type { JobRecord } from "./job_record.ts";
+import { type JobRecord, predictEndMs } from "./job_record.ts";
 import { findPlaces } from "./packing.ts";
 import type { PlacementState } from "./placement_state.ts";
 import { countFitting } from "./resources.ts";
 import { WAIT_REASON, type WaitReason } from "../types.ts";
 
 /** Weights of the lesser criteria against one accelerator's worth of lost large shapes. */
+const MIXING_WEIGHT = 1;
+const EXTENSION_WEIGHT = 1e-1;
 const RESERVED_WEIGHT = 1e-3;
 const RACK_FREE_WEIGHT = 1e-5;
 const WORKER_FREE_WEIGHT = 1e-7;
@@ -53,12 +56,14 @@
     if (record.pinned && this.#state.plan.hasBroken()) {
       return { kind: "wait", reason: WAIT_REASON.GUARANTEES };
     }
+    const avoidsReserved = this.#state.avoidsReserved(record);
     let sawFree = false;
     let sawHeld = false;
     const count = (worker: WorkerState): number => {
       const free = this.#countAllowed(worker, record, nowMs);
       if (free === 0) return 0;
       sawFree = true;
+      if (worker.restUntilMs > nowMs && record.job.shape.tasks === 1) return 0;
       const held = this.#reservations.isHeldFrom(
         worker,
         record,
@@ -66,7 +71,7 @@
         nowMs,
       );
       if (held) sawHeld = true;
-      if (held || !record.pinned) return held ? 0 : free;
+      if (held || !avoidsReserved) return held ? 0 : free;
       return Math.min(free, countUnreserved(worker, record.job.shape.perTask));
     };
     const places = findPlaces(
@@ -74,9 +79,13 @@
       record.job.shape,
       count,
     );
-    const best = this.#chooseLeastHarm(places, record);
+    const endMs = nowMs + estimateMs;
+    const best = this.#chooseLeastHarm(places, record, endMs, nowMs);
     if (best !== undefined) return { kind: "place", place: best };
-    return { kind: "wait", reason: explainWait(record, sawFree, sawHeld) };
+    return {
+      kind: "wait",
+      reason: explainWait(avoidsReserved && sawFree, sawHeld),
+    };
   }
 
   /** A quarantined worker that may be probed with this job. */
@@ -106,18 +115,51 @@
   #chooseLeastHarm(
     places: readonly Place[],
     record: JobRecord,
+    endMs: number,
+    nowMs: number,
   ): Place | undefined {
     if (places.length <= 1) return places[0];
     const rackFree = new Map<RackState, number>();
     let best: Place | undefined;
     let bestHarm = Infinity;
     for (const place of places) {
-      const harm = this.#computeHarm(place, record, rackFree);
+      const harm = this.#computeHarm(place, record, rackFree) +
+        MIXING_WEIGHT * this.#computeMixing(place, record) +
+        EXTENSION_WEIGHT * this.#computeExtension(place, endMs, nowMs);
       if (harm < bestHarm) [best, bestHarm] = [place, harm];
     }
     return best;
   }
 
+  /** Share of a worker's tasks that differ from the job in whether they can be moved. */
+  #computeMixing(place: Place, record: JobRecord): number {
+    let mixing = 0;
+    for (const { worker } of place) {
+      let other = 0;
+      for (const jobId of worker.tasks.keys()) {
+        const job = this.#state.records.get(jobId)?.job;
+        if (job?.canCheckpoint !== record.job.canCheckpoint) other++;
+      }
+      mixing += other / Math.max(1, worker.tasks.size);
+    }
+    return mixing;
+  }
+
+  /** Hours for which the job would keep its workers from becoming empty. */
+  #computeExtension(place: Place, endMs: number, nowMs: number): number {
+    let extensionMs = 0;
+    for (const { worker } of place) {
+      let latestMs = nowMs;
+      for (const jobId of worker.tasks.keys()) {
+        const other = this.#state.records.get(jobId);
+        if (other === undefined) continue;
+        latestMs = Math.max(latestMs, predictEndMs(other, nowMs));
+      }
+      extensionMs += Math.max(0, endMs - latestMs);
+    }
+    return extensionMs / MS_PER_HOUR;
+  }
+
   #computeHarm(
     place: Place,
     record: JobRecord,
@@ -155,11 +197,10 @@
 }
 
 function explainWait(
-  record: JobRecord,
-  sawFree: boolean,
+  sawReserved: boolean,
   sawHeld: boolean,
 ): WaitReason {
   if (sawHeld) return WAIT_REASON.BEHIND_RESERVATION;
-  if (record.pinned && sawFree) return WAIT_REASON.GUARANTEES;
+  if (sawReserved) return WAIT_REASON.GUARANTEES;
   return WAIT_REASON.NO_CAPACITY;
 }
--- a/packages/policy/placement/capacity_model.ts
+++ b/packages/policy/placement/capacity_model.ts
@@ -34,6 +34,8 @@
   quarantined: boolean;
   /** Kept free of new work until then, after it refused some. */
   avoidUntilMs: number;
+  /** Kept free of single tasks until then, after compaction emptied it. */
+  restUntilMs: number;
   /** Tasks of each placed job here. */
   readonly tasks: Map<JobId, number>;
 }
@@ -191,6 +193,7 @@
       up: false,
       quarantined: false,
       avoidUntilMs: 0,
+      restUntilMs: 0,
       tasks: new Map(),
     };
     this.#workers.set(worker.name, state);
--- a/packages/policy/placement/decision_round.ts
+++ b/packages/policy/placement/decision_round.ts
@@ -12,8 +12,8 @@
   MAXIMUM_PLACEMENTS_PER_DECISION,
   MAXIMUM_RESERVED_RACK_SHARE,
   RECLAIM_CHECKPOINT_LIMIT_MS,
-  RESERVATION_AFTER_MS,
 } from "./constants.ts";
+import type { Compaction } from "./compaction.ts";
 import type { RunTimeEstimator } from "./estimates.ts";
 import type {
   GuaranteedOutcome,
@@ -21,7 +21,7 @@
 } from "./guaranteed_placement.ts";
 import type { HeadReservations } from "./head_reservations.ts";
 import type { JobClass, JobQueue } from "./job_queue.ts";
-import type { JobRecord } from "./job_record.ts";
+import { getReservationTimeMs, type JobRecord } from "./job_record.ts";
 import type { PlacementState } from "./placement_state.ts";
 import { evict } from "./run_limits.ts";
 import { chooseQuotaVictims } from "./victims.ts";
@@ -35,6 +35,7 @@
   readonly reservations: HeadReservations;
   readonly estimator: RunTimeEstimator;
   readonly health: HealthTracker;
+  readonly compaction: Compaction;
 }
 
 interface RankedClass {
@@ -100,7 +101,8 @@
         jobClass.blockedVersion = state.version;
       }
     }
-    this.#reserveForHeads(nowMs);
+    this.#reserveForHeads(nowMs, decisions);
+    this.#options.compaction.run(nowMs, decisions);
     return false;
   }
 
@@ -247,7 +249,7 @@
   }
 
   /** Reserves capacity for the gangs that have waited longest. */
-  #reserveForHeads(nowMs: number): void {
+  #reserveForHeads(nowMs: number, decisions: Decision[]): void {
     const { state, queue, reservations } = this.#options;
     const limit = Math.ceil(
       state.capacity.workerCount * MAXIMUM_RESERVED_RACK_SHARE,
@@ -257,14 +259,19 @@
       if (jobClass.reason === WAIT_REASON.QUOTA) continue;
       const head = queue.peek(jobClass);
       if (head === undefined || reservations.has(head)) continue;
-      if (nowMs - head.waitingSinceMs < RESERVATION_AFTER_MS) continue;
+      if (nowMs < getReservationTimeMs(head)) continue;
       if (head.pinned && state.plan.hasBroken()) continue;
       heads.push(head);
     }
     heads.sort((left, right) => left.waitingSinceMs - right.waitingSinceMs);
     for (const head of heads) {
-      if (reservations.workerCount >= limit) return;
+      if (reservations.workerCount >= limit) break;
       reservations.reserve(head, nowMs);
     }
+    for (const movable of reservations.assemble()) {
+      movable.movedAtMs = nowMs;
+      const reason = EVICTION_REASON.COMPACTION;
+      decisions.push(evict(movable, reason, RECLAIM_CHECKPOINT_LIMIT_MS));
+    }
   }
 }
--- a/packages/policy/placement/domain_choice.ts
+++ b/packages/policy/placement/domain_choice.ts
@@ -14,11 +14,11 @@
 import { computeDemand } from "./resources.ts";
 
 /** A waiting job is offered another home no sooner than this. */
-const REHOME_AFTER_MS = 60_000;
+const REHOME_AFTER_MS = 15_000;
 /** Each move doubles the wait before the next, up to this many doublings. */
 const MAXIMUM_DOUBLINGS = 6;
 /** Share of its accelerators by which the other home must be less loaded. */
-const REHOME_MINIMUM_GAIN = 0.25;
+const REHOME_MINIMUM_GAIN = 0.05;
 
 export interface DomainChoiceOptions {
   /** Failure domains that hold a guarantee for the job's organisation and shape. */
@@ -75,15 +75,18 @@
   readonly summary: DomainSummary;
 }
 
-/** Those with room on workers in use come first, then the one with least free. */
+/** Those with room on workers in use first, then where starting on an empty one harms least. */
 function chooseFullest(
   domains: readonly KnownDomain[],
   shape: Shape,
 ): FailureDomainName | undefined {
-  const hasOpenWorker = ({ summary }: KnownDomain): number =>
-    summary.partlyFreeAccelerators >= shape.perTask.accelerators ? 0 : 1;
+  const computeHarm = ({ summary }: KnownDomain): number => {
+    const { largestPartlyFreeAccelerators, openingLoss } = summary;
+    const hasHole = largestPartlyFreeAccelerators >= shape.perTask.accelerators;
+    return hasHole ? -1 : openingLoss;
+  };
   const [best] = [...domains].sort((left, right) =>
-    hasOpenWorker(left) - hasOpenWorker(right) ||
+    computeHarm(left) - computeHarm(right) ||
     left.summary.freeAccelerators - right.summary.freeAccelerators ||
     left.summary.freeMilliprocessors - right.summary.freeMilliprocessors ||
     (left.name < right.name ? -1 : 1)
@@ -91,16 +94,23 @@
   return best?.name;
 }
 
+/** A gang that a guarantee's holder may put out at any moment, and that must then start anew. */
+function isLostWhenEvicted({ canCheckpoint, shape }: QueuedJob): boolean {
+  return !canCheckpoint && shape.tasks > 1;
+}
+
+function isUnreserved(summary: DomainSummary, shape: Shape): boolean {
+  return summary.largestRackUnreservedAccelerators >=
+    computeDemand(shape).accelerators;
+}
+
 /** For a gang, the failure domains where no guarantee is in its way, if there are any. */
 function preferUnreserved(
   domains: readonly KnownDomain[],
   shape: Shape,
 ): readonly KnownDomain[] {
   if (shape.adjacency === ADJACENCY.FAILURE_DOMAIN) return domains;
-  const { accelerators } = computeDemand(shape);
-  const open = domains.filter(({ summary }) =>
-    summary.largestRackUnreservedAccelerators >= accelerators
-  );
+  const open = domains.filter(({ summary }) => isUnreserved(summary, shape));
   return open.length > 0 ? open : domains;
 }
 
@@ -115,7 +125,8 @@
     freeAccelerators: summary.freeAccelerators - accelerators,
     largestRackFreeAccelerators: summary.largestRackFreeAccelerators -
       accelerators,
-    partlyFreeAccelerators: summary.partlyFreeAccelerators - accelerators,
+    largestPartlyFreeAccelerators: summary.largestPartlyFreeAccelerators -
+      accelerators,
     freeMilliprocessors: summary.freeMilliprocessors - milliprocessors,
   };
 }
@@ -142,8 +153,13 @@
   if (fitting.length > 0 && job.shape.tasks === 1) {
     return chooseFullest(fitting, job.shape);
   }
-  if (fitting.length > 0) {
-    const weights = fitting.map(({ name, summary }) =>
+  const isRisky = isLostWhenEvicted(job) &&
+    preferUnreserved(known, job.shape).length < known.length;
+  const safe = isRisky
+    ? fitting.filter(({ summary }) => isUnreserved(summary, job.shape))
+    : preferUnreserved(fitting, job.shape);
+  if (safe.length > 0) {
+    const weights = safe.map(({ name, summary }) =>
       [name, 1 + summary.freeAccelerators] as const
     );
     return draw(job.jobId, new Map(weights));
@@ -187,6 +203,7 @@
     const summary = summaries.get(name);
     return name !== current && summary !== undefined &&
       fitsNow(summary, job.shape) &&
+      (!isLostWhenEvicted(job) || isUnreserved(summary, job.shape)) &&
       computeLoad(summary) + REHOME_MINIMUM_GAIN < computeLoad(here);
   });
   return chooseFailureDomain(job, summaries, better);
--- a/packages/policy/placement/domain_summary.ts
+++ b/packages/policy/placement/domain_summary.ts
@@ -1,48 +1,94 @@
 /** The small picture of a failure domain that the other entries choose homes by. */
 import type { DomainSummary } from "../types.ts";
-import { getFreeRoom, getUnreservedRoom, isUsable } from "./capacity_model.ts";
+import {
+  getFreeRoom,
+  getUnreservedRoom,
+  isUsable,
+  type RackState,
+  type WorkerState,
+} from "./capacity_model.ts";
+import type { HeadReservations } from "./head_reservations.ts";
 import type { JobQueue } from "./job_queue.ts";
 import type { PlacementState } from "./placement_state.ts";
 
-export function summariseDomain(
-  state: PlacementState,
-  queue: JobQueue,
-): DomainSummary {
-  let freeAccelerators = 0;
-  let freeMilliprocessors = 0;
-  let largestRackFreeAccelerators = 0;
-  let largestRackUnreservedAccelerators = 0;
-  let partlyFreeAccelerators = 0;
-  for (const rack of state.capacity.racks) {
-    let rackFree = 0;
-    let rackUnreserved = 0;
-    for (const worker of rack.workers.filter(isUsable)) {
-      const room = getFreeRoom(worker);
-      const free = Math.max(0, room.accelerators);
-      rackFree += free;
-      rackUnreserved += getUnreservedRoom(worker).accelerators;
-      if (free < worker.capacity.accelerators) partlyFreeAccelerators += free;
-      freeMilliprocessors += Math.max(0, room.milliprocessors);
-    }
-    freeAccelerators += rackFree;
-    largestRackUnreservedAccelerators = Math.max(
-      largestRackUnreservedAccelerators,
-      rackUnreserved,
-    );
-    largestRackFreeAccelerators = Math.max(
-      largestRackFreeAccelerators,
-      rackFree,
-    );
-  }
+interface RackSummary {
+  freeAccelerators: number;
+  freeMilliprocessors: number;
+  unreservedAccelerators: number;
+  largestPartlyFree: number;
+  openingLoss: number;
+}
+
+export interface SummaryOptions {
+  readonly state: PlacementState;
+  readonly queue: JobQueue;
+  readonly reservations: HeadReservations;
+}
+
+export function summariseDomain(options: SummaryOptions): DomainSummary {
+  const { state, queue } = options;
+  const racks = Array.from(
+    state.capacity.racks,
+    (rack) => summariseRack(rack, options),
+  );
+  const sum = (pick: (rack: RackSummary) => number): number =>
+    racks.reduce((total, rack) => total + pick(rack), 0);
+  const largest = (pick: (rack: RackSummary) => number): number =>
+    racks.reduce((most, rack) => Math.max(most, pick(rack)), 0);
   return {
-    freeAccelerators,
+    freeAccelerators: sum((rack) => rack.freeAccelerators),
     totalAccelerators: state.capacity.total.accelerators,
-    largestRackFreeAccelerators,
-    largestRackUnreservedAccelerators,
-    partlyFreeAccelerators,
-    freeMilliprocessors,
+    largestRackFreeAccelerators: largest((rack) => rack.freeAccelerators),
+    largestRackUnreservedAccelerators: largest((rack) =>
+      rack.unreservedAccelerators
+    ),
+    largestPartlyFreeAccelerators: largest((rack) => rack.largestPartlyFree),
+    openingLoss: racks.reduce(
+      (least, rack) => Math.min(least, rack.openingLoss),
+      Number.MAX_SAFE_INTEGER,
+    ),
+    freeMilliprocessors: sum((rack) => rack.freeMilliprocessors),
     queuedJobs: queue.size,
     queuedAccelerators: queue.accelerators,
     runningTasks: state.runningTasks,
   };
 }
+
+function summariseRack(
+  rack: RackState,
+  { state, reservations }: SummaryOptions,
+): RackSummary {
+  const summary: RackSummary = {
+    freeAccelerators: 0,
+    freeMilliprocessors: 0,
+    unreservedAccelerators: 0,
+    largestPartlyFree: 0,
+    openingLoss: Number.MAX_SAFE_INTEGER,
+  };
+  for (const worker of rack.workers.filter(isUsable)) {
+    summary.unreservedAccelerators += getUnreservedRoom(worker).accelerators;
+    if (reservations.isKept(worker)) continue;
+    const room = getFreeRoom(worker);
+    const free = Math.max(0, room.accelerators);
+    summary.freeAccelerators += free;
+    summary.freeMilliprocessors += Math.max(0, room.milliprocessors);
+    if (free === 0) continue;
+    if (free < worker.capacity.accelerators) {
+      summary.largestPartlyFree = Math.max(summary.largestPartlyFree, free);
+    } else {
+      summary.openingLoss = Math.min(
+        summary.openingLoss,
+        computeOpeningLoss(state, worker),
+      );
+    }
+  }
+  return summary;
+}
+
+function computeOpeningLoss(
+  state: PlacementState,
+  worker: WorkerState,
+): number {
+  const place = [{ worker, tasks: 1 }];
+  return state.fragmentation.computeLoss(place, worker.capacity);
+}
--- a/packages/policy/placement/engine.ts
+++ b/packages/policy/placement/engine.ts
@@ -15,7 +15,8 @@
 } from "../types.ts";
 import { type AttemptEnded, AttemptOutcomes } from "./attempt_outcomes.ts";
 import { BorrowedPlacer } from "./borrowed_placement.ts";
-import { MAXIMUM_QUEUED_JOBS, RESERVATION_AFTER_MS } from "./constants.ts";
+import { MAXIMUM_QUEUED_JOBS } from "./constants.ts";
+import { Compaction } from "./compaction.ts";
 import { DecisionRound } from "./decision_round.ts";
 import { summariseDomain } from "./domain_summary.ts";
 import { RunTimeEstimator } from "./estimates.ts";
@@ -23,6 +24,7 @@
 import { HeadReservations } from "./head_reservations.ts";
 import {
   createJobRecord,
+  getReservationTimeMs,
   isPlaced,
   JOB_PHASE,
   type JobRecord,
@@ -44,6 +46,7 @@
   readonly #estimator = RunTimeEstimator.create();
   readonly #state: PlacementState;
   readonly #reservations: HeadReservations;
+  readonly #compaction: Compaction;
   readonly #round: DecisionRound;
   readonly #limits: RunLimits;
   readonly #outcomes: AttemptOutcomes;
@@ -68,6 +71,7 @@
       onCapacityChange: () => this.#noteCapacityChange(),
     });
     this.#reservations = HeadReservations.create(this.#state);
+    this.#compaction = Compaction.create(this.#state, this.#reservations);
     this.#round = DecisionRound.create({
       state: this.#state,
       queue: this.#queue,
@@ -81,6 +85,7 @@
         health,
       }),
       reservations: this.#reservations,
+      compaction: this.#compaction,
       estimator: this.#estimator,
       health,
     });
@@ -162,7 +167,11 @@
   }
 
   summarise(): DomainSummary {
-    return summariseDomain(this.#state, this.#queue);
+    return summariseDomain({
+      state: this.#state,
+      queue: this.#queue,
+      reservations: this.#reservations,
+    });
   }
 
   nextDecisionMs(): number | undefined {
@@ -173,6 +182,7 @@
       this.#limits.nextDueMs(),
       this.#isOut && this.#state.runningTasks > 0 ? this.#drainByMs : undefined,
       this.#queue.size > 0 ? this.#nextQueueTimeMs() : undefined,
+      this.#isOut ? undefined : this.#compaction.nextDueMs(),
     ].filter((timeMs) => timeMs !== undefined);
     return candidates.length === 0 ? undefined : Math.min(...candidates);
   }
@@ -183,7 +193,7 @@
     for (const jobClass of this.#queue.classes) {
       const head = this.#queue.peek(jobClass);
       if (head === undefined) continue;
-      const dueMs = head.waitingSinceMs + RESERVATION_AFTER_MS;
+      const dueMs = getReservationTimeMs(head);
       if (dueMs > this.#lastDecisionMs) candidates.push(dueMs);
     }
     const times = candidates.filter((timeMs) => timeMs !== undefined);
--- a/packages/policy/placement/head_reservations.ts
+++ b/packages/policy/placement/head_reservations.ts
@@ -1,18 +1,27 @@
 /**
  * Capacity kept for gangs that waited too long. Each has workers reserved on which it will fit
- * soonest by the corrected estimates; other work may start there only if it will be gone by then.
- * After EASY backfill, with one reservation for each of several gangs.
+ * soonest by the corrected estimates; other work may start there only if it will be gone by then or
+ * can be moved at the price of a checkpoint. After EASY backfill, with one reservation for each of
+ * several gangs.
  */
 import { ADJACENCY, type Resources, type Shape } from "@coltsfootpond/common";
 import { assertNever } from "@coltsfootpond/common";
 import {
+  countUnreserved,
   getFreeRoom,
   getUnreservedRoom,
   isUsable,
   type RackState,
   type WorkerState,
 } from "./capacity_model.ts";
-import { JOB_PHASE, type JobRecord, predictEndMs } from "./job_record.ts";
+import { RECLAIM_CHECKPOINT_LIMIT_MS } from "./constants.ts";
+import {
+  isMovable,
+  JOB_PHASE,
+  type JobRecord,
+  predictEndMs,
+  wouldBeMovable,
+} from "./job_record.ts";
 import type { PlacementState } from "./placement_state.ts";
 import { addScaled, countFitting } from "./resources.ts";
 
@@ -21,6 +30,8 @@
   readonly workers: ReadonlySet<WorkerState>;
   /** When the gang is expected to fit. */
   readonly shadowMs: number;
+  /** Movable work is leaving, and nothing else may start there. */
+  isAssembling: boolean;
 }
 
 interface Release {
@@ -56,6 +67,10 @@
     return this.#byRecord.has(record);
   }
 
+  isKept(worker: WorkerState): boolean {
+    return this.#byWorker.has(worker);
+  }
+
   /** Whether `record`, running for `estimateMs` from now, would keep a waiting gang waiting. */
   isHeldFrom(
     worker: WorkerState,
@@ -64,9 +79,12 @@
     nowMs: number,
   ): boolean {
     const reservation = this.#byWorker.get(worker);
-    if (reservation === undefined || reservation.record === record) {
-      return false;
-    }
+    if (
+      reservation === undefined ||
+      reservation.record.classKey === record.classKey
+    ) return false;
+    if (reservation.isAssembling) return true;
+    if (wouldBeMovable(record)) return false;
     return nowMs + estimateMs > reservation.shadowMs;
   }
 
@@ -88,26 +106,68 @@
     this.#state.noteOpportunity();
   }
 
-  /** Reserves the workers on which the gang fits soonest; false when it fits on none. */
-  reserve(record: JobRecord, nowMs: number): boolean {
+  /** Reserves the workers on which the gang fits soonest. */
+  reserve(record: JobRecord, nowMs: number): void {
     const forecast = this.#forecast(record, nowMs);
-    if (forecast === undefined) return false;
-    const reservation = { record, ...forecast };
+    if (forecast === undefined) return;
+    const reservation = { record, ...forecast, isAssembling: false };
     this.#byRecord.set(record, reservation);
     for (const worker of forecast.workers) {
       this.#byWorker.set(worker, reservation);
     }
-    return true;
+  }
+
+  /** Tasks to move now, each the last thing in the way of a gang that waited long. */
+  assemble(): JobRecord[] {
+    const movable: JobRecord[] = [];
+    for (const reservation of this.#byRecord.values()) {
+      const isGang = reservation.record.job.shape.tasks > 1;
+      if (!isGang || reservation.isAssembling) continue;
+      if (!this.#fitsOnceMoved(reservation)) continue;
+      reservation.isAssembling = true;
+      for (const worker of reservation.workers) {
+        movable.push(...this.#listMovable(worker));
+      }
+    }
+    return movable;
+  }
+
+  #fitsOnceMoved({ record, workers }: HeadReservation): boolean {
+    const { tasks, perTask } = record.job.shape;
+    const avoidsReserved = this.#state.avoidsReserved(record);
+    let total = 0;
+    for (const worker of workers) {
+      const room = { ...getFreeRoom(worker) };
+      for (const movable of this.#listMovable(worker)) {
+        addScaled(room, movable.demand, 1);
+      }
+      const limit = avoidsReserved ? countUnreserved(worker, perTask) : tasks;
+      total += Math.min(limit, countFitting(room, perTask));
+    }
+    return total >= tasks;
+  }
+
+  #listMovable(worker: WorkerState): JobRecord[] {
+    return [...worker.tasks.keys()].flatMap((jobId) => {
+      const record = this.#state.records.get(jobId);
+      return record !== undefined && isMovable(record) ? [record] : [];
+    });
   }
 
   #forecast(record: JobRecord, nowMs: number): Forecast | undefined {
+    const avoidsReserved = this.#state.avoidsReserved(record);
     let soonest: Forecast | undefined;
     for (const scope of this.#listScopes(record.job.shape)) {
       const open = scope.filter((worker) =>
         isUsable(worker) && !this.#byWorker.has(worker) &&
         !record.failedOn.has(worker.name)
       );
-      const forecast = this.#forecastScope(record, open, nowMs);
+      const forecast = this.#forecastScope(
+        record,
+        open,
+        avoidsReserved,
+        nowMs,
+      );
       if (forecast === undefined) continue;
       if (soonest === undefined || forecast.shadowMs < soonest.shadowMs) {
         soonest = forecast;
@@ -137,6 +197,7 @@
   #forecastScope(
     record: JobRecord,
     workers: readonly WorkerState[],
+    avoidsReserved: boolean,
     nowMs: number,
   ): Forecast | undefined {
     const { tasks, perTask } = record.job.shape;
@@ -146,7 +207,7 @@
     const limits = new Map(
       workers.map((worker) => [
         worker,
-        record.pinned
+        avoidsReserved
           ? countFitting(getUnreservedRoom(worker), perTask)
           : Infinity,
       ]),
@@ -163,7 +224,7 @@
     };
     for (const worker of workers) recount(worker);
     if (total >= tasks) return chooseWorkers(counts, tasks, nowMs);
-    for (const release of this.#listReleases(workers, nowMs)) {
+    for (const release of this.#listReleases(workers, tasks > 1, nowMs)) {
       addScaled(rooms.get(release.worker)!, release.perTask, release.tasks);
       recount(release.worker);
       if (total >= tasks) return chooseWorkers(counts, tasks, release.endMs);
@@ -173,6 +234,7 @@
 
   #listReleases(
     workers: readonly WorkerState[],
+    mayMove: boolean,
     nowMs: number,
   ): Release[] {
     const releases: Release[] = [];
@@ -181,7 +243,9 @@
         const record = this.#state.records.get(jobId);
         if (record === undefined) continue;
         const { perTask } = record.job.shape;
-        const endMs = predictEndMs(record, nowMs);
+        const endMs = mayMove && isMovable(record)
+          ? nowMs + RECLAIM_CHECKPOINT_LIMIT_MS
+          : predictEndMs(record, nowMs);
         releases.push({ endMs, worker, perTask, tasks });
       }
     }
--- a/packages/policy/placement/job_record.ts
+++ b/packages/policy/placement/job_record.ts
@@ -4,6 +4,11 @@
 import type { GuaranteeUnit } from "../guarantees/reservation_plan.ts";
 import type { QueuedJob } from "../types.ts";
 import type { Place } from "./capacity_model.ts";
+import {
+  RECLAIM_CHECKPOINT_LIMIT_MS,
+  RESERVATION_AFTER_MS,
+  SINGLE_RESERVATION_AFTER_MS,
+} from "./constants.ts";
 import { computeDemand, createShapeKey } from "./resources.ts";
 
 export const JOB_PHASE = {
@@ -36,6 +41,8 @@
   /** Corrected estimate, set when it was placed. */
   estimateMs: number;
   failures: number;
+  /** When compaction last moved it. */
+  movedAtMs: number;
   /** Healthy workers on which it failed; it is kept away from them. */
   readonly failedOn: Set<WorkerName>;
 }
@@ -54,6 +61,7 @@
     startedAtMs: undefined,
     estimateMs: job.expectedRunMs,
     failures: 0,
+    movedAtMs: Number.NEGATIVE_INFINITY,
     failedOn: new Set(),
   };
 }
@@ -69,6 +77,26 @@
     !record.pinned;
 }
 
+/** When a job that still waits gets capacity reserved. */
+export function getReservationTimeMs(record: JobRecord): number {
+  const patienceMs = record.job.shape.tasks > 1
+    ? RESERVATION_AFTER_MS
+    : SINGLE_RESERVATION_AFTER_MS;
+  return record.waitingSinceMs + patienceMs;
+}
+
+/** A single borrowed task that can be moved at the price of a short checkpoint. */
+export function isMovable(record: JobRecord): boolean {
+  return isEvictable(record) && record.startedAtMs !== undefined &&
+    wouldBeMovable(record);
+}
+
+/** Whether the job could be moved once it runs. */
+export function wouldBeMovable({ job }: JobRecord): boolean {
+  return job.shape.tasks === 1 && job.canCheckpoint &&
+    job.checkpointMs <= RECLAIM_CHECKPOINT_LIMIT_MS;
+}
+
 /** When a placed job should be gone by the corrected estimate, never before now. */
 export function predictEndMs(record: JobRecord, nowMs: number): number {
   const startMs = record.startedAtMs ?? record.placedAtMs;
--- a/packages/policy/placement/placement_state.ts
+++ b/packages/policy/placement/placement_state.ts
@@ -9,7 +9,13 @@
   type GuaranteeUnit,
   ReservationPlan,
 } from "../guarantees/reservation_plan.ts";
-import { CapacityModel, isUsable, type Place } from "./capacity_model.ts";
+import {
+  CapacityModel,
+  countUnreserved,
+  isUsable,
+  type Place,
+} from "./capacity_model.ts";
+import { findPlaces } from "./packing.ts";
 import { FragmentationModel } from "./fragmentation.ts";
 import { isPlaced, JOB_PHASE, type JobRecord } from "./job_record.ts";
 import {
@@ -131,6 +137,22 @@
     return excess;
   }
 
+  /**
+   * Whether the job should stay off capacity that guarantees need. Pinned work must; a gang that
+   * would lose its work when evicted does wherever there is other capacity for it.
+   */
+  avoidsReserved(record: JobRecord): boolean {
+    if (record.pinned) return true;
+    const { shape, canCheckpoint } = record.job;
+    if (canCheckpoint || shape.tasks === 1) return false;
+    const places = findPlaces(
+      this.capacity.racks,
+      shape,
+      (worker) => countUnreserved(worker, shape.perTask),
+    );
+    return places.length > 0;
+  }
+
   /** Dominant share of what an organisation borrows, by its weight. */
   computeBorrowedShare(organisation: OrganisationName): number {
     const weight = this.#organisations.get(organisation)?.weight ?? 1;
--- a/packages/policy/placement/run_limits.ts
+++ b/packages/policy/placement/run_limits.ts
@@ -1,6 +1,10 @@
 /** Sends out work that ran past its maximum time, and all work of a failure domain that is out. */
 import type { JobId } from "@coltsfootpond/common";
-import { type Decision, EVICTION_REASON } from "../types.ts";
+import {
+  type Decision,
+  EVICTION_REASON,
+  type EvictionReason,
+} from "../types.ts";
 import { BinaryHeap } from "./binary_heap.ts";
 import { JOB_PHASE, type JobRecord } from "./job_record.ts";
 
@@ -60,7 +64,7 @@
 /** Asks a placed job to go, with at most `limitMs` for its checkpoint. */
 export function evict(
   record: JobRecord,
-  reason: Extract<Decision, { kind: "evict" }>["reason"],
+  reason: EvictionReason,
   limitMs: number,
 ): Decision {
   record.phase = JOB_PHASE.EVICTING;
--- a/packages/policy/types.ts
+++ b/packages/policy/types.ts
@@ -42,6 +42,8 @@
   RECLAIM: "reclaim",
   OVERRUN: "overrun",
   DOMAIN_OUT: "domain_out",
+  /** Moved at the price of a checkpoint, so that a worker becomes empty. */
+  COMPACTION: "compaction",
 } as const;
 export type EvictionReason = ValueOf<typeof EVICTION_REASON>;
 
@@ -133,13 +135,16 @@
 
 /** Small picture of one failure domain, sent to the other entries for choosing a home. */
 export interface DomainSummary {
+  /** What is free and not kept for a gang that waited long. */
   readonly freeAccelerators: number;
   readonly totalAccelerators: number;
   readonly largestRackFreeAccelerators: number;
   /** Accelerators of the rack that guarantees and pinned work leave most of. */
   readonly largestRackUnreservedAccelerators: number;
-  /** Free accelerators of workers that run something already. */
-  readonly partlyFreeAccelerators: number;
+  /** Most free accelerators of any worker that runs something already. */
+  readonly largestPartlyFreeAccelerators: number;
+  /** Accelerators' worth of large shapes lost by the least harmful start on an empty worker. */
+  readonly openingLoss: number;
   readonly freeMilliprocessors: number;
   readonly queuedJobs: number;
   readonly queuedAccelerators: number;
--- a/scripts/bench_placement/arrivals.ts
+++ b/scripts/bench_placement/arrivals.ts
@@ -45,6 +45,7 @@
 }
 
 const SERVICES_PER_CLASS = 3;
+const BURST_GAP_MS = 20;
 const PINNED_SHARE = 0.1;
 const CHECKPOINT_SHARE = 0.5;
 const MAXIMUM_RUN_FACTOR = 4;
@@ -98,6 +99,20 @@
     }
   }
 
+  /** Bursts of small jobs that arrive within seconds, as when a batch is handed in. */
+  addBursts(options: StreamOptions, jobsPerBurst: number): void {
+    const sizes = options.shapes.map(({ perTask }) => perTask.accelerators);
+    const meanSize = sizes.reduce((sum, size) => sum + size, 0) / sizes.length;
+    const gapMs = options.meanRunMs * meanSize * jobsPerBurst / options.load;
+    let atMs = drawExponential(this.#random, gapMs);
+    while (atMs < this.#windowMs) {
+      for (let index = 0; index < jobsPerBurst; index++) {
+        this.#addJob(options, atMs + index * BURST_GAP_MS);
+      }
+      atMs += drawExponential(this.#random, gapMs);
+    }
+  }
+
   /** Work that each organisation is promised at once: never more than one at a time. */
   addUrgent(shape: Shape): void {
     for (const organisation of this.#organisations) {
@@ -174,12 +189,14 @@
 
 function addToday(generator: ArrivalGenerator, deployment: Deployment): void {
   const isLechfeld = deployment === DEPLOYMENT.LECHFELD;
-  generator.addStream({
+  const small: StreamOptions = {
     jobClass: JOB_CLASS.SMALL,
     shapes: [1, 1, 1, 2, 4].map(createSmallShape),
-    load: isLechfeld ? 125 : 85,
+    load: isLechfeld ? 80 : 55,
     meanRunMs: 12 * MS_PER_MINUTE,
-  });
+  };
+  generator.addStream(small);
+  generator.addBursts({ ...small, load: isLechfeld ? 55 : 40 }, 400);
   generator.addStream({
     jobClass: JOB_CLASS.LARGE,
     shapes: [2, 4, 4, 8].map(createRackGang),
--- a/scripts/bench_placement/main.ts
+++ b/scripts/bench_placement/main.ts
@@ -81,7 +81,7 @@
     report.policy.padEnd(14),
     `small p50/p99 ${report.smallP50S}/${report.smallP99S} s`,
     `large p50/p99 ${report.largeP50S}/${report.largeP99S} s`,
-    `fragmentation ${report.fragmentation}`,
+    `fragmentation ${report.fragmentation} (momentary ${report.fragmentationMomentary})`,
     `utilisation ${report.utilisation}`,
     `guarantee waits over 3.2 s ${report.guaranteeWaitsOverBound}`,
     `starved ${report.starvedGangs}`,
--- a/scripts/bench_placement/measures.ts
+++ b/scripts/bench_placement/measures.ts
@@ -17,8 +17,13 @@
   readonly finished: number;
   readonly unfinished: number;
   readonly refused: number;
-  /** Time average of the share of free accelerators that no large shape can use. */
+  /**
+   * Share of free accelerators that no large shape can use: the time average of those that none
+   * can use, over the time average of the free ones.
+   */
   readonly fragmentation: number;
+  /** Time average of the momentary share, 0 while nothing is free. */
+  readonly fragmentationMomentary: number;
   /** Time average of stranded accelerators as a share of all. */
   readonly strandedShare: number;
   readonly utilisation: number;
@@ -159,7 +164,11 @@
       finished: this.#finished,
       unfinished: this.#unfinished,
       refused: this.#refused,
-      fragmentation: round(this.#fragmentation / samples, 4),
+      fragmentation: round(
+        this.#stranded / Math.max(1e-9, samples - this.#used),
+        4,
+      ),
+      fragmentationMomentary: round(this.#fragmentation / samples, 4),
       strandedShare: round(this.#stranded / samples, 4),
       utilisation: round(this.#used / samples, 4),
       guaranteeWaits: waits.length,
