--- /dev/null
+++ b/packages/policy/guarantees/quota_split.ts
@@ -0,0 +1,134 @@
+/**
+ * Divides each organisation's quota among the failure domains. Every engine sees only its own
+ * failure domain, so without a division each would allow the whole quota. A pure function of the
+ * declarations, the guarantee plan and the failure domains out, alike on every entry.
+ */
+import type {
+  Declarations,
+  FailureDomainDeclaration,
+  FailureDomainName,
+  OrganisationDeclaration,
+  Resources,
+} from "@coltsfootpond/common";
+import {
+  addScaled,
+  computeDemand,
+  createEmptyResources,
+  fitsWithin,
+  type MutableResources,
+  scaleResources,
+  subtractResources,
+} from "../placement/resources.ts";
+import type { GuaranteePlan } from "./guarantee_planner.ts";
+
+/** Organisations with their share of the quota, by failure domain. */
+export type QuotaShares = ReadonlyMap<
+  FailureDomainName,
+  readonly OrganisationDeclaration[]
+>;
+
+const RESOURCE_NAMES = [
+  "milliprocessors",
+  "memoryMib",
+  "accelerators",
+] as const;
+
+/** The largest gang, resource by resource, that the organisation may submit. */
+function findLargestDemand(
+  { services }: Declarations,
+  organisation: OrganisationDeclaration,
+): Resources {
+  const largest = createEmptyResources();
+  for (const service of services) {
+    if (service.kind !== "job") continue;
+    const { organisations } = service;
+    const isOpen = organisations.length === 0 ||
+      organisations.includes(organisation.name);
+    if (!isOpen) continue;
+    const demand = computeDemand(service.shape);
+    for (const name of RESOURCE_NAMES) {
+      largest[name] = Math.max(largest[name], demand[name]);
+    }
+  }
+  return largest;
+}
+
+/** Among how many failure domains the rest can be divided with room for a gang in each. */
+function countShares(
+  rest: Resources,
+  largest: Resources,
+  domains: number,
+): number {
+  let shares = domains;
+  for (const name of RESOURCE_NAMES) {
+    if (largest[name] === 0) continue;
+    shares = Math.min(shares, Math.floor(rest[name] / largest[name]));
+  }
+  return Math.max(1, shares);
+}
+
+function countAccelerators({ racks }: FailureDomainDeclaration): number {
+  return racks
+    .flatMap(({ workers }) => workers)
+    .reduce((sum, { resources }) => sum + resources.accelerators, 0);
+}
+
+function sumHeld(
+  plan: GuaranteePlan,
+  organisation: OrganisationDeclaration,
+): Map<FailureDomainName, MutableResources> {
+  const held = new Map<FailureDomainName, MutableResources>();
+  const total = createEmptyResources();
+  for (const { guarantee, failureDomain } of plan.holdings) {
+    if (guarantee.organisation !== organisation.name) continue;
+    const demand = computeDemand(guarantee.shape);
+    const rest = subtractResources(organisation.quota, total);
+    if (!fitsWithin(demand, rest)) continue;
+    addScaled(total, demand, 1);
+    const sum = held.get(failureDomain) ?? createEmptyResources();
+    addScaled(sum, demand, 1);
+    held.set(failureDomain, sum);
+  }
+  return held;
+}
+
+/**
+ * Each failure domain gets what its guarantees need; the rest is divided evenly among as many of
+ * the largest ones as leaves room for the organisation's largest gang in each.
+ */
+export function splitQuotas(
+  declarations: Declarations,
+  plan: GuaranteePlan,
+  domainsOut: readonly FailureDomainName[],
+): QuotaShares {
+  const domains = declarations.failureDomains
+    .filter(({ name }) => !domainsOut.includes(name))
+    .sort((left, right) =>
+      countAccelerators(right) - countAccelerators(left) ||
+      (left.name < right.name ? -1 : 1)
+    );
+  const shares = new Map<FailureDomainName, OrganisationDeclaration[]>(
+    domains.map(({ name }) => [name, []]),
+  );
+  for (const organisation of declarations.organisations) {
+    const held = sumHeld(plan, organisation);
+    const rest = subtractResources(organisation.quota, ...held.values());
+    const largest = findLargestDemand(declarations, organisation);
+    const count = countShares(rest, largest, domains.length);
+    const share = scaleResources(rest, 1 / count);
+    domains.forEach(({ name }, index) => {
+      const quota = { ...held.get(name) ?? createEmptyResources() };
+      if (index < count) addScaled(quota, share, 1);
+      shares.get(name)!.push({ ...organisation, quota: floor(quota) });
+    });
+  }
+  return shares;
+}
+
+function floor(amount: Resources): Resources {
+  return {
+    milliprocessors: Math.floor(amount.milliprocessors),
+    memoryMib: Math.floor(amount.memoryMib),
+    accelerators: Math.floor(amount.accelerators),
+  };
+}
--- a/packages/policy/mod.ts
+++ b/packages/policy/mod.ts
@@ -1,7 +1,9 @@
 /** Public face of `@coltsfootpond/policy`: pure decisions on placement, order and balance. */
 export * from "./types.ts";
 export * from "./guarantees/guarantee_planner.ts";
+export * from "./guarantees/quota_split.ts";
 export * from "./placement/domain_choice.ts";
 export { createPlacementEngine } from "./placement/engine.ts";
 export type { PlacementEngineOptions } from "./placement/engine.ts";
+export { suitsGuarantee } from "./placement/resources.ts";
 export * from "./placement/submission_check.ts";
