Bench calls over processes; count others' slots, refuse by safe time, tolerate few refusals

Change: the limit moves by windows and ignores a small share of refusals; a call waits for a quarter of its spare time at most and is refused when mean plus three deviations do not fit; a report counts only the slots of the others, one's own are known; ids are drawn from a pool; a body read whole creates no error object.

--- a/packages/common/random.ts
+++ b/packages/common/random.ts
@@ -32,9 +32,23 @@
 /** The process's own generator. */
 export const SYSTEM_RANDOM: Random = { next: () => Math.random() };
 
+const UNIQUE_ID_BYTES = 16;
+const POOLED_IDS = 256;
+
+/** Random bytes drawn ahead, so that not every id costs a call of the system's generator. */
+let pool = randomBytes(UNIQUE_ID_BYTES * POOLED_IDS);
+let poolOffset = 0;
+
 /** A 128-bit random id in hex, for incarnations, attempts and write ids. */
 export function createUniqueId(): string {
-  return randomBytes(16).toString("hex");
+  if (poolOffset === pool.byteLength) {
+    pool = randomBytes(UNIQUE_ID_BYTES * POOLED_IDS);
+    poolOffset = 0;
+  }
+  const end = poolOffset + UNIQUE_ID_BYTES;
+  const id = pool.toString("hex", poolOffset, end);
+  poolOffset = end;
+  return id;
 }
 
 /** A uniform integer in [0, bound). */
--- a/packages/node/http/body.ts
+++ b/packages/node/http/body.ts
@@ -32,7 +32,9 @@
       chunks.push(chunk);
     });
     incoming.once("end", () => resolve(Buffer.concat(chunks, lengthBytes)));
-    const cut = (): void => reject(CodedError.create("MALFORMED"));
+    const cut = (): void => {
+      if (!incoming.complete) reject(CodedError.create("MALFORMED"));
+    };
     incoming.once("error", cut);
     incoming.once("close", cut);
   });
--- a/packages/node/http/server.ts
+++ b/packages/node/http/server.ts
@@ -68,6 +68,12 @@
   return lines.join("\r\n") + new TextDecoder().decode(reply.body);
 }
 
+function createTargetError(): CodedError {
+  return CodedError.create("MALFORMED", {
+    message: "the request target must be a path",
+  });
+}
+
 function flattenHeaders(incoming: IncomingMessage): Record<string, string> {
   const headers: Record<string, string> = {};
   for (const [name, value] of Object.entries(incoming.headers)) {
@@ -240,12 +246,12 @@
   }
 
   #parseUrl(target: string): URL {
-    if (!target.startsWith("/") || !URL.canParse(BASE_URL + target)) {
-      throw CodedError.create("MALFORMED", {
-        message: "the request target must be a path",
-      });
+    if (!target.startsWith("/")) throw createTargetError();
+    try {
+      return new URL(BASE_URL + target);
+    } catch {
+      throw createTargetError();
     }
-    return new URL(BASE_URL + target);
   }
 
   #authorise(
--- a/packages/node/requests/constants.ts
+++ b/packages/node/requests/constants.ts
@@ -35,10 +35,19 @@
 /** Requests of one service that may wait for a slot. */
 export const MAXIMUM_QUEUED_REQUESTS = 1_024;
 export const MINIMUM_CONCURRENCY = 1;
-/** Factor on the concurrency limit when runners refuse or time out. */
+/** Time over which refusals are counted before the limit moves. */
+export const CONCURRENCY_WINDOW_MS = 100;
+/** Share of refused attempts in a window that leaves the limit alone. */
+export const TOLERATED_REFUSAL_SHARE = 0.2;
+/** Factors on the limit after a window. */
 export const CONCURRENCY_DECREASE = 0.9;
-/** Shortest time between two decreases. */
-export const CONCURRENCY_DECREASE_PERIOD_MS = 100;
+export const CONCURRENCY_INCREASE = 1.1;
+/** The limit rises only when at least this share of it was used. */
+export const CONCURRENCY_USED_SHARE = 0.9;
+/** A call waits in the queue for at most this share of its remaining time. */
+export const QUEUE_WAIT_SHARE = 0.25;
+/** Mean deviations that a call may take longer than the mean. */
+export const DURATION_DEVIATIONS = 3;
 /** Waiting calls are looked at again this often, for capacity that came back by itself. */
 export const ADMISSION_CHECK_MS = 20;
 export const DURATION_SMOOTHING = 0.1;
--- a/packages/node/requests/filters/attempt.ts
+++ b/packages/node/requests/filters/attempt.ts
@@ -86,10 +86,9 @@
       signal: request.signal,
     });
     emit(request, attemptId, runner.name, outcome, startedMs);
+    const refused = outcome.kind === "failed" && outcome.blame === BLAME.FULL;
+    options.admissions.get(service).noteAttempt(refused);
     if (outcome.kind === "failed") {
-      if (outcome.blame === BLAME.FULL || outcome.blame === BLAME.SILENT) {
-        options.admissions.get(request.service).noteOverload();
-      }
       const { resultName, detail } = outcome;
       return failed(resultName, { detail, runner: runner.name });
     }
--- a/packages/node/requests/service_admission.ts
+++ b/packages/node/requests/service_admission.ts
@@ -7,10 +7,11 @@
 import { ConcurrencyLimit } from "./concurrency_limit.ts";
 import {
   ADMISSION_CHECK_MS,
-  DURATION_SMOOTHING,
   MAXIMUM_QUEUED_REQUESTS,
+  QUEUE_WAIT_SHARE,
   UNREADY_RETRY_AFTER_MS,
 } from "./constants.ts";
+import { DurationEstimate } from "./duration_estimate.ts";
 import { FairQueue, type QueueItem } from "./fair_queue.ts";
 import {
   type CallRequest,
@@ -40,7 +41,7 @@
   /** As declared in the newest configuration that a call was pinned to. */
   #service: CallServiceDeclaration;
   #inProgress = 0;
-  #meanDurationMs = 0;
+  readonly #duration = DurationEstimate.create();
   #check: Timer | undefined;
 
   private constructor(options: ServiceAdmissionOptions) {
@@ -78,18 +79,14 @@
   }
 
   leave(outcome: RequestOutcome, durationMs: number): void {
-    if (outcome.kind === "answered") {
-      this.#limit.noteSuccess(this.#inProgress);
-      this.#meanDurationMs += DURATION_SMOOTHING *
-        (durationMs - this.#meanDurationMs);
-    }
+    if (outcome.kind === "answered") this.#duration.add(durationMs);
     this.#inProgress--;
     this.#drain();
   }
 
-  /** A runner refused or went silent. */
-  noteOverload(): void {
-    this.#limit.noteOverload(this.#inProgress);
+  /** An attempt has ended; `refused` when its runner was full. */
+  noteAttempt(refused: boolean): void {
+    this.#limit.noteAttempt(refused, this.#inProgress);
   }
 
   #getLimit(): number {
@@ -103,18 +100,20 @@
   }
 
   #isReachable(deadlineMs: number): boolean {
-    return this.#options.clock.nowMs() + this.#meanDurationMs < deadlineMs;
+    return this.#options.clock.nowMs() + this.#duration.safeMs < deadlineMs;
   }
 
   #refuseEarly(request: CallRequest, limit: number): Admission {
     const { name, weight } = request.organisation;
     const ahead = this.#queue.countAhead(name, weight);
-    const waitMs = (ahead + 1) * this.#meanDurationMs / limit;
+    const waitMs = (ahead + 1) * this.#duration.meanMs / limit;
     const retryAfterMs = Math.max(waitMs, UNREADY_RETRY_AFTER_MS);
     if (this.#queue.size >= MAXIMUM_QUEUED_REQUESTS) {
       return failed("QUEUE_FULL", { retryAfterMs });
     }
-    if (!this.#isReachable(request.deadlineMs - waitMs)) {
+    const remainingMs = request.deadlineMs - this.#options.clock.nowMs();
+    const longestMs = (remainingMs - this.#duration.safeMs) * QUEUE_WAIT_SHARE;
+    if (waitMs > longestMs) {
       return failed("DEADLINE_UNREACHABLE", { retryAfterMs });
     }
     return undefined;
@@ -130,7 +129,7 @@
         const retryAfterMs = UNREADY_RETRY_AFTER_MS;
         waiting.settle(failed("DEADLINE_UNREACHABLE", { retryAfterMs }));
       };
-      const lastStartMs = deadlineMs - this.#meanDurationMs;
+      const lastStartMs = deadlineMs - this.#duration.safeMs;
       const timer = clock.after(lastStartMs - clock.nowMs(), giveUp);
       exchange.signal.addEventListener("abort", giveUp, { once: true });
       const waiting: WaitingCall = {
--- a/packages/node/upstreams/balancing/choose.ts
+++ b/packages/node/upstreams/balancing/choose.ts
@@ -7,7 +7,7 @@
 } from "@coltsfootpond/common";
 import type { Candidate } from "../types.ts";
 import { chooseByFixedShares, getFixedShareLimit } from "./fixed_shares.ts";
-import { chooseByLeastLoad } from "./least_load.ts";
+import { chooseByLeastLoad, getLeastLoadLimit } from "./least_load.ts";
 
 export const BALANCING = {
   FIXED_SHARES: "fixed_shares",
@@ -22,8 +22,9 @@
     case BALANCING.FIXED_SHARES:
       return getFixedShareLimit(candidate);
     case BALANCING.TWO_CHOICES:
-    case BALANCING.LEAST_LOAD:
       return candidate.slots;
+    case BALANCING.LEAST_LOAD:
+      return getLeastLoadLimit(candidate);
     default:
       return assertNever(way);
   }
--- a/packages/node/upstreams/balancing/fixed_shares.ts
+++ b/packages/node/upstreams/balancing/fixed_shares.ts
@@ -4,17 +4,16 @@
  * to spare; such a request may still be refused, which costs one try and pauses the borrowing.
  */
 import type { Random } from "@coltsfootpond/common";
-import { BORROW_REPORT_AGE_MS, BORROW_RESERVE } from "../constants.ts";
+import { BORROW_REPORT_AGE_MS } from "../constants.ts";
 import type { Candidate } from "../types.ts";
 import { chooseLowest } from "./lowest.ts";
 
 function countBorrowable(candidate: Candidate): number {
-  const { reportedInUse, reportAgeMs, refusedLately } = candidate;
-  const usable = reportedInUse !== undefined && !refusedLately &&
+  const { othersInUse, reportAgeMs, refusedLately } = candidate;
+  const usable = othersInUse !== undefined && !refusedLately &&
     reportAgeMs <= BORROW_REPORT_AGE_MS;
   if (!usable) return 0;
-  const free = candidate.slots - Math.max(reportedInUse, candidate.inUse);
-  return Math.max(0, free - BORROW_RESERVE);
+  return Math.max(0, candidate.slots - othersInUse - candidate.inUse);
 }
 
 /** Own slots and those that may be borrowed now. */
@@ -41,7 +40,7 @@
   }
   return chooseLowest(
     candidates,
-    (candidate) => candidate.reportedInUse ?? candidate.inUse,
+    ({ inUse, othersInUse = 0 }) => inUse + othersInUse,
     random,
   );
 }
--- a/packages/node/upstreams/balancing/least_load.ts
+++ b/packages/node/upstreams/balancing/least_load.ts
@@ -8,11 +8,15 @@
 import type { Candidate } from "../types.ts";
 import { chooseLowest } from "./lowest.ts";
 
-function estimateLoad(candidate: Candidate): number {
-  const { inUse, reportedInUse, reportAgeMs } = candidate;
-  if (reportedInUse === undefined) return inUse;
-  const weight = Math.exp(-reportAgeMs / REPORT_DECAY_MS);
-  return inUse + weight * Math.max(0, reportedInUse - inUse);
+/** Load by the other entries, as far as the last report still counts. */
+function estimateOthers(candidate: Candidate): number {
+  const { othersInUse = 0, reportAgeMs } = candidate;
+  return othersInUse * Math.exp(-reportAgeMs / REPORT_DECAY_MS);
+}
+
+/** Slots that the others are not thought to use. */
+export function getLeastLoadLimit(candidate: Candidate): number {
+  return Math.ceil(candidate.slots - estimateOthers(candidate));
 }
 
 export function chooseByLeastLoad(
@@ -21,7 +25,8 @@
 ): Candidate | undefined {
   return chooseLowest(
     candidates,
-    (candidate) => estimateLoad(candidate) / candidate.slots,
+    (candidate) =>
+      (candidate.inUse + estimateOthers(candidate)) / candidate.slots,
     random,
   );
 }
--- a/packages/node/upstreams/constants.ts
+++ b/packages/node/upstreams/constants.ts
@@ -30,8 +30,6 @@
 
 /** A report older than this lends no slots. */
 export const BORROW_REPORT_AGE_MS = 200;
-/** Free slots that a report must show beyond a borrowed one. */
-export const BORROW_RESERVE = 2;
 /** No borrowing from a runner for this long after it refused. */
 export const BORROW_PAUSE_MS = 200;
 /** Time in which the weight of a report falls to 1/e. */
--- a/packages/node/upstreams/runner.ts
+++ b/packages/node/upstreams/runner.ts
@@ -38,6 +38,7 @@
   #inUse = 0;
   #report: LoadReport | undefined;
   #reportedMs = -Infinity;
+  #othersInUse: number | undefined;
   #refusedMs = -Infinity;
 
   private constructor(options: RunnerOptions) {
@@ -83,6 +84,7 @@
     this.#vm = vm;
     if (moved) {
       this.#report = undefined;
+      this.#othersInUse = undefined;
       this.#agent.suspectAll();
     }
     if (vm.state === "leaving") this.#agent.retire();
@@ -111,7 +113,7 @@
       inUse: this.#inUse,
       share: Math.ceil(share * loadShare),
       slots: Math.ceil(slots * loadShare),
-      reportedInUse: this.#report?.slotsInUse,
+      othersInUse: this.#othersInUse,
       reportAgeMs: nowMs - this.#reportedMs,
       refusedLately: nowMs - this.#refusedMs < BORROW_PAUSE_MS,
     };
@@ -132,8 +134,8 @@
     const { clock } = this.#options;
     const target = { host, port, agent: this.#agent, clock };
     const outcome = await exchangeWithRunner(target, upstream);
-    this.#learn(outcome);
     this.giveBack();
+    this.#learn(outcome);
     return outcome;
   }
 
@@ -142,6 +144,8 @@
     if (outcome.report !== undefined) {
       this.#report = outcome.report;
       this.#reportedMs = nowMs;
+      const others = outcome.report.slotsInUse - this.#inUse;
+      this.#othersInUse = Math.max(0, others);
     }
     if (outcome.kind === "answered") {
       this.#health.noteSuccess();
--- a/packages/node/upstreams/types.ts
+++ b/packages/node/upstreams/types.ts
@@ -64,7 +64,8 @@
   readonly share: number;
   /** All slots, lowered while it starts slowly. */
   readonly slots: number;
-  readonly reportedInUse?: number;
+  /** Slots that the other entries used when the runner last reported. */
+  readonly othersInUse?: number;
   readonly reportAgeMs: number;
   /** It refused a short time ago. */
   readonly refusedLately: boolean;
--- /dev/null
+++ b/scripts/bench_requests/main.ts
@@ -0,0 +1,107 @@
+/**
+ * Bench of calls over real processes on loopback: `npm run bench:requests -- --seed S --deployment D
+ * [--json]`. Exit code 1 when a promise was broken or a bound was not kept. Leaves no process behind.
+ */
+import process from "node:process";
+import { performance } from "node:perf_hooks";
+import yargs from "yargs";
+import { hideBin } from "yargs/helpers";
+import { SeededRandom } from "@coltsfootpond/common";
+import { BALANCING } from "@coltsfootpond/node";
+import { Fleet } from "./fleet.ts";
+import { callRecords } from "./load.ts";
+import { DEPLOYMENT, SHAPES } from "./options.ts";
+import { type PhaseReport, runPhases } from "./phases.ts";
+import { checkBounds, countBrokenPromises } from "./verdict.ts";
+
+const MAXIMUM_DURATION_MS = 90_000;
+
+const flags = await yargs(hideBin(process.argv))
+  .scriptName("bench:requests")
+  .option("seed", { type: "number", default: 1 })
+  .option("deployment", {
+    choices: Object.values(DEPLOYMENT),
+    default: DEPLOYMENT.LECHFELD,
+  })
+  .option("balancing", {
+    choices: Object.values(BALANCING),
+    default: BALANCING.FIXED_SHARES,
+  })
+  .option("json", { type: "boolean", default: false })
+  .strict()
+  .help()
+  .parse();
+
+function printPhase(phase: PhaseReport): void {
+  const { phase: name, answeredPerSecond, p50Ms, p99Ms } = phase;
+  const details = Object.entries(phase.details)
+    .map(([key, value]) => `${key} ${value.toFixed(2)}`);
+  console.log(
+    [
+      name.padEnd(20),
+      `answered ${phase.answered}/${phase.sent}`,
+      `not_run ${phase.notRun}`,
+      `unknown ${phase.unknown}`,
+      `${answeredPerSecond.toFixed(0)}/s`,
+      `p50 ${p50Ms.toFixed(1)} ms`,
+      `p99 ${p99Ms.toFixed(1)} ms`,
+      `refused p99 ${phase.refusedP99Ms.toFixed(1)} ms`,
+      ...details,
+      JSON.stringify(phase.codes),
+    ].join("  "),
+  );
+}
+
+const shape = SHAPES[flags.deployment];
+const fleet = Fleet.create();
+const stopped = (): void => {
+  void fleet.stop().then(() => process.exit(1));
+};
+process.once("SIGINT", stopped);
+process.once("SIGTERM", stopped);
+const bound = setTimeout(stopped, MAXIMUM_DURATION_MS);
+const startedMs = performance.now();
+try {
+  await fleet.start({ shape, seed: flags.seed });
+  const phases = await runPhases({
+    fleet,
+    shape,
+    random: SeededRandom.create(flags.seed),
+    balancing: flags.balancing,
+  });
+  const ledger = await fleet.readLedger();
+  const bounds = checkBounds(phases);
+  const broken = countBrokenPromises(callRecords, phases, ledger, shape.slots);
+  const seconds = (performance.now() - startedMs) / 1_000;
+  const { seed, deployment, balancing } = flags;
+  if (flags.json) {
+    console.log(
+      JSON.stringify(
+        { seed, deployment, balancing, seconds, phases, bounds, broken },
+        undefined,
+        2,
+      ),
+    );
+  } else {
+    console.log(
+      `${deployment}, seed ${seed}, ${balancing}, ${seconds.toFixed(1)} s`,
+    );
+    phases.forEach(printPhase);
+    for (const { name, measured, limit, kept } of bounds) {
+      const verdict = kept ? "kept" : "NOT KEPT";
+      console.log(
+        `${verdict}: ${name} ${measured.toFixed(2)} (bound ${
+          limit.toFixed(2)
+        })`,
+      );
+    }
+    console.log(`broken promises: ${JSON.stringify(broken)}`);
+  }
+  const good = bounds.every(({ kept }) => kept) &&
+    Object.values(broken).every((count) => count === 0);
+  process.exitCode = good ? 0 : 1;
+} finally {
+  clearTimeout(bound);
+  await fleet.stop();
+}
+process.exit();
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -10,6 +10,9 @@
   platform: "stand_ins/platform/main.ts",
   runner: "stand_ins/runner/main.ts",
   demo: "scripts/demo/main.ts",
+  bench_requests: "scripts/bench_requests/main.ts",
+  bench_entry: "scripts/bench_requests/entry.ts",
+  bench_runner_host: "scripts/bench_requests/runner_host.ts",
 } as const;
 
 await build({
