--- a/packages/node/requests/constants.ts
+++ b/packages/node/requests/constants.ts
@@ -51,3 +51,5 @@
 /** Waiting calls are looked at again this often, for capacity that came back by itself. */
 export const ADMISSION_CHECK_MS = 20;
 export const DURATION_SMOOTHING = 0.1;
+/** Smoothing of samples below the mean. */
+export const DURATION_RECOVERY = 0.3;
--- a/packages/node/requests/duration_estimate.ts
+++ b/packages/node/requests/duration_estimate.ts
@@ -1,5 +1,12 @@
-/** Smoothed time that calls take, with their mean deviation (Jacobson, 1988). */
-import { DURATION_DEVIATIONS, DURATION_SMOOTHING } from "./constants.ts";
+/**
+ * Smoothed time that attempts take, with its mean deviation (Jacobson, 1988). It falls faster than it
+ * rises, so that a stall does not outlive itself in refusals.
+ */
+import {
+  DURATION_DEVIATIONS,
+  DURATION_RECOVERY,
+  DURATION_SMOOTHING,
+} from "./constants.ts";
 
 export class DurationEstimate {
   #meanMs = 0;
@@ -28,8 +35,9 @@
       return;
     }
     const error = durationMs - this.#meanMs;
-    this.#meanMs += DURATION_SMOOTHING * error;
-    this.#deviationMs += DURATION_SMOOTHING *
+    const smoothing = error < 0 ? DURATION_RECOVERY : DURATION_SMOOTHING;
+    this.#meanMs += smoothing * error;
+    this.#deviationMs += smoothing *
       (Math.abs(error) - this.#deviationMs);
   }
 }
--- a/packages/node/requests/filters/admission.ts
+++ b/packages/node/requests/filters/admission.ts
@@ -7,7 +7,7 @@
 import type { UpstreamPool } from "../../upstreams/pool.ts";
 import type { RequestFilter } from "../chain.ts";
 import { ServiceAdmission } from "../service_admission.ts";
-import { type CallRequest, failed, type RequestOutcome } from "../types.ts";
+import type { CallRequest, RequestOutcome } from "../types.ts";
 
 export interface AdmissionOptions {
   readonly clock: Clock;
@@ -47,7 +47,6 @@
 }
 
 export function createAdmissionFilter(
-  clock: Clock,
   admissions: Admissions,
 ): RequestFilter<CallRequest, CallRequest> {
   return {
@@ -56,13 +55,10 @@
       const admission = admissions.get(request.service);
       const refusal = await admission.enter(request);
       if (refusal !== undefined) return refusal;
-      const startedMs = clock.nowMs();
-      let outcome: RequestOutcome = failed("INTERNAL");
       try {
-        outcome = await next(request);
-        return outcome;
+        return await next(request);
       } finally {
-        admission.leave(outcome, clock.nowMs() - startedMs);
+        admission.leave();
       }
     },
   };
--- a/packages/node/requests/filters/attempt.ts
+++ b/packages/node/requests/filters/attempt.ts
@@ -86,12 +86,13 @@
       signal: request.signal,
     });
     emit(request, attemptId, runner.name, outcome, startedMs);
-    const refused = outcome.kind === "failed" && outcome.blame === BLAME.FULL;
-    options.admissions.get(service).noteAttempt(refused);
+    const admission = options.admissions.get(service);
     if (outcome.kind === "failed") {
+      admission.noteFailed(outcome.blame === BLAME.FULL);
       const { resultName, detail } = outcome;
       return failed(resultName, { detail, runner: runner.name });
     }
+    admission.noteAnswered(clock.nowMs() - startedMs);
     const { status, contentType, body } = outcome;
     const answer = { attemptId, status, contentType, body };
     return { kind: "answered", answer };
--- a/packages/node/requests/order.ts
+++ b/packages/node/requests/order.ts
@@ -35,14 +35,14 @@
 export function createRequestChain(
   options: RequestChainOptions,
 ): Handler<ReceivedRequest> {
-  const { clock, admissions } = options;
+  const { admissions } = options;
   return FilterChain.create<ReceivedRequest>()
     .through(createPinFilter(options.configuration))
     .through(createIdentifyFilter())
     .through(createAuthoriseFilter())
     .through(createLimitsFilter(options))
     .through(createDispatchJobFilter(options))
-    .through(createAdmissionFilter(clock, admissions))
+    .through(createAdmissionFilter(admissions))
     .through(createDeduplicateFilter(options))
     .through(createRetryFilter(options))
     .end(createAttemptHandler(options));
--- a/packages/node/requests/service_admission.ts
+++ b/packages/node/requests/service_admission.ts
@@ -13,12 +13,7 @@
 } from "./constants.ts";
 import { DurationEstimate } from "./duration_estimate.ts";
 import { FairQueue, type QueueItem } from "./fair_queue.ts";
-import {
-  type CallRequest,
-  failed,
-  type FailedOutcome,
-  type RequestOutcome,
-} from "./types.ts";
+import { type CallRequest, failed, type FailedOutcome } from "./types.ts";
 
 /** Undefined: the call may go on and must call `leave` when it ends. */
 export type Admission = FailedOutcome | undefined;
@@ -78,14 +73,19 @@
     return this.#wait(request);
   }
 
-  leave(outcome: RequestOutcome, durationMs: number): void {
-    if (outcome.kind === "answered") this.#duration.add(durationMs);
+  leave(): void {
     this.#inProgress--;
     this.#drain();
   }
 
-  /** An attempt has ended; `refused` when its runner was full. */
-  noteAttempt(refused: boolean): void {
+  /** An attempt was answered. */
+  noteAnswered(durationMs: number): void {
+    this.#duration.add(durationMs);
+    this.#limit.noteAttempt(false, this.#inProgress);
+  }
+
+  /** An attempt failed; `refused` when its runner was full. */
+  noteFailed(refused: boolean): void {
     this.#limit.noteAttempt(refused, this.#inProgress);
   }
 
@@ -99,8 +99,15 @@
     return undefined;
   }
 
+  /** Without a call in progress the estimate cannot mend itself, so any call may try. */
   #isReachable(deadlineMs: number): boolean {
-    return this.#options.clock.nowMs() + this.#duration.safeMs < deadlineMs;
+    const neededMs = this.#inProgress === 0 ? 0 : this.#getNeededMs();
+    return this.#options.clock.nowMs() + neededMs < deadlineMs;
+  }
+
+  /** An attempt with no progress for longer is given up in any case. */
+  #getNeededMs(): number {
+    return Math.min(this.#duration.safeMs, this.#service.progressTimeoutMs);
   }
 
   #refuseEarly(request: CallRequest, limit: number): Admission {
@@ -112,7 +119,7 @@
       return failed("QUEUE_FULL", { retryAfterMs });
     }
     const remainingMs = request.deadlineMs - this.#options.clock.nowMs();
-    const longestMs = (remainingMs - this.#duration.safeMs) * QUEUE_WAIT_SHARE;
+    const longestMs = (remainingMs - this.#getNeededMs()) * QUEUE_WAIT_SHARE;
     if (waitMs > longestMs) {
       return failed("DEADLINE_UNREACHABLE", { retryAfterMs });
     }
@@ -129,7 +136,7 @@
         const retryAfterMs = UNREADY_RETRY_AFTER_MS;
         waiting.settle(failed("DEADLINE_UNREACHABLE", { retryAfterMs }));
       };
-      const lastStartMs = deadlineMs - this.#duration.safeMs;
+      const lastStartMs = deadlineMs - this.#getNeededMs();
       const timer = clock.after(lastStartMs - clock.nowMs(), giveUp);
       exchange.signal.addEventListener("abort", giveUp, { once: true });
       const waiting: WaitingCall = {
--- a/packages/node/upstreams/constants.ts
+++ b/packages/node/upstreams/constants.ts
@@ -28,10 +28,6 @@
 /** A runner that comes back is given its full load over this time. */
 export const SLOW_START_MS = 3_000;
 
-/** A report older than this lends no slots. */
-export const BORROW_REPORT_AGE_MS = 200;
-/** No borrowing from a runner for this long after it refused. */
-export const BORROW_PAUSE_MS = 200;
 /** Time in which the weight of a report falls to 1/e. */
 export const REPORT_DECAY_MS = 250;
 
--- a/packages/node/upstreams/runner.ts
+++ b/packages/node/upstreams/runner.ts
@@ -1,7 +1,6 @@
 /** One runner as this entry knows it: its connections, attempts in progress, health and last report. */
 import type { Clock, RunnerName } from "@coltsfootpond/common";
 import type { VmRecord } from "@coltsfootpond/platform";
-import { BORROW_PAUSE_MS } from "./constants.ts";
 import { exchangeWithRunner } from "./exchange.ts";
 import { RunnerHealth } from "./health.ts";
 import { RunnerAgent } from "./runner_agent.ts";
@@ -39,7 +38,6 @@
   #report: LoadReport | undefined;
   #reportedMs = -Infinity;
   #othersInUse: number | undefined;
-  #refusedMs = -Infinity;
 
   private constructor(options: RunnerOptions) {
     this.#options = options;
@@ -115,7 +113,6 @@
       slots: Math.ceil(slots * loadShare),
       othersInUse: this.#othersInUse,
       reportAgeMs: nowMs - this.#reportedMs,
-      refusedLately: nowMs - this.#refusedMs < BORROW_PAUSE_MS,
     };
   }
 
@@ -151,7 +148,6 @@
       this.#health.noteSuccess();
       return;
     }
-    if (outcome.blame === BLAME.FULL) this.#refusedMs = nowMs;
     if (outcome.blame === BLAME.SILENT) this.#agent.suspectAll();
     if (this.#health.noteFailure(outcome.blame)) {
       this.#options.onEjected(this.name);
--- a/packages/node/upstreams/types.ts
+++ b/packages/node/upstreams/types.ts
@@ -67,6 +67,4 @@
   /** Slots that the other entries used when the runner last reported. */
   readonly othersInUse?: number;
   readonly reportAgeMs: number;
-  /** It refused a short time ago. */
-  readonly refusedLately: boolean;
 }
