--- a/packages/node/requests/service_admission.ts
+++ b/packages/node/requests/service_admission.ts
@@ -7,17 +7,13 @@
 import { ConcurrencyLimit } from "./concurrency_limit.ts";
 import {
   ADMISSION_CHECK_MS,
-  DURATION_SMOOTHING,
   MAXIMUM_QUEUED_REQUESTS,
+  QUEUE_WAIT_SHARE,
   UNREADY_RETRY_AFTER_MS,
 } from "./constants.ts";
+import { DurationEstimate } from "./duration_estimate.ts";
 import { FairQueue, type QueueItem } from "./fair_queue.ts";
-import {
-  type CallRequest,
-  failed,
-  type FailedOutcome,
-  type RequestOutcome,
-} from "./types.ts";
+import { type CallRequest, failed, type FailedOutcome } from "./types.ts";
 
 /** Undefined: the call may go on and must call `leave` when it ends. */
 export type Admission = FailedOutcome | undefined;
@@ -40,7 +36,7 @@
   /** As declared in the newest configuration that a call was pinned to. */
   #service: CallServiceDeclaration;
   #inProgress = 0;
-  #meanDurationMs = 0;
+  readonly #duration = DurationEstimate.create();
   #check: Timer | undefined;
 
   private constructor(options: ServiceAdmissionOptions) {
@@ -77,19 +73,20 @@
     return this.#wait(request);
   }
 
-  leave(outcome: RequestOutcome, durationMs: number): void {
-    if (outcome.kind === "answered") {
-      this.#limit.noteSuccess(this.#inProgress);
-      this.#meanDurationMs += DURATION_SMOOTHING *
-        (durationMs - this.#meanDurationMs);
-    }
+  leave(): void {
     this.#inProgress--;
     this.#drain();
   }
 
-  /** A runner refused or went silent. */
-  noteOverload(): void {
-    this.#limit.noteOverload(this.#inProgress);
+  /** An attempt was answered. */
+  noteAnswered(durationMs: number): void {
+    this.#duration.add(durationMs);
+    this.#limit.noteAttempt(false, this.#inProgress);
+  }
+
+  /** An attempt failed; `refused` when its runner was full. */
+  noteFailed(refused: boolean): void {
+    this.#limit.noteAttempt(refused, this.#inProgress);
   }
 
   #getLimit(): number {
@@ -102,19 +99,28 @@
     return undefined;
   }
 
+  /** Without a call in progress the estimate cannot mend itself, so any call may try. */
   #isReachable(deadlineMs: number): boolean {
-    return this.#options.clock.nowMs() + this.#meanDurationMs < deadlineMs;
+    const neededMs = this.#inProgress === 0 ? 0 : this.#getNeededMs();
+    return this.#options.clock.nowMs() + neededMs < deadlineMs;
+  }
+
+  /** An attempt with no progress for longer is given up in any case. */
+  #getNeededMs(): number {
+    return Math.min(this.#duration.safeMs, this.#service.progressTimeoutMs);
   }
 
   #refuseEarly(request: CallRequest, limit: number): Admission {
     const { name, weight } = request.organisation;
     const ahead = this.#queue.countAhead(name, weight);
-    const waitMs = (ahead + 1) * this.#meanDurationMs / limit;
+    const waitMs = (ahead + 1) * this.#duration.meanMs / limit;
     const retryAfterMs = Math.max(waitMs, UNREADY_RETRY_AFTER_MS);
     if (this.#queue.size >= MAXIMUM_QUEUED_REQUESTS) {
       return failed("QUEUE_FULL", { retryAfterMs });
     }
-    if (!this.#isReachable(request.deadlineMs - waitMs)) {
+    const remainingMs = request.deadlineMs - this.#options.clock.nowMs();
+    const longestMs = (remainingMs - this.#getNeededMs()) * QUEUE_WAIT_SHARE;
+    if (waitMs > longestMs) {
       return failed("DEADLINE_UNREACHABLE", { retryAfterMs });
     }
     return undefined;
@@ -130,7 +136,7 @@
         const retryAfterMs = UNREADY_RETRY_AFTER_MS;
         waiting.settle(failed("DEADLINE_UNREACHABLE", { retryAfterMs }));
       };
-      const lastStartMs = deadlineMs - this.#meanDurationMs;
+      const lastStartMs = deadlineMs - this.#getNeededMs();
       const timer = clock.after(lastStartMs - clock.nowMs(), giveUp);
       exchange.signal.addEventListener("abort", giveUp, { once: true });
       const waiting: WaitingCall = {
