--- a/packages/node/configuration/apply.ts
+++ b/packages/node/configuration/apply.ts
@@ -18,7 +18,7 @@
   toJson,
   transactChange,
 } from "../state/rows_json.ts";
-import { type ChunkStore, computeSetDigest } from "./chunk_store.ts";
+import type { ChunkStore } from "./chunk_store.ts";
 import type {
   ApplyOutcome,
   ApplyRequest,
@@ -48,12 +48,11 @@
   }
   const problems = options.checkFeasibility(parsed.declarations);
   if (problems.length > 0) return refuse("GUARANTEES_INFEASIBLE", problems);
-  const chunks = await options.chunks.store(request.files);
-  if (chunks === undefined) return refuse("OBJECTS_UNAVAILABLE");
+  const digest = await options.chunks.store(request.files);
+  if (digest === undefined) return refuse("OBJECTS_UNAVAILABLE");
   const head: ConfigurationHeadRow = {
     version: request.baseVersion + 1,
-    digest: computeSetDigest(chunks),
-    chunks,
+    digest,
     acceptedBy: options.entry,
   };
   const read = await options.table.read([CONFIGURATION_HEAD_KEY], {
--- a/packages/node/configuration/chunk_store.ts
+++ b/packages/node/configuration/chunk_store.ts
@@ -13,7 +13,11 @@
 const BACKOFF = { baseMs: 100, maximumMs: 1_000 };
 
 export type FetchOutcome =
-  | { readonly kind: "fetched"; readonly files: readonly ConfigurationFile[] }
+  | {
+    readonly kind: "fetched";
+    readonly chunks: readonly ConfigurationChunk[];
+    readonly files: readonly ConfigurationFile[];
+  }
   | { readonly kind: "failed"; readonly reason: string };
 
 export class ChunkStore {
@@ -29,42 +33,65 @@
     return new ChunkStore(context);
   }
 
-  /** Stores what is not known to be stored; undefined when the object store gave no answer. */
+  /**
+   * Stores what is not known to be stored, the manifest last. Undefined when the object store gave
+   * no answer.
+   */
   async store(
     files: readonly ConfigurationFile[],
-  ): Promise<readonly ConfigurationChunk[] | undefined> {
-    const chunks: ConfigurationChunk[] = [];
-    for (const file of files) {
-      const digest = computeDigest(file.text);
-      if (!this.#texts.has(digest)) {
-        const content = Buffer.from(file.text, "utf8");
-        const outcome = await this.#retry((objects) =>
-          objects.put(getChunkKey(digest), content, CALL_OPTIONS)
-        );
-        if (outcome.kind === "unavailable") return undefined;
-        this.#texts.set(digest, file.text);
-      }
-      chunks.push({ name: file.name, digest });
-    }
-    return chunks.sort((left, right) => left.name < right.name ? -1 : 1);
+  ): Promise<Digest | undefined> {
+    const chunks = files.map(({ name, text }) => ({
+      name,
+      digest: computeDigest(text),
+    }));
+    const stored = await Promise.all(
+      files.map(({ text }) => this.#storeText(text)),
+    );
+    if (!stored.every((isStored) => isStored)) return undefined;
+    const manifest = formatManifest(chunks);
+    const isStored = await this.#storeText(manifest);
+    return isStored ? computeDigest(manifest) : undefined;
   }
 
-  /** Fetches what is not kept, checks every digest, and keeps just these chunks. */
-  async fetch(chunks: readonly ConfigurationChunk[]): Promise<FetchOutcome> {
-    const texts = new Map<Digest, string>();
-    for (const { name, digest } of chunks) {
-      const text = this.#texts.get(digest) ?? await this.#fetchText(digest);
-      if (text === undefined) {
-        return { kind: "failed", reason: `chunk ${name} cannot be fetched` };
-      }
-      texts.set(digest, text);
+  /** Fetches what is not kept, checks every digest, and keeps just this set. */
+  async fetch(manifestDigest: Digest): Promise<FetchOutcome> {
+    const manifest = await this.#getText(manifestDigest);
+    if (manifest === undefined) {
+      return { kind: "failed", reason: "the manifest cannot be fetched" };
+    }
+    const chunks = parseManifest(manifest);
+    const texts = new Map([[manifestDigest, manifest]]);
+    await Promise.all(chunks.map(async ({ digest }) => {
+      const text = await this.#getText(digest);
+      if (text !== undefined) texts.set(digest, text);
+    }));
+    const missing = chunks.find(({ digest }) => !texts.has(digest));
+    if (missing !== undefined) {
+      const reason = `chunk ${missing.name} cannot be fetched`;
+      return { kind: "failed", reason };
     }
     this.#texts = texts;
     const files = chunks.map(({ name, digest }) => ({
       name,
       text: texts.get(digest) ?? "",
     }));
-    return { kind: "fetched", files };
+    return { kind: "fetched", chunks, files };
+  }
+
+  async #storeText(text: string): Promise<boolean> {
+    const digest = computeDigest(text);
+    if (this.#texts.has(digest)) return true;
+    const content = Buffer.from(text, "utf8");
+    const outcome = await this.#retry((objects) =>
+      objects.put(getChunkKey(digest), content, CALL_OPTIONS)
+    );
+    if (outcome.kind === "unavailable") return false;
+    this.#texts.set(digest, text);
+    return true;
+  }
+
+  async #getText(digest: Digest): Promise<string | undefined> {
+    return this.#texts.get(digest) ?? await this.#fetchText(digest);
   }
 
   async #fetchText(digest: Digest): Promise<string | undefined> {
@@ -90,12 +117,20 @@
   }
 }
 
-/** The digest of a whole set: over the names and digests of its chunks in order of name. */
-export function computeSetDigest(
-  chunks: readonly ConfigurationChunk[],
-): Digest {
-  const lines = chunks.map(({ name, digest }) => `${name} ${digest}\n`);
-  return computeDigest(lines.join(""));
+/** One line a file, digest first, in order of name: equal sets have equal manifests. */
+function formatManifest(chunks: readonly ConfigurationChunk[]): string {
+  return [...chunks]
+    .sort((left, right) => left.name < right.name ? -1 : 1)
+    .map(({ name, digest }) => `${digest} ${name}\n`)
+    .join("");
+}
+
+function parseManifest(manifest: string): readonly ConfigurationChunk[] {
+  return manifest.split("\n").filter((line) => line !== "").map((line) => {
+    const end = line.indexOf(" ");
+    const digest = createId<Digest>(line.slice(0, end));
+    return { name: line.slice(end + 1), digest };
+  });
 }
 
 function computeDigest(text: string): Digest {
--- a/packages/node/configuration/configuration_controller.ts
+++ b/packages/node/configuration/configuration_controller.ts
@@ -190,7 +190,7 @@
     if (this.#advancing) return;
     this.#advancing = true;
     try {
-      const fetched = await this.#chunks.fetch(head.chunks);
+      const fetched = await this.#chunks.fetch(head.digest);
       if (fetched.kind === "failed") {
         return this.#emitFailure(head, fetched.reason);
       }
@@ -201,7 +201,11 @@
       if (head.version <= this.#known.version) return;
       const { version, digest } = head;
       this.#known = { version, digest, confirmedMs };
-      this.#active = { version, head, declarations: parsed.declarations };
+      this.#active = {
+        version,
+        head: { ...head, chunks: fetched.chunks },
+        declarations: parsed.declarations,
+      };
       this.#options.context.events.emit("configuration.in_force", { version });
       this.#changes.next(this.#active);
       void this.#options.rows.refresh();
--- a/packages/node/mesh/codec.ts
+++ b/packages/node/mesh/codec.ts
@@ -5,6 +5,7 @@
 import { Buffer as NodeBuffer } from "node:buffer";
 import { Packr } from "msgpackr";
 import { MESH_VERSION } from "../constants.ts";
+import { fromCompact, toCompact } from "./compact_heartbeat.ts";
 import type { MeshMessage } from "./messages.ts";
 
 const packr = new Packr({ useRecords: false });
@@ -23,13 +24,16 @@
   PROOF: "x-mesh-proof",
 } as const;
 
+/** A heartbeat goes out twice a second to every peer, so it travels without its field names. */
 export function encodeMessage(message: MeshMessage): Buffer {
-  return packr.pack(message);
+  const isHeartbeat = message.kind === "heartbeat";
+  return packr.pack(isHeartbeat ? toCompact(message) : message);
 }
 
-/** Throws on anything that is not a msgpack map with a `kind`. */
+/** Throws on anything that is neither a msgpack map with a `kind` nor a compact heartbeat. */
 export function decodeMessage(frame: Uint8Array): MeshMessage {
   const content: unknown = packr.unpack(frame);
+  if (Array.isArray(content)) return fromCompact(content);
   if (typeof content !== "object" || content === null || !("kind" in content)) {
     throw new Error("frame holds no message");
   }
--- /dev/null
+++ b/packages/node/mesh/compact_heartbeat.ts
@@ -0,0 +1,53 @@
+/** The heartbeat as an array of fixed positions, for the wire. */
+import { createId, type FailureDomainName } from "@coltsfootpond/common";
+import type { HeldDomain, MeshMessage } from "./messages.ts";
+
+type Heartbeat = Extract<MeshMessage, { readonly kind: "heartbeat" }>;
+
+const FLAG = { TABLE_REACHABLE: 1, LEAVING: 2 } as const;
+const POSITIONS = 5;
+
+/** `[sequence, configuration version, its age in ms, flags, [[failure domain, epoch], ...]]` */
+export function toCompact(heartbeat: Heartbeat): readonly unknown[] {
+  const { tableReachable, leaving, holdings } = heartbeat;
+  const flags = (tableReachable ? FLAG.TABLE_REACHABLE : 0) |
+    (leaving ? FLAG.LEAVING : 0);
+  return [
+    heartbeat.sequence,
+    heartbeat.configurationVersion,
+    Math.ceil(heartbeat.configurationAgeMs),
+    flags,
+    holdings.map(({ failureDomain, epoch }) => [failureDomain, epoch]),
+  ];
+}
+
+/** Throws on anything else than what `toCompact` makes. */
+export function fromCompact(content: readonly unknown[]): Heartbeat {
+  const [sequence, configurationVersion, configurationAgeMs, flags, holdings] =
+    content;
+  const isValid = content.length === POSITIONS &&
+    isCount(sequence) && isCount(configurationVersion) &&
+    isCount(configurationAgeMs) && isCount(flags) && Array.isArray(holdings);
+  if (!isValid) throw new Error("frame holds no heartbeat");
+  return {
+    kind: "heartbeat",
+    sequence,
+    configurationVersion,
+    configurationAgeMs,
+    tableReachable: (flags & FLAG.TABLE_REACHABLE) !== 0,
+    leaving: (flags & FLAG.LEAVING) !== 0,
+    holdings: holdings.map(parseHolding),
+  };
+}
+
+function parseHolding(content: unknown): HeldDomain {
+  const [name, epoch] = Array.isArray(content) ? content : [];
+  if (typeof name !== "string" || !isCount(epoch)) {
+    throw new Error("frame holds no heartbeat");
+  }
+  return { failureDomain: createId<FailureDomainName>(name), epoch };
+}
+
+function isCount(value: unknown): value is number {
+  return typeof value === "number" && Number.isSafeInteger(value) && value >= 0;
+}
--- a/packages/node/rows.ts
+++ b/packages/node/rows.ts
@@ -16,14 +16,19 @@
 
 export const CONFIGURATION_HEAD_KEY = "config/head";
 
-/** `config/head`: the accepted configuration. Its version only rises. */
+/** `config/head`: the accepted configuration. Its version only rises. Read in every period. */
 export interface ConfigurationHeadRow {
   readonly version: number;
+  /** Digest of the manifest, the list of the set's files in the object store. */
   readonly digest: Digest;
-  readonly chunks: readonly ConfigurationChunk[];
   readonly acceptedBy: EntryName;
 }
 
+/** A head with the files of its manifest. */
+export interface ConfigurationHead extends ConfigurationHeadRow {
+  readonly chunks: readonly ConfigurationChunk[];
+}
+
 /** One declaration file, stored in the object store under its digest. */
 export interface ConfigurationChunk {
   readonly name: string;
--- a/packages/node/state/model_configuration.ts
+++ b/packages/node/state/model_configuration.ts
@@ -32,7 +32,6 @@
       version,
       digest:
         `${version} by ${this.#entry.entry}` as ConfigurationHeadRow["digest"],
-      chunks: [],
       acceptedBy: this.#entry.entry,
     };
     this.#world.transact(this.#entry, CONFIGURATION_HEAD_KEY, head, [
--- a/packages/node/state/operators_test.ts
+++ b/packages/node/state/operators_test.ts
@@ -109,7 +109,7 @@
     await cluster.watch(150);
     cluster.setTableDown(true);
     const [outcome] = await run(cluster, [cut]);
-    expect(cluster.objects.listKeys().length).to.equal(3);
+    expect(cluster.objects.listKeys().length).to.equal(5);
     cluster.setTableDown(false);
     faults.delayAfterMs = 0;
     const [invalid] = await run(cluster, [
--- a/packages/node/types.ts
+++ b/packages/node/types.ts
@@ -23,7 +23,7 @@
 import type { Observable } from "rxjs";
 import type { MeshDelivery, MeshMessage } from "./mesh/messages.ts";
 import type {
-  ConfigurationHeadRow,
+  ConfigurationHead,
   EntryRow,
   FailureDomainState,
   JobState,
@@ -78,7 +78,7 @@
 /** The configuration in force on this entry. */
 export interface ActiveConfiguration {
   readonly version: number;
-  readonly head: ConfigurationHeadRow;
+  readonly head: ConfigurationHead;
   readonly declarations: Declarations;
 }
 
--- a/scripts/bench_capacity/message_sizes.ts
+++ b/scripts/bench_capacity/message_sizes.ts
@@ -125,18 +125,9 @@
 }
 
 function createHeadRow(): ConfigurationHeadRow {
-  const files = createDeclarationFiles({
-    organisations: TARGET.organisations,
-    failureDomains: TARGET.failureDomains,
-    workers: TARGET.workers,
-  });
   return {
     version: 120_000,
     digest: createDigest("head"),
-    chunks: files.map((file) => ({
-      name: file.name,
-      digest: createDigest(file.text),
-    })),
     acceptedBy: ENTRY,
   };
 }
