--- a/packages/node/configuration/chunk_store.ts
+++ b/packages/node/configuration/chunk_store.ts
@@ -1,4 +1,4 @@
-/** Declaration files and their list in the object store, each under the digest of its content. */
+/** Declaration files in the object store, each under the digest of its content. */
 import { createId, type Digest } from "@coltsfootpond/common";
 import { computeBackoffMs, type ObjectPort } from "@coltsfootpond/platform";
 import { Buffer } from "node:buffer";
@@ -22,7 +22,7 @@
 
 export class ChunkStore {
   readonly #context: EntryContext;
-  /** Texts of the list and chunks last fetched or stored; only changed chunks travel. */
+  /** Texts of the chunks last fetched or stored; only changed chunks travel. */
   #texts = new Map<Digest, string>();
 
   private constructor(context: EntryContext) {
@@ -34,48 +34,41 @@
   }
 
   /**
-   * Stores what is not known to be stored, the list of the files last; gives the list's digest, or
-   * undefined when the object store gave no answer.
+   * Stores what is not known to be stored, the manifest last. Undefined when the object store gave
+   * no answer.
    */
   async store(
     files: readonly ConfigurationFile[],
   ): Promise<Digest | undefined> {
-    const chunks: ConfigurationChunk[] = [];
-    for (const { name, text } of files) {
-      const digest = await this.#storeText(text);
-      if (digest === undefined) return undefined;
-      chunks.push({ name, digest });
-    }
-    return await this.#storeText(formatList(chunks));
-  }
-
-  async #storeText(text: string): Promise<Digest | undefined> {
-    const digest = computeDigest(text);
-    if (this.#texts.has(digest)) return digest;
-    const content = Buffer.from(text, "utf8");
-    const outcome = await this.#retry((objects) =>
-      objects.put(getChunkKey(digest), content, CALL_OPTIONS)
+    const chunks = files.map(({ name, text }) => ({
+      name,
+      digest: computeDigest(text),
+    }));
+    const stored = await Promise.all(
+      files.map(({ text }) => this.#storeText(text)),
     );
-    if (outcome.kind === "unavailable") return undefined;
-    this.#texts.set(digest, text);
-    return digest;
+    if (!stored.every((isStored) => isStored)) return undefined;
+    const manifest = formatManifest(chunks);
+    const isStored = await this.#storeText(manifest);
+    return isStored ? computeDigest(manifest) : undefined;
   }
 
-  /** Fetches the list and what is not kept, checks every digest, and keeps just these chunks. */
-  async fetch(listDigest: Digest): Promise<FetchOutcome> {
-    const list = this.#texts.get(listDigest) ??
-      await this.#fetchText(listDigest);
-    if (list === undefined) {
-      return { kind: "failed", reason: "the list of chunks cannot be fetched" };
+  /** Fetches what is not kept, checks every digest, and keeps just this set. */
+  async fetch(manifestDigest: Digest): Promise<FetchOutcome> {
+    const manifest = await this.#getText(manifestDigest);
+    if (manifest === undefined) {
+      return { kind: "failed", reason: "the manifest cannot be fetched" };
     }
-    const chunks = parseList(list);
-    const texts = new Map<Digest, string>([[listDigest, list]]);
-    for (const { name, digest } of chunks) {
-      const text = this.#texts.get(digest) ?? await this.#fetchText(digest);
-      if (text === undefined) {
-        return { kind: "failed", reason: `chunk ${name} cannot be fetched` };
-      }
-      texts.set(digest, text);
+    const chunks = parseManifest(manifest);
+    const texts = new Map([[manifestDigest, manifest]]);
+    await Promise.all(chunks.map(async ({ digest }) => {
+      const text = await this.#getText(digest);
+      if (text !== undefined) texts.set(digest, text);
+    }));
+    const missing = chunks.find(({ digest }) => !texts.has(digest));
+    if (missing !== undefined) {
+      const reason = `chunk ${missing.name} cannot be fetched`;
+      return { kind: "failed", reason };
     }
     this.#texts = texts;
     const files = chunks.map(({ name, digest }) => ({
@@ -85,6 +78,22 @@
     return { kind: "fetched", chunks, files };
   }
 
+  async #storeText(text: string): Promise<boolean> {
+    const digest = computeDigest(text);
+    if (this.#texts.has(digest)) return true;
+    const content = Buffer.from(text, "utf8");
+    const outcome = await this.#retry((objects) =>
+      objects.put(getChunkKey(digest), content, CALL_OPTIONS)
+    );
+    if (outcome.kind === "unavailable") return false;
+    this.#texts.set(digest, text);
+    return true;
+  }
+
+  async #getText(digest: Digest): Promise<string | undefined> {
+    return this.#texts.get(digest) ?? await this.#fetchText(digest);
+  }
+
   async #fetchText(digest: Digest): Promise<string | undefined> {
     const outcome = await this.#retry((objects) =>
       objects.get(getChunkKey(digest), CALL_OPTIONS)
@@ -108,17 +117,20 @@
   }
 }
 
-/** The same set gives the same list, in whatever order its files come. */
-function formatList(chunks: readonly ConfigurationChunk[]): string {
-  const sorted = [...chunks].sort((left, right) =>
-    left.name < right.name ? -1 : 1
-  );
-  return JSON.stringify(sorted.map(({ name, digest }) => ({ name, digest })));
+/** One line a file, digest first, in order of name: equal sets have equal manifests. */
+function formatManifest(chunks: readonly ConfigurationChunk[]): string {
+  return [...chunks]
+    .sort((left, right) => left.name < right.name ? -1 : 1)
+    .map(({ name, digest }) => `${digest} ${name}\n`)
+    .join("");
 }
 
-/** For texts whose digest has been checked. */
-function parseList(text: string): readonly ConfigurationChunk[] {
-  return JSON.parse(text) as readonly ConfigurationChunk[];
+function parseManifest(manifest: string): readonly ConfigurationChunk[] {
+  return manifest.split("\n").filter((line) => line !== "").map((line) => {
+    const end = line.indexOf(" ");
+    const digest = createId<Digest>(line.slice(0, end));
+    return { name: line.slice(end + 1), digest };
+  });
 }
 
 function computeDigest(text: string): Digest {
--- a/packages/node/rows.ts
+++ b/packages/node/rows.ts
@@ -16,15 +16,15 @@
 
 export const CONFIGURATION_HEAD_KEY = "config/head";
 
-/** `config/head`: the accepted configuration. Its version only rises. */
+/** `config/head`: the accepted configuration. Its version only rises. Read in every period. */
 export interface ConfigurationHeadRow {
   readonly version: number;
-  /** Of the list of chunks, which is kept in the object store: every entry polls this row. */
+  /** Digest of the manifest, the list of the set's files in the object store. */
   readonly digest: Digest;
   readonly acceptedBy: EntryName;
 }
 
-/** The accepted configuration with its list of chunks. */
+/** A head with the files of its manifest. */
 export interface ConfigurationHead extends ConfigurationHeadRow {
   readonly chunks: readonly ConfigurationChunk[];
 }
