Check a failure domain right after a late message, not only after the next read

Cause: the fault 'let a late message of a lower version change a failure domain' went unnoticed in npm run mutations: the read that follows mended it before the test looked. Change: the test looks 100 ms after the message too; nothing is eased.

--- a/packages/node/state/operators_test.ts
+++ b/packages/node/state/operators_test.ts
@@ -251,7 +251,10 @@
       version: 1,
       provisional: true,
     });
+    const unchanged = ["in 2", "in 2", "in 2"];
+    await cluster.watch(100);
+    expect(listStates(cluster), "before the next read").to.eql(unchanged);
     await cluster.watch(10_000);
-    expect(listStates(cluster)).to.eql(["in 2", "in 2", "in 2"]);
+    expect(listStates(cluster), "after it").to.eql(unchanged);
   });
 });
