--- a/scripts/mutations/list.ts
+++ b/scripts/mutations/list.ts
@@ -35,11 +35,17 @@
     title: "runs nothing when the failure domain goes out",
   },
   {
-    name: "never tell the engine that the failure domain is out",
+    name:
+      "never tell the engine of a domain that is out, nor ask before a start",
     promise: "no_start_in_domain_out",
     file: `${JOBS}/domain_runner.ts`,
     find: `engine.apply({ kind: "domain_out", drainMs }, this.#nowMs());`,
     replace: ``,
+    also: [{
+      file: `${JOBS}/live_jobs.ts`,
+      find: `mayStart: () => isDomainIn() && configuration.isFresh(),`,
+      replace: `mayStart: () => configuration.isFresh(),`,
+    }],
     spec: SCENARIOS,
     title: "domain_out_and_back",
   },
--- a/scripts/mutations/main.ts
+++ b/scripts/mutations/main.ts
@@ -17,7 +17,7 @@
 import { join, resolve } from "node:path";
 import process from "node:process";
 import { MUTATIONS } from "./list.ts";
-import type { Mutation } from "./types.ts";
+import type { Edit, Mutation } from "./types.ts";
 
 const OWN_SCOPE = "@coltsfootpond";
 const TEST_TIMEOUT_MS = 120_000;
@@ -103,19 +103,33 @@
   return { passes, failures, message: report.failures[0]?.err.message ?? "" };
 }
 
-function tryMutation(copy: string, mutation: Mutation): Judgement {
-  const path = join(copy, mutation.file);
+function applyEdit(copy: string, { file, find, replace }: Edit): boolean {
+  const path = join(copy, file);
   const original = readFileSync(path, "utf8");
-  if (original.split(mutation.find).length !== 2) {
-    return { verdict: "TEXT NOT FOUND ONCE", message: "" };
-  }
+  if (original.split(find).length !== 2) return false;
+  writeFileSync(path, original.replace(find, () => replace));
+  return true;
+}
+
+function tryMutation(copy: string, mutation: Mutation): Judgement {
+  const edits = [mutation, ...(mutation.also ?? [])];
+  const originals = edits.map(({ file }) =>
+    readFileSync(join(copy, file), "utf8")
+  );
   const before = countTests(copy, mutation);
   if (before.passes === 0 || before.failures > 0) {
     return { verdict: "NO SUCH TEST", message: before.message };
   }
-  writeFileSync(path, original.replace(mutation.find, () => mutation.replace));
-  const after = countTests(copy, mutation);
-  writeFileSync(path, original);
+  const applied = edits.map((edit) => applyEdit(copy, edit));
+  const after = applied.includes(false)
+    ? undefined
+    : countTests(copy, mutation);
+  edits.forEach(({ file }, index) =>
+    writeFileSync(join(copy, file), originals[index]!)
+  );
+  if (after === undefined) {
+    return { verdict: "TEXT NOT FOUND ONCE", message: "" };
+  }
   const verdict = after.failures > 0 ? "noticed" : "UNNOTICED";
   return { verdict, message: after.message };
 }
