Remove all three guards of a domain that is out in one fault

Cause: with two of them gone the promise still held (waiting jobs had moved away). Change: the fault removes the third too.

--- a/scripts/mutations/list.ts
+++ b/scripts/mutations/list.ts
@@ -36,7 +36,7 @@
   },
   {
     name:
-      "never tell the engine of a domain that is out, nor ask before a start",
+      "never heed a domain that is out: engine, waiting jobs and start",
     promise: "no_start_in_domain_out",
     file: `${JOBS}/domain_runner.ts`,
     find: `engine.apply({ kind: "domain_out", drainMs }, this.#nowMs());`,
@@ -45,6 +45,10 @@
       file: `${JOBS}/live_jobs.ts`,
       find: `mayStart: () => isDomainIn() && configuration.isFresh(),`,
       replace: `mayStart: () => configuration.isFresh(),`,
+    }, {
+      file: `${JOBS}/live_jobs.ts`,
+      find: `if (!isPlaced && !this.#options.isDomainIn()) void this.#moveAway(job);`,
+      replace: ``,
     }],
     spec: SCENARIOS,
     title: "domain_out_and_back",
