--- a/packages/policy/placement/domain_summary.ts
+++ b/packages/policy/placement/domain_summary.ts
@@ -75,11 +75,8 @@
     if (free === 0) continue;
     if (free < worker.capacity.accelerators) {
       summary.largestPartlyFree = Math.max(summary.largestPartlyFree, free);
-    } else {
-      summary.openingLoss = Math.min(
-        summary.openingLoss,
-        computeOpeningLoss(state, worker),
-      );
+    } else if (summary.openingLoss === Number.MAX_SAFE_INTEGER) {
+      summary.openingLoss = computeOpeningLoss(state, worker);
     }
   }
   return summary;
