--- a/packages/node/requests/filters/flow_filters_test.ts
+++ b/packages/node/requests/filters/flow_filters_test.ts
@@ -93,6 +93,12 @@
       admission.enter(createCall({ deadlineMs: clock.nowMs() + 300 }));
     expect(await enter()).to.equal(undefined);
     expect(await enter()).to.include({ resultName: "DEADLINE_UNREACHABLE" });
+    const { progressTimeoutMs } = CALL_SERVICE;
+    const deadlineMs = clock.nowMs() + progressTimeoutMs + 1;
+    expect(await admission.enter(createCall({ deadlineMs }))).to.equal(
+      undefined,
+    );
+    admission.leave();
     for (let count = 0; count < 20; count++) {
       admission.noteAnswered(10);
       admission.leave();
--- a/packages/node/upstreams/balancing/least_load.ts
+++ b/packages/node/upstreams/balancing/least_load.ts
@@ -14,9 +14,9 @@
   return othersInUse * Math.exp(-reportAgeMs / REPORT_DECAY_MS);
 }
 
-/** Slots that the others are not thought to use. */
+/** Slots that the others are not thought to use; one at least, to learn more. */
 export function getLeastLoadLimit(candidate: Candidate): number {
-  return Math.ceil(candidate.slots - estimateOthers(candidate));
+  return Math.max(1, Math.ceil(candidate.slots - estimateOthers(candidate)));
 }
 
 export function chooseByLeastLoad(
--- a/packages/node/upstreams/constants.ts
+++ b/packages/node/upstreams/constants.ts
@@ -29,7 +29,7 @@
 export const SLOW_START_MS = 3_000;
 
 /** Time in which the weight of a report falls to 1/e. */
-export const REPORT_DECAY_MS = 250;
+export const REPORT_DECAY_MS = 1_000;
 
 /** An attempt that waits for room looks again this often. */
 export const ROOM_CHECK_MS = 10;
