Let a settled member vouch for a joiner

Change: contact with one settled member that reaches the table and has read of the joiner is enough. A closed world now also needs rows of members as new as those of every peer, and counts everyone heard since the rows were read. Seen failing: the new scenario with #isVouchedFor always false.

--- a/packages/node/membership/membership_controller.ts
+++ b/packages/node/membership/membership_controller.ts
@@ -20,6 +20,7 @@
   MembershipView,
   Mesh,
 } from "../types.ts";
+import type { PeerFacts } from "./peer_facts.ts";
 import { MemberObservations } from "./member_observations.ts";
 import {
   createBeat,
@@ -39,6 +40,7 @@
   readonly mesh: Mesh;
   readonly table: RankedTablePort;
   readonly rows: RowWatcher;
+  readonly peers: PeerFacts;
   readonly address: EntryAddress;
 }
 
@@ -51,6 +53,8 @@
   /** Another process registered under this entry's name; this one acts no more. */
   #displaced = false;
   #hasMet = false;
+  /** Version of the members' row that first named this incarnation. */
+  #registeredVersion = Number.POSITIVE_INFINITY;
   #leaving = false;
   #stopped = false;
   #writing = false;
@@ -85,16 +89,30 @@
 
   /**
    * The joiner rule: registered, and every other registered member is in contact or was watched
-   * through a full term without a beat. Once met, it stays met while this entry is registered.
+   * through a full term without a beat. It is enough to be in contact with one member that has met
+   * all, reaches the table and has read of this entry: no holder's world is closed without it. Once
+   * met, it stays met while this entry is registered.
    */
   hasMetEveryMember(): boolean {
     if (!this.isRegistered()) return this.#hasMet = false;
     if (this.#hasMet || !this.#observations.isComplete()) return this.#hasMet;
-    return this.#hasMet = this.list().every((member) =>
-      member.connected || this.isLapsed(member.entry)
+    return this.#hasMet = this.#isVouchedFor() ||
+      this.list().every((member) =>
+        member.connected || this.isLapsed(member.entry)
+      );
+  }
+
+  #isVouchedFor(): boolean {
+    return this.#options.peers.listHeard().some((fact) =>
+      fact.settled && fact.tableReachable &&
+      fact.membersVersion >= this.#registeredVersion
     );
   }
 
+  get membersVersion(): number {
+    return this.#observations.index?.version ?? 0;
+  }
+
   /** Whether the member's row was watched through a full term without a beat. */
   isLapsed(entry: EntryName): boolean {
     return this.#observations.isLapsed(entry);
@@ -148,6 +166,7 @@
 
   #learn(snapshot: RowSnapshot): void {
     this.#observations.learn(snapshot);
+    this.#options.peers.forgetAbsent();
     const { identity } = this.#options.context;
     const own = this.#observations.get(identity.entry)?.row;
     if (this.#registered && own === undefined) this.#registered = false;
@@ -196,6 +215,7 @@
     if (outcome.kind === "unavailable") return;
     await this.#options.rows.refresh();
     await this.#options.rows.refresh();
+    this.#registeredVersion = this.membersVersion;
     this.#registered = true;
     this.#emit("membership.registered");
   }
--- a/packages/node/membership/peer_facts.ts
+++ b/packages/node/membership/peer_facts.ts
@@ -15,12 +15,15 @@
   readonly configurationVersion: number;
   readonly configurationAgeMs: number;
   readonly leaving: boolean;
+  readonly membersVersion: number;
+  readonly settled: boolean;
   readonly holdings: readonly HeldDomain[];
 }
 
 export class PeerFacts {
   readonly #clock: Clock;
   readonly #facts = new Map<EntryName, PeerFact>();
+  readonly #known = new Set<EntryName>();
 
   private constructor(clock: Clock) {
     this.#clock = clock;
@@ -44,7 +47,18 @@
     return this.listHeard().find((fact) => fact.entry === entry);
   }
 
-  /** Drops everything: after a pause, what waited in the sockets is of unknown age. */
+  /** Every entry ever heard, since the last `forgetAbsent`. */
+  listKnown(): readonly EntryName[] {
+    return [...this.#known];
+  }
+
+  /** Called after a read of the members: it tells who of those heard earlier is registered. */
+  forgetAbsent(): void {
+    this.#known.clear();
+    for (const { entry } of this.listHeard()) this.#known.add(entry);
+  }
+
+  /** Drops what was heard: after a pause, what waited in the sockets is of unknown age. */
   clear(): void {
     this.#facts.clear();
   }
@@ -52,6 +66,7 @@
   #learn(delivery: MeshDelivery): void {
     const { message, from, incarnation } = delivery;
     if (message.kind !== "heartbeat") return;
+    this.#known.add(from);
     const nowMs = this.#clock.nowMs();
     const known = this.#facts.get(from);
     const continues = known?.incarnation === incarnation &&
@@ -65,6 +80,8 @@
       configurationVersion: message.configurationVersion,
       configurationAgeMs: message.configurationAgeMs,
       leaving: message.leaving,
+      membersVersion: message.membersVersion,
+      settled: message.settled,
       holdings: message.holdings,
     });
   }
--- a/packages/node/mesh/compact_heartbeat.ts
+++ b/packages/node/mesh/compact_heartbeat.ts
@@ -4,30 +4,33 @@
 
 type Heartbeat = Extract<MeshMessage, { readonly kind: "heartbeat" }>;
 
-const FLAG = { TABLE_REACHABLE: 1, LEAVING: 2 } as const;
-const POSITIONS = 5;
+const FLAG = { TABLE_REACHABLE: 1, LEAVING: 2, SETTLED: 4 } as const;
+const POSITIONS = 6;
+const FLAGS_POSITION = 3;
 
-/** `[sequence, configuration version, its age in ms, flags, [[failure domain, epoch], ...]]` */
+/** `[sequence, configuration version, its age in ms, flags, members, [[domain, epoch], ...]]` */
 export function toCompact(heartbeat: Heartbeat): readonly unknown[] {
-  const { tableReachable, leaving, holdings } = heartbeat;
+  const { tableReachable, leaving, settled, holdings } = heartbeat;
   const flags = (tableReachable ? FLAG.TABLE_REACHABLE : 0) |
-    (leaving ? FLAG.LEAVING : 0);
+    (leaving ? FLAG.LEAVING : 0) | (settled ? FLAG.SETTLED : 0);
   return [
     heartbeat.sequence,
     heartbeat.configurationVersion,
     Math.ceil(heartbeat.configurationAgeMs),
     flags,
+    heartbeat.membersVersion,
     holdings.map(({ failureDomain, epoch }) => [failureDomain, epoch]),
   ];
 }
 
 /** Throws on anything else than what `toCompact` makes. */
 export function fromCompact(content: readonly unknown[]): Heartbeat {
-  const [sequence, configurationVersion, configurationAgeMs, flags, holdings] =
-    content;
+  const [sequence, configurationVersion, configurationAgeMs] = content;
+  const [flags, membersVersion, holdings] = content.slice(FLAGS_POSITION);
   const isValid = content.length === POSITIONS &&
     isCount(sequence) && isCount(configurationVersion) &&
-    isCount(configurationAgeMs) && isCount(flags) && Array.isArray(holdings);
+    isCount(configurationAgeMs) && isCount(flags) && isCount(membersVersion) &&
+    Array.isArray(holdings);
   if (!isValid) throw new Error("frame holds no heartbeat");
   return {
     kind: "heartbeat",
@@ -36,6 +39,8 @@
     configurationAgeMs,
     tableReachable: (flags & FLAG.TABLE_REACHABLE) !== 0,
     leaving: (flags & FLAG.LEAVING) !== 0,
+    settled: (flags & FLAG.SETTLED) !== 0,
+    membersVersion,
     holdings: holdings.map(parseHolding),
   };
 }
--- a/packages/node/mesh/compact_heartbeat_test.ts
+++ b/packages/node/mesh/compact_heartbeat_test.ts
@@ -11,6 +11,8 @@
   configurationAgeMs: 1_400,
   tableReachable: true,
   leaving: false,
+  membersVersion: 9_000,
+  settled: true,
   holdings: [{ failureDomain: "landsberg" as never, epoch: 17 }],
 } as const satisfies MeshMessage;
 
@@ -28,7 +30,9 @@
 
   it("is refused when it is anything else", () => {
     const packr = new Packr({ useRecords: false });
-    const wrong = [[], [1, 2, 3, 4], [1, 2, -3, 0, []], [1, 2, 3, 0, [["a"]]]];
+    const wrong = [[], [1, 2, 3, 4, 5], [1, 2, -3, 0, 1, []], [1, 2, 3, 0, 1, [[
+      "a",
+    ]]]];
     for (const content of wrong) {
       expect(() => decodeMessage(packr.pack(content))).to.throw("no heartbeat");
     }
--- a/packages/node/mesh/mesh_task_test.ts
+++ b/packages/node/mesh/mesh_task_test.ts
@@ -60,6 +60,8 @@
         tableReachable: true,
         leaving: false,
         holdings: [],
+        membersVersion: 1,
+        settled: true,
       }),
     });
     this.task.deliveries.subscribe(({ message }) =>
--- a/packages/node/mesh/messages.ts
+++ b/packages/node/mesh/messages.ts
@@ -32,6 +32,10 @@
     /** The failure domains that the sender holds. */
     readonly holdings: readonly HeldDomain[];
     readonly leaving: boolean;
+    /** Version of the row of members that the sender last read; 0 before the first read. */
+    readonly membersVersion: number;
+    /** Whether the sender has met every member, and may therefore take ownerships. */
+    readonly settled: boolean;
   }
   | { readonly kind: "configuration_accepted"; readonly version: number }
   | {
--- a/packages/node/state/model_contacts.ts
+++ b/packages/node/state/model_contacts.ts
@@ -37,11 +37,16 @@
     const byRows = left.members.includes(right.entry) &&
       right.members.includes(left.entry);
     if (byRows || this.#lasts(left, right, MESH_SILENCE_MS)) return true;
-    return this.#world.entries.some((third) =>
-      third !== left && third !== right &&
-      this.#lasts(third, left, OWNERSHIP_TERM_MS) &&
-      this.#lasts(third, right, OWNERSHIP_TERM_MS)
-    );
+    return this.#world.entries.some((third) => {
+      if (third === left || third === right) return false;
+      const hasReadOfOne = third.members.includes(left.entry) &&
+          this.#lasts(third, right, MESH_SILENCE_MS) ||
+        third.members.includes(right.entry) &&
+          this.#lasts(third, left, MESH_SILENCE_MS);
+      const isBetween = this.#lasts(third, left, OWNERSHIP_TERM_MS) &&
+        this.#lasts(third, right, OWNERSHIP_TERM_MS);
+      return hasReadOfOne || isBetween;
+    });
   }
 
   #lasts(left: ModelEntry, right: ModelEntry, durationMs: number): boolean {
--- a/packages/node/state/model_entry.ts
+++ b/packages/node/state/model_entry.ts
@@ -261,7 +261,7 @@
   #extend(nowMs: number): void {
     if (this.#isReadable || this.#lease === undefined) return;
     const members = this.#members.listWorld();
-    if (!isWorldClosed(members)) return;
+    if (!this.#members.isNewest() || !isWorldClosed(members)) return;
     if (!isUncontested(members, MODEL_DOMAIN, this.#lease.epoch)) return;
     this.#lease = extendLease(this.#lease, nowMs);
   }
@@ -273,7 +273,12 @@
     const tableReachable = this.#isReadable || this.#unsettledMs !== undefined;
     const holdings = epoch === undefined ? [] : [held];
     for (const peer of this.#world.listLinked(this)) {
-      peer.#members.hear(this.entry, { tableReachable, holdings });
+      peer.#members.hear(this.entry, {
+        tableReachable,
+        holdings,
+        membersVersion: this.#members.version,
+        settled: this.#members.hasMet,
+      });
     }
     if (this.failureDomain.fact?.provisional) this.failureDomain.announce();
   }
--- a/packages/node/state/model_members.ts
+++ b/packages/node/state/model_members.ts
@@ -12,6 +12,8 @@
 export interface ModelHeartbeat {
   readonly tableReachable: boolean;
   readonly holdings: readonly HeldDomain[];
+  readonly membersVersion: number;
+  readonly settled: boolean;
 }
 
 interface Heard extends ModelHeartbeat {
@@ -23,6 +25,9 @@
   readonly #entry: ModelEntry;
   readonly #beats = new Map<EntryName, BeatObservation>();
   readonly #heard = new Map<EntryName, Heard>();
+  /** Everyone heard since the rows were last read. */
+  readonly #known = new Set<EntryName>();
+  #registeredVersion = Number.POSITIVE_INFINITY;
   #entries: readonly EntryName[] = [];
   #isRegistered = false;
   #hasMet = false;
@@ -46,7 +51,20 @@
     return this.#hasMet;
   }
 
+  /** Entries are never removed here, so their number serves as the version. */
+  get version(): number {
+    return this.#entries.length;
+  }
+
+  /** Whether the rows read are as new as those of the peers. */
+  isNewest(): boolean {
+    return this.#world.entries.every(({ entry }) =>
+      (this.getHeard(entry)?.membersVersion ?? 0) <= this.version
+    );
+  }
+
   hear(from: EntryName, heartbeat: ModelHeartbeat): void {
+    this.#known.add(from);
     this.#heard.set(from, { ...heartbeat, atMs: this.#entry.nowMs() });
   }
 
@@ -63,8 +81,7 @@
 
   /** As the closed-world rule counts them. */
   listWorld(): readonly WorldMember[] {
-    const heard = [...this.#heard.keys()].filter((one) => this.getHeard(one));
-    const entries = new Set([...this.#entries, ...heard]);
+    const entries = new Set([...this.#entries, ...this.#known]);
     entries.delete(this.#entry.entry);
     return [...entries].map((entry) => {
       const fact = this.getHeard(entry);
@@ -81,7 +98,13 @@
       const beat = observeBeat(this.#beats.get(entry), version, nowMs);
       this.#beats.set(entry, beat);
     }
-    this.#hasMet ||= this.#isRegistered &&
+    this.#known.clear();
+    for (const entry of this.#heard.keys()) {
+      if (this.getHeard(entry)) this.#known.add(entry);
+    }
+    if (!this.#isRegistered) return;
+    this.#registeredVersion = Math.min(this.#registeredVersion, this.version);
+    this.#hasMet ||= this.#isVouchedFor() ||
       this.#entries.every((entry) => this.#isMet(entry));
   }
 
@@ -94,6 +117,14 @@
     if (outcome.kind === "committed") this.#isRegistered = true;
   }
 
+  #isVouchedFor(): boolean {
+    return this.#world.entries.some(({ entry }) => {
+      const heard = this.getHeard(entry);
+      return heard !== undefined && heard.settled && heard.tableReachable &&
+        heard.membersVersion >= this.#registeredVersion;
+    });
+  }
+
   #isMet(entry: EntryName): boolean {
     const beat = this.#beats.get(entry);
     const isLapsed = beat !== undefined && getStillMs(beat) >= ENTRY_TERM_MS;
--- a/packages/node/state/scenarios_test.ts
+++ b/packages/node/state/scenarios_test.ts
@@ -35,6 +35,19 @@
     expect(await cluster.watch(30_000)).toMatchSnapshot();
   });
 
+  it("is taken over by joiners when the others die one after another", async () => {
+    const cluster = await createCluster();
+    const changes: string[] = [];
+    for (const name of ENTRIES) {
+      await cluster.join(`${name}-new`);
+      await cluster.watch(4_000);
+      cluster.node(name).clock.kill();
+      changes.push(`${name} dies`, ...await cluster.watch(4_000));
+    }
+    changes.push("later", ...await cluster.watch(6_000));
+    expect(changes).toMatchSnapshot();
+  });
+
   it("keeps an owner that was frozen past its lease from acting", async () => {
     const cluster = await createCluster();
     const owner = cluster.getActing(DOMAIN);
--- a/packages/node/state/state_controllers.ts
+++ b/packages/node/state/state_controllers.ts
@@ -101,6 +101,8 @@
       ),
       tableReachable: rows.isReadable() || ownership.hasUnsettled(),
       leaving: membership.isLeaving(),
+      membersVersion: membership.membersVersion,
+      settled: membership.hasMetEveryMember(),
       holdings: ownership.listHeld(),
     };
   }
--- a/packages/node/state/world.ts
+++ b/packages/node/state/world.ts
@@ -23,8 +23,8 @@
   }
 
   /**
-   * Registered members, of one region or of all, and whoever else is connected: a joiner counts
-   * before this entry could read its row.
+   * Registered members, of one region or of all, and whoever else was heard since the rows were
+   * read: a joiner counts before this entry could read its row.
    */
   list(region?: RegionName): readonly WorldMember[] {
     const { identity, membership, peers } = this.#options;
@@ -34,13 +34,21 @@
       const eligible = region === undefined || member.row.region === region;
       (eligible ? entries : elsewhere).add(member.entry);
     }
-    for (const fact of peers.listHeard()) {
-      if (!elsewhere.has(fact.entry)) entries.add(fact.entry);
+    for (const entry of peers.listKnown()) {
+      if (!elsewhere.has(entry)) entries.add(entry);
     }
     entries.delete(identity.entry);
     return [...entries].map((entry) => ({ entry, heard: peers.get(entry) }));
   }
 
+  /** Whether the rows of members that this entry has read are as new as those of its peers. */
+  isNewest(): boolean {
+    const { membership, peers } = this.#options;
+    return peers.listHeard().every((fact) =>
+      fact.membersVersion <= membership.membersVersion
+    );
+  }
+
   /** Entries of the region in contact that may be given a failure domain, this one included. */
   listCandidates(region: RegionName): readonly EntryName[] {
     const { membership, peers } = this.#options;
--- a/scripts/bench_capacity/message_sizes.ts
+++ b/scripts/bench_capacity/message_sizes.ts
@@ -49,6 +49,8 @@
   tableReachable: true,
   holdings: [{ failureDomain: FAILURE_DOMAIN, epoch: 4_000 }],
   leaving: false,
+  membersVersion: 9_000,
+  settled: true,
 };
 
 const MESH_MESSAGES: readonly MeshMessage[] = [
--- a/scripts/bench_recovery/main.ts
+++ b/scripts/bench_recovery/main.ts
@@ -56,12 +56,14 @@
   for (const { round, subject, ms } of results) {
     console.log(`${round} ${subject}: ${ms?.toFixed(0) ?? "none"} ms`);
   }
-  const times = results.map(({ ms }) => ms ?? Infinity)
+  const times = results.map(({ ms }) => ms).filter((ms) => ms !== undefined)
     .sort((left, right) => left - right);
+  const none = results.length - times.length;
   const median = times[Math.floor((times.length - 1) / 2)] ?? NaN;
   const highest = times.at(-1) ?? NaN;
   console.log(
-    `${options.measure}, ${options.entries} entries, ${times.length} values: ` +
+    `${options.measure}, ${options.entries} entries, ${times.length} values ` +
+      `and ${none} without a start: ` +
       `p50 ${median.toFixed(0)} ms, maximum ${highest.toFixed(0)} ms; ` +
       `jobs accepted ${load.accepted}, refused ${load.refused}`,
   );
