--- a/packages/node/requests/filters/attempt.ts
+++ b/packages/node/requests/filters/attempt.ts
@@ -86,13 +86,13 @@
       signal: request.signal,
     });
     emit(request, attemptId, runner.name, outcome, startedMs);
+    const admission = options.admissions.get(service);
     if (outcome.kind === "failed") {
-      if (outcome.blame === BLAME.FULL || outcome.blame === BLAME.SILENT) {
-        options.admissions.get(request.service).noteOverload();
-      }
+      admission.noteFailed(outcome.blame === BLAME.FULL);
       const { resultName, detail } = outcome;
       return failed(resultName, { detail, runner: runner.name });
     }
+    admission.noteAnswered(clock.nowMs() - startedMs);
     const { status, contentType, body } = outcome;
     const answer = { attemptId, status, contentType, body };
     return { kind: "answered", answer };
--- a/packages/node/upstreams/runner.ts
+++ b/packages/node/upstreams/runner.ts
@@ -1,7 +1,6 @@
 /** One runner as this entry knows it: its connections, attempts in progress, health and last report. */
 import type { Clock, RunnerName } from "@coltsfootpond/common";
 import type { VmRecord } from "@coltsfootpond/platform";
-import { BORROW_PAUSE_MS } from "./constants.ts";
 import { exchangeWithRunner } from "./exchange.ts";
 import { RunnerHealth } from "./health.ts";
 import { RunnerAgent } from "./runner_agent.ts";
@@ -38,7 +37,7 @@
   #inUse = 0;
   #report: LoadReport | undefined;
   #reportedMs = -Infinity;
-  #refusedMs = -Infinity;
+  #othersInUse: number | undefined;
 
   private constructor(options: RunnerOptions) {
     this.#options = options;
@@ -83,6 +82,7 @@
     this.#vm = vm;
     if (moved) {
       this.#report = undefined;
+      this.#othersInUse = undefined;
       this.#agent.suspectAll();
     }
     if (vm.state === "leaving") this.#agent.retire();
@@ -111,9 +111,8 @@
       inUse: this.#inUse,
       share: Math.ceil(share * loadShare),
       slots: Math.ceil(slots * loadShare),
-      reportedInUse: this.#report?.slotsInUse,
+      othersInUse: this.#othersInUse,
       reportAgeMs: nowMs - this.#reportedMs,
-      refusedLately: nowMs - this.#refusedMs < BORROW_PAUSE_MS,
     };
   }
 
@@ -132,8 +131,8 @@
     const { clock } = this.#options;
     const target = { host, port, agent: this.#agent, clock };
     const outcome = await exchangeWithRunner(target, upstream);
-    this.#learn(outcome);
     this.giveBack();
+    this.#learn(outcome);
     return outcome;
   }
 
@@ -142,12 +141,13 @@
     if (outcome.report !== undefined) {
       this.#report = outcome.report;
       this.#reportedMs = nowMs;
+      const others = outcome.report.slotsInUse - this.#inUse;
+      this.#othersInUse = Math.max(0, others);
     }
     if (outcome.kind === "answered") {
       this.#health.noteSuccess();
       return;
     }
-    if (outcome.blame === BLAME.FULL) this.#refusedMs = nowMs;
     if (outcome.blame === BLAME.SILENT) this.#agent.suspectAll();
     if (this.#health.noteFailure(outcome.blame)) {
       this.#options.onEjected(this.name);
--- a/scripts/bench_capacity/message_sizes.ts
+++ b/scripts/bench_capacity/message_sizes.ts
@@ -9,6 +9,7 @@
   type WriteId,
 } from "@coltsfootpond/common";
 import type {
+  ConfigurationChunk,
   ConfigurationHeadRow,
   EntryRow,
   FailureDomainRow,
@@ -76,12 +77,13 @@
       freeAccelerators: 117,
       totalAccelerators: 365,
       largestRackFreeAccelerators: 64,
+      largestRackUnreservedAccelerators: 64,
+      largestPartlyFreeAccelerators: 7,
+      openingLoss: 16.16,
       freeMilliprocessors: 12_345_678,
       queuedJobs: 479,
       queuedAccelerators: 11_496,
       runningTasks: 2_858,
-      largestRackUnreservedAccelerators: 40,
-      partlyFreeAccelerators: 12,
     },
   },
   { kind: "ownership_released", failureDomain: FAILURE_DOMAIN, epoch: 4_000 },
@@ -126,12 +128,19 @@
   };
 }
 
-function createHeadRow(): ConfigurationHeadRow {
-  return {
-    version: 120_000,
-    digest: createDigest("head"),
-    acceptedBy: ENTRY,
-  };
+const HEAD: ConfigurationHeadRow = {
+  version: 120_000,
+  digest: createDigest("head"),
+  acceptedBy: ENTRY,
+};
+
+function createList(): readonly ConfigurationChunk[] {
+  const files = createDeclarationFiles({
+    organisations: TARGET.organisations,
+    failureDomains: TARGET.failureDomains,
+    workers: TARGET.workers,
+  });
+  return files.map(({ name, text }) => ({ name, digest: createDigest(text) }));
 }
 
 function measureRows(): readonly MessageSize[] {
@@ -156,7 +165,8 @@
     sizeJson("entry_row", createRow(`entry/${ENTRY}`, entry)),
     sizeJson("owner_row", createRow(`owner/${FAILURE_DOMAIN}`, owner)),
     sizeJson("domain_row", createRow(`domain/${FAILURE_DOMAIN}`, domain)),
-    sizeJson("head_row", createRow("config/head", createHeadRow())),
+    sizeJson("head_row", createRow("config/head", HEAD)),
+    sizeJson("configuration_list", createList()),
     sizeJson("job_row_24_tasks", createJobTableRow(1, 24)),
     sizeJson("job_row_256_tasks", createJobTableRow(1, 256)),
   ];
