--- a/scripts/mutations/list.ts
+++ b/scripts/mutations/list.ts
@@ -1,4 +1,5 @@
 /** The faults that show that the checks of the promises can fail. */
+import { STATE_MUTATIONS } from "./state_list.ts";
 import type { Mutation } from "./types.ts";
 
 const JOBS = "packages/node/jobs";
@@ -209,4 +210,5 @@
     spec: "packages/policy/placement/engine_properties_test.ts",
     title: "hold after any sequence",
   },
+  ...STATE_MUTATIONS,
 ];
