--- a/scripts/mutations/list.ts
+++ b/scripts/mutations/list.ts
@@ -1,4 +1,5 @@
 /** The faults that show that the checks of the promises can fail. */
+import { STATE_MUTATIONS } from "./state_list.ts";
 import type { Mutation } from "./types.ts";
 
 const JOBS = "packages/node/jobs";
@@ -35,8 +36,7 @@
     title: "runs nothing when the failure domain goes out",
   },
   {
-    name:
-      "never heed a domain that is out: engine, waiting jobs and start",
+    name: "never heed a domain that is out: engine, waiting jobs and start",
     promise: "no_start_in_domain_out",
     file: `${JOBS}/domain_runner.ts`,
     find: `engine.apply({ kind: "domain_out", drainMs }, this.#nowMs());`,
@@ -47,7 +47,8 @@
       replace: `mayStart: () => configuration.isFresh(),`,
     }, {
       file: `${JOBS}/live_jobs.ts`,
-      find: `if (!isPlaced && !this.#options.isDomainIn()) void this.#moveAway(job);`,
+      find:
+        `if (!isPlaced && !this.#options.isDomainIn()) void this.#moveAway(job);`,
       replace: ``,
     }],
     spec: SCENARIOS,
@@ -219,4 +220,5 @@
     spec: "packages/policy/placement/engine_properties_test.ts",
     title: "hold after any sequence",
   },
+  ...STATE_MUTATIONS,
 ];
