Send a request again under its id when nobody knows of it

Cause: the load tool went on asking for a request whose connection was lost before any entry had taken it, and so never exercised the deduplication. Change: an unknown request is sent again with the same Idempotency-Key; that this second sending was not run tells nothing of the first, and the request stays unknown. The report counts them.

--- a/scripts/demo/load_tool.ts
+++ b/scripts/demo/load_tool.ts
@@ -34,6 +34,8 @@
   code: number | undefined;
   answer: Buffer | undefined;
   cancelSent: boolean;
+  /** How often it was sent again after its connection was lost. */
+  sentAgain: number;
 }
 
 /** What a lookup may say about the request itself and not about the lookup. */
@@ -46,6 +48,12 @@
   RESULT.JOB_INTERRUPTED.code,
 ]);
 
+function isUnknownRequest(outcome: EntryOutcome): boolean {
+  if (outcome.kind !== "response") return false;
+  const problem = readProblem(outcome.response);
+  return problem?.code === RESULT.UNKNOWN_REQUEST.code;
+}
+
 function pause(durationMs: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, durationMs));
 }
@@ -94,6 +102,7 @@
       code: undefined,
       answer: undefined,
       cancelSent: false,
+      sentAgain: 0,
     };
     this.records.push(record);
     if (planned.cancelAfterMs !== undefined) void this.#cancelLater(record);
@@ -145,6 +154,7 @@
     return true;
   }
 
+  /** A request that nobody knows of is sent again under its id. */
   async #lookUpUntilEnded(record: LoadRecord): Promise<void> {
     while (!this.#stopped) {
       const outcome = await this.#send(record.planned, {
@@ -153,16 +163,30 @@
         headers: { prefer: `wait=${WAIT_SECONDS}` },
       });
       if (this.#settleLookup(record, outcome)) return;
+      if (isUnknownRequest(outcome) && await this.#sendAgain(record)) return;
       await pause(POLL_PERIOD_MS);
     }
   }
 
+  /** That the second sending did not run tells nothing of the first. */
+  async #sendAgain(record: LoadRecord): Promise<boolean> {
+    record.sentAgain += 1;
+    const outcome = await this.#submit(record);
+    if (outcome.kind !== "response") return false;
+    const problem = readProblem(outcome.response);
+    if (problem === undefined) return this.#settleAnswer(record, outcome);
+    record.code = problem.code;
+    if (problem.class === RESULT_CLASS.NOT_RUN) return false;
+    this.#end(record, problem.class, problem.code);
+    return true;
+  }
+
   #settleLookup(record: LoadRecord, outcome: EntryOutcome): boolean {
     if (outcome.kind !== "response") return false;
     const problem = readProblem(outcome.response);
     if (problem === undefined) return this.#settleAnswer(record, outcome);
+    if (isUnknownRequest(outcome)) return false;
     if (record.planned.service.kind === "call") {
-      record.code = problem.code;
       this.#end(record, RESULT_CLASS.UNKNOWN, problem.code);
       return true;
     }
--- a/scripts/demo/promises_test.ts
+++ b/scripts/demo/promises_test.ts
@@ -42,6 +42,7 @@
     code: 1000,
     answer: ANSWER,
     cancelSent: false,
+    sentAgain: 0,
     ...change,
   };
 }
--- a/scripts/demo/report.ts
+++ b/scripts/demo/report.ts
@@ -40,6 +40,7 @@
   readonly tableWritesPerSecond: number;
   readonly tableReadsPerSecond: number;
   readonly connectionsLost: number;
+  readonly requestsSentAgain: number;
   readonly broken: readonly BrokenPromise[];
 }
 
@@ -169,6 +170,7 @@
     tableWritesPerSecond: round(ledger.tableWrites / seconds),
     tableReadsPerSecond: round(ledger.tableReads / seconds),
     connectionsLost: input.connectionsLost,
+    requestsSentAgain: records.filter(({ sentAgain }) => sentAgain > 0).length,
     broken: input.broken,
   };
 }
@@ -195,7 +197,8 @@
     `${domainOut.tasksFinished} tasks finished`,
     `table: ${report.tableWritesPerSecond} writes/s, ` +
     `${report.tableReadsPerSecond} reads/s`,
-    `connections lost: ${report.connectionsLost}`,
+    `connections lost: ${report.connectionsLost}, ` +
+    `requests sent again: ${report.requestsSentAgain}`,
     ...Object.values(PROMISE).map((promise) => {
       const count = broken.filter((one) => one.promise === promise).length;
       return `${count === 0 ? "kept  " : "BROKEN"} ${promise}` +
