--- a/scripts/mutations/list.ts
+++ b/scripts/mutations/list.ts
@@ -2,6 +2,8 @@
 import type { Mutation } from "./types.ts";
 
 const JOBS = "packages/node/jobs";
+const CALLS = "packages/node/requests/calls_test.ts";
+const MODEL = "packages/node/state/model_test.ts";
 const SCENARIOS = "scripts/scenarios/scenarios_test.ts";
 
 export const MUTATIONS: readonly Mutation[] = [
@@ -88,4 +90,123 @@
     spec: SCENARIOS,
     title: "store_down_ten_minutes",
   },
+  {
+    name: "pass on a reply that belongs to another attempt",
+    promise: "whole_own_answer",
+    file: "packages/node/upstreams/exchange.ts",
+    find:
+      `if (incoming.headers["x-attempt-id"] !== this.#upstream.attemptId) {`,
+    replace: `if (incoming.headers["x-attempt-id"] === undefined) {`,
+    spec: CALLS,
+    title: "passes on no reply that is cut",
+  },
+  {
+    name: "pass on a reply without a length",
+    promise: "whole_own_answer",
+    file: "packages/node/upstreams/exchange.ts",
+    find: `if (!framed) {`,
+    replace: `if (!framed && incoming.complete) {`,
+    spec: CALLS,
+    title: "passes on no reply that is cut",
+  },
+  {
+    name: "try a non-idempotent call again whatever became of it",
+    promise: "at_most_once",
+    file: "packages/node/requests/filters/retry.ts",
+    find: `return isProvenNotRun(outcome) || request.idempotent;`,
+    replace: `return true;`,
+    spec: CALLS,
+    title: "says what it can prove of each failure",
+  },
+  {
+    name: "run a keyed non-idempotent call without its row",
+    promise: "at_most_once",
+    file: "packages/node/requests/filters/deduplicate.ts",
+    find: `if (!request.idempotent) return await runClaimed(request, next);`,
+    replace: `if (!request.idempotent) return await next(request);`,
+    spec: CALLS,
+    title: "runs a keyed strict call once",
+  },
+  {
+    name: "forget that an earlier attempt may have run",
+    promise: "not_run_is_true",
+    file: "packages/node/requests/filters/retry.ts",
+    find: `if (!again) return unsettled ?? outcome;`,
+    replace: `if (!again) return outcome;`,
+    spec: CALLS,
+    title: "calls an idempotent request unknown",
+  },
+  {
+    name: "give a leaving runner new work",
+    promise: "leaving_upstream_gets_nothing",
+    file: "packages/node/upstreams/runner.ts",
+    find: `return this.#vm.state === "live" && this.#report?.leaving !== true;`,
+    replace: `return true;`,
+    spec: CALLS,
+    title: "gives a leaving runner nothing new",
+  },
+  {
+    name: "cut what is in progress when the server stops",
+    promise: "graceful_stop_cuts_nothing",
+    file: "packages/node/http/server.ts",
+    find: `    await this.#connections.whenEmpty();`,
+    replace: `    this.#connections.closeAll();`,
+    spec: "packages/node/http/server_test.ts",
+    title: "finishes what is in progress",
+  },
+  {
+    name: "follow an older configuration head",
+    promise: "configuration_never_reverts",
+    file: "packages/node/configuration/decisions.ts",
+    find: `if (head !== undefined && version > known.version) {`,
+    replace: `if (head !== undefined && version !== known.version) {`,
+    spec: MODEL,
+    title: "holds its invariants",
+  },
+  {
+    name: "let a late message of a lower version change a failure domain",
+    promise: "no_start_in_domain_out",
+    file: "packages/node/failure_domains/decisions.ts",
+    find: `return incoming.version > current.version ? incoming : current;`,
+    replace: `return incoming;`,
+    spec: "packages/node/state/operators_test.ts",
+    title: "are not changed by late messages",
+  },
+  {
+    name: "act on a lease that has ended",
+    promise: "one holder per failure domain",
+    file: "packages/node/ownership/decisions.ts",
+    find: `return lease.actsFromMs <= nowMs && nowMs < lease.actsUntilMs;`,
+    replace: `return lease.actsFromMs <= nowMs;`,
+    spec: MODEL,
+    title: "holds its invariants",
+  },
+  {
+    name: "take a failure domain before its lease has lapsed",
+    promise: "one holder per failure domain",
+    file: "packages/node/ownership/decisions.ts",
+    find: `const waitMs = (isFree ? 0 : OWNERSHIP_TERM_MS) +`,
+    replace: `const waitMs = (isFree ? 0 : OWNERSHIP_TERM_MS / 4) +`,
+    spec: MODEL,
+    title: "holds its invariants",
+  },
+  {
+    name: "take a conflict for a lost race though the write was made",
+    promise: "not_run_is_true",
+    file: "packages/platform/table/settlement.ts",
+    find:
+      `if (rows.some((row) => row.writeId === transaction.writeId)) return "made";`,
+    replace: ``,
+    spec: "packages/platform/table/resilient_table_test.ts",
+    title: "settles a write whose answer was lost",
+  },
+  {
+    name: "count reserved capacity as free for pinned work",
+    promise: "guarantees_reclaimable",
+    file: "packages/policy/placement/capacity_model.ts",
+    find: `  return countFitting(getUnreservedRoom(worker), perTask);`,
+    replace: `  return countFree(worker, perTask);`,
+    spec: "packages/policy/placement/engine_properties_test.ts",
+    title: "hold after any sequence",
+  },
 ];
