Give pinned work a home where it can start, and mend a crowded-out plan

Besides, a guarantee that pinned work had crowded out was not planned again when that work ended, and a broken plan holds all pinned work back. Change: pinned work goes to failure domains with unreserved room if there are any; the end of pinned work repairs a broken plan. Seen to fail: each of the two new tests on the code before its half of the change.

--- a/packages/policy/placement/domain_choice.ts
+++ b/packages/policy/placement/domain_choice.ts
@@ -99,6 +99,11 @@
   return !canCheckpoint && shape.tasks > 1;
 }
 
+/** Can neither be evicted nor run again, so it starts on unreserved capacity only. */
+function isPinned({ canCheckpoint, idempotent }: QueuedJob): boolean {
+  return !canCheckpoint && !idempotent;
+}
+
 function isUnreserved(summary: DomainSummary, shape: Shape): boolean {
   return summary.largestRackUnreservedAccelerators >=
     computeDemand(shape).accelerators;
@@ -142,10 +147,15 @@
     options.guaranteeHolders?.has(name) ?? false
   );
   const candidates = holders.length > 0 ? holders : domainsIn;
-  const known = candidates.flatMap((name) => {
+  const heardOf = candidates.flatMap((name) => {
     const summary = summaries.get(name);
     return summary === undefined ? [] : [{ name, summary }];
   });
+  const open = heardOf.filter(({ summary }) =>
+    isUnreserved(summary, job.shape)
+  );
+  const onlyOpen = isPinned(job) && holders.length === 0 && open.length > 0;
+  const known = onlyOpen ? open : heardOf;
   if (known.length === 0) {
     return draw(job.jobId, new Map(candidates.map((name) => [name, 1])));
   }
--- a/packages/policy/placement/engine.ts
+++ b/packages/policy/placement/engine.ts
@@ -298,6 +298,9 @@
     if (record === undefined || !isPlaced(record)) return;
     const workers = (record.place ?? []).map(({ worker }) => worker);
     this.#state.remove(record);
+    if (record.pinned && this.#state.plan.hasBroken()) {
+      this.#noteCapacityChange();
+    }
     const isGuilty = this.#outcomes.learn(record, workers, event, nowMs);
     if (isGuilty) {
       this.#pending.push({
--- /dev/null
+++ b/packages/policy/placement/pinned_work_test.ts
@@ -0,0 +1,89 @@
+/** Tests of work that can be neither evicted nor run again, beside guarantees. */
+import { createId } from "@coltsfootpond/common";
+import { expect } from "chai";
+import type { DomainSummary, EngineEvent } from "../types.ts";
+import { chooseFailureDomain } from "./domain_choice.ts";
+import { createPlacementEngine } from "./engine.ts";
+import {
+  createGuarantee,
+  createJob,
+  createOrganisation,
+  createShape,
+  createWorkers,
+} from "./test_fixtures.ts";
+
+const PINNED = { idempotent: false, canCheckpoint: false } as const;
+const ORGANISATIONS = [createOrganisation("gas"), createOrganisation("bids")];
+
+function configure(gangTasks: number): EngineEvent {
+  const shape = createShape(gangTasks, 8, "rack");
+  return {
+    kind: "configuration",
+    guarantees: [createGuarantee("desk", "gas", shape)],
+    organisations: ORGANISATIONS,
+  };
+}
+
+function queue(id: string): EngineEvent {
+  const job = createJob({ id, organisation: "bids", ...PINNED });
+  return { kind: "job_queued", job };
+}
+
+describe("pinned work", () => {
+  it("gives way to a guarantee that it crowded out as soon as it has ended", () => {
+    const engine = createPlacementEngine();
+    const apply = (...events: readonly EngineEvent[]) =>
+      events.forEach((event) => engine.apply(event, 0));
+    apply(...createWorkers(1, 4), configure(3), queue("a"));
+    const decided = [engine.decide(0)];
+    const jobId = createId<never>("job/a");
+    apply({ kind: "job_started", jobId }, configure(4));
+    decided.push(engine.decide(10));
+    const broken = [engine.listBrokenGuarantees().length];
+    apply({
+      kind: "attempt_ended",
+      jobId,
+      end: "finished",
+      requeue: false,
+      ranMs: 10,
+      workers: [],
+    });
+    decided.push(engine.decide(20));
+    broken.push(engine.listBrokenGuarantees().length);
+    expect(broken).to.deep.equal([1, 0]);
+    apply(configure(3), queue("b"));
+    decided.push(engine.decide(30));
+    expect(decided.map((decisions) => decisions.map(({ kind }) => kind)))
+      .to.deep.equal([["place"], [], [], ["place"]]);
+  });
+
+  it("is not sent where guarantees take every accelerator", () => {
+    const createSummary = (
+      freeAccelerators: number,
+      largestRackUnreservedAccelerators: number,
+    ): DomainSummary => ({
+      freeAccelerators,
+      totalAccelerators: 128,
+      largestRackFreeAccelerators: 64,
+      largestRackUnreservedAccelerators,
+      largestPartlyFreeAccelerators: 0,
+      openingLoss: 0,
+      freeMilliprocessors: 1_000_000,
+      queuedJobs: 0,
+      queuedAccelerators: 0,
+      runningTasks: 0,
+    });
+    const reserved = createId<never>("diessen");
+    const open = createId<never>("landsberg");
+    const summaries = new Map([
+      [reserved, createSummary(64, 0)],
+      [open, createSummary(128, 64)],
+    ]);
+    const choose = (options: Parameters<typeof createJob>[0]) =>
+      chooseFailureDomain(createJob(options), summaries, [reserved, open]);
+    expect(choose({ id: "a", ...PINNED })).to.equal(open);
+    expect(choose({ id: "a", idempotent: true })).to.equal(reserved);
+    summaries.set(open, createSummary(128, 0));
+    expect(choose({ id: "a", ...PINNED })).to.equal(reserved);
+  });
+});
