--- a/packages/node/requests/filters/attempt.ts
+++ b/packages/node/requests/filters/attempt.ts
@@ -64,7 +64,7 @@
 
   return async (request): Promise<RequestOutcome> => {
     const { avoid, deadlineMs, signal } = request;
-    const service = request.service.name;
+    const { service } = request;
     const runner = await pool.acquire({ service, avoid, deadlineMs, signal });
     const startedMs = clock.nowMs();
     const remainingMs = deadlineMs - startedMs;
@@ -86,13 +86,13 @@
       signal: request.signal,
     });
     emit(request, attemptId, runner.name, outcome, startedMs);
+    const admission = options.admissions.get(service);
     if (outcome.kind === "failed") {
-      if (outcome.blame === BLAME.FULL || outcome.blame === BLAME.SILENT) {
-        options.admissions.get(request.service.name).noteOverload();
-      }
+      admission.noteFailed(outcome.blame === BLAME.FULL);
       const { resultName, detail } = outcome;
       return failed(resultName, { detail, runner: runner.name });
     }
+    admission.noteAnswered(clock.nowMs() - startedMs);
     const { status, contentType, body } = outcome;
     const answer = { attemptId, status, contentType, body };
     return { kind: "answered", answer };
--- a/packages/node/state/model.ts
+++ b/packages/node/state/model.ts
@@ -19,6 +19,8 @@
 import { DOMAIN_OUT_BOUND_MS } from "../constants.ts";
 import type { FailureDomainFact } from "../failure_domains/decisions.ts";
 import { getDomainKey, getOwnerKey } from "../rows.ts";
+import type { ModelAction } from "./model_action.ts";
+import { ModelContacts, nameLink } from "./model_contacts.ts";
 import { ModelEntry } from "./model_entry.ts";
 import { toJson } from "./rows_json.ts";
 
@@ -27,32 +29,6 @@
 export const MODEL_DOMAIN_KEY = getDomainKey(MODEL_DOMAIN);
 export const STEP_MS = 250;
 
-/** One fault or operator's act; `entry` and `other` are taken modulo the number of entries. */
-export interface ModelAction {
-  readonly kind:
-    | "wait"
-    | "pause"
-    | "thaw"
-    | "kill"
-    | "join"
-    | "cut_store"
-    | "mend_store"
-    | "cut_all_stores"
-    | "mend_all_stores"
-    | "cut_link"
-    | "mend_link"
-    | "isolate"
-    | "lose_answer"
-    | "delay_write"
-    | "out"
-    | "in"
-    | "apply";
-  readonly entry: number;
-  readonly other: number;
-  /** Steps that pass after it. */
-  readonly steps: number;
-}
-
 interface AnsweredOut {
   readonly version: number;
   readonly answeredMs: number;
@@ -69,6 +45,7 @@
   /** Steps in which an entry acted although it had not written its beat for a whole term. */
   closedWorldSteps = 0;
   readonly #cuts = new Set<string>();
+  readonly #contacts = ModelContacts.create(this);
   #late: { readonly atMs: number; readonly transaction: TableTransaction }[] =
     [];
   #writes = 0;
@@ -197,6 +174,7 @@
     this.#late = this.#late.filter(({ atMs }) => atMs > this.nowMs);
     for (const { transaction } of due) this.table.transactNow(transaction);
     for (const entry of this.entries) if (entry.isRunning) entry.run();
+    this.#contacts.note();
     this.#checkHolders();
   }
 
@@ -210,9 +188,7 @@
     );
     for (const left of acting) {
       for (const right of acting) {
-        if (left === right || !left.knows(right) || !right.knows(left)) {
-          continue;
-        }
+        if (left === right || !this.#contacts.canKnow(left, right)) continue;
         const names = `${left.entry} and ${right.entry}`;
         this.violations.push(`${names} may act at ${this.nowMs}`);
       }
@@ -222,6 +198,29 @@
     }
   }
 
+  #setStores(isUp: boolean): void {
+    for (const one of this.entries) one.isStoreUp = isUp;
+  }
+
+  #isolate(entry: ModelEntry): void {
+    for (const one of this.entries) this.#cuts.add(nameLink(entry, one));
+  }
+
+  #joinInOutage(entry: ModelEntry): void {
+    this.#setStores(false);
+    this.join();
+    const joiner = this.entries.at(-1);
+    if (joiner !== undefined) this.#cuts.add(nameLink(entry, joiner));
+  }
+
+  #takeoverThenOutage(entry: ModelEntry): void {
+    this.#isolate(entry);
+    entry.isStoreUp = false;
+    this.run(OUTLAST_TERM_STEPS);
+    this.#setStores(false);
+    this.#cuts.clear();
+  }
+
   #perform(action: ModelAction, entry: ModelEntry, other: ModelEntry): void {
     switch (action.kind) {
       case "wait":
@@ -239,17 +238,23 @@
       case "mend_store":
         return void (entry.isStoreUp = true);
       case "cut_all_stores":
-        return this.entries.forEach((one) => one.isStoreUp = false);
+        return this.#setStores(false);
       case "mend_all_stores":
-        return this.entries.forEach((one) => one.isStoreUp = true);
+        return this.#setStores(true);
       case "cut_link":
         return void this.#cuts.add(nameLink(entry, other));
       case "mend_link":
         return void this.#cuts.delete(nameLink(entry, other));
       case "isolate":
-        return this.entries.forEach((one) =>
-          this.#cuts.add(nameLink(entry, one))
-        );
+        return this.#isolate(entry);
+      case "mend_all_links":
+        return this.#cuts.clear();
+      case "join_in_outage":
+        return this.#joinInOutage(entry);
+      case "takeover_then_outage":
+        return this.#takeoverThenOutage(entry);
+      case "stale_head":
+        return entry.readStaleHead();
       case "lose_answer":
         return void (entry.loseNext += 1);
       case "delay_write":
@@ -264,12 +269,7 @@
   }
 }
 
-function nameLink(left: ModelEntry, right: ModelEntry): string {
-  return left.entry < right.entry
-    ? `${left.entry} ${right.entry}`
-    : `${right.entry} ${left.entry}`;
-}
-
 const SETTLE_STEPS = 16;
+const OUTLAST_TERM_STEPS = 32;
 const MAXIMUM_ENTRIES = 4;
 const CLOCK_DRIFT = 0.01;
--- a/packages/node/state/operators_test.ts
+++ b/packages/node/state/operators_test.ts
@@ -109,7 +109,6 @@
     await cluster.watch(150);
     cluster.setTableDown(true);
     const [outcome] = await run(cluster, [cut]);
-    /** Three files and the lists of both sets. */
     expect(cluster.objects.listKeys().length).to.equal(5);
     cluster.setTableDown(false);
     faults.delayAfterMs = 0;
@@ -252,7 +251,10 @@
       version: 1,
       provisional: true,
     });
+    const unchanged = ["in 2", "in 2", "in 2"];
+    await cluster.watch(100);
+    expect(listStates(cluster), "before the next read").to.eql(unchanged);
     await cluster.watch(10_000);
-    expect(listStates(cluster)).to.eql(["in 2", "in 2", "in 2"]);
+    expect(listStates(cluster), "after it").to.eql(unchanged);
   });
 });
--- a/packages/node/upstreams/constants.ts
+++ b/packages/node/upstreams/constants.ts
@@ -1,7 +1,6 @@
 /** Timings and sizes of the upstream pool. */
 
 export const RUN_PATH = "/run";
-export const DEFAULT_RUNNER_SLOTS = 8;
 export const CONNECTIONS_PER_RUNNER = 8;
 export const CONNECT_TIMEOUT_MS = 1_000;
 export const MAXIMUM_ANSWER_BYTES = 16 * 1_048_576;
@@ -29,12 +28,6 @@
 /** A runner that comes back is given its full load over this time. */
 export const SLOW_START_MS = 3_000;
 
-/** A report older than this lends no slots. */
-export const BORROW_REPORT_AGE_MS = 200;
-/** Free slots that a report must show beyond a borrowed one. */
-export const BORROW_RESERVE = 2;
-/** No borrowing from a runner for this long after it refused. */
-export const BORROW_PAUSE_MS = 200;
 /** Time in which the weight of a report falls to 1/e. */
 export const REPORT_DECAY_MS = 250;
 
--- a/packages/node/upstreams/runner.ts
+++ b/packages/node/upstreams/runner.ts
@@ -1,7 +1,6 @@
 /** One runner as this entry knows it: its connections, attempts in progress, health and last report. */
 import type { Clock, RunnerName } from "@coltsfootpond/common";
 import type { VmRecord } from "@coltsfootpond/platform";
-import { BORROW_PAUSE_MS, DEFAULT_RUNNER_SLOTS } from "./constants.ts";
 import { exchangeWithRunner } from "./exchange.ts";
 import { RunnerHealth } from "./health.ts";
 import { RunnerAgent } from "./runner_agent.ts";
@@ -22,6 +21,13 @@
   readonly onFreed: () => void;
 }
 
+/** Slots of a runner. */
+export interface RunnerSlots {
+  readonly slots: number;
+  /** Those of this entry's own right. */
+  readonly share: number;
+}
+
 export class Runner {
   readonly name: RunnerName;
   readonly #options: RunnerOptions;
@@ -31,7 +37,7 @@
   #inUse = 0;
   #report: LoadReport | undefined;
   #reportedMs = -Infinity;
-  #refusedMs = -Infinity;
+  #othersInUse: number | undefined;
 
   private constructor(options: RunnerOptions) {
     this.#options = options;
@@ -53,10 +59,6 @@
     return this.#inUse;
   }
 
-  get slots(): number {
-    return this.#vm.slots ?? DEFAULT_RUNNER_SLOTS;
-  }
-
   get connectionCount(): number {
     return this.#agent.countConnections();
   }
@@ -80,6 +82,7 @@
     this.#vm = vm;
     if (moved) {
       this.#report = undefined;
+      this.#othersInUse = undefined;
       this.#agent.suspectAll();
     }
     if (vm.state === "leaving") this.#agent.retire();
@@ -100,17 +103,16 @@
     this.#agent.destroy();
   }
 
-  createCandidate(share: number): Candidate {
+  createCandidate({ slots, share }: RunnerSlots): Candidate {
     const nowMs = this.#options.clock.nowMs();
     const loadShare = this.#health.getLoadShare();
     return {
       runner: this.name,
       inUse: this.#inUse,
       share: Math.ceil(share * loadShare),
-      slots: Math.ceil(this.slots * loadShare),
-      reportedInUse: this.#report?.slotsInUse,
+      slots: Math.ceil(slots * loadShare),
+      othersInUse: this.#othersInUse,
       reportAgeMs: nowMs - this.#reportedMs,
-      refusedLately: nowMs - this.#refusedMs < BORROW_PAUSE_MS,
     };
   }
 
@@ -129,8 +131,8 @@
     const { clock } = this.#options;
     const target = { host, port, agent: this.#agent, clock };
     const outcome = await exchangeWithRunner(target, upstream);
-    this.#learn(outcome);
     this.giveBack();
+    this.#learn(outcome);
     return outcome;
   }
 
@@ -139,12 +141,13 @@
     if (outcome.report !== undefined) {
       this.#report = outcome.report;
       this.#reportedMs = nowMs;
+      const others = outcome.report.slotsInUse - this.#inUse;
+      this.#othersInUse = Math.max(0, others);
     }
     if (outcome.kind === "answered") {
       this.#health.noteSuccess();
       return;
     }
-    if (outcome.blame === BLAME.FULL) this.#refusedMs = nowMs;
     if (outcome.blame === BLAME.SILENT) this.#agent.suspectAll();
     if (this.#health.noteFailure(outcome.blame)) {
       this.#options.onEjected(this.name);
