--- a/packages/policy/guarantees/quota_split.ts
+++ b/packages/policy/guarantees/quota_split.ts
@@ -19,6 +19,7 @@
   scaleResources,
   subtractResources,
 } from "../placement/resources.ts";
+import type { QueuedJob } from "../types.ts";
 import type { GuaranteePlan } from "./guarantee_planner.ts";
 
 /** Organisations with their share of the quota, by failure domain. */
@@ -132,3 +133,15 @@
     accelerators: Math.floor(amount.accelerators),
   };
 }
+
+/** Failure domains in which the organisation's share of its quota has room for the job. */
+export function listDomainsWithinQuota(
+  shares: QuotaShares,
+  { organisation, shape }: QueuedJob,
+): readonly FailureDomainName[] {
+  const demand = computeDemand(shape);
+  return [...shares].flatMap(([name, organisations]) => {
+    const own = organisations.find((other) => other.name === organisation);
+    return own !== undefined && fitsWithin(demand, own.quota) ? [name] : [];
+  });
+}
--- a/packages/policy/placement/packing.ts
+++ b/packages/policy/placement/packing.ts
@@ -79,6 +79,11 @@
   return places;
 }
 
+/** Workers without accelerators first, for tasks that need none. */
+function byAccelerators(left: CountedWorker, right: CountedWorker): number {
+  return left.worker.capacity.accelerators - right.worker.capacity.accelerators;
+}
+
 /** One candidate: the racks with least room first. */
 function findInDomain(
   racks: Iterable<RackState>,
@@ -90,7 +95,9 @@
     (rack) => countWorkers(rack.workers, count).sort(byLeastRoom),
   );
   perRack.sort((left, right) => sumCounts(left) - sumCounts(right));
+  const needsNone = shape.perTask.accelerators === 0;
   const counted = perRack.flat();
+  if (needsNone) counted.sort(byAccelerators);
   return sumCounts(counted) < shape.tasks ? [] : [fill(counted, shape.tasks)];
 }
 
