--- a/packages/node/http/authenticator.ts
+++ b/packages/node/http/authenticator.ts
@@ -1,7 +1,11 @@
 /** Bearer tokens: hashed with SHA-256 and compared in constant time with the declared digests. */
 import { Buffer } from "node:buffer";
 import { createHash, timingSafeEqual } from "node:crypto";
-import type { Digest, OrganisationName } from "@coltsfootpond/common";
+import type {
+  Declarations,
+  Digest,
+  OrganisationName,
+} from "@coltsfootpond/common";
 import type { ConfigurationView } from "../types.ts";
 
 /** Who a bearer token belongs to. */
@@ -20,34 +24,66 @@
   readonly bootstrapOperatorTokenDigests: readonly Digest[];
 }
 
+/** A declared token. */
+interface Credential {
+  readonly digest: Buffer;
+  readonly caller: Caller;
+}
+
 const BEARER_PATTERN = /^Bearer ([A-Za-z0-9._~+/=-]{1,512})$/i;
 const UNKNOWN_CALLER: Caller = { kind: "unknown" };
 
-/** Compares all of both values whatever they hold. */
-function isEqualDigest(token: Buffer, declared: Digest): boolean {
-  const expected = Buffer.from(declared, "hex");
-  return expected.byteLength === token.byteLength &&
-    timingSafeEqual(token, expected);
+function createOperatorCredentials(digests: readonly Digest[]): Credential[] {
+  return digests.map((digest) => ({
+    digest: Buffer.from(digest, "hex"),
+    caller: { kind: "operator" },
+  }));
+}
+
+function createCredentials(declarations: Declarations): readonly Credential[] {
+  const organisations = declarations.organisations.map((declared) => ({
+    digest: Buffer.from(declared.tokenDigest, "hex"),
+    caller: { kind: "organisation", organisation: declared.name } as const,
+  }));
+  const operators = createOperatorCredentials(
+    declarations.operatorTokenDigests,
+  );
+  return [...operators, ...organisations];
 }
 
-/** An `Authenticate` over the configuration in force. Every declared digest is compared each time. */
+/** Compares with every credential, whichever fits. */
+function findCaller(token: Buffer, credentials: readonly Credential[]): Caller {
+  let found = UNKNOWN_CALLER;
+  for (const { digest, caller } of credentials) {
+    const fits = digest.byteLength === token.byteLength &&
+      timingSafeEqual(token, digest);
+    if (fits) found = caller;
+  }
+  return found;
+}
+
+/** An `Authenticate` over the configuration in force. */
 export function createAuthenticate(options: AuthenticateOptions): Authenticate {
+  const bootstrap = createOperatorCredentials(
+    options.bootstrapOperatorTokenDigests,
+  );
+  const known = new WeakMap<Declarations, readonly Credential[]>();
+
+  function getCredentials(): readonly Credential[] {
+    const declarations = options.configuration.current()?.declarations;
+    if (declarations === undefined) return bootstrap;
+    let credentials = known.get(declarations);
+    if (credentials === undefined) {
+      credentials = createCredentials(declarations);
+      known.set(declarations, credentials);
+    }
+    return credentials;
+  }
+
   return (authorization) => {
     const token = BEARER_PATTERN.exec(authorization ?? "")?.[1];
     if (token === undefined) return UNKNOWN_CALLER;
     const digest = createHash("sha256").update(token).digest();
-    const declarations = options.configuration.current()?.declarations;
-    const operators = declarations?.operatorTokenDigests ??
-      options.bootstrapOperatorTokenDigests;
-    let caller = UNKNOWN_CALLER;
-    for (const declared of operators) {
-      if (isEqualDigest(digest, declared)) caller = { kind: "operator" };
-    }
-    for (const organisation of declarations?.organisations ?? []) {
-      if (isEqualDigest(digest, organisation.tokenDigest)) {
-        caller = { kind: "organisation", organisation: organisation.name };
-      }
-    }
-    return caller;
+    return findCaller(digest, getCredentials());
   };
 }
--- a/packages/node/upstreams/pool.ts
+++ b/packages/node/upstreams/pool.ts
@@ -171,6 +171,7 @@
 
   #listCandidates(service: CallServiceDeclaration): Candidate[] {
     this.#refreshShares();
+    const nowMs = this.#options.clock.nowMs();
     const candidates: Candidate[] = [];
     for (const runner of this.#runners.values()) {
       const usable = runner.vm.service === service.name && runner.isUsable() &&
@@ -178,7 +179,7 @@
       if (usable) {
         const slots = runner.vm.slots ?? service.slotsPerRunner;
         const share = this.#getShare(runner.name, slots);
-        candidates.push(runner.createCandidate({ slots, share }));
+        candidates.push(runner.createCandidate({ slots, share }, nowMs));
       }
     }
     return candidates;
--- a/packages/node/upstreams/runner.ts
+++ b/packages/node/upstreams/runner.ts
@@ -103,8 +103,7 @@
     this.#agent.destroy();
   }
 
-  createCandidate({ slots, share }: RunnerSlots): Candidate {
-    const nowMs = this.#options.clock.nowMs();
+  createCandidate({ slots, share }: RunnerSlots, nowMs: number): Candidate {
     const loadShare = this.#health.getLoadShare();
     return {
       runner: this.name,
