--- a/packages/node/rows.ts
+++ b/packages/node/rows.ts
@@ -16,7 +16,7 @@
 
 export const CONFIGURATION_HEAD_KEY = "config/head";
 
-/** `config/head`: the accepted configuration. Its version only rises. */
+/** `config/head`: the accepted configuration. Its version only rises. Read in every period. */
 export interface ConfigurationHeadRow {
   readonly version: number;
   /** Of the list of chunks, which is kept in the object store: every entry polls this row. */
--- a/scripts/bench_capacity/message_sizes.ts
+++ b/scripts/bench_capacity/message_sizes.ts
@@ -50,6 +50,8 @@
   tableReachable: true,
   holdings: [{ failureDomain: FAILURE_DOMAIN, epoch: 4_000 }],
   leaving: false,
+  membersVersion: 9_000,
+  settled: true,
 };
 
 const MESH_MESSAGES: readonly MeshMessage[] = [
@@ -75,12 +77,13 @@
       freeAccelerators: 117,
       totalAccelerators: 365,
       largestRackFreeAccelerators: 64,
+      largestRackUnreservedAccelerators: 64,
+      largestPartlyFreeAccelerators: 7,
+      openingLoss: 16.16,
       freeMilliprocessors: 12_345_678,
       queuedJobs: 479,
       queuedAccelerators: 11_496,
       runningTasks: 2_858,
-      largestRackUnreservedAccelerators: 40,
-      partlyFreeAccelerators: 12,
     },
   },
   { kind: "ownership_released", failureDomain: FAILURE_DOMAIN, epoch: 4_000 },
