--- a/packages/node/rows.ts
+++ b/packages/node/rows.ts
@@ -19,12 +19,12 @@
 /** `config/head`: the accepted configuration. Its version only rises. Read in every period. */
 export interface ConfigurationHeadRow {
   readonly version: number;
-  /** Digest of the manifest, the list of the set's files in the object store. */
+  /** Of the list of chunks, which is kept in the object store: every entry polls this row. */
   readonly digest: Digest;
   readonly acceptedBy: EntryName;
 }
 
-/** A head with the files of its manifest. */
+/** The accepted configuration with its list of chunks. */
 export interface ConfigurationHead extends ConfigurationHeadRow {
   readonly chunks: readonly ConfigurationChunk[];
 }
