Move pinned work out of a failure domain where it can never start

Change: pinned work without unreserved room moves, after the usual patience, to a failure domain that has some, whatever the loads. Seen to fail: the new test with the rule off.

--- a/packages/policy/placement/domain_choice.ts
+++ b/packages/policy/placement/domain_choice.ts
@@ -209,12 +209,15 @@
   const patienceMs = REHOME_AFTER_MS * 2 ** Math.min(moves, MAXIMUM_DOUBLINGS);
   const here = summaries.get(current);
   if (waitedMs < patienceMs || here === undefined) return undefined;
+  const isStuck = isPinned(job) && !isUnreserved(here, job.shape);
   const better = domainsIn.filter((name) => {
     const summary = summaries.get(name);
     return name !== current && summary !== undefined &&
       fitsNow(summary, job.shape) &&
       (!isLostWhenEvicted(job) || isUnreserved(summary, job.shape)) &&
-      computeLoad(summary) + REHOME_MINIMUM_GAIN < computeLoad(here);
+      (isStuck
+        ? isUnreserved(summary, job.shape)
+        : computeLoad(summary) + REHOME_MINIMUM_GAIN < computeLoad(here));
   });
   return chooseFailureDomain(job, summaries, better);
 }
--- a/packages/policy/placement/pinned_work_test.ts
+++ b/packages/policy/placement/pinned_work_test.ts
@@ -1,8 +1,8 @@
 /** Tests of work that can be neither evicted nor run again, beside guarantees. */
-import { createId } from "@coltsfootpond/common";
+import { createId, MS_PER_MINUTE } from "@coltsfootpond/common";
 import { expect } from "chai";
 import type { DomainSummary, EngineEvent } from "../types.ts";
-import { chooseFailureDomain } from "./domain_choice.ts";
+import { chooseFailureDomain, chooseNewHome } from "./domain_choice.ts";
 import { createPlacementEngine } from "./engine.ts";
 import {
   createGuarantee,
@@ -13,6 +13,8 @@
 } from "./test_fixtures.ts";
 
 const PINNED = { idempotent: false, canCheckpoint: false } as const;
+const RESERVED = createId<never>("diessen");
+const OPEN = createId<never>("landsberg");
 const ORGANISATIONS = [createOrganisation("gas"), createOrganisation("bids")];
 
 function configure(gangTasks: number): EngineEvent {
@@ -29,6 +31,24 @@
   return { kind: "job_queued", job };
 }
 
+function createSummary(
+  freeAccelerators: number,
+  largestRackUnreservedAccelerators: number,
+): DomainSummary {
+  return {
+    freeAccelerators,
+    totalAccelerators: 128,
+    largestRackFreeAccelerators: 64,
+    largestRackUnreservedAccelerators,
+    largestPartlyFreeAccelerators: 0,
+    openingLoss: 0,
+    freeMilliprocessors: 1_000_000,
+    queuedJobs: 0,
+    queuedAccelerators: 0,
+    runningTasks: 0,
+  };
+}
+
 describe("pinned work", () => {
   it("gives way to a guarantee that it crowded out as soon as it has ended", () => {
     const engine = createPlacementEngine();
@@ -57,33 +77,35 @@
       .to.deep.equal([["place"], [], [], ["place"]]);
   });
 
+  it("moves away from where guarantees take every accelerator", () => {
+    const summaries = new Map([
+      [RESERVED, createSummary(64, 0)],
+      [OPEN, createSummary(60, 60)],
+    ]);
+    const move = (options: Parameters<typeof createJob>[0], waitedMs: number) =>
+      chooseNewHome({
+        job: createJob(options),
+        current: RESERVED,
+        waitedMs,
+        moves: 0,
+        summaries,
+        domainsIn: [RESERVED, OPEN],
+      });
+    expect(move({ id: "a", ...PINNED }, 0)).to.equal(undefined);
+    expect(move({ id: "a", ...PINNED }, MS_PER_MINUTE)).to.equal(OPEN);
+    expect(move({ id: "a" }, MS_PER_MINUTE)).to.equal(undefined);
+  });
+
   it("is not sent where guarantees take every accelerator", () => {
-    const createSummary = (
-      freeAccelerators: number,
-      largestRackUnreservedAccelerators: number,
-    ): DomainSummary => ({
-      freeAccelerators,
-      totalAccelerators: 128,
-      largestRackFreeAccelerators: 64,
-      largestRackUnreservedAccelerators,
-      largestPartlyFreeAccelerators: 0,
-      openingLoss: 0,
-      freeMilliprocessors: 1_000_000,
-      queuedJobs: 0,
-      queuedAccelerators: 0,
-      runningTasks: 0,
-    });
-    const reserved = createId<never>("diessen");
-    const open = createId<never>("landsberg");
     const summaries = new Map([
-      [reserved, createSummary(64, 0)],
-      [open, createSummary(128, 64)],
+      [RESERVED, createSummary(64, 0)],
+      [OPEN, createSummary(128, 64)],
     ]);
     const choose = (options: Parameters<typeof createJob>[0]) =>
-      chooseFailureDomain(createJob(options), summaries, [reserved, open]);
-    expect(choose({ id: "a", ...PINNED })).to.equal(open);
-    expect(choose({ id: "a", idempotent: true })).to.equal(reserved);
-    summaries.set(open, createSummary(128, 0));
-    expect(choose({ id: "a", ...PINNED })).to.equal(reserved);
+      chooseFailureDomain(createJob(options), summaries, [RESERVED, OPEN]);
+    expect(choose({ id: "a", ...PINNED })).to.equal(OPEN);
+    expect(choose({ id: "a", idempotent: true })).to.equal(RESERVED);
+    summaries.set(OPEN, createSummary(128, 0));
+    expect(choose({ id: "a", ...PINNED })).to.equal(RESERVED);
   });
 });
