--- a/packages/node/upstreams/constants.ts
+++ b/packages/node/upstreams/constants.ts
@@ -28,14 +28,8 @@
 /** A runner that comes back is given its full load over this time. */
 export const SLOW_START_MS = 3_000;
 
-/** A report older than this lends no slots. */
-export const BORROW_REPORT_AGE_MS = 200;
-/** Free slots that a report must show beyond a borrowed one. */
-export const BORROW_RESERVE = 2;
-/** No borrowing from a runner for this long after it refused. */
-export const BORROW_PAUSE_MS = 200;
 /** Time in which the weight of a report falls to 1/e. */
-export const REPORT_DECAY_MS = 250;
+export const REPORT_DECAY_MS = 1_000;
 
 /** An attempt that waits for room looks again this often. */
 export const ROOM_CHECK_MS = 10;
