--- a/packages/node/jobs/fleet_task.ts
+++ b/packages/node/jobs/fleet_task.ts
@@ -10,7 +10,7 @@
   WorkerName,
 } from "@coltsfootpond/common";
 import type { FleetPort, FleetReport } from "@coltsfootpond/platform";
-import { createRenewals, type FleetCommander } from "./gang_start.ts";
+import { createRenewal, type FleetCommander } from "./gang_start.ts";
 
 export const RENEW_PERIOD_MS = 6_000;
 const FLEET_TIMEOUT_MS = 2_000;
@@ -105,7 +105,7 @@
   async #renew(): Promise<void> {
     const workers = this.#options.listLeasedWorkers();
     if (workers.length > 0) {
-      await this.#options.commander.command(createRenewals(workers));
+      await this.#options.commander.command([createRenewal(workers)]);
     }
   }
 }
--- a/packages/node/jobs/gang_start.ts
+++ b/packages/node/jobs/gang_start.ts
@@ -196,13 +196,11 @@
   }));
 }
 
-/** One renewal per worker, whatever the number of its tasks. */
-export function createRenewals(
-  workers: Iterable<WorkerName>,
-): readonly WorkerCommand[] {
-  return [...new Set(workers)].map((worker) => ({
+/** One command for all workers, whatever the number of their tasks. */
+export function createRenewal(workers: Iterable<WorkerName>): WorkerCommand {
+  return {
     kind: "renew",
-    worker,
+    workers: [...new Set(workers)],
     leaseMs: TASK_LEASE_MS,
-  }));
+  };
 }
--- a/packages/node/ownership/ownership_controller.ts
+++ b/packages/node/ownership/ownership_controller.ts
@@ -52,6 +52,11 @@
   readonly listDeclared: () => readonly FailureDomainDeclaration[];
 }
 
+interface ScheduledLook {
+  readonly atMs: number;
+  readonly timer: Timer;
+}
+
 export class OwnershipController implements Controller, OwnershipView {
   readonly name = "ownership";
   readonly #options: OwnershipControllerOptions;
@@ -64,7 +69,7 @@
   #renewedMs = Number.NEGATIVE_INFINITY;
   #handedOverMs = Number.NEGATIVE_INFINITY;
   #stopping = false;
-  #lookingAgain = false;
+  #nextLook: ScheduledLook | undefined;
 
   private constructor(options: OwnershipControllerOptions) {
     this.#options = options;
@@ -220,15 +225,19 @@
     }
   }
 
-  /** Reads once more when a takeover falls due, rather than with the next period. */
+  /**
+   * Reads once more when a takeover falls due, rather than with the next period. The earliest due
+   * time counts: a member that moves up in the order of preference waits less than it first meant to.
+   */
   #lookAgain(atMs: number): void {
     const { clock } = this.#options.context;
-    if (this.#lookingAgain) return;
-    this.#lookingAgain = true;
-    clock.after(Math.max(0, atMs - clock.nowMs()), () => {
-      this.#lookingAgain = false;
+    if (this.#nextLook !== undefined && this.#nextLook.atMs <= atMs) return;
+    this.#nextLook?.timer.cancel();
+    const timer = clock.after(Math.max(0, atMs - clock.nowMs()), () => {
+      this.#nextLook = undefined;
       void this.#options.rows.refresh();
     });
+    this.#nextLook = { atMs, timer };
   }
 
   #rankCandidates(declared: FailureDomainDeclaration): readonly EntryName[] {
--- a/packages/platform/types.ts
+++ b/packages/platform/types.ts
@@ -185,10 +185,10 @@
     readonly worker: WorkerName;
     readonly task: TaskKey;
   }
-  /** Extends the leases of every task on the worker. */
+  /** Extends the leases of every task on the workers; one status for all that are up. */
   | {
     readonly kind: "renew";
-    readonly worker: WorkerName;
+    readonly workers: readonly WorkerName[];
     readonly leaseMs: number;
   };
 
--- a/scripts/bench_capacity/message_sizes.ts
+++ b/scripts/bench_capacity/message_sizes.ts
@@ -99,7 +99,7 @@
 const PAYLOAD = "x".repeat(200);
 
 const COMMANDS: readonly WorkerCommand[] = [
-  { kind: "renew", worker: createWorkerName(277), leaseMs: 20_000 },
+  { kind: "renew", workers: [createWorkerName(277)], leaseMs: 20_000 },
   {
     kind: "hold",
     worker: createWorkerName(277),
--- a/scripts/bench_capacity/processor_slopes.ts
+++ b/scripts/bench_capacity/processor_slopes.ts
@@ -224,12 +224,12 @@
   client.close();
 }
 
-function createRenewals(workers: number): readonly WorkerCommand[] {
-  return Array.from({ length: workers }, (_, index) => ({
-    kind: "renew",
-    worker: createWorkerName(index),
-    leaseMs: 20_000,
-  }));
+function createRenewals(count: number): readonly WorkerCommand[] {
+  const workers = Array.from(
+    { length: count },
+    (_, index) => createWorkerName(index),
+  );
+  return [{ kind: "renew", workers, leaseMs: 20_000 }];
 }
 
 async function repeat(
--- a/stand_ins/platform/fleet_domain.ts
+++ b/stand_ins/platform/fleet_domain.ts
@@ -129,6 +129,7 @@
     batch: CommandBatch,
     nowMs: number,
   ): CommandStatus {
+    if (command.kind === "renew") return this.#renew(command, nowMs);
     const worker = this.#workers.get(command.worker);
     if (worker === undefined || !worker.isUp) return COMMAND_STATUS.WORKER_DOWN;
     switch (command.kind) {
@@ -144,8 +145,6 @@
         return this.#throttle(worker, command, nowMs);
       case "stop":
         return this.#stop(worker, command, nowMs);
-      case "renew":
-        return this.#renew(worker, command, nowMs);
       default:
         return assertNever(command);
     }
@@ -246,12 +245,12 @@
     return COMMAND_STATUS.DONE;
   }
 
-  #renew(
-    worker: WorkerRecord,
-    command: CommandOf<"renew">,
-    nowMs: number,
-  ): CommandStatus {
-    for (const task of worker.listTasks()) {
+  /** Workers that are down have no tasks left to renew; the report tells of them. */
+  #renew(command: CommandOf<"renew">, nowMs: number): CommandStatus {
+    const tasks = command.workers.flatMap((name) =>
+      this.#workers.get(name)?.listTasks() ?? []
+    );
+    for (const task of tasks) {
       if (task.isLive) task.leaseEndMs = nowMs + command.leaseMs;
     }
     return COMMAND_STATUS.DONE;
