--- a/packages/policy/placement/constants.ts
+++ b/packages/policy/placement/constants.ts
@@ -15,7 +15,7 @@
 export const MAXIMUM_QUEUED_JOBS = 50_000;
 
 /** How often nearly empty workers are looked for. */
-export const COMPACTION_PERIOD_MS = 15_000;
+export const COMPACTION_PERIOD_MS = 5_000;
 /** A job is moved for compaction at most this often. */
 export const COMPACTION_JOB_PERIOD_MS = 300_000;
 /** A worker that was emptied gets no new work for this long unless a whole gang needs it. */
--- a/packages/policy/placement/domain_choice.ts
+++ b/packages/policy/placement/domain_choice.ts
@@ -8,6 +8,7 @@
   ADJACENCY,
   type FailureDomainName,
   type JobId,
+  MILLIPROCESSORS_PER_PROCESSOR,
   type Shape,
 } from "@coltsfootpond/common";
 import type { DomainSummary, QueuedJob } from "../types.ts";
@@ -55,6 +56,22 @@
     Math.max(1, summary.totalAccelerators);
 }
 
+/** What is free of the resource that the shape is about. */
+function measureFree(summary: DomainSummary, shape: Shape): number {
+  return shape.perTask.accelerators > 0
+    ? summary.freeAccelerators
+    : summary.freeMilliprocessors / MILLIPROCESSORS_PER_PROCESSOR;
+}
+
+/** Weight of a failure domain that cannot take the shape now. */
+function computeRoominess(summary: DomainSummary, shape: Shape): number {
+  if (shape.perTask.accelerators === 0) {
+    return (1 + measureFree(summary, shape)) / (1 + summary.queuedJobs);
+  }
+  return Math.max(1, summary.totalAccelerators) /
+    Math.max(0.1, computeLoad(summary)) ** 2;
+}
+
 /** Weighted rendezvous: each failure domain wins in proportion to its weight. */
 function draw(
   jobId: JobId,
@@ -160,15 +177,14 @@
     : preferUnreserved(fitting, job.shape);
   if (safe.length > 0) {
     const weights = safe.map(({ name, summary }) =>
-      [name, 1 + summary.freeAccelerators] as const
+      [name, 1 + measureFree(summary, job.shape)] as const
     );
     return draw(job.jobId, new Map(weights));
   }
   const weights = preferUnreserved(known, job.shape).map(({ name, summary }) =>
     [
       name,
-      Math.max(1, summary.totalAccelerators) /
-      Math.max(0.1, computeLoad(summary)) ** 2,
+      computeRoominess(summary, job.shape),
     ] as const
   );
   return draw(job.jobId, new Map(weights));
--- a/scripts/bench_placement/main.ts
+++ b/scripts/bench_placement/main.ts
@@ -31,11 +31,16 @@
 const MEMORY_WORKERS = 3_900;
 
 /** Heap of one engine that carries the whole target load, for each running task. */
-function measureBytesPerTask(): number {
+async function measureBytesPerTask(): Promise<number> {
   v8.setFlagsFromString("--expose_gc");
   const collect: () => void = vm.runInNewContext("gc");
-  const measure = (runningTasks: number): number => {
+  const settle = async (): Promise<void> => {
     collect();
+    await new Promise((resolve) => setImmediate(resolve));
+    collect();
+  };
+  const measure = async (runningTasks: number): Promise<number> => {
+    await settle();
     const before = process.memoryUsage().heapUsed;
     const engine = createLoadedEngine({
       workers: MEMORY_WORKERS,
@@ -44,13 +49,14 @@
       organisations: 72,
     });
     engine.decide(0);
-    collect();
+    await settle();
     const after = process.memoryUsage().heapUsed;
     engine.summarise();
     return after - before;
   };
-  measure(MEMORY_TASKS);
-  return Math.round((measure(MEMORY_TASKS) - measure(0)) / MEMORY_TASKS);
+  await measure(MEMORY_TASKS);
+  const loaded = await measure(MEMORY_TASKS);
+  return Math.round((loaded - await measure(0)) / MEMORY_TASKS);
 }
 
 interface Bounds {
@@ -114,7 +120,7 @@
     deployment,
     size,
     arrivals: arrivals.length,
-    bytesPerTask: measureBytesPerTask(),
+    bytesPerTask: await measureBytesPerTask(),
     policies: reports,
     bounds,
   }));
