--- a/packages/node/requests/service_admission.ts
+++ b/packages/node/requests/service_admission.ts
@@ -1,19 +1,19 @@
 /** Decides which calls of one service go on now, which wait, and which are refused at once. */
-import type { Clock, Timer } from "@coltsfootpond/common";
+import type {
+  CallServiceDeclaration,
+  Clock,
+  Timer,
+} from "@coltsfootpond/common";
 import { ConcurrencyLimit } from "./concurrency_limit.ts";
 import {
   ADMISSION_CHECK_MS,
-  DURATION_SMOOTHING,
   MAXIMUM_QUEUED_REQUESTS,
+  QUEUE_WAIT_SHARE,
   UNREADY_RETRY_AFTER_MS,
 } from "./constants.ts";
+import { DurationEstimate } from "./duration_estimate.ts";
 import { FairQueue, type QueueItem } from "./fair_queue.ts";
-import {
-  type CallRequest,
-  failed,
-  type FailedOutcome,
-  type RequestOutcome,
-} from "./types.ts";
+import { type CallRequest, failed, type FailedOutcome } from "./types.ts";
 
 /** Undefined: the call may go on and must call `leave` when it ends. */
 export type Admission = FailedOutcome | undefined;
@@ -24,20 +24,24 @@
 
 export interface ServiceAdmissionOptions {
   readonly clock: Clock;
+  readonly service: CallServiceDeclaration;
   /** Calls that the upstream pool can take from this entry now. */
-  readonly getCapacity: () => number;
+  readonly getCapacity: (service: CallServiceDeclaration) => number;
 }
 
 export class ServiceAdmission {
   readonly #options: ServiceAdmissionOptions;
   readonly #limit: ConcurrencyLimit;
   readonly #queue = FairQueue.create<WaitingCall>();
+  /** As declared in the newest configuration that a call was pinned to. */
+  #service: CallServiceDeclaration;
   #inProgress = 0;
-  #meanDurationMs = 0;
+  readonly #duration = DurationEstimate.create();
   #check: Timer | undefined;
 
   private constructor(options: ServiceAdmissionOptions) {
     this.#options = options;
+    this.#service = options.service;
     this.#limit = ConcurrencyLimit.create(options.clock);
   }
 
@@ -54,7 +58,8 @@
   }
 
   enter(request: CallRequest): Promise<Admission> {
-    const limit = this.#limit.get(this.#options.getCapacity());
+    this.#service = request.service;
+    const limit = this.#getLimit();
     if (limit === 0) {
       return Promise.resolve(
         failed("NO_UPSTREAM", { retryAfterMs: UNREADY_RETRY_AFTER_MS }),
@@ -68,19 +73,24 @@
     return this.#wait(request);
   }
 
-  leave(outcome: RequestOutcome, durationMs: number): void {
-    if (outcome.kind === "answered") {
-      this.#limit.noteSuccess(this.#inProgress);
-      this.#meanDurationMs += DURATION_SMOOTHING *
-        (durationMs - this.#meanDurationMs);
-    }
+  leave(): void {
     this.#inProgress--;
     this.#drain();
   }
 
-  /** A runner refused or went silent. */
-  noteOverload(): void {
-    this.#limit.noteOverload(this.#inProgress);
+  /** An attempt was answered. */
+  noteAnswered(durationMs: number): void {
+    this.#duration.add(durationMs);
+    this.#limit.noteAttempt(false, this.#inProgress);
+  }
+
+  /** An attempt failed; `refused` when its runner was full. */
+  noteFailed(refused: boolean): void {
+    this.#limit.noteAttempt(refused, this.#inProgress);
+  }
+
+  #getLimit(): number {
+    return this.#limit.get(this.#options.getCapacity(this.#service));
   }
 
   #admit(deadlineMs: number): Admission {
@@ -89,19 +99,28 @@
     return undefined;
   }
 
+  /** Without a call in progress the estimate cannot mend itself, so any call may try. */
   #isReachable(deadlineMs: number): boolean {
-    return this.#options.clock.nowMs() + this.#meanDurationMs < deadlineMs;
+    const neededMs = this.#inProgress === 0 ? 0 : this.#getNeededMs();
+    return this.#options.clock.nowMs() + neededMs < deadlineMs;
+  }
+
+  /** An attempt with no progress for longer is given up in any case. */
+  #getNeededMs(): number {
+    return Math.min(this.#duration.safeMs, this.#service.progressTimeoutMs);
   }
 
   #refuseEarly(request: CallRequest, limit: number): Admission {
     const { name, weight } = request.organisation;
     const ahead = this.#queue.countAhead(name, weight);
-    const waitMs = (ahead + 1) * this.#meanDurationMs / limit;
+    const waitMs = (ahead + 1) * this.#duration.meanMs / limit;
     const retryAfterMs = Math.max(waitMs, UNREADY_RETRY_AFTER_MS);
     if (this.#queue.size >= MAXIMUM_QUEUED_REQUESTS) {
       return failed("QUEUE_FULL", { retryAfterMs });
     }
-    if (!this.#isReachable(request.deadlineMs - waitMs)) {
+    const remainingMs = request.deadlineMs - this.#options.clock.nowMs();
+    const longestMs = (remainingMs - this.#getNeededMs()) * QUEUE_WAIT_SHARE;
+    if (waitMs > longestMs) {
       return failed("DEADLINE_UNREACHABLE", { retryAfterMs });
     }
     return undefined;
@@ -117,7 +136,7 @@
         const retryAfterMs = UNREADY_RETRY_AFTER_MS;
         waiting.settle(failed("DEADLINE_UNREACHABLE", { retryAfterMs }));
       };
-      const lastStartMs = deadlineMs - this.#meanDurationMs;
+      const lastStartMs = deadlineMs - this.#getNeededMs();
       const timer = clock.after(lastStartMs - clock.nowMs(), giveUp);
       exchange.signal.addEventListener("abort", giveUp, { once: true });
       const waiting: WaitingCall = {
@@ -137,7 +156,7 @@
 
   #drain(): void {
     while (this.#queue.size > 0) {
-      const limit = this.#limit.get(this.#options.getCapacity());
+      const limit = this.#getLimit();
       if (this.#inProgress >= limit) return;
       const waiting = this.#queue.pop();
       waiting?.settle(this.#admit(waiting.deadlineMs));
--- a/scripts/bench_capacity/message_sizes.ts
+++ b/scripts/bench_capacity/message_sizes.ts
@@ -9,6 +9,7 @@
   type WriteId,
 } from "@coltsfootpond/common";
 import type {
+  ConfigurationChunk,
   ConfigurationHeadRow,
   EntryRow,
   FailureDomainRow,
@@ -49,6 +50,8 @@
   tableReachable: true,
   holdings: [{ failureDomain: FAILURE_DOMAIN, epoch: 4_000 }],
   leaving: false,
+  membersVersion: 9_000,
+  settled: true,
 };
 
 const MESH_MESSAGES: readonly MeshMessage[] = [
@@ -125,21 +128,19 @@
   };
 }
 
-function createHeadRow(): ConfigurationHeadRow {
+const HEAD: ConfigurationHeadRow = {
+  version: 120_000,
+  digest: createDigest("head"),
+  acceptedBy: ENTRY,
+};
+
+function createList(): readonly ConfigurationChunk[] {
   const files = createDeclarationFiles({
     organisations: TARGET.organisations,
     failureDomains: TARGET.failureDomains,
     workers: TARGET.workers,
   });
-  return {
-    version: 120_000,
-    digest: createDigest("head"),
-    chunks: files.map((file) => ({
-      name: file.name,
-      digest: createDigest(file.text),
-    })),
-    acceptedBy: ENTRY,
-  };
+  return files.map(({ name, text }) => ({ name, digest: createDigest(text) }));
 }
 
 function measureRows(): readonly MessageSize[] {
@@ -164,7 +165,8 @@
     sizeJson("entry_row", createRow(`entry/${ENTRY}`, entry)),
     sizeJson("owner_row", createRow(`owner/${FAILURE_DOMAIN}`, owner)),
     sizeJson("domain_row", createRow(`domain/${FAILURE_DOMAIN}`, domain)),
-    sizeJson("head_row", createRow("config/head", createHeadRow())),
+    sizeJson("head_row", createRow("config/head", HEAD)),
+    sizeJson("configuration_list", createList()),
     sizeJson("job_row_24_tasks", createJobTableRow(1, 24)),
     sizeJson("job_row_256_tasks", createJobTableRow(1, 256)),
   ];
