--- a/packages/node/requests/calls_load_test.ts
+++ b/packages/node/requests/calls_load_test.ts
@@ -76,6 +76,7 @@
     expect(refused.length).to.be.above(20);
     for (const reply of refused) {
       expect(reply).to.include({ code: "3003", resultClass: "not_run" });
+      expect(Number(reply.retryAfter)).to.be.above(0);
     }
     expect(countExecutions(world)).to.equal(50 - refused.length);
   });
--- a/packages/node/requests/filters/attempt.ts
+++ b/packages/node/requests/filters/attempt.ts
@@ -70,7 +70,8 @@
     const remainingMs = deadlineMs - startedMs;
     if (remainingMs <= 0) {
       runner?.giveBack();
-      return failed("DEADLINE_UNREACHABLE");
+      const retryAfterMs = UNREADY_RETRY_AFTER_MS;
+      return failed("DEADLINE_UNREACHABLE", { retryAfterMs });
     }
     if (runner === undefined) {
       return failed("NO_UPSTREAM", { retryAfterMs: UNREADY_RETRY_AFTER_MS });
--- a/packages/node/requests/filters/flow_filters_test.ts
+++ b/packages/node/requests/filters/flow_filters_test.ts
@@ -91,6 +91,11 @@
     for (let count = 0; count < 50; count++) admission.noteAnswered(5_000);
     const enter = () =>
       admission.enter(createCall({ deadlineMs: clock.nowMs() + 300 }));
+    const late = await admission.enter(createCall({ deadlineMs: 0 }));
+    expect(late).to.include({
+      resultName: "DEADLINE_UNREACHABLE",
+      retryAfterMs: 1_000,
+    });
     expect(await enter()).to.equal(undefined);
     expect(await enter()).to.include({ resultName: "DEADLINE_UNREACHABLE" });
     const { progressTimeoutMs } = CALL_SERVICE;
--- a/packages/node/requests/service_admission.ts
+++ b/packages/node/requests/service_admission.ts
@@ -94,7 +94,10 @@
   }
 
   #admit(deadlineMs: number): Admission {
-    if (!this.#isReachable(deadlineMs)) return failed("DEADLINE_UNREACHABLE");
+    if (!this.#isReachable(deadlineMs)) {
+      const retryAfterMs = UNREADY_RETRY_AFTER_MS;
+      return failed("DEADLINE_UNREACHABLE", { retryAfterMs });
+    }
     this.#inProgress++;
     return undefined;
   }
--- a/scripts/bench_requests/load.ts
+++ b/scripts/bench_requests/load.ts
@@ -64,7 +64,7 @@
   return createHistogram({
     lowestDiscernibleValue: 1,
     highestTrackableValue: 60_000_000,
-    numberOfSignificantValueDigits: 3,
+    numberOfSignificantValueDigits: 4,
   });
 }
 
