--- a/packages/node/state/test_cluster.ts
+++ b/packages/node/state/test_cluster.ts
@@ -4,13 +4,11 @@
  */
 import {
   createId,
-  type Declarations,
   type EntryName,
   type EventSubject,
   type FailureDomainName,
   type Incarnation,
   ManualClock,
-  type RegionName,
   SeededRandom,
 } from "@coltsfootpond/common";
 import {
@@ -22,18 +20,15 @@
   type PlatformPorts,
   ResilientTable,
 } from "@coltsfootpond/platform";
-import type {
-  ConfigurationFile,
-  ParseOutcome,
-} from "../configuration/types.ts";
+import type { ConfigurationFile } from "../configuration/types.ts";
 import { MESH_HEARTBEAT_MS } from "../constants.ts";
 import type { MeshMessage } from "../mesh/messages.ts";
 import { RelayTable } from "../relay/relay_table.ts";
 import { MemoryMesh } from "./memory_mesh.ts";
 import { PausableClock } from "./pausable_clock.ts";
 import { StateControllers } from "./state_controllers.ts";
+import { parseTestFiles, REGION } from "./test_declarations.ts";
 
-export const REGION = createId<RegionName>("alpha");
 const LATENCY_MS = 1;
 
 /** One entry of the cluster. */
@@ -150,7 +145,7 @@
       mesh,
       table,
       address: { host: "127.0.0.1", httpPort: 1, meshPort: 2 },
-      parse: (files) => this.#parse(files),
+      parse: (files) => parseTestFiles(files, this.#options.failureDomains),
       checkFeasibility: () => [],
     });
     const node = {
@@ -265,26 +260,6 @@
     return [`${Math.round(this.clock.nowMs())}`, event, ...facts].join(" ");
   }
 
-  #parse(files: readonly ConfigurationFile[]): ParseOutcome {
-    if (files.some((file) => file.text === "broken")) {
-      return { kind: "invalid", problems: [{ message: "broken" }] };
-    }
-    const failureDomains = this.#options.failureDomains.map((name) => ({
-      name: createId<FailureDomainName>(name),
-      region: REGION,
-      racks: [],
-      drainMs: 1_000,
-    }));
-    const declarations: Declarations = {
-      operatorTokenDigests: [],
-      organisations: [],
-      guarantees: [],
-      services: [],
-      failureDomains,
-    };
-    return { kind: "valid", declarations };
-  }
-
   #post(
     from: string,
     incarnation: string,
--- /dev/null
+++ b/packages/node/state/test_declarations.ts
@@ -0,0 +1,37 @@
+/** Declarations for scenario tests: failure domains of one region and nothing else. */
+import {
+  createId,
+  type FailureDomainName,
+  type RegionName,
+} from "@coltsfootpond/common";
+import type {
+  ConfigurationFile,
+  ParseOutcome,
+} from "../configuration/types.ts";
+
+export const REGION = createId<RegionName>("alpha");
+
+/** Any files declare the given failure domains, except that the text `broken` is invalid. */
+export function parseTestFiles(
+  files: readonly ConfigurationFile[],
+  failureDomains: readonly string[],
+): ParseOutcome {
+  if (files.some((file) => file.text === "broken")) {
+    return { kind: "invalid", problems: [{ message: "broken" }] };
+  }
+  return {
+    kind: "valid",
+    declarations: {
+      operatorTokenDigests: [],
+      organisations: [],
+      guarantees: [],
+      services: [],
+      failureDomains: failureDomains.map((name) => ({
+        name: createId<FailureDomainName>(name),
+        region: REGION,
+        racks: [],
+        drainMs: 1_000,
+      })),
+    },
+  };
+}
