Name what is still open at the end of the demo and why

Cause: jobs that never started were counted as unknown without a reason. Change: the report lists each open request with its state, failure domain and wait reason, as its owner tells them.

--- a/scripts/demo/main.ts
+++ b/scripts/demo/main.ts
@@ -49,6 +49,7 @@
     ledger: evidence.ledger,
     domainOut: evidence.domainOut,
     connectionsLost: evidence.lost.length,
+    open: evidence.open,
     broken: findBrokenPromises(evidence),
   });
 }
--- a/scripts/demo/promises.ts
+++ b/scripts/demo/promises.ts
@@ -64,6 +64,8 @@
   readonly leavingRunner: LeavingRunner;
   /** Entries that did not report the second configuration in time. */
   readonly withoutConfiguration: readonly string[];
+  /** Requests without an end, and what they wait for. */
+  readonly open: readonly string[];
 }
 
 /** Starts of one gang lie at most this far apart. */
--- a/scripts/demo/promises_test.ts
+++ b/scripts/demo/promises_test.ts
@@ -99,6 +99,7 @@
       executionsAtEnd: 3,
     },
     withoutConfiguration: [],
+    open: [],
     ...change,
   };
 }
--- a/scripts/demo/report.ts
+++ b/scripts/demo/report.ts
@@ -41,6 +41,8 @@
   readonly tableReadsPerSecond: number;
   readonly connectionsLost: number;
   readonly requestsSentAgain: number;
+  /** Requests without an end, counted among the unknown. */
+  readonly open: readonly string[];
   readonly broken: readonly BrokenPromise[];
 }
 
@@ -50,6 +52,7 @@
   readonly ledger: Ledger;
   readonly domainOut: string;
   readonly connectionsLost: number;
+  readonly open: readonly string[];
   readonly broken: readonly BrokenPromise[];
 }
 
@@ -171,6 +174,7 @@
     tableReadsPerSecond: round(ledger.tableReads / seconds),
     connectionsLost: input.connectionsLost,
     requestsSentAgain: records.filter(({ sentAgain }) => sentAgain > 0).length,
+    open: input.open,
     broken: input.broken,
   };
 }
@@ -199,6 +203,8 @@
     `${report.tableReadsPerSecond} reads/s`,
     `connections lost: ${report.connectionsLost}, ` +
     `requests sent again: ${report.requestsSentAgain}`,
+    `still open at the end: ${report.open.length}`,
+    ...report.open.slice(0, MAXIMUM_DETAILS).map((line) => `  ${line}`),
     ...Object.values(PROMISE).map((promise) => {
       const count = broken.filter((one) => one.promise === promise).length;
       return `${count === 0 ? "kept  " : "BROKEN"} ${promise}` +
--- a/scripts/demo/scenario.ts
+++ b/scripts/demo/scenario.ts
@@ -2,6 +2,7 @@
 import { performance } from "node:perf_hooks";
 import { SeededRandom } from "@coltsfootpond/common";
 import { UPSTREAM_LEAVING_BOUND_MS } from "@coltsfootpond/node";
+import type { StatusDocument } from "../../apps/coltsfootpond/status_documents.ts";
 import type { Cluster, EntryHandle, RunnerHandle } from "./cluster.ts";
 import type { Example } from "./example.ts";
 import { planLoad } from "./load_plan.ts";
@@ -145,9 +146,27 @@
         executionsAtEnd: (await listExecutions(left)).length,
       },
       withoutConfiguration,
+      open: await this.#describeOpen(),
     };
   }
 
+  /** Why each request that has not ended is still waiting, as its owner sees it. */
+  async #describeOpen(): Promise<readonly string[]> {
+    const { operator } = getAt(this.#options.cluster.entries, 0);
+    const open = this.#tool.records.filter(({ endedMs }) =>
+      endedMs === undefined
+    );
+    return await Promise.all(open.map(async ({ planned }) => {
+      const job = `${planned.organisation.name}/${planned.requestId}`;
+      const status = await operator.get<StatusDocument>(
+        `/v1/status?job=${encodeURIComponent(job)}`,
+      ).catch(() => undefined);
+      const { state, failureDomain, waitReason } = status?.job ?? {};
+      return `${job} ${planned.service.name}: ${state ?? "no state known"} ` +
+        `in ${failureDomain ?? "-"}, waits: ${waitReason ?? "-"}`;
+    }));
+  }
+
   async #endLoad(load: Promise<void>): Promise<void> {
     const { cluster, durationMs, say } = this.#options;
     await this.#waitUntil(1);
