Let stuck pinned work look for another home within seconds

Cause: pinned work without unreserved room where it waits can start there only after a change of the guarantees, so the usual patience gains nothing. Change: its first move may come after 3 s; the doubling for each move stays. Nothing in packages/node calls chooseNewHome: LiveJobs moves jobs only out of failure domains that are out, so the rule has no effect on a running entry yet.

--- a/packages/policy/placement/domain_choice.ts
+++ b/packages/policy/placement/domain_choice.ts
@@ -15,6 +15,8 @@
 
 /** A waiting job is offered another home no sooner than this. */
 const REHOME_AFTER_MS = 15_000;
+/** Sooner where pinned work finds no unreserved room at all. */
+const REHOME_STUCK_AFTER_MS = 3_000;
 /** Each move doubles the wait before the next, up to this many doublings. */
 const MAXIMUM_DOUBLINGS = 6;
 /** Share of its accelerators by which the other home must be less loaded. */
@@ -206,10 +208,13 @@
   if (!domainsIn.includes(current)) {
     return chooseFailureDomain(job, summaries, domainsIn);
   }
-  const patienceMs = REHOME_AFTER_MS * 2 ** Math.min(moves, MAXIMUM_DOUBLINGS);
   const here = summaries.get(current);
-  if (waitedMs < patienceMs || here === undefined) return undefined;
+  if (here === undefined) return undefined;
   const isStuck = isPinned(job) && !isUnreserved(here, job.shape);
+  const firstMs = isStuck ? REHOME_STUCK_AFTER_MS : REHOME_AFTER_MS;
+  if (waitedMs < firstMs * 2 ** Math.min(moves, MAXIMUM_DOUBLINGS)) {
+    return undefined;
+  }
   const better = domainsIn.filter((name) => {
     const summary = summaries.get(name);
     return name !== current && summary !== undefined &&
