Give waiting jobs a better failure domain while they wait

Ruled out: the engine, which refused rightly since its guarantees needed the room. Change: once a second up to 64 waiting jobs of a domain are asked in turn; a move keeps the job's age and counts itself, and each move doubles the next wait; homes come from summaries less what was sent there since; guarantees are matched by suitsGuarantee.

--- a/packages/node/entry_core.ts
+++ b/packages/node/entry_core.ts
@@ -66,7 +66,7 @@
       createEngine: () => createPlacementEngine(),
       configureEngine: (engine, failureDomain) =>
         this.#configureEngine(engine, failureDomain),
-      chooseOtherHome: (stored, from) => this.#homes.chooseOther(stored, from),
+      chooseOtherHome: (move, from) => this.#homes.chooseOther(move, from),
     });
     this.front = JobFront.create({
       context,
--- a/packages/node/jobs/active_job.ts
+++ b/packages/node/jobs/active_job.ts
@@ -35,6 +35,8 @@
   readonly stored: StoredJob;
   readonly service: JobServiceDeclaration;
   readonly knownAtMs: number;
+  /** A move to another failure domain is being written. */
+  isMoving: boolean;
 }
 
 /** What the reports of a gang's tasks add up to. */
--- a/packages/node/jobs/attempt_task_test.ts
+++ b/packages/node/jobs/attempt_task_test.ts
@@ -52,6 +52,7 @@
   state: "queued",
   attempts: 0,
   failures: 0,
+  moves: 0,
   waitedMs: 0,
 };
 
@@ -104,6 +105,7 @@
         stored,
         service: { ...SERVICE, ...options.service },
         knownAtMs: 0,
+        isMoving: false,
       },
       placement: {
         attemptId: createId<AttemptId>("a1"),
--- a/packages/node/jobs/domain_runner.ts
+++ b/packages/node/jobs/domain_runner.ts
@@ -25,10 +25,11 @@
 import { FleetTask } from "./fleet_task.ts";
 import { createFleetCommander, type FleetCommander } from "./gang_start.ts";
 import { JobRecorder } from "./job_recorder.ts";
-import { readJob, scanJobs, type StoredJob } from "./job_rows.ts";
-import { LiveJobs } from "./live_jobs.ts";
+import { readJob, scanJobs } from "./job_rows.ts";
+import { LiveJobs, type MoveCandidate } from "./live_jobs.ts";
 
 const RECOVERY_RETRY_MS = 500;
+const MOVE_PERIOD_MS = 1_000;
 
 /** What reaches the runner's mailbox. */
 export type RunnerMessage =
@@ -51,8 +52,8 @@
   readonly mayAct: () => boolean;
   /** Tells the engine the guarantees and organisations of the present configuration. */
   readonly configureEngine: (engine: PlacementEngine) => void;
-  /** Tries to give a waiting job a home elsewhere; true when it has moved. */
-  readonly moveAway: (stored: StoredJob) => Promise<boolean>;
+  /** Gives a waiting job a home elsewhere where that is better; true when it has moved. */
+  readonly moveAway: (move: MoveCandidate) => Promise<boolean>;
   readonly onEnded: (jobId: JobId) => void;
 }
 
@@ -69,6 +70,7 @@
   #missedMessages = false;
   #decisionScheduled = false;
   #nextDecision: Timer | undefined;
+  #moves: Timer | undefined;
 
   private constructor(options: DomainRunnerOptions) {
     this.#options = options;
@@ -144,6 +146,7 @@
     }
     if (this.#stopped) return;
     this.#fleet.start();
+    this.#moves = clock.every(MOVE_PERIOD_MS, () => this.#jobs.considerMoves());
     if (this.#missedMessages) void this.#audit();
     this.#scheduleDecision();
   }
@@ -152,6 +155,7 @@
   stop(): void {
     this.#stopped = true;
     this.#nextDecision?.cancel();
+    this.#moves?.cancel();
     this.#fleet.stop();
     this.#mailbox.complete();
   }
--- a/packages/node/jobs/job_front.ts
+++ b/packages/node/jobs/job_front.ts
@@ -365,6 +365,7 @@
     state: "queued",
     attempts: 0,
     failures: 0,
+    moves: 0,
     waitedMs: 0,
   };
 }
--- a/packages/node/jobs/job_homes.ts
+++ b/packages/node/jobs/job_homes.ts
@@ -10,11 +10,14 @@
 import {
   checkShape,
   chooseFailureDomain,
+  chooseNewHome,
+  debitSummary,
   type DomainSummary,
   type GuaranteePlan,
   listGuaranteesHeld,
   planGuarantees,
   type QueuedJob,
+  suitsGuarantee,
 } from "@coltsfootpond/policy";
 import { FAILURE_DOMAIN_STATE, type JobRow } from "../rows.ts";
 import type {
@@ -25,7 +28,7 @@
 } from "../types.ts";
 import { toQueuedJob } from "./active_job.ts";
 import type { HomeChoice } from "./job_front.ts";
-import type { StoredJob } from "./job_rows.ts";
+import type { MoveCandidate } from "./live_jobs.ts";
 
 export interface JobHomesOptions {
   readonly configuration: ConfigurationView;
@@ -34,6 +37,12 @@
   readonly summaries: () => DomainSummaryView;
 }
 
+/** A summary as heard, and what is left of it after jobs that were sent there since. */
+interface DebitedSummary {
+  readonly base: DomainSummary;
+  readonly rest: DomainSummary;
+}
+
 interface CachedPlan {
   readonly key: string;
   readonly plan: GuaranteePlan;
@@ -42,6 +51,7 @@
 /** Chooses homes, and keeps the guarantee plan of the present configuration and domain states. */
 export class JobHomes {
   readonly #options: JobHomesOptions;
+  readonly #debited = new Map<FailureDomainName, DebitedSummary>();
   #cached: CachedPlan | undefined;
 
   private constructor(options: JobHomesOptions) {
@@ -75,15 +85,19 @@
       return { kind: "never_fits", detail: describeNearest(check.nearest) };
     }
     const job = createCandidate(service, row);
-    const home = this.#chooseAmong(declarations, job, () => true);
-    return home === undefined
-      ? { kind: "none" }
-      : { kind: "home", failureDomain: home };
+    const names = this.#listCandidates(declarations);
+    const home = this.#chooseAmong(job, names);
+    if (home === undefined) return { kind: "none" };
+    this.#debit(home, job);
+    return { kind: "home", failureDomain: home };
   }
 
-  /** Another home for a waiting job; undefined when no other failure domain is in. */
+  /**
+   * A better home for a waiting job; undefined when it should stay. While its failure domain is out
+   * any other will do.
+   */
   chooseOther(
-    stored: StoredJob,
+    { stored, waitedHereMs }: MoveCandidate,
     from: FailureDomainName,
   ): FailureDomainName | undefined {
     const declarations = this.#options.configuration.current()?.declarations;
@@ -92,41 +106,68 @@
     );
     if (declarations === undefined || service?.kind !== "job") return undefined;
     const job = createCandidate(service, stored.row);
-    return this.#chooseAmong(declarations, job, (name) => name !== from);
+    const names = this.#listCandidates(declarations);
+    const home = this.#isIn(from)
+      ? chooseNewHome({
+        job,
+        current: from,
+        waitedMs: waitedHereMs,
+        moves: stored.row.moves,
+        summaries: this.#listSummaries(names),
+        domainsIn: names,
+      })
+      : this.#chooseAmong(job, names.filter((name) => name !== from));
+    if (home !== undefined) this.#debit(home, job);
+    return home;
+  }
+
+  /** A queued row outlives a change of owner, so an unowned home beats none. */
+  #listCandidates(declarations: Declarations): readonly FailureDomainName[] {
+    const inService = declarations.failureDomains
+      .map(({ name }) => name)
+      .filter((name) => this.#isIn(name));
+    const owned = inService.filter((name) =>
+      this.#options.ownership.getOwner(name) !== undefined
+    );
+    return owned.length > 0 ? owned : inService;
   }
 
   #chooseAmong(
-    declarations: Declarations,
     job: QueuedJob,
-    isCandidate: (name: FailureDomainName) => boolean,
+    names: readonly FailureDomainName[],
   ): FailureDomainName | undefined {
-    const names = declarations.failureDomains.map(({ name }) => name);
-    const inService = names.filter((name) =>
-      isCandidate(name) && this.#isIn(name)
-    );
-    const owned = inService.filter((name) =>
-      this.#options.ownership.getOwner(name) !== undefined
+    const guaranteeHolders = new Set(
+      names.filter((name) => this.#holdsGuarantee(name, job)),
     );
-    // A queued row outlives a change of owner, so an unowned home beats a refusal.
-    const candidates = owned.length > 0 ? owned : inService;
+    const summaries = this.#listSummaries(names);
+    return chooseFailureDomain(job, summaries, names, { guaranteeHolders });
+  }
+
+  /** The newest summaries, less what was sent there since they were made. */
+  #listSummaries(
+    names: readonly FailureDomainName[],
+  ): ReadonlyMap<FailureDomainName, DomainSummary> {
     const summaries = new Map<FailureDomainName, DomainSummary>();
-    for (const name of candidates) {
+    for (const name of names) {
       const summary = this.#options.summaries().get(name);
-      if (summary !== undefined) summaries.set(name, summary);
+      if (summary === undefined) continue;
+      const debited = this.#debited.get(name);
+      summaries.set(name, debited?.base === summary ? debited.rest : summary);
     }
-    const guaranteeHolders = new Set(
-      candidates.filter((name) => this.#holdsGuarantee(name, job)),
-    );
-    return chooseFailureDomain(job, summaries, candidates, {
-      guaranteeHolders,
-    });
+    return summaries;
+  }
+
+  #debit(name: FailureDomainName, job: QueuedJob): void {
+    const base = this.#options.summaries().get(name);
+    const summary = this.#listSummaries([name]).get(name);
+    if (base === undefined || summary === undefined) return;
+    this.#debited.set(name, { base, rest: debitSummary(summary, job.shape) });
   }
 
   #holdsGuarantee(name: FailureDomainName, job: QueuedJob): boolean {
     return listGuaranteesHeld(this.getPlan(), name).some((guarantee) =>
       guarantee.organisation === job.organisation &&
-      guarantee.shape.tasks >= job.shape.tasks &&
-      guarantee.shape.adjacency === job.shape.adjacency
+      suitsGuarantee(guarantee.shape, job.shape)
     );
   }
 
@@ -140,7 +181,12 @@
   service: JobServiceDeclaration,
   row: JobRow,
 ): QueuedJob {
-  return toQueuedJob({ stored: { row, version: 0 }, service, knownAtMs: 0 }, 0);
+  return toQueuedJob({
+    stored: { row, version: 0 },
+    service,
+    knownAtMs: 0,
+    isMoving: false,
+  }, 0);
 }
 
 function describeNearest(
--- a/packages/node/jobs/job_rows.ts
+++ b/packages/node/jobs/job_rows.ts
@@ -133,7 +133,8 @@
   to: FailureDomainName,
   stored: StoredJob,
 ): Promise<TransitionOutcome> {
-  const { row, version } = stored;
+  const { version } = stored;
+  const row: JobRow = { ...stored.row, moves: stored.row.moves + 1 };
   const key = getJobKey(from, row.jobId);
   const request: RequestRow = {
     kind: "job",
--- a/packages/node/jobs/jobs_controller.ts
+++ b/packages/node/jobs/jobs_controller.ts
@@ -30,7 +30,8 @@
 import type { RowWatcher } from "../state/row_watcher.ts";
 import { DomainRunner } from "./domain_runner.ts";
 import type { JobNotice } from "./job_front.ts";
-import { moveJob, type StoredJob } from "./job_rows.ts";
+import { moveJob } from "./job_rows.ts";
+import type { MoveCandidate } from "./live_jobs.ts";
 import { NoticeBoard } from "./notice_board.ts";
 
 const SUMMARY_PERIOD_MS = 2_000;
@@ -53,7 +54,7 @@
   ) => void;
   /** Another failure domain for a waiting job; undefined when there is none. */
   readonly chooseOtherHome: (
-    stored: StoredJob,
+    move: MoveCandidate,
     from: FailureDomainName,
   ) => FailureDomainName | undefined;
 }
@@ -198,7 +199,7 @@
       mayAct: () => ownership.mayAct(holding),
       configureEngine: (engine) =>
         this.#options.configureEngine(engine, failureDomain),
-      moveAway: (stored) => this.#moveAway(stored, failureDomain),
+      moveAway: (move) => this.#moveAway(move, failureDomain),
       onEnded: (jobId) => this.#announceEnd(failureDomain, jobId),
     });
     this.#runners.set(failureDomain, runner);
@@ -206,10 +207,11 @@
   }
 
   async #moveAway(
-    stored: StoredJob,
+    move: MoveCandidate,
     from: FailureDomainName,
   ): Promise<boolean> {
-    const to = this.#options.chooseOtherHome(stored, from);
+    const { stored } = move;
+    const to = this.#options.chooseOtherHome(move, from);
     if (to === undefined) return false;
     const outcome = await moveJob(this.#options.table, from, to, stored);
     if (outcome.kind !== "done") return false;
--- a/packages/node/jobs/live_jobs.ts
+++ b/packages/node/jobs/live_jobs.ts
@@ -37,6 +37,15 @@
   type TransitionOutcome,
 } from "./job_rows.ts";
 
+const CONSIDERED_AT_ONCE = 64;
+
+/** A waiting job that may be better off in another failure domain. */
+export interface MoveCandidate {
+  readonly stored: StoredJob;
+  /** How long it has waited in this failure domain. */
+  readonly waitedHereMs: number;
+}
+
 export interface LiveJobsOptions {
   readonly context: EntryContext;
   readonly holding: Holding;
@@ -47,8 +56,8 @@
   readonly recorder: JobRecorder;
   readonly isHeld: () => boolean;
   readonly isDomainIn: () => boolean;
-  /** Tries to give a waiting job a home elsewhere; true when it has moved. */
-  readonly moveAway: (stored: StoredJob) => Promise<boolean>;
+  /** Gives a waiting job a home elsewhere where that is better; true when it has moved. */
+  readonly moveAway: (move: MoveCandidate) => Promise<boolean>;
   /** The engine has heard something new. */
   readonly onChanged: () => void;
   readonly onEnded: (jobId: JobId) => void;
@@ -61,6 +70,7 @@
   readonly #jobs = new Map<JobId, LiveJob>();
   readonly #attempts = new Map<AttemptId, AttemptTask>();
   readonly #attemptOfJob = new Map<JobId, AttemptTask>();
+  #nextConsidered = 0;
 
   private constructor(options: LiveJobsOptions) {
     this.#options = options;
@@ -101,7 +111,12 @@
     if (this.#jobs.has(row.jobId)) return;
     const service = this.#findService(row.service);
     if (service === undefined) return void this.#endUnserved(stored);
-    const job: LiveJob = { stored, service, knownAtMs: this.#nowMs() };
+    const job: LiveJob = {
+      stored,
+      service,
+      knownAtMs: this.#nowMs(),
+      isMoving: false,
+    };
     this.#jobs.set(row.jobId, job);
     const { attemptId, assignments } = row;
     if (attemptId !== undefined && assignments !== undefined) {
@@ -164,6 +179,21 @@
     for (const job of this.#jobs.values()) this.#leaveIfOut(job);
   }
 
+  /** Asks of some of the waiting jobs, in turn, whether they are better off elsewhere. */
+  considerMoves(): void {
+    const waiting = [...this.#jobs.values()].filter((job) =>
+      !this.#attemptOfJob.has(job.stored.row.jobId) && !job.isMoving
+    );
+    const first = waiting.length === 0
+      ? 0
+      : this.#nextConsidered % waiting.length;
+    const turn = [...waiting.slice(first), ...waiting.slice(0, first)];
+    for (const job of turn.slice(0, CONSIDERED_AT_ONCE)) {
+      void this.#moveAway(job);
+    }
+    this.#nextConsidered = first + CONSIDERED_AT_ONCE;
+  }
+
   #nowMs(): number {
     return this.#options.context.clock.nowMs();
   }
@@ -210,15 +240,22 @@
 
   #leaveIfOut(job: LiveJob): void {
     const isPlaced = this.#attemptOfJob.has(job.stored.row.jobId);
-    if (!isPlaced && !this.#options.isDomainIn()) void this.#moveAway(job);
+    if (isPlaced || job.isMoving || this.#options.isDomainIn()) return;
+    void this.#moveAway(job);
   }
 
   async #moveAway(job: LiveJob): Promise<void> {
-    const { jobId } = job.stored.row;
-    const moved = await this.#options.moveAway(job.stored);
-    if (!moved || this.#jobs.get(jobId) !== job) return;
-    this.#jobs.delete(jobId);
-    this.#apply({ kind: "job_withdrawn", jobId });
+    const { row, version } = job.stored;
+    const nowMs = this.#nowMs();
+    job.isMoving = true;
+    const moved = await this.#options.moveAway({
+      stored: { version, row: { ...row, waitedMs: getWaitedMs(job, nowMs) } },
+      waitedHereMs: nowMs - job.knownAtMs,
+    });
+    job.isMoving = false;
+    if (!moved || this.#jobs.get(row.jobId) !== job) return;
+    this.#jobs.delete(row.jobId);
+    this.#apply({ kind: "job_withdrawn", jobId: row.jobId });
   }
 
   #createAttempt(job: LiveJob, placement: GangPlacement): AttemptTask {
@@ -303,6 +340,7 @@
       stored,
       service: job.service,
       knownAtMs: this.#nowMs(),
+      isMoving: false,
     };
     this.#jobs.set(stored.row.jobId, waiting);
     this.#leaveIfOut(waiting);
--- a/packages/node/rows.ts
+++ b/packages/node/rows.ts
@@ -99,6 +99,8 @@
   readonly failures: number;
   readonly attemptId?: AttemptId;
   readonly assignments?: readonly Assignment[];
+  /** How often it has been given another failure domain while it waited. */
+  readonly moves: number;
   /** Checkpoints of all tasks of the gang, in order of task index. */
   readonly checkpoints?: readonly string[];
   /** How long it had waited when the row was last written. */
--- a/scripts/bench_capacity/fixtures.ts
+++ b/scripts/bench_capacity/fixtures.ts
@@ -135,6 +135,7 @@
     state: "running",
     attempts: 1,
     failures: 0,
+    moves: 0,
     attemptId: createId<AttemptId>(createHexId(`attempt ${index}`)),
     assignments: createAssignments(index * 3, tasks),
     waitedMs: 1_234,
