--- a/scripts/mutations/list.ts
+++ b/scripts/mutations/list.ts
@@ -46,10 +46,9 @@
       find: `mayStart: () => isDomainIn() && configuration.isFresh(),`,
       replace: `mayStart: () => configuration.isFresh(),`,
     }, {
-      file: `${JOBS}/live_jobs.ts`,
-      find:
-        `if (!isPlaced && !this.#options.isDomainIn()) void this.#moveAway(job);`,
-      replace: ``,
+      file: `${JOBS}/jobs_controller.ts`,
+      find: `if (to === undefined) return false;`,
+      replace: `if (to === undefined || this.#runners.size > 0) return false;`,
     }],
     spec: SCENARIOS,
     title: "domain_out_and_back",
@@ -62,7 +61,7 @@
       `return !this.#everStarted || this.#options.job.service.idempotent ||`,
     replace: `return this.#everStarted || !this.#everStarted ||`,
     spec: SCENARIOS,
-    title: "domain_out_and_back",
+    title: "pinned_work_interrupted",
   },
   {
     name: "start after a hold may have lapsed",
