--- a/packages/node/requests/constants.ts
+++ b/packages/node/requests/constants.ts
@@ -26,8 +26,6 @@
 /** Backoff between the attempts of one call. */
 export const BACKOFF = { baseMs: 10, maximumMs: 500 } as const;
 export const MAXIMUM_ATTEMPTS = 5;
-/** Refusals for want of a slot that one call sits out. */
-export const MAXIMUM_REFUSALS = 10;
 /** Retries that a service may make before its share of fresh requests allows any. */
 export const RETRY_BUDGET_RESERVE = 10;
 export const RETRY_BUDGET_MAXIMUM = 100;
--- a/packages/node/requests/filters/retry.ts
+++ b/packages/node/requests/filters/retry.ts
@@ -1,8 +1,6 @@
 /**
  * Tries a call again on another runner. Non-idempotent calls only after a proven `not_run`; nothing
  * past the deadline; within the service's budget; after a backoff with full jitter (Brooker, 2015).
- * A refusal for want of a slot is no try: another entry has borrowed it for a moment, nothing has run,
- * and the runner was spared the work; it is bounded by a count of its own and not by the budget.
  * One attempt that may have run keeps the whole call `unknown`, whatever a later attempt proves.
  */
 import {
@@ -16,7 +14,7 @@
 } from "@coltsfootpond/common";
 import { computeBackoffMs } from "@coltsfootpond/platform";
 import type { RequestFilter } from "../chain.ts";
-import { BACKOFF, MAXIMUM_ATTEMPTS, MAXIMUM_REFUSALS } from "../constants.ts";
+import { BACKOFF, MAXIMUM_ATTEMPTS } from "../constants.ts";
 import { RetryBudget } from "../retry_budget.ts";
 import type {
   AttemptRequest,
@@ -76,21 +74,16 @@
       budget.earn(request.service.retryBudgetShare);
       const avoid = new Set<RunnerName>();
       let unsettled: FailedOutcome | undefined;
-      let refusals = 0;
       for (let attemptNumber = 1;; attemptNumber++) {
         const outcome = await next({ ...request, attemptNumber, avoid });
         if (outcome.kind !== "failed") return outcome;
         if (!isProvenNotRun(outcome)) unsettled = outcome;
         if (outcome.runner !== undefined) avoid.add(outcome.runner);
-        const isRefusal = outcome.resultName === "UPSTREAM_REFUSED";
-        if (isRefusal) refusals += 1;
         const backoffMs = computeBackoffMs(random, attemptNumber - 1, BACKOFF);
-        const isWithinBounds = isRefusal
-          ? refusals < MAXIMUM_REFUSALS
-          : attemptNumber - refusals < MAXIMUM_ATTEMPTS;
-        const again = isWithinBounds && mayTryAgain(request, outcome) &&
+        const again = attemptNumber < MAXIMUM_ATTEMPTS &&
+          mayTryAgain(request, outcome) &&
           clock.nowMs() + backoffMs < request.deadlineMs &&
-          (isRefusal || budget.spend());
+          budget.spend();
         if (!again) return unsettled ?? outcome;
         await clock.sleep(backoffMs);
         if (request.signal?.aborted) return unsettled ?? outcome;
