Split what had grown large in jobs, scenarios and the ledger

Change: decideAfterStop is a pure function; end signals, job identity, the scenario's deployment, renewal costs and option types have files of their own; nothing behaves otherwise.

--- /dev/null
+++ b/packages/node/jobs/after_stop.ts
@@ -0,0 +1,86 @@
+/** What becomes of a job whose attempt was stopped; pure. */
+import { assertNever, type JobServiceDeclaration } from "@coltsfootpond/common";
+import { ATTEMPT_END, type AttemptEnd } from "@coltsfootpond/policy";
+import type { JobEnd } from "../rows.ts";
+import { STOP_REASON, type StopReason } from "./active_job.ts";
+
+const MAXIMUM_JOB_FAILURES = 3;
+
+export interface StoppedAttempt {
+  readonly reason: StopReason;
+  readonly service: JobServiceDeclaration;
+  /** Whether any task may have run. */
+  readonly everStarted: boolean;
+  /** Of all tasks; undefined when one has none. */
+  readonly checkpoints: readonly string[] | undefined;
+  /** Of the job on healthy workers, this attempt not counted. */
+  readonly failures: number;
+}
+
+export type AfterStop =
+  /** The job's row has been cancelled. */
+  | { readonly kind: "gone" }
+  | {
+    readonly kind: "end";
+    readonly attemptEnd: AttemptEnd;
+    readonly jobEnd: JobEnd;
+  }
+  | {
+    readonly kind: "requeue";
+    readonly attemptEnd: AttemptEnd;
+    readonly checkpoints: readonly string[] | undefined;
+    readonly failures: number;
+  };
+
+export function decideAfterStop(attempt: StoppedAttempt): AfterStop {
+  switch (attempt.reason) {
+    case STOP_REASON.CANCELLED:
+      return { kind: "gone" };
+    case STOP_REASON.OVERRUN:
+      return fail("JOB_OVERRAN", ATTEMPT_END.FAILED);
+    case STOP_REASON.MEMBER_FAILED:
+      return decideAfterFailure(attempt);
+    case STOP_REASON.EVICTED:
+    case STOP_REASON.MEMBER_LOST:
+    case STOP_REASON.START_REFUSED:
+      if (!mayRunAgain(attempt)) {
+        return fail("JOB_INTERRUPTED", ATTEMPT_END.STOPPED);
+      }
+      return {
+        kind: "requeue",
+        attemptEnd: ATTEMPT_END.STOPPED,
+        checkpoints: attempt.checkpoints,
+        failures: attempt.failures,
+      };
+    default:
+      return assertNever(attempt.reason);
+  }
+}
+
+function fail(
+  resultName: JobEnd["resultName"],
+  attemptEnd: AttemptEnd,
+): AfterStop {
+  return { kind: "end", attemptEnd, jobEnd: { state: "failed", resultName } };
+}
+
+/** It never ran, it left a whole checkpoint, or it is idempotent. */
+function mayRunAgain(
+  { everStarted, service, checkpoints }: StoppedAttempt,
+): boolean {
+  return !everStarted || service.idempotent || checkpoints !== undefined;
+}
+
+function decideAfterFailure({ service, failures }: StoppedAttempt): AfterStop {
+  const attemptEnd = ATTEMPT_END.FAILED;
+  if (!service.idempotent) return fail("JOB_FAILED", attemptEnd);
+  if (failures + 1 >= MAXIMUM_JOB_FAILURES) {
+    return fail("JOB_FAILED_REPEATEDLY", attemptEnd);
+  }
+  return {
+    kind: "requeue",
+    attemptEnd,
+    checkpoints: undefined,
+    failures: failures + 1,
+  };
+}
--- a/packages/node/jobs/attempt_task.ts
+++ b/packages/node/jobs/attempt_task.ts
@@ -2,13 +2,7 @@
  * The life of one attempt at running a gang: start all, watch, checkpoint or stop all, record the
  * end. Owns the attempt's state; the domain runner feeds it reports and hears one result.
  */
-import {
-  assertNever,
-  type Clock,
-  type EventSink,
-  type EventSubject,
-  type WorkerName,
-} from "@coltsfootpond/common";
+import { assertNever, type WorkerName } from "@coltsfootpond/common";
 import {
   COMMAND_STATUS,
   type CommandStatus,
@@ -20,57 +14,27 @@
   SHORTEST_REPORT_PERIOD_MS,
 } from "../constants.ts";
 import type { JobEnd } from "../rows.ts";
+import type { AttemptResult, AttemptTaskOptions } from "./attempt_types.ts";
+import { type AfterStop, decideAfterStop } from "./after_stop.ts";
 import {
   collectCheckpoints,
   type GangPlacement,
   judgeGang,
-  type LiveJob,
   STOP_REASON,
   type StopReason,
 } from "./active_job.ts";
 import {
   createTaskCommands,
-  type FleetCommander,
   type GangStartOutcome,
   startGang,
 } from "./gang_start.ts";
-import type { JobRecorder, RecordOutcome } from "./job_recorder.ts";
-import type { StoredJob, TransitionOutcome } from "./job_rows.ts";
+import type { RecordOutcome } from "./job_recorder.ts";
+import type { StoredJob } from "./job_rows.ts";
 
 const STOP_RETRY_MS = 1_000;
-const MAXIMUM_JOB_FAILURES = 3;
 const REPORTS_PER_RUN = 50;
 
-/** How the attempt ended, as the runner hears it. */
-export interface AttemptResult {
-  readonly end: AttemptEnd;
-  readonly ranMs: number;
-  /** Workers to blame. */
-  readonly workers: readonly WorkerName[];
-  readonly next:
-    | { readonly kind: "requeued"; readonly stored: StoredJob }
-    | { readonly kind: "ended" }
-    /** The row is no longer this owner's to write: cancelled, or moved on. */
-    | { readonly kind: "gone" };
-}
-
-export interface AttemptTaskOptions {
-  readonly job: LiveJob;
-  readonly placement: GangPlacement;
-  readonly clock: Clock;
-  readonly events: EventSink;
-  readonly subject: EventSubject;
-  readonly commander: FleetCommander;
-  readonly recorder: JobRecorder;
-  readonly recordPlacement: (
-    placement: GangPlacement,
-  ) => Promise<TransitionOutcome>;
-  readonly mayStart: () => boolean;
-  /** False once the failure domain is no longer held. */
-  readonly isHeld: () => boolean;
-  readonly onStarted: () => void;
-  readonly onEnded: (result: AttemptResult) => void;
-}
+type Requeue = Omit<Extract<AfterStop, { readonly kind: "requeue" }>, "kind">;
 
 type Phase =
   | "starting"
@@ -229,7 +193,13 @@
           return this.#report(ATTEMPT_END.REFUSED, { kind: "gone" });
         }
         if (outcome.recorded) {
-          return void this.#requeue(ATTEMPT_END.REFUSED, undefined, 0);
+          const { failures } = this.#stored.row;
+          const attemptEnd = ATTEMPT_END.REFUSED;
+          return void this.#requeue({
+            attemptEnd,
+            checkpoints: undefined,
+            failures,
+          });
         }
         return this.#report(ATTEMPT_END.REFUSED, {
           kind: "requeued",
@@ -290,53 +260,23 @@
   }
 
   async #recordStop(reason: StopReason): Promise<void> {
-    const checkpoints = collectCheckpoints(this.#listReports());
-    switch (reason) {
-      case STOP_REASON.CANCELLED:
+    const after = decideAfterStop({
+      reason,
+      service: this.#options.job.service,
+      everStarted: this.#everStarted,
+      checkpoints: collectCheckpoints(this.#listReports()),
+      failures: this.#stored.row.failures,
+    });
+    switch (after.kind) {
+      case "gone":
         return this.#report(ATTEMPT_END.STOPPED, { kind: "gone" });
-      case STOP_REASON.OVERRUN:
-        return await this.#recordEnd(ATTEMPT_END.FAILED, {
-          state: "failed",
-          resultName: "JOB_OVERRAN",
-        });
-      case STOP_REASON.MEMBER_FAILED:
-        return await this.#recordFailure();
-      case STOP_REASON.EVICTED:
-      case STOP_REASON.MEMBER_LOST:
-      case STOP_REASON.START_REFUSED:
-        if (this.#mayRunAgain(checkpoints)) {
-          return await this.#requeue(ATTEMPT_END.STOPPED, checkpoints, 0);
-        }
-        return await this.#recordEnd(ATTEMPT_END.STOPPED, {
-          state: "failed",
-          resultName: "JOB_INTERRUPTED",
-        });
+      case "end":
+        return await this.#recordEnd(after.attemptEnd, after.jobEnd);
+      case "requeue":
+        return await this.#requeue(after);
       default:
-        return assertNever(reason);
-    }
-  }
-
-  /** It never ran, it left a whole checkpoint, or it is idempotent. */
-  #mayRunAgain(checkpoints: readonly string[] | undefined): boolean {
-    return !this.#everStarted || this.#options.job.service.idempotent ||
-      checkpoints !== undefined;
-  }
-
-  async #recordFailure(): Promise<void> {
-    const failures = this.#stored.row.failures + 1;
-    if (!this.#options.job.service.idempotent) {
-      return await this.#recordEnd(ATTEMPT_END.FAILED, {
-        state: "failed",
-        resultName: "JOB_FAILED",
-      });
-    }
-    if (failures >= MAXIMUM_JOB_FAILURES) {
-      return await this.#recordEnd(ATTEMPT_END.FAILED, {
-        state: "failed",
-        resultName: "JOB_FAILED_REPEATEDLY",
-      });
+        return assertNever(after);
     }
-    await this.#requeue(ATTEMPT_END.FAILED, undefined, 1);
   }
 
   async #recordAnswer(output: Uint8Array): Promise<void> {
@@ -360,17 +300,14 @@
   }
 
   async #requeue(
-    end: AttemptEnd,
-    checkpoints: readonly string[] | undefined,
-    failures: number,
+    { attemptEnd: end, checkpoints, failures }: Requeue,
   ): Promise<void> {
-    const { recorder } = this.#options;
     const { attemptId: _attemptId, assignments: _assignments, ...row } =
       this.#stored.row;
-    const outcome = await recorder.recordQueued(this.#stored, {
+    const outcome = await this.#options.recorder.recordQueued(this.#stored, {
       ...row,
       state: "queued",
-      failures: row.failures + failures,
+      failures,
       checkpoints: checkpoints ?? row.checkpoints,
     });
     if (outcome === undefined) return;
--- a/packages/node/jobs/attempt_task_test.ts
+++ b/packages/node/jobs/attempt_task_test.ts
@@ -18,7 +18,8 @@
 import { expect } from "chai";
 import { PlatformStandIn } from "../../../stand_ins/platform/platform_stand_in.ts";
 import { getJobKey, getRequestKey, type JobRow } from "../rows.ts";
-import { type AttemptResult, AttemptTask } from "./attempt_task.ts";
+import { AttemptTask } from "./attempt_task.ts";
+import type { AttemptResult } from "./attempt_types.ts";
 import { createFleetCommander } from "./gang_start.ts";
 import { JobRecorder } from "./job_recorder.ts";
 import { endJob, insertJob, replaceJob, type StoredJob } from "./job_rows.ts";
--- a/packages/node/jobs/domain_runner.ts
+++ b/packages/node/jobs/domain_runner.ts
@@ -22,11 +22,13 @@
   FailureDomainView,
   Holding,
 } from "../types.ts";
+import { applyWorkers } from "./apply_workers.ts";
 import { FleetTask } from "./fleet_task.ts";
 import { createFleetCommander, type FleetCommander } from "./gang_start.ts";
 import { JobRecorder } from "./job_recorder.ts";
 import { readJob, scanJobs } from "./job_rows.ts";
-import { LiveJobs, type MoveCandidate } from "./live_jobs.ts";
+import { LiveJobs } from "./live_jobs.ts";
+import type { MoveCandidate } from "./live_jobs_types.ts";
 
 const RECOVERY_RETRY_MS = 500;
 const MOVE_PERIOD_MS = 1_000;
@@ -199,7 +201,7 @@
     const report = await this.#fleet.fetch();
     if (report === undefined || this.#stopped) return false;
     this.#options.configureEngine(engine);
-    this.#applyWorkers(report);
+    applyWorkers(this.#options.engine, report, this.#nowMs());
     this.#applyDomainState();
     for (const job of stored) this.#jobs.adopt(job, report.tasks);
     this.#recovered = true;
@@ -284,25 +286,13 @@
 
   #applyReport(report: FleetReport): void {
     if (this.#stopped) return;
-    this.#applyWorkers(report);
+    applyWorkers(this.#options.engine, report, this.#nowMs());
     for (const task of report.tasks) this.#jobs.observe(task);
     if (report.workers.length > 0 || report.tasks.length > 0) {
       this.#scheduleDecision();
     }
   }
 
-  #applyWorkers(report: FleetReport): void {
-    const { engine } = this.#options;
-    for (const worker of report.workers) {
-      if (worker.state === "up") {
-        engine.apply({ kind: "worker_up", worker }, this.#nowMs());
-      } else {engine.apply(
-          { kind: "worker_down", worker: worker.name },
-          this.#nowMs(),
-        );}
-    }
-  }
-
   #scheduleDecision(): void {
     if (this.#decisionScheduled || this.#stopped) return;
     this.#decisionScheduled = true;
--- a/packages/node/jobs/job_front.ts
+++ b/packages/node/jobs/job_front.ts
@@ -2,10 +2,7 @@
  * Jobs as callers see them, on whichever entry they ask: submit, look up, cancel, wait. The rows in
  * the table service are the only authority; messages to the owner only save time.
  */
-import { createHash } from "node:crypto";
 import {
-  createId,
-  type Digest,
   type FailureDomainName,
   type JobId,
   type JobServiceDeclaration,
@@ -14,7 +11,7 @@
 } from "@coltsfootpond/common";
 import type { TablePort } from "@coltsfootpond/platform";
 import type { WaitReason } from "@coltsfootpond/policy";
-import { type Observable, Subject } from "rxjs";
+import type { Observable } from "rxjs";
 import {
   getJobKey,
   getRequestKey,
@@ -31,6 +28,13 @@
   JobSubmission,
   JobSubmitOutcome,
 } from "../types.ts";
+import { createEndSignal } from "./end_signal.ts";
+import {
+  createJobId,
+  createJobRow,
+  isContentWhole,
+  isEnded,
+} from "./job_identity.ts";
 import {
   endJob,
   insertJob,
@@ -213,7 +217,7 @@
     const jobId = createJobId(organisation, requestId);
     const deadlineMs = clock.nowMs() + timeoutMs;
     for (;;) {
-      const signal = this.#createEndSignal(jobId);
+      const signal = createEndSignal(this.#options, jobId);
       const lookup = await this.get(organisation, requestId);
       const remainingMs = deadlineMs - clock.nowMs();
       const isOver = lookup.kind === "absent" ||
@@ -226,30 +230,6 @@
     }
   }
 
-  #createEndSignal(jobId: JobId): EndSignal {
-    const { clock } = this.#options.context;
-    const ended = new Subject<void>();
-    let seen = false;
-    const subscription = this.#options.endings.subscribe((endedId) => {
-      if (endedId !== jobId) return;
-      seen = true;
-      ended.next();
-    });
-    return {
-      cancel: () => subscription.unsubscribe(),
-      wait: (timeoutMs) =>
-        new Promise<void>((resolve) => {
-          const finish = (): void => {
-            timer.cancel();
-            subscription.unsubscribe();
-            resolve();
-          };
-          const timer = clock.after(seen ? 0 : timeoutMs, finish);
-          ended.subscribe(finish);
-        }),
-    };
-  }
-
   #findService(submission: JobSubmission): JobServiceDeclaration | undefined {
     const services =
       this.#options.configuration.current()?.declarations.services ?? [];
@@ -327,45 +307,3 @@
     });
   }
 }
-
-interface EndSignal {
-  cancel(): void;
-  wait(timeoutMs: number): Promise<void>;
-}
-
-export function createJobId(
-  organisation: OrganisationName,
-  requestId: RequestId,
-): JobId {
-  return createId<JobId>(`${organisation}/${requestId}`);
-}
-
-export function isEnded(status: JobStatus): boolean {
-  return status.state !== "queued" && status.state !== "running" &&
-    status.state !== "placing";
-}
-
-function isContentWhole(content: Uint8Array, end: JobEnd): boolean {
-  const digest = createId<Digest>(
-    createHash("sha256").update(content).digest("hex"),
-  );
-  return content.byteLength === end.answer?.lengthBytes &&
-    digest === end.answer.digest;
-}
-
-function createJobRow(submission: JobSubmission): JobRow {
-  const { organisation, requestId, service, bodyDigest, payload } = submission;
-  return {
-    jobId: createJobId(organisation, requestId),
-    organisation,
-    requestId,
-    service,
-    bodyDigest,
-    payload,
-    state: "queued",
-    attempts: 0,
-    failures: 0,
-    moves: 0,
-    waitedMs: 0,
-  };
-}
--- a/packages/node/jobs/job_homes.ts
+++ b/packages/node/jobs/job_homes.ts
@@ -28,7 +28,7 @@
 } from "../types.ts";
 import { toQueuedJob } from "./active_job.ts";
 import type { HomeChoice } from "./job_front.ts";
-import type { MoveCandidate } from "./live_jobs.ts";
+import type { MoveCandidate } from "./live_jobs_types.ts";
 
 export interface JobHomesOptions {
   readonly configuration: ConfigurationView;
--- /dev/null
+++ b/packages/node/jobs/job_identity.ts
@@ -0,0 +1,48 @@
+/** Small pure parts of the callers' side of jobs: ids, first rows and whole answers. */
+import { createHash } from "node:crypto";
+import {
+  createId,
+  type Digest,
+  type JobId,
+  type OrganisationName,
+  type RequestId,
+} from "@coltsfootpond/common";
+import type { JobEnd, JobRow } from "../rows.ts";
+import type { JobStatus, JobSubmission } from "../types.ts";
+
+export function createJobId(
+  organisation: OrganisationName,
+  requestId: RequestId,
+): JobId {
+  return createId<JobId>(`${organisation}/${requestId}`);
+}
+
+export function isEnded(status: JobStatus): boolean {
+  return status.state !== "queued" && status.state !== "running" &&
+    status.state !== "placing";
+}
+
+export function isContentWhole(content: Uint8Array, end: JobEnd): boolean {
+  const digest = createId<Digest>(
+    createHash("sha256").update(content).digest("hex"),
+  );
+  return content.byteLength === end.answer?.lengthBytes &&
+    digest === end.answer.digest;
+}
+
+export function createJobRow(submission: JobSubmission): JobRow {
+  const { organisation, requestId, service, bodyDigest, payload } = submission;
+  return {
+    jobId: createJobId(organisation, requestId),
+    organisation,
+    requestId,
+    service,
+    bodyDigest,
+    payload,
+    state: "queued",
+    attempts: 0,
+    failures: 0,
+    moves: 0,
+    waitedMs: 0,
+  };
+}
--- a/packages/node/jobs/jobs_controller.ts
+++ b/packages/node/jobs/jobs_controller.ts
@@ -31,7 +31,7 @@
 import { DomainRunner } from "./domain_runner.ts";
 import type { JobNotice } from "./job_front.ts";
 import { moveJob } from "./job_rows.ts";
-import type { MoveCandidate } from "./live_jobs.ts";
+import type { MoveCandidate } from "./live_jobs_types.ts";
 import { NoticeBoard } from "./notice_board.ts";
 
 const SUMMARY_PERIOD_MS = 2_000;
--- a/packages/node/jobs/live_jobs.ts
+++ b/packages/node/jobs/live_jobs.ts
@@ -11,16 +11,11 @@
   type ServiceName,
   type WorkerName,
 } from "@coltsfootpond/common";
-import type { TablePort, TaskReport } from "@coltsfootpond/platform";
+import type { TaskReport } from "@coltsfootpond/platform";
 import { TASK_STATE } from "@coltsfootpond/platform";
-import type {
-  Assignment,
-  EngineEvent,
-  PlacementEngine,
-} from "@coltsfootpond/policy";
+import type { Assignment, EngineEvent } from "@coltsfootpond/policy";
 import { LONGEST_REPORT_PERIOD_MS } from "../constants.ts";
 import type { JobEnd, JobRow } from "../rows.ts";
-import type { ConfigurationView, EntryContext, Holding } from "../types.ts";
 import {
   type GangPlacement,
   getWaitedMs,
@@ -28,9 +23,9 @@
   STOP_REASON,
   toQueuedJob,
 } from "./active_job.ts";
-import { type AttemptResult, AttemptTask } from "./attempt_task.ts";
-import type { FleetCommander } from "./gang_start.ts";
-import type { JobRecorder } from "./job_recorder.ts";
+import type { LiveJobsOptions } from "./live_jobs_types.ts";
+import { AttemptTask } from "./attempt_task.ts";
+import type { AttemptResult } from "./attempt_types.ts";
 import {
   replaceJob,
   type StoredJob,
@@ -39,31 +34,6 @@
 
 const CONSIDERED_AT_ONCE = 64;
 
-/** A waiting job that may be better off in another failure domain. */
-export interface MoveCandidate {
-  readonly stored: StoredJob;
-  /** How long it has waited in this failure domain. */
-  readonly waitedHereMs: number;
-}
-
-export interface LiveJobsOptions {
-  readonly context: EntryContext;
-  readonly holding: Holding;
-  readonly table: TablePort;
-  readonly engine: PlacementEngine;
-  readonly configuration: ConfigurationView;
-  readonly commander: FleetCommander;
-  readonly recorder: JobRecorder;
-  readonly isHeld: () => boolean;
-  readonly isDomainIn: () => boolean;
-  /** Gives a waiting job a home elsewhere where that is better; true when it has moved. */
-  readonly moveAway: (move: MoveCandidate) => Promise<boolean>;
-  /** The engine has heard something new. */
-  readonly onChanged: () => void;
-  readonly onEnded: (jobId: JobId) => void;
-  readonly onAttemptSettled: (attemptId: AttemptId) => void;
-}
-
 /** Owns jobs and attempts of one holding. */
 export class LiveJobs {
   readonly #options: LiveJobsOptions;
--- a/scripts/bench_capacity/ledger.ts
+++ b/scripts/bench_capacity/ledger.ts
@@ -1,6 +1,7 @@
 /** Works out an entry's control traffic, processor time and memory from the measured slopes. */
 import type { DeploymentSize, Design } from "./design.ts";
 import type { Costs } from "./costs.ts";
+import { computeRenewal } from "./renewal.ts";
 import { ASSUMED, TASKS_PER_JOB } from "./target.ts";
 
 const MS_PER_SECOND = 1_000;
@@ -225,46 +226,6 @@
   ];
 }
 
-/** One renewal of all workers of a failure domain. */
-interface RenewalCost {
-  readonly commands: number;
-  readonly renewed: number;
-  readonly requestBytes: number;
-  readonly mechanism: string;
-}
-
-function computeRenewal(
-  costs: Costs,
-  design: Design,
-  workers: number,
-): RenewalCost {
-  const one = costs.bytes("command_renew") + 1;
-  const name = costs.bytes("worker_name") + 1;
-  switch (design.renewal) {
-    case "command_per_worker":
-      return {
-        commands: workers,
-        renewed: workers,
-        requestBytes: workers * one,
-        mechanism: "one batch, one command per worker",
-      };
-    case "one_command_with_names":
-      return {
-        commands: 1,
-        renewed: workers,
-        requestBytes: one + Math.max(0, workers - 1) * name,
-        mechanism: "one command that names all workers",
-      };
-    case "one_command_for_all":
-      return {
-        commands: 1,
-        renewed: 1,
-        requestBytes: one,
-        mechanism: "one command for all",
-      };
-  }
-}
-
 /** For one failure domain. */
 function listOwnerLines(
   costs: Costs,
--- a/scripts/mutations/list.ts
+++ b/scripts/mutations/list.ts
@@ -56,10 +56,9 @@
   {
     name: "run an interrupted non-idempotent job again",
     promise: "at_most_once",
-    file: `${JOBS}/attempt_task.ts`,
-    find:
-      `return !this.#everStarted || this.#options.job.service.idempotent ||`,
-    replace: `return this.#everStarted || !this.#everStarted ||`,
+    file: `${JOBS}/after_stop.ts`,
+    find: `if (!mayRunAgain(attempt)) {`,
+    replace: `if (!mayRunAgain(attempt) && attempt.failures < 0) {`,
     spec: SCENARIOS,
     title: "pinned_work_interrupted",
   },
--- a/scripts/scenarios/world.ts
+++ b/scripts/scenarios/world.ts
@@ -1,5 +1,4 @@
 /** The deployment of one scenario: real controllers of every entry over fakes, one manual clock. */
-import { createHash } from "node:crypto";
 import {
   createId,
   createUniqueId,
@@ -9,20 +8,17 @@
   type FailureDomainName,
   type Incarnation,
   ManualClock,
-  MS_PER_SECOND,
   type OrganisationName,
-  type RackName,
   type RegionName,
   type RequestId,
   SeededRandom,
   type ServiceName,
   type Timer,
-  type WorkerName,
 } from "@coltsfootpond/common";
 import { type EntryContext, EntryCore } from "@coltsfootpond/node";
 import { FaultSwitch } from "@coltsfootpond/platform";
 import { PlatformStandIn } from "@coltsfootpond/stand-ins";
-import { stringify } from "smol-toml";
+import { createDeclarations, listDomains, listWorkers } from "./deployment.ts";
 import {
   createGatedPorts,
   FakeMesh,
@@ -39,11 +35,6 @@
 
 const HEARTBEAT_MS = 500;
 const SAMPLE_MS = 100;
-const WORKER_RESOURCES = {
-  milliprocessors: 130_000,
-  memoryMib: 500_000,
-  accelerators: 8,
-};
 const EVENT_CAPACITY = 4_096;
 
 interface EntryProcess {
@@ -85,10 +76,10 @@
       random: this.#random,
     });
     this.network = FakeNetwork.create(this.clock);
-    for (const failureDomain of this.#listDomains()) {
+    for (const failureDomain of listDomains(this.#scenario)) {
       this.platform.fleet.declare({
         failureDomain,
-        workers: this.#listWorkers(failureDomain),
+        workers: listWorkers(this.#scenario, failureDomain),
       });
     }
     this.clock.every(SAMPLE_MS, () => this.#sampleVersions());
@@ -125,7 +116,7 @@
     const store = FaultSwitch.create(this.clock);
     const incarnation = createId<Incarnation>(`${entry}/${createUniqueId()}`);
     const index = this.listEntries().indexOf(entry);
-    const domains = this.#listDomains();
+    const domains = listDomains(this.#scenario);
     const events = EventRing.create({
       clock: this.clock,
       process: entry,
@@ -251,7 +242,7 @@
     const { configuration } = this.getProcess(entry).core.state;
     const files = [{
       name: "all.toml",
-      text: this.#createDeclarations(weight),
+      text: createDeclarations(this.#scenario, weight),
     }];
     const outcome = await configuration.apply({
       files,
@@ -293,26 +284,6 @@
       );
   }
 
-  #listDomains(): readonly FailureDomainName[] {
-    const count = this.#scenario.topology.failure_domains;
-    return Array.from(
-      { length: count },
-      (_unused, index) => createId<FailureDomainName>(`domain-${index + 1}`),
-    );
-  }
-
-  #listWorkers(failureDomain: FailureDomainName) {
-    const { racks_per_domain: racks, workers_per_rack: workers } =
-      this.#scenario.topology;
-    return Array.from({ length: racks * workers }, (_unused, index) => ({
-      name: createId<WorkerName>(`${failureDomain}-w${index + 1}`),
-      rack: createId<RackName>(
-        `${failureDomain}-r${Math.floor(index / workers) + 1}`,
-      ),
-      resources: WORKER_RESOURCES,
-    }));
-  }
-
   #sampleVersions(): void {
     for (const process of this.#processes.values()) {
       const version = process.core.state.configuration.current()?.version;
@@ -320,67 +291,4 @@
       this.#versions.push({ entry: process.incarnation, version });
     }
   }
-
-  #createDeclarations(weight: number): string {
-    const perTask = (accelerators: number) => ({
-      milliprocessors: 1_000,
-      memory_mib: 1_000,
-      accelerators,
-    });
-    const { services } = this.#scenario;
-    const quota = {
-      milliprocessors: 100_000_000,
-      memory_mib: 100_000_000,
-      accelerators: 100_000,
-    };
-    const organisations = ["org-1", "org-2"].map((name) => ({
-      name,
-      token_digest: createHash("sha256").update(name).digest("hex"),
-      weight,
-      quota,
-      requests_per_second: 1_000,
-      concurrent_requests: 1_000,
-      queued_jobs: 100_000,
-    }));
-    return stringify({
-      operator_token_digests: [
-        createHash("sha256").update("operator").digest("hex"),
-      ],
-      organisations,
-      services: services.map((service) => ({
-        name: service.name,
-        kind: "job",
-        idempotent: service.idempotent,
-        maximum_body_bytes: 65_536,
-        priority: service.urgent ? "urgent" : "normal",
-        expected_run_ms: service.run_ms,
-        maximum_run_ms: service.run_ms * 100 + 60 * MS_PER_SECOND,
-        can_checkpoint: service.can_checkpoint,
-        checkpoint_ms: 1_000,
-        shape: {
-          tasks: service.tasks,
-          adjacency: "rack",
-          per_task: perTask(service.accelerators),
-        },
-      })),
-      failure_domains: this.#listDomains().map((name) => ({
-        name,
-        region: "region",
-        drain_ms: 2_000,
-        racks: this.#createRacks(name),
-      })),
-    });
-  }
-
-  #createRacks(failureDomain: FailureDomainName) {
-    const workers = this.#listWorkers(failureDomain);
-    const { milliprocessors, memoryMib, accelerators } = WORKER_RESOURCES;
-    const resources = { milliprocessors, memory_mib: memoryMib, accelerators };
-    return [...new Set(workers.map((worker) => worker.rack))].map((rack) => ({
-      name: rack,
-      workers: workers.filter((worker) => worker.rack === rack).map((
-        { name },
-      ) => ({ name, resources })),
-    }));
-  }
 }
