--- a/packages/node/requests/calls_test.ts
+++ b/packages/node/requests/calls_test.ts
@@ -170,7 +170,10 @@
     await until(() =>
       world.fronts[0]!.describe().runners.some(({ leaving }) => leaving)
     );
-    await Promise.all(Array.from({ length: 9 }, () => send({ port })));
+    const replies = await Promise.all(
+      Array.from({ length: 9 }, () => send({ port })),
+    );
+    expect(replies.filter(({ status }) => status !== 200)).to.deep.equal([]);
     expect(leaving.ledger.getCounts().executions).to.equal(1);
     expect(staying.ledger.getCounts().executions).to.equal(9);
     expect((await running).status).to.equal(200);
