Call one piece where two stood: the stand-ins' listen, the bound of a domain out

Change: listenOn serves balancer and platform server; the scenarios take the bound of a domain out from the node's constants; a constant that nothing used and a design equal to the present one are gone.

--- a/packages/node/constants.ts
+++ b/packages/node/constants.ts
@@ -39,7 +39,6 @@
 export const HOLD_TTL_MS = 5_000;
 /** An entry that could not confirm the configuration head for this long starts nothing new. */
 export const CONFIGURATION_FRESHNESS_MS = 10_000;
-export const CONFIGURATION_POLL_MS = 2_000;
 export const MESH_HEARTBEAT_MS = 1_000;
 export const MESH_SILENCE_MS = 2_500;
 export const MESH_MAXIMUM_FRAME_BYTES = 1_048_576;
--- a/scripts/bench_capacity/design.ts
+++ b/scripts/bench_capacity/design.ts
@@ -121,12 +121,6 @@
   ownerUnevenness: RENDEZVOUS_UNEVENNESS,
 };
 
-/** The same with nothing running, when the fleet is polled more seldom. */
-export const IDLE_DESIGN: Design = {
-  ...PRESENT_DESIGN,
-  reportMs: LONGEST_REPORT_PERIOD_MS,
-};
-
 /** A heartbeat with the names of its fields, as measured before they were left out. */
 const EARLIER_HEARTBEAT_BYTES = 162;
 
--- a/scripts/bench_capacity/evaluate.ts
+++ b/scripts/bench_capacity/evaluate.ts
@@ -4,7 +4,7 @@
   createIdleSize,
   type DeploymentSize,
   type Design,
-  IDLE_DESIGN,
+  PRESENT_DESIGN,
 } from "./design.ts";
 import { computeEntryLedger, type LedgerLine } from "./ledger.ts";
 import { TARGET } from "./target.ts";
@@ -75,7 +75,7 @@
     unexplainedProcessorShare: 0,
   });
   return sumLedger(
-    computeEntryLedger(costs, IDLE_DESIGN, createIdleSize(entries)),
+    computeEntryLedger(costs, PRESENT_DESIGN, createIdleSize(entries)),
   );
 }
 
--- a/scripts/scenarios/promises.ts
+++ b/scripts/scenarios/promises.ts
@@ -1,4 +1,5 @@
 /** The promises of the brief, checked on the ledgers that a scenario leaves. */
+import { DOMAIN_OUT_BOUND_MS } from "@coltsfootpond/node";
 import type { TaskRun } from "@coltsfootpond/stand-ins";
 
 export const PROMISE_NAMES = [
@@ -14,8 +15,6 @@
 
 /** How long a part of a gang may be seen running before or after the rest. */
 const PARTIAL_BOUND_MS = 3_000;
-/** How long after `out` was answered a task may still start there. */
-const DOMAIN_OUT_BOUND_MS = 3_000;
 
 /** A time span in which operators held a failure domain out, from the answer to the return. */
 export interface OutSpan {
--- a/stand_ins/platform/balancer.ts
+++ b/stand_ins/platform/balancer.ts
@@ -1,12 +1,7 @@
 /** The platform's balancer: TCP, round robin over entries that are listed live and answer ready. */
+import { listenOn } from "../listen.ts";
 import { get } from "node:http";
-import {
-  type AddressInfo,
-  connect,
-  createServer,
-  type Server,
-  type Socket,
-} from "node:net";
+import { connect, createServer, type Server, type Socket } from "node:net";
 import type { Clock, Timer, ValueOf } from "@coltsfootpond/common";
 import type { VmRecord } from "@coltsfootpond/platform";
 import type { VmRegistry } from "./vm_list.ts";
@@ -71,12 +66,7 @@
   }
 
   listen(host: string, port: number): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, host, () => {
-        resolve((this.#server.address() as AddressInfo).port);
-      });
-    });
+    return listenOn(this.#server, host, port);
   }
 
   close(): Promise<void> {
--- a/stand_ins/platform/platform_server.ts
+++ b/stand_ins/platform/platform_server.ts
@@ -1,4 +1,5 @@
 /** The platform stand-in over HTTP+JSON, as `packages/platform/http` speaks it. */
+import { listenOn } from "../listen.ts";
 import { Buffer } from "node:buffer";
 import {
   createServer,
@@ -6,7 +7,6 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { AddressInfo } from "node:net";
 import type {
   CommandBatch,
   FleetReportRequest,
@@ -140,12 +140,7 @@
 
   /** Resolves with the port. */
   listen(host: string, port: number): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, host, () => {
-        resolve((this.#server.address() as AddressInfo).port);
-      });
-    });
+    return listenOn(this.#server, host, port);
   }
 
   close(): Promise<void> {
