--- a/packages/node/configuration/apply.ts
+++ b/packages/node/configuration/apply.ts
@@ -9,7 +9,7 @@
   type RankedTablePort,
   type TableRow,
   WRITE_RANK,
-} from "@coltsfootpond/platform";
+} from "@coltsfootpond/ports";
 import { STATE_CALL_TIMEOUT_MS } from "../constants.ts";
 import { CONFIGURATION_HEAD_KEY, type ConfigurationHeadRow } from "../rows.ts";
 import {
--- a/packages/node/configuration/chunk_store.ts
+++ b/packages/node/configuration/chunk_store.ts
@@ -1,6 +1,6 @@
 /** Declaration files and their list in the object store, each under the digest of its content. */
 import { createId, type Digest } from "@coltsfootpond/common";
-import { computeBackoffMs, type ObjectPort } from "@coltsfootpond/platform";
+import { computeBackoffMs, type ObjectPort } from "@coltsfootpond/ports";
 import { Buffer } from "node:buffer";
 import { createHash } from "node:crypto";
 import { STATE_CALL_TIMEOUT_MS } from "../constants.ts";
--- a/packages/node/entry.ts
+++ b/packages/node/entry.ts
@@ -12,7 +12,7 @@
   type Random,
   type TimelineEvent,
 } from "@coltsfootpond/common";
-import { createHttpPlatform } from "@coltsfootpond/platform";
+import { createHttpPlatform } from "@coltsfootpond/ports";
 import type { Subscription } from "rxjs";
 import { EVENT_RING_CAPACITY } from "./constants.ts";
 import { EntryCore } from "./entry_core.ts";
--- a/packages/node/entry_core.ts
+++ b/packages/node/entry_core.ts
@@ -8,7 +8,7 @@
   formatProblem,
   parseDeclarations,
 } from "@coltsfootpond/common";
-import { ResilientTable } from "@coltsfootpond/platform";
+import { ResilientTable } from "@coltsfootpond/ports";
 import {
   createPlacementEngine,
   listGuaranteesHeld,
--- a/packages/node/failure_domains/domain_facts.ts
+++ b/packages/node/failure_domains/domain_facts.ts
@@ -6,7 +6,7 @@
   type TableRow,
   type TransactionOutcome,
   WRITE_RANK,
-} from "@coltsfootpond/platform";
+} from "@coltsfootpond/ports";
 import { STATE_CALL_TIMEOUT_MS } from "../constants.ts";
 import {
   FAILURE_DOMAIN_STATE,
--- a/packages/node/failure_domains/failure_domain_controller.ts
+++ b/packages/node/failure_domains/failure_domain_controller.ts
@@ -13,7 +13,7 @@
   type RankedTablePort,
   type RowCondition,
   type TableRow,
-} from "@coltsfootpond/platform";
+} from "@coltsfootpond/ports";
 import { type Observable, Subject } from "rxjs";
 import { DOMAIN_REBROADCAST_MS, DOMAIN_SPREAD_MS } from "../constants.ts";
 import {
--- a/packages/node/jobs/active_job.ts
+++ b/packages/node/jobs/active_job.ts
@@ -9,7 +9,7 @@
   TASK_STATE,
   type TaskReport,
   type TaskState,
-} from "@coltsfootpond/platform";
+} from "@coltsfootpond/ports";
 import type { Assignment, QueuedJob } from "@coltsfootpond/policy";
 import type { StoredJob } from "./job_rows.ts";
 
--- a/packages/node/jobs/apply_workers.ts
+++ b/packages/node/jobs/apply_workers.ts
@@ -1,5 +1,5 @@
 /** Passes the fleet's word on its workers to the placement engine. */
-import type { FleetReport } from "@coltsfootpond/platform";
+import type { FleetReport } from "@coltsfootpond/ports";
 import type { PlacementEngine } from "@coltsfootpond/policy";
 
 /** Tells the engine of workers that have come or gone. */
--- a/packages/node/jobs/attempt_task.ts
+++ b/packages/node/jobs/attempt_task.ts
@@ -7,7 +7,7 @@
   COMMAND_STATUS,
   type CommandStatus,
   type TaskReport,
-} from "@coltsfootpond/platform";
+} from "@coltsfootpond/ports";
 import { ATTEMPT_END, type AttemptEnd } from "@coltsfootpond/policy";
 import {
   LONGEST_REPORT_PERIOD_MS,
--- a/packages/node/jobs/domain_runner.ts
+++ b/packages/node/jobs/domain_runner.ts
@@ -3,11 +3,7 @@
  * through its mailbox; it drives the placement engine and carries out what the engine decides.
  */
 import { assertNever, type JobId, type Timer } from "@coltsfootpond/common";
-import type {
-  FleetReport,
-  TablePort,
-  TaskReport,
-} from "@coltsfootpond/platform";
+import type { FleetReport, TablePort, TaskReport } from "@coltsfootpond/ports";
 import type {
   Decision,
   DomainSummary,
--- a/packages/node/jobs/fleet_task.ts
+++ b/packages/node/jobs/fleet_task.ts
@@ -9,7 +9,7 @@
   Timer,
   WorkerName,
 } from "@coltsfootpond/common";
-import type { FleetPort, FleetReport } from "@coltsfootpond/platform";
+import type { FleetPort, FleetReport } from "@coltsfootpond/ports";
 import { createRenewal, type FleetCommander } from "./gang_start.ts";
 
 export const RENEW_PERIOD_MS = 6_000;
--- a/packages/node/jobs/gang_start.ts
+++ b/packages/node/jobs/gang_start.ts
@@ -15,8 +15,8 @@
   FleetPort,
   TaskKey,
   WorkerCommand,
-} from "@coltsfootpond/platform";
-import { COMMAND_STATUS } from "@coltsfootpond/platform";
+} from "@coltsfootpond/ports";
+import { COMMAND_STATUS } from "@coltsfootpond/ports";
 import type { Assignment } from "@coltsfootpond/policy";
 import { HOLD_TTL_MS, TASK_LEASE_MS } from "../constants.ts";
 import type { JobRow } from "../rows.ts";
--- a/packages/node/jobs/job_front.ts
+++ b/packages/node/jobs/job_front.ts
@@ -9,7 +9,7 @@
   type OrganisationName,
   type RequestId,
 } from "@coltsfootpond/common";
-import type { TablePort } from "@coltsfootpond/platform";
+import type { TablePort } from "@coltsfootpond/ports";
 import type { WaitReason } from "@coltsfootpond/policy";
 import type { Observable } from "rxjs";
 import {
--- a/packages/node/jobs/job_recorder.ts
+++ b/packages/node/jobs/job_recorder.ts
@@ -12,7 +12,7 @@
   Random,
 } from "@coltsfootpond/common";
 import { createId } from "@coltsfootpond/common";
-import type { ObjectPort, TablePort } from "@coltsfootpond/platform";
+import type { ObjectPort, TablePort } from "@coltsfootpond/ports";
 import type { AnswerReference, JobEnd, JobRow } from "../rows.ts";
 import {
   endJob,
--- a/packages/node/jobs/job_rows.ts
+++ b/packages/node/jobs/job_rows.ts
@@ -11,7 +11,7 @@
   TablePort,
   TableRow,
   TableTransaction,
-} from "@coltsfootpond/platform";
+} from "@coltsfootpond/ports";
 import {
   getJobKey,
   getJobPrefix,
--- a/packages/node/jobs/jobs_controller.ts
+++ b/packages/node/jobs/jobs_controller.ts
@@ -8,7 +8,7 @@
   type JobId,
   type Timer,
 } from "@coltsfootpond/common";
-import type { TablePort } from "@coltsfootpond/platform";
+import type { TablePort } from "@coltsfootpond/ports";
 import type {
   DomainSummary,
   PlacementEngine,
--- a/packages/node/jobs/live_jobs.ts
+++ b/packages/node/jobs/live_jobs.ts
@@ -11,8 +11,8 @@
   type ServiceName,
   type WorkerName,
 } from "@coltsfootpond/common";
-import type { TaskReport } from "@coltsfootpond/platform";
-import { TASK_STATE } from "@coltsfootpond/platform";
+import type { TaskReport } from "@coltsfootpond/ports";
+import { TASK_STATE } from "@coltsfootpond/ports";
 import type { Assignment, EngineEvent } from "@coltsfootpond/policy";
 import { LONGEST_REPORT_PERIOD_MS } from "../constants.ts";
 import type { JobEnd, JobRow } from "../rows.ts";
--- a/packages/node/jobs/live_jobs_types.ts
+++ b/packages/node/jobs/live_jobs_types.ts
@@ -1,6 +1,6 @@
 /** What the live jobs of a failure domain are given by its runner. */
 import type { AttemptId, JobId } from "@coltsfootpond/common";
-import type { TablePort } from "@coltsfootpond/platform";
+import type { TablePort } from "@coltsfootpond/ports";
 import type { PlacementEngine } from "@coltsfootpond/policy";
 import type { ConfigurationView, EntryContext, Holding } from "../types.ts";
 import type { FleetCommander } from "./gang_start.ts";
--- a/packages/node/jobs/notice_board.ts
+++ b/packages/node/jobs/notice_board.ts
@@ -11,7 +11,7 @@
   type Timer,
   type WriteId,
 } from "@coltsfootpond/common";
-import type { TablePort } from "@coltsfootpond/platform";
+import type { TablePort } from "@coltsfootpond/ports";
 import type { MeshDelivery } from "../mesh/messages.ts";
 import { getQueueKey } from "../rows.ts";
 import type { RowSnapshot, RowSubscription } from "../state/row_watcher.ts";
--- a/packages/node/membership/member_observations.ts
+++ b/packages/node/membership/member_observations.ts
@@ -1,6 +1,6 @@
 /** What the shared read tells of the registered members and of their beats. */
 import type { EntryName } from "@coltsfootpond/common";
-import type { TableRow } from "@coltsfootpond/platform";
+import type { TableRow } from "@coltsfootpond/ports";
 import { ENTRY_BEAT_MS, ENTRY_TERM_MS } from "../constants.ts";
 import { type EntryRow, getEntryKey, MEMBER_INDEX_KEY } from "../rows.ts";
 import {
--- a/packages/node/membership/member_rows.ts
+++ b/packages/node/membership/member_rows.ts
@@ -1,6 +1,6 @@
 /** The transactions on the rows of members. Pure: rows as read go in, a change comes out. */
 import type { EntryName } from "@coltsfootpond/common";
-import type { RowCondition, RowWrite, TableRow } from "@coltsfootpond/platform";
+import type { RowCondition, RowWrite, TableRow } from "@coltsfootpond/ports";
 import {
   type EntryRow,
   getEntryKey,
--- a/packages/node/membership/membership_controller.ts
+++ b/packages/node/membership/membership_controller.ts
@@ -7,7 +7,7 @@
   type RankedTablePort,
   type TransactionOutcome,
   WRITE_RANK,
-} from "@coltsfootpond/platform";
+} from "@coltsfootpond/ports";
 import { type Observable, Subject } from "rxjs";
 import { ENTRY_BEAT_MS, STATE_CALL_TIMEOUT_MS } from "../constants.ts";
 import { type EntryRow, getEntryKey, MEMBER_INDEX_KEY } from "../rows.ts";
--- a/packages/node/mesh/messages.ts
+++ b/packages/node/mesh/messages.ts
@@ -12,7 +12,7 @@
   ReadOutcome,
   TableTransaction,
   TransactionOutcome,
-} from "@coltsfootpond/platform";
+} from "@coltsfootpond/ports";
 import type { DomainSummary } from "@coltsfootpond/policy";
 import type { FailureDomainState } from "../rows.ts";
 
--- a/packages/node/meters/metered_platform.ts
+++ b/packages/node/meters/metered_platform.ts
@@ -6,7 +6,7 @@
   TablePort,
   TableTransaction,
   TransactionOutcome,
-} from "@coltsfootpond/platform";
+} from "@coltsfootpond/ports";
 import { LATENCY_AREA } from "./latency.ts";
 import type { Meters } from "./meters.ts";
 
--- a/packages/node/meters/meters.ts
+++ b/packages/node/meters/meters.ts
@@ -1,6 +1,6 @@
 /** The meters of one entry: control bytes, processor time, memory, table use and latencies. */
 import type { Clock } from "@coltsfootpond/common";
-import type { PlatformMeters } from "@coltsfootpond/platform";
+import type { PlatformMeters } from "@coltsfootpond/ports";
 import type { MeshMessage } from "../mesh/messages.ts";
 import {
   type LatencyArea,
--- a/packages/node/meters/meters_test.ts
+++ b/packages/node/meters/meters_test.ts
@@ -1,7 +1,7 @@
 /** Tests of the meters and of their text form. */
 import { expect } from "chai";
 import { createId, ManualClock, type WriteId } from "@coltsfootpond/common";
-import type { PlatformPorts } from "@coltsfootpond/platform";
+import type { PlatformPorts } from "@coltsfootpond/ports";
 import { createMeteredPlatform } from "./metered_platform.ts";
 import { Meters } from "./meters.ts";
 import { readProcessUsage } from "./process_usage.ts";
--- a/packages/node/meters/traffic.ts
+++ b/packages/node/meters/traffic.ts
@@ -1,5 +1,5 @@
 /** Counts of bytes and messages in one direction each. */
-import type { TrafficMeter } from "@coltsfootpond/platform";
+import type { TrafficMeter } from "@coltsfootpond/ports";
 
 /** Bytes and messages since the process started. */
 export interface TrafficCounts {
--- a/packages/node/operators/operator_routes_test.ts
+++ b/packages/node/operators/operator_routes_test.ts
@@ -5,7 +5,7 @@
   ManualClock,
   SeededRandom,
 } from "@coltsfootpond/common";
-import { MemoryObjects, MemoryTable } from "@coltsfootpond/platform";
+import { MemoryObjects, MemoryTable } from "@coltsfootpond/ports";
 import { expect } from "chai";
 import { EMPTY, NEVER } from "rxjs";
 import type { HttpExchange, HttpReply } from "../http/types.ts";
--- a/packages/node/ownership/lease_book.ts
+++ b/packages/node/ownership/lease_book.ts
@@ -4,7 +4,7 @@
   type RankedTablePort,
   type TableRow,
   WRITE_RANK,
-} from "@coltsfootpond/platform";
+} from "@coltsfootpond/ports";
 import type { FailureDomainController } from "../failure_domains/failure_domain_controller.ts";
 import { getDomainKey, getOwnerKey, type OwnerRow } from "../rows.ts";
 import {
--- a/packages/node/ownership/owner_observations.ts
+++ b/packages/node/ownership/owner_observations.ts
@@ -1,6 +1,6 @@
 /** The owner rows as the shared read shows them, and their beats. */
 import type { EntryName, FailureDomainName } from "@coltsfootpond/common";
-import type { TableRow } from "@coltsfootpond/platform";
+import type { TableRow } from "@coltsfootpond/ports";
 import { getOwnerKey, type OwnerRow } from "../rows.ts";
 import { type BeatObservation, observeBeat } from "../state/beat.ts";
 import type { RowSnapshot } from "../state/row_watcher.ts";
--- a/packages/node/ownership/ownership_controller.ts
+++ b/packages/node/ownership/ownership_controller.ts
@@ -8,7 +8,7 @@
   FailureDomainName,
   Timer,
 } from "@coltsfootpond/common";
-import type { RankedTablePort } from "@coltsfootpond/platform";
+import type { RankedTablePort } from "@coltsfootpond/ports";
 import { type Observable, Subject } from "rxjs";
 import {
   OWNERSHIP_BEAT_MS,
--- a/packages/node/relay/relay_table.ts
+++ b/packages/node/relay/relay_table.ts
@@ -18,7 +18,7 @@
   TableTransaction,
   TransactionOutcome,
   Unavailable,
-} from "@coltsfootpond/platform";
+} from "@coltsfootpond/ports";
 import { PeerFacts } from "../membership/peer_facts.ts";
 import type { MeshDelivery, RelayOperation } from "../mesh/messages.ts";
 import type { Mesh } from "../types.ts";
--- a/packages/node/requests/call_records.ts
+++ b/packages/node/requests/call_records.ts
@@ -21,7 +21,7 @@
   type TablePort,
   type TableRow,
   WRITE_RANK,
-} from "@coltsfootpond/platform";
+} from "@coltsfootpond/ports";
 import {
   type AnswerReference,
   getRequestKey,
--- a/packages/node/requests/create_request_routes.ts
+++ b/packages/node/requests/create_request_routes.ts
@@ -7,7 +7,7 @@
   RESULT,
   type ServiceName,
 } from "@coltsfootpond/common";
-import type { TablePort } from "@coltsfootpond/platform";
+import type { TablePort } from "@coltsfootpond/ports";
 import {
   ACCESS,
   type HttpExchange,
--- a/packages/node/requests/filters/retry.ts
+++ b/packages/node/requests/filters/retry.ts
@@ -12,7 +12,7 @@
   type RunnerName,
   type ServiceName,
 } from "@coltsfootpond/common";
-import { computeBackoffMs } from "@coltsfootpond/platform";
+import { computeBackoffMs } from "@coltsfootpond/ports";
 import type { RequestFilter } from "../chain.ts";
 import { BACKOFF, MAXIMUM_ATTEMPTS } from "../constants.ts";
 import { RetryBudget } from "../retry_budget.ts";
--- a/packages/node/requests/fixture_test.ts
+++ b/packages/node/requests/fixture_test.ts
@@ -19,7 +19,7 @@
   MemoryTable,
   type PlatformPorts,
   type VmRecord,
-} from "@coltsfootpond/platform";
+} from "@coltsfootpond/ports";
 import { RunnerStandIn } from "@coltsfootpond/stand-ins";
 import { Subject } from "rxjs";
 import { createAuthenticate } from "../http/authenticator.ts";
--- a/packages/node/state/model.ts
+++ b/packages/node/state/model.ts
@@ -15,7 +15,7 @@
   type RowCondition,
   type TableTransaction,
   type TransactionOutcome,
-} from "@coltsfootpond/platform";
+} from "@coltsfootpond/ports";
 import { DOMAIN_OUT_BOUND_MS } from "../constants.ts";
 import type { FailureDomainFact } from "../failure_domains/decisions.ts";
 import { getDomainKey, getOwnerKey } from "../rows.ts";
--- a/packages/node/state/model_configuration.ts
+++ b/packages/node/state/model_configuration.ts
@@ -1,5 +1,5 @@
 /** What one entry of the model knows of the configuration. */
-import type { TableRow } from "@coltsfootpond/platform";
+import type { TableRow } from "@coltsfootpond/ports";
 import {
   type ConfigurationKnowledge,
   decideHead,
--- a/packages/node/state/model_entry.ts
+++ b/packages/node/state/model_entry.ts
@@ -1,6 +1,6 @@
 /** One entry of the model: the loops of the controllers around their decision functions. */
 import type { EntryName, Incarnation } from "@coltsfootpond/common";
-import type { TableRow } from "@coltsfootpond/platform";
+import type { TableRow } from "@coltsfootpond/ports";
 import {
   MESH_HEARTBEAT_MS,
   OWNERSHIP_BEAT_MS,
--- a/packages/node/state/model_failure_domain.ts
+++ b/packages/node/state/model_failure_domain.ts
@@ -1,5 +1,5 @@
 /** What one entry of the model holds to be so of the failure domain. */
-import type { TableRow, TransactionOutcome } from "@coltsfootpond/platform";
+import type { TableRow, TransactionOutcome } from "@coltsfootpond/ports";
 import {
   computeFactsDigest,
   decideDurableRow,
--- a/packages/node/state/row_watcher.ts
+++ b/packages/node/state/row_watcher.ts
@@ -3,7 +3,7 @@
  * are given the rows; none of them polls by itself.
  */
 import type { Clock, EventSink, Timer } from "@coltsfootpond/common";
-import type { TablePort, TableRow } from "@coltsfootpond/platform";
+import type { TablePort, TableRow } from "@coltsfootpond/ports";
 import { STATE_CALL_TIMEOUT_MS, STATE_POLL_MS } from "../constants.ts";
 import type { Controller } from "../types.ts";
 
--- a/packages/node/state/rows_json.ts
+++ b/packages/node/state/rows_json.ts
@@ -12,7 +12,7 @@
   TableRow,
   TransactionOutcome,
   WriteRank,
-} from "@coltsfootpond/platform";
+} from "@coltsfootpond/ports";
 import { STATE_CALL_TIMEOUT_MS } from "../constants.ts";
 
 /** A transaction that has no write id yet. */
--- a/packages/node/state/state_controllers.ts
+++ b/packages/node/state/state_controllers.ts
@@ -3,7 +3,7 @@
  * one heartbeat tells the peers what they rely on.
  */
 import type { Declarations } from "@coltsfootpond/common";
-import type { RankedTablePort } from "@coltsfootpond/platform";
+import type { RankedTablePort } from "@coltsfootpond/ports";
 import { ConfigurationController } from "../configuration/configuration_controller.ts";
 import type {
   ConfigurationFile,
--- a/packages/node/state/test_cluster.ts
+++ b/packages/node/state/test_cluster.ts
@@ -19,7 +19,7 @@
   MemoryTable,
   type PlatformPorts,
   ResilientTable,
-} from "@coltsfootpond/platform";
+} from "@coltsfootpond/ports";
 import type { ConfigurationFile } from "../configuration/types.ts";
 import { MESH_HEARTBEAT_MS } from "../constants.ts";
 import type { MeshMessage } from "../mesh/messages.ts";
--- a/packages/node/types.ts
+++ b/packages/node/types.ts
@@ -18,7 +18,7 @@
   ResultName,
   ServiceName,
 } from "@coltsfootpond/common";
-import type { PlatformPorts } from "@coltsfootpond/platform";
+import type { PlatformPorts } from "@coltsfootpond/ports";
 import type { DomainSummary, WaitReason } from "@coltsfootpond/policy";
 import type { Observable } from "rxjs";
 import type { MeshDelivery, MeshMessage } from "./mesh/messages.ts";
--- a/packages/node/upstreams/pool.ts
+++ b/packages/node/upstreams/pool.ts
@@ -13,7 +13,7 @@
   type RunnerName,
   type Timer,
 } from "@coltsfootpond/common";
-import type { VmListPort, VmRecord } from "@coltsfootpond/platform";
+import type { VmListPort, VmRecord } from "@coltsfootpond/ports";
 import { FAILURE_DOMAIN_STATE } from "../rows.ts";
 import type { FailureDomainView } from "../types.ts";
 import {
--- a/packages/node/upstreams/pool_test.ts
+++ b/packages/node/upstreams/pool_test.ts
@@ -11,7 +11,7 @@
   VmListOptions,
   VmListOutcome,
   VmRecord,
-} from "@coltsfootpond/platform";
+} from "@coltsfootpond/ports";
 import type { FailureDomainView } from "../types.ts";
 import { VM_POLL_MS } from "./constants.ts";
 import { UpstreamPool } from "./pool.ts";
--- a/packages/node/upstreams/runner.ts
+++ b/packages/node/upstreams/runner.ts
@@ -1,6 +1,6 @@
 /** One runner as this entry knows it: its connections, attempts in progress, health and last report. */
 import type { Clock, RunnerName } from "@coltsfootpond/common";
-import type { VmRecord } from "@coltsfootpond/platform";
+import type { VmRecord } from "@coltsfootpond/ports";
 import { exchangeWithRunner } from "./exchange.ts";
 import { RunnerHealth } from "./health.ts";
 import { RunnerAgent } from "./runner_agent.ts";
--- a/packages/platform/mod.ts
+++ b/packages/ports/mod.ts
@@ -1,4 +1,4 @@
-/** Public face of `@coltsfootpond/platform`: ports to the platform and the clients behind them. */
+/** Public face of `@coltsfootpond/ports`: ports to the platform and the clients behind them. */
 export * from "./constants.ts";
 export * from "./http/http_json.ts";
 export * from "./http/http_platform.ts";
--- a/scripts/bench_capacity/engine_slopes.ts
+++ b/scripts/bench_capacity/engine_slopes.ts
@@ -5,7 +5,7 @@
   parseDeclarations,
 } from "@coltsfootpond/common";
 import type { JobRow } from "@coltsfootpond/node";
-import type { TableRow } from "@coltsfootpond/platform";
+import type { TableRow } from "@coltsfootpond/ports";
 import {
   createPlacementEngine,
   type EngineEvent,
--- a/scripts/bench_capacity/fixtures.ts
+++ b/scripts/bench_capacity/fixtures.ts
@@ -15,7 +15,7 @@
   type WriteId,
 } from "@coltsfootpond/common";
 import type { JobRow } from "@coltsfootpond/node";
-import type { TableRow, TaskReport } from "@coltsfootpond/platform";
+import type { TableRow, TaskReport } from "@coltsfootpond/ports";
 import type {
   Assignment,
   EngineWorker,
--- a/scripts/bench_capacity/memory_slopes.ts
+++ b/scripts/bench_capacity/memory_slopes.ts
@@ -1,7 +1,7 @@
 /** Memory of an entry's state as it grows. */
 import { type JobId, parseDeclarations } from "@coltsfootpond/common";
 import type { JobRow } from "@coltsfootpond/node";
-import type { TaskReport } from "@coltsfootpond/platform";
+import type { TaskReport } from "@coltsfootpond/ports";
 import type { QueuedJob } from "@coltsfootpond/policy";
 import {
   createDeclarationFiles,
--- a/scripts/bench_capacity/message_sizes.ts
+++ b/scripts/bench_capacity/message_sizes.ts
@@ -21,7 +21,7 @@
   TableRow,
   VmRecord,
   WorkerCommand,
-} from "@coltsfootpond/platform";
+} from "@coltsfootpond/ports";
 import { Buffer } from "node:buffer";
 import { encodeMessage } from "../../packages/node/mesh/codec.ts";
 import {
--- a/scripts/bench_capacity/processor_slopes.ts
+++ b/scripts/bench_capacity/processor_slopes.ts
@@ -13,7 +13,7 @@
   type PlatformPorts,
   type ServiceAddress,
   type WorkerCommand,
-} from "@coltsfootpond/platform";
+} from "@coltsfootpond/ports";
 import {
   createDeclarationFiles,
   createJobTableRow,
--- a/scripts/bench_idle/deployment.ts
+++ b/scripts/bench_idle/deployment.ts
@@ -5,7 +5,7 @@
   formatProblem,
   parseDeclarations,
 } from "@coltsfootpond/common";
-import { HttpClient } from "@coltsfootpond/platform";
+import { HttpClient } from "@coltsfootpond/ports";
 import {
   mkdtempSync,
   readdirSync,
--- a/scripts/bench_requests/entry.ts
+++ b/scripts/bench_requests/entry.ts
@@ -30,7 +30,7 @@
   MemoryTable,
   type PlatformPorts,
   type VmRecord,
-} from "@coltsfootpond/platform";
+} from "@coltsfootpond/ports";
 import { NEVER } from "rxjs";
 import { serveCommands } from "./json_lines.ts";
 import {
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -28,7 +28,7 @@
   alias: {
     "@coltsfootpond/common": "./packages/common/mod.ts",
     "@coltsfootpond/policy": "./packages/policy/mod.ts",
-    "@coltsfootpond/platform": "./packages/platform/mod.ts",
+    "@coltsfootpond/ports": "./packages/ports/mod.ts",
     "@coltsfootpond/node": "./packages/node/mod.ts",
     "@coltsfootpond/stand-ins": "./stand_ins/mod.ts",
   },
--- a/scripts/check_layers.ts
+++ b/scripts/check_layers.ts
@@ -9,10 +9,10 @@
 const LAYERS: Readonly<Record<string, readonly string[]>> = {
   "packages/common": [],
   "packages/policy": ["common"],
-  "packages/platform": ["common"],
-  "packages/node": ["common", "policy", "platform"],
-  "stand_ins": ["common", "platform"],
-  "apps": ["common", "policy", "platform", "node"],
+  "packages/ports": ["common"],
+  "packages/node": ["common", "policy", "ports"],
+  "stand_ins": ["common", "ports"],
+  "apps": ["common", "policy", "ports", "node"],
 };
 
 const IMPORT_PATTERN = /from\s+"@coltsfootpond\/([a-z-]+)"/g;
--- a/scripts/mutations/list.ts
+++ b/scripts/mutations/list.ts
@@ -202,11 +202,11 @@
   {
     name: "take a conflict for a lost race though the write was made",
     promise: "not_run_is_true",
-    file: "packages/platform/table/settlement.ts",
+    file: "packages/ports/table/settlement.ts",
     find:
       `if (rows.some((row) => row.writeId === transaction.writeId)) return "made";`,
     replace: ``,
-    spec: "packages/platform/table/resilient_table_test.ts",
+    spec: "packages/ports/table/resilient_table_test.ts",
     title: "settles a write whose answer was lost",
   },
   {
--- a/scripts/mutations/main.ts
+++ b/scripts/mutations/main.ts
@@ -38,7 +38,7 @@
   const own = {
     common: "packages/common",
     policy: "packages/policy",
-    platform: "packages/platform",
+    platform: "packages/ports",
     node: "packages/node",
     "stand-ins": "stand_ins",
   };
--- a/scripts/scenarios/fakes.ts
+++ b/scripts/scenarios/fakes.ts
@@ -12,7 +12,7 @@
   FaultSwitch,
   FaultyTable,
   type PlatformPorts,
-} from "@coltsfootpond/platform";
+} from "@coltsfootpond/ports";
 import { Subject } from "rxjs";
 
 /** Holds back everything that reaches a frozen or dead process. */
--- a/scripts/scenarios/world.ts
+++ b/scripts/scenarios/world.ts
@@ -16,7 +16,7 @@
   type Timer,
 } from "@coltsfootpond/common";
 import { type EntryContext, EntryCore } from "@coltsfootpond/node";
-import { FaultSwitch } from "@coltsfootpond/platform";
+import { FaultSwitch } from "@coltsfootpond/ports";
 import { PlatformStandIn } from "@coltsfootpond/stand-ins";
 import { createDeclarations, listDomains, listWorkers } from "./deployment.ts";
 import {
--- a/stand_ins/platform/balancer.ts
+++ b/stand_ins/platform/balancer.ts
@@ -3,7 +3,7 @@
 import { get } from "node:http";
 import { connect, createServer, type Server, type Socket } from "node:net";
 import type { Clock, Timer, ValueOf } from "@coltsfootpond/common";
-import type { VmRecord } from "@coltsfootpond/platform";
+import type { VmRecord } from "@coltsfootpond/ports";
 import type { VmRegistry } from "./vm_list.ts";
 
 const CHECK_PERIOD_MS = 200;
--- a/stand_ins/platform/fleet.ts
+++ b/stand_ins/platform/fleet.ts
@@ -6,7 +6,7 @@
   FleetPort,
   FleetReportOutcome,
   FleetReportRequest,
-} from "@coltsfootpond/platform";
+} from "@coltsfootpond/ports";
 import { FleetDomain } from "./fleet_domain.ts";
 import type {
   CapacitySample,
--- a/stand_ins/platform/fleet_domain.ts
+++ b/stand_ins/platform/fleet_domain.ts
@@ -8,7 +8,7 @@
   type FleetReportRequest,
   TASK_STATE,
   type WorkerCommand,
-} from "@coltsfootpond/platform";
+} from "@coltsfootpond/ports";
 import { FleetTask, parseBehaviour, parseCheckpoint } from "./fleet_task.ts";
 import { WorkerRecord } from "./fleet_worker.ts";
 import {
--- a/stand_ins/platform/fleet_task.ts
+++ b/stand_ins/platform/fleet_task.ts
@@ -10,8 +10,8 @@
   Resources,
   WorkerName,
 } from "@coltsfootpond/common";
-import type { TaskKey, TaskReport, TaskState } from "@coltsfootpond/platform";
-import { TASK_STATE } from "@coltsfootpond/platform";
+import type { TaskKey, TaskReport, TaskState } from "@coltsfootpond/ports";
+import { TASK_STATE } from "@coltsfootpond/ports";
 import type { TaskRun } from "./types.ts";
 
 const DEFAULT_RUN_MINIMUM_MS = 200;
--- a/stand_ins/platform/fleet_worker.ts
+++ b/stand_ins/platform/fleet_worker.ts
@@ -5,7 +5,7 @@
   type TaskKey,
   type TaskState,
   type WorkerReport,
-} from "@coltsfootpond/platform";
+} from "@coltsfootpond/ports";
 import type { FleetTask } from "./fleet_task.ts";
 import {
   type FleetWorker,
--- a/stand_ins/platform/platform_server.ts
+++ b/stand_ins/platform/platform_server.ts
@@ -1,4 +1,4 @@
-/** The platform stand-in over HTTP+JSON, as `packages/platform/http` speaks it. */
+/** The platform stand-in over HTTP+JSON, as `packages/ports/http` speaks it. */
 import { listenOn } from "../listen.ts";
 import { Buffer } from "node:buffer";
 import {
@@ -13,7 +13,7 @@
   TableTransaction,
   Unavailable,
   VmRecord,
-} from "@coltsfootpond/platform";
+} from "@coltsfootpond/ports";
 import type { PlatformStandIn } from "./platform_stand_in.ts";
 import type { FaultRequest, FleetDeclaration } from "./types.ts";
 
--- a/stand_ins/platform/platform_stand_in.ts
+++ b/stand_ins/platform/platform_stand_in.ts
@@ -11,7 +11,7 @@
   MemoryObjects,
   MemoryTable,
   type PlatformPorts,
-} from "@coltsfootpond/platform";
+} from "@coltsfootpond/ports";
 import { Fleet } from "./fleet.ts";
 import type {
   CapacitySample,
--- a/stand_ins/platform/platform_stand_in_test.ts
+++ b/stand_ins/platform/platform_stand_in_test.ts
@@ -9,7 +9,7 @@
   createHttpPlatform,
   type PlatformPorts,
   type WorkerCommand,
-} from "@coltsfootpond/platform";
+} from "@coltsfootpond/ports";
 import { expect } from "chai";
 import { PlatformServer } from "./platform_server.ts";
 import { PlatformStandIn } from "./platform_stand_in.ts";
--- a/stand_ins/platform/types.ts
+++ b/stand_ins/platform/types.ts
@@ -8,7 +8,7 @@
   ValueOf,
   WorkerName,
 } from "@coltsfootpond/common";
-import type { TaskKey, TaskState } from "@coltsfootpond/platform";
+import type { TaskKey, TaskState } from "@coltsfootpond/ports";
 
 /** Fault of one service of the platform; absent fields stay as they are. */
 export interface ServiceFault {
--- a/stand_ins/platform/vm_list.ts
+++ b/stand_ins/platform/vm_list.ts
@@ -5,7 +5,7 @@
   VmListOutcome,
   VmListPort,
   VmRecord,
-} from "@coltsfootpond/platform";
+} from "@coltsfootpond/ports";
 
 export class VmRegistry implements VmListPort {
   readonly #clock: Clock;
