--- /dev/null
+++ b/apps/coltsfootpond_scheduler/main.ts
@@ -0,0 +1,79 @@
+/**
+ * The scheduler's daemon on the users' platform: reads the platform's settings file, runs one
+ * entry and stops gracefully on SIGTERM. Exit codes: 0 stopped, 1 failed, 2 invalid settings.
+ */
+import { readFileSync } from "node:fs";
+import process from "node:process";
+import { SYSTEM_RANDOM, SystemClock } from "@coltsfootpond/common";
+import { CellEntry, type CellLog } from "@coltsfootpond/node";
+import {
+  createCallerWire,
+  createRecordWire,
+  createStateStore,
+  createWorkerOrders,
+  decodeSettings,
+  SETTINGS_VARIABLE,
+} from "@coltsfootpond/platform";
+import type { CellSettings } from "@coltsfootpond/ports";
+import { destination, pino } from "pino";
+
+const EXIT_CODE = { STOPPED: 0, FAILED: 1, INVALID_SETTINGS: 2 } as const;
+/** Lines are written in blocks of this size, or when the process is idle. */
+const LOG_BLOCK_BYTES = 4_096;
+const LOG_FLUSH_MS = 500;
+
+const stream = destination({ fd: 1, sync: false, minLength: LOG_BLOCK_BYTES });
+const lines = pino({ base: null }, stream);
+
+const log: CellLog = {
+  info: (event, fields) => lines.info({ event, ...fields }),
+  warn: (event, fields) => lines.warn({ event, ...fields }),
+};
+
+function exit(code: number): never {
+  stream.flushSync();
+  process.exit(code);
+}
+
+function readSettings(): CellSettings {
+  const file = process.env[SETTINGS_VARIABLE];
+  if (file === undefined) {
+    log.warn("settings.missing", { variable: SETTINGS_VARIABLE });
+    exit(EXIT_CODE.INVALID_SETTINGS);
+  }
+  const outcome = decodeSettings(file, readFileSync(file, "utf8"));
+  if (outcome.kind === "valid") return outcome.settings;
+  log.warn("settings.invalid", { problems: outcome.problems });
+  exit(EXIT_CODE.INVALID_SETTINGS);
+}
+
+function fail(error: unknown): never {
+  const detail = error instanceof Error ? error.stack : String(error);
+  log.warn("process.failed", { detail });
+  exit(EXIT_CODE.FAILED);
+}
+
+async function main(): Promise<void> {
+  setInterval(() => stream.flush(), LOG_FLUSH_MS).unref();
+  const settings = readSettings();
+  const entry = CellEntry.create({
+    settings,
+    store: createStateStore(settings.store),
+    orders: createWorkerOrders(),
+    callerWire: createCallerWire(),
+    recordWire: createRecordWire(),
+    clock: SystemClock.create(),
+    nowUnixMs: Date.now,
+    random: SYSTEM_RANDOM,
+    log,
+  });
+  process.on("SIGTERM", () => {
+    entry.stop().then(() => exit(EXIT_CODE.STOPPED), fail);
+  });
+  // Settings that this program uses do not change within a life of the process.
+  process.on("SIGHUP", () => log.info("settings.unchanged"));
+  process.on("uncaughtException", fail);
+  await entry.start();
+}
+
+main().catch(fail);
--- a/packages/common/mod.ts
+++ b/packages/common/mod.ts
@@ -9,6 +9,11 @@
 export * from "./random.ts";
 export * from "./result_codes.ts";
 export * from "./settings/parse_settings.ts";
+export {
+  parseToml,
+  type TomlFile,
+  type TomlOutcome,
+} from "./toml/parse_toml.ts";
 export * from "./toml/problem.ts";
 export * from "./types.ts";
 export * from "./units.ts";
--- /dev/null
+++ b/packages/node/cell/caller_filters.ts
@@ -0,0 +1,241 @@
+/** The chain of filters that a caller's request passes; each may answer it or pass it on. */
+import type { OrganisationName } from "@coltsfootpond/common";
+import type { CellJobId, CellJobSpec } from "@coltsfootpond/policy";
+import type {
+  CallerHead,
+  CallerWire,
+  DeclaredState,
+  QueueDeclaration,
+} from "@coltsfootpond/ports";
+import { findOrganisation, findQueue } from "./declared_state.ts";
+import type { JobLedger } from "./job_ledger.ts";
+
+/** One request on its way through the chain. */
+export interface CallerRequest {
+  readonly head: CallerHead;
+  readonly readBody: (limitBytes: number) => Promise<Uint8Array | undefined>;
+  readonly receivedMs: number;
+  state?: DeclaredState;
+  queue?: QueueDeclaration;
+  organisation?: OrganisationName;
+  /** What follows the queue's prefix in the path. */
+  rest?: string;
+}
+
+export interface CallerAnswer {
+  readonly status: number;
+  readonly body?: string;
+  /** When the caller may come back. */
+  readonly retryAfterS?: number;
+  /** Why, for the log. */
+  readonly reason: string;
+}
+
+export interface CallerFilter {
+  readonly name: string;
+  apply(request: CallerRequest): Promise<CallerAnswer | undefined>;
+}
+
+export interface CallerFilterOptions {
+  readonly wire: CallerWire;
+  readonly ledger: JobLedger;
+  readonly getDeclaredState: () => DeclaredState | undefined;
+  readonly nowUnixMs: () => number;
+}
+
+const STATUS = {
+  OK: 200,
+  MALFORMED: 400,
+  UNAUTHENTICATED: 401,
+  NOT_FOUND: 404,
+  METHOD_NOT_ALLOWED: 405,
+  GONE: 410,
+  TOO_LARGE: 413,
+  UNAVAILABLE: 503,
+  TIMEOUT: 504,
+} as const;
+
+const JOB_ID_PATTERN = /^[0-9a-f]{16}$/i;
+/** Long enough for a store that refuses to recover, short against the callers' objectives. */
+const RETRY_AFTER_S = 1;
+/** Left of the caller's patience for the answer's way back. */
+const ANSWER_MARGIN_MS = 150;
+
+function filter(
+  name: string,
+  apply: (
+    request: CallerRequest,
+  ) => CallerAnswer | undefined | Promise<CallerAnswer | undefined>,
+): CallerFilter {
+  return { name, apply: async (request) => await apply(request) };
+}
+
+/** The filters in order. The last one always answers. */
+export function createCallerFilters(
+  options: CallerFilterOptions,
+): readonly CallerFilter[] {
+  const { wire, ledger, getDeclaredState, nowUnixMs } = options;
+  return [
+    filter("declared_state", (request) => {
+      request.state = getDeclaredState();
+      return request.state === undefined
+        ? unavailable("no declared state yet")
+        : undefined;
+    }),
+    filter("queue", (request) => {
+      const { host, path } = request.head;
+      const queue = request.state && findQueue(request.state, host, path);
+      if (queue === undefined) {
+        return { status: STATUS.NOT_FOUND, reason: "no such queue" };
+      }
+      request.queue = queue;
+      request.rest = path.slice(queue.pathPrefix.length);
+      return undefined;
+    }),
+    filter("authenticate", (request) => {
+      const { state, queue, head } = request;
+      const organisation = state && findOrganisation(state, head.key);
+      if (organisation === undefined && queue?.isPublic !== true) {
+        return { status: STATUS.UNAUTHENTICATED, reason: "unknown key" };
+      }
+      request.organisation = organisation;
+      return undefined;
+    }),
+    filter(
+      "method",
+      ({ head }) =>
+        head.method === "other"
+          ? { status: STATUS.METHOD_NOT_ALLOWED, reason: "method" }
+          : undefined,
+    ),
+    filter("count", ({ head, queue, rest }) => {
+      if (rest !== "" || head.method !== "state" || queue === undefined) {
+        return undefined;
+      }
+      const count = ledger.countWaiting(queue.queue);
+      return {
+        status: STATUS.OK,
+        body: wire.encodeCount(count),
+        reason: "count",
+      };
+    }),
+    filter(
+      "job_id",
+      ({ rest }) =>
+        JOB_ID_PATTERN.test(rest ?? "")
+          ? undefined
+          : { status: STATUS.NOT_FOUND, reason: "no job id" },
+    ),
+    filter("job", (request) => {
+      switch (request.head.method) {
+        case "submit":
+          return submit(request, options, nowUnixMs());
+        case "state":
+          return showState(request, options);
+        default:
+          return cancel(request, options);
+      }
+    }),
+  ];
+}
+
+async function submit(
+  request: CallerRequest,
+  { wire, ledger }: CallerFilterOptions,
+  nowUnixMs: number,
+): Promise<CallerAnswer> {
+  const { queue, state, organisation } = request;
+  if (queue === undefined || state === undefined) {
+    return unavailable("no queue");
+  }
+  const body = await request.readBody(state.limits.bodyBytes);
+  if (body === undefined) {
+    return { status: STATUS.TOO_LARGE, reason: "body too large" };
+  }
+  const decoded = wire.decodeJob(body);
+  if (decoded.kind === "invalid") {
+    return {
+      status: STATUS.MALFORMED,
+      body: JSON.stringify({ error: decoded.problem }),
+      reason: decoded.problem,
+    };
+  }
+  const spec: CellJobSpec = {
+    ...decoded.job,
+    jobId: getJobId(request),
+    queue: queue.queue,
+    service: queue.service,
+    organisation,
+    priority: queue.priority,
+    maximumAttempts: queue.maximumAttempts,
+    stretch: queue.stretch,
+    allowanceMs: queue.allowanceMs,
+    acceptedUnixMs: nowUnixMs,
+  };
+  const outcome = await ledger.submit(spec, getUntilMs(request));
+  switch (outcome.kind) {
+    case "accepted":
+      return { status: STATUS.OK, body: "{}", reason: "accepted" };
+    case "refused":
+      return unavailable("the store refused the job");
+    case "unknown":
+      return { status: STATUS.TIMEOUT, reason: "fate of the write unknown" };
+  }
+}
+
+async function showState(
+  request: CallerRequest,
+  { wire, ledger }: CallerFilterOptions,
+): Promise<CallerAnswer> {
+  const outcome = await ledger.getState(
+    getJobId(request),
+    { organisation: request.organisation },
+    getUntilMs(request),
+  );
+  switch (outcome.kind) {
+    case "state":
+      return {
+        status: STATUS.OK,
+        body: wire.encodeState(outcome.state),
+        reason: outcome.state,
+      };
+    case "absent":
+      return { status: STATUS.GONE, reason: "no such job" };
+    case "unknown":
+      return unavailable("the store does not answer");
+  }
+}
+
+async function cancel(
+  request: CallerRequest,
+  { ledger }: CallerFilterOptions,
+): Promise<CallerAnswer> {
+  const outcome = await ledger.cancel(
+    getJobId(request),
+    { organisation: request.organisation },
+    getUntilMs(request),
+  );
+  switch (outcome.kind) {
+    case "cancelled":
+    case "ended":
+      return { status: STATUS.OK, body: "{}", reason: outcome.kind };
+    case "absent":
+      return { status: STATUS.GONE, reason: "no such job" };
+    case "unknown":
+      return { status: STATUS.TIMEOUT, reason: "fate of the write unknown" };
+  }
+}
+
+function getJobId({ rest }: CallerRequest): CellJobId {
+  return (rest ?? "") as CellJobId;
+}
+
+function getUntilMs({ head, queue, receivedMs }: CallerRequest): number {
+  const limitMs = queue?.timeoutMs ?? 0;
+  const patienceMs = Math.min(head.patienceMs ?? limitMs, limitMs);
+  return receivedMs + Math.max(ANSWER_MARGIN_MS, patienceMs - ANSWER_MARGIN_MS);
+}
+
+function unavailable(reason: string): CallerAnswer {
+  return { status: STATUS.UNAVAILABLE, retryAfterS: RETRY_AFTER_S, reason };
+}
--- /dev/null
+++ b/packages/node/cell/caller_server.ts
@@ -0,0 +1,175 @@
+/** The HTTP server for callers and the one that tells the balancer whether this entry is ready. */
+import { Buffer } from "node:buffer";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { Clock } from "@coltsfootpond/common";
+import type { CallerWire, HostPort } from "@coltsfootpond/ports";
+import type {
+  CallerAnswer,
+  CallerFilter,
+  CallerRequest,
+} from "./caller_filters.ts";
+import type { CellLog } from "./log.ts";
+
+const INTERNAL_STATUS = 500;
+const READY_STATUS = 200;
+const NOT_READY_STATUS = 503;
+const DRAIN_CHECK_MS = 20;
+
+export interface CallerServerOptions {
+  readonly address: HostPort;
+  readonly readiness: HostPort;
+  readonly wire: CallerWire;
+  readonly filters: readonly CallerFilter[];
+  readonly clock: Clock;
+  readonly log: CellLog;
+  readonly isReady: () => boolean;
+}
+
+/** Serves callers until stopped. */
+export class CallerServer {
+  readonly #options: CallerServerOptions;
+  readonly #callers: Server;
+  readonly #readiness: Server;
+  #inProgress = 0;
+  #isClosing = false;
+
+  private constructor(options: CallerServerOptions) {
+    this.#options = options;
+    this.#callers = createServer((incoming, response) =>
+      void this.#serve(incoming, response)
+    );
+    this.#readiness = createServer((incoming, response) => {
+      incoming.resume();
+      response.writeHead(
+        options.isReady() ? READY_STATUS : NOT_READY_STATUS,
+        { "content-length": 0 },
+      );
+      response.end();
+    });
+  }
+
+  static create(options: CallerServerOptions): CallerServer {
+    return new CallerServer(options);
+  }
+
+  async listen(): Promise<void> {
+    const { address, readiness } = this.#options;
+    await Promise.all([
+      listen(this.#callers, address),
+      listen(this.#readiness, readiness),
+    ]);
+  }
+
+  /** Idle and header time-outs of the declared state. */
+  setTimeouts(headerTimeoutMs: number, idleTimeoutMs: number): void {
+    this.#callers.headersTimeout = headerTimeoutMs;
+    this.#callers.keepAliveTimeout = idleTimeoutMs;
+  }
+
+  /** From now on each answer ends its connection. */
+  announceClose(): void {
+    this.#isClosing = true;
+  }
+
+  /** Takes no new connections and waits for requests in progress, at most `timeoutMs`. */
+  async close(timeoutMs: number): Promise<void> {
+    const { clock } = this.#options;
+    this.#isClosing = true;
+    this.#callers.close();
+    this.#callers.closeIdleConnections();
+    const untilMs = clock.nowMs() + timeoutMs;
+    while (this.#inProgress > 0 && clock.nowMs() < untilMs) {
+      await clock.sleep(DRAIN_CHECK_MS);
+    }
+    this.#readiness.close();
+  }
+
+  async #serve(
+    incoming: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    this.#inProgress++;
+    response.once("close", () => this.#inProgress--);
+    const { wire, clock, log } = this.#options;
+    const request: CallerRequest = {
+      head: wire.decodeHead(
+        incoming.method ?? "",
+        incoming.url ?? "/",
+        incoming.headers,
+      ),
+      receivedMs: clock.nowMs(),
+      readBody: (limitBytes) => readBody(incoming, limitBytes),
+    };
+    const answer = await this.#answer(request);
+    const isRoutine = request.head.method === "state" && answer.status === 200;
+    if (!isRoutine) {
+      log.info("call.answered", {
+        method: request.head.method,
+        path: request.head.path,
+        status: answer.status,
+        reason: answer.reason,
+        version: request.state?.version,
+        tookMs: Math.round(clock.nowMs() - request.receivedMs),
+      });
+    }
+    this.#send(incoming, response, answer);
+  }
+
+  async #answer(request: CallerRequest): Promise<CallerAnswer> {
+    try {
+      for (const filter of this.#options.filters) {
+        const answer = await filter.apply(request);
+        if (answer !== undefined) return answer;
+      }
+      return { status: INTERNAL_STATUS, reason: "no filter answered" };
+    } catch (error) {
+      return { status: INTERNAL_STATUS, reason: String(error) };
+    }
+  }
+
+  #send(
+    incoming: IncomingMessage,
+    response: ServerResponse,
+    answer: CallerAnswer,
+  ): void {
+    const body = answer.body ?? "";
+    const headers: Record<string, string | number> = {
+      "content-type": "application/json",
+      "content-length": Buffer.byteLength(body),
+    };
+    if (answer.retryAfterS !== undefined) {
+      headers["retry-after"] = answer.retryAfterS;
+    }
+    if (this.#isClosing) headers["connection"] = "close";
+    // The rest of an unread body is read and dropped, so that the connection is not reset.
+    incoming.resume();
+    response.writeHead(answer.status, headers);
+    response.end(body);
+  }
+}
+
+/** The whole body; undefined when it is longer than the limit. */
+async function readBody(
+  incoming: IncomingMessage,
+  limitBytes: number,
+): Promise<Uint8Array | undefined> {
+  const chunks: Buffer[] = [];
+  let length = 0;
+  for await (const chunk of incoming as AsyncIterable<Buffer>) {
+    length += chunk.byteLength;
+    if (length <= limitBytes) chunks.push(chunk);
+  }
+  return length <= limitBytes ? Buffer.concat(chunks) : undefined;
+}
+
+function listen(server: Server, { host, port }: HostPort): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(port, host, () => resolve());
+  });
+}
--- /dev/null
+++ b/packages/node/cell/cell_entry.ts
@@ -0,0 +1,169 @@
+/**
+ * One entry of the cell: serves callers, follows the store, takes part in who schedules, and
+ * schedules while it holds the lease.
+ */
+import { type Clock, createUniqueId, type Random } from "@coltsfootpond/common";
+import {
+  type CallerWire,
+  type CellSettings,
+  type RecordWire,
+  STATE_TABLE,
+  type StateStore,
+  type WorkerOrders,
+} from "@coltsfootpond/ports";
+import { createCallerFilters } from "./caller_filters.ts";
+import { CallerServer } from "./caller_server.ts";
+import { CellScheduler } from "./cell_scheduler.ts";
+import { DeclaredStateTask } from "./declared_state.ts";
+import { JobLedger } from "./job_ledger.ts";
+import { type LeaseChange, LeaseTask } from "./lease_task.ts";
+import type { CellLog } from "./log.ts";
+import { TableFollower } from "./table_follower.ts";
+
+/** The store has not answered for this long: others should take new connections. */
+const STORE_SILENCE_MS = 2_500;
+/** The balancer asks once a second and needs two misses; then nothing new comes. */
+const NOT_READY_LINGER_MS = 2_400;
+/** Left of the grace time when requests in progress are given up. */
+const SHUTDOWN_MARGIN_MS = 1_000;
+
+export interface CellEntryOptions {
+  readonly settings: CellSettings;
+  readonly store: StateStore;
+  readonly orders: WorkerOrders;
+  readonly callerWire: CallerWire;
+  readonly recordWire: RecordWire;
+  readonly clock: Clock;
+  readonly nowUnixMs: () => number;
+  readonly random: Random;
+  readonly log: CellLog;
+}
+
+/** One entry. */
+export class CellEntry {
+  readonly #options: CellEntryOptions;
+  readonly #state: TableFollower;
+  readonly #operators: TableFollower;
+  readonly #declared: DeclaredStateTask;
+  readonly #lease: LeaseTask;
+  readonly #server: CallerServer;
+  #scheduler: CellScheduler | undefined;
+  #isLeaving = false;
+
+  private constructor(options: CellEntryOptions) {
+    this.#options = options;
+    const { store, clock, random, log, settings, nowUnixMs } = options;
+    const follow = (table: "state" | "operators") =>
+      TableFollower.create({ table, store, clock, random, log });
+    this.#state = follow(STATE_TABLE.STATE);
+    this.#operators = follow(STATE_TABLE.OPERATORS);
+    this.#declared = DeclaredStateTask.create({
+      follower: this.#operators,
+      wire: options.recordWire,
+      log,
+    });
+    this.#lease = LeaseTask.create({
+      entry: settings.entry,
+      incarnation: createUniqueId(),
+      processorShare: settings.processorShare,
+      store,
+      follower: this.#state,
+      clock,
+      nowUnixMs,
+      random,
+      log,
+    });
+    const ledger = JobLedger.create({
+      store,
+      follower: this.#state,
+      clock,
+      nowUnixMs,
+      log,
+    });
+    this.#server = CallerServer.create({
+      address: settings.callers,
+      readiness: settings.readiness,
+      wire: options.callerWire,
+      filters: createCallerFilters({
+        wire: options.callerWire,
+        ledger,
+        getDeclaredState: () => this.#declared.current,
+        nowUnixMs,
+      }),
+      clock,
+      log,
+      isReady: () => this.#isReady(),
+    });
+  }
+
+  static create(options: CellEntryOptions): CellEntry {
+    return new CellEntry(options);
+  }
+
+  async start(): Promise<void> {
+    this.#lease.changes.subscribe((change) => this.#takeLease(change));
+    this.#declared.changes.subscribe(() => {
+      const limits = this.#declared.current?.limits;
+      if (limits === undefined) return;
+      this.#server.setTimeouts(limits.headerTimeoutMs, limits.idleTimeoutMs);
+    });
+    await this.#server.listen();
+    void this.#state.run();
+    void this.#operators.run();
+    this.#lease.start();
+    this.#options.log.info("entry.started", {
+      entry: this.#options.settings.entry,
+    });
+  }
+
+  /** Not ready, hand the lease over, finish what is in progress, leave. */
+  async stop(): Promise<void> {
+    if (this.#isLeaving) return;
+    this.#isLeaving = true;
+    const { clock, log, settings } = this.#options;
+    log.info("entry.leaving");
+    this.#server.announceClose();
+    await this.#lease.leave();
+    await clock.sleep(NOT_READY_LINGER_MS);
+    const leftMs = settings.bounds.shutdownGraceMs - NOT_READY_LINGER_MS -
+      SHUTDOWN_MARGIN_MS;
+    await this.#server.close(Math.max(0, leftMs));
+    this.#state.stop();
+    this.#operators.stop();
+    log.info("entry.stopped");
+  }
+
+  #isReady(): boolean {
+    const contactMs = Math.max(
+      this.#state.contactMs,
+      this.#operators.contactMs,
+    );
+    return !this.#isLeaving && this.#declared.current !== undefined &&
+      this.#state.isLoaded &&
+      this.#options.clock.nowMs() - contactMs < STORE_SILENCE_MS;
+  }
+
+  #takeLease(change: LeaseChange): void {
+    this.#scheduler?.stop();
+    this.#scheduler = undefined;
+    if (change.kind === "lost") return;
+    const { settings, store, orders, clock, nowUnixMs, log } = this.#options;
+    const scheduler = CellScheduler.create({
+      epoch: change.epoch,
+      takenVersion: change.version,
+      settings,
+      store,
+      orders,
+      wire: this.#options.recordWire,
+      follower: this.#state,
+      declared: this.#declared,
+      clock,
+      nowUnixMs,
+      log,
+      canAct: () => this.#lease.canAct(),
+      onOvertaken: (reason) => this.#lease.doubt(reason),
+    });
+    this.#scheduler = scheduler;
+    void scheduler.start();
+  }
+}
--- /dev/null
+++ b/packages/node/cell/cell_scheduler.ts
@@ -0,0 +1,790 @@
+/**
+ * The holder's side of the cell: takes the jobs of the store and the workers' reports, decides by
+ * the pure planner, orders starts and stops, and has ends stored. Lives for one epoch; a new
+ * holder begins with an empty one and learns what runs from the workers themselves.
+ */
+import type { Clock, WorkerName } from "@coltsfootpond/common";
+import {
+  type CellJobId,
+  countedNeed,
+  JOB_STATE,
+  JobProgress,
+  planRound,
+  RUN_END,
+  subtract,
+  type TaskName,
+  type WorkerView,
+} from "@coltsfootpond/policy";
+import type {
+  CellSettings,
+  EndedTask,
+  RecordWire,
+  RunningTask,
+  StartRefusal,
+  StateRow,
+  StateStore,
+  WorkerOrders,
+  WorkerRecord,
+} from "@coltsfootpond/ports";
+import type { Subscription } from "rxjs";
+import { createPlanInput } from "./plan_input.ts";
+import type { DeclaredStateTask } from "./declared_state.ts";
+import {
+  createMember,
+  formatUnitKey,
+  LiveJob,
+  parseTaskName,
+  type Unit,
+  type UnitRun,
+} from "./live_job.ts";
+import type { CellLog } from "./log.ts";
+import { ProgressWriter } from "./progress_writer.ts";
+import {
+  BEGUN_KEY,
+  decodeRow,
+  encodeRow,
+  type EndedState,
+  type JobRow,
+  parseJobKey,
+  progressKey,
+  type ProgressRow,
+  ROSTER_KEY,
+  type RosterRow,
+} from "./rows.ts";
+import type { TableFollower } from "./table_follower.ts";
+import { DIRECTORY_PERIOD_MS, WorkerDirectory } from "./worker_directory.ts";
+import {
+  type Member,
+  type SessionListener,
+  WorkerSession,
+} from "./worker_session.ts";
+
+const ROUND_PAUSE_MS = 4;
+const TICK_MS = 200;
+const STORE_TIMEOUT_MS = 900;
+const BEGUN_PERIOD_MS = 500;
+/** How long a new holder waits for the workers' first reports before it starts work. */
+const FIRST_REPORT_TIMEOUT_MS = 700;
+/** Run numbers of one epoch lie in a block of their own, so that they rise by construction. */
+const RUNS_PER_EPOCH = 1_000_000;
+/** A worker that refused a start is left alone this long. */
+const REFUSED_PAUSE_MS = 400;
+/** A worker on which runs of this many jobs failed in a row is left alone for a while. */
+const FAILURES_TO_QUARANTINE = 2;
+const QUARANTINE_MS = 4_000;
+/** A run of which no member has made progress for this long stands still. */
+const STALL_MS = 2_500;
+
+export interface CellSchedulerOptions {
+  readonly epoch: number;
+  /** Version of the store at which the lease was taken. */
+  readonly takenVersion: number;
+  readonly settings: CellSettings;
+  readonly store: StateStore;
+  readonly orders: WorkerOrders;
+  readonly wire: RecordWire;
+  readonly follower: TableFollower;
+  readonly declared: DeclaredStateTask;
+  readonly clock: Clock;
+  readonly nowUnixMs: () => number;
+  readonly log: CellLog;
+  readonly canAct: () => boolean;
+  readonly onOvertaken: (reason: string) => void;
+}
+
+/** Schedules all jobs of the cell while its lease is held. */
+export class CellScheduler implements SessionListener {
+  readonly #options: CellSchedulerOptions;
+  readonly #jobs = new Map<CellJobId, LiveJob>();
+  readonly #sessions = new Map<WorkerName, WorkerSession>();
+  readonly #unitByMember = new Map<Member, Unit>();
+  readonly #failedJobs = new Map<WorkerName, Set<CellJobId>>();
+  readonly #writer: ProgressWriter;
+  readonly #directory: WorkerDirectory;
+  readonly #timers: { cancel(): void }[] = [];
+  #subscription: Subscription | undefined;
+  #nextRun: number;
+  #isReady = false;
+  #isStopped = false;
+  #isRoundDue = false;
+  #begunWritten = "";
+  #rosterWritten = "";
+  #isWritingRoster = false;
+
+  private constructor(options: CellSchedulerOptions) {
+    this.#options = options;
+    this.#nextRun = options.epoch * RUNS_PER_EPOCH;
+    const { store, follower, clock, nowUnixMs, log, canAct, wire } = options;
+    this.#writer = ProgressWriter.create({
+      store,
+      follower,
+      clock,
+      nowUnixMs,
+      log,
+      canAct,
+      snapshotEnds: () => this.#snapshotEnds(),
+      onClosed: (job) => this.#closeJob(job),
+      onOvertaken: () => options.onOvertaken("progress of a later holder"),
+    });
+    this.#directory = WorkerDirectory.create({
+      store,
+      wire,
+      clock,
+      log,
+      heartbeatMs: options.settings.workerHeartbeatMs,
+    });
+  }
+
+  static create(options: CellSchedulerOptions): CellScheduler {
+    return new CellScheduler(options);
+  }
+
+  /** Learns what runs, then schedules until stopped. */
+  async start(): Promise<void> {
+    const { clock, follower, declared, log } = this.#options;
+    await this.#awaitState();
+    if (this.#isStopped) return;
+    this.#takeRows([...follower.rows()]);
+    this.#subscription = follower.changes.subscribe((rows) =>
+      this.#takeRows(rows)
+    );
+    this.#subscription.add(
+      declared.changes.subscribe(() => this.#requestRound()),
+    );
+    this.#takeRoster();
+    await this.#readDirectory();
+    await this.#awaitReports();
+    if (this.#isStopped) return;
+    this.#isReady = true;
+    log.info("scheduler.ready", {
+      epoch: this.#options.epoch,
+      jobs: this.#jobs.size,
+      workers: this.#sessions.size,
+      unreported: [...this.#sessions.values()].filter((session) =>
+        !session.hasReported
+      ).length,
+      adopted: this.#unitByMember.size,
+    });
+    this.#closeIncomplete();
+    this.#timers.push(
+      clock.every(TICK_MS, () => this.#tick()),
+      clock.every(DIRECTORY_PERIOD_MS, () => void this.#readDirectory()),
+      clock.every(BEGUN_PERIOD_MS, () => void this.#writeBegun()),
+    );
+    this.#requestRound();
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+    this.#subscription?.unsubscribe();
+    this.#timers.forEach((timer) => timer.cancel());
+    this.#writer.stop();
+    for (const session of this.#sessions.values()) session.stop();
+  }
+
+  /** The copy of the state must reflect all that was written before the lease was taken. */
+  async #awaitState(): Promise<void> {
+    const { follower, takenVersion, clock } = this.#options;
+    while (!this.#isStopped && follower.version < takenVersion) {
+      await clock.sleep(ROUND_PAUSE_MS);
+    }
+  }
+
+  // Jobs.
+
+  #takeRows(rows: readonly StateRow[]): void {
+    for (const row of rows) {
+      const jobId = parseJobKey(row.key);
+      if (jobId !== undefined) this.#takeJobRow(jobId, row);
+    }
+    this.#requestRound();
+  }
+
+  #takeJobRow(jobId: CellJobId, row: StateRow): void {
+    const known = this.#jobs.get(jobId);
+    const job = row.value && decodeRow<JobRow>(row.value);
+    if (job?.kind === "live") {
+      if (known === undefined) this.#openJob(job, row.version);
+      return;
+    }
+    if (known !== undefined) {
+      this.#options.log.info("job.closed", {
+        job: jobId,
+        row: job?.kind === "ended" ? job.state : job?.kind ?? "deleted",
+      });
+      this.#closeJob(known);
+    }
+  }
+
+  #openJob(
+    { spec }: Extract<JobRow, { kind: "live" }>,
+    rowVersion: number,
+  ): void {
+    const { follower, clock, nowUnixMs, log } = this.#options;
+    const stored = follower.get(progressKey(spec.jobId));
+    const record = stored?.value &&
+      decodeRow<ProgressRow>(stored.value).record;
+    const job = LiveJob.create({
+      spec,
+      progress: JobProgress.create(spec, record),
+      rowVersion,
+      progressVersion: stored?.version ?? 0,
+    });
+    job.hasBegun = stored !== undefined;
+    this.#jobs.set(spec.jobId, job);
+    job.openDueUnits(clock.nowMs(), nowUnixMs());
+    log.info("job.opened", {
+      job: spec.jobId,
+      queue: spec.queue,
+      priority: spec.priority,
+      tasks: spec.steps.map(({ count }) => count),
+      need: spec.steps[0]?.need,
+      estimateMs: spec.steps[0]?.estimateMs,
+      gang: spec.steps[0]?.isGang,
+      ageMs: nowUnixMs() - spec.acceptedUnixMs,
+    });
+    this.#checkEnd(job);
+  }
+
+  /** The job has ended: nothing of it may go on. */
+  #closeJob(job: LiveJob): void {
+    if (!this.#jobs.delete(job.jobId)) return;
+    this.#writer.forget(job);
+    for (const unit of job.units.values()) this.#closeRun(unit, "job ended");
+    this.#requestRound();
+  }
+
+  /** Ends the job if it is complete or can no longer be. */
+  #checkEnd(job: LiveJob): void {
+    if (job.ending !== undefined) return;
+    const ending: EndedState | undefined = job.progress.isComplete()
+      ? JOB_STATE.COMPLETED
+      : job.progress.isFailed()
+      ? JOB_STATE.FAILED
+      : undefined;
+    if (ending === undefined) return;
+    job.ending = ending;
+    for (const unit of job.units.values()) this.#closeRun(unit, ending);
+    this.#writer.mark(job, true);
+  }
+
+  // Rounds.
+
+  #requestRound(): void {
+    if (this.#isRoundDue || !this.#isReady || this.#isStopped) return;
+    this.#isRoundDue = true;
+    this.#options.clock.after(ROUND_PAUSE_MS, () => {
+      this.#isRoundDue = false;
+      if (!this.#isStopped) this.#round();
+    });
+  }
+
+  #round(): void {
+    const { clock, nowUnixMs, declared, canAct, log, settings } = this.#options;
+    if (!canAct()) return;
+    const nowMs = clock.nowMs();
+    const unresolved = this.#hasUnresolvedWorkers();
+    const isBlocked = (unit: Unit) =>
+      unresolved && !unit.wasSeen &&
+      unit.job.rowVersion <= this.#options.takenVersion;
+    const input = createPlanInput({
+      jobs: [...this.#jobs.values()].filter((job) => job.ending === undefined),
+      workers: this.#createViews(nowMs),
+      guarantees: declared.current?.guarantees ?? [],
+      nowMs,
+      nowUnixMs: nowUnixMs(),
+      remoteFactor: settings.bounds.remoteFactor,
+      isBlocked,
+    });
+    if (input.waiting.length === 0) return;
+    const plan = planRound(input);
+    for (const unit of plan.evictions) {
+      log.info("unit.evicted", { unit: describeUnit(unit) });
+      this.#closeRun(unit, "evicted");
+    }
+    for (const { unit, workers } of plan.placements) {
+      this.#startUnit(unit, workers, nowMs);
+    }
+  }
+
+  #createViews(nowMs: number): readonly WorkerView[] {
+    return [...this.#sessions.values()].flatMap((session) => {
+      const { record } = session;
+      if (record === undefined || !this.#isUsable(session, record, nowMs)) {
+        return [];
+      }
+      return [createView(session, record)];
+    });
+  }
+
+  #isUsable(
+    session: WorkerSession,
+    record: WorkerRecord,
+    nowMs: number,
+  ): boolean {
+    return !record.isDraining && session.isReachable && session.isRostered &&
+      session.pausedUntilMs <= nowMs &&
+      !this.#options.declared.isOut(record.failureDomain);
+  }
+
+  /** Workers that may run what an earlier holder started and have not told it. */
+  #hasUnresolvedWorkers(): boolean {
+    return [...this.#sessions.values()].some((session) =>
+      !session.hasReported && !session.isSurelyLapsed()
+    );
+  }
+
+  #startUnit(unit: Unit, workers: readonly WorkerName[], nowMs: number): void {
+    const { job } = unit;
+    const run: UnitRun = {
+      run: ++this.#nextRun,
+      members: new Map(),
+      startedMs: nowMs,
+      isClosing: false,
+    };
+    unit.run = run;
+    unit.wasSeen = true;
+    job.hasBegun = true;
+    this.#options.log.info("unit.started", {
+      unit: describeUnit(unit),
+      run: run.run,
+      workers,
+      waitedMs: Math.round(nowMs - unit.waitingSinceMs),
+    });
+    const starts = workers.flatMap((worker, index) => {
+      const session = this.#sessions.get(worker);
+      if (session === undefined) return [];
+      const member = createMember(unit, index, run.run, nowMs);
+      run.members.set(member, session);
+      this.#unitByMember.set(member, unit);
+      return [{ session, member }];
+    });
+    for (const { session, member } of starts) {
+      void session.start(member, job.spec.payload);
+    }
+  }
+
+  /** Ends the unit's run: every member that may still run is told to stop. */
+  #closeRun(unit: Unit, reason: string): void {
+    const { run } = unit;
+    if (run === undefined || run.isClosing) return;
+    run.isClosing = true;
+    this.#options.log.info("unit.closing", {
+      unit: describeUnit(unit),
+      run: run.run,
+      reason,
+      members: run.members.size,
+    });
+    for (const [member, session] of run.members) {
+      void session.stopMember(member);
+    }
+    this.#finishRun(unit, run);
+  }
+
+  #finishRun(unit: Unit, run: UnitRun): void {
+    if (run.members.size > 0 || unit.run !== run) return;
+    unit.run = undefined;
+    unit.waitingSinceMs = this.#options.clock.nowMs();
+    if (unit.job.progress.isUnitDone(unit.address)) {
+      unit.job.units.delete(formatUnitKey(unit.address));
+    }
+    this.#requestRound();
+  }
+
+  #dropMember(member: Member): Unit | undefined {
+    const unit = this.#unitByMember.get(member);
+    this.#unitByMember.delete(member);
+    unit?.run?.members.delete(member);
+    return unit;
+  }
+
+  // What sessions tell.
+
+  onStarted(): void {}
+
+  onRefused(
+    session: WorkerSession,
+    member: Member,
+    reason: StartRefusal | "wrong_life",
+  ): void {
+    this.#options.log.warn("task.start_refused", {
+      task: member.task,
+      run: member.run,
+      worker: session.worker,
+      reason,
+    });
+    session.pausedUntilMs = this.#options.clock.nowMs() + REFUSED_PAUSE_MS;
+    void session.quickPoll();
+    const unit = this.#dropMember(member);
+    if (unit?.run === undefined) return;
+    this.#closeRun(unit, `start refused: ${reason}`);
+    this.#finishRun(unit, unit.run);
+  }
+
+  onUnsure(session: WorkerSession, member: Member): void {
+    this.#options.log.warn("task.start_unanswered", {
+      task: member.task,
+      run: member.run,
+      worker: session.worker,
+    });
+    session.pausedUntilMs = this.#options.clock.nowMs() + REFUSED_PAUSE_MS;
+    const unit = this.#unitByMember.get(member);
+    if (unit !== undefined) this.#closeRun(unit, "start unanswered");
+    else void session.stopMember(member);
+  }
+
+  onGone(session: WorkerSession, member: Member, reason: string): void {
+    this.#options.log.warn("task.gone", {
+      task: member.task,
+      run: member.run,
+      worker: session.worker,
+      reason,
+    });
+    const unit = this.#dropMember(member);
+    if (unit?.run === undefined) return;
+    unit.job.progress.recordCheckpoint(unit.address, member.checkpoint);
+    this.#closeRun(unit, reason);
+    this.#finishRun(unit, unit.run);
+  }
+
+  onEnded(session: WorkerSession, ended: EndedTask, member?: Member): void {
+    this.#options.log.info("task.ended", {
+      task: ended.task,
+      run: ended.run,
+      worker: session.worker,
+      end: ended.end,
+    });
+    if (member !== undefined) this.#dropMember(member);
+    const unit = this.#findUnit(ended.task);
+    if (unit !== undefined) this.#takeUnitEnd(session, unit, ended);
+    const own = member === undefined ? undefined : unit;
+    if (own?.run !== undefined && own.run.run === ended.run) {
+      this.#finishOrClose(own, own.run, ended);
+    }
+    this.#writer.markEnds();
+    this.#requestRound();
+  }
+
+  #finishOrClose(unit: Unit, run: UnitRun, ended: EndedTask): void {
+    if (ended.end !== RUN_END.DONE || run.members.size === 0) {
+      this.#closeRun(unit, `a member ended ${ended.end}`);
+    }
+    this.#finishRun(unit, run);
+  }
+
+  #takeUnitEnd(session: WorkerSession, unit: Unit, ended: EndedTask): void {
+    const { job, address } = unit;
+    const { clock, nowUnixMs } = this.#options;
+    switch (ended.end) {
+      case RUN_END.DONE:
+        this.#failedJobs.delete(session.worker);
+        if (unit.step.isPersistent || job.progress.isUnitDone(address)) return;
+        job.progress.recordDone(address);
+        if (unit.run === undefined) job.units.delete(formatUnitKey(address));
+        else if (unit.run.run !== ended.run) {
+          this.#closeRun(unit, "done before");
+        }
+        job.openDueUnits(clock.nowMs(), nowUnixMs());
+        break;
+      case RUN_END.FAILED:
+        job.progress.recordFailure(address, ended.run);
+        unit.failedOn.add(session.worker);
+        this.#noteFailure(session, job.jobId);
+        break;
+      case RUN_END.STOPPED:
+      case RUN_END.LAPSED:
+      case RUN_END.BROKEN:
+      case RUN_END.ALONE:
+        job.progress.recordCheckpoint(address, ended.checkpoint);
+        break;
+    }
+    this.#checkEnd(job);
+    if (this.#jobs.has(job.jobId)) {
+      this.#writer.mark(job, job.ending !== undefined);
+    }
+  }
+
+  /** A worker on which runs of several jobs fail is likely the cause. */
+  #noteFailure(session: WorkerSession, jobId: CellJobId): void {
+    const jobs = this.#failedJobs.get(session.worker) ?? new Set();
+    jobs.add(jobId);
+    this.#failedJobs.set(session.worker, jobs);
+    if (jobs.size < FAILURES_TO_QUARANTINE) return;
+    session.pausedUntilMs = this.#options.clock.nowMs() + QUARANTINE_MS;
+    this.#failedJobs.delete(session.worker);
+    this.#options.log.warn("worker.quarantined", { worker: session.worker });
+  }
+
+  onStray(session: WorkerSession, running: RunningTask): void {
+    const unit = this.#findUnit(running.task);
+    const facts = {
+      need: unit === undefined
+        ? { cpuMilli: 0, memoryMib: 0, accelerators: 0 }
+        : countedNeed(unit.step),
+      stepKey: unit?.stepKey ?? "",
+    };
+    const member = session.adopt(running, facts);
+    if (unit !== undefined && this.#mayAdopt(unit, running.run)) {
+      unit.run ??= {
+        run: running.run,
+        members: new Map(),
+        startedMs: this.#options.clock.nowMs(),
+        isClosing: false,
+      };
+      unit.wasSeen = true;
+      unit.job.hasBegun = true;
+      unit.run.members.set(member, session);
+      this.#unitByMember.set(member, unit);
+      return;
+    }
+    this.#options.log.warn("task.stray", {
+      task: running.task,
+      run: running.run,
+      worker: session.worker,
+    });
+    void session.stopMember(member);
+  }
+
+  /** Runs of earlier holders are taken over unless a newer run of the unit is under way. */
+  #mayAdopt(unit: Unit, run: number): boolean {
+    if (run > this.#options.epoch * RUNS_PER_EPOCH) return false;
+    return unit.run === undefined ||
+      unit.run.run === run && !unit.run.isClosing;
+  }
+
+  onReport(): void {
+    this.#requestRound();
+  }
+
+  onFenced(session: WorkerSession): void {
+    this.#options.onOvertaken(`orders fenced by ${session.worker}`);
+  }
+
+  #findUnit(task: TaskName): Unit | undefined {
+    const name = parseTaskName(task);
+    const job = name && this.#jobs.get(name.jobId);
+    if (name === undefined || job === undefined) return undefined;
+    const step = job.spec.steps[name.step];
+    if (step === undefined) return undefined;
+    const index = step.isGang ? 0 : name.index;
+    return job.units.get(formatUnitKey({ ...name, index }));
+  }
+
+  #snapshotEnds(): () => void {
+    const ends = [...this.#sessions.values()].map((session) => ({
+      session,
+      number: session.processedEnd,
+      lifeUnixMs: session.lifeUnixMs,
+    }));
+    return () =>
+      ends.forEach(({ session, number, lifeUnixMs }) =>
+        session.setPersisted(number, lifeUnixMs)
+      );
+  }
+
+  // Workers.
+
+  async #readDirectory(): Promise<void> {
+    const reading = await this.#directory.read();
+    if (reading === undefined || this.#isStopped) return;
+    for (const record of reading.records.values()) {
+      const session = this.#openSession(record.worker, record.address);
+      session.setRecord(record);
+    }
+    for (const session of this.#sessions.values()) {
+      if (!reading.records.has(session.worker)) session.setRecord(undefined);
+    }
+    for (const worker of reading.left) {
+      this.#sessions.get(worker)?.markLeft("the worker has left");
+    }
+    this.#dropIdleSessions();
+    void this.#writeRoster();
+    this.#requestRound();
+  }
+
+  #openSession(worker: WorkerName, address: string): WorkerSession {
+    const known = this.#sessions.get(worker);
+    if (known !== undefined && known.target.address === address) return known;
+    if (known?.hasMembers) return known;
+    known?.stop();
+    const { epoch, orders, clock, log, canAct, settings } = this.#options;
+    const session = WorkerSession.create({
+      target: { worker, address },
+      epoch,
+      orders,
+      bounds: settings.bounds,
+      clock,
+      log,
+      listener: this,
+      canAct,
+    });
+    this.#sessions.set(worker, session);
+    session.wake();
+    return session;
+  }
+
+  #dropIdleSessions(): void {
+    for (const session of [...this.#sessions.values()]) {
+      const isIdle = session.record === undefined && !session.hasMembers &&
+        (session.hasReported || session.isSurelyLapsed());
+      if (!isIdle) continue;
+      session.stop();
+      this.#options.orders.forget(session.target);
+      this.#sessions.delete(session.worker);
+    }
+  }
+
+  #takeRoster(): void {
+    const row = this.#options.follower.get(ROSTER_KEY);
+    if (row?.value === undefined) return;
+    const { workers } = decodeRow<RosterRow>(row.value);
+    for (const [worker, address] of workers) {
+      this.#openSession(worker as WorkerName, address);
+    }
+  }
+
+  /** Stores the names of all workers that may be used, before they are used. */
+  async #writeRoster(): Promise<void> {
+    const sessions = [...this.#sessions.values()];
+    const workers = sessions.map(({ target }) =>
+      [target.worker, target.address] as const
+    );
+    const text = JSON.stringify([...workers].sort());
+    if (text === this.#rosterWritten) {
+      sessions.forEach((session) => (session.isRostered = true));
+      return;
+    }
+    if (this.#isWritingRoster || !this.#options.canAct()) return;
+    this.#isWritingRoster = true;
+    const outcome = await this.#put(ROSTER_KEY, encodeRow({ workers }));
+    this.#isWritingRoster = false;
+    if (!outcome || this.#isStopped) return;
+    this.#rosterWritten = text;
+    sessions.forEach((session) => (session.isRostered = true));
+    this.#requestRound();
+  }
+
+  async #writeBegun(): Promise<void> {
+    if (!this.#options.canAct()) return;
+    const jobIds = [...this.#jobs.values()].filter(({ hasBegun }) => hasBegun)
+      .map(({ jobId }) => jobId);
+    const text = jobIds.join();
+    if (text === this.#begunWritten) return;
+    if (await this.#put(BEGUN_KEY, encodeRow({ jobIds }))) {
+      this.#begunWritten = text;
+    }
+  }
+
+  async #put(key: string, value: Uint8Array): Promise<boolean> {
+    const outcome = await this.#options.store.transact(
+      { conditions: [], puts: [{ key, value }], deletes: [] },
+      STORE_TIMEOUT_MS,
+    );
+    if (outcome.kind !== "committed") {
+      this.#options.log.warn("row.write_failed", { key, kind: outcome.kind });
+    }
+    return outcome.kind === "committed";
+  }
+
+  async #awaitReports(): Promise<void> {
+    const { clock } = this.#options;
+    const untilMs = clock.nowMs() + FIRST_REPORT_TIMEOUT_MS;
+    const isComplete = () =>
+      this.#sessions.size > 0 &&
+      [...this.#sessions.values()].every(({ hasReported }) => hasReported);
+    while (
+      !this.#isStopped && !isComplete() && clock.nowMs() < untilMs
+    ) await clock.sleep(ROUND_PAUSE_MS);
+  }
+
+  // Upkeep.
+
+  #tick(): void {
+    const { clock, nowUnixMs } = this.#options;
+    const nowMs = clock.nowMs();
+    for (const session of this.#sessions.values()) {
+      session.checkLapse();
+      session.wake();
+    }
+    for (const job of this.#jobs.values()) {
+      if (job.spec.recurrence !== undefined) {
+        job.openDueUnits(nowMs, nowUnixMs());
+      }
+      for (const unit of job.units.values()) this.#checkRun(unit, nowMs);
+    }
+    this.#closeIncomplete();
+    this.#requestRound();
+  }
+
+  /** Stops runs that stand still. */
+  #checkRun(unit: Unit, nowMs: number): void {
+    const { run } = unit;
+    if (run === undefined || run.isClosing || unit.step.isPersistent) return;
+    const members = [...run.members];
+    const isStalled = members.length > 0 &&
+      members.every(([member]) =>
+        member.percent < 100 && nowMs - member.percentChangedMs > STALL_MS
+      );
+    const isKnown = members.every(([, session]) => session.isReachable);
+    if (!isStalled || !isKnown) return;
+    for (const [, session] of members) {
+      session.pausedUntilMs = nowMs + QUARANTINE_MS;
+    }
+    this.#closeRun(unit, "no progress");
+  }
+
+  /** A gang of which members are missing for good cannot work. */
+  #closeIncomplete(): void {
+    if (this.#hasUnresolvedWorkers()) return;
+    for (const job of this.#jobs.values()) {
+      for (const unit of job.units.values()) {
+        const { run } = unit;
+        if (run === undefined || run.isClosing) continue;
+        if (run.members.size < unit.count && !this.#isUnitDone(unit)) {
+          this.#closeRun(unit, "members are missing");
+        }
+      }
+    }
+  }
+
+  #isUnitDone(unit: Unit): boolean {
+    return unit.job.progress.isUnitDone(unit.address);
+  }
+}
+
+function describeUnit(unit: Unit): string {
+  return `${unit.job.jobId}.${formatUnitKey(unit.address)}`;
+}
+
+function createView(
+  session: WorkerSession,
+  record: WorkerRecord,
+): WorkerView {
+  let free = record.capacity;
+  let releasing = { cpuMilli: 0, memoryMib: 0, accelerators: 0 };
+  const tasksByStep = new Map<string, number>();
+  for (const member of session.members.values()) {
+    free = subtract(free, member.need);
+    if (member.isStopping) {
+      releasing = {
+        cpuMilli: releasing.cpuMilli + member.need.cpuMilli,
+        memoryMib: releasing.memoryMib + member.need.memoryMib,
+        accelerators: releasing.accelerators + member.need.accelerators,
+      };
+    }
+    const tasks = tasksByStep.get(member.stepKey) ?? 0;
+    tasksByStep.set(member.stepKey, tasks + 1);
+  }
+  return {
+    worker: record.worker,
+    service: record.service,
+    failureDomain: record.failureDomain,
+    rack: record.rack,
+    labels: new Set(record.labels),
+    capacity: record.capacity,
+    free,
+    releasing,
+    slowness: record.coldRemainingMs > 0 ? 2 : 1,
+    tasksByStep,
+  };
+}
--- /dev/null
+++ b/packages/node/cell/declared_state.ts
@@ -0,0 +1,119 @@
+/**
+ * The declared state in force on this entry, and the failure domains that are out. A version never
+ * goes back within one life of the process.
+ */
+import type {
+  FailureDomainName,
+  OrganisationName,
+} from "@coltsfootpond/common";
+import type {
+  DeclaredState,
+  QueueDeclaration,
+  RecordWire,
+  StateRow,
+} from "@coltsfootpond/ports";
+import { Subject } from "rxjs";
+import type { CellLog } from "./log.ts";
+import type { TableFollower } from "./table_follower.ts";
+
+export interface DeclaredStateOptions {
+  readonly follower: TableFollower;
+  readonly wire: RecordWire;
+  readonly log: CellLog;
+}
+
+/** Holds what the operators declared. */
+export class DeclaredStateTask {
+  /** Emits after each change. */
+  readonly changes = new Subject<void>();
+  readonly #options: DeclaredStateOptions;
+  #current: DeclaredState | undefined;
+  readonly #domainsOut = new Set<FailureDomainName>();
+
+  private constructor(options: DeclaredStateOptions) {
+    this.#options = options;
+    options.follower.changes.subscribe((rows) => this.#take(rows));
+  }
+
+  static create(options: DeclaredStateOptions): DeclaredStateTask {
+    return new DeclaredStateTask(options);
+  }
+
+  get current(): DeclaredState | undefined {
+    return this.#current;
+  }
+
+  isOut(failureDomain: FailureDomainName): boolean {
+    return this.#domainsOut.has(failureDomain);
+  }
+
+  #take(rows: readonly StateRow[]): void {
+    for (const row of rows) this.#takeRow(row);
+    this.changes.next();
+  }
+
+  #takeRow(row: StateRow): void {
+    const { wire, log } = this.#options;
+    const kind = wire.classifyOperatorRow(row.key);
+    switch (kind.kind) {
+      case "declared_state":
+        if (row.value !== undefined) this.#takeState(row.value, row.version);
+        return;
+      case "domain_out":
+        if (row.value === undefined) {
+          this.#domainsOut.delete(kind.failureDomain);
+        } else {
+          this.#domainsOut.add(kind.failureDomain);
+        }
+        log.info("failure_domain.changed", {
+          failureDomain: kind.failureDomain,
+          isOut: row.value !== undefined,
+        });
+        return;
+      case "other":
+        return;
+    }
+  }
+
+  #takeState(value: Uint8Array, rowVersion: number): void {
+    const { wire, log } = this.#options;
+    const state = wire.decodeDeclaredState(value);
+    if (state === undefined) {
+      log.warn("declared_state.unreadable", { rowVersion });
+      return;
+    }
+    if (state.version < (this.#current?.version ?? 0)) {
+      log.warn("declared_state.older", {
+        version: state.version,
+        inForce: this.#current?.version,
+      });
+      return;
+    }
+    this.#current = state;
+    log.info("declared_state.in_force", { version: state.version, rowVersion });
+  }
+}
+
+/** The queue of the longest matching path prefix; undefined when there is none. */
+export function findQueue(
+  state: DeclaredState,
+  host: string,
+  path: string,
+): QueueDeclaration | undefined {
+  let best: QueueDeclaration | undefined;
+  for (const queue of state.queues) {
+    const isMatch = queue.host.toLowerCase() === host &&
+      path.startsWith(queue.pathPrefix);
+    const length = best?.pathPrefix.length ?? -1;
+    if (isMatch && queue.pathPrefix.length > length) best = queue;
+  }
+  return best;
+}
+
+/** The organisation of a key; undefined for an unknown one. */
+export function findOrganisation(
+  state: DeclaredState,
+  key: string | undefined,
+): OrganisationName | undefined {
+  return key === undefined ? undefined : state.organisationByKey.get(key);
+}
--- /dev/null
+++ b/packages/node/cell/job_ledger.ts
@@ -0,0 +1,284 @@
+/**
+ * Jobs as callers see them: submitted, shown and cancelled by rows of the store, so that any entry
+ * answers for any job. A job is accepted once its row is stored; a write whose fate is unknown is
+ * settled by the same conditional write again.
+ */
+import type { Clock, OrganisationName } from "@coltsfootpond/common";
+import {
+  type CellJobId,
+  type CellJobSpec,
+  JOB_STATE,
+  type JobState,
+  type QueueName,
+} from "@coltsfootpond/policy";
+import {
+  STATE_TABLE,
+  type StateRow,
+  type StateStore,
+  type TransactOutcome,
+} from "@coltsfootpond/ports";
+import type { CellLog } from "./log.ts";
+import {
+  BEGUN_KEY,
+  type BegunRow,
+  decodeRow,
+  encodeRow,
+  jobKey,
+  type JobRow,
+  parseJobKey,
+} from "./rows.ts";
+import type { TableFollower } from "./table_follower.ts";
+
+/** One try at the store; several times a slow store's answer. */
+const TRY_TIMEOUT_MS = 900;
+const RETRY_PAUSE_MS = 60;
+
+/** `unknown`: the write may still happen; `refused`: it certainly never does. */
+export type SubmitOutcome = {
+  readonly kind: "accepted" | "unknown" | "refused";
+};
+export type CancelOutcome = {
+  readonly kind: "cancelled" | "ended" | "absent" | "unknown";
+};
+export type StateOutcome =
+  | { readonly kind: "state"; readonly state: JobState }
+  | { readonly kind: "absent" }
+  | { readonly kind: "unknown" };
+
+export interface JobLedgerOptions {
+  readonly store: StateStore;
+  readonly follower: TableFollower;
+  readonly clock: Clock;
+  /** Wall-clock time in Unix milliseconds. */
+  readonly nowUnixMs: () => number;
+  readonly log: CellLog;
+}
+
+/** Who asks for a job. */
+export interface JobRequester {
+  readonly organisation: OrganisationName | undefined;
+}
+
+/** Reads and writes the rows of jobs for callers. */
+export class JobLedger {
+  readonly #options: JobLedgerOptions;
+  /** Live jobs by queue, for the count of waiting jobs. */
+  readonly #liveByQueue = new Map<QueueName, Set<CellJobId>>();
+  readonly #queueByJob = new Map<CellJobId, QueueName>();
+  #begun: ReadonlySet<CellJobId> = new Set();
+
+  private constructor(options: JobLedgerOptions) {
+    this.#options = options;
+    options.follower.changes.subscribe((rows) => this.#take(rows));
+  }
+
+  static create(options: JobLedgerOptions): JobLedger {
+    return new JobLedger(options);
+  }
+
+  /** Stores the job. The same id again is the same job, also after its end. */
+  async submit(spec: CellJobSpec, untilMs: number): Promise<SubmitOutcome> {
+    const key = jobKey(spec.jobId);
+    if (this.#options.follower.get(key) !== undefined) {
+      return { kind: "accepted" };
+    }
+    const value = encodeRow({ kind: "live", spec });
+    let mayBeWritten = false;
+    while (true) {
+      const outcome = await this.#transact({
+        conditions: [{ key, version: 0 }],
+        puts: [{ key, value }],
+        deletes: [],
+      }, untilMs);
+      switch (outcome.kind) {
+        case "committed":
+          this.#options.follower.apply([{
+            key,
+            version: outcome.version,
+            value,
+          }]);
+          return { kind: "accepted" };
+        case "conflict":
+          this.#options.follower.apply(outcome.rows);
+          return { kind: "accepted" };
+        case "unavailable":
+          mayBeWritten ||= outcome.effect === "lost";
+      }
+      if (this.#options.follower.get(key) !== undefined) {
+        return { kind: "accepted" };
+      }
+      if (!mayBeWritten) return { kind: "refused" };
+      if (!await this.#pause(untilMs)) return { kind: "unknown" };
+    }
+  }
+
+  /** Marks the job cancelled. An id that nobody submitted yet is barred from running later. */
+  async cancel(
+    jobId: CellJobId,
+    requester: JobRequester,
+    untilMs: number,
+  ): Promise<CancelOutcome> {
+    const key = jobKey(jobId);
+    let row = this.#options.follower.get(key);
+    while (true) {
+      const job = row?.value && decodeRow<JobRow>(row.value);
+      if (job !== undefined && !belongsTo(job, requester)) {
+        return { kind: "absent" };
+      }
+      if (job?.kind === "barred") return { kind: "absent" };
+      if (job?.kind === "ended") {
+        return {
+          kind: job.state === JOB_STATE.CANCELLED ? "cancelled" : "ended",
+        };
+      }
+      const value = encodeRow(createCancelled(job, this.#options.nowUnixMs()));
+      const outcome = await this.#transact({
+        conditions: [{ key, version: row?.version ?? 0 }],
+        puts: [{ key, value }],
+        deletes: [],
+      }, untilMs);
+      if (outcome.kind === "committed") {
+        this.#options.follower.apply([{
+          key,
+          version: outcome.version,
+          value,
+        }]);
+        return { kind: job === undefined ? "absent" : "cancelled" };
+      }
+      if (outcome.kind === "conflict") {
+        row = outcome.rows.find((other) => other.key === key);
+        this.#options.follower.apply(outcome.rows);
+        continue;
+      }
+      if (!await this.#pause(untilMs)) return { kind: "unknown" };
+      row = this.#options.follower.get(key) ?? row;
+    }
+  }
+
+  /** The state to show. A job that this entry has not heard of is looked up in the store. */
+  async getState(
+    jobId: CellJobId,
+    requester: JobRequester,
+    untilMs: number,
+  ): Promise<StateOutcome> {
+    const known = this.#options.follower.get(jobKey(jobId));
+    const row = known ?? await this.#lookUp(jobId, untilMs);
+    if (row === "unknown") return { kind: "unknown" };
+    if (row?.value === undefined) return { kind: "absent" };
+    const job = decodeRow<JobRow>(row.value);
+    if (!belongsTo(job, requester)) return { kind: "absent" };
+    switch (job.kind) {
+      case "barred":
+        return { kind: "absent" };
+      case "ended":
+        return { kind: "state", state: job.state };
+      case "live":
+        return {
+          kind: "state",
+          state: this.#begun.has(jobId) ? JOB_STATE.RUNNING : JOB_STATE.QUEUED,
+        };
+    }
+  }
+
+  /** Accepted jobs of the queue of which no task has begun. */
+  countWaiting(queue: QueueName): number {
+    const jobs = this.#liveByQueue.get(queue);
+    if (jobs === undefined) return 0;
+    return [...jobs].filter((jobId) => !this.#begun.has(jobId)).length;
+  }
+
+  async #lookUp(
+    jobId: CellJobId,
+    untilMs: number,
+  ): Promise<StateRow | "unknown" | undefined> {
+    const { store, follower } = this.#options;
+    const key = jobKey(jobId);
+    do {
+      const outcome = await store.read(
+        STATE_TABLE.STATE,
+        { fromKey: key, toKey: `${key}~` },
+        this.#tryTimeout(untilMs),
+      );
+      if (outcome.kind === "rows" && outcome.version >= follower.version) {
+        follower.apply(outcome.rows);
+        return outcome.rows.find((row) => row.key === key);
+      }
+      if (outcome.kind === "unavailable" && outcome.effect === "refused") {
+        return "unknown";
+      }
+    } while (await this.#pause(untilMs));
+    return "unknown";
+  }
+
+  #transact(
+    transaction: Parameters<StateStore["transact"]>[0],
+    untilMs: number,
+  ): Promise<TransactOutcome> {
+    return this.#options.store.transact(transaction, this.#tryTimeout(untilMs));
+  }
+
+  #tryTimeout(untilMs: number): number {
+    const leftMs = untilMs - this.#options.clock.nowMs();
+    return Math.max(1, Math.min(TRY_TIMEOUT_MS, leftMs));
+  }
+
+  /** False when the time is up. */
+  async #pause(untilMs: number): Promise<boolean> {
+    const { clock } = this.#options;
+    if (clock.nowMs() + RETRY_PAUSE_MS >= untilMs) return false;
+    await clock.sleep(RETRY_PAUSE_MS);
+    return true;
+  }
+
+  #take(rows: readonly StateRow[]): void {
+    for (const row of rows) {
+      if (row.key === BEGUN_KEY && row.value !== undefined) {
+        this.#begun = new Set(decodeRow<BegunRow>(row.value).jobIds);
+      }
+      const jobId = parseJobKey(row.key);
+      if (jobId !== undefined) this.#takeJob(jobId, row);
+    }
+  }
+
+  #takeJob(jobId: CellJobId, row: StateRow): void {
+    const job = row.value && decodeRow<JobRow>(row.value);
+    if (job?.kind === "live") {
+      const { queue } = job.spec;
+      const jobs = this.#liveByQueue.get(queue) ?? new Set();
+      jobs.add(jobId);
+      this.#liveByQueue.set(queue, jobs);
+      this.#queueByJob.set(jobId, queue);
+      return;
+    }
+    const queue = this.#queueByJob.get(jobId);
+    if (queue === undefined) return;
+    this.#liveByQueue.get(queue)?.delete(jobId);
+    this.#queueByJob.delete(jobId);
+  }
+}
+
+function belongsTo(job: JobRow, { organisation }: JobRequester): boolean {
+  switch (job.kind) {
+    case "live":
+      return job.spec.organisation === organisation;
+    case "ended":
+      return job.organisation === organisation;
+    case "barred":
+      return true;
+  }
+}
+
+function createCancelled(
+  job: Extract<JobRow, { kind: "live" }> | undefined,
+  endedUnixMs: number,
+): JobRow {
+  if (job === undefined) return { kind: "barred", endedUnixMs };
+  const { queue, organisation } = job.spec;
+  return {
+    kind: "ended",
+    state: JOB_STATE.CANCELLED,
+    queue,
+    organisation,
+    endedUnixMs,
+  };
+}
--- /dev/null
+++ b/packages/node/cell/lease_task.ts
@@ -0,0 +1,256 @@
+/**
+ * Who schedules the cell: a lease by observation of a beat in one row of the store, moved by
+ * compare-and-set, with an epoch that workers check as a fencing token. A holder acts only while
+ * nobody else can have taken the lease, reckoned from when its last successful renewal was sent.
+ */
+import type { Clock, Random } from "@coltsfootpond/common";
+import type { StateRow, StateStore } from "@coltsfootpond/ports";
+import { Subject } from "rxjs";
+import type { CellLog } from "./log.ts";
+import { decodeRow, encodeRow, LEASE_KEY, type LeaseRow } from "./rows.ts";
+import type { TableFollower } from "./table_follower.ts";
+
+/** A beat that stood still this long may be taken over; four renewals. */
+export const LEASE_TERM_MS = 2_500;
+const RENEW_PERIOD_MS = 600;
+/** The holder stops acting this long before others may take over: delays of timers and orders. */
+const ACTING_MARGIN_MS = 300;
+const TICK_MS = 50;
+const STORE_TIMEOUT_MS = 900;
+/** Spreads the entries that want the lease; entries with more processor share go first. */
+const TAKEOVER_SPREAD_MS = 40;
+
+export type LeaseChange =
+  | {
+    readonly kind: "acquired";
+    readonly epoch: number;
+    /** Version of the store at which the lease was taken. */
+    readonly version: number;
+  }
+  | { readonly kind: "lost" };
+
+export interface LeaseTaskOptions {
+  readonly entry: string;
+  readonly incarnation: string;
+  readonly processorShare: number;
+  readonly store: StateStore;
+  readonly follower: TableFollower;
+  readonly clock: Clock;
+  readonly nowUnixMs: () => number;
+  readonly random: Random;
+  readonly log: CellLog;
+}
+
+interface Held {
+  readonly epoch: number;
+  version: number;
+  beat: number;
+  /** When the last successful renewal was sent, on both clocks. */
+  renewedMs: number;
+  renewedUnixMs: number;
+}
+
+/** Holds, renews, observes and takes the lease. */
+export class LeaseTask {
+  readonly changes = new Subject<LeaseChange>();
+  readonly #options: LeaseTaskOptions;
+  #observed: { readonly version: number; readonly sinceMs: number } | undefined;
+  #held: Held | undefined;
+  #isBusy = false;
+  #isLeaving = false;
+  #takeAtMs: number | undefined;
+
+  private constructor(options: LeaseTaskOptions) {
+    this.#options = options;
+    options.follower.changes.subscribe((rows) => this.#take(rows));
+  }
+
+  static create(options: LeaseTaskOptions): LeaseTask {
+    return new LeaseTask(options);
+  }
+
+  start(): void {
+    this.#options.clock.every(TICK_MS, () => this.#tick());
+  }
+
+  get epoch(): number | undefined {
+    return this.#held?.epoch;
+  }
+
+  /** Whether orders may be given now: nobody else can have taken the lease yet. */
+  canAct(): boolean {
+    const held = this.#held;
+    if (held === undefined) return false;
+    const { clock, nowUnixMs } = this.#options;
+    const limitMs = LEASE_TERM_MS - ACTING_MARGIN_MS;
+    // The wall clock counts time for which the machine was suspended; the steady clock does not.
+    return clock.nowMs() - held.renewedMs < limitMs &&
+      nowUnixMs() - held.renewedUnixMs < limitMs;
+  }
+
+  /** Gives the lease up, so that another entry takes it at once. */
+  async leave(): Promise<void> {
+    this.#isLeaving = true;
+    const held = this.#held;
+    if (held === undefined) return;
+    this.#drop("leaving");
+    const outcome = await this.#options.store.transact({
+      conditions: [{ key: LEASE_KEY, version: held.version }],
+      puts: [{
+        key: LEASE_KEY,
+        value: this.#encode(held.epoch, held.beat + 1, true),
+      }],
+      deletes: [],
+    }, STORE_TIMEOUT_MS);
+    this.#options.log.info("lease.released", {
+      epoch: held.epoch,
+      outcome: outcome.kind,
+    });
+  }
+
+  /** Another holder's trace was seen: stop acting until the row says who holds the lease. */
+  doubt(reason: string): void {
+    if (this.#held !== undefined) this.#drop(reason);
+  }
+
+  #tick(): void {
+    if (this.#isBusy || this.#isLeaving) return;
+    if (!this.#options.follower.isLoaded) return;
+    const nowMs = this.#options.clock.nowMs();
+    if (this.#held !== undefined) {
+      if (nowMs - this.#held.renewedMs >= RENEW_PERIOD_MS) {
+        void this.#run(() => this.#renew());
+      }
+      return;
+    }
+    if (!this.#mayTake(nowMs)) {
+      this.#takeAtMs = undefined;
+      return;
+    }
+    this.#takeAtMs ??= nowMs + this.#spreadMs();
+    if (nowMs >= this.#takeAtMs) {
+      this.#takeAtMs = undefined;
+      void this.#run(() => this.#acquire());
+    }
+  }
+
+  async #run(step: () => Promise<void>): Promise<void> {
+    this.#isBusy = true;
+    try {
+      await step();
+    } finally {
+      this.#isBusy = false;
+    }
+  }
+
+  #spreadMs(): number {
+    const { random, processorShare } = this.#options;
+    return random.next() * TAKEOVER_SPREAD_MS / Math.max(0.1, processorShare);
+  }
+
+  #mayTake(nowMs: number): boolean {
+    const row = this.#options.follower.get(LEASE_KEY);
+    if (row?.value === undefined) return true;
+    const lease = decodeRow<LeaseRow>(row.value);
+    if (lease.isReleased) return true;
+    // The process that held it on this machine is gone: this one runs in its place.
+    if (lease.holder === this.#options.entry) return true;
+    const sinceMs = this.#observed?.version === row.version
+      ? this.#observed.sinceMs
+      : nowMs;
+    return nowMs - sinceMs >= LEASE_TERM_MS;
+  }
+
+  async #acquire(): Promise<void> {
+    const { store, follower, clock, nowUnixMs, log } = this.#options;
+    const row = follower.get(LEASE_KEY);
+    const previous = row?.value && decodeRow<LeaseRow>(row.value);
+    const epoch = (previous?.epoch ?? 0) + 1;
+    const beat = (previous?.beat ?? 0) + 1;
+    const sent = { renewedMs: clock.nowMs(), renewedUnixMs: nowUnixMs() };
+    const value = this.#encode(epoch, beat, false);
+    const outcome = await store.transact({
+      conditions: [{ key: LEASE_KEY, version: row?.version ?? 0 }],
+      puts: [{ key: LEASE_KEY, value }],
+      deletes: [],
+    }, STORE_TIMEOUT_MS);
+    if (outcome.kind === "conflict") follower.apply(outcome.rows);
+    if (outcome.kind !== "committed") {
+      log.info("lease.not_taken", { epoch, outcome: outcome.kind });
+      return;
+    }
+    const { version } = outcome;
+    this.#held = { epoch, beat, version, ...sent };
+    follower.apply([{ key: LEASE_KEY, version, value }]);
+    log.info("lease.acquired", {
+      epoch,
+      previous: previous?.holder,
+      wasReleased: previous?.isReleased,
+    });
+    this.changes.next({ kind: "acquired", epoch, version });
+  }
+
+  async #renew(): Promise<void> {
+    const held = this.#held;
+    if (held === undefined) return;
+    const { store, follower, clock, nowUnixMs, log } = this.#options;
+    const sent = { renewedMs: clock.nowMs(), renewedUnixMs: nowUnixMs() };
+    const value = this.#encode(held.epoch, held.beat + 1, false);
+    const outcome = await store.transact({
+      conditions: [{ key: LEASE_KEY, version: held.version }],
+      puts: [{ key: LEASE_KEY, value }],
+      deletes: [],
+    }, STORE_TIMEOUT_MS);
+    if (this.#held !== held) return;
+    switch (outcome.kind) {
+      case "committed":
+        Object.assign(held, sent, {
+          version: outcome.version,
+          beat: held.beat + 1,
+        });
+        follower.apply([{ key: LEASE_KEY, version: outcome.version, value }]);
+        return;
+      case "conflict":
+        follower.apply(outcome.rows);
+        return;
+      case "unavailable":
+        log.warn("lease.renewal_failed", { epoch: held.epoch, ...outcome });
+    }
+  }
+
+  #take(rows: readonly StateRow[]): void {
+    const row = rows.find(({ key }) => key === LEASE_KEY);
+    if (row === undefined) return;
+    const nowMs = this.#options.clock.nowMs();
+    this.#observed = { version: row.version, sinceMs: nowMs };
+    const held = this.#held;
+    if (held === undefined || row.value === undefined) return;
+    const lease = decodeRow<LeaseRow>(row.value);
+    if (lease.incarnation !== this.#options.incarnation) {
+      this.#drop(`taken by ${lease.holder}`);
+    } else if (row.version > held.version) {
+      // A renewal whose answer was lost has taken effect.
+      held.version = row.version;
+      held.beat = lease.beat;
+    }
+  }
+
+  #drop(reason: string): void {
+    const epoch = this.#held?.epoch;
+    this.#held = undefined;
+    this.#options.log.warn("lease.lost", { epoch, reason });
+    this.changes.next({ kind: "lost" });
+  }
+
+  #encode(epoch: number, beat: number, isReleased: boolean): Uint8Array {
+    const { entry, incarnation } = this.#options;
+    const row: LeaseRow = {
+      holder: entry,
+      incarnation,
+      epoch,
+      beat,
+      isReleased,
+    };
+    return encodeRow(row);
+  }
+}
--- /dev/null
+++ b/packages/node/cell/live_job.ts
@@ -0,0 +1,188 @@
+/** A job that has not ended, with the units that are due, as the holder of the cell keeps it. */
+import type { WorkerName } from "@coltsfootpond/common";
+import {
+  type CellJobId,
+  type CellJobSpec,
+  countedNeed,
+  countUnits,
+  JobProgress,
+  type StepSpec,
+  type TaskName,
+  type UnitAddress,
+} from "@coltsfootpond/policy";
+import type { EndedState } from "./rows.ts";
+import type { Member, WorkerSession } from "./worker_session.ts";
+
+/** One run of a unit: a task, or all tasks of a gang. */
+export interface UnitRun {
+  readonly run: number;
+  /** Where each member that may still run is. */
+  readonly members: Map<Member, WorkerSession>;
+  readonly startedMs: number;
+  /** Told to stop, or over because a member ended. */
+  isClosing: boolean;
+}
+
+/** What starts together: one task, or all tasks of a gang. */
+export interface Unit {
+  readonly job: LiveJob;
+  readonly address: UnitAddress;
+  readonly step: StepSpec;
+  readonly stepKey: string;
+  readonly count: number;
+  /** Since it was due, or since its last run was over. */
+  waitingSinceMs: number;
+  run: UnitRun | undefined;
+  /** Whether a run of it was begun or taken over by this holder. */
+  wasSeen: boolean;
+  readonly failedOn: Set<WorkerName>;
+}
+
+/** A job with its progress. */
+export class LiveJob {
+  readonly spec: CellJobSpec;
+  readonly progress: JobProgress;
+  readonly units = new Map<string, Unit>();
+  /** Version of its row, for conditional writes. */
+  rowVersion: number;
+  /** Version of its progress row; 0 when there is none. */
+  progressVersion: number;
+  /** Writes of the progress row whose fate is not known yet. */
+  readonly writeIds = new Set<string>();
+  hasBegun = false;
+  ending: EndedState | undefined;
+
+  private constructor(
+    spec: CellJobSpec,
+    progress: JobProgress,
+    rowVersion: number,
+    progressVersion: number,
+  ) {
+    this.spec = spec;
+    this.progress = progress;
+    this.rowVersion = rowVersion;
+    this.progressVersion = progressVersion;
+  }
+
+  static create(options: {
+    readonly spec: CellJobSpec;
+    readonly progress: JobProgress;
+    readonly rowVersion: number;
+    readonly progressVersion: number;
+  }): LiveJob {
+    const { spec, progress, rowVersion, progressVersion } = options;
+    return new LiveJob(spec, progress, rowVersion, progressVersion);
+  }
+
+  get jobId(): CellJobId {
+    return this.spec.jobId;
+  }
+
+  /** Adds the units of steps that have become due. */
+  openDueUnits(nowMs: number, nowUnixMs: number): void {
+    for (
+      let occurrence = 0;
+      occurrence < this.progress.occurrences;
+      occurrence++
+    ) {
+      for (const [step, spec] of this.spec.steps.entries()) {
+        if (!this.progress.isDue(occurrence, step, nowUnixMs)) continue;
+        for (let index = 0; index < countUnits(spec); index++) {
+          this.#openUnit({ occurrence, step, index }, spec, nowMs);
+        }
+      }
+    }
+  }
+
+  /** When the next occurrence becomes due; undefined when none is to come. */
+  nextDueUnixMs(nowUnixMs: number): number | undefined {
+    for (
+      let occurrence = 0;
+      occurrence < this.progress.occurrences;
+      occurrence++
+    ) {
+      const dueUnixMs = this.progress.dueUnixMs(occurrence);
+      if (dueUnixMs !== undefined && dueUnixMs > nowUnixMs) return dueUnixMs;
+    }
+    return undefined;
+  }
+
+  /** Units that are not done and do not run. */
+  *waitingUnits(): IterableIterator<Unit> {
+    for (const unit of this.units.values()) {
+      if (unit.run === undefined) yield unit;
+    }
+  }
+
+  #openUnit(address: UnitAddress, step: StepSpec, nowMs: number): void {
+    const key = formatUnitKey(address);
+    if (this.units.has(key) || this.progress.isUnitDone(address)) return;
+    this.units.set(key, {
+      job: this,
+      address,
+      step,
+      stepKey: `${this.jobId}.${address.occurrence}.${address.step}`,
+      count: step.isGang ? step.count : 1,
+      waitingSinceMs: nowMs,
+      run: undefined,
+      wasSeen: false,
+      failedOn: new Set(),
+    });
+  }
+}
+
+export function formatUnitKey(
+  { occurrence, step, index }: UnitAddress,
+): string {
+  return `${occurrence}.${step}.${index}`;
+}
+
+/** The name of one task of a unit. */
+export function formatTaskName(unit: Unit, member: number): TaskName {
+  const index = unit.step.isGang ? member : unit.address.index;
+  return `${unit.stepKey}.${index}` as TaskName;
+}
+
+/** A task's parts; undefined when the name is none of this system's. */
+export function parseTaskName(
+  task: TaskName,
+):
+  | (UnitAddress & { readonly jobId: CellJobId })
+  | undefined {
+  const parts = task.split(".");
+  const [jobId, occurrence, step, index] = parts;
+  if (parts.length !== 4 || jobId === undefined) return undefined;
+  const numbers = [occurrence, step, index].map(Number);
+  if (!numbers.every((number) => Number.isInteger(number) && number >= 0)) {
+    return undefined;
+  }
+  return {
+    jobId: jobId as CellJobId,
+    occurrence: numbers[0]!,
+    step: numbers[1]!,
+    index: numbers[2]!,
+  };
+}
+
+/** A member that is about to be started. */
+export function createMember(
+  unit: Unit,
+  index: number,
+  run: number,
+  nowMs: number,
+): Member {
+  return {
+    task: formatTaskName(unit, index),
+    run,
+    need: countedNeed(unit.step),
+    stepKey: unit.stepKey,
+    startedClockMs: undefined,
+    isUnsure: false,
+    isStopping: false,
+    stoppedClockMs: undefined,
+    checkpoint: unit.job.progress.getCheckpoint(unit.address),
+    percent: 0,
+    percentChangedMs: nowMs,
+    sentMs: nowMs,
+  };
+}
--- /dev/null
+++ b/packages/node/cell/rows.ts
@@ -0,0 +1,111 @@
+/** Rows of the cell's state table: keys, values and their encoding (msgpack). */
+import type { OrganisationName } from "@coltsfootpond/common";
+import type {
+  CellJobId,
+  CellJobSpec,
+  JobState,
+  ProgressRecord,
+  QueueName,
+} from "@coltsfootpond/policy";
+import { pack, unpack } from "msgpackr";
+
+export type EndedState = Extract<
+  JobState,
+  "completed" | "failed" | "cancelled"
+>;
+
+/** A job's row. It stays after the job's end for as long as its state must be known. */
+export type JobRow =
+  | { readonly kind: "live"; readonly spec: CellJobSpec }
+  | {
+    readonly kind: "ended";
+    readonly state: EndedState;
+    readonly queue: QueueName;
+    readonly organisation: OrganisationName | undefined;
+    readonly endedUnixMs: number;
+  }
+  /** Cancelled before it was submitted: a submit that comes later starts nothing. */
+  | { readonly kind: "barred"; readonly endedUnixMs: number };
+
+/** Progress of a live job. */
+export interface ProgressRow {
+  /** Names the write, so that a write whose answer was lost is recognised. */
+  readonly writeId: string;
+  readonly record: ProgressRecord;
+}
+
+/** Who schedules the cell. */
+export interface LeaseRow {
+  readonly holder: string;
+  readonly incarnation: string;
+  /** Rises with every change of holder; workers refuse orders of a lower one. */
+  readonly epoch: number;
+  /** Rises with every renewal. */
+  readonly beat: number;
+  /** Handed over: anyone may take it at once. */
+  readonly isReleased: boolean;
+}
+
+/** Workers on which tasks may run; a new holder asks all of them before it starts anything. */
+export interface RosterRow {
+  readonly workers: readonly (readonly [worker: string, address: string])[];
+}
+
+/** Jobs of which some task has begun, as far as they have not ended. */
+export interface BegunRow {
+  readonly jobIds: readonly CellJobId[];
+}
+
+/** Where an entry takes requests of its peers. */
+export interface PeerRow {
+  readonly host: string;
+  readonly port: number;
+}
+
+const JOB_PREFIX = "j/";
+const PROGRESS_PREFIX = "p/";
+const PEER_PREFIX = "n/";
+export const LEASE_KEY = "cell/lease";
+export const ROSTER_KEY = "cell/roster";
+export const BEGUN_KEY = "cell/begun";
+
+export function jobKey(jobId: CellJobId): string {
+  return `${JOB_PREFIX}${jobId}`;
+}
+
+export function progressKey(jobId: CellJobId): string {
+  return `${PROGRESS_PREFIX}${jobId}`;
+}
+
+export function peerKey(entry: string): string {
+  return `${PEER_PREFIX}${entry}`;
+}
+
+/** The job of a job's row; undefined for other rows. */
+export function parseJobKey(key: string): CellJobId | undefined {
+  return key.startsWith(JOB_PREFIX)
+    ? key.slice(JOB_PREFIX.length) as CellJobId
+    : undefined;
+}
+
+export function parseProgressKey(key: string): CellJobId | undefined {
+  return key.startsWith(PROGRESS_PREFIX)
+    ? key.slice(PROGRESS_PREFIX.length) as CellJobId
+    : undefined;
+}
+
+export function isPeerKey(key: string): boolean {
+  return key.startsWith(PEER_PREFIX);
+}
+
+/** Encodes any row's value. */
+export function encodeRow(
+  row: JobRow | ProgressRow | LeaseRow | RosterRow | BegunRow | PeerRow,
+): Uint8Array {
+  return pack(row);
+}
+
+/** Decodes a value that this system wrote. Throws on bytes that are no msgpack. */
+export function decodeRow<Row>(value: Uint8Array): Row {
+  return unpack(value) as Row;
+}
--- /dev/null
+++ b/packages/node/cell/table_follower.ts
@@ -0,0 +1,180 @@
+/**
+ * A copy of one table of the store, kept up to date by long polls. The copy never goes back: an
+ * answer that is older than the copy is passed over. When the store no longer has the history,
+ * the table is read anew.
+ */
+import type { Clock, Random } from "@coltsfootpond/common";
+import type { StateRow, StateStore, StateTable } from "@coltsfootpond/ports";
+import { Subject } from "rxjs";
+import type { CellLog } from "./log.ts";
+
+/** How long one long poll waits; bounds how late a silent connection is noticed. */
+const FOLLOW_WAIT_MS = 1_000;
+/** Beyond the wait: network and a busy store. */
+const FOLLOW_SLACK_MS = 600;
+const READ_TIMEOUT_MS = 1_000;
+const FIRST_RETRY_MS = 50;
+const MAXIMUM_RETRY_MS = 400;
+
+export interface TableFollowerOptions {
+  readonly table: StateTable;
+  readonly store: StateStore;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: CellLog;
+}
+
+/** Follows one table. Rows are changed only here and through `apply`. */
+export class TableFollower {
+  /** Changed rows, deletions included, in the order of their versions. */
+  readonly changes = new Subject<readonly StateRow[]>();
+  readonly #options: TableFollowerOptions;
+  readonly #rows = new Map<string, StateRow>();
+  #version = 0;
+  #isLoaded = false;
+  #isStopped = false;
+  #contactMs = Number.NEGATIVE_INFINITY;
+  #retryMs = FIRST_RETRY_MS;
+
+  private constructor(options: TableFollowerOptions) {
+    this.#options = options;
+  }
+
+  static create(options: TableFollowerOptions): TableFollower {
+    return new TableFollower(options);
+  }
+
+  /** Newest version that the copy reflects. */
+  get version(): number {
+    return this.#version;
+  }
+
+  get isLoaded(): boolean {
+    return this.#isLoaded;
+  }
+
+  /** When the store last answered, on the process's clock. */
+  get contactMs(): number {
+    return this.#contactMs;
+  }
+
+  /** The row, or undefined when there is none. */
+  get(key: string): StateRow | undefined {
+    const row = this.#rows.get(key);
+    return row?.value === undefined ? undefined : row;
+  }
+
+  /** All rows that exist. */
+  *rows(): IterableIterator<StateRow & { readonly value: Uint8Array }> {
+    for (const row of this.#rows.values()) {
+      if (row.value !== undefined) yield { ...row, value: row.value };
+    }
+  }
+
+  /** Takes rows that this process has just written or read itself. */
+  apply(rows: readonly StateRow[]): void {
+    const changed = rows.filter((row) => this.#take(row));
+    if (changed.length > 0) this.changes.next(changed);
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+    this.changes.complete();
+  }
+
+  /** Runs until stopped. */
+  async run(): Promise<void> {
+    while (!this.#isStopped) {
+      const isProgress = this.#isLoaded
+        ? await this.#follow()
+        : await this.#load();
+      if (isProgress) {
+        this.#retryMs = FIRST_RETRY_MS;
+        continue;
+      }
+      const jitter = 0.5 + this.#options.random.next();
+      await this.#options.clock.sleep(this.#retryMs * jitter);
+      this.#retryMs = Math.min(MAXIMUM_RETRY_MS, this.#retryMs * 2);
+    }
+  }
+
+  async #load(): Promise<boolean> {
+    const { store, table, log } = this.#options;
+    const outcome = await store.read(table, {}, READ_TIMEOUT_MS);
+    if (this.#isStopped) return false;
+    if (outcome.kind === "unavailable") {
+      log.warn("store.read_failed", { table, ...outcome });
+      return false;
+    }
+    if (this.#isOld(outcome.version)) return false;
+    const present = new Set(outcome.rows.map(({ key }) => key));
+    const gone = [...this.#rows.values()].filter((row) =>
+      row.value !== undefined && row.version <= outcome.version &&
+      !present.has(row.key)
+    ).map(({ key }) => ({ key, version: outcome.version, value: undefined }));
+    this.#isLoaded = true;
+    this.#finish(outcome.version, [...outcome.rows, ...gone]);
+    log.info("store.table_read", {
+      table,
+      rows: outcome.rows.length,
+      version: outcome.version,
+    });
+    return true;
+  }
+
+  async #follow(): Promise<boolean> {
+    const { store, table, log } = this.#options;
+    const outcome = await store.follow(
+      table,
+      this.#version,
+      FOLLOW_WAIT_MS,
+      FOLLOW_WAIT_MS + FOLLOW_SLACK_MS,
+    );
+    if (this.#isStopped) return false;
+    switch (outcome.kind) {
+      case "unavailable":
+        log.warn("store.follow_failed", { table, ...outcome });
+        return false;
+      case "history_lost":
+        log.warn("store.history_lost", { table, version: this.#version });
+        this.#isLoaded = false;
+        return true;
+      case "rows":
+        if (this.#isOld(outcome.version)) return false;
+        this.#finish(outcome.version, outcome.rows);
+        return true;
+    }
+  }
+
+  #isOld(version: number): boolean {
+    if (version >= this.#version) return false;
+    const { table, log } = this.#options;
+    log.warn("store.stale_answer", { table, version, known: this.#version });
+    return true;
+  }
+
+  #finish(version: number, rows: readonly StateRow[]): void {
+    this.#version = version;
+    this.#contactMs = this.#options.clock.nowMs();
+    const changed = rows.filter((row) => this.#take(row));
+    this.#forgetDeleted(rows);
+    if (changed.length > 0) this.changes.next(changed);
+  }
+
+  /** Keeps the newer of two versions of a row; a deletion is kept until the feed confirms it. */
+  #take(row: StateRow): boolean {
+    const known = this.#rows.get(row.key);
+    if (known !== undefined && known.version >= row.version) return false;
+    this.#rows.set(row.key, row);
+    return known?.value !== undefined || row.value !== undefined;
+  }
+
+  #forgetDeleted(rows: readonly StateRow[]): void {
+    for (const { key } of rows) {
+      const known = this.#rows.get(key);
+      if (known?.value === undefined && known !== undefined) {
+        this.#rows.delete(key);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/node/cell/worker_directory.ts
@@ -0,0 +1,126 @@
+/**
+ * The workers of the cell by their own records. A record that vanished sooner than silence could
+ * have removed it tells that its worker has left, so nothing runs there any more.
+ */
+import type { Clock, WorkerName } from "@coltsfootpond/common";
+import {
+  type RecordWire,
+  STATE_TABLE,
+  type StateStore,
+  type WorkerRecord,
+} from "@coltsfootpond/ports";
+import type { CellLog } from "./log.ts";
+
+/** Well inside the bound within which a draining worker gets nothing new. */
+export const DIRECTORY_PERIOD_MS = 700;
+const READ_TIMEOUT_MS = 900;
+/** Silent heartbeats after which the platform removes a record. */
+const SILENT_HEARTBEATS = 3;
+
+export interface WorkerDirectoryOptions {
+  readonly store: StateStore;
+  readonly wire: RecordWire;
+  readonly clock: Clock;
+  readonly log: CellLog;
+  readonly heartbeatMs: number;
+}
+
+interface Known {
+  readonly record: WorkerRecord;
+  /** The read before that one: the heartbeat is not older. */
+  readonly beatNotBeforeMs: number;
+}
+
+/** One reading of all records. */
+export interface DirectoryReading {
+  readonly records: ReadonlyMap<WorkerName, WorkerRecord>;
+  /** Workers whose record was removed and that have surely left. */
+  readonly left: readonly WorkerName[];
+}
+
+/** Reads the workers' records. */
+export class WorkerDirectory {
+  readonly #options: WorkerDirectoryOptions;
+  #known = new Map<WorkerName, Known>();
+  #lastReadMs: number | undefined;
+  #version = 0;
+  readonly #unreadable = new Set<string>();
+
+  private constructor(options: WorkerDirectoryOptions) {
+    this.#options = options;
+  }
+
+  static create(options: WorkerDirectoryOptions): WorkerDirectory {
+    return new WorkerDirectory(options);
+  }
+
+  /** Undefined when the store gave no fresh answer. */
+  async read(): Promise<DirectoryReading | undefined> {
+    const { store, clock, log } = this.#options;
+    const startedMs = clock.nowMs();
+    const outcome = await store.read(
+      STATE_TABLE.WORKERS,
+      {},
+      READ_TIMEOUT_MS,
+    );
+    if (outcome.kind === "unavailable") {
+      log.warn("workers.read_failed", { ...outcome });
+      this.#lastReadMs = undefined;
+      return undefined;
+    }
+    if (outcome.version < this.#version) {
+      log.warn("workers.stale_answer", { version: outcome.version });
+      return undefined;
+    }
+    this.#version = outcome.version;
+    const records = new Map<WorkerName, WorkerRecord>();
+    for (const row of outcome.rows) {
+      const record = row.value && this.#decode(row.key, row.value);
+      if (record !== undefined) records.set(record.worker, record);
+    }
+    const left = this.#findLeft(records);
+    this.#remember(records);
+    this.#lastReadMs = startedMs;
+    return { records, left };
+  }
+
+  #decode(key: string, value: Uint8Array): WorkerRecord | undefined {
+    const record = this.#options.wire.decodeWorker(key, value);
+    if (record === undefined && !this.#unreadable.has(key)) {
+      this.#unreadable.add(key);
+      this.#options.log.warn("worker.record_unreadable", { key });
+    }
+    return record;
+  }
+
+  #findLeft(
+    records: ReadonlyMap<WorkerName, WorkerRecord>,
+  ): readonly WorkerName[] {
+    // After a failed read the removal may be of any age, also by silence.
+    if (this.#lastReadMs === undefined) return [];
+    const nowMs = this.#options.clock.nowMs();
+    const silenceMs = SILENT_HEARTBEATS * this.#options.heartbeatMs;
+    return [...this.#known.values()].filter(({ record, beatNotBeforeMs }) =>
+      !records.has(record.worker) && nowMs - beatNotBeforeMs < silenceMs
+    ).map(({ record }) => record.worker);
+  }
+
+  #remember(records: ReadonlyMap<WorkerName, WorkerRecord>): void {
+    const next = new Map<WorkerName, Known>();
+    for (const record of records.values()) {
+      const known = this.#known.get(record.worker);
+      const isSameBeat = known !== undefined &&
+        known.record.heartbeat === record.heartbeat &&
+        known.record.lifeUnixMs === record.lifeUnixMs;
+      next.set(record.worker, {
+        record,
+        beatNotBeforeMs: isSameBeat
+          ? known.beatNotBeforeMs
+          : known === undefined
+          ? Number.NEGATIVE_INFINITY
+          : this.#lastReadMs ?? Number.NEGATIVE_INFINITY,
+      });
+    }
+    this.#known = next;
+  }
+}
--- a/packages/node/mod.ts
+++ b/packages/node/mod.ts
@@ -30,3 +30,5 @@
 export * from "./state/state_controllers.ts";
 export * from "./types.ts";
 export * from "./upstreams/balancing/choose.ts";
+export * from "./cell/cell_entry.ts";
+export * from "./cell/log.ts";
--- /dev/null
+++ b/packages/policy/cell/fit.ts
@@ -0,0 +1,180 @@
+/** Where the tasks of one unit go: all of them on workers with room, or nowhere. */
+import type { RackName, ServiceName, WorkerName } from "@coltsfootpond/common";
+import type { CellResources, StepSpec, WorkerView } from "./types.ts";
+
+/** Room on one worker during a round; placements are subtracted as they are made. */
+export interface Room {
+  readonly view: WorkerView;
+  free: CellResources;
+  /** Tasks by step key, those of this round included. */
+  readonly tasksByStep: Map<string, number>;
+}
+
+/** The tasks that must be placed together. */
+export interface FitRequest {
+  readonly service: ServiceName;
+  readonly step: StepSpec;
+  /** `{job}.{occurrence}.{step}`, for spread limits. */
+  readonly stepKey: string;
+  readonly count: number;
+  /** Workers that a run of these tasks has failed on. */
+  readonly avoid: ReadonlySet<WorkerName>;
+}
+
+/** A worker per task; `isRemote` when the run is slower by the remote factor. */
+export interface Fit {
+  readonly rooms: readonly Room[];
+  readonly isRemote: boolean;
+}
+
+export function createRoom(view: WorkerView): Room {
+  return { view, free: view.free, tasksByStep: new Map(view.tasksByStep) };
+}
+
+/** What a task takes of a worker: a filler takes no counted processor time. */
+export function countedNeed(step: StepSpec): CellResources {
+  return step.isFiller ? { ...step.need, cpuMilli: 0 } : step.need;
+}
+
+export function subtract(
+  left: CellResources,
+  right: CellResources,
+): CellResources {
+  return {
+    cpuMilli: left.cpuMilli - right.cpuMilli,
+    memoryMib: left.memoryMib - right.memoryMib,
+    accelerators: left.accelerators - right.accelerators,
+  };
+}
+
+export function add(left: CellResources, right: CellResources): CellResources {
+  return {
+    cpuMilli: left.cpuMilli + right.cpuMilli,
+    memoryMib: left.memoryMib + right.memoryMib,
+    accelerators: left.accelerators + right.accelerators,
+  };
+}
+
+export function covers(room: CellResources, need: CellResources): boolean {
+  return room.cpuMilli >= need.cpuMilli && room.memoryMib >= need.memoryMib &&
+    room.accelerators >= need.accelerators;
+}
+
+/** How many more tasks of the step a worker can take. */
+export function countFitting(
+  room: Room,
+  request: FitRequest,
+): number {
+  const { step, stepKey } = request;
+  const need = countedNeed(step);
+  const parts = [
+    [room.free.cpuMilli, need.cpuMilli],
+    [room.free.memoryMib, need.memoryMib],
+    [room.free.accelerators, need.accelerators],
+  ] as const;
+  const byRoom = Math.min(
+    ...parts.map(([free, part]) =>
+      part > 0 ? Math.floor(Math.max(0, free) / part) : request.count
+    ),
+  );
+  const limit = step.maximumPerWorker;
+  if (limit === undefined) return byRoom;
+  return Math.min(byRoom, limit - (room.tasksByStep.get(stepKey) ?? 0));
+}
+
+/** Whether a worker may run the step at all, room aside. */
+export function isEligible(view: WorkerView, request: FitRequest): boolean {
+  const { step, service, avoid } = request;
+  return view.service === service && !avoid.has(view.worker) &&
+    (step.requiredLabel === undefined || view.labels.has(step.requiredLabel));
+}
+
+/** Tightest worker first, so that whole workers stay free; sound workers before slow ones. */
+function compareRooms(left: Room, right: Room): number {
+  return left.view.slowness - right.view.slowness ||
+    left.free.accelerators - right.free.accelerators ||
+    left.free.cpuMilli - right.free.cpuMilli ||
+    (left.view.worker < right.view.worker ? -1 : 1);
+}
+
+function fillGreedily(
+  rooms: readonly Room[],
+  request: FitRequest,
+): readonly Room[] | undefined {
+  const chosen: Room[] = [];
+  for (const room of [...rooms].sort(compareRooms)) {
+    const fitting = Math.min(
+      countFitting(room, request),
+      request.count - chosen.length,
+    );
+    for (let taken = 0; taken < fitting; taken++) chosen.push(room);
+    if (chosen.length === request.count) return chosen;
+  }
+  return undefined;
+}
+
+function groupByRack(rooms: readonly Room[]): Map<RackName, Room[]> {
+  const racks = new Map<RackName, Room[]>();
+  for (const room of rooms) {
+    const rack = racks.get(room.view.rack);
+    if (rack === undefined) racks.set(room.view.rack, [room]);
+    else rack.push(room);
+  }
+  return racks;
+}
+
+function sumFreeAccelerators(rooms: readonly Room[]): number {
+  return rooms.reduce((sum, { free }) => sum + free.accelerators, 0);
+}
+
+/** Racks in the order in which they are tried: the data's, then the fullest. */
+function orderRacks(
+  rooms: readonly Room[],
+  dataRack: RackName | undefined,
+): readonly (readonly Room[])[] {
+  return [...groupByRack(rooms)].map(([rack, members]) => ({
+    members,
+    isData: rack === dataRack,
+    free: sumFreeAccelerators(members),
+  })).sort((left, right) =>
+    Number(right.isData) - Number(left.isData) || left.free - right.free
+  ).map(({ members }) => members);
+}
+
+/**
+ * Finds workers for all tasks of the request, or undefined. Rack-bound gangs take one rack; where
+ * no rack can hold one even when empty, they spread. Other work prefers the rack of its data.
+ */
+export function findFit(
+  rooms: readonly Room[],
+  request: FitRequest,
+  options: { readonly allowRemote: boolean },
+): Fit | undefined {
+  const eligible = rooms.filter(({ view }) => isEligible(view, request));
+  const { dataRack, isRackBound, isGang } = request.step;
+  const isBound = isRackBound && isGang && request.count > 1;
+  if (!isBound && dataRack === undefined) {
+    const chosen = fillGreedily(eligible, request);
+    return chosen && { rooms: chosen, isRemote: false };
+  }
+  for (const rack of orderRacks(eligible, dataRack)) {
+    const isNearData = dataRack === undefined ||
+      rack[0]?.view.rack === dataRack;
+    if (!isNearData && (!isBound || !options.allowRemote)) continue;
+    const chosen = fillGreedily(rack, request);
+    if (chosen !== undefined) return { rooms: chosen, isRemote: !isNearData };
+  }
+  if (!options.allowRemote) return undefined;
+  const chosen = fillGreedily(eligible, request);
+  return chosen && { rooms: chosen, isRemote: true };
+}
+
+/** Takes the room of a fit. */
+export function takeRoom(fit: Fit, request: FitRequest): void {
+  const need = countedNeed(request.step);
+  for (const room of fit.rooms) {
+    room.free = subtract(room.free, need);
+    const tasks = room.tasksByStep.get(request.stepKey) ?? 0;
+    room.tasksByStep.set(request.stepKey, tasks + 1);
+  }
+}
--- a/packages/policy/mod.ts
+++ b/packages/policy/mod.ts
@@ -7,3 +7,8 @@
 export type { PlacementEngineOptions } from "./placement/engine.ts";
 export { suitsGuarantee } from "./placement/resources.ts";
 export * from "./placement/submission_check.ts";
+export * from "./cell/types.ts";
+export * from "./cell/fit.ts";
+export * from "./cell/job_progress.ts";
+export * from "./cell/plan_round.ts";
+export * from "./cell/worth.ts";
--- a/packages/ports/http/http_json.ts
+++ b/packages/ports/http/http_json.ts
@@ -19,9 +19,10 @@
 }
 
 export interface HttpExchange {
-  readonly method: "GET" | "POST" | "PUT";
+  readonly method: "GET" | "POST" | "PUT" | "DELETE";
   readonly path: string;
   readonly body?: Uint8Array;
+  readonly headers?: Readonly<Record<string, string>>;
   readonly timeoutMs: number;
 }
 
@@ -46,15 +47,24 @@
 export class HttpClient {
   readonly #address: ServiceAddress;
   readonly #meter: TrafficMeter | undefined;
-  readonly #agent = new Agent({ keepAlive: true, maxSockets: MAXIMUM_SOCKETS });
+  readonly #agent: Agent;
 
-  private constructor(address: ServiceAddress, meter?: TrafficMeter) {
+  private constructor(
+    address: ServiceAddress,
+    meter: TrafficMeter | undefined,
+    maxSockets: number,
+  ) {
     this.#address = address;
     this.#meter = meter;
+    this.#agent = new Agent({ keepAlive: true, maxSockets });
   }
 
-  static create(address: ServiceAddress, meter?: TrafficMeter): HttpClient {
-    return new HttpClient(address, meter);
+  static create(
+    address: ServiceAddress,
+    meter?: TrafficMeter,
+    maxSockets = MAXIMUM_SOCKETS,
+  ): HttpClient {
+    return new HttpClient(address, meter, maxSockets);
   }
 
   close(): void {
@@ -75,6 +85,7 @@
         headers: {
           "content-length": body.byteLength,
           "content-type": "application/json",
+          ...exchange.headers,
         },
       });
       const timer = setTimeout(
--- a/packages/ports/mod.ts
+++ b/packages/ports/mod.ts
@@ -10,3 +10,4 @@
 export * from "./table/settlement.ts";
 export * from "./table/types.ts";
 export * from "./table/write_gate.ts";
+export * from "./cell/types.ts";
--- /dev/null
+++ b/scripts/build_system.mjs
@@ -0,0 +1,26 @@
+/**
+ * Bundles the daemon for the users' platform into one file under `target/`, third-party packages
+ * included, so that a start loads one file only.
+ */
+import { build } from "esbuild";
+
+await build({
+  entryPoints: {
+    coltsfootpond_scheduler: "apps/coltsfootpond_scheduler/main.ts",
+  },
+  outdir: "target",
+  outExtension: { ".js": ".cjs" },
+  bundle: true,
+  platform: "node",
+  target: "node20",
+  format: "cjs",
+  minifySyntax: true,
+  legalComments: "none",
+  alias: {
+    "@coltsfootpond/common": "./packages/common/mod.ts",
+    "@coltsfootpond/policy": "./packages/policy/mod.ts",
+    "@coltsfootpond/ports": "./packages/ports/mod.ts",
+    "@coltsfootpond/node": "./packages/node/mod.ts",
+    "@coltsfootpond/platform": "./platform/mod.ts",
+  },
+});
