--- a/packages/node/cell/caller_filters.ts
+++ b/packages/node/cell/caller_filters.ts
@@ -200,7 +200,7 @@
         reason: outcome.state,
       };
     case "absent":
-      return { status: STATUS.GONE, reason: "no such job" };
+      return { status: STATUS.GONE, reason: `no such job: ${outcome.reason}` };
     case "unknown":
       return unavailable("the store does not answer");
   }
--- a/packages/node/cell/job_ledger.ts
+++ b/packages/node/cell/job_ledger.ts
@@ -42,7 +42,7 @@
 };
 export type StateOutcome =
   | { readonly kind: "state"; readonly state: JobState }
-  | { readonly kind: "absent" }
+  | { readonly kind: "absent"; readonly reason: string }
   | { readonly kind: "unknown" };
 
 export interface JobLedgerOptions {
@@ -164,12 +164,12 @@
     const known = this.#options.follower.get(jobKey(jobId));
     const row = known ?? await this.#lookUp(jobId, untilMs);
     if (row === "unknown") return { kind: "unknown" };
-    if (row?.value === undefined) return { kind: "absent" };
+    if (row?.value === undefined) return absent("no row");
     const job = decodeRow<JobRow>(row.value);
-    if (!belongsTo(job, requester)) return { kind: "absent" };
+    if (!belongsTo(job, requester)) return absent("of another organisation");
     switch (job.kind) {
       case "barred":
-        return { kind: "absent" };
+        return absent("cancelled before it was submitted");
       case "ended":
         return { kind: "state", state: job.state };
       case "live":
@@ -257,6 +257,10 @@
   }
 }
 
+function absent(reason: string): StateOutcome {
+  return { kind: "absent", reason };
+}
+
 function belongsTo(job: JobRow, { organisation }: JobRequester): boolean {
   switch (job.kind) {
     case "live":
--- a/packages/node/cell/progress_writer.ts
+++ b/packages/node/cell/progress_writer.ts
@@ -15,6 +15,7 @@
 import {
   decodeRow,
   encodeRow,
+  type EndedState,
   jobKey,
   type JobRow,
   progressKey,
@@ -48,7 +49,8 @@
 
 interface JobWrite {
   readonly job: LiveJob;
-  readonly writeId: string;
+  /** The end that the write records; the job may end while its progress is being written. */
+  readonly ending: EndedState | undefined;
   readonly value: Uint8Array;
 }
 
@@ -167,7 +169,11 @@
     job.writeIds.add(writeId);
     if (job.ending === undefined) {
       const record = job.progress.toRecord();
-      return { job, writeId, value: encodeRow({ writeId, record }) };
+      return {
+        job,
+        ending: undefined,
+        value: encodeRow({ writeId, record }),
+      };
     }
     const { queue, organisation } = job.spec;
     const row: JobRow = {
@@ -177,19 +183,19 @@
       organisation,
       endedUnixMs: this.#options.nowUnixMs(),
     };
-    return { job, writeId, value: encodeRow(row) };
+    return { job, ending: job.ending, value: encodeRow(row) };
   }
 
-  #confirm({ job, value }: JobWrite, version: number): void {
+  #confirm({ job, ending, value }: JobWrite, version: number): void {
     const { follower, onClosed, log } = this.#options;
     const progress = progressKey(job.jobId);
-    if (job.ending === undefined) {
+    if (ending === undefined) {
       job.progressVersion = version;
       job.writeIds.clear();
       follower.apply([{ key: progress, version, value }]);
       return;
     }
-    log.info("job.ended", { job: job.jobId, state: job.ending });
+    log.info("job.ended", { job: job.jobId, state: ending });
     this.#dirty.delete(job);
     follower.apply([
       { key: jobKey(job.jobId), version, value },
@@ -235,13 +241,13 @@
   const conditions: StateCondition[] = [];
   const puts: { readonly key: string; readonly value: Uint8Array }[] = [];
   const deletes: string[] = [];
-  for (const { job, value } of writes) {
+  for (const { job, ending, value } of writes) {
     const progress = progressKey(job.jobId);
     conditions.push(
       { key: jobKey(job.jobId), version: job.rowVersion },
       { key: progress, version: job.progressVersion },
     );
-    if (job.ending === undefined) {
+    if (ending === undefined) {
       puts.push({ key: progress, value });
     } else {
       puts.push({ key: jobKey(job.jobId), value });
--- a/packages/node/cell/progress_writer_test.ts
+++ b/packages/node/cell/progress_writer_test.ts
@@ -2,6 +2,7 @@
 import { expect } from "chai";
 import { ProgressWriter } from "./progress_writer.ts";
 import { SILENT_LOG } from "./log.ts";
+import { decodeRow, encodeRow, type JobRow } from "./rows.ts";
 import { TableFollower } from "./table_follower.ts";
 import { createJob, createStoreFake } from "./test_fixtures.ts";
 
@@ -47,4 +48,50 @@
     expect(confirmed).to.be.greaterThan(0);
     expect(store.keys()).to.deep.equal(["p/00000000000000aa"]);
   });
+
+  it("stores a job's end that comes while its progress is being written", async () => {
+    const clock = ManualClock.create();
+    const store = createStoreFake();
+    const job = createJob("00000000000000bb");
+    await store.transact({
+      conditions: [],
+      puts: [{
+        key: "j/00000000000000bb",
+        value: encodeRow({ kind: "live", spec: job.spec }),
+      }],
+      deletes: [],
+    }, 1);
+    job.rowVersion = 1;
+    const writer = ProgressWriter.create({
+      store: {
+        ...store,
+        transact: (transaction, timeoutMs) => {
+          if (job.ending === undefined) {
+            job.ending = "completed";
+            writer.mark(job, true);
+          }
+          return store.transact(transaction, timeoutMs);
+        },
+      },
+      follower: TableFollower.create({
+        table: "state",
+        store,
+        clock,
+        random: { next: () => 0 },
+        log: SILENT_LOG,
+      }),
+      clock,
+      nowUnixMs: () => 0,
+      log: SILENT_LOG,
+      canAct: () => true,
+      snapshotEnds: () => () => {},
+      onClosed: () => {},
+      onOvertaken: () => {},
+    });
+    writer.mark(job, true);
+    await clock.advance(1_000);
+    expect(store.keys()).to.deep.equal(["j/00000000000000bb"]);
+    const row = store.rows().get("j/00000000000000bb");
+    expect(decodeRow<JobRow>(row!.value!).kind).to.equal("ended");
+  });
 });
