--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -367,16 +367,18 @@
   /** Ends the unit's run: every member that may still run is told to stop. */
   #closeRun(unit: Unit, reason: string): void {
     const { run } = unit;
-    if (run === undefined || run.isClosing) return;
-    run.isClosing = true;
-    this.#options.log.info("unit.closing", {
-      unit: describeUnit(unit),
-      run: run.run,
-      reason,
-      members: run.members.size,
-    });
-    for (const [member, session] of run.members) {
-      void session.stopMember(member);
+    if (run === undefined) return;
+    if (!run.isClosing) {
+      run.isClosing = true;
+      this.#options.log.info("unit.closing", {
+        unit: describeUnit(unit),
+        run: run.run,
+        reason,
+        members: run.members.size,
+      });
+      for (const [member, session] of run.members) {
+        void session.stopMember(member);
+      }
     }
     this.#finishRun(unit, run);
   }
@@ -416,9 +418,7 @@
     session.pausedUntilMs = this.#options.clock.nowMs() + REFUSED_PAUSE_MS;
     void session.quickPoll();
     const unit = this.#dropMember(member);
-    if (unit?.run === undefined) return;
-    this.#closeRun(unit, `start refused: ${reason}`);
-    this.#finishRun(unit, unit.run);
+    if (unit !== undefined) this.#closeRun(unit, `start refused: ${reason}`);
   }
 
   onUnsure(session: WorkerSession, member: Member): void {
@@ -441,10 +441,9 @@
       reason,
     });
     const unit = this.#dropMember(member);
-    if (unit?.run === undefined) return;
+    if (unit === undefined) return;
     unit.job.progress.recordCheckpoint(unit.address, member.checkpoint);
     this.#closeRun(unit, reason);
-    this.#finishRun(unit, unit.run);
   }
 
   onEnded(session: WorkerSession, ended: EndedTask, member?: Member): void {
@@ -459,17 +458,17 @@
     if (unit !== undefined) this.#takeUnitEnd(session, unit, ended);
     const own = member === undefined ? undefined : unit;
     if (own?.run !== undefined && own.run.run === ended.run) {
-      this.#finishOrClose(own, own.run, ended);
+      this.#continueEnd(own, own.run, ended);
     }
     this.#writer.markEnds();
     this.#requestRound();
   }
 
-  #finishOrClose(unit: Unit, run: UnitRun, ended: EndedTask): void {
+  /** The other members of a gang that is done are left to list their own ends. */
+  #continueEnd(unit: Unit, run: UnitRun, ended: EndedTask): void {
     if (ended.end !== RUN_END.DONE || run.members.size === 0) {
       this.#closeRun(unit, `a member ended ${ended.end}`);
     }
-    this.#finishRun(unit, run);
   }
 
   #takeUnitEnd(session: WorkerSession, unit: Unit, ended: EndedTask): void {
