Settle found runs after all workers have reported; end leases of silent workers

Ruled out: fencing, two holders at a time (one process held both epochs). Found runs are settled once all have reported, and a unit with a stray starts nothing. (2) Found by the new test: each renewal sent to a cut worker moved its reckoned lease on for ever. Tests: a manual-clock world of workers, store and scheduler; each fails without its mend.

--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -92,12 +92,16 @@
   readonly onOvertaken: (reason: string) => void;
 }
 
+const NO_RESOURCES = { cpuMilli: 0, memoryMib: 0, accelerators: 0 };
+
 /** Schedules all jobs of the cell while its lease is held. */
 export class CellScheduler implements SessionListener {
   readonly #options: CellSchedulerOptions;
   readonly #jobs = new Map<CellJobId, LiveJob>();
   readonly #sessions = new Map<WorkerName, WorkerSession>();
   readonly #unitByMember = new Map<Member, Unit>();
+  /** Runs found on workers that belong to no unit's run. */
+  readonly #strays = new Map<Member, WorkerSession>();
   readonly #failedJobs = new Map<WorkerName, Set<CellJobId>>();
   readonly #writer: ProgressWriter;
   readonly #directory: WorkerDirectory;
@@ -156,6 +160,9 @@
     await this.#awaitReports();
     if (this.#isStopped) return;
     this.#isReady = true;
+    for (const [member, session] of [...this.#strays]) {
+      this.#settleStray(member, session);
+    }
     log.info("scheduler.ready", {
       epoch: this.#options.epoch,
       jobs: this.#jobs.size,
@@ -284,9 +291,11 @@
     if (!canAct()) return;
     const nowMs = clock.nowMs();
     const unresolved = this.#hasUnresolvedWorkers();
+    const strayUnits = this.#findStrayUnits();
     const isBlocked = (unit: Unit) =>
+      strayUnits.has(describeUnit(unit)) ||
       unresolved && !unit.wasSeen &&
-      unit.job.rowVersion <= this.#options.takenVersion;
+        unit.job.rowVersion <= this.#options.takenVersion;
     const input = createPlanInput({
       jobs: [...this.#jobs.values()].filter((job) => job.ending === undefined),
       workers: this.#createViews(nowMs),
@@ -395,6 +404,7 @@
 
   #dropMember(member: Member): Unit | undefined {
     const unit = this.#unitByMember.get(member);
+    this.#strays.delete(member);
     this.#unitByMember.delete(member);
     unit?.run?.members.delete(member);
     return unit;
@@ -515,17 +525,26 @@
   }
 
   onStray(session: WorkerSession, running: RunningTask): void {
-    const unit = this.#findUnit(running.task);
-    const facts = {
-      need: unit === undefined
-        ? { cpuMilli: 0, memoryMib: 0, accelerators: 0 }
-        : countedNeed(unit.step),
-      stepKey: unit?.stepKey ?? "",
-    };
-    const member = session.adopt(running, facts);
-    if (unit !== undefined && this.#mayAdopt(unit, running.run)) {
+    const name = parseTaskName(running.task);
+    const job = name && this.#jobs.get(name.jobId);
+    const step = name && job?.spec.steps[name.step];
+    const member = session.adopt(running, {
+      need: step === undefined ? NO_RESOURCES : countedNeed(step),
+      stepKey: name === undefined
+        ? ""
+        : `${name.jobId}.${name.occurrence}.${name.step}`,
+    });
+    this.#strays.set(member, session);
+    // Until all have reported, an end that makes the task's step due may still be missing.
+    if (this.#isReady) this.#settleStray(member, session);
+  }
+
+  /** Takes a found run over, or stops it; its unit starts nothing before it is gone. */
+  #settleStray(member: Member, session: WorkerSession): void {
+    const unit = this.#findUnit(member.task);
+    if (unit !== undefined && this.#mayAdopt(unit, member.run)) {
       unit.run ??= {
-        run: running.run,
+        run: member.run,
         members: new Map(),
         startedMs: this.#options.clock.nowMs(),
         isClosing: false,
@@ -534,16 +553,28 @@
       unit.job.hasBegun = true;
       unit.run.members.set(member, session);
       this.#unitByMember.set(member, unit);
+      this.#strays.delete(member);
       return;
     }
     this.#options.log.warn("task.stray", {
-      task: running.task,
-      run: running.run,
+      task: member.task,
+      run: member.run,
       worker: session.worker,
     });
     void session.stopMember(member);
   }
 
+  /** Units of which a run that is not theirs may still be at work. */
+  #findStrayUnits(): ReadonlySet<string> {
+    return new Set([...this.#strays.keys()].map(({ task }) => {
+      const name = parseTaskName(task);
+      const step = name && this.#jobs.get(name.jobId)?.spec.steps[name.step];
+      if (name === undefined || step === undefined) return task;
+      const index = step.isGang ? 0 : name.index;
+      return `${name.jobId}.${formatUnitKey({ ...name, index })}`;
+    }));
+  }
+
   /** Runs of earlier holders are taken over unless a newer run of the unit is under way. */
   #mayAdopt(unit: Unit, run: number): boolean {
     if (run > this.#options.epoch * RUNS_PER_EPOCH) return false;
--- /dev/null
+++ b/packages/node/cell/cell_scheduler_test.ts
@@ -0,0 +1,143 @@
+import { expect } from "chai";
+import { CellWorld } from "./cell_world.ts";
+import { createSpec, createStep } from "./test_fixtures.ts";
+
+const JOB = "00000000000000cc";
+
+describe("cell scheduler", () => {
+  it("runs the steps of a job in order and stores its end", async () => {
+    const world = CellWorld.create(["a", "b"]);
+    const spec = createSpec(JOB, {
+      steps: [createStep({ count: 2 }), createStep({ after: [0] })],
+    });
+    await world.submit(spec);
+    world.startScheduler();
+    await world.clock.advance(1_000);
+    expect(world.history.map(({ task }) => task).sort()).to.deep.equal([
+      `${JOB}.0.0.0`,
+      `${JOB}.0.0.1`,
+    ]);
+    world.workers.forEach((worker) =>
+      worker.running.forEach((task) => worker.end(task, "done"))
+    );
+    await world.clock.advance(1_000);
+    expect(world.runsOf(`${JOB}.0.1.0`)).to.have.length(1);
+    world.workers.forEach((worker) =>
+      worker.running.forEach((task) => worker.end(task, "done"))
+    );
+    await world.clock.advance(1_000);
+    expect(world.readJob(spec)).to.include({ state: "completed" });
+  });
+
+  it("fails a job after its attempts and starts it no more", async () => {
+    const world = CellWorld.create(["a", "b", "c", "d"]);
+    const spec = createSpec(JOB, { maximumAttempts: 2 });
+    await world.submit(spec);
+    world.startScheduler();
+    for (let second = 0; second < 20; second++) {
+      await world.clock.advance(1_000);
+      world.workers.forEach((worker) =>
+        worker.running.forEach((task) => worker.end(task, "failed"))
+      );
+    }
+    expect(world.history).to.have.length(2);
+    expect(world.readJob(spec)).to.include({ state: "failed" });
+  });
+
+  it("never runs a task twice when its start is carried out late", async () => {
+    const world = CellWorld.create(["a", "b"]);
+    const spec = createSpec(JOB, {
+      steps: [createStep({ count: 2, isGang: true })],
+    });
+    await world.submit(spec);
+    world.get("a").startDelayMs = 2_000;
+    world.startScheduler();
+    await world.clock.advance(900);
+    world.get("a").startDelayMs = undefined;
+    await world.clock.advance(8_000);
+    expect(world.countOverlaps()).to.equal(0);
+    const running = [...world.workers.values()].flatMap((worker) =>
+      worker.running
+    );
+    expect(running).to.have.length(2);
+  });
+
+  it("starts tasks of a cut worker elsewhere only after their lease", async () => {
+    const world = CellWorld.create(["a", "b"]);
+    const spec = createSpec(JOB);
+    await world.submit(spec);
+    world.startScheduler();
+    await world.clock.advance(3_000);
+    const cut = [...world.workers.values()].find(({ running }) =>
+      running.length > 0
+    )!;
+    cut.isCut = true;
+    await world.clock.advance(20_000);
+    expect(world.countOverlaps()).to.equal(0);
+    expect(world.history).to.have.length(2);
+    expect(world.history[0]!.end).to.equal("lapsed");
+  });
+
+  it("takes running tasks over from a holder that died", async () => {
+    const world = CellWorld.create(["a", "b"]);
+    const spec = createSpec(JOB, { steps: [createStep({ count: 4 })] });
+    await world.submit(spec);
+    const first = world.startScheduler();
+    await world.clock.advance(1_000);
+    first.stop();
+    await world.clock.advance(1_000);
+    world.startScheduler();
+    await world.clock.advance(5_000);
+    expect(world.history).to.have.length(4);
+    expect(world.countOverlaps()).to.equal(0);
+  });
+
+  it("takes a later step over although the end of the earlier one is not stored", async () => {
+    const world = CellWorld.create(["a", "b"]);
+    const spec = createSpec(JOB, {
+      steps: [createStep(), createStep({ count: 6, after: [0] })],
+    });
+    await world.submit(spec);
+    let isStoreAway = false;
+    const { transact } = world.store;
+    world.store.transact = (...call) =>
+      isStoreAway
+        ? Promise.resolve({
+          kind: "unavailable",
+          effect: "refused",
+          reason: "test",
+        })
+        : transact(...call);
+    const first = world.startScheduler();
+    await world.clock.advance(1_000);
+    isStoreAway = true;
+    world.workers.forEach((worker) =>
+      worker.running.forEach((task) => worker.end(task, "done"))
+    );
+    await world.clock.advance(1_000);
+    expect(world.history).to.have.length(7);
+    first.stop();
+    isStoreAway = false;
+    world.startScheduler();
+    await world.clock.advance(5_000);
+    expect(world.countOverlaps()).to.equal(0);
+    expect(world.history).to.have.length(7);
+  });
+
+  it("starts nothing of old jobs while a worker may run it unseen", async () => {
+    const world = CellWorld.create(["a", "b"]);
+    const spec = createSpec(JOB);
+    await world.submit(spec);
+    const first = world.startScheduler();
+    await world.clock.advance(1_000);
+    first.stop();
+    const holder = [...world.workers.values()].find(({ running }) =>
+      running.length > 0
+    )!;
+    holder.isCut = true;
+    world.startScheduler();
+    await world.clock.advance(20_000);
+    expect(world.countOverlaps()).to.equal(0);
+    expect(world.history).to.have.length(2);
+  });
+});
--- /dev/null
+++ b/packages/node/cell/cell_world.ts
@@ -0,0 +1,158 @@
+/** A store, workers and a scheduler on one manual clock, for the tests of the cell. */
+import {
+  ManualClock,
+  SeededRandom,
+  type WorkerName,
+} from "@coltsfootpond/common";
+import type { CellJobSpec, TaskName } from "@coltsfootpond/policy";
+import type { CellSettings, RecordWire } from "@coltsfootpond/ports";
+import { CellScheduler } from "./cell_scheduler.ts";
+import { DeclaredStateTask } from "./declared_state.ts";
+import { SILENT_LOG } from "./log.ts";
+import { decodeRow, encodeRow, jobKey, type JobRow } from "./rows.ts";
+import { TableFollower } from "./table_follower.ts";
+import { createStoreFake, type StoreFake } from "./test_fixtures.ts";
+import {
+  createOrdersFake,
+  type RunHistory,
+  WorkerFake,
+} from "./workers_fake.ts";
+
+export const WORLD_BOUNDS = {
+  leaseMaximumMs: 6_000,
+  stopTimeoutMs: 200,
+  gangTimeoutMs: 3_000,
+  earlyMs: 250,
+  remoteFactor: 3,
+  shutdownGraceMs: 6_000,
+  restoreMs: 250,
+  checkpointPeriodMs: 1_000,
+} as const;
+
+const LAPSE_CHECK_MS = 10;
+
+/** The world. */
+export class CellWorld {
+  readonly clock = ManualClock.create();
+  readonly store: StoreFake = createStoreFake();
+  readonly history: RunHistory[] = [];
+  readonly workers = new Map<WorkerName, WorkerFake>();
+  #epoch = 0;
+
+  private constructor() {}
+
+  static create(workerNames: readonly string[]): CellWorld {
+    const world = new CellWorld();
+    for (const name of workerNames) {
+      const worker = WorkerFake.create(name, world.clock, world.history);
+      world.workers.set(worker.record.worker, worker);
+    }
+    world.clock.every(
+      LAPSE_CHECK_MS,
+      () => world.workers.forEach((worker) => worker.expire()),
+    );
+    return world;
+  }
+
+  get(name: string): WorkerFake {
+    return this.workers.get(name as WorkerName)!;
+  }
+
+  async submit(spec: CellJobSpec): Promise<void> {
+    await this.store.transact({
+      conditions: [],
+      puts: [{
+        key: jobKey(spec.jobId),
+        value: encodeRow({ kind: "live", spec }),
+      }],
+      deletes: [],
+    }, 1);
+  }
+
+  /** The job's row as the store holds it. */
+  readJob(spec: CellJobSpec): JobRow | undefined {
+    const row = this.store.rows().get(jobKey(spec.jobId));
+    return row?.value && decodeRow<JobRow>(row.value);
+  }
+
+  /** A scheduler of a new epoch; `stop` leaves the workers as they are. */
+  startScheduler(canAct: () => boolean = () => true): CellScheduler {
+    const { clock, store } = this;
+    const common = {
+      store,
+      clock,
+      random: SeededRandom.create(1),
+      log: SILENT_LOG,
+    };
+    const follower = TableFollower.create({ table: "state", ...common });
+    const operators = TableFollower.create({ table: "operators", ...common });
+    const wire = this.#createWire();
+    const scheduler = CellScheduler.create({
+      epoch: ++this.#epoch,
+      takenVersion: Math.max(
+        0,
+        ...[...store.rows().values()].map(({ version }) => version),
+      ),
+      settings: {
+        workerHeartbeatMs: 1_500,
+        bounds: WORLD_BOUNDS,
+      } as CellSettings,
+      store: { ...store, read: (table, ...rest) => this.#read(table, ...rest) },
+      orders: createOrdersFake(this.workers, clock),
+      wire,
+      follower,
+      declared: DeclaredStateTask.create({
+        follower: operators,
+        wire,
+        log: SILENT_LOG,
+      }),
+      clock,
+      nowUnixMs: () => clock.nowMs(),
+      log: SILENT_LOG,
+      canAct,
+      onOvertaken: () => scheduler.stop(),
+    });
+    clock.every(10, () => void this.#refresh(follower));
+    void scheduler.start();
+    return scheduler;
+  }
+
+  /** The most runs of one task that were at work at a time. */
+  countOverlaps(): number {
+    return this.history.filter((run, position) =>
+      this.history.some((other, otherPosition) =>
+        otherPosition > position && other.task === run.task &&
+        other.startedMs < (run.endedMs ?? Infinity)
+      )
+    ).length;
+  }
+
+  runsOf(task: string): readonly RunHistory[] {
+    return this.history.filter((run) => run.task === task as TaskName);
+  }
+
+  async #refresh(follower: TableFollower): Promise<void> {
+    const outcome = await this.store.read("state", {}, 1);
+    if (outcome.kind === "rows") {
+      follower.reflect(outcome.version, outcome.rows);
+    }
+  }
+
+  #read(...[table, range, timeoutMs]: Parameters<StoreFake["read"]>) {
+    if (table !== "workers") return this.store.read(table, range, timeoutMs);
+    const rows = [...this.workers.keys()].map((key) => ({
+      key,
+      version: 1,
+      value: new Uint8Array(0),
+    }));
+    return Promise.resolve({ kind: "rows", rows, version: 1 } as const);
+  }
+
+  #createWire(): RecordWire {
+    return {
+      decodeDeclaredState: () => undefined,
+      decodeWorker: (key) => this.get(key).record,
+      classifyOperatorRow: () => ({ kind: "other" }),
+    };
+  }
+}
--- a/packages/node/cell/table_follower.ts
+++ b/packages/node/cell/table_follower.ts
@@ -113,7 +113,7 @@
       !present.has(row.key)
     ).map(({ key }) => ({ key, version: outcome.version, value: undefined }));
     this.#isLoaded = true;
-    this.#finish(outcome.version, [...outcome.rows, ...gone]);
+    this.reflect(outcome.version, [...outcome.rows, ...gone]);
     log.info("store.table_read", {
       table,
       rows: outcome.rows.length,
@@ -141,7 +141,7 @@
         return true;
       case "rows":
         if (this.#isOld(outcome.version)) return false;
-        this.#finish(outcome.version, outcome.rows);
+        this.reflect(outcome.version, outcome.rows);
         return true;
     }
   }
@@ -153,7 +153,8 @@
     return true;
   }
 
-  #finish(version: number, rows: readonly StateRow[]): void {
+  /** Takes rows that reflect all changes up to `version`. */
+  reflect(version: number, rows: readonly StateRow[]): void {
     this.#version = version;
     this.#contactMs = this.#options.clock.nowMs();
     const changed = rows.filter((row) => this.#take(row));
--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -334,7 +334,8 @@
           if (!this.#needsPoll()) return;
         }
         await this.#awaitStored();
-        const isAnswered = await this.#poll(this.hasMembers ? POLL_WAIT_MS : 0);
+        const isWaiting = this.hasMembers && this.#failures === 0;
+        const isAnswered = await this.#poll(isWaiting ? POLL_WAIT_MS : 0);
         if (!isAnswered) await this.#options.clock.sleep(RETRY_PAUSE_MS);
       }
     } finally {
@@ -364,9 +365,10 @@
   /** True when the worker answered. */
   async #poll(waitMs: number): Promise<boolean> {
     const { orders, epoch, canAct, clock } = this.#options;
-    // Without the certainty of holding the lease, nothing is extended.
+    // Nothing is extended without the certainty of holding the scheduler's lease, nor for a worker
+    // that did not answer: an unanswered renewal may have been carried out.
     const leaseUntilMs = this.#clockSample !== undefined && canAct() &&
-        this.hasMembers
+        this.hasMembers && this.#failures === 0
       ? this.#leaseFor(this.#options.bounds.leaseMaximumMs)
       : undefined;
     const acknowledgedEnd = this.#persistedEnd;
--- /dev/null
+++ b/packages/node/cell/workers_fake.ts
@@ -0,0 +1,235 @@
+/**
+ * Workers in memory for the tests of the cell, on a manual clock: room, leases, runs that end,
+ * ends that are listed until acknowledged, epochs, and calls that are lost or carried out late.
+ */
+import {
+  createId,
+  type FailureDomainName,
+  type ManualClock,
+  type RackName,
+  type ServiceName,
+  type WorkerName,
+} from "@coltsfootpond/common";
+import type { RunEnd, TaskName } from "@coltsfootpond/policy";
+import type {
+  EndedTask,
+  RenewOrder,
+  RenewOutcome,
+  StartOrder,
+  StartOutcome,
+  StopOrder,
+  StopOutcome,
+  Unavailable,
+  WorkerOrders,
+  WorkerRecord,
+  WorkerStamp,
+} from "@coltsfootpond/ports";
+
+const UNANSWERED: Unavailable = {
+  kind: "unavailable",
+  effect: "lost",
+  reason: "no answer",
+};
+
+interface Run {
+  readonly task: TaskName;
+  readonly run: number;
+  readonly startedMs: number;
+}
+
+/** One run of a task as it happened, for checks. */
+export interface RunHistory {
+  readonly worker: WorkerName;
+  readonly task: TaskName;
+  readonly run: number;
+  readonly startedMs: number;
+  endedMs?: number;
+  end?: RunEnd;
+}
+
+/** One worker. */
+export class WorkerFake {
+  readonly record: WorkerRecord;
+  readonly #clock: ManualClock;
+  readonly #history: RunHistory[];
+  readonly #runs = new Map<TaskName, Run>();
+  readonly #stoppedRuns = new Map<TaskName, number>();
+  #ends: EndedTask[] = [];
+  #endNumber = 0;
+  #epoch = 0;
+  #leaseUntilMs = 0;
+  /** Calls get no answer and are not carried out. */
+  isCut = false;
+  /** Starts get no answer and are carried out this much later; undefined for at once. */
+  startDelayMs: number | undefined;
+
+  private constructor(
+    name: string,
+    clock: ManualClock,
+    history: RunHistory[],
+  ) {
+    this.#clock = clock;
+    this.#history = history;
+    this.record = {
+      worker: createId<WorkerName>(name),
+      service: createId<ServiceName>("service"),
+      address: `${name}:1`,
+      failureDomain: createId<FailureDomainName>("domain"),
+      rack: createId<RackName>("rack"),
+      labels: [],
+      capacity: { cpuMilli: 8_000, memoryMib: 8_000, accelerators: 8 },
+      isDraining: false,
+      remainingMs: undefined,
+      coldRemainingMs: 0,
+      heartbeat: 1,
+      lifeUnixMs: 1,
+    };
+  }
+
+  static create(
+    name: string,
+    clock: ManualClock,
+    history: RunHistory[],
+  ): WorkerFake {
+    return new WorkerFake(name, clock, history);
+  }
+
+  get running(): readonly TaskName[] {
+    return [...this.#runs.keys()];
+  }
+
+  /** Kills what runs past its lease. */
+  expire(): void {
+    if (this.#clock.nowMs() < this.#leaseUntilMs) return;
+    for (const task of [...this.#runs.keys()]) this.end(task, "lapsed");
+  }
+
+  end(task: TaskName, end: RunEnd): void {
+    const run = this.#runs.get(task);
+    if (run === undefined) return;
+    this.#runs.delete(task);
+    this.#ends.push({
+      number: ++this.#endNumber,
+      task,
+      run: run.run,
+      end,
+      checkpoint: "",
+    });
+    const entry = this.#history.find((other) =>
+      other.task === task && other.run === run.run &&
+      other.worker === this.record.worker
+    );
+    if (entry !== undefined) {
+      entry.endedMs = this.#clock.nowMs();
+      entry.end = end;
+    }
+  }
+
+  start(order: StartOrder): StartOutcome {
+    if (this.isCut) return UNANSWERED;
+    if (this.startDelayMs !== undefined) {
+      this.#clock.after(this.startDelayMs, () => void this.#run(order));
+      return UNANSWERED;
+    }
+    return this.#run(order);
+  }
+
+  stop({ task, run, epoch }: StopOrder): StopOutcome {
+    if (this.isCut) return UNANSWERED;
+    if (epoch < this.#epoch) return { kind: "fenced" };
+    this.#stoppedRuns.set(
+      task,
+      Math.max(run, this.#stoppedRuns.get(task) ?? 0),
+    );
+    if ((this.#runs.get(task)?.run ?? Infinity) <= run) {
+      this.end(task, "stopped");
+    }
+    return { kind: "stopped", stamp: this.#stamp() };
+  }
+
+  renew(order: RenewOrder): RenewOutcome {
+    if (this.isCut) return UNANSWERED;
+    if (order.epoch < this.#epoch) return { kind: "fenced" };
+    this.#epoch = order.epoch;
+    this.#leaseUntilMs = Math.max(this.#leaseUntilMs, order.leaseUntilMs ?? 0);
+    this.#ends = this.#ends.filter(({ number }) =>
+      number > order.acknowledgedEnd
+    );
+    return {
+      kind: "report",
+      stamp: this.#stamp(),
+      running: [...this.#runs.values()].map(({ task, run, startedMs }) => ({
+        task,
+        run,
+        checkpoint: "",
+        percent: Math.min(99, (this.#clock.nowMs() - startedMs) / 100),
+      })),
+      ended: this.#ends,
+    };
+  }
+
+  #run(order: StartOrder): StartOutcome {
+    const stamp = this.#stamp();
+    const refuse = (reason: "fenced" | "superseded" | "expired") =>
+      ({ kind: "refused", reason, stamp }) as const;
+    if (order.epoch < this.#epoch) return refuse("fenced");
+    this.#epoch = order.epoch;
+    if (order.leaseUntilMs <= this.#clock.nowMs()) return refuse("expired");
+    if ((this.#stoppedRuns.get(order.task) ?? 0) >= order.run) {
+      return refuse("superseded");
+    }
+    this.#leaseUntilMs = Math.max(this.#leaseUntilMs, order.leaseUntilMs);
+    const startedMs = this.#clock.nowMs();
+    const { task, run } = order;
+    this.#runs.set(task, { task, run, startedMs });
+    this.#history.push({
+      worker: this.record.worker,
+      task,
+      run,
+      startedMs,
+    });
+    return { kind: "started", stamp };
+  }
+
+  #stamp(): WorkerStamp {
+    return { workerClockMs: this.#clock.nowMs(), lifeUnixMs: 1 };
+  }
+}
+
+/** Orders to fake workers; answers take a moment, long polls wait for an end. */
+export function createOrdersFake(
+  workers: ReadonlyMap<WorkerName, WorkerFake>,
+  clock: ManualClock,
+): WorkerOrders {
+  const CALL_MS = 2;
+  const get = (worker: WorkerName) => workers.get(worker)!;
+  return {
+    start: async ({ worker }, order, timeoutMs) => {
+      await clock.sleep(CALL_MS);
+      const outcome = get(worker).start(order);
+      if (outcome.kind === "unavailable") await clock.sleep(timeoutMs);
+      return outcome;
+    },
+    stop: async ({ worker }, order, timeoutMs) => {
+      await clock.sleep(CALL_MS);
+      const outcome = get(worker).stop(order);
+      if (outcome.kind === "unavailable") await clock.sleep(timeoutMs);
+      return outcome;
+    },
+    renew: async ({ worker }, order, timeoutMs) => {
+      await clock.sleep(CALL_MS);
+      let outcome = get(worker).renew(order);
+      const untilMs = clock.nowMs() + order.waitMs;
+      while (
+        outcome.kind === "report" && outcome.ended.length === 0 &&
+        clock.nowMs() < untilMs
+      ) {
+        await clock.sleep(CALL_MS * 5);
+        outcome = get(worker).renew({ ...order, leaseUntilMs: undefined });
+      }
+      if (outcome.kind === "unavailable") await clock.sleep(timeoutMs);
+      return outcome;
+    },
+    forget: () => {},
+  };
+}
