--- a/packages/node/cell/cell_scheduler_test.ts
+++ b/packages/node/cell/cell_scheduler_test.ts
@@ -93,9 +93,13 @@
   });
 
   it("takes a later step over although the end of the earlier one is not stored", async () => {
-    const world = CellWorld.create(["a", "b"]);
+    // The worker of the later step reports before the one that lists the end.
+    const world = CellWorld.create(["later", "earlier"]);
     const spec = createSpec(JOB, {
-      steps: [createStep(), createStep({ count: 6, after: [0] })],
+      steps: [
+        createStep({ requiredLabel: "earlier" }),
+        createStep({ count: 6, after: [0], requiredLabel: "later" }),
+      ],
     });
     await world.submit(spec);
     let isStoreAway = false;
--- a/packages/node/cell/workers_fake.ts
+++ b/packages/node/cell/workers_fake.ts
@@ -76,7 +76,8 @@
       address: `${name}:1`,
       failureDomain: createId<FailureDomainName>("domain"),
       rack: createId<RackName>("rack"),
-      labels: [],
+      // Each worker alone has the label of its name, so that tests can place tasks.
+      labels: [name],
       capacity: { cpuMilli: 8_000, memoryMib: 8_000, accelerators: 8 },
       isDraining: false,
       remainingMs: undefined,
