Order waiting work by worth density; let urgent work evict at least cost

Changed: one order by worth that can still be won per work left; eviction plans worker by worker, paid for by work lost and lateness caused; remote places only for what is late already.

--- a/packages/node/cell/plan_input.ts
+++ b/packages/node/cell/plan_input.ts
@@ -1,13 +1,16 @@
 /** Turns the holder's state into the input of one planning round. */
 import type { OrganisationName } from "@coltsfootpond/common";
 import {
+  canMeetObjective,
+  type JobStanding,
   measureChain,
-  measureShare,
+  measureLateLoss,
   measureWork,
   type PlanInput,
   type QueueName,
   rankJob,
   type RunningUnit,
+  TIER,
   type WaitingUnit,
   type WorkerView,
 } from "@coltsfootpond/policy";
@@ -16,8 +19,16 @@
 
 /** Priority of jobs that a guarantee covers and that may make others give way. */
 const URGENT_PRIORITY = 0;
-/** Share of the work of a run that a stop throws away when it saves its progress. */
-const SAVED_LOSS_SHARE = 0.1;
+/** Work that a stop throws away although the task saves its progress: one period and a restore. */
+const SAVED_LOSS_MS = 1_200;
+/** About how long stopped work waits for another place. */
+const RESTART_WAIT_MS = 2_000;
+/** Worth of a core-second thrown away, and cores that an accelerator counts for (the users' prices). */
+const WASTE_PRICE = 0.0014;
+const CORES_PER_ACCELERATOR = 8;
+const MILLI = 1_000;
+/** Work that a guarantee covers waits this long for a place within one rack. */
+const LOCAL_WAIT_MS = 1_200;
 
 export interface PlanInputOptions {
   readonly jobs: readonly LiveJob[];
@@ -43,23 +54,35 @@
     const { spec } = job;
     const workMs = measureWork(spec.steps, capacity);
     const remainingWorkMs = measureRemainingWork(job, capacity);
-    const rank = rankJob({
+    const standing: JobStanding = {
       spec,
       chainMs: measureChain(spec.steps),
+      remainingChainMs: measureChain(
+        spec.steps,
+        (step) => job.progress.isStepDone(0, step),
+      ),
       workMs,
       remainingWorkMs,
       usualWorkMs: usualWork.get(spec.queue) ?? workMs,
       ageMs: options.nowUnixMs - spec.acceptedUnixMs,
       isEntitled: entitled.has(job),
-    });
+    };
+    const rank = rankJob(standing);
+    const evictionGain = spec.priority === URGENT_PRIORITY
+      ? measureLateLoss(standing, Number.POSITIVE_INFINITY)
+      : 0;
     for (const unit of job.units.values()) {
       if (unit.run !== undefined) {
-        running.push(createRunning(unit, capacity, nowMs));
+        running.push(createRunning(unit, standing, nowMs));
       } else if (!options.isBlocked(unit)) {
         waiting.push({
           unit,
           rank,
           waitedMs: nowMs - unit.waitingSinceMs,
+          allowRemote: !canMeetObjective(standing) ||
+            rank.tier === TIER.ENTITLED &&
+              nowMs - unit.waitingSinceMs > LOCAL_WAIT_MS,
+          evictionGain,
           service: spec.service,
           step: unit.step,
           stepKey: unit.stepKey,
@@ -74,13 +97,17 @@
 
 function createRunning(
   unit: Unit,
-  capacity: WorkerView["capacity"],
+  standing: JobStanding,
   nowMs: number,
 ): RunningUnit<Unit> {
   const { run, step, job } = unit;
   const elapsedMs = nowMs - (run?.startedMs ?? nowMs);
-  const share = measureShare(step.need, capacity) * unit.count;
-  const keptShare = step.savesProgress ? SAVED_LOSS_SHARE : 1;
+  const lostMs = step.savesProgress
+    ? Math.min(elapsedMs, SAVED_LOSS_MS)
+    : elapsedMs;
+  const cores = step.need.cpuMilli / MILLI +
+    step.need.accelerators * CORES_PER_ACCELERATOR;
+  const waste = cores * unit.count * lostMs / MILLI * WASTE_PRICE;
   return {
     unit,
     step,
@@ -88,7 +115,7 @@
     workers: [...run?.members.values() ?? []].map(({ worker }) => worker),
     isEvictable: job.spec.priority > URGENT_PRIORITY &&
       run?.isClosing === false,
-    lossMs: elapsedMs * share * keptShare,
+    evictionCost: waste + measureLateLoss(standing, lostMs + RESTART_WAIT_MS),
   };
 }
 
--- a/packages/policy/cell/plan_round.ts
+++ b/packages/policy/cell/plan_round.ts
@@ -1,18 +1,17 @@
 /**
  * One round of the cell scheduler: which waiting units start where, and which running units make
- * room for urgent work that a guarantee covers. Pure; the caller carries the plan out.
+ * room for others. Pure; the caller carries the plan out.
  */
 import type { WorkerName } from "@coltsfootpond/common";
+import { planEviction, type RunningUnit } from "./eviction.ts";
 import {
-  add,
-  countedNeed,
   createRoom,
   findFit,
   type FitRequest,
   type Room,
   takeRoom,
 } from "./fit.ts";
-import type { StepSpec, WorkerView } from "./types.ts";
+import type { WorkerView } from "./types.ts";
 import { compareRanks, type Rank, TIER } from "./worth.ts";
 
 /** A unit that could start. */
@@ -20,17 +19,10 @@
   readonly unit: Unit;
   readonly rank: Rank;
   readonly waitedMs: number;
-}
-
-/** A unit that runs. */
-export interface RunningUnit<Unit> {
-  readonly unit: Unit;
-  readonly step: StepSpec;
-  readonly stepKey: string;
-  readonly workers: readonly WorkerName[];
-  readonly isEvictable: boolean;
-  /** Work that an eviction would throw away, in worker-milliseconds. */
-  readonly lossMs: number;
+  /** May start away from its data or spread over racks, where it is slower. */
+  readonly allowRemote: boolean;
+  /** Worth that a start now earns over a start later; others may be stopped for less. */
+  readonly evictionGain: number;
 }
 
 export interface PlanInput<Unit> {
@@ -49,27 +41,22 @@
   readonly evictions: readonly Unit[];
 }
 
-/** How long a unit waits for a place near its data before it goes elsewhere. */
-const LOCAL_WAIT_MS = 1_500;
-/** Evictions of one round, so that a round stays short. */
-const MAXIMUM_EVICTIONS = 64;
+/** Units for which a round looks for victims, so that a round stays short. */
+const MAXIMUM_EVICTION_PLANS = 8;
 
 /** Plans one round. Units of equal rank keep their order. */
 export function planRound<Unit>(input: PlanInput<Unit>): RoundPlan<Unit> {
   const rooms = input.workers.map(createRoom);
   const placements: Placement<Unit>[] = [];
-  const evictions: Unit[] = [];
+  const evicted = new Set<RunningUnit<Unit>>();
   const fullSteps = new Set<string>();
-  const candidates = input.running.filter(({ isEvictable }) => isEvictable);
+  let evictionPlans = 0;
   const waiting = [...input.waiting].sort((left, right) =>
     compareRanks(left.rank, right.rank)
   );
   for (const request of waiting) {
     if (fullSteps.has(request.stepKey)) continue;
-    const fit = findFit(rooms, request, {
-      allowRemote: request.waitedMs >= LOCAL_WAIT_MS ||
-        request.rank.tier === TIER.ENTITLED,
-    });
+    const fit = findFit(rooms, request, request);
     if (fit !== undefined) {
       takeRoom(fit, request);
       placements.push({
@@ -79,57 +66,31 @@
       continue;
     }
     fullSteps.add(request.stepKey);
-    if (request.rank.tier !== TIER.ENTITLED) continue;
-    const victims = makeRoom(rooms, request, candidates, evictions);
-    for (const victim of victims) evictions.push(victim.unit);
+    const mayEvict = request.rank.tier === TIER.ENTITLED ||
+      request.evictionGain > 0;
+    if (!mayEvict || evictionPlans >= MAXIMUM_EVICTION_PLANS) continue;
+    evictionPlans++;
+    const open = input.running.filter((unit) => !evicted.has(unit));
+    makeRoom(rooms, request, open).forEach((unit) => evicted.add(unit));
   }
-  return { placements, evictions };
+  return { placements, evictions: [...evicted].map(({ unit }) => unit) };
 }
 
 /**
- * The running units whose end, beside those that are ending already, lets the request fit: the
- * cheapest first and no more than needed. Empty when none are needed or none suffice. Nothing
+ * The running units whose end, beside those that are ending already, lets the request fit. Nothing
  * else is placed in this round on the workers that the request waits for.
  */
 function makeRoom<Unit>(
   rooms: Room[],
-  request: FitRequest,
-  candidates: readonly RunningUnit<Unit>[],
-  chosen: readonly Unit[],
+  request: WaitingUnit<Unit>,
+  running: readonly RunningUnit<Unit>[],
 ): readonly RunningUnit<Unit>[] {
-  const trial = rooms.map((room) => ({
-    ...room,
-    free: add(room.free, room.view.releasing),
-  }));
-  const byWorker = new Map(trial.map((room) => [room.view.worker, room]));
-  const open = candidates.filter(({ unit }) => !chosen.includes(unit))
-    .sort((left, right) => left.lossMs - right.lossMs)
-    .slice(0, MAXIMUM_EVICTIONS);
-  const victims: RunningUnit<Unit>[] = [];
-  for (const next of [undefined, ...open]) {
-    if (next !== undefined) {
-      release(byWorker, next);
-      victims.push(next);
-    }
-    const fit = findFit(trial, request, { allowRemote: true });
-    if (fit === undefined) continue;
-    const used = new Set(fit.rooms.map(({ view }) => view.worker));
-    const others = rooms.filter(({ view }) => !used.has(view.worker));
-    rooms.splice(0, rooms.length, ...others);
-    return victims.filter(({ workers }) =>
-      workers.some((worker) => used.has(worker))
-    );
-  }
-  return [];
-}
-
-function release<Unit>(
-  rooms: ReadonlyMap<WorkerName, Room>,
-  victim: RunningUnit<Unit>,
-): void {
-  const need = countedNeed(victim.step);
-  for (const worker of victim.workers) {
-    const room = rooms.get(worker);
-    if (room !== undefined) room.free = add(room.free, need);
-  }
+  const plan = planEviction(rooms, request, running, request);
+  if (plan === undefined) return [];
+  const isWorthIt = request.rank.tier === TIER.ENTITLED ||
+    plan.cost < request.evictionGain;
+  if (!isWorthIt) return [];
+  const others = rooms.filter(({ view }) => !plan.workers.has(view.worker));
+  rooms.splice(0, rooms.length, ...others);
+  return plan.victims;
 }
--- a/packages/policy/cell/worth.ts
+++ b/packages/policy/cell/worth.ts
@@ -1,7 +1,7 @@
 /**
- * Order of waiting work: urgent work that a guarantee covers, then what can still meet its
- * objective, then what is late, each by worth per unit of remaining work (weighted shortest
- * processing time; Smith, 1956).
+ * Order of waiting work: urgent work that a guarantee covers, then by worth that can still be won
+ * per unit of remaining work (weighted shortest processing time; Smith, 1956), then what can earn
+ * nothing any more.
  */
 import type { CellJobSpec, CellResources, StepSpec } from "./types.ts";
 
@@ -44,12 +44,15 @@
   );
 }
 
-/** Longest chain of estimates through the steps. */
-export function measureChain(steps: readonly StepSpec[]): number {
+/** Longest chain of estimates through the steps, those that `isDone` names left out. */
+export function measureChain(
+  steps: readonly StepSpec[],
+  isDone: (step: number) => boolean = () => false,
+): number {
   const ends: number[] = [];
-  for (const step of steps) {
+  for (const [number, step] of steps.entries()) {
     const startMs = Math.max(0, ...step.after.map((other) => ends[other] ?? 0));
-    ends.push(startMs + step.estimateMs);
+    ends.push(startMs + (isDone(number) ? 0 : step.estimateMs));
   }
   return Math.max(0, ...ends);
 }
@@ -58,6 +61,8 @@
 export interface JobStanding {
   readonly spec: CellJobSpec;
   readonly chainMs: number;
+  /** The part of the chain that is not done. */
+  readonly remainingChainMs: number;
   /** All of its work and what is left of it, in worker-milliseconds. */
   readonly workMs: number;
   readonly remainingWorkMs: number;
@@ -74,7 +79,7 @@
   readonly density: number;
 }
 
-export const TIER = { ENTITLED: 0, IN_TIME: 1, LATE: 2, LOST: 3 } as const;
+export const TIER = { ENTITLED: 0, OPEN: 1, LOST: 2 } as const;
 
 /** Worth of a job that meets its objective. */
 export function estimateWorth(standing: JobStanding): number {
@@ -85,22 +90,38 @@
   return base * Math.min(MAXIMUM_WORTH_FACTOR, factor);
 }
 
+/** Time from acceptance within which the job earns its whole worth. */
+export function measureObjective(standing: JobStanding): number {
+  return standing.spec.stretch * standing.chainMs + standing.spec.allowanceMs;
+}
+
+/** Whether the job still meets its objective if all of its remaining chain starts after a delay. */
+export function canMeetObjective(standing: JobStanding, delayMs = 0): boolean {
+  const { ageMs, remainingChainMs } = standing;
+  return ageMs + delayMs + remainingChainMs <= measureObjective(standing);
+}
+
 /** Rank of a job among those that wait. */
 export function rankJob(standing: JobStanding): Rank {
-  const { spec, chainMs, ageMs, remainingWorkMs, isEntitled } = standing;
-  const objectiveMs = spec.stretch * chainMs + spec.allowanceMs;
-  const worth = estimateWorth(standing);
-  const effort = Math.max(remainingWorkMs, 1);
-  if (isEntitled) return { tier: TIER.ENTITLED, density: worth / effort };
-  if (ageMs + chainMs <= objectiveMs) {
-    return { tier: TIER.IN_TIME, density: worth / effort };
-  }
-  const lateWorth = LATE_WORTH_SHARE * worth;
-  const isLost = ageMs + chainMs > LATE_LIMIT_FACTOR * objectiveMs;
-  return {
-    tier: isLost ? TIER.LOST : TIER.LATE,
-    density: lateWorth / effort,
-  };
+  const { ageMs, remainingChainMs, remainingWorkMs, isEntitled } = standing;
+  const isInTime = canMeetObjective(standing);
+  const isLost =
+    ageMs + remainingChainMs > LATE_LIMIT_FACTOR * measureObjective(standing);
+  const share = isInTime ? 1 : LATE_WORTH_SHARE;
+  const density = share * estimateWorth(standing) /
+    Math.max(remainingWorkMs, 1);
+  if (isEntitled) return { tier: TIER.ENTITLED, density };
+  return { tier: isLost ? TIER.LOST : TIER.OPEN, density };
+}
+
+/** What the job loses when it becomes late; nothing when it already is. */
+export function measureLateLoss(
+  standing: JobStanding,
+  delayMs: number,
+): number {
+  const isLostByDelay = canMeetObjective(standing) &&
+    !canMeetObjective(standing, delayMs);
+  return isLostByDelay ? (1 - LATE_WORTH_SHARE) * estimateWorth(standing) : 0;
 }
 
 /** For sorting: negative when `left` goes first. */
--- a/packages/policy/mod.ts
+++ b/packages/policy/mod.ts
@@ -8,6 +8,7 @@
 export { suitsGuarantee } from "./placement/resources.ts";
 export * from "./placement/submission_check.ts";
 export * from "./cell/types.ts";
+export * from "./cell/eviction.ts";
 export * from "./cell/fit.ts";
 export * from "./cell/job_progress.ts";
 export * from "./cell/plan_round.ts";
