Reach the store through a peer while this entry is turned away

A relay wraps the store port: directly, else through peers that can reach it; fate stays 'lost' when any try may have taken effect.

--- a/packages/node/cell/cell_entry.ts
+++ b/packages/node/cell/cell_entry.ts
@@ -6,6 +6,7 @@
 import {
   type CallerWire,
   type CellSettings,
+  type HostPort,
   type RecordWire,
   STATE_TABLE,
   type StateStore,
@@ -18,8 +19,19 @@
 import { JobLedger } from "./job_ledger.ts";
 import { type LeaseChange, LeaseTask } from "./lease_task.ts";
 import type { CellLog } from "./log.ts";
+import { PeerServer } from "./peer_server.ts";
+import {
+  decodeRow,
+  encodeRow,
+  isPeerKey,
+  peerKey,
+  type PeerRow,
+} from "./rows.ts";
+import { StoreRelay } from "./store_relay.ts";
 import { TableFollower } from "./table_follower.ts";
 
+const ANNOUNCE_PAUSE_MS = 300;
+const STORE_TIMEOUT_MS = 900;
 /** The store has not answered for this long: others should take new connections. */
 const STORE_SILENCE_MS = 2_500;
 /** The balancer asks once a second and needs two misses; then nothing new comes. */
@@ -47,12 +59,27 @@
   readonly #declared: DeclaredStateTask;
   readonly #lease: LeaseTask;
   readonly #server: CallerServer;
+  readonly #relay: StoreRelay;
+  readonly #peerServer: PeerServer | undefined;
   #scheduler: CellScheduler | undefined;
   #isLeaving = false;
 
   private constructor(options: CellEntryOptions) {
     this.#options = options;
-    const { store, clock, random, log, settings, nowUnixMs } = options;
+    const { clock, random, log, settings, nowUnixMs } = options;
+    this.#relay = StoreRelay.create({
+      direct: options.store,
+      getPeers: () => this.#listPeers(),
+      clock,
+      random,
+      log,
+    });
+    this.#peerServer = settings.peers && PeerServer.create({
+      address: settings.peers,
+      store: options.store,
+      log,
+    });
+    const store = this.#relay;
     const follow = (table: "state" | "operators") =>
       TableFollower.create({ table, store, clock, random, log });
     this.#state = follow(STATE_TABLE.STATE);
@@ -107,9 +134,10 @@
       if (limits === undefined) return;
       this.#server.setTimeouts(limits.headerTimeoutMs, limits.idleTimeoutMs);
     });
-    await this.#server.listen();
+    await Promise.all([this.#server.listen(), this.#peerServer?.listen()]);
     void this.#state.run();
     void this.#operators.run();
+    void this.#announce();
     this.#lease.start();
     this.#options.log.info("entry.started", {
       entry: this.#options.settings.entry,
@@ -130,9 +158,50 @@
     await this.#server.close(Math.max(0, leftMs));
     this.#state.stop();
     this.#operators.stop();
+    this.#peerServer?.close();
     log.info("entry.stopped");
   }
 
+  /** Writes where peers reach this entry, once for each life of the process. */
+  async #announce(): Promise<void> {
+    const { settings, clock, log } = this.#options;
+    const { peers } = settings;
+    while (peers !== undefined && !this.#isLeaving) {
+      await clock.sleep(ANNOUNCE_PAUSE_MS);
+      if (!this.#state.isLoaded) continue;
+      const key = peerKey(settings.entry);
+      const row = this.#state.get(key)?.value;
+      const known = row && decodeRow<PeerRow>(row);
+      if (known?.host === peers.host && known.port === peers.port) return;
+      const outcome = await this.#relay.transact(
+        {
+          conditions: [],
+          puts: [{ key, value: encodeRow(peers) }],
+          deletes: [],
+        },
+        STORE_TIMEOUT_MS,
+      );
+      if (outcome.kind === "committed") return;
+      log.warn("peer.announce_failed", { kind: outcome.kind });
+    }
+  }
+
+  /** The other entries, as announced and as the settings name them. */
+  #listPeers(): readonly HostPort[] {
+    const own = this.#options.settings.peers;
+    const announced = [...this.#state.rows()].filter(({ key }) =>
+      isPeerKey(key)
+    ).map(({ value }) => decodeRow<PeerRow>(value));
+    const byName = new Map(
+      [...this.#options.settings.seeds, ...announced].map((peer) => [
+        `${peer.host}:${peer.port}`,
+        peer,
+      ]),
+    );
+    if (own !== undefined) byName.delete(`${own.host}:${own.port}`);
+    return [...byName.values()];
+  }
+
   #isReady(): boolean {
     const contactMs = Math.max(
       this.#state.contactMs,
@@ -147,12 +216,12 @@
     this.#scheduler?.stop();
     this.#scheduler = undefined;
     if (change.kind === "lost") return;
-    const { settings, store, orders, clock, nowUnixMs, log } = this.#options;
+    const { settings, orders, clock, nowUnixMs, log } = this.#options;
     const scheduler = CellScheduler.create({
       epoch: change.epoch,
       takenVersion: change.version,
       settings,
-      store,
+      store: this.#relay,
       orders,
       wire: this.#options.recordWire,
       follower: this.#state,
--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -675,7 +675,11 @@
 
   /** Stores the names of all workers that may be used, before they are used. */
   async #writeRoster(): Promise<void> {
-    const sessions = [...this.#sessions.values()];
+    const sessions: WorkerSession[] = [];
+    for (const session of this.#sessions.values()) {
+      if (isEmptied(session)) session.isRostered = false;
+      else sessions.push(session);
+    }
     const workers = sessions.map(({ target }) =>
       [target.worker, target.address] as const
     );
@@ -782,6 +786,12 @@
   }
 }
 
+/** Nothing runs there and nothing will: a new holder need not ask it. */
+function isEmptied(session: WorkerSession): boolean {
+  return session.hasReported && !session.hasMembers &&
+    session.record?.isDraining !== false;
+}
+
 function describeUnit(unit: Unit): string {
   return `${unit.job.jobId}.${formatUnitKey(unit.address)}`;
 }
--- /dev/null
+++ b/packages/node/cell/store_relay.ts
@@ -0,0 +1,194 @@
+/**
+ * The store as an entry uses it: directly, and through a peer while the direct way fails. A call
+ * that was refused or lost is repeated as it is; transactions are conditional, so that a repeated
+ * one takes effect once. Its outcome is lost if any try may have taken effect.
+ */
+import type { Clock, Random } from "@coltsfootpond/common";
+import {
+  type FollowOutcome,
+  type HostPort,
+  HttpClient,
+  type HttpOutcome,
+  type StateReadOutcome,
+  type StateStore,
+  type TransactOutcome,
+  type Unavailable,
+} from "@coltsfootpond/ports";
+import type { CellLog } from "./log.ts";
+import {
+  decodeMessage,
+  encodeMessage,
+  runStoreCall,
+  STORE_CALL_PATH,
+  type StoreCall,
+  type StoreOutcome,
+} from "./peer_messages.ts";
+
+/** How long the direct way is left alone after it failed. */
+const DIRECT_PAUSE_MS = 400;
+/** How long a peer is left alone after it did not answer, or could not reach the store either. */
+const PEER_PAUSE_MS = 1_500;
+/** Peers that one call tries. */
+const PEERS_PER_CALL = 2;
+/** Beyond the call's own time-out: the way to the peer and back. */
+const PEER_SLACK_MS = 100;
+const PEER_CONNECTIONS = 6;
+const STATUS_OK = 200;
+
+export interface StoreRelayOptions {
+  readonly direct: StateStore;
+  /** Addresses of the other entries. */
+  readonly getPeers: () => readonly HostPort[];
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: CellLog;
+}
+
+/** A store that is reached directly or through peers. */
+export class StoreRelay implements StateStore {
+  readonly #options: StoreRelayOptions;
+  readonly #clients = new Map<string, HttpClient>();
+  readonly #pausedUntilMs = new Map<string, number>();
+  #directPausedUntilMs = 0;
+  #isDirectDown = false;
+  #lastPeer: string | undefined;
+
+  private constructor(options: StoreRelayOptions) {
+    this.#options = options;
+  }
+
+  static create(options: StoreRelayOptions): StoreRelay {
+    return new StoreRelay(options);
+  }
+
+  /** Whether the last direct call failed. */
+  get isDirectDown(): boolean {
+    return this.#isDirectDown;
+  }
+
+  async transact(
+    ...call: Parameters<StateStore["transact"]>
+  ): Promise<TransactOutcome> {
+    return await this.#run(
+      { kind: "transact", arguments: call },
+      call[1],
+    ) as TransactOutcome;
+  }
+
+  async read(
+    ...call: Parameters<StateStore["read"]>
+  ): Promise<StateReadOutcome> {
+    return await this.#run(
+      { kind: "read", arguments: call },
+      call[2],
+    ) as StateReadOutcome;
+  }
+
+  async follow(
+    ...call: Parameters<StateStore["follow"]>
+  ): Promise<FollowOutcome> {
+    return await this.#run(
+      { kind: "follow", arguments: call },
+      call[3],
+    ) as FollowOutcome;
+  }
+
+  async #run(call: StoreCall, timeoutMs: number): Promise<StoreOutcome> {
+    const { clock, direct } = this.#options;
+    let failure: Unavailable | undefined;
+    if (clock.nowMs() >= this.#directPausedUntilMs) {
+      const outcome = await runStoreCall(direct, call);
+      this.#noteDirect(outcome.kind !== "unavailable");
+      if (outcome.kind !== "unavailable") return outcome;
+      failure = outcome;
+    }
+    for (const peer of this.#choosePeers()) {
+      const outcome = await this.#callPeer(peer, call, timeoutMs);
+      if (outcome.kind !== "unavailable") return outcome;
+      failure = merge(failure, outcome);
+    }
+    return failure ?? {
+      kind: "unavailable",
+      effect: "refused",
+      reason: "the store cannot be reached",
+    };
+  }
+
+  #noteDirect(isUp: boolean): void {
+    const { clock, log } = this.#options;
+    if (this.#isDirectDown === isUp) {
+      log.info(isUp ? "store.direct_regained" : "store.direct_lost");
+    }
+    this.#isDirectDown = !isUp;
+    this.#directPausedUntilMs = isUp ? 0 : clock.nowMs() + DIRECT_PAUSE_MS;
+  }
+
+  #choosePeers(): readonly HostPort[] {
+    const nowMs = this.#options.clock.nowMs();
+    const open = this.#options.getPeers().filter((peer) =>
+      (this.#pausedUntilMs.get(formatPeer(peer)) ?? 0) <= nowMs
+    ).map((peer) => ({
+      peer,
+      order: formatPeer(peer) === this.#lastPeer
+        ? -1
+        : this.#options.random.next(),
+    }));
+    open.sort((left, right) => left.order - right.order);
+    return open.slice(0, PEERS_PER_CALL).map(({ peer }) => peer);
+  }
+
+  async #callPeer(
+    peer: HostPort,
+    call: StoreCall,
+    timeoutMs: number,
+  ): Promise<StoreOutcome> {
+    const name = formatPeer(peer);
+    const outcome = await this.#getClient(name, peer).exchange({
+      method: "POST",
+      path: STORE_CALL_PATH,
+      body: encodeMessage(call),
+      timeoutMs: timeoutMs + PEER_SLACK_MS,
+    });
+    const answer = decodeAnswer(outcome);
+    if (answer.kind === "unavailable") {
+      const untilMs = this.#options.clock.nowMs() + PEER_PAUSE_MS;
+      this.#pausedUntilMs.set(name, untilMs);
+    } else {
+      this.#lastPeer = name;
+    }
+    return answer;
+  }
+
+  #getClient(name: string, peer: HostPort): HttpClient {
+    const known = this.#clients.get(name);
+    if (known !== undefined) return known;
+    const created = HttpClient.create(peer, undefined, PEER_CONNECTIONS);
+    this.#clients.set(name, created);
+    return created;
+  }
+}
+
+function formatPeer({ host, port }: HostPort): string {
+  return `${host}:${port}`;
+}
+
+function decodeAnswer(outcome: HttpOutcome): StoreOutcome {
+  if (outcome.kind === "unavailable") return outcome;
+  if (outcome.status !== STATUS_OK) return lost(`status ${outcome.status}`);
+  try {
+    return decodeMessage<StoreOutcome>(outcome.body);
+  } catch (error) {
+    return lost(`malformed answer: ${String(error)}`);
+  }
+}
+
+function lost(reason: string): Unavailable {
+  return { kind: "unavailable", effect: "lost", reason };
+}
+
+function merge(
+  first: Unavailable | undefined,
+  second: Unavailable,
+): Unavailable {
+  return first?.effect === "lost" ? first : second;
+}
