Follow a table from its newest received change, and read it whole at a takeover

A new holder reads the state table whole before it schedules. The test of the silent feed fails on the earlier code.

--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -60,6 +60,7 @@
 } from "./worker_session.ts";
 
 const ROUND_PAUSE_MS = 4;
+const RELOAD_PAUSE_MS = 50;
 const TICK_MS = 200;
 const STORE_TIMEOUT_MS = 900;
 const BEGUN_PERIOD_MS = 500;
@@ -189,11 +190,11 @@
     for (const session of this.#sessions.values()) session.stop();
   }
 
-  /** The copy of the state must reflect all that was written before the lease was taken. */
+  /** Reads all that was written before the lease was taken; the feed may keep changes back. */
   async #awaitState(): Promise<void> {
     const { follower, takenVersion, clock } = this.#options;
-    while (!this.#isStopped && follower.version < takenVersion) {
-      await clock.sleep(ROUND_PAUSE_MS);
+    while (!this.#isStopped && !await follower.reload(takenVersion)) {
+      await clock.sleep(RELOAD_PAUSE_MS);
     }
   }
 
--- a/packages/node/cell/cell_world.ts
+++ b/packages/node/cell/cell_world.ts
@@ -133,9 +133,7 @@
 
   async #refresh(follower: TableFollower): Promise<void> {
     const outcome = await this.store.read("state", {}, 1);
-    if (outcome.kind === "rows") {
-      follower.reflect(outcome.version, outcome.rows);
-    }
+    if (outcome.kind === "rows") follower.apply(outcome.rows);
   }
 
   #read(...[table, range, timeoutMs]: Parameters<StoreFake["read"]>) {
--- a/packages/node/cell/table_follower.ts
+++ b/packages/node/cell/table_follower.ts
@@ -1,7 +1,9 @@
 /**
  * A copy of one table of the store, kept up to date by long polls. The copy never goes back: an
  * answer that is older than the copy is passed over. When the store no longer has the history,
- * the table is read anew.
+ * the table is read anew. Polls go on from the newest change that was received, never from the
+ * version of an empty answer: a feed that keeps changes back also answers empty, and the lost
+ * history is noticed only from a version before them.
  */
 import type { Clock, Random } from "@coltsfootpond/common";
 import type { StateRow, StateStore, StateTable } from "@coltsfootpond/ports";
@@ -30,7 +32,10 @@
   readonly changes = new Subject<readonly StateRow[]>();
   readonly #options: TableFollowerOptions;
   readonly #rows = new Map<string, StateRow>();
+  /** Newest version that an answer has told. */
   #version = 0;
+  /** All changes up to here have been received. */
+  #cursor = 0;
   #isLoaded = false;
   #isStopped = false;
   #contactMs = Number.NEGATIVE_INFINITY;
@@ -44,9 +49,9 @@
     return new TableFollower(options);
   }
 
-  /** Newest version that the copy reflects. */
+  /** The copy reflects all changes up to this version. */
   get version(): number {
-    return this.#version;
+    return this.#cursor;
   }
 
   get isLoaded(): boolean {
@@ -82,6 +87,11 @@
     this.changes.complete();
   }
 
+  /** Reads the table anew, once; false when the store gave no answer at or after `version`. */
+  async reload(version: number): Promise<boolean> {
+    return await this.#load() && this.#cursor >= version;
+  }
+
   /** Runs until stopped. */
   async run(): Promise<void> {
     while (!this.#isStopped) {
@@ -113,6 +123,7 @@
       !present.has(row.key)
     ).map(({ key }) => ({ key, version: outcome.version, value: undefined }));
     this.#isLoaded = true;
+    this.#cursor = Math.max(this.#cursor, outcome.version);
     this.reflect(outcome.version, [...outcome.rows, ...gone]);
     log.info("store.table_read", {
       table,
@@ -126,7 +137,7 @@
     const { store, table, log } = this.#options;
     const outcome = await store.follow(
       table,
-      this.#version,
+      this.#cursor,
       FOLLOW_WAIT_MS,
       FOLLOW_WAIT_MS + FOLLOW_SLACK_MS,
     );
@@ -136,7 +147,7 @@
         log.warn("store.follow_failed", { table, ...outcome });
         return false;
       case "history_lost":
-        log.warn("store.history_lost", { table, version: this.#version });
+        log.info("store.history_lost", { table, version: this.#cursor });
         this.#isLoaded = false;
         return true;
       case "rows":
@@ -153,9 +164,13 @@
     return true;
   }
 
-  /** Takes rows that reflect all changes up to `version`. */
+  /** Takes changed rows of an answer that tells `version` as the newest. */
   reflect(version: number, rows: readonly StateRow[]): void {
-    this.#version = version;
+    this.#version = Math.max(this.#version, version);
+    this.#cursor = Math.max(
+      this.#cursor,
+      ...rows.map((row) => row.version),
+    );
     this.#contactMs = this.#options.clock.nowMs();
     const changed = rows.filter((row) => this.#take(row));
     this.#forgetDeleted(rows);
--- /dev/null
+++ b/packages/node/cell/table_follower_test.ts
@@ -0,0 +1,82 @@
+import { ManualClock, SeededRandom } from "@coltsfootpond/common";
+import type { FollowOutcome, StateRow } from "@coltsfootpond/ports";
+import { expect } from "chai";
+import { SILENT_LOG } from "./log.ts";
+import { TableFollower } from "./table_follower.ts";
+import { createStoreFake } from "./test_fixtures.ts";
+
+/** The store's version at every read but the first. */
+const LATER_VERSION = 100;
+
+function row(key: string, version: number): StateRow {
+  return { key, version, value: new Uint8Array([version]) };
+}
+
+/** A follower of a store whose feed gives the prepared answers, then waits. */
+function createFollower(
+  reads: readonly (readonly StateRow[])[],
+  answers: readonly ((afterVersion: number) => FollowOutcome)[],
+) {
+  const clock = ManualClock.create();
+  let readCount = 0;
+  let followCount = 0;
+  const follower = TableFollower.create({
+    table: "state",
+    store: {
+      ...createStoreFake(),
+      read: () => {
+        const rows = reads[Math.min(readCount, reads.length - 1)]!;
+        const newest = Math.max(0, ...rows.map((one) => one.version));
+        const version = readCount++ === 0 ? newest : LATER_VERSION;
+        return Promise.resolve({ kind: "rows", rows, version });
+      },
+      follow: (_table, afterVersion) => {
+        const answer = answers[followCount++];
+        return answer === undefined
+          ? new Promise(() => {})
+          : Promise.resolve(answer(afterVersion));
+      },
+    },
+    clock,
+    random: SeededRandom.create(1),
+    log: SILENT_LOG,
+  });
+  void follower.run();
+  return { follower, clock };
+}
+
+describe("table follower", () => {
+  it("does not miss what a silent feed kept back", async () => {
+    // The change of version 5 is never sent; the store then drops its history up to 6.
+    const { follower, clock } = createFollower(
+      [[row("a", 1)], [row("a", 5)]],
+      [
+        () => ({ kind: "rows", rows: [], version: 6 }),
+        (afterVersion) =>
+          afterVersion < 6
+            ? { kind: "history_lost" }
+            : { kind: "rows", rows: [], version: 7 },
+      ],
+    );
+    await clock.advance(1_000);
+    expect(follower.get("a")?.version).to.equal(5);
+  });
+
+  it("passes over answers that are older than what it knows", async () => {
+    const { follower, clock } = createFollower([[row("a", 4)]], [
+      () => ({ kind: "rows", rows: [row("a", 6)], version: 6 }),
+      () => ({ kind: "rows", rows: [row("a", 5)], version: 5 }),
+    ]);
+    await clock.advance(1_000);
+    expect(follower.get("a")?.version).to.equal(6);
+  });
+
+  it("drops rows that are gone when it reads the table anew", async () => {
+    const { follower, clock } = createFollower(
+      [[row("a", 1), row("b", 2)], [row("b", 3)]],
+      [() => ({ kind: "history_lost" })],
+    );
+    await clock.advance(1_000);
+    expect([...follower.rows()].map(({ key }) => key)).to.deep.equal(["b"]);
+  });
+});
