Refuse at once while the store is known to be away, and answer doubt early

A store that every way has failed for is not sent anything, so a 503 with Retry-After is certainly true; what is in doubt is answered after two fifths of the caller's patience, so that another try can settle the same conditional write.

--- a/packages/node/cell/caller_filters.ts
+++ b/packages/node/cell/caller_filters.ts
@@ -40,6 +40,8 @@
   readonly wire: CallerWire;
   readonly ledger: JobLedger;
   readonly getDeclaredState: () => DeclaredState | undefined;
+  /** How long the store has been away; 0 while it answers. */
+  readonly getStoreDownMs: () => number;
   readonly nowUnixMs: () => number;
 }
 
@@ -56,10 +58,15 @@
 } as const;
 
 const JOB_ID_PATTERN = /^[0-9a-f]{16}$/i;
-/** Long enough for a store that refuses to recover, short against the callers' objectives. */
+/** Short against the callers' objectives; callers have few retries, so a long outage asks for more. */
 const RETRY_AFTER_S = 1;
-/** Left of the caller's patience for the answer's way back. */
-const ANSWER_MARGIN_MS = 150;
+const LONG_OUTAGE_RETRY_AFTER_S = 2;
+const LONG_OUTAGE_MS = 1_500;
+/**
+ * Share of the caller's patience after which a request whose write is in doubt is answered: the
+ * rest is left to the caller for another try, which settles the same write.
+ */
+const DOUBT_SHARE = 0.4;
 
 function filter(
   name: string,
@@ -141,7 +148,7 @@
 
 async function submit(
   request: CallerRequest,
-  { wire, ledger }: CallerFilterOptions,
+  { wire, ledger, getStoreDownMs }: CallerFilterOptions,
   nowUnixMs: number,
 ): Promise<CallerAnswer> {
   const { queue, state, organisation } = request;
@@ -177,7 +184,7 @@
     case "accepted":
       return { status: STATUS.OK, body: "{}", reason: "accepted" };
     case "refused":
-      return unavailable("the store refused the job");
+      return unavailable("the store refused the job", getStoreDownMs());
     case "unknown":
       return { status: STATUS.TIMEOUT, reason: "fate of the write unknown" };
   }
@@ -185,7 +192,7 @@
 
 async function showState(
   request: CallerRequest,
-  { wire, ledger }: CallerFilterOptions,
+  { wire, ledger, getStoreDownMs }: CallerFilterOptions,
 ): Promise<CallerAnswer> {
   const outcome = await ledger.getState(
     getJobId(request),
@@ -202,13 +209,13 @@
     case "absent":
       return { status: STATUS.GONE, reason: `no such job: ${outcome.reason}` };
     case "unknown":
-      return unavailable("the store does not answer");
+      return unavailable("the store does not answer", getStoreDownMs());
   }
 }
 
 async function cancel(
   request: CallerRequest,
-  { ledger }: CallerFilterOptions,
+  { ledger, getStoreDownMs }: CallerFilterOptions,
 ): Promise<CallerAnswer> {
   const outcome = await ledger.cancel(
     getJobId(request),
@@ -221,6 +228,8 @@
       return { status: STATUS.OK, body: "{}", reason: outcome.kind };
     case "absent":
       return { status: STATUS.GONE, reason: "no such job" };
+    case "refused":
+      return unavailable("the store is away", getStoreDownMs());
     case "unknown":
       return { status: STATUS.TIMEOUT, reason: "fate of the write unknown" };
   }
@@ -233,9 +242,12 @@
 function getUntilMs({ head, queue, receivedMs }: CallerRequest): number {
   const limitMs = queue?.timeoutMs ?? 0;
   const patienceMs = Math.min(head.patienceMs ?? limitMs, limitMs);
-  return receivedMs + Math.max(ANSWER_MARGIN_MS, patienceMs - ANSWER_MARGIN_MS);
+  return receivedMs + patienceMs * DOUBT_SHARE;
 }
 
-function unavailable(reason: string): CallerAnswer {
-  return { status: STATUS.UNAVAILABLE, retryAfterS: RETRY_AFTER_S, reason };
+function unavailable(reason: string, storeDownMs = 0): CallerAnswer {
+  const retryAfterS = storeDownMs > LONG_OUTAGE_MS
+    ? LONG_OUTAGE_RETRY_AFTER_S
+    : RETRY_AFTER_S;
+  return { status: STATUS.UNAVAILABLE, retryAfterS, reason };
 }
--- a/packages/node/cell/cell_entry.ts
+++ b/packages/node/cell/cell_entry.ts
@@ -104,6 +104,7 @@
       store,
       follower: this.#state,
       clock,
+      getStoreDownMs: () => this.#relay.downForMs,
       nowUnixMs,
       log,
     });
@@ -115,6 +116,7 @@
         wire: options.callerWire,
         ledger,
         getDeclaredState: () => this.#declared.current,
+        getStoreDownMs: () => this.#relay.downForMs,
         nowUnixMs,
       }),
       clock,
--- a/packages/node/cell/job_ledger.ts
+++ b/packages/node/cell/job_ledger.ts
@@ -32,13 +32,15 @@
 /** One try at the store; several times a slow store's answer. */
 const TRY_TIMEOUT_MS = 900;
 const RETRY_PAUSE_MS = 60;
+/** A store that has failed on every way for this long is taken to be away. */
+const DOWN_MS = 150;
 
 /** `unknown`: the write may still happen; `refused`: it certainly never does. */
 export type SubmitOutcome = {
   readonly kind: "accepted" | "unknown" | "refused";
 };
 export type CancelOutcome = {
-  readonly kind: "cancelled" | "ended" | "absent" | "unknown";
+  readonly kind: "cancelled" | "ended" | "absent" | "unknown" | "refused";
 };
 export type StateOutcome =
   | { readonly kind: "state"; readonly state: JobState }
@@ -49,6 +51,8 @@
   readonly store: StateStore;
   readonly follower: TableFollower;
   readonly clock: Clock;
+  /** How long the store has been away; 0 while it answers. */
+  readonly getStoreDownMs: () => number;
   /** Wall-clock time in Unix milliseconds. */
   readonly nowUnixMs: () => number;
   readonly log: CellLog;
@@ -82,6 +86,8 @@
     if (this.#options.follower.get(key) !== undefined) {
       return { kind: "accepted" };
     }
+    // Nothing is sent to a store that is known to be away, so the refusal is certainly true.
+    if (this.#options.getStoreDownMs() > DOWN_MS) return { kind: "refused" };
     const value = encodeRow({ kind: "live", spec });
     let mayBeWritten = false;
     while (true) {
@@ -119,6 +125,7 @@
     untilMs: number,
   ): Promise<CancelOutcome> {
     const key = jobKey(jobId);
+    if (this.#options.getStoreDownMs() > DOWN_MS) return { kind: "refused" };
     let row = this.#options.follower.get(key);
     while (true) {
       const job = row?.value && decodeRow<JobRow>(row.value);
@@ -203,7 +210,9 @@
         follower.apply(outcome.rows);
         return outcome.rows.find((row) => row.key === key);
       }
-      if (outcome.kind === "unavailable" && outcome.effect === "refused") {
+      const isRefused = outcome.kind === "unavailable" &&
+        outcome.effect === "refused";
+      if (isRefused || this.#options.getStoreDownMs() > DOWN_MS) {
         return "unknown";
       }
     } while (await this.#pause(untilMs));
--- /dev/null
+++ b/packages/node/cell/job_ledger_test.ts
@@ -0,0 +1,123 @@
+import { ManualClock, type OrganisationName } from "@coltsfootpond/common";
+import type { CellJobId } from "@coltsfootpond/policy";
+import type { StateStore, TransactOutcome } from "@coltsfootpond/ports";
+import { expect } from "chai";
+import { JobLedger } from "./job_ledger.ts";
+import { SILENT_LOG } from "./log.ts";
+import { TableFollower } from "./table_follower.ts";
+import {
+  createSpec,
+  createStoreFake,
+  type StoreFake,
+} from "./test_fixtures.ts";
+
+const JOB = "00000000000000dd" as CellJobId;
+const OWNER = { organisation: "owner" as OrganisationName };
+const SPEC = createSpec(JOB, OWNER);
+
+type Transact = StateStore["transact"];
+
+/** A ledger over a fake store whose transactions pass through `transact`. */
+function createLedger(
+  clock: ManualClock,
+  wrap: (transact: Transact) => Transact = (transact) => transact,
+  storeDownMs = 0,
+): { readonly ledger: JobLedger; readonly store: StoreFake } {
+  const store = createStoreFake();
+  const wrapped = { ...store, transact: wrap(store.transact) };
+  const follower = TableFollower.create({
+    table: "state",
+    store: wrapped,
+    clock,
+    random: { next: () => 0 },
+    log: SILENT_LOG,
+  });
+  const ledger = JobLedger.create({
+    store: wrapped,
+    follower,
+    clock,
+    getStoreDownMs: () => storeDownMs,
+    nowUnixMs: () => 0,
+    log: SILENT_LOG,
+  });
+  return { ledger, store };
+}
+
+async function settle<Result>(
+  clock: ManualClock,
+  promise: Promise<Result>,
+): Promise<Result> {
+  await clock.advance(5_000);
+  return await promise;
+}
+
+const LOST: TransactOutcome = {
+  kind: "unavailable",
+  effect: "lost",
+  reason: "test",
+};
+
+describe("job ledger", () => {
+  it("accepts a job whose write took effect although its answer was lost", async () => {
+    const clock = ManualClock.create();
+    let isFirst = true;
+    const { ledger, store } = createLedger(
+      clock,
+      (transact) => async (...call) => {
+        const outcome = await transact(...call);
+        if (!isFirst) return outcome;
+        isFirst = false;
+        return LOST;
+      },
+    );
+    const outcome = await settle(clock, ledger.submit(SPEC, 1_000));
+    expect(outcome.kind).to.equal("accepted");
+    expect(store.keys()).to.have.length(1);
+  });
+
+  it("does not say refused when an unanswered write may still come", async () => {
+    const clock = ManualClock.create();
+    let tries = 0;
+    const { ledger } = createLedger(clock, () => () => {
+      tries++;
+      return Promise.resolve(
+        tries === 1 ? LOST : { ...LOST, effect: "refused" },
+      );
+    });
+    const outcome = await settle(clock, ledger.submit(SPEC, 1_000));
+    expect(outcome.kind).to.equal("unknown");
+  });
+
+  it("refuses at once, and sends nothing, while the store is away", async () => {
+    const clock = ManualClock.create();
+    const { ledger, store } = createLedger(clock, undefined, 1_000);
+    expect(await ledger.submit(SPEC, 1_000)).to.deep.equal({ kind: "refused" });
+    expect(store.keys()).to.have.length(0);
+  });
+
+  it("keeps a job that was cancelled before its submit came from running", async () => {
+    const clock = ManualClock.create();
+    const { ledger } = createLedger(clock);
+    expect(await ledger.cancel(JOB, OWNER, 1_000)).to.deep.equal({
+      kind: "absent",
+    });
+    expect(await ledger.submit(SPEC, 1_000)).to.deep.equal({
+      kind: "accepted",
+    });
+    expect((await ledger.getState(JOB, OWNER, 1_000)).kind).to.equal("absent");
+    expect(ledger.countWaiting(SPEC.queue)).to.equal(0);
+  });
+
+  it("shows a job to its organisation only", async () => {
+    const clock = ManualClock.create();
+    const { ledger } = createLedger(clock);
+    await ledger.submit(SPEC, 1_000);
+    const other = { organisation: "other" as OrganisationName };
+    expect((await ledger.getState(JOB, other, 1_000)).kind).to.equal("absent");
+    expect((await ledger.cancel(JOB, other, 1_000)).kind).to.equal("absent");
+    expect(await ledger.getState(JOB, OWNER, 1_000)).to.deep.equal({
+      kind: "state",
+      state: "queued",
+    });
+  });
+});
--- a/packages/node/cell/store_relay.ts
+++ b/packages/node/cell/store_relay.ts
@@ -51,6 +51,7 @@
   readonly #pausedUntilMs = new Map<string, number>();
   #directPausedUntilMs = 0;
   #isDirectDown = false;
+  #downSinceMs: number | undefined;
   #lastPeer: string | undefined;
 
   private constructor(options: StoreRelayOptions) {
@@ -61,6 +62,13 @@
     return new StoreRelay(options);
   }
 
+  /** How long every way to the store has failed; 0 while one works. */
+  get downForMs(): number {
+    return this.#downSinceMs === undefined
+      ? 0
+      : this.#options.clock.nowMs() - this.#downSinceMs;
+  }
+
   /** Whether the last direct call failed. */
   get isDirectDown(): boolean {
     return this.#isDirectDown;
@@ -94,6 +102,13 @@
   }
 
   async #run(call: StoreCall, timeoutMs: number): Promise<StoreOutcome> {
+    const outcome = await this.#tryAll(call, timeoutMs);
+    if (outcome.kind !== "unavailable") this.#downSinceMs = undefined;
+    else this.#downSinceMs ??= this.#options.clock.nowMs();
+    return outcome;
+  }
+
+  async #tryAll(call: StoreCall, timeoutMs: number): Promise<StoreOutcome> {
     const { clock, direct } = this.#options;
     let failure: Unavailable | undefined;
     if (clock.nowMs() >= this.#directPausedUntilMs) {
