--- a/packages/node/cell/cell_entry.ts
+++ b/packages/node/cell/cell_entry.ts
@@ -28,8 +28,10 @@
   type PeerRow,
 } from "./rows.ts";
 import { StoreRelay } from "./store_relay.ts";
-import { TableFollower } from "./table_follower.ts";
+import { SeenVersion, TableFollower } from "./table_follower.ts";
 
+/** A second look beside the feed; with one poll's wait, half of the users' bound of 2 s. */
+const DECLARED_STATE_REREAD_MS = 900;
 const ANNOUNCE_PAUSE_MS = 300;
 const STORE_TIMEOUT_MS = 900;
 /** The store has not answered for this long: others should take new connections. */
@@ -80,10 +82,16 @@
       log,
     });
     const store = this.#relay;
-    const follow = (table: "state" | "operators") =>
-      TableFollower.create({ table, store, clock, random, log });
-    this.#state = follow(STATE_TABLE.STATE);
-    this.#operators = follow(STATE_TABLE.OPERATORS);
+    const common = { store, clock, random, log, seen: SeenVersion.create() };
+    this.#state = TableFollower.create({
+      ...common,
+      table: STATE_TABLE.STATE,
+    });
+    this.#operators = TableFollower.create({
+      ...common,
+      table: STATE_TABLE.OPERATORS,
+      rereadMs: DECLARED_STATE_REREAD_MS,
+    });
     this.#declared = DeclaredStateTask.create({
       follower: this.#operators,
       wire: options.recordWire,
--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -13,6 +13,7 @@
   RUN_END,
   subtract,
   type TaskName,
+  type UnitAddress,
   type WorkerView,
 } from "@coltsfootpond/policy";
 import type {
@@ -465,11 +466,17 @@
       end: ended.end,
     });
     if (member !== undefined) this.#dropMember(member);
-    const unit = this.#findUnit(ended.task);
-    if (unit !== undefined) this.#takeUnitEnd(session, unit, ended);
-    const own = member === undefined ? undefined : unit;
-    if (own?.run !== undefined && own.run.run === ended.run) {
-      this.#continueEnd(own, own.run, ended);
+    const name = parseTaskName(ended.task);
+    const job = name && this.#jobs.get(name.jobId);
+    const step = name && job?.spec.steps[name.step];
+    if (name !== undefined && job !== undefined && step !== undefined) {
+      const address = { ...name, index: step.isGang ? 0 : name.index };
+      const unit = job.units.get(formatUnitKey(address));
+      this.#takeUnitEnd(session, job, address, ended);
+      if (
+        member !== undefined && unit?.run !== undefined &&
+        unit.run.run === ended.run
+      ) this.#continueEnd(unit, unit.run, ended);
     }
     this.#writer.markEnds();
     this.#requestRound();
@@ -482,15 +489,23 @@
     }
   }
 
-  #takeUnitEnd(session: WorkerSession, unit: Unit, ended: EndedTask): void {
-    const { job, address } = unit;
+  /** Ends count for the job whether or not its step is known to be due yet. */
+  #takeUnitEnd(
+    session: WorkerSession,
+    job: LiveJob,
+    address: UnitAddress,
+    ended: EndedTask,
+  ): void {
     const { clock, nowUnixMs } = this.#options;
+    const key = formatUnitKey(address);
+    const unit = job.units.get(key);
     switch (ended.end) {
       case RUN_END.DONE:
         this.#failedJobs.delete(session.worker);
-        if (unit.step.isPersistent || job.progress.isUnitDone(address)) return;
+        if (job.spec.steps[address.step]?.isPersistent) return;
+        if (job.progress.isUnitDone(address)) return;
         job.progress.recordDone(address);
-        if (unit.run === undefined) job.units.delete(formatUnitKey(address));
+        if (unit?.run === undefined) job.units.delete(key);
         else if (unit.run.run !== ended.run) {
           this.#closeRun(unit, "done before");
         }
@@ -498,7 +513,7 @@
         break;
       case RUN_END.FAILED:
         job.progress.recordFailure(address, ended.run);
-        unit.failedOn.add(session.worker);
+        unit?.failedOn.add(session.worker);
         this.#noteFailure(session, job.jobId);
         break;
       case RUN_END.STOPPED:
--- a/packages/node/cell/cell_scheduler_test.ts
+++ b/packages/node/cell/cell_scheduler_test.ts
@@ -144,4 +144,42 @@
     expect(world.countOverlaps()).to.equal(0);
     expect(world.history).to.have.length(2);
   });
+
+  it("counts the end of a later step although the step is not known to be due", async () => {
+    const world = CellWorld.create(["later", "earlier"]);
+    const spec = createSpec(JOB, {
+      steps: [
+        createStep({ requiredLabel: "earlier" }),
+        createStep({ count: 2, after: [0], requiredLabel: "later" }),
+      ],
+    });
+    await world.submit(spec);
+    let isStoreAway = false;
+    const { transact } = world.store;
+    world.store.transact = (...call) =>
+      isStoreAway
+        ? Promise.resolve({
+          kind: "unavailable",
+          effect: "refused",
+          reason: "test",
+        })
+        : transact(...call);
+    const first = world.startScheduler();
+    await world.clock.advance(1_000);
+    isStoreAway = true;
+    const endAll = () =>
+      world.workers.forEach((worker) =>
+        worker.running.forEach((task) => worker.end(task, "done"))
+      );
+    endAll();
+    await world.clock.advance(1_000);
+    endAll();
+    await world.clock.advance(200);
+    first.stop();
+    isStoreAway = false;
+    world.startScheduler();
+    await world.clock.advance(5_000);
+    expect(world.history).to.have.length(3);
+    expect(world.readJob(spec)).to.include({ state: "completed" });
+  });
 });
--- a/packages/node/cell/cell_world.ts
+++ b/packages/node/cell/cell_world.ts
@@ -10,7 +10,7 @@
 import { DeclaredStateTask } from "./declared_state.ts";
 import { SILENT_LOG } from "./log.ts";
 import { decodeRow, encodeRow, jobKey, type JobRow } from "./rows.ts";
-import { TableFollower } from "./table_follower.ts";
+import { SeenVersion, TableFollower } from "./table_follower.ts";
 import { createStoreFake, type StoreFake } from "./test_fixtures.ts";
 import {
   createOrdersFake,
@@ -82,6 +82,7 @@
       store,
       clock,
       random: SeededRandom.create(1),
+      seen: SeenVersion.create(),
       log: SILENT_LOG,
     };
     const follower = TableFollower.create({ table: "state", ...common });
--- a/packages/node/cell/job_ledger_test.ts
+++ b/packages/node/cell/job_ledger_test.ts
@@ -4,7 +4,7 @@
 import { expect } from "chai";
 import { JobLedger } from "./job_ledger.ts";
 import { SILENT_LOG } from "./log.ts";
-import { TableFollower } from "./table_follower.ts";
+import { SeenVersion, TableFollower } from "./table_follower.ts";
 import {
   createSpec,
   createStoreFake,
@@ -30,6 +30,7 @@
     store: wrapped,
     clock,
     random: { next: () => 0 },
+    seen: SeenVersion.create(),
     log: SILENT_LOG,
   });
   const ledger = JobLedger.create({
--- a/packages/node/cell/progress_writer_test.ts
+++ b/packages/node/cell/progress_writer_test.ts
@@ -3,7 +3,7 @@
 import { ProgressWriter } from "./progress_writer.ts";
 import { SILENT_LOG } from "./log.ts";
 import { decodeRow, encodeRow, type JobRow } from "./rows.ts";
-import { TableFollower } from "./table_follower.ts";
+import { SeenVersion, TableFollower } from "./table_follower.ts";
 import { createJob, createStoreFake } from "./test_fixtures.ts";
 
 describe("progress writer", () => {
@@ -33,6 +33,7 @@
         store,
         clock,
         random: { next: () => 0 },
+        seen: SeenVersion.create(),
         log: SILENT_LOG,
       }),
       clock,
@@ -78,6 +79,7 @@
         store,
         clock,
         random: { next: () => 0 },
+        seen: SeenVersion.create(),
         log: SILENT_LOG,
       }),
       clock,
--- a/packages/node/cell/table_follower.ts
+++ b/packages/node/cell/table_follower.ts
@@ -18,8 +18,31 @@
 const FIRST_RETRY_MS = 50;
 const MAXIMUM_RETRY_MS = 400;
 
+/** Newest version of the store that any answer to this process has told. */
+export class SeenVersion {
+  #newest = 0;
+
+  private constructor() {}
+
+  static create(): SeenVersion {
+    return new SeenVersion();
+  }
+
+  get newest(): number {
+    return this.#newest;
+  }
+
+  note(version: number): void {
+    this.#newest = Math.max(this.#newest, version);
+  }
+}
+
 export interface TableFollowerOptions {
   readonly table: StateTable;
+  /** Shared by all followers of a process: an answer behind it comes from the past. */
+  readonly seen: SeenVersion;
+  /** Reads the table anew this often, beside the feed, which may keep changes back. */
+  readonly rereadMs?: number;
   readonly store: StateStore;
   readonly clock: Clock;
   readonly random: Random;
@@ -32,12 +55,11 @@
   readonly changes = new Subject<readonly StateRow[]>();
   readonly #options: TableFollowerOptions;
   readonly #rows = new Map<string, StateRow>();
-  /** Newest version that an answer has told. */
-  #version = 0;
   /** All changes up to here have been received. */
   #cursor = 0;
   #isLoaded = false;
   #isStopped = false;
+  #readMs = 0;
   #contactMs = Number.NEGATIVE_INFINITY;
   #retryMs = FIRST_RETRY_MS;
 
@@ -78,6 +100,7 @@
 
   /** Takes rows that this process has just written or read itself. */
   apply(rows: readonly StateRow[]): void {
+    rows.forEach(({ version }) => this.#options.seen.note(version));
     const changed = rows.filter((row) => this.#take(row));
     if (changed.length > 0) this.changes.next(changed);
   }
@@ -95,7 +118,7 @@
   /** Runs until stopped. */
   async run(): Promise<void> {
     while (!this.#isStopped) {
-      const isProgress = this.#isLoaded
+      const isProgress = this.#isLoaded && !this.#isReadDue()
         ? await this.#follow()
         : await this.#load();
       if (isProgress) {
@@ -108,33 +131,44 @@
     }
   }
 
+  #isReadDue(): boolean {
+    const { rereadMs, clock } = this.#options;
+    return rereadMs !== undefined && clock.nowMs() - this.#readMs >= rereadMs;
+  }
+
   async #load(): Promise<boolean> {
-    const { store, table, log } = this.#options;
+    const { store, table, log, seen, clock } = this.#options;
+    const floor = seen.newest;
     const outcome = await store.read(table, {}, READ_TIMEOUT_MS);
     if (this.#isStopped) return false;
     if (outcome.kind === "unavailable") {
       log.warn("store.read_failed", { table, ...outcome });
       return false;
     }
-    if (this.#isOld(outcome.version)) return false;
+    if (this.#isOld(outcome.version, floor)) return false;
+    this.#readMs = clock.nowMs();
     const present = new Set(outcome.rows.map(({ key }) => key));
     const gone = [...this.#rows.values()].filter((row) =>
       row.value !== undefined && row.version <= outcome.version &&
       !present.has(row.key)
     ).map(({ key }) => ({ key, version: outcome.version, value: undefined }));
+    const wasLoaded = this.#isLoaded;
     this.#isLoaded = true;
     this.#cursor = Math.max(this.#cursor, outcome.version);
     this.reflect(outcome.version, [...outcome.rows, ...gone]);
-    log.info("store.table_read", {
-      table,
-      rows: outcome.rows.length,
-      version: outcome.version,
-    });
+    if (!wasLoaded) {
+      log.info("store.table_read", {
+        table,
+        rows: outcome.rows.length,
+        version: outcome.version,
+      });
+    }
     return true;
   }
 
   async #follow(): Promise<boolean> {
-    const { store, table, log } = this.#options;
+    const { store, table, log, seen } = this.#options;
+    const floor = seen.newest;
     const outcome = await store.follow(
       table,
       this.#cursor,
@@ -151,22 +185,23 @@
         this.#isLoaded = false;
         return true;
       case "rows":
-        if (this.#isOld(outcome.version)) return false;
+        if (this.#isOld(outcome.version, floor)) return false;
         this.reflect(outcome.version, outcome.rows);
         return true;
     }
   }
 
-  #isOld(version: number): boolean {
-    if (version >= this.#version) return false;
+  /** Whether an answer is older than what was known when it was asked for. */
+  #isOld(version: number, floor: number): boolean {
+    if (version >= floor) return false;
     const { table, log } = this.#options;
-    log.warn("store.stale_answer", { table, version, known: this.#version });
+    log.warn("store.stale_answer", { table, version, known: floor });
     return true;
   }
 
   /** Takes changed rows of an answer that tells `version` as the newest. */
   reflect(version: number, rows: readonly StateRow[]): void {
-    this.#version = Math.max(this.#version, version);
+    this.#options.seen.note(version);
     this.#cursor = Math.max(
       this.#cursor,
       ...rows.map((row) => row.version),
--- a/packages/node/cell/table_follower_test.ts
+++ b/packages/node/cell/table_follower_test.ts
@@ -2,7 +2,7 @@
 import type { FollowOutcome, StateRow } from "@coltsfootpond/ports";
 import { expect } from "chai";
 import { SILENT_LOG } from "./log.ts";
-import { TableFollower } from "./table_follower.ts";
+import { SeenVersion, TableFollower } from "./table_follower.ts";
 import { createStoreFake } from "./test_fixtures.ts";
 
 /** The store's version at every read but the first. */
@@ -39,6 +39,7 @@
     },
     clock,
     random: SeededRandom.create(1),
+    seen: SeenVersion.create(),
     log: SILENT_LOG,
   });
   void follower.run();
