Store placements before starts are sent

Each job's progress row now names the runs and workers before their starts go out; a new holder holds back only units placed on workers that have not reported. Starts pause while the store is away (at most the lease's term).

--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -130,6 +130,7 @@
       canAct,
       snapshotEnds: () => this.#snapshotEnds(),
       onClosed: (job) => this.#closeJob(job),
+      onPlaced: (unit) => this.#sendStarts(unit),
       onOvertaken: () => options.onOvertaken("progress of a later holder"),
     });
     this.#directory = WorkerDirectory.create({
@@ -231,13 +232,13 @@
   ): void {
     const { follower, clock, nowUnixMs, log } = this.#options;
     const stored = follower.get(progressKey(spec.jobId));
-    const record = stored?.value &&
-      decodeRow<ProgressRow>(stored.value).record;
+    const row = stored?.value && decodeRow<ProgressRow>(stored.value);
     const job = LiveJob.create({
       spec,
-      progress: JobProgress.create(spec, record),
+      progress: JobProgress.create(spec, row?.record),
       rowVersion,
       progressVersion: stored?.version ?? 0,
+      placements: row?.placements,
     });
     job.hasBegun = stored !== undefined;
     this.#jobs.set(spec.jobId, job);
@@ -292,12 +293,11 @@
     const { clock, nowUnixMs, declared, canAct, log, settings } = this.#options;
     if (!canAct()) return;
     const nowMs = clock.nowMs();
-    const unresolved = this.#hasUnresolvedWorkers();
+    const unresolved = this.#findUnresolvedWorkers();
     const strayUnits = this.#findStrayUnits();
     const isBlocked = (unit: Unit) =>
       strayUnits.has(describeUnit(unit)) ||
-      unresolved && !unit.wasSeen &&
-        unit.job.rowVersion <= this.#options.takenVersion;
+      !unit.wasSeen && mayRunUnseen(unit, unresolved);
     const input = createPlanInput({
       jobs: [...this.#jobs.values()].filter((job) => job.ending === undefined),
       workers: this.#createViews(nowMs),
@@ -339,9 +339,11 @@
   }
 
   /** Workers that may run what an earlier holder started and have not told it. */
-  #hasUnresolvedWorkers(): boolean {
-    return [...this.#sessions.values()].some((session) =>
-      !session.hasReported && !session.isSurelyLapsed()
+  #findUnresolvedWorkers(): ReadonlySet<WorkerName> {
+    return new Set(
+      [...this.#sessions.values()].filter((session) =>
+        !session.hasReported && !session.isSurelyLapsed()
+      ).map(({ worker }) => worker),
     );
   }
 
@@ -351,6 +353,7 @@
       run: ++this.#nextRun,
       members: new Map(),
       startedMs: nowMs,
+      isPending: true,
       isClosing: false,
     };
     unit.run = run;
@@ -362,15 +365,27 @@
       workers,
       waitedMs: Math.round(nowMs - unit.waitingSinceMs),
     });
-    const starts = workers.flatMap((worker, index) => {
+    for (const [index, worker] of workers.entries()) {
       const session = this.#sessions.get(worker);
-      if (session === undefined) return [];
+      if (session === undefined) continue;
       const member = createMember(unit, index, run.run, nowMs);
+      session.reserve(member);
       run.members.set(member, session);
       this.#unitByMember.set(member, unit);
-      return [{ session, member }];
-    });
-    for (const { session, member } of starts) {
+    }
+    this.#writer.mark(job, true);
+  }
+
+  /** The unit's placement is stored: a later holder knows where its run may be. */
+  #sendStarts(unit: Unit): void {
+    const { run, job } = unit;
+    if (run === undefined || !run.isPending || run.isClosing) return;
+    if (!this.#options.canAct()) {
+      this.#closeRun(unit, "the lease is in doubt");
+      return;
+    }
+    run.isPending = false;
+    for (const [member, session] of run.members) {
       void session.start(member, job.spec.payload);
     }
   }
@@ -387,8 +402,13 @@
         reason,
         members: run.members.size,
       });
-      for (const [member, session] of run.members) {
-        void session.stopMember(member);
+      for (const [member, session] of [...run.members]) {
+        if (run.isPending) {
+          session.release(member);
+          this.#dropMember(member);
+        } else {
+          void session.stopMember(member);
+        }
       }
     }
     this.#finishRun(unit, run);
@@ -563,6 +583,7 @@
         run: member.run,
         members: new Map(),
         startedMs: this.#options.clock.nowMs(),
+        isPending: false,
         isClosing: false,
       };
       unit.wasSeen = true;
@@ -785,11 +806,12 @@
 
   /** A gang of which members are missing for good cannot work. */
   #closeIncomplete(): void {
-    if (this.#hasUnresolvedWorkers()) return;
+    const unresolved = this.#findUnresolvedWorkers();
     for (const job of this.#jobs.values()) {
       for (const unit of job.units.values()) {
         const { run } = unit;
         if (run === undefined || run.isClosing) continue;
+        if (mayRunUnseen(unit, unresolved)) continue;
         if (run.members.size < unit.count && !this.#isUnitDone(unit)) {
           this.#closeRun(unit, "members are missing");
         }
@@ -802,6 +824,16 @@
   }
 }
 
+/** Whether an earlier holder placed the unit on a worker that has not reported. */
+function mayRunUnseen(
+  unit: Unit,
+  unresolved: ReadonlySet<WorkerName>,
+): boolean {
+  if (unresolved.size === 0) return false;
+  const workers = unit.job.earlierPlacements.get(formatUnitKey(unit.address));
+  return workers?.some((worker) => unresolved.has(worker)) ?? false;
+}
+
 /** Nothing runs there and nothing will: a new holder need not ask it. */
 function isEmptied(session: WorkerSession): boolean {
   return session.hasReported && !session.hasMembers &&
--- a/packages/node/cell/cell_world.ts
+++ b/packages/node/cell/cell_world.ts
@@ -9,7 +9,13 @@
 import { CellScheduler } from "./cell_scheduler.ts";
 import { DeclaredStateTask } from "./declared_state.ts";
 import { SILENT_LOG } from "./log.ts";
-import { decodeRow, encodeRow, jobKey, type JobRow } from "./rows.ts";
+import {
+  decodeRow,
+  encodeRow,
+  jobKey,
+  type JobRow,
+  progressKey,
+} from "./rows.ts";
 import { SeenVersion, TableFollower } from "./table_follower.ts";
 import { createStoreFake, type StoreFake } from "./test_fixtures.ts";
 import {
@@ -69,6 +75,15 @@
     }, 1);
   }
 
+  /** Drops the job's stored progress; the workers still list what ended. */
+  async forgetProgress(spec: CellJobSpec): Promise<void> {
+    await this.store.transact({
+      conditions: [],
+      puts: [],
+      deletes: [progressKey(spec.jobId)],
+    }, 1);
+  }
+
   /** The job's row as the store holds it. */
   readJob(spec: CellJobSpec): JobRow | undefined {
     const row = this.store.rows().get(jobKey(spec.jobId));
--- a/packages/node/cell/live_job.ts
+++ b/packages/node/cell/live_job.ts
@@ -10,7 +10,7 @@
   type TaskName,
   type UnitAddress,
 } from "@coltsfootpond/policy";
-import type { EndedState } from "./rows.ts";
+import type { EndedState, PlacementRecord } from "./rows.ts";
 import type { Member, WorkerSession } from "./worker_session.ts";
 
 /** One run of a unit: a task, or all tasks of a gang. */
@@ -19,6 +19,8 @@
   /** Where each member that may still run is. */
   readonly members: Map<Member, WorkerSession>;
   readonly startedMs: number;
+  /** Its placement is not stored yet, so no start has been sent. */
+  isPending: boolean;
   /** Told to stop, or over because a member ended. */
   isClosing: boolean;
 }
@@ -49,6 +51,8 @@
   progressVersion: number;
   /** Writes of the progress row whose fate is not known yet. */
   readonly writeIds = new Set<string>();
+  /** Where an earlier holder may have started units, by unit key. */
+  readonly earlierPlacements: ReadonlyMap<string, readonly WorkerName[]>;
   hasBegun = false;
   ending: EndedState | undefined;
 
@@ -57,11 +61,13 @@
     progress: JobProgress,
     rowVersion: number,
     progressVersion: number,
+    earlierPlacements: ReadonlyMap<string, readonly WorkerName[]>,
   ) {
     this.spec = spec;
     this.progress = progress;
     this.rowVersion = rowVersion;
     this.progressVersion = progressVersion;
+    this.earlierPlacements = earlierPlacements;
   }
 
   static create(options: {
@@ -69,9 +75,36 @@
     readonly progress: JobProgress;
     readonly rowVersion: number;
     readonly progressVersion: number;
+    readonly placements?: readonly PlacementRecord[];
   }): LiveJob {
     const { spec, progress, rowVersion, progressVersion } = options;
-    return new LiveJob(spec, progress, rowVersion, progressVersion);
+    const earlier = new Map(
+      options.placements?.map(([unit, , workers]) => [unit, workers]),
+    );
+    return new LiveJob(spec, progress, rowVersion, progressVersion, earlier);
+  }
+
+  /** Where its runs may be at work, an earlier holder's that were not seen yet included. */
+  listPlacements(): readonly PlacementRecord[] {
+    const own = [...this.units].flatMap(([key, { run }]) =>
+      run === undefined ? [] : [
+        [
+          key,
+          run.run,
+          [...run.members.values()].map(({ worker }) => worker),
+        ] as const,
+      ]
+    );
+    const listed = new Set(own.map(([key]) => key));
+    const earlier = [...this.earlierPlacements].filter(([key]) =>
+      !listed.has(key) && this.units.get(key)?.wasSeen === false
+    ).map(([key, workers]) => [key, 0, workers] as const);
+    return [...own, ...earlier];
+  }
+
+  /** Units whose starts wait for their placement to be stored. */
+  listPending(): readonly Unit[] {
+    return [...this.units.values()].filter(({ run }) => run?.isPending);
   }
 
   get jobId(): CellJobId {
--- a/packages/node/cell/progress_writer.ts
+++ b/packages/node/cell/progress_writer.ts
@@ -10,7 +10,7 @@
   StateStore,
   StateTransaction,
 } from "@coltsfootpond/ports";
-import type { LiveJob } from "./live_job.ts";
+import type { LiveJob, Unit } from "./live_job.ts";
 import type { CellLog } from "./log.ts";
 import {
   decodeRow,
@@ -43,6 +43,8 @@
   readonly snapshotEnds: () => () => void;
   /** The job's end is stored, or its row has been ended by another. */
   readonly onClosed: (job: LiveJob) => void;
+  /** The unit's placement is stored: its starts may be sent. */
+  readonly onPlaced: (unit: Unit) => void;
   /** Another holder has written. */
   readonly onOvertaken: () => void;
 }
@@ -51,6 +53,8 @@
   readonly job: LiveJob;
   /** The end that the write records; the job may end while its progress is being written. */
   readonly ending: EndedState | undefined;
+  /** Units whose placement the write stores for the first time. */
+  readonly pending: readonly Unit[];
   readonly value: Uint8Array;
 }
 
@@ -169,10 +173,12 @@
     job.writeIds.add(writeId);
     if (job.ending === undefined) {
       const record = job.progress.toRecord();
+      const placements = job.listPlacements();
       return {
         job,
         ending: undefined,
-        value: encodeRow({ writeId, record }),
+        pending: job.listPending(),
+        value: encodeRow({ writeId, record, placements }),
       };
     }
     const { queue, organisation } = job.spec;
@@ -183,16 +189,17 @@
       organisation,
       endedUnixMs: this.#options.nowUnixMs(),
     };
-    return { job, ending: job.ending, value: encodeRow(row) };
+    return { job, ending: job.ending, pending: [], value: encodeRow(row) };
   }
 
-  #confirm({ job, ending, value }: JobWrite, version: number): void {
+  #confirm({ job, ending, pending, value }: JobWrite, version: number): void {
     const { follower, onClosed, log } = this.#options;
     const progress = progressKey(job.jobId);
     if (ending === undefined) {
       job.progressVersion = version;
       job.writeIds.clear();
       follower.apply([{ key: progress, version, value }]);
+      pending.forEach((unit) => this.#options.onPlaced(unit));
       return;
     }
     log.info("job.ended", { job: job.jobId, state: ending });
--- a/packages/node/cell/progress_writer_test.ts
+++ b/packages/node/cell/progress_writer_test.ts
@@ -42,6 +42,7 @@
       canAct: () => true,
       snapshotEnds: () => () => confirmed++,
       onClosed: () => {},
+      onPlaced: () => {},
       onOvertaken: () => {},
     });
     writer.mark(job, true);
@@ -88,6 +89,7 @@
       canAct: () => true,
       snapshotEnds: () => () => {},
       onClosed: () => {},
+      onPlaced: () => {},
       onOvertaken: () => {},
     });
     writer.mark(job, true);
--- a/packages/node/cell/rows.ts
+++ b/packages/node/cell/rows.ts
@@ -1,5 +1,5 @@
 /** Rows of the cell's state table: keys, values and their encoding (msgpack). */
-import type { OrganisationName } from "@coltsfootpond/common";
+import type { OrganisationName, WorkerName } from "@coltsfootpond/common";
 import type {
   CellJobId,
   CellJobSpec,
@@ -32,8 +32,17 @@
   /** Names the write, so that a write whose answer was lost is recognised. */
   readonly writeId: string;
   readonly record: ProgressRecord;
+  /** Runs that may be at work; stored before their starts are sent. */
+  readonly placements: readonly PlacementRecord[];
 }
 
+/** A unit's run: `{occurrence}.{step}.{index}`, and the worker of each member. */
+export type PlacementRecord = readonly [
+  unit: string,
+  run: number,
+  workers: readonly WorkerName[],
+];
+
 /** Who schedules the cell. */
 export interface LeaseRow {
   readonly holder: string;
--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -185,10 +185,19 @@
     }
   }
 
-  /** Orders one task to start; the outcome comes through the listener. */
+  /** Takes room for a task whose start is sent later. */
+  reserve(member: Member): void {
+    this.members.set(memberKey(member.task, member.run), member);
+  }
+
+  /** Gives up a reservation of which no start was sent. */
+  release(member: Member): void {
+    this.#remove(member);
+  }
+
+  /** Orders a reserved task to start; the outcome comes through the listener. */
   async start(member: Member, payload: string): Promise<void> {
     const { orders, epoch, listener } = this.#options;
-    this.members.set(memberKey(member.task, member.run), member);
     const leaseUntilMs = this.#leaseFor(
       Math.min(START_LEASE_MS, this.#options.bounds.leaseMaximumMs),
     );
