--- a/packages/node/cell/cell_entry.ts
+++ b/packages/node/cell/cell_entry.ts
@@ -86,6 +86,8 @@
     this.#state = TableFollower.create({
       ...common,
       table: STATE_TABLE.STATE,
+      // The holder of the scheduler's lease renews it in this table.
+      isBusy: true,
     });
     this.#operators = TableFollower.create({
       ...common,
--- a/packages/node/cell/store_relay.ts
+++ b/packages/node/cell/store_relay.ts
@@ -30,8 +30,12 @@
 const PEER_PAUSE_MS = 1_500;
 /** Peers that one call tries. */
 const PEERS_PER_CALL = 2;
-/** Beyond the call's own time-out: the way to the peer and back. */
-const PEER_SLACK_MS = 100;
+/** Of a peer's time: the way to the peer and back. */
+const PEER_SLACK_MS = 40;
+/** Share of a call's time that the direct try may take; the rest is for peers. */
+const DIRECT_SHARE = 0.7;
+/** Less time than this is not worth another try. */
+const LEAST_TRY_MS = 100;
 const PEER_CONNECTIONS = 6;
 const STATUS_OK = 200;
 
@@ -108,17 +112,28 @@
     return outcome;
   }
 
+  /** All tries together stay within the call's time-out. */
   async #tryAll(call: StoreCall, timeoutMs: number): Promise<StoreOutcome> {
     const { clock, direct } = this.#options;
+    const untilMs = clock.nowMs() + timeoutMs;
+    const peers = this.#choosePeers();
     let failure: Unavailable | undefined;
     if (clock.nowMs() >= this.#directPausedUntilMs) {
-      const outcome = await runStoreCall(direct, call);
+      const share = call.kind === "follow" || peers.length === 0
+        ? 1
+        : DIRECT_SHARE;
+      const outcome = await runStoreCall(
+        direct,
+        withTimeout(call, timeoutMs * share),
+      );
       this.#noteDirect(outcome.kind !== "unavailable");
       if (outcome.kind !== "unavailable") return outcome;
       failure = outcome;
     }
-    for (const peer of this.#choosePeers()) {
-      const outcome = await this.#callPeer(peer, call, timeoutMs);
+    for (const peer of peers) {
+      const leftMs = untilMs - clock.nowMs();
+      if (leftMs < LEAST_TRY_MS) break;
+      const outcome = await this.#callPeer(peer, call, leftMs);
       if (outcome.kind !== "unavailable") return outcome;
       failure = merge(failure, outcome);
     }
@@ -161,8 +176,8 @@
     const outcome = await this.#getClient(name, peer).exchange({
       method: "POST",
       path: STORE_CALL_PATH,
-      body: encodeMessage(call),
-      timeoutMs: timeoutMs + PEER_SLACK_MS,
+      body: encodeMessage(withTimeout(call, timeoutMs - PEER_SLACK_MS)),
+      timeoutMs,
     });
     const answer = decodeAnswer(outcome);
     if (answer.kind === "unavailable") {
@@ -183,6 +198,27 @@
   }
 }
 
+/** The same call with another time-out; a long poll's wait ends before it. */
+function withTimeout(call: StoreCall, timeoutMs: number): StoreCall {
+  switch (call.kind) {
+    case "transact":
+      return { ...call, arguments: [call.arguments[0], timeoutMs] };
+    case "read":
+      return {
+        ...call,
+        arguments: [call.arguments[0], call.arguments[1], timeoutMs],
+      };
+    case "follow": {
+      const [table, afterVersion, waitMs] = call.arguments;
+      const shorterMs = Math.max(0, Math.min(waitMs, timeoutMs - LEAST_TRY_MS));
+      return {
+        ...call,
+        arguments: [table, afterVersion, shorterMs, timeoutMs],
+      };
+    }
+  }
+}
+
 function formatPeer({ host, port }: HostPort): string {
   return `${host}:${port}`;
 }
--- a/packages/node/cell/table_follower.ts
+++ b/packages/node/cell/table_follower.ts
@@ -11,9 +11,9 @@
 import type { CellLog } from "./log.ts";
 
 /** How long one long poll waits; bounds how late a silent connection is noticed. */
-const FOLLOW_WAIT_MS = 1_000;
-/** Beyond the wait: network and a busy store. */
-const FOLLOW_SLACK_MS = 600;
+const FOLLOW_WAIT_MS = 900;
+/** Beyond the wait: network and a slow store. */
+const FOLLOW_SLACK_MS = 450;
 const READ_TIMEOUT_MS = 1_000;
 const FIRST_RETRY_MS = 50;
 const MAXIMUM_RETRY_MS = 400;
@@ -41,6 +41,8 @@
   readonly table: StateTable;
   /** Shared by all followers of a process: an answer behind it comes from the past. */
   readonly seen: SeenVersion;
+  /** The table changes within each wait while all is well: an empty answer calls for a read. */
+  readonly isBusy?: boolean;
   /** Reads the table anew this often, beside the feed, which may keep changes back. */
   readonly rereadMs?: number;
   readonly store: StateStore;
@@ -59,6 +61,7 @@
   #cursor = 0;
   #isLoaded = false;
   #isStopped = false;
+  #isFeedInDoubt = false;
   #readMs = 0;
   #contactMs = Number.NEGATIVE_INFINITY;
   #retryMs = FIRST_RETRY_MS;
@@ -133,6 +136,7 @@
 
   #isReadDue(): boolean {
     const { rereadMs, clock } = this.#options;
+    if (this.#isFeedInDoubt) return true;
     return rereadMs !== undefined && clock.nowMs() - this.#readMs >= rereadMs;
   }
 
@@ -147,6 +151,7 @@
     }
     if (this.#isOld(outcome.version, floor)) return false;
     this.#readMs = clock.nowMs();
+    this.#isFeedInDoubt = false;
     const present = new Set(outcome.rows.map(({ key }) => key));
     const gone = [...this.#rows.values()].filter((row) =>
       row.value !== undefined && row.version <= outcome.version &&
@@ -179,6 +184,8 @@
     switch (outcome.kind) {
       case "unavailable":
         log.warn("store.follow_failed", { table, ...outcome });
+        // Reads may be answered while long polls are not.
+        this.#isFeedInDoubt = true;
         return false;
       case "history_lost":
         log.info("store.history_lost", { table, version: this.#cursor });
@@ -187,6 +194,8 @@
       case "rows":
         if (this.#isOld(outcome.version, floor)) return false;
         this.reflect(outcome.version, outcome.rows);
+        this.#isFeedInDoubt = outcome.rows.length === 0 &&
+          this.#options.isBusy === true;
         return true;
     }
   }
--- a/packages/node/cell/table_follower_test.ts
+++ b/packages/node/cell/table_follower_test.ts
@@ -80,4 +80,13 @@
     await clock.advance(1_000);
     expect([...follower.rows()].map(({ key }) => key)).to.deep.equal(["b"]);
   });
+
+  it("reads the table when a long poll fails", async () => {
+    const { follower, clock } = createFollower(
+      [[row("a", 1)], [row("a", 5)]],
+      [() => ({ kind: "unavailable", effect: "lost", reason: "timeout" })],
+    );
+    await clock.advance(1_000);
+    expect(follower.get("a")?.version).to.equal(5);
+  });
 });
