--- a/packages/node/cell/caller_filters.ts
+++ b/packages/node/cell/caller_filters.ts
@@ -40,8 +40,6 @@
   readonly wire: CallerWire;
   readonly ledger: JobLedger;
   readonly getDeclaredState: () => DeclaredState | undefined;
-  /** How long the store has been away; 0 while it answers. */
-  readonly getStoreDownMs: () => number;
   readonly nowUnixMs: () => number;
 }
 
@@ -58,10 +56,8 @@
 } as const;
 
 const JOB_ID_PATTERN = /^[0-9a-f]{16}$/i;
-/** Short against the callers' objectives; callers have few retries, so a long outage asks for more. */
+/** The least that the header can say: callers wait for few seconds in all. */
 const RETRY_AFTER_S = 1;
-const LONG_OUTAGE_RETRY_AFTER_S = 2;
-const LONG_OUTAGE_MS = 1_500;
 /**
  * Share of the caller's patience after which a request whose write is in doubt is answered: the
  * rest is left to the caller for another try, which settles the same write.
@@ -148,7 +144,7 @@
 
 async function submit(
   request: CallerRequest,
-  { wire, ledger, getStoreDownMs }: CallerFilterOptions,
+  { wire, ledger }: CallerFilterOptions,
   nowUnixMs: number,
 ): Promise<CallerAnswer> {
   const { queue, state, organisation } = request;
@@ -184,7 +180,7 @@
     case "accepted":
       return { status: STATUS.OK, body: "{}", reason: "accepted" };
     case "refused":
-      return unavailable("the store refused the job", getStoreDownMs());
+      return unavailable("the store refused the job");
     case "unknown":
       return { status: STATUS.TIMEOUT, reason: "fate of the write unknown" };
   }
@@ -192,7 +188,7 @@
 
 async function showState(
   request: CallerRequest,
-  { wire, ledger, getStoreDownMs }: CallerFilterOptions,
+  { wire, ledger }: CallerFilterOptions,
 ): Promise<CallerAnswer> {
   const outcome = await ledger.getState(
     getJobId(request),
@@ -209,13 +205,13 @@
     case "absent":
       return { status: STATUS.GONE, reason: `no such job: ${outcome.reason}` };
     case "unknown":
-      return unavailable("the store does not answer", getStoreDownMs());
+      return unavailable("the store does not answer");
   }
 }
 
 async function cancel(
   request: CallerRequest,
-  { ledger, getStoreDownMs }: CallerFilterOptions,
+  { ledger }: CallerFilterOptions,
 ): Promise<CallerAnswer> {
   const outcome = await ledger.cancel(
     getJobId(request),
@@ -229,7 +225,7 @@
     case "absent":
       return { status: STATUS.GONE, reason: "no such job" };
     case "refused":
-      return unavailable("the store is away", getStoreDownMs());
+      return unavailable("the store is away");
     case "unknown":
       return { status: STATUS.TIMEOUT, reason: "fate of the write unknown" };
   }
@@ -245,9 +241,6 @@
   return receivedMs + patienceMs * DOUBT_SHARE;
 }
 
-function unavailable(reason: string, storeDownMs = 0): CallerAnswer {
-  const retryAfterS = storeDownMs > LONG_OUTAGE_MS
-    ? LONG_OUTAGE_RETRY_AFTER_S
-    : RETRY_AFTER_S;
-  return { status: STATUS.UNAVAILABLE, retryAfterS, reason };
+function unavailable(reason: string): CallerAnswer {
+  return { status: STATUS.UNAVAILABLE, retryAfterS: RETRY_AFTER_S, reason };
 }
--- a/packages/node/cell/cell_entry.ts
+++ b/packages/node/cell/cell_entry.ts
@@ -126,7 +126,6 @@
         wire: options.callerWire,
         ledger,
         getDeclaredState: () => this.#declared.current,
-        getStoreDownMs: () => this.#relay.downForMs,
         nowUnixMs,
       }),
       clock,
--- a/packages/node/cell/lease_task.ts
+++ b/packages/node/cell/lease_task.ts
@@ -11,10 +11,10 @@
 import type { TableFollower } from "./table_follower.ts";
 
 /** A beat that stood still this long may be taken over; four renewals. */
-export const LEASE_TERM_MS = 2_500;
-const RENEW_PERIOD_MS = 600;
+export const LEASE_TERM_MS = 1_800;
+const RENEW_PERIOD_MS = 400;
 /** The holder stops acting this long before others may take over: delays of timers and orders. */
-const ACTING_MARGIN_MS = 300;
+const ACTING_MARGIN_MS = 250;
 const TICK_MS = 50;
 const STORE_TIMEOUT_MS = 900;
 /** Spreads the entries that want the lease; entries with more processor share go first. */
