--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -794,7 +794,8 @@
     const members = [...run.members];
     const isStalled = members.length > 0 &&
       members.every(([member]) =>
-        member.percent < 100 && nowMs - member.percentChangedMs > STALL_MS
+        member.percent < 100 &&
+        member.percentSeenClockMs - member.percentSinceClockMs > STALL_MS
       );
     const isKnown = members.every(([, session]) => session.isReachable);
     if (!isStalled || !isKnown) return;
--- a/packages/node/cell/cell_scheduler_test.ts
+++ b/packages/node/cell/cell_scheduler_test.ts
@@ -186,4 +186,28 @@
     await world.clock.advance(20_000);
     expect(world.countOverlaps()).to.equal(0);
   });
+
+  it("stops a run that makes no progress and starts it elsewhere", async () => {
+    const world = CellWorld.create(["a", "b"]);
+    world.get("a").isHanging = true;
+    await world.submit(createSpec(JOB));
+    world.startScheduler();
+    await world.clock.advance(6_000);
+    expect(world.history.map(({ worker }) => worker)).to.deep.equal(["a", "b"]);
+    expect(world.history[0]!.end).to.equal("stopped");
+  });
+
+  it("takes no run for one without progress while it may not ask", async () => {
+    const world = CellWorld.create(["a", "b"]);
+    await world.submit(createSpec(JOB));
+    let mayAct = true;
+    world.startScheduler(() => mayAct);
+    await world.clock.advance(2_000);
+    mayAct = false;
+    await world.clock.advance(3_500);
+    mayAct = true;
+    await world.clock.advance(2_000);
+    expect(world.history).to.have.length(1);
+    expect(world.history[0]!.end).to.equal(undefined);
+  });
 });
--- a/packages/node/cell/live_job.ts
+++ b/packages/node/cell/live_job.ts
@@ -215,7 +215,8 @@
     stoppedClockMs: undefined,
     checkpoint: unit.job.progress.getCheckpoint(unit.address),
     percent: 0,
-    percentChangedMs: nowMs,
+    percentSinceClockMs: 0,
+    percentSeenClockMs: 0,
     sentMs: nowMs,
   };
 }
--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -49,7 +49,9 @@
   stoppedClockMs: number | undefined;
   checkpoint: string;
   percent: number;
-  percentChangedMs: number;
+  /** On the worker's clock: the report that first told this percentage, and the newest one. */
+  percentSinceClockMs: number;
+  percentSeenClockMs: number;
   readonly sentMs: number;
 }
 
@@ -270,17 +272,19 @@
     facts: { readonly need: CellResources; readonly stepKey: string },
   ): Member {
     const nowMs = this.#options.clock.nowMs();
+    const reportClockMs = this.#lastReportClockMs;
     const member: Member = {
       ...facts,
       task: running.task,
       run: running.run,
-      startedClockMs: this.#lastReportClockMs,
+      startedClockMs: reportClockMs,
       isUnsure: false,
       isStopping: false,
       stoppedClockMs: undefined,
       checkpoint: running.checkpoint,
       percent: running.percent,
-      percentChangedMs: nowMs,
+      percentSinceClockMs: reportClockMs,
+      percentSeenClockMs: reportClockMs,
       sentMs: nowMs,
     };
     this.members.set(memberKey(member.task, member.run), member);
@@ -464,10 +468,12 @@
     }
     member.startedClockMs ??= reportClockMs;
     if (running.checkpoint !== "") member.checkpoint = running.checkpoint;
-    if (running.percent !== member.percent) {
+    const isFirst = member.percentSeenClockMs === 0;
+    if (running.percent !== member.percent || isFirst) {
       member.percent = running.percent;
-      member.percentChangedMs = this.#options.clock.nowMs();
+      member.percentSinceClockMs = reportClockMs;
     }
+    member.percentSeenClockMs = reportClockMs;
   }
 
   /** A run that is neither listed as running nor as ended is gone once that is proven. */
--- a/packages/node/cell/workers_fake.ts
+++ b/packages/node/cell/workers_fake.ts
@@ -62,6 +62,8 @@
   isCut = false;
   /** Lists ends for ever, as a worker does whose acknowledgements are lost. */
   keepsEnds = false;
+  /** Runs make no progress. */
+  isHanging = false;
   /** Starts get no answer and are carried out this much later; undefined for at once. */
   startDelayMs: number | undefined;
 
@@ -165,7 +167,9 @@
         task,
         run,
         checkpoint: "",
-        percent: Math.min(99, (this.#clock.nowMs() - startedMs) / 100),
+        percent: this.isHanging
+          ? 7
+          : Math.min(99, (this.#clock.nowMs() - startedMs) / 1_000),
       })),
       ended: this.#ends,
     };
