--- a/packages/policy/cell/fit.ts
+++ b/packages/policy/cell/fit.ts
@@ -89,12 +89,25 @@
     (step.requiredLabel === undefined || view.labels.has(step.requiredLabel));
 }
 
-/** Tightest worker first, so that whole workers stay free; sound workers before slow ones. */
-function compareRooms(left: Room, right: Room): number {
-  return left.view.slowness - right.view.slowness ||
+/**
+ * Sound workers before slow ones; then the fullest rack and the tightest worker, so that whole
+ * workers and whole racks stay free for tasks and gangs that need them.
+ */
+function sortRooms(rooms: readonly Room[]): readonly Room[] {
+  const freeByRack = new Map(
+    [...groupByRack(rooms)].map(([rack, members]) => [
+      rack,
+      sumFreeAccelerators(members),
+    ]),
+  );
+  const rackFree = ({ view }: Room) => freeByRack.get(view.rack) ?? 0;
+  return [...rooms].sort((left, right) =>
+    left.view.slowness - right.view.slowness ||
+    rackFree(left) - rackFree(right) ||
     left.free.accelerators - right.free.accelerators ||
     left.free.cpuMilli - right.free.cpuMilli ||
-    (left.view.worker < right.view.worker ? -1 : 1);
+    (left.view.worker < right.view.worker ? -1 : 1)
+  );
 }
 
 function fillGreedily(
@@ -102,7 +115,7 @@
   request: FitRequest,
 ): readonly Room[] | undefined {
   const chosen: Room[] = [];
-  for (const room of [...rooms].sort(compareRooms)) {
+  for (const room of sortRooms(rooms)) {
     const fitting = Math.min(
       countFitting(room, request),
       request.count - chosen.length,
