Spread the state's rows over groups that change side by side

Lease, progress, peers and jobs (16 groups) now lie in parts of their own; an end is one conditional write of the job's row. Ruled out: the holder's processor (0.3 of its share).

--- a/packages/node/cell/progress_writer.ts
+++ b/packages/node/cell/progress_writer.ts
@@ -4,12 +4,8 @@
  * workers only after they are stored.
  */
 import { type Clock, createUniqueId, type Timer } from "@coltsfootpond/common";
-import type {
-  StateCondition,
-  StateRow,
-  StateStore,
-  StateTransaction,
-} from "@coltsfootpond/ports";
+import type { CellJobId } from "@coltsfootpond/policy";
+import type { StateRow, StateStore } from "@coltsfootpond/ports";
 import type { LiveJob, Unit } from "./live_job.ts";
 import type { CellLog } from "./log.ts";
 import {
@@ -29,8 +25,8 @@
 const URGENT_PAUSE_MS = 4;
 const RETRY_PAUSE_MS = 120;
 const STORE_TIMEOUT_MS = 900;
-/** Each job takes up to four entries of a transaction, which holds 100 (the users' protocol). */
-const JOBS_PER_TRANSACTION = 20;
+/** Each job takes up to three entries of a transaction, which holds 100 (the users' protocol). */
+const JOBS_PER_TRANSACTION = 30;
 
 export interface ProgressWriterOptions {
   readonly store: StateStore;
@@ -49,19 +45,12 @@
   readonly onOvertaken: () => void;
 }
 
-interface JobWrite {
-  readonly job: LiveJob;
-  /** The end that the write records; the job may end while its progress is being written. */
-  readonly ending: EndedState | undefined;
-  /** Units whose placement the write stores for the first time. */
-  readonly pending: readonly Unit[];
-  readonly value: Uint8Array;
-}
-
 /** Writes dirty jobs until stopped. */
 export class ProgressWriter {
   readonly #options: ProgressWriterOptions;
   readonly #dirty = new Set<LiveJob>();
+  /** Jobs whose progress row is of no use any more. */
+  readonly #finished = new Set<CellJobId>();
   #dueMs: number | undefined;
   #timer: Timer | undefined;
   #isRunning = false;
@@ -90,8 +79,10 @@
     this.#schedule(GROUP_PAUSE_MS);
   }
 
+  /** The job has ended: its progress row goes with the next write. */
   forget(job: LiveJob): void {
     this.#dirty.delete(job);
+    if (job.progressVersion !== 0) this.#finished.add(job.jobId);
   }
 
   #schedule(pauseMs: number): void {
@@ -125,110 +116,120 @@
   async #flush(): Promise<boolean> {
     const confirmEnds = this.#options.snapshotEnds();
     const jobs = [...this.#dirty];
-    for (let first = 0; first < jobs.length; first += JOBS_PER_TRANSACTION) {
-      if (!this.#options.canAct()) return false;
-      const group = jobs.slice(first, first + JOBS_PER_TRANSACTION);
-      if (!await this.#store(group.filter((job) => this.#dirty.has(job)))) {
-        return false;
-      }
-    }
+    const ending = jobs.filter((job) => job.ending !== undefined);
+    const open = jobs.filter((job) => job.ending === undefined);
+    const results = await Promise.all([
+      this.#storeProgress(open),
+      ...ending.map((job) => this.#storeEnd(job)),
+    ]);
+    if (!results.every((isStored) => isStored)) return false;
     confirmEnds();
     return true;
   }
 
-  async #store(jobs: readonly LiveJob[]): Promise<boolean> {
-    if (jobs.length === 0) return true;
-    const { store, log } = this.#options;
-    const writes = jobs.map((job) => this.#createWrite(job));
-    writes.forEach(({ job }) => this.#dirty.delete(job));
-    const outcome = await store.transact(
-      createTransaction(writes),
-      STORE_TIMEOUT_MS,
-    );
+  /** Progress rows lie in one group, so that one transaction stores those of many jobs. */
+  async #storeProgress(jobs: readonly LiveJob[]): Promise<boolean> {
+    let isStored = true;
+    let first = 0;
+    do {
+      const group = jobs.slice(first, first + JOBS_PER_TRANSACTION);
+      const deletes = [...this.#finished].slice(0, JOBS_PER_TRANSACTION);
+      if (group.length > 0) {
+        isStored = await this.#storeGroup(group, deletes) && isStored;
+      }
+      first += JOBS_PER_TRANSACTION;
+    } while (first < jobs.length);
+    return isStored;
+  }
+
+  async #storeGroup(
+    jobs: readonly LiveJob[],
+    deletes: readonly CellJobId[],
+  ): Promise<boolean> {
+    const { store, log, canAct } = this.#options;
+    if (!canAct()) return false;
+    const writes = jobs.map(createWrite);
+    jobs.forEach((job) => this.#dirty.delete(job));
+    const outcome = await store.transact({
+      conditions: jobs.map((job) => ({
+        key: progressKey(job.jobId),
+        version: job.progressVersion,
+      })),
+      puts: writes.map(({ job, value }) => ({
+        key: progressKey(job.jobId),
+        value,
+      })),
+      deletes: deletes.map(progressKey),
+    }, STORE_TIMEOUT_MS);
     if (this.#isStopped) return false;
     switch (outcome.kind) {
       case "committed":
+        deletes.forEach((jobId) => this.#finished.delete(jobId));
         writes.forEach((write) => this.#confirm(write, outcome.version));
         return true;
       case "conflict":
         log.warn("progress.conflict", {
-          expected: writes.map(({ job }) => ({
-            job: job.jobId,
-            rowVersion: job.rowVersion,
-            progressVersion: job.progressVersion,
-          })),
+          jobs: jobs.map(({ jobId }) => jobId),
           found: outcome.rows.map(({ key, version }) => ({ key, version })),
         });
-        writes.forEach((write) => this.#reconcile(write, outcome.rows));
+        jobs.forEach((job) => this.#reconcile(job, outcome.rows));
         return false;
       case "unavailable":
         log.warn("progress.write_failed", { jobs: jobs.length, ...outcome });
-        writes.forEach(({ job }) => this.#dirty.add(job));
+        jobs.forEach((job) => this.#dirty.add(job));
         return false;
     }
   }
 
-  #createWrite(job: LiveJob): JobWrite {
-    const writeId = createUniqueId();
-    job.writeIds.add(writeId);
-    if (job.ending === undefined) {
-      const record = job.progress.toRecord();
-      const placements = job.listPlacements();
-      return {
-        job,
-        ending: undefined,
-        pending: job.listPending(),
-        value: encodeRow({ writeId, record, placements }),
-      };
-    }
-    const { queue, organisation } = job.spec;
-    const row: JobRow = {
-      kind: "ended",
-      state: job.ending,
-      queue,
-      organisation,
-      endedUnixMs: this.#options.nowUnixMs(),
-    };
-    return { job, ending: job.ending, pending: [], value: encodeRow(row) };
+  #confirm({ job, pending, value }: ProgressWrite, version: number): void {
+    job.progressVersion = version;
+    job.writeIds.clear();
+    this.#options.follower.apply([{
+      key: progressKey(job.jobId),
+      version,
+      value,
+    }]);
+    pending.forEach((unit) => this.#options.onPlaced(unit));
   }
 
-  #confirm({ job, ending, pending, value }: JobWrite, version: number): void {
-    const { follower, onClosed, log } = this.#options;
-    const progress = progressKey(job.jobId);
-    if (ending === undefined) {
-      job.progressVersion = version;
-      job.writeIds.clear();
-      follower.apply([{ key: progress, version, value }]);
-      pending.forEach((unit) => this.#options.onPlaced(unit));
-      return;
+  /** Stores the job's end; a cancel that came first stands. */
+  async #storeEnd(job: LiveJob): Promise<boolean> {
+    const { store, follower, log, canAct, onClosed } = this.#options;
+    const { ending } = job;
+    if (ending === undefined || !canAct()) return false;
+    const key = jobKey(job.jobId);
+    const value = encodeRow(createEndedRow(job, ending, this.#options));
+    const outcome = await store.transact({
+      conditions: [{ key, version: job.rowVersion }],
+      puts: [{ key, value }],
+      deletes: [],
+    }, STORE_TIMEOUT_MS);
+    if (this.#isStopped) return false;
+    switch (outcome.kind) {
+      case "committed":
+        log.info("job.ended", { job: job.jobId, state: ending });
+        follower.apply([{ key, version: outcome.version, value }]);
+        onClosed(job);
+        return true;
+      case "conflict":
+        // Cancelled meanwhile, or this very end, whose answer was lost.
+        follower.apply(outcome.rows);
+        onClosed(job);
+        return true;
+      case "unavailable":
+        log.warn("progress.end_failed", { job: job.jobId, ...outcome });
+        return false;
     }
-    log.info("job.ended", { job: job.jobId, state: ending });
-    this.#dirty.delete(job);
-    follower.apply([
-      { key: jobKey(job.jobId), version, value },
-      ...(job.progressVersion === 0
-        ? []
-        : [{ key: progress, version, value: undefined }]),
-    ]);
-    onClosed(job);
   }
 
-  /** A condition of the group did not hold; finds out for each job what stands now. */
-  #reconcile({ job }: JobWrite, rows: readonly StateRow[]): void {
-    const { follower, onClosed, onOvertaken, log } = this.#options;
-    const own = rows.find(({ key }) => key === jobKey(job.jobId));
-    const row = own?.value && decodeRow<JobRow>(own.value);
-    if (row?.kind !== "live") {
-      // Cancelled meanwhile, or our own end whose answer was lost.
-      if (own !== undefined) follower.apply([own]);
-      onClosed(job);
-      return;
-    }
-    const progress = rows.find(({ key }) => key === progressKey(job.jobId));
-    const stored = progress?.value && decodeRow<ProgressRow>(progress.value);
-    const version = progress?.version ?? 0;
+  /** The stored progress has another version: a write of ours that was not answered, or another's. */
+  #reconcile(job: LiveJob, rows: readonly StateRow[]): void {
+    const { onOvertaken, log } = this.#options;
+    const row = rows.find(({ key }) => key === progressKey(job.jobId));
+    const stored = row?.value && decodeRow<ProgressRow>(row.value);
+    const version = row?.version ?? 0;
     if (version !== job.progressVersion) {
-      if (!isOwn(job, stored)) {
+      if (stored === undefined || !job.writeIds.has(stored.writeId)) {
         log.warn("progress.overtaken", { job: job.jobId, version });
         onOvertaken();
         return;
@@ -239,27 +240,39 @@
   }
 }
 
-/** Whether the stored progress is an earlier write of this holder, carried out late. */
-function isOwn(job: LiveJob, stored: ProgressRow | undefined): boolean {
-  return stored !== undefined && job.writeIds.has(stored.writeId);
+/** A write of a job's progress. */
+interface ProgressWrite {
+  readonly job: LiveJob;
+  /** Units whose placement it stores for the first time. */
+  readonly pending: readonly Unit[];
+  readonly value: Uint8Array;
 }
 
-function createTransaction(writes: readonly JobWrite[]): StateTransaction {
-  const conditions: StateCondition[] = [];
-  const puts: { readonly key: string; readonly value: Uint8Array }[] = [];
-  const deletes: string[] = [];
-  for (const { job, ending, value } of writes) {
-    const progress = progressKey(job.jobId);
-    conditions.push(
-      { key: jobKey(job.jobId), version: job.rowVersion },
-      { key: progress, version: job.progressVersion },
-    );
-    if (ending === undefined) {
-      puts.push({ key: progress, value });
-    } else {
-      puts.push({ key: jobKey(job.jobId), value });
-      if (job.progressVersion !== 0) deletes.push(progress);
-    }
-  }
-  return { conditions, puts, deletes };
+function createWrite(job: LiveJob): ProgressWrite {
+  const writeId = createUniqueId();
+  job.writeIds.add(writeId);
+  return {
+    job,
+    pending: job.listPending(),
+    value: encodeRow({
+      writeId,
+      record: job.progress.toRecord(),
+      placements: job.listPlacements(),
+    }),
+  };
+}
+
+function createEndedRow(
+  job: LiveJob,
+  state: EndedState,
+  { nowUnixMs }: ProgressWriterOptions,
+): JobRow {
+  const { queue, organisation } = job.spec;
+  return {
+    kind: "ended",
+    state,
+    queue,
+    organisation,
+    endedUnixMs: nowUnixMs(),
+  };
 }
--- a/packages/node/cell/progress_writer_test.ts
+++ b/packages/node/cell/progress_writer_test.ts
@@ -48,7 +48,7 @@
     writer.mark(job, true);
     await clock.advance(1_000);
     expect(confirmed).to.be.greaterThan(0);
-    expect(store.keys()).to.deep.equal(["p/00000000000000aa"]);
+    expect(store.keys()).to.deep.equal(["progress/00000000000000aa"]);
   });
 
   it("stores a job's end that comes while its progress is being written", async () => {
@@ -58,7 +58,7 @@
     await store.transact({
       conditions: [],
       puts: [{
-        key: "j/00000000000000bb",
+        key: "jobs-0/00000000000000bb",
         value: encodeRow({ kind: "live", spec: job.spec }),
       }],
       deletes: [],
@@ -88,14 +88,20 @@
       log: SILENT_LOG,
       canAct: () => true,
       snapshotEnds: () => () => {},
-      onClosed: () => {},
+      onClosed: (ended) => writer.forget(ended),
       onPlaced: () => {},
       onOvertaken: () => {},
     });
     writer.mark(job, true);
     await clock.advance(1_000);
-    expect(store.keys()).to.deep.equal(["j/00000000000000bb"]);
-    const row = store.rows().get("j/00000000000000bb");
+    // The progress of an ended job goes with the next write.
+    writer.mark(createJob("00000000000000cc"), true);
+    await clock.advance(1_000);
+    expect([...store.keys()].sort()).to.deep.equal([
+      "jobs-0/00000000000000bb",
+      "progress/00000000000000cc",
+    ]);
+    const row = store.rows().get("jobs-0/00000000000000bb");
     expect(decodeRow<JobRow>(row!.value!).kind).to.equal("ended");
   });
 });
--- a/packages/node/cell/rows.ts
+++ b/packages/node/cell/rows.ts
@@ -71,15 +71,20 @@
   readonly port: number;
 }
 
-const JOB_PREFIX = "j/";
-const PROGRESS_PREFIX = "p/";
-const PEER_PREFIX = "n/";
-export const LEASE_KEY = "cell/lease";
+/**
+ * The part of a key before its slash names its group: rows of one group are changed one
+ * transaction after another, those of several groups side by side.
+ */
+const PROGRESS_PREFIX = "progress/";
+const PEER_PREFIX = "peers/";
+export const LEASE_KEY = "lease/holder";
 export const ROSTER_KEY = "cell/roster";
 export const BEGUN_KEY = "cell/begun";
+/** Jobs are spread over 16 groups by the first digit of their id. */
+const JOB_KEY_PATTERN = /^jobs-[0-9a-f]\/(.+)$/;
 
 export function jobKey(jobId: CellJobId): string {
-  return `${JOB_PREFIX}${jobId}`;
+  return `jobs-${jobId.charAt(0).toLowerCase()}/${jobId}`;
 }
 
 export function progressKey(jobId: CellJobId): string {
@@ -92,15 +97,7 @@
 
 /** The job of a job's row; undefined for other rows. */
 export function parseJobKey(key: string): CellJobId | undefined {
-  return key.startsWith(JOB_PREFIX)
-    ? key.slice(JOB_PREFIX.length) as CellJobId
-    : undefined;
-}
-
-export function parseProgressKey(key: string): CellJobId | undefined {
-  return key.startsWith(PROGRESS_PREFIX)
-    ? key.slice(PROGRESS_PREFIX.length) as CellJobId
-    : undefined;
+  return JOB_KEY_PATTERN.exec(key)?.[1] as CellJobId | undefined;
 }
 
 export function isPeerKey(key: string): boolean {
--- a/packages/ports/cell/types.ts
+++ b/packages/ports/cell/types.ts
@@ -31,7 +31,10 @@
 } as const;
 export type StateTable = (typeof STATE_TABLE)[keyof typeof STATE_TABLE];
 
-/** A row at a version of the store's single counter. Deleted rows have no value. */
+/**
+ * A row at a version of the store's single counter. Deleted rows have no value. In the state table
+ * the part of a key before its first slash names its group; one transaction changes one group.
+ */
 export interface StateRow {
   readonly key: string;
   readonly version: number;
