--- a/packages/node/cell/cell_entry.ts
+++ b/packages/node/cell/cell_entry.ts
@@ -32,6 +32,8 @@
 
 /** A second look beside the feed; with one poll's wait, half of the users' bound of 2 s. */
 const DECLARED_STATE_REREAD_MS = 900;
+/** Entries share the store's rate of reads: each polls rarer the more there are. */
+const FOLLOW_PAUSE_PER_PEER_MS = 5;
 const ANNOUNCE_PAUSE_MS = 300;
 const STORE_TIMEOUT_MS = 900;
 /** The store has not answered for this long: others should take new connections. */
@@ -88,6 +90,10 @@
       table: STATE_TABLE.STATE,
       // The holder of the scheduler's lease renews it in this table.
       isBusy: true,
+      getPauseMs: () =>
+        this.#scheduler === undefined
+          ? this.#listPeers().length * FOLLOW_PAUSE_PER_PEER_MS
+          : 0,
     });
     this.#operators = TableFollower.create({
       ...common,
--- a/packages/node/cell/table_follower.ts
+++ b/packages/node/cell/table_follower.ts
@@ -43,6 +43,8 @@
   readonly seen: SeenVersion;
   /** The table changes within each wait while all is well: an empty answer calls for a read. */
   readonly isBusy?: boolean;
+  /** Pause after changes, so that one poll brings several; none when left out. */
+  readonly getPauseMs?: () => number;
   /** Reads the table anew this often, beside the feed, which may keep changes back. */
   readonly rereadMs?: number;
   readonly store: StateStore;
@@ -126,6 +128,8 @@
         : await this.#load();
       if (isProgress) {
         this.#retryMs = FIRST_RETRY_MS;
+        const pauseMs = this.#options.getPauseMs?.() ?? 0;
+        if (pauseMs > 0) await this.#options.clock.sleep(pauseMs);
         continue;
       }
       const jitter = 0.5 + this.#options.random.next();
