--- /dev/null
+++ b/packages/node/cell/cell_faults_test.ts
@@ -0,0 +1,197 @@
+/**
+ * Random faults over the cell's manual-clock world: workers cut and healed, starts carried out
+ * late, holders that die, holders that are overtaken, a store that refuses or loses answers.
+ * What must hold is checked on what the workers saw.
+ */
+import { nextInteger, SeededRandom } from "@coltsfootpond/common";
+import type { CellJobSpec } from "@coltsfootpond/policy";
+import type { TransactOutcome } from "@coltsfootpond/ports";
+import { expect } from "chai";
+import type { CellScheduler } from "./cell_scheduler.ts";
+import { CellWorld } from "./cell_world.ts";
+import { createSpec, createStep } from "./test_fixtures.ts";
+import type { WorkerFake } from "./workers_fake.ts";
+
+const SEEDS = 120;
+const WORKERS = ["a", "b", "c", "d"] as const;
+const JOBS = 5;
+const FAULTY_STEPS = 24;
+const STEP_MS = 500;
+/** Enough for every lease to lapse and all work to be done once the faults are over. */
+const CALM_MS = 45_000;
+
+function createJobs(random: SeededRandom): readonly CellJobSpec[] {
+  return Array.from({ length: JOBS }, (_, number) => {
+    const isGang = random.next() < 0.5;
+    const count = 1 + nextInteger(random, 4);
+    const steps = [createStep({ count, isGang })];
+    if (random.next() < 0.5) steps.push(createStep({ after: [0], count: 2 }));
+    return createSpec(number.toString(16).padStart(16, "0"), {
+      steps,
+      priority: nextInteger(random, 3),
+      maximumAttempts: 1_000,
+    });
+  });
+}
+
+/** One random world. */
+class FaultyWorld {
+  readonly world = CellWorld.create(WORKERS);
+  readonly jobs: readonly CellJobSpec[];
+  readonly #random: SeededRandom;
+  #scheduler: CellScheduler | undefined;
+  #mayAct = { current: true };
+  #storeFault: "none" | "refuses" | "loses" = "none";
+
+  private constructor(seed: number) {
+    this.#random = SeededRandom.create(seed);
+    this.jobs = createJobs(this.#random);
+    this.#injectStoreFaults();
+  }
+
+  static create(seed: number): FaultyWorld {
+    return new FaultyWorld(seed);
+  }
+
+  async play(): Promise<void> {
+    this.#replaceScheduler();
+    for (let step = 0; step < FAULTY_STEPS; step++) {
+      const job = this.jobs[step];
+      if (job !== undefined) await this.#submit(job);
+      this.#fault();
+      this.#work();
+      await this.world.clock.advance(STEP_MS);
+    }
+    await this.#calm();
+  }
+
+  async #submit(job: CellJobSpec): Promise<void> {
+    const fault = this.#storeFault;
+    this.#storeFault = "none";
+    await this.world.submit(job);
+    this.#storeFault = fault;
+  }
+
+  async #calm(): Promise<void> {
+    this.#storeFault = "none";
+    for (const worker of this.world.workers.values()) {
+      worker.isCut = false;
+      worker.startDelayMs = undefined;
+    }
+    this.#replaceScheduler();
+    for (let passedMs = 0; passedMs < CALM_MS; passedMs += STEP_MS) {
+      this.#work();
+      await this.world.clock.advance(STEP_MS);
+    }
+  }
+
+  /** A new holder; the one before dies, or lives on without the right to act. */
+  #replaceScheduler(): void {
+    this.#mayAct.current = false;
+    if (this.#random.next() < 0.5) this.#scheduler?.stop();
+    const mayAct = { current: true };
+    this.#mayAct = mayAct;
+    this.#scheduler = this.world.startScheduler(() => mayAct.current);
+  }
+
+  #fault(): void {
+    const worker = this.#pick();
+    const choice = nextInteger(this.#random, 8);
+    if (choice === 0) worker.isCut = true;
+    if (choice === 1) worker.isCut = false;
+    if (choice === 2) {
+      worker.startDelayMs = 200 + nextInteger(this.#random, 4_000);
+    }
+    if (choice === 3) worker.startDelayMs = undefined;
+    if (choice === 4) this.#replaceScheduler();
+    if (choice === 5) this.#storeFault = "refuses";
+    if (choice === 6) this.#storeFault = "loses";
+    if (choice === 7) this.#storeFault = "none";
+  }
+
+  #pick(): WorkerFake {
+    const workers = [...this.world.workers.values()];
+    return workers[nextInteger(this.#random, workers.length)]!;
+  }
+
+  /** Some tasks end; a gang ends as a whole, and only when it is complete. */
+  #work(): void {
+    for (const job of this.jobs) {
+      for (const [number, step] of job.steps.entries()) {
+        const prefix = `${job.jobId}.0.${number}.`;
+        const running = [...this.world.workers.values()].flatMap((worker) =>
+          worker.running.filter((task) => task.startsWith(prefix))
+            .map((task) => ({ worker, task }))
+        );
+        const isWhole = !step.isGang || running.length === step.count;
+        if (!isWhole || this.#random.next() < 0.7) continue;
+        const end = this.#random.next() < 0.8 ? "done" : "failed";
+        for (const { worker, task } of running) worker.end(task, end);
+      }
+    }
+  }
+
+  #injectStoreFaults(): void {
+    const { store } = this.world;
+    const { transact } = store;
+    store.transact = async (...call): Promise<TransactOutcome> => {
+      const fault = this.#storeFault;
+      if (fault === "refuses") {
+        return { kind: "unavailable", effect: "refused", reason: "test" };
+      }
+      const isLost = fault === "loses" && this.#random.next() < 0.4;
+      if (!isLost) return await transact(...call);
+      // The write is done, now or never, and not answered.
+      if (this.#random.next() < 0.5) await transact(...call);
+      return { kind: "unavailable", effect: "lost", reason: "test" };
+    };
+  }
+}
+
+function checkOrder(faulty: FaultyWorld): void {
+  const { history } = faulty.world;
+  for (const job of faulty.jobs) {
+    const later = history.filter(({ task }) =>
+      task.startsWith(`${job.jobId}.0.1.`)
+    );
+    const first = Math.min(...later.map(({ startedMs }) => startedMs));
+    const count = job.steps[0]!.isGang ? 1 : job.steps[0]!.count;
+    const done = new Set(
+      history.filter(({ task, end, endedMs }) =>
+        task.startsWith(`${job.jobId}.0.0.`) && end === "done" &&
+        endedMs! <= first
+      ).map(({ task }) => task),
+    );
+    if (later.length > 0) expect(done.size).to.be.at.least(count);
+  }
+}
+
+/** An end whose worker's lease lapsed before it was acknowledged stands for nothing. */
+function checkStartsAfterDone(faulty: FaultyWorld): void {
+  const { history } = faulty.world;
+  for (const run of history) {
+    if (run.end !== "done" || run.isVoid) continue;
+    const again = history.filter((other) =>
+      other.task === run.task && other.startedMs > run.endedMs!
+    );
+    expect(again, `${run.task} after done`).to.have.length(0);
+  }
+}
+
+describe("cell under faults", () => {
+  it(`keeps its promises on ${SEEDS} random courses of faults`, async () => {
+    for (let seed = 1; seed <= SEEDS; seed++) {
+      const faulty = FaultyWorld.create(seed);
+      await faulty.play();
+      const label = `seed ${seed}`;
+      expect(faulty.world.countOverlaps(), label).to.equal(0);
+      checkOrder(faulty);
+      checkStartsAfterDone(faulty);
+      for (const job of faulty.jobs) {
+        expect(faulty.world.readJob(job), label).to.include({
+          state: "completed",
+        });
+      }
+    }
+  });
+});
--- a/packages/node/cell/cell_scheduler_test.ts
+++ b/packages/node/cell/cell_scheduler_test.ts
@@ -210,4 +210,28 @@
     expect(world.history).to.have.length(1);
     expect(world.history[0]!.end).to.equal(undefined);
   });
+
+  it("sends no start before its placement is stored", async () => {
+    const world = CellWorld.create(["a", "b"]);
+    await world.submit(createSpec(JOB));
+    const { transact } = world.store;
+    let isAway = false;
+    world.store.transact = (...call) =>
+      isAway
+        ? Promise.resolve({
+          kind: "unavailable",
+          effect: "refused",
+          reason: "test",
+        })
+        : transact(...call);
+    // The names of the workers are stored before any is used; only placements are held up here.
+    world.startScheduler();
+    await world.clock.advance(6);
+    isAway = true;
+    await world.clock.advance(3_000);
+    expect(world.history).to.have.length(0);
+    isAway = false;
+    await world.clock.advance(1_000);
+    expect(world.history).to.have.length(1);
+  });
 });
--- a/packages/node/cell/workers_fake.ts
+++ b/packages/node/cell/workers_fake.ts
@@ -45,6 +45,8 @@
   readonly startedMs: number;
   endedMs?: number;
   end?: RunEnd;
+  /** The lease lapsed before the end was acknowledged, so that the task may run again. */
+  isVoid?: boolean;
 }
 
 /** One worker. */
@@ -106,6 +108,10 @@
   /** Kills what runs past its lease. */
   expire(): void {
     if (this.#clock.nowMs() < this.#leaseUntilMs) return;
+    for (const { task, run } of this.#ends) {
+      const entry = this.#findHistory(task, run);
+      if (entry !== undefined) entry.isVoid = true;
+    }
     for (const task of [...this.#runs.keys()]) this.end(task, "lapsed");
   }
 
@@ -120,16 +126,20 @@
       end,
       checkpoint: "",
     });
-    const entry = this.#history.find((other) =>
-      other.task === task && other.run === run.run &&
-      other.worker === this.record.worker
-    );
+    const entry = this.#findHistory(task, run.run);
     if (entry !== undefined) {
       entry.endedMs = this.#clock.nowMs();
       entry.end = end;
     }
   }
 
+  #findHistory(task: TaskName, run: number): RunHistory | undefined {
+    return this.#history.find((other) =>
+      other.task === task && other.run === run &&
+      other.worker === this.record.worker
+    );
+  }
+
   start(order: StartOrder): StartOutcome {
     if (this.isCut) return UNANSWERED;
     if (this.startDelayMs !== undefined) {
