Forget jobs that ended long ago

Rows of ended and barred jobs go 60 s after the time for which their state must be known, one of 16 groups a second, each by its version; before, they stayed for ever.

--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -38,6 +38,7 @@
   type Unit,
   type UnitRun,
 } from "./live_job.ts";
+import { EndedRows } from "./ended_rows.ts";
 import type { CellLog } from "./log.ts";
 import { ProgressWriter } from "./progress_writer.ts";
 import {
@@ -65,6 +66,8 @@
 const TICK_MS = 200;
 const STORE_TIMEOUT_MS = 900;
 const BEGUN_PERIOD_MS = 500;
+/** One of 16 groups of jobs is looked through at a time. */
+const COLLECT_PERIOD_MS = 1_000;
 /** How long a new holder waits for the workers' first reports before it starts work. */
 const FIRST_REPORT_TIMEOUT_MS = 700;
 /** Run numbers of one epoch lie in a block of their own, so that they rise by construction. */
@@ -107,6 +110,7 @@
   readonly #failedJobs = new Map<WorkerName, Set<CellJobId>>();
   readonly #writer: ProgressWriter;
   readonly #directory: WorkerDirectory;
+  readonly #endedRows: EndedRows;
   readonly #timers: { cancel(): void }[] = [];
   #subscription: Subscription | undefined;
   #nextRun: number;
@@ -133,6 +137,13 @@
       onPlaced: (unit) => this.#sendStarts(unit),
       onOvertaken: () => options.onOvertaken("progress of a later holder"),
     });
+    this.#endedRows = EndedRows.create({
+      store,
+      follower,
+      nowUnixMs,
+      log,
+      keepMs: options.settings.bounds.endedStateMs,
+    });
     this.#directory = WorkerDirectory.create({
       store,
       wire,
@@ -180,6 +191,7 @@
       clock.every(TICK_MS, () => this.#tick()),
       clock.every(DIRECTORY_PERIOD_MS, () => void this.#readDirectory()),
       clock.every(BEGUN_PERIOD_MS, () => void this.#writeBegun()),
+      clock.every(COLLECT_PERIOD_MS, () => void this.#collectEnded()),
     );
     this.#requestRound();
   }
@@ -746,6 +758,10 @@
     }
   }
 
+  async #collectEnded(): Promise<void> {
+    if (this.#options.canAct()) await this.#endedRows.collect();
+  }
+
   async #put(key: string, value: Uint8Array): Promise<boolean> {
     const outcome = await this.#options.store.transact(
       { conditions: [], puts: [{ key, value }], deletes: [] },
--- a/packages/node/cell/cell_scheduler_test.ts
+++ b/packages/node/cell/cell_scheduler_test.ts
@@ -234,4 +234,21 @@
     await world.clock.advance(1_000);
     expect(world.history).to.have.length(1);
   });
+
+  it("forgets jobs that ended long ago, and no others", async () => {
+    const world = CellWorld.create(["a"]);
+    const ended = createSpec(JOB);
+    const live = createSpec("f0000000000000ff");
+    await world.submit(ended);
+    world.startScheduler();
+    await world.clock.advance(500);
+    const [task] = world.get("a").running;
+    world.get("a").end(task!, "done");
+    await world.submit(live);
+    await world.clock.advance(60_000);
+    expect(world.readJob(ended)).to.include({ state: "completed" });
+    await world.clock.advance(60_000);
+    expect(world.readJob(ended)).to.equal(undefined);
+    expect(world.readJob(live)).to.include({ kind: "live" });
+  });
 });
--- a/packages/node/cell/cell_world.ts
+++ b/packages/node/cell/cell_world.ts
@@ -33,6 +33,7 @@
   shutdownGraceMs: 6_000,
   restoreMs: 250,
   checkpointPeriodMs: 1_000,
+  endedStateMs: 20_000,
 } as const;
 
 const LAPSE_CHECK_MS = 10;
--- /dev/null
+++ b/packages/node/cell/ended_rows.ts
@@ -0,0 +1,59 @@
+/** Removes rows of jobs that ended so long ago that nobody may ask for them any more. */
+import type { StateStore } from "@coltsfootpond/ports";
+import type { CellLog } from "./log.ts";
+import { decodeRow, JOB_GROUPS, jobGroup, type JobRow } from "./rows.ts";
+import type { TableFollower } from "./table_follower.ts";
+
+/** Beyond the time for which a state must be known: clocks that differ, callers that ask late. */
+const MARGIN_MS = 60_000;
+const STORE_TIMEOUT_MS = 900;
+/** A condition and a deletion a row; a transaction holds 100 entries (the users' protocol). */
+const ROWS_PER_TRANSACTION = 40;
+
+export interface EndedRowsOptions {
+  readonly store: StateStore;
+  readonly follower: TableFollower;
+  readonly nowUnixMs: () => number;
+  readonly log: CellLog;
+  readonly keepMs: number;
+}
+
+/** Visits one group of rows at each call. */
+export class EndedRows {
+  readonly #options: EndedRowsOptions;
+  #nextGroup = 0;
+
+  private constructor(options: EndedRowsOptions) {
+    this.#options = options;
+  }
+
+  static create(options: EndedRowsOptions): EndedRows {
+    return new EndedRows(options);
+  }
+
+  /** Removes what is old in the next group; a row that has changed meanwhile stays. */
+  async collect(): Promise<void> {
+    const { store, follower, log } = this.#options;
+    const group = JOB_GROUPS[this.#nextGroup % JOB_GROUPS.length] ?? "";
+    this.#nextGroup++;
+    const old = [...follower.rows()].filter((row) =>
+      jobGroup(row.key) === group && this.#isOld(decodeRow<JobRow>(row.value))
+    ).slice(0, ROWS_PER_TRANSACTION);
+    if (old.length === 0) return;
+    const outcome = await store.transact({
+      conditions: old.map(({ key, version }) => ({ key, version })),
+      puts: [],
+      deletes: old.map(({ key }) => key),
+    }, STORE_TIMEOUT_MS);
+    log.info("jobs.forgotten", { rows: old.length, outcome: outcome.kind });
+    if (outcome.kind !== "committed") return;
+    const { version } = outcome;
+    follower.apply(old.map(({ key }) => ({ key, version, value: undefined })));
+  }
+
+  #isOld(row: JobRow): boolean {
+    if (row.kind === "live") return false;
+    const { keepMs, nowUnixMs } = this.#options;
+    return nowUnixMs() - row.endedUnixMs > keepMs + MARGIN_MS;
+  }
+}
--- a/packages/node/cell/rows.ts
+++ b/packages/node/cell/rows.ts
@@ -87,6 +87,16 @@
   return `jobs-${jobId.charAt(0).toLowerCase()}/${jobId}`;
 }
 
+/** All groups of jobs' rows. */
+export const JOB_GROUPS: readonly string[] = [..."0123456789abcdef"].map(
+  (digit) => `jobs-${digit}`,
+);
+
+/** The group of a job's row; undefined for other rows. */
+export function jobGroup(key: string): string | undefined {
+  return parseJobKey(key) === undefined ? undefined : key.split("/", 1)[0];
+}
+
 export function progressKey(jobId: CellJobId): string {
   return `${PROGRESS_PREFIX}${jobId}`;
 }
--- a/packages/ports/cell/types.ts
+++ b/packages/ports/cell/types.ts
@@ -275,6 +275,8 @@
   readonly shutdownGraceMs: number;
   readonly restoreMs: number;
   readonly checkpointPeriodMs: number;
+  /** For which an ended job's state must be known. */
+  readonly endedStateMs: number;
 }
 
 /** What one entry learns from its settings file. */
