--- a/apps/coltsfootpond/registry.ts
+++ b/apps/coltsfootpond/registry.ts
@@ -8,6 +8,7 @@
   GET_COMMAND,
   SUBMIT_COMMAND,
 } from "./commands/requests.ts";
+import { EXPLAIN_COMMAND } from "./commands/explain.ts";
 import { STATUS_COMMAND } from "./commands/status.ts";
 import { TIMELINE_COMMAND } from "./commands/timeline.ts";
 
@@ -20,4 +21,5 @@
   GET_COMMAND,
   CANCEL_COMMAND,
   TIMELINE_COMMAND,
+  EXPLAIN_COMMAND,
 ];
