Look for an unanswered start after 250 ms

Pattern: orders without an answer (applied_late); the other members of a gang hold their room meanwhile.

--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -21,6 +21,8 @@
 /** Longest wait of one long poll; below the lease of a start, which the next poll extends. */
 const POLL_WAIT_MS = 1_000;
 const ORDER_TIMEOUT_MS = 500;
+/** A start that is not answered by then is looked for, then stopped: many round trips. */
+const START_TIMEOUT_MS = 250;
 /** Lease of a start until the next renewal; short, so that an unanswered start is soon void. */
 const START_LEASE_MS = 2_500;
 const RETRY_PAUSE_MS = 120;
@@ -210,7 +212,7 @@
       leaseUntilMs,
       epoch,
       checkpoint: member.checkpoint,
-    }, ORDER_TIMEOUT_MS);
+    }, START_TIMEOUT_MS);
     if (this.#isStopped) return;
     this.wake();
     switch (outcome.kind) {
