--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -11,10 +11,8 @@
   JobProgress,
   planRound,
   RUN_END,
-  subtract,
   type TaskName,
   type UnitAddress,
-  type WorkerView,
 } from "@coltsfootpond/policy";
 import type {
   CellSettings,
@@ -25,7 +23,6 @@
   StateRow,
   StateStore,
   WorkerOrders,
-  WorkerRecord,
 } from "@coltsfootpond/ports";
 import type { Subscription } from "rxjs";
 import { createPlanInput } from "./plan_input.ts";
@@ -50,26 +47,22 @@
   parseJobKey,
   progressKey,
   type ProgressRow,
-  ROSTER_KEY,
-  type RosterRow,
 } from "./rows.ts";
 import type { TableFollower } from "./table_follower.ts";
-import { DIRECTORY_PERIOD_MS, WorkerDirectory } from "./worker_directory.ts";
-import {
-  type Member,
-  type SessionListener,
+import { DIRECTORY_PERIOD_MS } from "./worker_directory.ts";
+import { putRow, WorkerFleet } from "./worker_fleet.ts";
+import type {
+  Member,
+  SessionListener,
   WorkerSession,
 } from "./worker_session.ts";
 
 const ROUND_PAUSE_MS = 4;
 const RELOAD_PAUSE_MS = 50;
 const TICK_MS = 200;
-const STORE_TIMEOUT_MS = 900;
 const BEGUN_PERIOD_MS = 500;
 /** One of 16 groups of jobs is looked through at a time. */
 const COLLECT_PERIOD_MS = 1_000;
-/** How long a new holder waits for the workers' first reports before it starts work. */
-const FIRST_REPORT_TIMEOUT_MS = 700;
 /** Run numbers of one epoch lie in a block of their own, so that they rise by construction. */
 const RUNS_PER_EPOCH = 1_000_000;
 /** A worker that refused a start is left alone this long. */
@@ -103,13 +96,12 @@
 export class CellScheduler implements SessionListener {
   readonly #options: CellSchedulerOptions;
   readonly #jobs = new Map<CellJobId, LiveJob>();
-  readonly #sessions = new Map<WorkerName, WorkerSession>();
+  readonly #fleet: WorkerFleet;
   readonly #unitByMember = new Map<Member, Unit>();
   /** Runs found on workers that belong to no unit's run. */
   readonly #strays = new Map<Member, WorkerSession>();
   readonly #failedJobs = new Map<WorkerName, Set<CellJobId>>();
   readonly #writer: ProgressWriter;
-  readonly #directory: WorkerDirectory;
   readonly #endedRows: EndedRows;
   readonly #timers: { cancel(): void }[] = [];
   #subscription: Subscription | undefined;
@@ -118,13 +110,11 @@
   #isStopped = false;
   #isRoundDue = false;
   #begunWritten = "";
-  #rosterWritten = "";
-  #isWritingRoster = false;
 
   private constructor(options: CellSchedulerOptions) {
     this.#options = options;
     this.#nextRun = options.epoch * RUNS_PER_EPOCH;
-    const { store, follower, clock, nowUnixMs, log, canAct, wire } = options;
+    const { store, follower, clock, nowUnixMs, log, canAct } = options;
     this.#writer = ProgressWriter.create({
       store,
       follower,
@@ -132,7 +122,7 @@
       nowUnixMs,
       log,
       canAct,
-      snapshotEnds: () => this.#snapshotEnds(),
+      snapshotEnds: () => this.#fleet.snapshotEnds(),
       onClosed: (job) => this.#closeJob(job),
       onPlaced: (unit) => this.#sendStarts(unit),
       onOvertaken: () => options.onOvertaken("progress of a later holder"),
@@ -144,12 +134,13 @@
       log,
       keepMs: options.settings.bounds.endedStateMs,
     });
-    this.#directory = WorkerDirectory.create({
-      store,
-      wire,
-      clock,
-      log,
+    this.#fleet = WorkerFleet.create({
+      ...options,
+      bounds: options.settings.bounds,
       heartbeatMs: options.settings.workerHeartbeatMs,
+      isOut: (failureDomain) => options.declared.isOut(failureDomain),
+      listener: this,
+      onChanged: () => this.#requestRound(),
     });
   }
 
@@ -169,9 +160,9 @@
     this.#subscription.add(
       declared.changes.subscribe(() => this.#requestRound()),
     );
-    this.#takeRoster();
-    await this.#readDirectory();
-    await this.#awaitReports();
+    this.#fleet.takeRoster();
+    await this.#fleet.read();
+    await this.#fleet.awaitReports();
     if (this.#isStopped) return;
     this.#isReady = true;
     for (const [member, session] of [...this.#strays]) {
@@ -180,8 +171,8 @@
     log.info("scheduler.ready", {
       epoch: this.#options.epoch,
       jobs: this.#jobs.size,
-      workers: this.#sessions.size,
-      unreported: [...this.#sessions.values()].filter((session) =>
+      workers: this.#fleet.sessions.length,
+      unreported: this.#fleet.sessions.filter((session) =>
         !session.hasReported
       ).length,
       adopted: this.#unitByMember.size,
@@ -189,7 +180,7 @@
     this.#closeIncomplete();
     this.#timers.push(
       clock.every(TICK_MS, () => this.#tick()),
-      clock.every(DIRECTORY_PERIOD_MS, () => void this.#readDirectory()),
+      clock.every(DIRECTORY_PERIOD_MS, () => void this.#fleet.read()),
       clock.every(BEGUN_PERIOD_MS, () => void this.#writeBegun()),
       clock.every(COLLECT_PERIOD_MS, () => void this.#collectEnded()),
     );
@@ -201,7 +192,7 @@
     this.#subscription?.unsubscribe();
     this.#timers.forEach((timer) => timer.cancel());
     this.#writer.stop();
-    for (const session of this.#sessions.values()) session.stop();
+    this.#fleet.stop();
   }
 
   /** Reads all that was written before the lease was taken; the feed may keep changes back. */
@@ -305,14 +296,14 @@
     const { clock, nowUnixMs, declared, canAct, log, settings } = this.#options;
     if (!canAct()) return;
     const nowMs = clock.nowMs();
-    const unresolved = this.#findUnresolvedWorkers();
+    const unresolved = this.#fleet.findUnresolved();
     const strayUnits = this.#findStrayUnits();
     const isBlocked = (unit: Unit) =>
       strayUnits.has(describeUnit(unit)) ||
       !unit.wasSeen && mayRunUnseen(unit, unresolved);
     const input = createPlanInput({
       jobs: [...this.#jobs.values()].filter((job) => job.ending === undefined),
-      workers: this.#createViews(nowMs),
+      workers: this.#fleet.createViews(nowMs),
       guarantees: declared.current?.guarantees ?? [],
       nowMs,
       nowUnixMs: nowUnixMs(),
@@ -330,35 +321,6 @@
     }
   }
 
-  #createViews(nowMs: number): readonly WorkerView[] {
-    return [...this.#sessions.values()].flatMap((session) => {
-      const { record } = session;
-      if (record === undefined || !this.#isUsable(session, record, nowMs)) {
-        return [];
-      }
-      return [createView(session, record)];
-    });
-  }
-
-  #isUsable(
-    session: WorkerSession,
-    record: WorkerRecord,
-    nowMs: number,
-  ): boolean {
-    return !record.isDraining && session.isReachable && session.isRostered &&
-      session.pausedUntilMs <= nowMs &&
-      !this.#options.declared.isOut(record.failureDomain);
-  }
-
-  /** Workers that may run what an earlier holder started and have not told it. */
-  #findUnresolvedWorkers(): ReadonlySet<WorkerName> {
-    return new Set(
-      [...this.#sessions.values()].filter((session) =>
-        !session.hasReported && !session.isSurelyLapsed()
-      ).map(({ worker }) => worker),
-    );
-  }
-
   #startUnit(unit: Unit, workers: readonly WorkerName[], nowMs: number): void {
     const { job } = unit;
     const run: UnitRun = {
@@ -378,7 +340,7 @@
       waitedMs: Math.round(nowMs - unit.waitingSinceMs),
     });
     for (const [index, worker] of workers.entries()) {
-      const session = this.#sessions.get(worker);
+      const session = this.#fleet.get(worker);
       if (session === undefined) continue;
       const member = createMember(unit, index, run.run, nowMs);
       session.reserve(member);
@@ -649,111 +611,13 @@
     return job.units.get(formatUnitKey({ ...name, index }));
   }
 
-  #snapshotEnds(): () => void {
-    const ends = [...this.#sessions.values()].map((session) => ({
-      session,
-      number: session.processedEnd,
-      lifeUnixMs: session.lifeUnixMs,
-    }));
-    return () =>
-      ends.forEach(({ session, number, lifeUnixMs }) =>
-        session.setPersisted(number, lifeUnixMs)
-      );
-  }
-
-  // Workers.
-
-  async #readDirectory(): Promise<void> {
-    const reading = await this.#directory.read();
-    if (reading === undefined || this.#isStopped) return;
-    for (const record of reading.records.values()) {
-      const session = this.#openSession(record.worker, record.address);
-      session.setRecord(record);
-    }
-    for (const session of this.#sessions.values()) {
-      if (!reading.records.has(session.worker)) session.setRecord(undefined);
-    }
-    for (const worker of reading.left) {
-      this.#sessions.get(worker)?.markLeft("the worker has left");
-    }
-    this.#dropIdleSessions();
-    void this.#writeRoster();
-    this.#requestRound();
-  }
-
-  #openSession(worker: WorkerName, address: string): WorkerSession {
-    const known = this.#sessions.get(worker);
-    if (known !== undefined && known.target.address === address) return known;
-    if (known?.hasMembers) return known;
-    known?.stop();
-    const { epoch, orders, clock, log, canAct, settings } = this.#options;
-    const session = WorkerSession.create({
-      target: { worker, address },
-      epoch,
-      orders,
-      bounds: settings.bounds,
-      clock,
-      log,
-      listener: this,
-      canAct,
-    });
-    this.#sessions.set(worker, session);
-    session.wake();
-    return session;
-  }
-
-  #dropIdleSessions(): void {
-    for (const session of [...this.#sessions.values()]) {
-      const isIdle = session.record === undefined && !session.hasMembers &&
-        (session.hasReported || session.isSurelyLapsed());
-      if (!isIdle) continue;
-      session.stop();
-      this.#options.orders.forget(session.target);
-      this.#sessions.delete(session.worker);
-    }
-  }
-
-  #takeRoster(): void {
-    const row = this.#options.follower.get(ROSTER_KEY);
-    if (row?.value === undefined) return;
-    const { workers } = decodeRow<RosterRow>(row.value);
-    for (const [worker, address] of workers) {
-      this.#openSession(worker as WorkerName, address);
-    }
-  }
-
-  /** Stores the names of all workers that may be used, before they are used. */
-  async #writeRoster(): Promise<void> {
-    const sessions: WorkerSession[] = [];
-    for (const session of this.#sessions.values()) {
-      if (isEmptied(session)) session.isRostered = false;
-      else sessions.push(session);
-    }
-    const workers = sessions.map(({ target }) =>
-      [target.worker, target.address] as const
-    );
-    const text = JSON.stringify([...workers].sort());
-    if (text === this.#rosterWritten) {
-      sessions.forEach((session) => (session.isRostered = true));
-      return;
-    }
-    if (this.#isWritingRoster || !this.#options.canAct()) return;
-    this.#isWritingRoster = true;
-    const outcome = await this.#put(ROSTER_KEY, encodeRow({ workers }));
-    this.#isWritingRoster = false;
-    if (!outcome || this.#isStopped) return;
-    this.#rosterWritten = text;
-    sessions.forEach((session) => (session.isRostered = true));
-    this.#requestRound();
-  }
-
   async #writeBegun(): Promise<void> {
     if (!this.#options.canAct()) return;
     const jobIds = [...this.#jobs.values()].filter(({ hasBegun }) => hasBegun)
       .map(({ jobId }) => jobId);
     const text = jobIds.join();
     if (text === this.#begunWritten) return;
-    if (await this.#put(BEGUN_KEY, encodeRow({ jobIds }))) {
+    if (await putRow(this.#options, BEGUN_KEY, encodeRow({ jobIds }))) {
       this.#begunWritten = text;
     }
   }
@@ -762,34 +626,12 @@
     if (this.#options.canAct()) await this.#endedRows.collect();
   }
 
-  async #put(key: string, value: Uint8Array): Promise<boolean> {
-    const outcome = await this.#options.store.transact(
-      { conditions: [], puts: [{ key, value }], deletes: [] },
-      STORE_TIMEOUT_MS,
-    );
-    if (outcome.kind !== "committed") {
-      this.#options.log.warn("row.write_failed", { key, kind: outcome.kind });
-    }
-    return outcome.kind === "committed";
-  }
-
-  async #awaitReports(): Promise<void> {
-    const { clock } = this.#options;
-    const untilMs = clock.nowMs() + FIRST_REPORT_TIMEOUT_MS;
-    const isComplete = () =>
-      this.#sessions.size > 0 &&
-      [...this.#sessions.values()].every(({ hasReported }) => hasReported);
-    while (
-      !this.#isStopped && !isComplete() && clock.nowMs() < untilMs
-    ) await clock.sleep(ROUND_PAUSE_MS);
-  }
-
   // Upkeep.
 
   #tick(): void {
     const { clock, nowUnixMs } = this.#options;
     const nowMs = clock.nowMs();
-    for (const session of this.#sessions.values()) {
+    for (const session of this.#fleet.sessions) {
       session.checkLapse();
       session.wake();
     }
@@ -823,7 +665,7 @@
 
   /** A gang of which members are missing for good cannot work. */
   #closeIncomplete(): void {
-    const unresolved = this.#findUnresolvedWorkers();
+    const unresolved = this.#fleet.findUnresolved();
     for (const job of this.#jobs.values()) {
       for (const unit of job.units.values()) {
         const { run } = unit;
@@ -851,45 +693,6 @@
   return workers?.some((worker) => unresolved.has(worker)) ?? false;
 }
 
-/** Nothing runs there and nothing will: a new holder need not ask it. */
-function isEmptied(session: WorkerSession): boolean {
-  return session.hasReported && !session.hasMembers &&
-    session.record?.isDraining !== false;
-}
-
 function describeUnit(unit: Unit): string {
   return `${unit.job.jobId}.${formatUnitKey(unit.address)}`;
 }
-
-function createView(
-  session: WorkerSession,
-  record: WorkerRecord,
-): WorkerView {
-  let free = record.capacity;
-  let releasing = { cpuMilli: 0, memoryMib: 0, accelerators: 0 };
-  const tasksByStep = new Map<string, number>();
-  for (const member of session.members.values()) {
-    free = subtract(free, member.need);
-    if (member.isStopping) {
-      releasing = {
-        cpuMilli: releasing.cpuMilli + member.need.cpuMilli,
-        memoryMib: releasing.memoryMib + member.need.memoryMib,
-        accelerators: releasing.accelerators + member.need.accelerators,
-      };
-    }
-    const tasks = tasksByStep.get(member.stepKey) ?? 0;
-    tasksByStep.set(member.stepKey, tasks + 1);
-  }
-  return {
-    worker: record.worker,
-    service: record.service,
-    failureDomain: record.failureDomain,
-    rack: record.rack,
-    labels: new Set(record.labels),
-    capacity: record.capacity,
-    free,
-    releasing,
-    slowness: record.coldRemainingMs > 0 ? 2 : 1,
-    tasksByStep,
-  };
-}
--- /dev/null
+++ b/packages/node/cell/worker_fleet.ts
@@ -0,0 +1,282 @@
+/**
+ * The workers of the cell in the hands of its holder: their records, a session with each, and the
+ * stored roster from which a later holder learns whom to ask.
+ */
+import type {
+  Clock,
+  FailureDomainName,
+  WorkerName,
+} from "@coltsfootpond/common";
+import { add, subtract, type WorkerView } from "@coltsfootpond/policy";
+import type {
+  CellBounds,
+  RecordWire,
+  StateStore,
+  WorkerOrders,
+  WorkerRecord,
+} from "@coltsfootpond/ports";
+import type { CellLog } from "./log.ts";
+import { decodeRow, encodeRow, ROSTER_KEY, type RosterRow } from "./rows.ts";
+import type { TableFollower } from "./table_follower.ts";
+import { WorkerDirectory } from "./worker_directory.ts";
+import { type SessionListener, WorkerSession } from "./worker_session.ts";
+
+const STORE_TIMEOUT_MS = 900;
+/** How long a new holder waits for the workers' first reports before it starts work. */
+const FIRST_REPORT_TIMEOUT_MS = 700;
+const REPORT_CHECK_MS = 4;
+/** A worker that has just started is taken to run at half its speed. */
+const COLD_SLOWNESS = 2;
+
+export interface WorkerFleetOptions {
+  readonly epoch: number;
+  readonly store: StateStore;
+  readonly orders: WorkerOrders;
+  readonly wire: RecordWire;
+  readonly follower: TableFollower;
+  readonly clock: Clock;
+  readonly log: CellLog;
+  readonly bounds: CellBounds;
+  readonly heartbeatMs: number;
+  readonly canAct: () => boolean;
+  readonly isOut: (failureDomain: FailureDomainName) => boolean;
+  readonly listener: SessionListener;
+  /** Workers have come, gone or become usable. */
+  readonly onChanged: () => void;
+}
+
+/** All workers of the cell. */
+export class WorkerFleet {
+  readonly #options: WorkerFleetOptions;
+  readonly #sessions = new Map<WorkerName, WorkerSession>();
+  readonly #directory: WorkerDirectory;
+  #rosterWritten = "";
+  #isWritingRoster = false;
+  #isStopped = false;
+
+  private constructor(options: WorkerFleetOptions) {
+    this.#options = options;
+    const { store, wire, clock, log, heartbeatMs } = options;
+    this.#directory = WorkerDirectory.create({
+      store,
+      wire,
+      clock,
+      log,
+      heartbeatMs,
+    });
+  }
+
+  static create(options: WorkerFleetOptions): WorkerFleet {
+    return new WorkerFleet(options);
+  }
+
+  get sessions(): readonly WorkerSession[] {
+    return [...this.#sessions.values()];
+  }
+
+  get(worker: WorkerName): WorkerSession | undefined {
+    return this.#sessions.get(worker);
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+    for (const session of this.#sessions.values()) session.stop();
+  }
+
+  /** The workers that may take new tasks now. */
+  createViews(nowMs: number): readonly WorkerView[] {
+    return [...this.#sessions.values()].flatMap((session) => {
+      const { record } = session;
+      if (record === undefined || !this.#isUsable(session, record, nowMs)) {
+        return [];
+      }
+      return [createView(session, record)];
+    });
+  }
+
+  #isUsable(
+    session: WorkerSession,
+    record: WorkerRecord,
+    nowMs: number,
+  ): boolean {
+    return !record.isDraining && session.isReachable && session.isRostered &&
+      session.pausedUntilMs <= nowMs &&
+      !this.#options.isOut(record.failureDomain);
+  }
+
+  /** Workers that may run what an earlier holder started and have not told it. */
+  findUnresolved(): ReadonlySet<WorkerName> {
+    return new Set(
+      [...this.#sessions.values()].filter((session) =>
+        !session.hasReported && !session.isSurelyLapsed()
+      ).map(({ worker }) => worker),
+    );
+  }
+
+  /** The ends taken in so far; the result marks them as stored. */
+  snapshotEnds(): () => void {
+    const ends = [...this.#sessions.values()].map((session) => ({
+      session,
+      number: session.processedEnd,
+      lifeUnixMs: session.lifeUnixMs,
+    }));
+    return () =>
+      ends.forEach(({ session, number, lifeUnixMs }) =>
+        session.setPersisted(number, lifeUnixMs)
+      );
+  }
+
+  /** Takes the workers' records as they now stand. */
+  async read(): Promise<void> {
+    const reading = await this.#directory.read();
+    if (reading === undefined || this.#isStopped) return;
+    for (const record of reading.records.values()) {
+      const session = this.#openSession(record.worker, record.address);
+      session.setRecord(record);
+    }
+    for (const session of this.#sessions.values()) {
+      if (!reading.records.has(session.worker)) session.setRecord(undefined);
+    }
+    for (const worker of reading.left) {
+      this.#sessions.get(worker)?.markLeft("the worker has left");
+    }
+    this.#dropIdleSessions();
+    void this.#writeRoster();
+    this.#options.onChanged();
+  }
+
+  #openSession(worker: WorkerName, address: string): WorkerSession {
+    const known = this.#sessions.get(worker);
+    if (known !== undefined && known.target.address === address) return known;
+    if (known?.hasMembers) return known;
+    known?.stop();
+    const { epoch, orders, clock, log, canAct, bounds, listener } =
+      this.#options;
+    const session = WorkerSession.create({
+      target: { worker, address },
+      epoch,
+      orders,
+      bounds,
+      clock,
+      log,
+      listener,
+      canAct,
+    });
+    this.#sessions.set(worker, session);
+    session.wake();
+    return session;
+  }
+
+  #dropIdleSessions(): void {
+    for (const session of [...this.#sessions.values()]) {
+      const isIdle = session.record === undefined && !session.hasMembers &&
+        (session.hasReported || session.isSurelyLapsed());
+      if (!isIdle) continue;
+      session.stop();
+      this.#options.orders.forget(session.target);
+      this.#sessions.delete(session.worker);
+    }
+  }
+
+  /** Takes the workers that an earlier holder may have used. */
+  takeRoster(): void {
+    const row = this.#options.follower.get(ROSTER_KEY);
+    if (row?.value === undefined) return;
+    const { workers } = decodeRow<RosterRow>(row.value);
+    for (const [worker, address] of workers) {
+      this.#openSession(worker as WorkerName, address);
+    }
+  }
+
+  /** Stores the names of all workers that may be used, before they are used. */
+  async #writeRoster(): Promise<void> {
+    const sessions: WorkerSession[] = [];
+    for (const session of this.#sessions.values()) {
+      if (isEmptied(session)) session.isRostered = false;
+      else sessions.push(session);
+    }
+    const workers = sessions.map(({ target }) =>
+      [target.worker, target.address] as const
+    );
+    const text = JSON.stringify([...workers].sort());
+    if (text === this.#rosterWritten) {
+      sessions.forEach((session) => (session.isRostered = true));
+      return;
+    }
+    if (this.#isWritingRoster || !this.#options.canAct()) return;
+    this.#isWritingRoster = true;
+    const outcome = await putRow(
+      this.#options,
+      ROSTER_KEY,
+      encodeRow({ workers }),
+    );
+    this.#isWritingRoster = false;
+    if (!outcome || this.#isStopped) return;
+    this.#rosterWritten = text;
+    sessions.forEach((session) => (session.isRostered = true));
+    this.#options.onChanged();
+  }
+
+  /** Waits for each worker's first report, but not for ever. */
+  async awaitReports(): Promise<void> {
+    const { clock } = this.#options;
+    const untilMs = clock.nowMs() + FIRST_REPORT_TIMEOUT_MS;
+    const isComplete = () =>
+      this.#sessions.size > 0 &&
+      [...this.#sessions.values()].every(({ hasReported }) => hasReported);
+    while (
+      !this.#isStopped && !isComplete() && clock.nowMs() < untilMs
+    ) await clock.sleep(REPORT_CHECK_MS);
+  }
+}
+
+/** Stores one row without a condition; false when that is not certain. */
+export async function putRow(
+  { store, log }: { readonly store: StateStore; readonly log: CellLog },
+  key: string,
+  value: Uint8Array,
+): Promise<boolean> {
+  const outcome = await store.transact(
+    { conditions: [], puts: [{ key, value }], deletes: [] },
+    STORE_TIMEOUT_MS,
+  );
+  if (outcome.kind !== "committed") {
+    log.warn("row.write_failed", { key, kind: outcome.kind });
+  }
+  return outcome.kind === "committed";
+}
+
+/** Nothing runs there and nothing will: a new holder need not ask it. */
+function isEmptied(session: WorkerSession): boolean {
+  return session.hasReported && !session.hasMembers &&
+    session.record?.isDraining !== false;
+}
+
+function createView(
+  session: WorkerSession,
+  record: WorkerRecord,
+): WorkerView {
+  let free = record.capacity;
+  let releasing = { cpuMilli: 0, memoryMib: 0, accelerators: 0 };
+  const tasksByStep = new Map<string, number>();
+  for (const member of session.members.values()) {
+    free = subtract(free, member.need);
+    if (member.isStopping) {
+      releasing = add(releasing, member.need);
+    }
+    const tasks = tasksByStep.get(member.stepKey) ?? 0;
+    tasksByStep.set(member.stepKey, tasks + 1);
+  }
+  return {
+    worker: record.worker,
+    service: record.service,
+    failureDomain: record.failureDomain,
+    rack: record.rack,
+    labels: new Set(record.labels),
+    capacity: record.capacity,
+    free,
+    releasing,
+    slowness: record.coldRemainingMs > 0 ? COLD_SLOWNESS : 1,
+    tasksByStep,
+  };
+}
