Let the largest entry take the scheduler's lease first

Entries announce their processor share; smaller ones wait up to 5 ms a peer more. A test runs three entries through cuts of each holder: at most one may act at any time.

--- a/packages/node/cell/cell_entry.ts
+++ b/packages/node/cell/cell_entry.ts
@@ -109,6 +109,8 @@
       entry: settings.entry,
       incarnation: createUniqueId(),
       processorShare: settings.processorShare,
+      getProcessorShares: () =>
+        this.#listAnnounced().map(({ processorShare }) => processorShare),
       store,
       follower: this.#state,
       clock,
@@ -182,18 +184,20 @@
   /** Writes where peers reach this entry, once for each life of the process. */
   async #announce(): Promise<void> {
     const { settings, clock, log } = this.#options;
-    const { peers } = settings;
+    const { peers, processorShare } = settings;
     while (peers !== undefined && !this.#isLeaving) {
       await clock.sleep(ANNOUNCE_PAUSE_MS);
       if (!this.#state.isLoaded) continue;
       const key = peerKey(settings.entry);
       const row = this.#state.get(key)?.value;
       const known = row && decodeRow<PeerRow>(row);
-      if (known?.host === peers.host && known.port === peers.port) return;
+      const isKnown = known?.host === peers.host &&
+        known.port === peers.port && known.processorShare === processorShare;
+      if (isKnown) return;
       const outcome = await this.#relay.transact(
         {
           conditions: [],
-          puts: [{ key, value: encodeRow(peers) }],
+          puts: [{ key, value: encodeRow({ ...peers, processorShare }) }],
           deletes: [],
         },
         STORE_TIMEOUT_MS,
@@ -206,19 +210,19 @@
   /** The other entries, as announced and as the settings name them. */
   #listPeers(): readonly HostPort[] {
     const own = this.#options.settings.peers;
-    const announced = [...this.#state.rows()].filter(({ key }) =>
-      isPeerKey(key)
-    ).map(({ value }) => decodeRow<PeerRow>(value));
+    const known = [...this.#options.settings.seeds, ...this.#listAnnounced()];
     const byName = new Map(
-      [...this.#options.settings.seeds, ...announced].map((peer) => [
-        `${peer.host}:${peer.port}`,
-        peer,
-      ]),
+      known.map(({ host, port }) => [`${host}:${port}`, { host, port }]),
     );
     if (own !== undefined) byName.delete(`${own.host}:${own.port}`);
     return [...byName.values()];
   }
 
+  #listAnnounced(): readonly PeerRow[] {
+    return [...this.#state.rows()].filter(({ key }) => isPeerKey(key))
+      .map(({ value }) => decodeRow<PeerRow>(value));
+  }
+
   #isReady(): boolean {
     const contactMs = Math.max(
       this.#state.contactMs,
--- a/packages/node/cell/lease_task.ts
+++ b/packages/node/cell/lease_task.ts
@@ -17,8 +17,10 @@
 const ACTING_MARGIN_MS = 250;
 const TICK_MS = 50;
 const STORE_TIMEOUT_MS = 900;
-/** Spreads the entries that want the lease; entries with more processor share go first. */
-const TAKEOVER_SPREAD_MS = 40;
+/** Spreads entries of equal size that want the lease. */
+const TAKEOVER_SPREAD_MS = 20;
+/** Longest head start of the largest entry, for each entry: they follow the row that much apart. */
+const HEAD_START_PER_PEER_MS = 5;
 
 export type LeaseChange =
   | {
@@ -32,7 +34,9 @@
 export interface LeaseTaskOptions {
   readonly entry: string;
   readonly incarnation: string;
+  /** Of this entry and, as far as they are known, of all. */
   readonly processorShare: number;
+  readonly getProcessorShares: () => readonly number[];
   readonly store: StateStore;
   readonly follower: TableFollower;
   readonly clock: Clock;
@@ -143,9 +147,12 @@
     }
   }
 
+  /** Larger entries go first: the holder needs the most processor of all. */
   #spreadMs(): number {
-    const { random, processorShare } = this.#options;
-    return random.next() * TAKEOVER_SPREAD_MS / Math.max(0.1, processorShare);
+    const { random, processorShare, getProcessorShares } = this.#options;
+    const shares = getProcessorShares();
+    return random.next() * TAKEOVER_SPREAD_MS +
+      measureHeadStart(processorShare, shares);
   }
 
   #mayTake(nowMs: number): boolean {
@@ -254,3 +261,13 @@
     return encodeRow(row);
   }
 }
+
+/** How much later an entry tries than the largest one, in milliseconds. */
+export function measureHeadStart(
+  ownShare: number,
+  allShares: readonly number[],
+): number {
+  const largest = Math.max(ownShare, ...allShares);
+  if (largest <= 0) return 0;
+  return (1 - ownShare / largest) * allShares.length * HEAD_START_PER_PEER_MS;
+}
--- /dev/null
+++ b/packages/node/cell/lease_task_test.ts
@@ -0,0 +1,94 @@
+import { ManualClock } from "@coltsfootpond/common";
+import { expect } from "chai";
+import { LeaseTask, measureHeadStart } from "./lease_task.ts";
+import { SILENT_LOG } from "./log.ts";
+import { SeenVersion, TableFollower } from "./table_follower.ts";
+import { createStoreFake, type StoreFake } from "./test_fixtures.ts";
+
+const STEP_MS = 10;
+
+/** An entry's lease over a shared store; its copy of the row is read every step while not cut. */
+function createEntry(name: string, store: StoreFake, clock: ManualClock) {
+  const state = { isCut: false };
+  const away = {
+    kind: "unavailable",
+    effect: "refused",
+    reason: "cut",
+  } as const;
+  const own: StoreFake = {
+    ...store,
+    transact: (...call) =>
+      state.isCut ? Promise.resolve(away) : store.transact(...call),
+  };
+  const follower = TableFollower.create({
+    table: "state",
+    store: own,
+    clock,
+    random: { next: () => 0 },
+    seen: SeenVersion.create(),
+    log: SILENT_LOG,
+  });
+  const lease = LeaseTask.create({
+    entry: name,
+    incarnation: `${name}-1`,
+    processorShare: 1,
+    getProcessorShares: () => [1, 1],
+    store: own,
+    follower,
+    clock,
+    nowUnixMs: () => clock.nowMs(),
+    random: { next: () => 0 },
+    log: SILENT_LOG,
+  });
+  clock.every(STEP_MS, () => {
+    if (!state.isCut) void follower.reload(0);
+  });
+  lease.start();
+  return { lease, state };
+}
+
+describe("scheduler's lease", () => {
+  it("has one holder who may act at any time, also while the holder is cut off", async () => {
+    const clock = ManualClock.create();
+    const store = createStoreFake();
+    const entries = [
+      createEntry("a", store, clock),
+      createEntry("b", store, clock),
+      createEntry("c", store, clock),
+    ];
+    const epochs = new Set<number>();
+    for (let step = 0; step < 1_500; step++) {
+      await clock.advance(STEP_MS);
+      const acting = entries.filter(({ lease }) => lease.canAct());
+      expect(acting.length).to.be.at.most(1);
+      for (const { lease, state } of acting) {
+        if (lease.epoch !== undefined) epochs.add(lease.epoch);
+        if (step % 400 === 200) state.isCut = true;
+      }
+      if (step % 400 === 0) entries.forEach(({ state }) => state.isCut = false);
+    }
+    expect(epochs.size).to.be.at.least(3);
+  });
+
+  it("is taken over at once when it is handed over", async () => {
+    const clock = ManualClock.create();
+    const store = createStoreFake();
+    const first = createEntry("a", store, clock);
+    await clock.advance(500);
+    const second = createEntry("b", store, clock);
+    await clock.advance(500);
+    expect(first.lease.canAct()).to.equal(true);
+    await first.lease.leave();
+    await clock.advance(200);
+    expect(first.lease.canAct()).to.equal(false);
+    expect(second.lease.canAct()).to.equal(true);
+  });
+
+  it("lets the largest entry go first", () => {
+    expect(measureHeadStart(0.7, [0.7, 0.7, 0.7])).to.equal(0);
+    expect(measureHeadStart(1.4, [1.4, 0.35, 0.7])).to.equal(0);
+    expect(measureHeadStart(0.35, [1.4, 0.35, 0.7])).to.be.greaterThan(
+      measureHeadStart(0.7, [1.4, 0.35, 0.7]),
+    );
+  });
+});
--- a/packages/node/cell/rows.ts
+++ b/packages/node/cell/rows.ts
@@ -65,10 +65,12 @@
   readonly jobIds: readonly CellJobId[];
 }
 
-/** Where an entry takes requests of its peers. */
+/** Where an entry takes requests of its peers, and how much processor it has. */
 export interface PeerRow {
   readonly host: string;
   readonly port: number;
+  /** In cores of the reference speed. */
+  readonly processorShare: number;
 }
 
 /**
