--- a/packages/node/cell/caller_server.ts
+++ b/packages/node/cell/caller_server.ts
@@ -66,9 +66,9 @@
   }
 
   /** Idle and header time-outs of the declared state. */
-  setTimeouts(headerTimeoutMs: number, idleTimeoutMs: number): void {
-    this.#callers.headersTimeout = headerTimeoutMs;
-    this.#callers.keepAliveTimeout = idleTimeoutMs;
+  setTimeouts(headTimeoutMs: number, keepAliveMs: number): void {
+    this.#callers.headersTimeout = headTimeoutMs;
+    this.#callers.keepAliveTimeout = keepAliveMs;
   }
 
   /** From now on each answer ends its connection. */
--- a/packages/node/cell/cell_entry.ts
+++ b/packages/node/cell/cell_entry.ts
@@ -151,7 +151,7 @@
     this.#declared.changes.subscribe(() => {
       const limits = this.#declared.current?.limits;
       if (limits === undefined) return;
-      this.#server.setTimeouts(limits.headerTimeoutMs, limits.idleTimeoutMs);
+      this.#server.setTimeouts(limits.headTimeoutMs, limits.keepAliveMs);
     });
     await Promise.all([this.#server.listen(), this.#peerServer?.listen()]);
     void this.#state.run();
--- a/packages/node/cell/cell_world.ts
+++ b/packages/node/cell/cell_world.ts
@@ -26,13 +26,8 @@
 
 export const WORLD_BOUNDS = {
   leaseMaximumMs: 6_000,
-  stopTimeoutMs: 200,
-  gangTimeoutMs: 3_000,
-  earlyMs: 250,
-  remoteFactor: 3,
+  stopLimitMs: 200,
   shutdownGraceMs: 6_000,
-  restoreMs: 250,
-  checkpointPeriodMs: 1_000,
   endedStateMs: 20_000,
 } as const;
 
--- /dev/null
+++ b/packages/node/cell/job_book.ts
@@ -0,0 +1,180 @@
+/** The live jobs as the holder of the cell keeps them, from their rows and their tasks' ends. */
+import type { Clock } from "@coltsfootpond/common";
+import {
+  type CellJobId,
+  JOB_STATE,
+  JobProgress,
+  RUN_END,
+  type TaskName,
+} from "@coltsfootpond/policy";
+import type { EndedTask, StateRow } from "@coltsfootpond/ports";
+import {
+  formatUnitKey,
+  LiveJob,
+  parseTaskName,
+  type TaskPlace,
+  type Unit,
+} from "./live_job.ts";
+import type { CellLog } from "./log.ts";
+import type { ProgressWriter } from "./progress_writer.ts";
+import {
+  decodeRow,
+  type JobRow,
+  parseJobKey,
+  progressKey,
+  type ProgressRow,
+} from "./rows.ts";
+import type { TableFollower } from "./table_follower.ts";
+
+export interface JobBookOptions {
+  readonly follower: TableFollower;
+  readonly clock: Clock;
+  readonly nowUnixMs: () => number;
+  readonly log: CellLog;
+  readonly writer: Pick<ProgressWriter, "mark" | "forget">;
+  readonly closeRun: (unit: Unit, reason: string) => void;
+}
+
+/** Holds the live jobs of one epoch. */
+export class JobBook {
+  readonly #options: JobBookOptions;
+  readonly #jobs = new Map<CellJobId, LiveJob>();
+
+  private constructor(options: JobBookOptions) {
+    this.#options = options;
+  }
+
+  static create(options: JobBookOptions): JobBook {
+    return new JobBook(options);
+  }
+
+  get jobs(): readonly LiveJob[] {
+    return [...this.#jobs.values()];
+  }
+
+  /** Where a task belongs; undefined when its job is not live or has no such step. */
+  locate(task: TaskName): TaskPlace | undefined {
+    const name = parseTaskName(task);
+    const job = name && this.#jobs.get(name.jobId);
+    const step = name && job?.spec.steps[name.step];
+    if (name === undefined || job === undefined || step === undefined) {
+      return undefined;
+    }
+    return {
+      job,
+      step,
+      stepKey: `${name.jobId}.${name.occurrence}.${name.step}`,
+      address: { ...name, index: step.isGang ? 0 : name.index },
+    };
+  }
+
+  /** Takes changed rows of the state table. */
+  takeRows(rows: Iterable<StateRow>): void {
+    for (const row of rows) {
+      const jobId = parseJobKey(row.key);
+      if (jobId !== undefined) this.#takeRow(jobId, row);
+    }
+  }
+
+  /** The job has ended: nothing of it may go on. */
+  close(job: LiveJob): void {
+    if (!this.#jobs.delete(job.jobId)) return;
+    this.#options.writer.forget(job);
+    for (const unit of job.units.values()) {
+      this.#options.closeRun(unit, "job ended");
+    }
+  }
+
+  /** Opens the units of recurring jobs whose time has come. */
+  openDueUnits(): void {
+    const { clock, nowUnixMs } = this.#options;
+    for (const job of this.#jobs.values()) {
+      if (job.spec.recurrence === undefined) continue;
+      job.openDueUnits(clock.nowMs(), nowUnixMs());
+    }
+  }
+
+  /** Ends count for the job whether or not its step is known to be due yet. */
+  takeEnd({ job, address, step }: TaskPlace, ended: EndedTask): void {
+    const { clock, nowUnixMs, closeRun, writer } = this.#options;
+    const key = formatUnitKey(address);
+    const unit = job.units.get(key);
+    switch (ended.end) {
+      case RUN_END.DONE:
+        if (step.isPersistent || job.progress.isUnitDone(address)) return;
+        job.progress.recordDone(address);
+        if (unit?.run === undefined) job.units.delete(key);
+        else if (unit.run.run !== ended.run) closeRun(unit, "done before");
+        job.openDueUnits(clock.nowMs(), nowUnixMs());
+        break;
+      case RUN_END.FAILED:
+        job.progress.recordFailure(address, ended.run);
+        break;
+      case RUN_END.STOPPED:
+      case RUN_END.LAPSED:
+      case RUN_END.BROKEN:
+      case RUN_END.ALONE:
+        job.progress.recordCheckpoint(address, ended.checkpoint);
+        break;
+    }
+    this.#checkEnd(job);
+    if (this.#jobs.has(job.jobId)) writer.mark(job, job.ending !== undefined);
+  }
+
+  #takeRow(jobId: CellJobId, row: StateRow): void {
+    const known = this.#jobs.get(jobId);
+    const job = row.value && decodeRow<JobRow>(row.value);
+    if (job?.kind === "live") {
+      if (known === undefined) this.#open(job, row.version);
+      return;
+    }
+    if (known === undefined) return;
+    this.#options.log.info("job.closed", {
+      job: jobId,
+      row: job?.kind === "ended" ? job.state : job?.kind ?? "deleted",
+    });
+    this.close(known);
+  }
+
+  #open(
+    { spec }: Extract<JobRow, { kind: "live" }>,
+    rowVersion: number,
+  ): void {
+    const { follower, clock, nowUnixMs, log } = this.#options;
+    const stored = follower.get(progressKey(spec.jobId));
+    const row = stored?.value && decodeRow<ProgressRow>(stored.value);
+    const job = LiveJob.create({
+      spec,
+      progress: JobProgress.create(spec, row?.record),
+      rowVersion,
+      progressVersion: stored?.version ?? 0,
+      placements: row?.placements,
+    });
+    job.hasBegun = stored !== undefined;
+    this.#jobs.set(spec.jobId, job);
+    job.openDueUnits(clock.nowMs(), nowUnixMs());
+    log.info("job.opened", {
+      job: spec.jobId,
+      queue: spec.queue,
+      priority: spec.priority,
+      tasks: spec.steps.map(({ count }) => count),
+      need: spec.steps[0]?.need,
+      estimateMs: spec.steps[0]?.estimateMs,
+      gang: spec.steps[0]?.isGang,
+      ageMs: nowUnixMs() - spec.acceptedUnixMs,
+    });
+    this.#checkEnd(job);
+  }
+
+  /** Ends the job if it is complete or can no longer be. */
+  #checkEnd(job: LiveJob): void {
+    if (job.ending !== undefined) return;
+    if (job.progress.isComplete()) job.ending = JOB_STATE.COMPLETED;
+    else if (job.progress.isFailed()) job.ending = JOB_STATE.FAILED;
+    else return;
+    for (const unit of job.units.values()) {
+      this.#options.closeRun(unit, job.ending);
+    }
+    this.#options.writer.mark(job, true);
+  }
+}
--- a/packages/node/cell/live_job.ts
+++ b/packages/node/cell/live_job.ts
@@ -11,7 +11,8 @@
   type UnitAddress,
 } from "@coltsfootpond/policy";
 import type { EndedState, PlacementRecord } from "./rows.ts";
-import type { Member, WorkerSession } from "./worker_session.ts";
+import type { Member } from "./member.ts";
+import type { WorkerSession } from "./worker_session.ts";
 
 /** One run of a unit: a task, or all tasks of a gang. */
 export interface UnitRun {
@@ -164,6 +165,30 @@
   }
 }
 
+/** Where a task belongs. */
+export interface TaskPlace {
+  readonly job: LiveJob;
+  readonly step: StepSpec;
+  readonly stepKey: string;
+  /** Of the task's unit. */
+  readonly address: UnitAddress;
+}
+
+/** A unit's name in logs: `{job}.{occurrence}.{step}.{index}`. */
+export function describeUnit(unit: Unit): string {
+  return `${unit.job.jobId}.${formatUnitKey(unit.address)}`;
+}
+
+/** Whether an earlier holder placed the unit on a worker that has not reported. */
+export function mayRunUnseen(
+  unit: Unit,
+  unresolved: ReadonlySet<WorkerName>,
+): boolean {
+  if (unresolved.size === 0) return false;
+  const workers = unit.job.earlierPlacements.get(formatUnitKey(unit.address));
+  return workers?.some((worker) => unresolved.has(worker)) ?? false;
+}
+
 export function formatUnitKey(
   { occurrence, step, index }: UnitAddress,
 ): string {
@@ -198,25 +223,18 @@
 }
 
 /** A member that is about to be started. */
-export function createMember(
-  unit: Unit,
-  index: number,
-  run: number,
-  nowMs: number,
-): Member {
+export function createMember(unit: Unit, index: number, run: number): Member {
   return {
     task: formatTaskName(unit, index),
     run,
     need: countedNeed(unit.step),
     stepKey: unit.stepKey,
     startedClockMs: undefined,
-    isUnsure: false,
     isStopping: false,
     stoppedClockMs: undefined,
     checkpoint: unit.job.progress.getCheckpoint(unit.address),
     percent: 0,
     percentSinceClockMs: 0,
     percentSeenClockMs: 0,
-    sentMs: nowMs,
   };
 }
--- /dev/null
+++ b/packages/node/cell/member.ts
@@ -0,0 +1,66 @@
+/** One task that was started, or found, on a worker, and what the worker tells of it. */
+import type { CellResources, TaskName } from "@coltsfootpond/policy";
+import type {
+  EndedTask,
+  RunningTask,
+  StartRefusal,
+} from "@coltsfootpond/ports";
+import type { WorkerSession } from "./worker_session.ts";
+
+/** A task of a run; a gang has several. */
+export interface Member {
+  readonly task: TaskName;
+  readonly run: number;
+  readonly need: CellResources;
+  readonly stepKey: string;
+  /** On the worker's clock, when the start was acknowledged or the run was first listed. */
+  startedClockMs: number | undefined;
+  isStopping: boolean;
+  /** On the worker's clock, when the stop was acknowledged. */
+  stoppedClockMs: number | undefined;
+  checkpoint: string;
+  percent: number;
+  /** On the worker's clock: the report that first told this percentage, and the newest one. */
+  percentSinceClockMs: number;
+  percentSeenClockMs: number;
+}
+
+/** What a session tells the scheduler. */
+export interface SessionListener {
+  onRefused(
+    session: WorkerSession,
+    member: Member,
+    reason: StartRefusal | "wrong_life",
+  ): void;
+  /** A start was not answered and the worker does not list the run. */
+  onUnsure(session: WorkerSession, member: Member): void;
+  /** The run ended; listed by the worker. */
+  onEnded(session: WorkerSession, ended: EndedTask, member?: Member): void;
+  /** The run is gone without a listed end. */
+  onGone(session: WorkerSession, member: Member, reason: string): void;
+  /** The worker runs what this process did not start. */
+  onStray(session: WorkerSession, running: RunningTask): void;
+  onReport(session: WorkerSession): void;
+  onFenced(session: WorkerSession): void;
+}
+
+/** Names a run of a task. */
+export function memberKey(task: TaskName, run: number): string {
+  return `${task}#${run}`;
+}
+
+/** Takes what a report tells of a member that runs. */
+export function noteRunning(
+  member: Member,
+  running: RunningTask,
+  reportClockMs: number,
+): void {
+  member.startedClockMs ??= reportClockMs;
+  if (running.checkpoint !== "") member.checkpoint = running.checkpoint;
+  const isFirst = member.percentSeenClockMs === 0;
+  if (running.percent !== member.percent || isFirst) {
+    member.percent = running.percent;
+    member.percentSinceClockMs = reportClockMs;
+  }
+  member.percentSeenClockMs = reportClockMs;
+}
--- /dev/null
+++ b/packages/node/cell/member_book.ts
@@ -0,0 +1,152 @@
+/**
+ * What one worker was told to run, against what it reports. A member leaves the book only when its
+ * end is listed or when it is proven not to run there.
+ */
+import type { CellResources } from "@coltsfootpond/policy";
+import type {
+  EndedTask,
+  RenewOutcome,
+  RunningTask,
+} from "@coltsfootpond/ports";
+import { type Member, memberKey, noteRunning } from "./member.ts";
+
+/** Ends that one report lists at most (the users' protocol); a full list may be cut. */
+const MAXIMUM_LISTED_ENDS = 500;
+
+/** What a worker answers to a renewal. */
+export type Report = Extract<RenewOutcome, { kind: "report" }>;
+
+export interface MemberBookOptions {
+  /** Each end once, in the order of their numbers. */
+  readonly onEnded: (ended: EndedTask, member: Member | undefined) => void;
+  /** A member is gone without a listed end. */
+  readonly onGone: (member: Member, reason: string) => void;
+  /** The worker runs what is not in the book. */
+  readonly onStray: (running: RunningTask) => void;
+}
+
+/** The members on one worker. */
+export class MemberBook {
+  readonly #options: MemberBookOptions;
+  readonly #members = new Map<string, Member>();
+  #processedEnd = 0;
+  #lastReportClockMs = Number.NEGATIVE_INFINITY;
+
+  private constructor(options: MemberBookOptions) {
+    this.#options = options;
+  }
+
+  static create(options: MemberBookOptions): MemberBook {
+    return new MemberBook(options);
+  }
+
+  get members(): readonly Member[] {
+    return [...this.#members.values()];
+  }
+
+  get size(): number {
+    return this.#members.size;
+  }
+
+  /** Ends up to this number have been taken in. */
+  get processedEnd(): number {
+    return this.#processedEnd;
+  }
+
+  has(member: Member): boolean {
+    return this.#members.get(memberKey(member.task, member.run)) === member;
+  }
+
+  add(member: Member): void {
+    this.#members.set(memberKey(member.task, member.run), member);
+  }
+
+  /** False when it was not in the book. */
+  remove(member: Member): boolean {
+    return this.has(member) &&
+      this.#members.delete(memberKey(member.task, member.run));
+  }
+
+  /** Adds a run that the newest report lists. */
+  adopt(
+    running: RunningTask,
+    facts: { readonly need: CellResources; readonly stepKey: string },
+  ): Member {
+    const reportClockMs = this.#lastReportClockMs;
+    const member: Member = {
+      ...facts,
+      task: running.task,
+      run: running.run,
+      startedClockMs: reportClockMs,
+      isStopping: false,
+      stoppedClockMs: undefined,
+      checkpoint: running.checkpoint,
+      percent: running.percent,
+      percentSinceClockMs: reportClockMs,
+      percentSeenClockMs: reportClockMs,
+    };
+    this.add(member);
+    return member;
+  }
+
+  /** Reports may overtake each other: what runs is taken from the newest one only. */
+  takeReport({ stamp, running, ended }: Report): void {
+    const reportClockMs = stamp.workerClockMs;
+    ended.forEach((end) => this.#takeEnd(end));
+    if (reportClockMs < this.#lastReportClockMs) return;
+    this.#lastReportClockMs = reportClockMs;
+    running.forEach((task) => this.#takeRunning(task, reportClockMs));
+    if (ended.length >= MAXIMUM_LISTED_ENDS) return;
+    const listed = new Set(
+      running.map(({ task, run }) => memberKey(task, run)),
+    );
+    for (const [key, member] of [...this.#members]) {
+      if (!listed.has(key)) this.#checkAbsent(member, reportClockMs);
+    }
+  }
+
+  /**
+   * The worker began a new life, in which its ends and its clock count anew and no stop of the
+   * earlier one holds. Unanswered starts may reach it; all else ended with the earlier life.
+   */
+  beginLife(): void {
+    this.#processedEnd = 0;
+    this.#lastReportClockMs = Number.NEGATIVE_INFINITY;
+    for (const member of this.members) {
+      if (member.startedClockMs === undefined) {
+        member.stoppedClockMs = undefined;
+      } else this.#drop(member, "the worker began a new life");
+    }
+  }
+
+  /** Nothing of this can run any more. */
+  dropAll(reason: string): void {
+    for (const member of this.members) this.#drop(member, reason);
+  }
+
+  #drop(member: Member, reason: string): void {
+    if (this.remove(member)) this.#options.onGone(member, reason);
+  }
+
+  #takeEnd(ended: EndedTask): void {
+    if (ended.number <= this.#processedEnd) return;
+    this.#processedEnd = ended.number;
+    const key = memberKey(ended.task, ended.run);
+    const member = this.#members.get(key);
+    this.#members.delete(key);
+    this.#options.onEnded(ended, member);
+  }
+
+  #takeRunning(running: RunningTask, reportClockMs: number): void {
+    const member = this.#members.get(memberKey(running.task, running.run));
+    if (member === undefined) this.#options.onStray(running);
+    else noteRunning(member, running, reportClockMs);
+  }
+
+  /** A run that is neither listed as running nor as ended is gone once that is proven. */
+  #checkAbsent(member: Member, reportClockMs: number): void {
+    const provenClockMs = member.startedClockMs ?? member.stoppedClockMs;
+    if (provenClockMs === undefined || provenClockMs >= reportClockMs) return;
+    this.#drop(member, "not listed by the worker");
+  }
+}
--- a/packages/node/cell/plan_input.ts
+++ b/packages/node/cell/plan_input.ts
@@ -36,7 +36,6 @@
   readonly guarantees: readonly OrganisationGuarantee[];
   readonly nowMs: number;
   readonly nowUnixMs: number;
-  readonly remoteFactor: number;
   /** Units that may run where this holder cannot see. */
   readonly isBlocked: (unit: Unit) => boolean;
 }
--- /dev/null
+++ b/packages/node/cell/run_book.ts
@@ -0,0 +1,210 @@
+/**
+ * The runs under way: which member of which unit is on which worker, and which runs were found on
+ * workers that belong to no unit's run. Starts, adopts and ends runs.
+ */
+import type { Clock, WorkerName } from "@coltsfootpond/common";
+import { countedNeed, type TaskName } from "@coltsfootpond/policy";
+import type { RunningTask } from "@coltsfootpond/ports";
+import {
+  createMember,
+  describeUnit,
+  formatUnitKey,
+  type TaskPlace,
+  type Unit,
+  type UnitRun,
+} from "./live_job.ts";
+import type { CellLog } from "./log.ts";
+import type { Member } from "./member.ts";
+import type { WorkerSession } from "./worker_session.ts";
+
+/** Run numbers of one epoch lie in a block of their own, so that they rise by construction. */
+const RUNS_PER_EPOCH = 1_000_000;
+const NO_RESOURCES = { cpuMilli: 0, memoryMib: 0, accelerators: 0 };
+
+export interface RunBookOptions {
+  readonly epoch: number;
+  readonly clock: Clock;
+  readonly log: CellLog;
+  readonly canAct: () => boolean;
+  readonly getSession: (worker: WorkerName) => WorkerSession | undefined;
+  /** The live job and step of a task; undefined when there is none. */
+  readonly locate: (task: TaskName) => TaskPlace | undefined;
+  /** A run is over: its room is free and its unit may wait again. */
+  readonly onFinished: () => void;
+}
+
+/** Holds all runs of one epoch. */
+export class RunBook {
+  readonly #options: RunBookOptions;
+  readonly #unitByMember = new Map<Member, Unit>();
+  readonly #strays = new Map<Member, WorkerSession>();
+  #nextRun: number;
+
+  private constructor(options: RunBookOptions) {
+    this.#options = options;
+    this.#nextRun = options.epoch * RUNS_PER_EPOCH;
+  }
+
+  static create(options: RunBookOptions): RunBook {
+    return new RunBook(options);
+  }
+
+  /** Members of units' runs. */
+  get size(): number {
+    return this.#unitByMember.size;
+  }
+
+  getUnit(member: Member): Unit | undefined {
+    return this.#unitByMember.get(member);
+  }
+
+  /** Reserves a run's room; `sendStarts` follows once the placement is stored. */
+  place(unit: Unit, workers: readonly WorkerName[]): void {
+    const nowMs = this.#options.clock.nowMs();
+    const run = this.#open(unit, ++this.#nextRun, true);
+    this.#options.log.info("unit.started", {
+      unit: describeUnit(unit),
+      run: run.run,
+      workers,
+      waitedMs: Math.round(nowMs - unit.waitingSinceMs),
+    });
+    for (const [index, worker] of workers.entries()) {
+      const session = this.#options.getSession(worker);
+      if (session === undefined) continue;
+      const member = createMember(unit, index, run.run);
+      session.reserve(member);
+      run.members.set(member, session);
+      this.#unitByMember.set(member, unit);
+    }
+  }
+
+  /** The unit's placement is stored: a later holder knows where its run may be. */
+  sendStarts(unit: Unit): void {
+    const { run, job } = unit;
+    if (run === undefined || !run.isPending || run.isClosing) return;
+    if (!this.#options.canAct()) {
+      this.close(unit, "the lease is in doubt");
+      return;
+    }
+    run.isPending = false;
+    for (const [member, session] of run.members) {
+      void session.start(member, job.spec.payload);
+    }
+  }
+
+  /** Ends the unit's run: every member that may still run is told to stop. */
+  close(unit: Unit, reason: string): void {
+    const { run } = unit;
+    if (run === undefined) return;
+    if (!run.isClosing) {
+      run.isClosing = true;
+      this.#options.log.info("unit.closing", {
+        unit: describeUnit(unit),
+        run: run.run,
+        reason,
+        members: run.members.size,
+      });
+      this.#stopMembers(run);
+    }
+    this.#finish(unit, run);
+  }
+
+  /** The member is gone; gives the unit whose run it belonged to. */
+  drop(member: Member): Unit | undefined {
+    const unit = this.#unitByMember.get(member);
+    this.#strays.delete(member);
+    this.#unitByMember.delete(member);
+    unit?.run?.members.delete(member);
+    return unit;
+  }
+
+  /** Keeps a run that a worker reports and that this holder did not start. */
+  addStray(session: WorkerSession, running: RunningTask): Member {
+    const place = this.#options.locate(running.task);
+    const member = session.adopt(running, {
+      need: place === undefined ? NO_RESOURCES : countedNeed(place.step),
+      stepKey: place?.stepKey ?? "",
+    });
+    this.#strays.set(member, session);
+    return member;
+  }
+
+  /** Takes every found run over, or stops it. */
+  settleStrays(): void {
+    for (const member of [...this.#strays.keys()]) this.settleStray(member);
+  }
+
+  /** Takes a found run over, or stops it; its unit starts nothing before it is gone. */
+  settleStray(member: Member): void {
+    const session = this.#strays.get(member);
+    if (session === undefined) return;
+    const place = this.#options.locate(member.task);
+    const unit = place?.job.units.get(formatUnitKey(place.address));
+    if (unit !== undefined && this.#mayAdopt(unit, member.run)) {
+      const run = unit.run ?? this.#open(unit, member.run, false);
+      run.members.set(member, session);
+      this.#unitByMember.set(member, unit);
+      this.#strays.delete(member);
+      return;
+    }
+    this.#options.log.warn("task.stray", {
+      task: member.task,
+      run: member.run,
+      worker: session.worker,
+    });
+    void session.stopMember(member);
+  }
+
+  /** Descriptions of the units of which a run that is not theirs may still be at work. */
+  listStrayUnits(): ReadonlySet<string> {
+    return new Set(
+      [...this.#strays.keys()].flatMap(({ task }) => {
+        const place = this.#options.locate(task);
+        if (place === undefined) return [];
+        return [`${place.job.jobId}.${formatUnitKey(place.address)}`];
+      }),
+    );
+  }
+
+  #open(unit: Unit, number: number, isPending: boolean): UnitRun {
+    const run: UnitRun = {
+      run: number,
+      members: new Map(),
+      startedMs: this.#options.clock.nowMs(),
+      isPending,
+      isClosing: false,
+    };
+    unit.run = run;
+    unit.wasSeen = true;
+    unit.job.hasBegun = true;
+    return run;
+  }
+
+  #stopMembers(run: UnitRun): void {
+    for (const [member, session] of [...run.members]) {
+      if (run.isPending) {
+        session.release(member);
+        this.drop(member);
+      } else {
+        void session.stopMember(member);
+      }
+    }
+  }
+
+  #finish(unit: Unit, run: UnitRun): void {
+    if (run.members.size > 0 || unit.run !== run) return;
+    unit.run = undefined;
+    unit.waitingSinceMs = this.#options.clock.nowMs();
+    if (unit.job.progress.isUnitDone(unit.address)) {
+      unit.job.units.delete(formatUnitKey(unit.address));
+    }
+    this.#options.onFinished();
+  }
+
+  /** Runs of earlier holders are taken over unless a newer run of the unit is under way. */
+  #mayAdopt(unit: Unit, run: number): boolean {
+    if (run > this.#options.epoch * RUNS_PER_EPOCH) return false;
+    return unit.run === undefined ||
+      unit.run.run === run && !unit.run.isClosing;
+  }
+}
--- a/packages/node/cell/store_relay.ts
+++ b/packages/node/cell/store_relay.ts
@@ -209,8 +209,11 @@
         arguments: [call.arguments[0], call.arguments[1], timeoutMs],
       };
     case "follow": {
-      const [table, afterVersion, waitMs] = call.arguments;
-      const shorterMs = Math.max(0, Math.min(waitMs, timeoutMs - LEAST_TRY_MS));
+      const [table, afterVersion, longPollMs] = call.arguments;
+      const shorterMs = Math.max(
+        0,
+        Math.min(longPollMs, timeoutMs - LEAST_TRY_MS),
+      );
       return {
         ...call,
         arguments: [table, afterVersion, shorterMs, timeoutMs],
--- a/packages/node/cell/test_fixtures.ts
+++ b/packages/node/cell/test_fixtures.ts
@@ -27,12 +27,8 @@
     requiredLabel: undefined,
     dataRack: undefined,
     maximumPerWorker: undefined,
-    mayRunCopies: false,
     isPersistent: false,
     isFiller: false,
-    mayMiss: 0,
-    image: undefined,
-    latencyTargetMs: undefined,
     ...overrides,
   };
 }
--- a/packages/node/cell/worker_fleet.ts
+++ b/packages/node/cell/worker_fleet.ts
@@ -19,7 +19,8 @@
 import { decodeRow, encodeRow, ROSTER_KEY, type RosterRow } from "./rows.ts";
 import type { TableFollower } from "./table_follower.ts";
 import { WorkerDirectory } from "./worker_directory.ts";
-import { type SessionListener, WorkerSession } from "./worker_session.ts";
+import type { SessionListener } from "./member.ts";
+import { WorkerSession } from "./worker_session.ts";
 
 const STORE_TIMEOUT_MS = 900;
 /** How long a new holder waits for the workers' first reports before it starts work. */
@@ -259,7 +260,7 @@
   let free = record.capacity;
   let releasing = { cpuMilli: 0, memoryMib: 0, accelerators: 0 };
   const tasksByStep = new Map<string, number>();
-  for (const member of session.members.values()) {
+  for (const member of session.members) {
     free = subtract(free, member.need);
     if (member.isStopping) {
       releasing = add(releasing, member.need);
@@ -276,7 +277,7 @@
     capacity: record.capacity,
     free,
     releasing,
-    slowness: record.coldRemainingMs > 0 ? COLD_SLOWNESS : 1,
+    slowness: record.warmUpLeftMs > 0 ? COLD_SLOWNESS : 1,
     tasksByStep,
   };
 }
--- /dev/null
+++ b/packages/node/cell/worker_judge.ts
@@ -0,0 +1,43 @@
+/** Judges workers by the ends of what they ran, whatever they say of themselves. */
+import type { Clock, WorkerName } from "@coltsfootpond/common";
+import { type CellJobId, RUN_END, type RunEnd } from "@coltsfootpond/policy";
+import type { CellLog } from "./log.ts";
+import type { WorkerSession } from "./worker_session.ts";
+
+/** A worker on which runs of this many jobs failed in a row is left alone for a while. */
+const FAILURES_TO_QUARANTINE = 2;
+export const QUARANTINE_MS = 4_000;
+
+export interface WorkerJudgeOptions {
+  readonly clock: Clock;
+  readonly log: CellLog;
+}
+
+/** Remembers failures in a row. */
+export class WorkerJudge {
+  readonly #options: WorkerJudgeOptions;
+  readonly #failedJobs = new Map<WorkerName, Set<CellJobId>>();
+
+  private constructor(options: WorkerJudgeOptions) {
+    this.#options = options;
+  }
+
+  static create(options: WorkerJudgeOptions): WorkerJudge {
+    return new WorkerJudge(options);
+  }
+
+  /** A success clears the worker; failures of several jobs in a row quarantine it. */
+  noteEnd(session: WorkerSession, jobId: CellJobId, end: RunEnd): void {
+    const { worker } = session;
+    if (end === RUN_END.DONE) this.#failedJobs.delete(worker);
+    if (end !== RUN_END.FAILED) return;
+    const jobs = this.#failedJobs.get(worker) ?? new Set();
+    jobs.add(jobId);
+    this.#failedJobs.set(worker, jobs);
+    if (jobs.size < FAILURES_TO_QUARANTINE) return;
+    const { clock, log } = this.#options;
+    session.pausedUntilMs = clock.nowMs() + QUARANTINE_MS;
+    this.#failedJobs.delete(worker);
+    log.warn("worker.quarantined", { worker });
+  }
+}
--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -4,19 +4,20 @@
  * its end, when it is proven not to run there, or when its lease has lapsed on the slowest clock.
  */
 import type { Clock, WorkerName } from "@coltsfootpond/common";
-import type { CellResources, TaskName } from "@coltsfootpond/policy";
+import type { CellResources } from "@coltsfootpond/policy";
 import type {
   CellBounds,
-  EndedTask,
   RenewOutcome,
   RunningTask,
-  StartRefusal,
   WorkerOrders,
   WorkerRecord,
   WorkerStamp,
   WorkerTarget,
 } from "@coltsfootpond/ports";
 import type { CellLog } from "./log.ts";
+import type { Member, SessionListener } from "./member.ts";
+import { MemberBook, type Report } from "./member_book.ts";
+import { WorkerLeases } from "./worker_leases.ts";
 
 /** Longest wait of one long poll; below the lease of a start, which the next poll extends. */
 const POLL_WAIT_MS = 1_000;
@@ -30,52 +31,7 @@
 const STORED_WAIT_MS = 400;
 /** Acknowledgements alone may wait this long for a renewal that carries them. */
 const ACKNOWLEDGE_PAUSE_MS = 800;
-/** A worker's clock may be this much slow (the users' protocol). */
-const SLOWEST_CLOCK_RATE = 0.98;
-const LAPSE_MARGIN_MS = 100;
 const FAILURES_TO_UNREACHABLE = 2;
-/** Ends that one report lists at most (the users' protocol); a full list may be cut. */
-const MAXIMUM_LISTED_ENDS = 500;
-
-/** One task that was started, or found, on a worker. */
-export interface Member {
-  readonly task: TaskName;
-  readonly run: number;
-  readonly need: CellResources;
-  readonly stepKey: string;
-  /** On the worker's clock, when the start was acknowledged or the run was first listed. */
-  startedClockMs: number | undefined;
-  /** The start was not answered: it may have been carried out or may still be. */
-  isUnsure: boolean;
-  isStopping: boolean;
-  stoppedClockMs: number | undefined;
-  checkpoint: string;
-  percent: number;
-  /** On the worker's clock: the report that first told this percentage, and the newest one. */
-  percentSinceClockMs: number;
-  percentSeenClockMs: number;
-  readonly sentMs: number;
-}
-
-/** What a session tells the scheduler. */
-export interface SessionListener {
-  onStarted(session: WorkerSession, member: Member): void;
-  onRefused(
-    session: WorkerSession,
-    member: Member,
-    reason: StartRefusal | "wrong_life",
-  ): void;
-  /** A start was not answered and the worker does not list the run. */
-  onUnsure(session: WorkerSession, member: Member): void;
-  /** The run ended; listed by the worker. */
-  onEnded(session: WorkerSession, ended: EndedTask, member?: Member): void;
-  /** The run is gone without a listed end. */
-  onGone(session: WorkerSession, member: Member, reason: string): void;
-  /** The worker runs what this process did not start. */
-  onStray(session: WorkerSession, running: RunningTask): void;
-  onReport(session: WorkerSession): void;
-  onFenced(session: WorkerSession): void;
-}
 
 export interface WorkerSessionOptions {
   readonly target: WorkerTarget;
@@ -88,29 +44,18 @@
   readonly canAct: () => boolean;
 }
 
-function memberKey(task: TaskName, run: number): string {
-  return `${task}#${run}`;
-}
-
 /** State and orders of one worker. */
 export class WorkerSession {
   readonly target: WorkerTarget;
-  readonly members = new Map<string, Member>();
   /** The worker's newest record; undefined when it is not listed. */
   record: WorkerRecord | undefined;
   /** Listed before the first start there, so that a new holder asks it. */
   isRostered = false;
   /** Not used for new work until then. */
   pausedUntilMs = 0;
-  readonly createdMs: number;
   readonly #options: WorkerSessionOptions;
-  #lifeUnixMs = 0;
-  #clockSample:
-    | { readonly workerClockMs: number; readonly receivedMs: number }
-    | undefined;
-  #leaseUntilClockMs = 0;
-  #lastReportClockMs = Number.NEGATIVE_INFINITY;
-  #processedEnd = 0;
+  readonly #leases: WorkerLeases;
+  readonly #book: MemberBook;
   #persistedEnd = 0;
   #acknowledgedEnd = 0;
   #failures = 0;
@@ -122,7 +67,16 @@
   private constructor(options: WorkerSessionOptions) {
     this.#options = options;
     this.target = options.target;
-    this.createdMs = options.clock.nowMs();
+    this.#leases = WorkerLeases.create({
+      clock: options.clock,
+      leaseMaximumMs: options.bounds.leaseMaximumMs,
+    });
+    const { listener } = options;
+    this.#book = MemberBook.create({
+      onEnded: (ended, member) => listener.onEnded(this, ended, member),
+      onGone: (member, reason) => listener.onGone(this, member, reason),
+      onStray: (running) => listener.onStray(this, running),
+    });
   }
 
   static create(options: WorkerSessionOptions): WorkerSession {
@@ -135,7 +89,7 @@
 
   /** Whether it has reported under this epoch. */
   get hasReported(): boolean {
-    return this.#clockSample !== undefined;
+    return this.#leases.isKnown;
   }
 
   get isReachable(): boolean {
@@ -144,23 +98,27 @@
 
   /** Ends up to this number have been taken in by the scheduler. */
   get processedEnd(): number {
-    return this.#processedEnd;
+    return this.#book.processedEnd;
+  }
+
+  get members(): readonly Member[] {
+    return this.#book.members;
   }
 
   get hasMembers(): boolean {
-    return this.members.size > 0;
+    return this.#book.size > 0;
   }
 
   /** Ends up to `number` are stored; the worker may forget them. */
   setPersisted(number: number, lifeUnixMs: number): void {
-    if (lifeUnixMs !== this.#lifeUnixMs) return;
+    if (lifeUnixMs !== this.lifeUnixMs) return;
     this.#persistedEnd = Math.max(this.#persistedEnd, number);
     this.#onStored?.();
     this.wake();
   }
 
   get lifeUnixMs(): number {
-    return this.#lifeUnixMs;
+    return this.#leases.lifeUnixMs;
   }
 
   stop(): void {
@@ -170,7 +128,7 @@
   /** Takes the worker's record; a record of a new life voids what ran in the old one. */
   setRecord(record: WorkerRecord | undefined): void {
     this.record = record;
-    if (record !== undefined) this.#checkLife(record.lifeUnixMs);
+    if (record !== undefined) this.#takeLife(record.lifeUnixMs);
   }
 
   /** Starts polling if there is something to renew, to learn or to acknowledge. */
@@ -191,18 +149,18 @@
 
   /** Takes room for a task whose start is sent later. */
   reserve(member: Member): void {
-    this.members.set(memberKey(member.task, member.run), member);
+    this.#book.add(member);
   }
 
   /** Gives up a reservation of which no start was sent. */
   release(member: Member): void {
-    this.#remove(member);
+    this.#book.remove(member);
   }
 
   /** Orders a reserved task to start; the outcome comes through the listener. */
   async start(member: Member, payload: string): Promise<void> {
     const { orders, epoch, listener } = this.#options;
-    const leaseUntilMs = this.#leaseFor(
+    const leaseUntilMs = this.#leases.grant(
       Math.min(START_LEASE_MS, this.#options.bounds.leaseMaximumMs),
     );
     const outcome = await orders.start(this.target, {
@@ -218,17 +176,16 @@
     switch (outcome.kind) {
       case "started":
         this.#takeStamp(outcome.stamp);
-        if (!this.#isPresent(member)) return;
+        if (!this.#book.has(member)) return;
         member.startedClockMs = outcome.stamp.workerClockMs;
-        member.isUnsure = false;
-        return listener.onStarted(this, member);
+        return;
       case "refused":
         if (outcome.stamp !== undefined) this.#takeStamp(outcome.stamp);
-        if (!this.#remove(member)) return;
+        if (!this.#book.remove(member)) return;
         if (outcome.reason === "fenced") listener.onFenced(this);
         return listener.onRefused(this, member, outcome.reason);
       case "wrong_life":
-        if (!this.#remove(member)) return;
+        if (!this.#book.remove(member)) return;
         return listener.onRefused(this, member, "wrong_life");
       case "unavailable":
         return await this.#settleStart(member);
@@ -240,7 +197,7 @@
     if (member.isStopping) return;
     member.isStopping = true;
     const { orders, epoch, clock, bounds, canAct, listener } = this.#options;
-    while (this.#isPresent(member) && !this.#isStopped) {
+    while (this.#book.has(member) && !this.#isStopped) {
       if (member.stoppedClockMs === undefined && canAct()) {
         const { task, run } = member;
         const outcome = await orders.stop(
@@ -255,16 +212,16 @@
         } else if (outcome.kind === "fenced") {
           return listener.onFenced(this);
         } else if (outcome.kind === "wrong_life") {
-          return this.#voidAll("the worker has left its address");
+          return this.#book.dropAll("the worker has left its address");
         }
       }
       const isAcknowledged = member.stoppedClockMs !== undefined;
       // An end that was listed has come through the long poll by then.
       const isNeverRun = member.startedClockMs === undefined;
       await clock.sleep(
-        isAcknowledged && !isNeverRun ? bounds.stopTimeoutMs : RETRY_PAUSE_MS,
+        isAcknowledged && !isNeverRun ? bounds.stopLimitMs : RETRY_PAUSE_MS,
       );
-      if (isAcknowledged && this.#isPresent(member)) await this.quickPoll();
+      if (isAcknowledged && this.#book.has(member)) await this.quickPoll();
     }
   }
 
@@ -273,70 +230,32 @@
     running: RunningTask,
     facts: { readonly need: CellResources; readonly stepKey: string },
   ): Member {
-    const nowMs = this.#options.clock.nowMs();
-    const reportClockMs = this.#lastReportClockMs;
-    const member: Member = {
-      ...facts,
-      task: running.task,
-      run: running.run,
-      startedClockMs: reportClockMs,
-      isUnsure: false,
-      isStopping: false,
-      stoppedClockMs: undefined,
-      checkpoint: running.checkpoint,
-      percent: running.percent,
-      percentSinceClockMs: reportClockMs,
-      percentSeenClockMs: reportClockMs,
-      sentMs: nowMs,
-    };
-    this.members.set(memberKey(member.task, member.run), member);
-    return member;
+    return this.#book.adopt(running, facts);
   }
 
   /** Gives up what can no longer run: called from time to time. */
   checkLapse(): void {
     if (!this.hasMembers || this.isReachable) return;
-    if (this.isSurelyLapsed()) this.#voidAll("the lease has lapsed");
+    if (this.isSurelyLapsed()) this.#book.dropAll("the lease has lapsed");
   }
 
-  /** Whether every lease given to this worker has ended, however slow its clock. */
+  /** Whether every lease given to this worker has ended. */
   isSurelyLapsed(): boolean {
-    const { clock, bounds } = this.#options;
-    const nowMs = clock.nowMs();
-    if (this.#clockSample === undefined) {
-      const longestMs = bounds.leaseMaximumMs / SLOWEST_CLOCK_RATE;
-      return nowMs - this.createdMs > longestMs + LAPSE_MARGIN_MS;
-    }
-    const { workerClockMs, receivedMs } = this.#clockSample;
-    const leastClockMs = workerClockMs +
-      (nowMs - receivedMs) * SLOWEST_CLOCK_RATE;
-    return leastClockMs > this.#leaseUntilClockMs + LAPSE_MARGIN_MS;
+    return this.#leases.isSurelyLapsed();
   }
 
   /** The worker has left for certain: nothing runs there any more. */
   markLeft(reason: string): void {
-    this.#voidAll(reason);
-  }
-
-  #isPresent(member: Member): boolean {
-    return this.members.get(memberKey(member.task, member.run)) === member;
-  }
-
-  #remove(member: Member): boolean {
-    return this.#isPresent(member) &&
-      this.members.delete(memberKey(member.task, member.run));
+    this.#book.dropAll(reason);
   }
 
   async #settleStart(member: Member): Promise<void> {
-    if (!this.#isPresent(member)) return;
-    member.isUnsure = true;
+    if (!this.#book.has(member)) return;
     await this.quickPoll();
-    if (this.#isStopped || !this.#isPresent(member)) return;
-    if (member.startedClockMs !== undefined) {
-      member.isUnsure = false;
-      return this.#options.listener.onStarted(this, member);
+    if (this.#isStopped || !this.#book.has(member)) return;
+    if (member.startedClockMs === undefined) {
+      this.#options.listener.onUnsure(this, member);
     }
-    this.#options.listener.onUnsure(this, member);
   }
 
   async #pollLoop(): Promise<void> {
@@ -362,7 +281,7 @@
     const { clock } = this.#options;
     const untilMs = clock.nowMs() + STORED_WAIT_MS;
     while (
-      this.#processedEnd > this.#persistedEnd && !this.#isStopped &&
+      this.processedEnd > this.#persistedEnd && !this.#isStopped &&
       clock.nowMs() < untilMs
     ) {
       await new Promise<void>((resolve) => {
@@ -378,16 +297,16 @@
   }
 
   /** True when the worker answered. */
-  async #poll(waitMs: number): Promise<boolean> {
+  async #poll(longPollMs: number): Promise<boolean> {
     const { orders, epoch, canAct, clock } = this.#options;
     // Nothing is extended without the certainty of holding the scheduler's lease, nor for a worker
     // that did not answer: an unanswered renewal may have been carried out.
-    const leaseUntilMs = this.#clockSample !== undefined && canAct() &&
+    const leaseUntilMs = this.hasReported && canAct() &&
         this.hasMembers && this.#failures === 0
-      ? this.#leaseFor(this.#options.bounds.leaseMaximumMs)
+      ? this.#leases.grant(this.#options.bounds.leaseMaximumMs)
       : undefined;
     const acknowledgedEnd = this.#persistedEnd;
-    const lifeUnixMs = this.#lifeUnixMs;
+    const { lifeUnixMs } = this;
     if (!canAct() && this.hasReported) {
       await clock.sleep(RETRY_PAUSE_MS);
       return true;
@@ -396,10 +315,10 @@
       epoch,
       leaseUntilMs,
       acknowledgedEnd,
-      waitMs,
-    }, waitMs + ORDER_TIMEOUT_MS);
+      longPollMs,
+    }, longPollMs + ORDER_TIMEOUT_MS);
     if (this.#isStopped) return true;
-    if (outcome.kind === "report" && lifeUnixMs === this.#lifeUnixMs) {
+    if (outcome.kind === "report" && lifeUnixMs === this.lifeUnixMs) {
       this.#acknowledgedEnd = Math.max(this.#acknowledgedEnd, acknowledgedEnd);
     }
     return this.#takeOutcome(outcome);
@@ -420,7 +339,7 @@
         listener.onFenced(this);
         return false;
       case "wrong_life":
-        this.#voidAll("the worker has left its address");
+        this.#book.dropAll("the worker has left its address");
         this.#failures++;
         return false;
       case "unavailable":
@@ -429,123 +348,32 @@
           log.warn("worker.unreachable", {
             worker: this.worker,
             reason: outcome.reason,
-            members: this.members.size,
+            members: this.#book.size,
           });
         }
         return false;
     }
   }
 
-  #takeReport(report: Extract<RenewOutcome, { kind: "report" }>): void {
-    if (!this.#takeStamp(report.stamp)) return;
-    const reportClockMs = report.stamp.workerClockMs;
-    for (const ended of report.ended) this.#takeEnd(ended);
-    if (reportClockMs < this.#lastReportClockMs) return;
-    this.#lastReportClockMs = reportClockMs;
-    const isCut = report.ended.length >= MAXIMUM_LISTED_ENDS;
-    const listed = new Set<string>();
-    for (const running of report.running) {
-      listed.add(memberKey(running.task, running.run));
-      this.#takeRunning(running, reportClockMs);
-    }
-    if (isCut) return;
-    for (const [key, member] of [...this.members]) {
-      if (!listed.has(key)) this.#checkAbsent(member, reportClockMs);
-    }
-  }
-
-  #takeEnd(ended: EndedTask): void {
-    if (ended.number <= this.#processedEnd) return;
-    this.#processedEnd = ended.number;
-    const key = memberKey(ended.task, ended.run);
-    const member = this.members.get(key);
-    this.members.delete(key);
-    this.#options.listener.onEnded(this, ended, member);
-  }
-
-  #takeRunning(running: RunningTask, reportClockMs: number): void {
-    const member = this.members.get(memberKey(running.task, running.run));
-    if (member === undefined) {
-      return this.#options.listener.onStray(this, running);
-    }
-    member.startedClockMs ??= reportClockMs;
-    if (running.checkpoint !== "") member.checkpoint = running.checkpoint;
-    const isFirst = member.percentSeenClockMs === 0;
-    if (running.percent !== member.percent || isFirst) {
-      member.percent = running.percent;
-      member.percentSinceClockMs = reportClockMs;
-    }
-    member.percentSeenClockMs = reportClockMs;
-  }
-
-  /** A run that is neither listed as running nor as ended is gone once that is proven. */
-  #checkAbsent(member: Member, reportClockMs: number): void {
-    const provenClockMs = member.startedClockMs ?? member.stoppedClockMs;
-    if (provenClockMs === undefined || provenClockMs >= reportClockMs) return;
-    if (this.#remove(member)) {
-      this.#options.listener.onGone(this, member, "not listed by the worker");
-    }
+  #takeReport(report: Report): void {
+    if (this.#takeStamp(report.stamp)) this.#book.takeReport(report);
   }
 
   /** False for an answer of an earlier life. */
   #takeStamp(stamp: WorkerStamp): boolean {
-    this.#checkLife(stamp.lifeUnixMs);
-    if (stamp.lifeUnixMs < this.#lifeUnixMs) return false;
-    const isFirst = this.#clockSample === undefined;
-    if (stamp.workerClockMs >= (this.#clockSample?.workerClockMs ?? 0)) {
-      this.#clockSample = {
-        workerClockMs: stamp.workerClockMs,
-        receivedMs: this.#options.clock.nowMs(),
-      };
-    }
-    if (isFirst) {
-      // An earlier holder may have given the longest lease just before.
-      this.#leaseUntilClockMs = stamp.workerClockMs +
-        this.#options.bounds.leaseMaximumMs;
-    }
+    if (!this.#takeLife(stamp.lifeUnixMs)) return false;
+    this.#leases.takeClock(stamp);
     return true;
   }
 
-  #checkLife(lifeUnixMs: number): void {
-    if (lifeUnixMs === 0 || lifeUnixMs === this.#lifeUnixMs) return;
-    const isNewLife = this.#lifeUnixMs !== 0;
-    if (isNewLife && lifeUnixMs < this.#lifeUnixMs) return;
-    this.#lifeUnixMs = lifeUnixMs;
-    if (!isNewLife) return;
-    this.#processedEnd = 0;
+  /** False for an earlier life. A new one knows nothing: its ends count anew. */
+  #takeLife(lifeUnixMs: number): boolean {
+    const news = this.#leases.takeLife(lifeUnixMs);
+    if (news !== "new_life") return news === "current";
     this.#persistedEnd = 0;
     this.#acknowledgedEnd = 0;
-    this.#clockSample = undefined;
-    this.#lastReportClockMs = Number.NEGATIVE_INFINITY;
-    this.#voidStarted("the worker began a new life");
+    this.#book.beginLife();
     this.wake();
-  }
-
-  /** What surely ran in an earlier life is gone; unanswered starts may reach the new one. */
-  #voidStarted(reason: string): void {
-    for (const member of [...this.members.values()]) {
-      if (member.startedClockMs === undefined) continue;
-      if (this.#remove(member)) {
-        this.#options.listener.onGone(this, member, reason);
-      }
-    }
-  }
-
-  #voidAll(reason: string): void {
-    for (const member of [...this.members.values()]) {
-      if (this.#remove(member)) {
-        this.#options.listener.onGone(this, member, reason);
-      }
-    }
-  }
-
-  /** A lease end on the worker's clock, remembered for `isSurelyLapsed`. */
-  #leaseFor(durationMs: number): number {
-    const { workerClockMs, receivedMs } = this.#clockSample ??
-      { workerClockMs: 0, receivedMs: 0 };
-    const elapsedMs = this.#options.clock.nowMs() - receivedMs;
-    const untilMs = Math.floor(workerClockMs + elapsedMs + durationMs);
-    this.#leaseUntilClockMs = Math.max(this.#leaseUntilClockMs, untilMs);
-    return untilMs;
+    return true;
   }
 }
--- a/packages/node/cell/workers_fake.ts
+++ b/packages/node/cell/workers_fake.ts
@@ -86,8 +86,8 @@
       labels: [name],
       capacity: { cpuMilli: 8_000, memoryMib: 8_000, accelerators: 8 },
       isDraining: false,
-      remainingMs: undefined,
-      coldRemainingMs: 0,
+      drainLeftMs: undefined,
+      warmUpLeftMs: 0,
       heartbeat: 1,
       lifeUnixMs: 1,
     };
@@ -236,7 +236,7 @@
     renew: async ({ worker }, order, timeoutMs) => {
       await clock.sleep(CALL_MS);
       let outcome = get(worker).renew(order);
-      const untilMs = clock.nowMs() + order.waitMs;
+      const untilMs = clock.nowMs() + order.longPollMs;
       while (
         outcome.kind === "report" && outcome.ended.length === 0 &&
         clock.nowMs() < untilMs
--- a/packages/policy/cell/types.ts
+++ b/packages/policy/cell/types.ts
@@ -42,15 +42,10 @@
   readonly dataRack: RackName | undefined;
   /** Most tasks of the step on one worker. */
   readonly maximumPerWorker: number | undefined;
-  readonly mayRunCopies: boolean;
   /** Runs until the job is cancelled and is started again however it ends. */
   readonly isPersistent: boolean;
   /** Uses processor time that other tasks leave; its `cpuMilli` is not counted. */
   readonly isFiller: boolean;
-  /** Most tasks of a persistent step that the system may have away at a time. */
-  readonly mayMiss: number;
-  readonly image: string | undefined;
-  readonly latencyTargetMs: number | undefined;
 }
 
 /** Runs of the same steps at fixed wall-clock times. */
--- a/packages/ports/cell/types.ts
+++ b/packages/ports/cell/types.ts
@@ -90,11 +90,11 @@
     range: { readonly fromKey?: string; readonly toKey?: string },
     timeoutMs: number,
   ): Promise<StateReadOutcome>;
-  /** Changes after a version, as soon as there is one or `waitMs` has passed. */
+  /** Changes after a version, as soon as there is one or `longPollMs` has passed. */
   follow(
     table: StateTable,
     afterVersion: number,
-    waitMs: number,
+    longPollMs: number,
     timeoutMs: number,
   ): Promise<FollowOutcome>;
 }
@@ -110,8 +110,8 @@
   readonly capacity: CellResources;
   readonly isDraining: boolean;
   /** Least time left while draining; undefined when not told. */
-  readonly remainingMs: number | undefined;
-  readonly coldRemainingMs: number;
+  readonly drainLeftMs: number | undefined;
+  readonly warmUpLeftMs: number;
   /** Rises with every heartbeat of one life. */
   readonly heartbeat: number;
   /** Unix time at which this life of the worker began; a restart under the same name differs. */
@@ -205,7 +205,7 @@
   /** Ends up to this number are forgotten by the worker. */
   readonly acknowledgedEnd: number;
   /** The answer waits this long for an end. */
-  readonly waitMs: number;
+  readonly longPollMs: number;
 }
 
 /** Orders to workers. A call without an answer may be carried out late. */
@@ -260,21 +260,16 @@
   readonly limits: {
     readonly headerBytes: number;
     readonly bodyBytes: number;
-    readonly headerTimeoutMs: number;
-    readonly idleTimeoutMs: number;
+    readonly headTimeoutMs: number;
+    readonly keepAliveMs: number;
   };
 }
 
 /** Bounds that the deployment fixes. */
 export interface CellBounds {
   readonly leaseMaximumMs: number;
-  readonly stopTimeoutMs: number;
-  readonly gangTimeoutMs: number;
-  readonly earlyMs: number;
-  readonly remoteFactor: number;
+  readonly stopLimitMs: number;
   readonly shutdownGraceMs: number;
-  readonly restoreMs: number;
-  readonly checkpointPeriodMs: number;
   /** For which an ended job's state must be known. */
   readonly endedStateMs: number;
 }
--- a/scripts/log_events_test.ts
+++ b/scripts/log_events_test.ts
@@ -4,7 +4,7 @@
 
 const SOURCES = ["packages/node/cell", "apps/coltsfootpond_scheduler"];
 const EMITTED =
-  /\b(?:log|lines|options\.log)\??\.(?:info|warn)\(([^;]*?)[,)]/gs;
+  /(?:\b(?:log|lines)\??\.(?:info|warn)|#logTask)\(([^;]*?)[,)]/gs;
 const EVENT = /"([a-z_]+\.[a-z_]+)"/g;
 const DOCUMENTED = /^\| `([a-z_]+\.[a-z_]+)`/gm;
 
