--- a/packages/node/cell/caller_server.ts
+++ b/packages/node/cell/caller_server.ts
@@ -69,6 +69,8 @@
   setTimeouts(headTimeoutMs: number, keepAliveMs: number): void {
     this.#callers.headersTimeout = headTimeoutMs;
     this.#callers.keepAliveTimeout = keepAliveMs;
+    // A request whose body does not come is given up like an idle connection.
+    this.#callers.requestTimeout = keepAliveMs;
   }
 
   /** From now on each answer ends its connection. */
--- a/packages/node/cell/cell_entry.ts
+++ b/packages/node/cell/cell_entry.ts
@@ -9,6 +9,7 @@
   type HostPort,
   type RecordWire,
   STATE_TABLE,
+  type StateRow,
   type StateStore,
   type WorkerOrders,
 } from "@coltsfootpond/ports";
@@ -65,6 +66,8 @@
   readonly #server: CallerServer;
   readonly #relay: StoreRelay;
   readonly #peerServer: PeerServer | undefined;
+  #announced: readonly PeerRow[] = [];
+  #peers: readonly HostPort[] = [];
   #scheduler: CellScheduler | undefined;
   #isLeaving = false;
 
@@ -73,7 +76,7 @@
     const { clock, random, log, settings, nowUnixMs } = options;
     this.#relay = StoreRelay.create({
       direct: options.store,
-      getPeers: () => this.#listPeers(),
+      getPeers: () => this.#peers,
       clock,
       random,
       log,
@@ -92,9 +95,11 @@
       isBusy: true,
       getPauseMs: () =>
         this.#scheduler === undefined
-          ? this.#listPeers().length * FOLLOW_PAUSE_PER_PEER_MS
+          ? this.#peers.length * FOLLOW_PAUSE_PER_PEER_MS
           : 0,
     });
+    this.#peers = this.#listPeers();
+    this.#state.changes.subscribe((rows) => this.#takePeers(rows));
     this.#operators = TableFollower.create({
       ...common,
       table: STATE_TABLE.OPERATORS,
@@ -110,7 +115,7 @@
       incarnation: createUniqueId(),
       processorShare: settings.processorShare,
       getProcessorShares: () =>
-        this.#listAnnounced().map(({ processorShare }) => processorShare),
+        this.#announced.map(({ processorShare }) => processorShare),
       store,
       follower: this.#state,
       clock,
@@ -124,7 +129,6 @@
       clock,
       getStoreDownMs: () => this.#relay.downForMs,
       nowUnixMs,
-      log,
     });
     this.#server = CallerServer.create({
       address: settings.callers,
@@ -207,22 +211,27 @@
     }
   }
 
-  /** The other entries, as announced and as the settings name them. */
+  /** Keeps who the other entries are, as announced and as the settings name them. */
+  #takePeers(rows: readonly StateRow[]): void {
+    if (!rows.some(({ key }) => isPeerKey(key))) return;
+    this.#announced = [...this.#state.rows()].filter(({ key }) =>
+      isPeerKey(key)
+    ).map(({ value }) => decodeRow<PeerRow>(value));
+    this.#peers = this.#listPeers();
+  }
+
   #listPeers(): readonly HostPort[] {
-    const own = this.#options.settings.peers;
-    const known = [...this.#options.settings.seeds, ...this.#listAnnounced()];
+    const { peers: own, seeds } = this.#options.settings;
     const byName = new Map(
-      known.map(({ host, port }) => [`${host}:${port}`, { host, port }]),
+      [...seeds, ...this.#announced].map(({ host, port }) => [
+        `${host}:${port}`,
+        { host, port },
+      ]),
     );
     if (own !== undefined) byName.delete(`${own.host}:${own.port}`);
     return [...byName.values()];
   }
 
-  #listAnnounced(): readonly PeerRow[] {
-    return [...this.#state.rows()].filter(({ key }) => isPeerKey(key))
-      .map(({ value }) => decodeRow<PeerRow>(value));
-  }
-
   #isReady(): boolean {
     const contactMs = Math.max(
       this.#state.contactMs,
--- a/packages/node/cell/job_ledger.ts
+++ b/packages/node/cell/job_ledger.ts
@@ -17,7 +17,6 @@
   type StateStore,
   type TransactOutcome,
 } from "@coltsfootpond/ports";
-import type { CellLog } from "./log.ts";
 import {
   BEGUN_KEY,
   type BegunRow,
@@ -55,7 +54,6 @@
   readonly getStoreDownMs: () => number;
   /** Wall-clock time in Unix milliseconds. */
   readonly nowUnixMs: () => number;
-  readonly log: CellLog;
 }
 
 /** Who asks for a job. */
--- a/packages/node/cell/job_ledger_test.ts
+++ b/packages/node/cell/job_ledger_test.ts
@@ -39,7 +39,6 @@
     clock,
     getStoreDownMs: () => storeDownMs,
     nowUnixMs: () => 0,
-    log: SILENT_LOG,
   });
   return { ledger, store };
 }
--- a/packages/node/cell/plan_input.ts
+++ b/packages/node/cell/plan_input.ts
@@ -77,7 +77,6 @@
         waiting.push({
           unit,
           rank,
-          waitedMs: nowMs - unit.waitingSinceMs,
           allowRemote: !canMeetObjective(standing) ||
             rank.tier === TIER.ENTITLED &&
               nowMs - unit.waitingSinceMs > LOCAL_WAIT_MS,
--- a/packages/node/cell/progress_writer.ts
+++ b/packages/node/cell/progress_writer.ts
@@ -130,15 +130,11 @@
   /** Progress rows lie in one group, so that one transaction stores those of many jobs. */
   async #storeProgress(jobs: readonly LiveJob[]): Promise<boolean> {
     let isStored = true;
-    let first = 0;
-    do {
+    for (let first = 0; first < jobs.length; first += JOBS_PER_TRANSACTION) {
       const group = jobs.slice(first, first + JOBS_PER_TRANSACTION);
       const deletes = [...this.#finished].slice(0, JOBS_PER_TRANSACTION);
-      if (group.length > 0) {
-        isStored = await this.#storeGroup(group, deletes) && isStored;
-      }
-      first += JOBS_PER_TRANSACTION;
-    } while (first < jobs.length);
+      isStored = await this.#storeGroup(group, deletes) && isStored;
+    }
     return isStored;
   }
 
--- a/packages/node/cell/store_relay.ts
+++ b/packages/node/cell/store_relay.ts
@@ -116,12 +116,10 @@
   async #tryAll(call: StoreCall, timeoutMs: number): Promise<StoreOutcome> {
     const { clock, direct } = this.#options;
     const untilMs = clock.nowMs() + timeoutMs;
-    const peers = this.#choosePeers();
     let failure: Unavailable | undefined;
     if (clock.nowMs() >= this.#directPausedUntilMs) {
-      const share = call.kind === "follow" || peers.length === 0
-        ? 1
-        : DIRECT_SHARE;
+      const hasPeers = this.#options.getPeers().length > 0;
+      const share = call.kind === "follow" || !hasPeers ? 1 : DIRECT_SHARE;
       const outcome = await runStoreCall(
         direct,
         withTimeout(call, timeoutMs * share),
@@ -130,7 +128,7 @@
       if (outcome.kind !== "unavailable") return outcome;
       failure = outcome;
     }
-    for (const peer of peers) {
+    for (const peer of this.#choosePeers()) {
       const leftMs = untilMs - clock.nowMs();
       if (leftMs < LEAST_TRY_MS) break;
       const outcome = await this.#callPeer(peer, call, leftMs);
--- a/packages/policy/cell/plan_round.ts
+++ b/packages/policy/cell/plan_round.ts
@@ -18,7 +18,6 @@
 export interface WaitingUnit<Unit> extends FitRequest {
   readonly unit: Unit;
   readonly rank: Rank;
-  readonly waitedMs: number;
   /** May start away from its data or spread over racks, where it is slower. */
   readonly allowRemote: boolean;
   /** Worth that a start now earns over a start later; others may be stopped for less. */
