--- /dev/null
+++ b/packages/policy/cell/plan_round_test.ts
@@ -0,0 +1,248 @@
+import type {
+  FailureDomainName,
+  RackName,
+  ServiceName,
+  WorkerName,
+} from "@coltsfootpond/common";
+import { expect } from "chai";
+import fc from "fast-check";
+import type { RunningUnit } from "./eviction.ts";
+import { add, covers } from "./fit.ts";
+import { planRound, type WaitingUnit } from "./plan_round.ts";
+import type { CellResources, StepSpec, WorkerView } from "./types.ts";
+import { TIER } from "./worth.ts";
+
+const SERVICE = "service" as ServiceName;
+const NOTHING = { cpuMilli: 0, memoryMib: 0, accelerators: 0 };
+const WHOLE = { cpuMilli: 128_000, memoryMib: 512_000, accelerators: 8 };
+
+function worker(
+  name: string,
+  rack: string,
+  freeAccelerators = 8,
+): WorkerView {
+  return {
+    worker: name as WorkerName,
+    service: SERVICE,
+    failureDomain: "domain" as FailureDomainName,
+    rack: rack as RackName,
+    labels: new Set(name === "labelled" ? ["special"] : []),
+    capacity: WHOLE,
+    free: { ...WHOLE, accelerators: freeAccelerators },
+    releasing: NOTHING,
+    slowness: 1,
+    tasksByStep: new Map(),
+  };
+}
+
+function step(
+  accelerators: number,
+  overrides: Partial<StepSpec> = {},
+): StepSpec {
+  return {
+    count: 1,
+    need: { cpuMilli: 1_000, memoryMib: 1_000, accelerators },
+    estimateMs: 1_000,
+    after: [],
+    savesProgress: false,
+    isGang: false,
+    isRackBound: false,
+    requiredLabel: undefined,
+    dataRack: undefined,
+    maximumPerWorker: undefined,
+    isPersistent: false,
+    isFiller: false,
+    ...overrides,
+  };
+}
+
+function waiting(
+  unit: string,
+  spec: StepSpec,
+  overrides: Partial<WaitingUnit<string>> = {},
+): WaitingUnit<string> {
+  return {
+    unit,
+    service: SERVICE,
+    step: spec,
+    stepKey: unit,
+    count: spec.count,
+    avoid: new Set(),
+    rank: { tier: TIER.OPEN, density: 1 },
+    allowRemote: false,
+    evictionGain: 0,
+    ...overrides,
+  };
+}
+
+function running(
+  unit: string,
+  workers: readonly string[],
+  accelerators: number,
+  evictionCost: number,
+): RunningUnit<string> {
+  return {
+    unit,
+    step: step(accelerators),
+    stepKey: unit,
+    workers: workers as WorkerName[],
+    isEvictable: true,
+    evictionCost,
+  };
+}
+
+const BOUND = { isGang: true, isRackBound: true } as const;
+
+describe("a round of the cell's planner", () => {
+  it("keeps a rack-bound gang in one rack, and waits when none has room", () => {
+    const workers = [
+      worker("a1", "a"),
+      worker("b1", "b"),
+      worker("b2", "b"),
+    ];
+    const gang = step(8, { ...BOUND, count: 2 });
+    const plan = planRound({
+      workers,
+      waiting: [waiting("gang", gang), waiting("late", gang)],
+      running: [],
+    });
+    expect(plan.placements).to.deep.equal([
+      { unit: "gang", workers: ["b1", "b2"] },
+    ]);
+  });
+
+  it("spreads a rack-bound gang only when it may run remotely", () => {
+    const gang = step(8, { ...BOUND, count: 2 });
+    const workers = [worker("a1", "a"), worker("b1", "b")];
+    const plan = (allowRemote: boolean) =>
+      planRound({
+        workers,
+        waiting: [waiting("gang", gang, { allowRemote })],
+        running: [],
+      }).placements;
+    expect(plan(false)).to.deep.equal([]);
+    expect(plan(true)).to.have.length(1);
+  });
+
+  it("goes by labels, data, spread limits and workers to avoid", () => {
+    const workers = [
+      worker("plain", "a"),
+      worker("labelled", "b"),
+      worker("other", "b"),
+    ];
+    const place = (spec: StepSpec, overrides = {}) =>
+      planRound({
+        workers,
+        waiting: [waiting("unit", spec, overrides)],
+        running: [],
+      }).placements[0]?.workers;
+    expect(place(step(1, { requiredLabel: "special" }))).to.deep.equal([
+      "labelled",
+    ]);
+    expect(place(step(1, { dataRack: "a" as RackName }))).to.deep.equal([
+      "plain",
+    ]);
+    const avoid = new Set(["plain" as WorkerName]);
+    expect(place(step(1, { dataRack: "a" as RackName }), { avoid })).to.equal(
+      undefined,
+    );
+    const spread = step(1, { isGang: true, count: 3, maximumPerWorker: 1 });
+    expect(new Set(place(spread))).to.have.property("size", 3);
+  });
+
+  it("makes room for work that a guarantee covers, at the least cost", () => {
+    const plan = planRound({
+      workers: [worker("a1", "a", 0), worker("a2", "a", 0)],
+      waiting: [
+        waiting("urgent", step(8), {
+          rank: { tier: TIER.ENTITLED, density: 1 },
+        }),
+      ],
+      running: [running("dear", ["a1"], 8, 5), running("cheap", ["a2"], 8, 1)],
+    });
+    expect(plan).to.deep.equal({ placements: [], evictions: ["cheap"] });
+  });
+
+  it("stops nothing for other work that gains less than the stop costs", () => {
+    const evictions = (evictionGain: number) =>
+      planRound({
+        workers: [worker("a1", "a", 0)],
+        waiting: [waiting("urgent", step(8), { evictionGain })],
+        running: [running("other", ["a1"], 8, 2)],
+      }).evictions;
+    expect(evictions(1)).to.deep.equal([]);
+    expect(evictions(3)).to.deep.equal(["other"]);
+  });
+
+  it("waits for room that is about to be free instead of stopping more", () => {
+    const leaving = { ...worker("a1", "a", 0), releasing: WHOLE };
+    const plan = planRound({
+      workers: [leaving, worker("a2", "a", 0)],
+      waiting: [
+        waiting("urgent", step(8), {
+          rank: { tier: TIER.ENTITLED, density: 1 },
+        }),
+      ],
+      running: [running("other", ["a2"], 8, 1)],
+    });
+    expect(plan).to.deep.equal({ placements: [], evictions: [] });
+  });
+
+  it("pays for a gang once, and keeps what others free for the one that asked", () => {
+    const workers = [worker("a1", "a", 0), worker("a2", "a", 0)];
+    const entitled = { rank: { tier: TIER.ENTITLED, density: 1 } };
+    const plan = planRound({
+      workers,
+      waiting: [
+        waiting("first", step(8, { ...BOUND, count: 2 }), entitled),
+        waiting("second", step(1), { rank: { tier: TIER.OPEN, density: 9 } }),
+      ],
+      running: [running("gang", ["a1", "a2"], 8, 1)],
+    });
+    expect(plan).to.deep.equal({ placements: [], evictions: ["gang"] });
+  });
+
+  it("never places more on a worker than it has room for", () => {
+    const request = fc.record({
+      accelerators: fc.integer({ min: 0, max: 8 }),
+      count: fc.integer({ min: 1, max: 6 }),
+      isGang: fc.boolean(),
+      isRackBound: fc.boolean(),
+      density: fc.integer({ min: 1, max: 9 }),
+    });
+    fc.assert(
+      fc.property(
+        fc.array(fc.integer({ min: 0, max: 8 }), {
+          minLength: 1,
+          maxLength: 8,
+        }),
+        fc.array(request, { maxLength: 12 }),
+        (free, requests) => {
+          const workers = free.map((accelerators, index) =>
+            worker(`w${index}`, `r${index % 3}`, accelerators)
+          );
+          const units = requests.map((one, index) =>
+            waiting(`u${index}`, step(one.accelerators, one), {
+              rank: { tier: TIER.OPEN, density: one.density },
+              allowRemote: true,
+            })
+          );
+          const plan = planRound({ workers, waiting: units, running: [] });
+          const used = new Map<WorkerName, CellResources>();
+          for (const placement of plan.placements) {
+            const unit = units.find((one) => one.unit === placement.unit)!;
+            expect(placement.workers).to.have.length(unit.count);
+            for (const name of placement.workers) {
+              used.set(name, add(used.get(name) ?? NOTHING, unit.step.need));
+            }
+          }
+          for (const view of workers) {
+            const taken = used.get(view.worker) ?? NOTHING;
+            expect(covers(view.free, taken)).to.equal(true);
+          }
+        },
+      ),
+      { numRuns: 500, seed: 7 },
+    );
+  });
+});
