Make the planner's test notice room that an eviction frees for one and another takes

With no room free at all the test passed without the guard; now four of eight are free, and the mutation is noticed.

--- a/packages/policy/cell/plan_round_test.ts
+++ b/packages/policy/cell/plan_round_test.ts
@@ -189,7 +189,7 @@
   });
 
   it("pays for a gang once, and keeps what others free for the one that asked", () => {
-    const workers = [worker("a1", "a", 0), worker("a2", "a", 0)];
+    const workers = [worker("a1", "a", 4), worker("a2", "a", 4)];
     const entitled = { rank: { tier: TIER.ENTITLED, density: 1 } };
     const plan = planRound({
       workers,
@@ -197,7 +197,7 @@
         waiting("first", step(8, { ...BOUND, count: 2 }), entitled),
         waiting("second", step(1), { rank: { tier: TIER.OPEN, density: 9 } }),
       ],
-      running: [running("gang", ["a1", "a2"], 8, 1)],
+      running: [running("gang", ["a1", "a2"], 4, 1)],
     });
     expect(plan).to.deep.equal({ placements: [], evictions: ["gang"] });
   });
