Keep one copy of the store's time-out, and say where the cell's figures come from

Periods and retries say what they were set against. Tests share the copy of the state table that they fill.

--- a/apps/coltsfootpond/commands/explain.ts
+++ b/apps/coltsfootpond/commands/explain.ts
@@ -45,7 +45,7 @@
 }
 
 /** The job's lines and what happened around them, in the order of their times. */
-export function selectStory(
+function selectStory(
   lines: readonly StoryLine[],
   jobId: string,
 ): readonly StoryLine[] {
--- a/packages/node/cell/cell_entry.ts
+++ b/packages/node/cell/cell_entry.ts
@@ -13,6 +13,7 @@
   type StateStore,
   type WorkerOrders,
 } from "@coltsfootpond/ports";
+import { STORE_TIMEOUT_MS } from "./constants.ts";
 import { createCallerFilters } from "./caller_filters.ts";
 import { CallerServer } from "./caller_server.ts";
 import { CellScheduler } from "./cell_scheduler.ts";
@@ -36,7 +37,6 @@
 /** Entries share the store's rate of reads: each polls rarer the more there are. */
 const FOLLOW_PAUSE_PER_PEER_MS = 5;
 const ANNOUNCE_PAUSE_MS = 300;
-const STORE_TIMEOUT_MS = 900;
 /** The store has not answered for this long: others should take new connections. */
 const STORE_SILENCE_MS = 2_500;
 /** The balancer asks once a second and needs two misses; then nothing new comes. */
--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -39,8 +39,11 @@
 
 /** Changes that come within it share a round. */
 const ROUND_PAUSE_MS = 4;
+/** Between tries to read the state; many round trips to the store. */
 const RELOAD_PAUSE_MS = 50;
+/** Lapses, stalls and due occurrences are looked for this often; inside the users' 250 ms. */
 const TICK_MS = 200;
+/** Counts of waiting jobs may be 2 s old (the users' protocol). */
 const BEGUN_PERIOD_MS = 500;
 /** One of 16 groups of jobs is looked through at a time. */
 const COLLECT_PERIOD_MS = 1_000;
--- a/packages/node/cell/ended_rows.ts
+++ b/packages/node/cell/ended_rows.ts
@@ -1,12 +1,12 @@
 /** Removes rows of jobs that ended so long ago that nobody may ask for them any more. */
 import type { StateStore } from "@coltsfootpond/ports";
+import { STORE_TIMEOUT_MS } from "./constants.ts";
 import type { CellLog } from "./log.ts";
 import { decodeRow, JOB_GROUPS, jobGroup, type JobRow } from "./rows.ts";
 import type { TableFollower } from "./table_follower.ts";
 
 /** Beyond the time for which a state must be known: clocks that differ, callers that ask late. */
 const MARGIN_MS = 60_000;
-const STORE_TIMEOUT_MS = 900;
 /** A condition and a deletion a row; a transaction holds 100 entries (the users' protocol). */
 const ROWS_PER_TRANSACTION = 40;
 
--- a/packages/node/cell/job_ledger.ts
+++ b/packages/node/cell/job_ledger.ts
@@ -17,6 +17,7 @@
   type StateStore,
   type TransactOutcome,
 } from "@coltsfootpond/ports";
+import { STORE_TIMEOUT_MS } from "./constants.ts";
 import {
   BEGUN_KEY,
   type BegunRow,
@@ -28,8 +29,7 @@
 } from "./rows.ts";
 import type { TableFollower } from "./table_follower.ts";
 
-/** One try at the store; several times a slow store's answer. */
-const TRY_TIMEOUT_MS = 900;
+/** Between tries, within the time that a caller gives. */
 const RETRY_PAUSE_MS = 60;
 /** A store that has failed on every way for this long is taken to be away. */
 const DOWN_MS = 150;
@@ -226,7 +226,7 @@
 
   #tryTimeout(untilMs: number): number {
     const leftMs = untilMs - this.#options.clock.nowMs();
-    return Math.max(1, Math.min(TRY_TIMEOUT_MS, leftMs));
+    return Math.max(1, Math.min(STORE_TIMEOUT_MS, leftMs));
   }
 
   /** False when the time is up. */
--- a/packages/node/cell/job_ledger_test.ts
+++ b/packages/node/cell/job_ledger_test.ts
@@ -3,9 +3,8 @@
 import type { StateStore, TransactOutcome } from "@coltsfootpond/ports";
 import { expect } from "chai";
 import { JobLedger } from "./job_ledger.ts";
-import { SILENT_LOG } from "./log.ts";
-import { SeenVersion, TableFollower } from "./table_follower.ts";
 import {
+  createFollower,
   createSpec,
   createStoreFake,
   type StoreFake,
@@ -25,14 +24,7 @@
 ): { readonly ledger: JobLedger; readonly store: StoreFake } {
   const store = createStoreFake();
   const wrapped = { ...store, transact: wrap(store.transact) };
-  const follower = TableFollower.create({
-    table: "state",
-    store: wrapped,
-    clock,
-    random: { next: () => 0 },
-    seen: SeenVersion.create(),
-    log: SILENT_LOG,
-  });
+  const follower = createFollower(wrapped, clock);
   const ledger = JobLedger.create({
     store: wrapped,
     follower,
--- a/packages/node/cell/lease_task.ts
+++ b/packages/node/cell/lease_task.ts
@@ -6,17 +6,19 @@
 import type { Clock, Random } from "@coltsfootpond/common";
 import type { StateRow, StateStore } from "@coltsfootpond/ports";
 import { Subject } from "rxjs";
+import { STORE_TIMEOUT_MS } from "./constants.ts";
 import type { CellLog } from "./log.ts";
 import { decodeRow, encodeRow, LEASE_KEY, type LeaseRow } from "./rows.ts";
 import type { TableFollower } from "./table_follower.ts";
 
 /** A beat that stood still this long may be taken over; four renewals. */
-export const LEASE_TERM_MS = 1_800;
+const LEASE_TERM_MS = 1_800;
+/** Four renewals fit into the term. */
 const RENEW_PERIOD_MS = 400;
 /** The holder stops acting this long before others may take over: delays of timers and orders. */
 const ACTING_MARGIN_MS = 250;
+/** How often the lease is looked at; short against its term. */
 const TICK_MS = 50;
-const STORE_TIMEOUT_MS = 900;
 /** Spreads entries of equal size that want the lease. */
 const TAKEOVER_SPREAD_MS = 20;
 /** Longest head start of the largest entry, for each entry: they follow the row that much apart. */
--- a/packages/node/cell/lease_task_test.ts
+++ b/packages/node/cell/lease_task_test.ts
@@ -2,8 +2,11 @@
 import { expect } from "chai";
 import { LeaseTask, measureHeadStart } from "./lease_task.ts";
 import { SILENT_LOG } from "./log.ts";
-import { SeenVersion, TableFollower } from "./table_follower.ts";
-import { createStoreFake, type StoreFake } from "./test_fixtures.ts";
+import {
+  createFollower,
+  createStoreFake,
+  type StoreFake,
+} from "./test_fixtures.ts";
 
 const STEP_MS = 10;
 
@@ -20,14 +23,7 @@
     transact: (...call) =>
       state.isCut ? Promise.resolve(away) : store.transact(...call),
   };
-  const follower = TableFollower.create({
-    table: "state",
-    store: own,
-    clock,
-    random: { next: () => 0 },
-    seen: SeenVersion.create(),
-    log: SILENT_LOG,
-  });
+  const follower = createFollower(own, clock);
   const lease = LeaseTask.create({
     entry: name,
     incarnation: `${name}-1`,
--- a/packages/node/cell/progress_writer.ts
+++ b/packages/node/cell/progress_writer.ts
@@ -6,6 +6,7 @@
 import { type Clock, createUniqueId, type Timer } from "@coltsfootpond/common";
 import type { CellJobId } from "@coltsfootpond/policy";
 import type { StateRow, StateStore } from "@coltsfootpond/ports";
+import { STORE_TIMEOUT_MS } from "./constants.ts";
 import type { LiveJob, Unit } from "./live_job.ts";
 import type { CellLog } from "./log.ts";
 import {
@@ -23,8 +24,8 @@
 const GROUP_PAUSE_MS = 200;
 /** Ends that finish a job wait this long. */
 const URGENT_PAUSE_MS = 4;
+/** Between tries at a store that did not take a write. */
 const RETRY_PAUSE_MS = 120;
-const STORE_TIMEOUT_MS = 900;
 /** Each job takes up to three entries of a transaction, which holds 100 (the users' protocol). */
 const JOBS_PER_TRANSACTION = 30;
 
--- a/packages/node/cell/progress_writer_test.ts
+++ b/packages/node/cell/progress_writer_test.ts
@@ -3,8 +3,7 @@
 import { ProgressWriter } from "./progress_writer.ts";
 import { SILENT_LOG } from "./log.ts";
 import { decodeRow, encodeRow, type JobRow } from "./rows.ts";
-import { SeenVersion, TableFollower } from "./table_follower.ts";
-import { createJob, createStoreFake } from "./test_fixtures.ts";
+import { createFollower, createJob, createStoreFake } from "./test_fixtures.ts";
 
 describe("progress writer", () => {
   it("goes on after a timer that fires early and after a failed write", async () => {
@@ -28,14 +27,7 @@
           });
         },
       },
-      follower: TableFollower.create({
-        table: "state",
-        store,
-        clock,
-        random: { next: () => 0 },
-        seen: SeenVersion.create(),
-        log: SILENT_LOG,
-      }),
+      follower: createFollower(store, clock),
       clock,
       nowUnixMs: () => 0,
       log: SILENT_LOG,
@@ -75,14 +67,7 @@
           return store.transact(transaction, timeoutMs);
         },
       },
-      follower: TableFollower.create({
-        table: "state",
-        store,
-        clock,
-        random: { next: () => 0 },
-        seen: SeenVersion.create(),
-        log: SILENT_LOG,
-      }),
+      follower: createFollower(store, clock),
       clock,
       nowUnixMs: () => 0,
       log: SILENT_LOG,
--- a/packages/node/cell/table_follower.ts
+++ b/packages/node/cell/table_follower.ts
@@ -8,13 +8,14 @@
 import type { Clock, Random } from "@coltsfootpond/common";
 import type { StateRow, StateStore, StateTable } from "@coltsfootpond/ports";
 import { Subject } from "rxjs";
+import { STORE_TIMEOUT_MS } from "./constants.ts";
 import type { CellLog } from "./log.ts";
 
 /** How long one long poll waits; bounds how late a silent connection is noticed. */
 const FOLLOW_WAIT_MS = 900;
 /** Beyond the wait: network and a slow store. */
 const FOLLOW_SLACK_MS = 450;
-const READ_TIMEOUT_MS = 1_000;
+/** Backoff between tries at a store that does not answer, doubled up to the maximum. */
 const FIRST_RETRY_MS = 50;
 const MAXIMUM_RETRY_MS = 400;
 
@@ -147,7 +148,7 @@
   async #load(): Promise<boolean> {
     const { store, table, log, seen, clock } = this.#options;
     const floor = seen.newest;
-    const outcome = await store.read(table, {}, READ_TIMEOUT_MS);
+    const outcome = await store.read(table, {}, STORE_TIMEOUT_MS);
     if (this.#isStopped) return false;
     if (outcome.kind === "unavailable") {
       log.warn("store.read_failed", { table, ...outcome });
--- a/packages/node/cell/test_fixtures.ts
+++ b/packages/node/cell/test_fixtures.ts
@@ -1,5 +1,5 @@
 /** Small jobs and a store in memory for the tests of the cell. */
-import type { ServiceName } from "@coltsfootpond/common";
+import type { ManualClock, ServiceName } from "@coltsfootpond/common";
 import {
   type CellJobId,
   type CellJobSpec,
@@ -14,6 +14,8 @@
   TransactOutcome,
 } from "@coltsfootpond/ports";
 import { LiveJob } from "./live_job.ts";
+import { SILENT_LOG } from "./log.ts";
+import { SeenVersion, TableFollower } from "./table_follower.ts";
 
 export function createStep(overrides: Partial<StepSpec> = {}): StepSpec {
   return {
@@ -67,6 +69,21 @@
   });
 }
 
+/** A copy of the state table that a test fills itself. */
+export function createFollower(
+  store: StateStore,
+  clock: ManualClock,
+): TableFollower {
+  return TableFollower.create({
+    table: "state",
+    store,
+    clock,
+    random: { next: () => 0 },
+    seen: SeenVersion.create(),
+    log: SILENT_LOG,
+  });
+}
+
 export interface StoreFake extends StateStore {
   keys(): readonly string[];
   rows(): ReadonlyMap<string, StateRow>;
--- a/packages/node/cell/worker_directory.ts
+++ b/packages/node/cell/worker_directory.ts
@@ -9,11 +9,11 @@
   type StateStore,
   type WorkerRecord,
 } from "@coltsfootpond/ports";
+import { STORE_TIMEOUT_MS } from "./constants.ts";
 import type { CellLog } from "./log.ts";
 
 /** Well inside the bound within which a draining worker gets nothing new. */
 export const DIRECTORY_PERIOD_MS = 700;
-const READ_TIMEOUT_MS = 900;
 /** Silent heartbeats after which the platform removes a record. */
 const SILENT_HEARTBEATS = 3;
 
@@ -61,7 +61,7 @@
     const outcome = await store.read(
       STATE_TABLE.WORKERS,
       {},
-      READ_TIMEOUT_MS,
+      STORE_TIMEOUT_MS,
     );
     if (outcome.kind === "unavailable") {
       log.warn("workers.read_failed", { ...outcome });
--- a/packages/node/cell/worker_fleet.ts
+++ b/packages/node/cell/worker_fleet.ts
@@ -15,6 +15,7 @@
   WorkerOrders,
   WorkerRecord,
 } from "@coltsfootpond/ports";
+import { STORE_TIMEOUT_MS } from "./constants.ts";
 import type { CellLog } from "./log.ts";
 import { decodeRow, encodeRow, ROSTER_KEY, type RosterRow } from "./rows.ts";
 import type { TableFollower } from "./table_follower.ts";
@@ -22,7 +23,6 @@
 import type { SessionListener } from "./member.ts";
 import { WorkerSession } from "./worker_session.ts";
 
-const STORE_TIMEOUT_MS = 900;
 /** How long a new holder waits for the workers' first reports before it starts work. */
 const FIRST_REPORT_TIMEOUT_MS = 700;
 const REPORT_CHECK_MS = 4;
--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -21,16 +21,19 @@
 
 /** Longest wait of one long poll; below the lease of a start, which the next poll extends. */
 const POLL_WAIT_MS = 1_000;
+/** Beyond the wait of a long poll: many round trips to a worker. */
 const ORDER_TIMEOUT_MS = 500;
 /** A start that is not answered by then is looked for, then stopped: many round trips. */
 const START_TIMEOUT_MS = 250;
 /** Lease of a start until the next renewal; short, so that an unanswered start is soon void. */
 const START_LEASE_MS = 2_500;
+/** Between tries at a worker that did not answer. */
 const RETRY_PAUSE_MS = 120;
 /** A worker answers at once while it lists ends that are not acknowledged: wait for the store. */
 const STORED_WAIT_MS = 400;
 /** Acknowledgements alone may wait this long for a renewal that carries them. */
 const ACKNOWLEDGE_PAUSE_MS = 800;
+/** One unanswered call happens to sound workers, too. */
 const FAILURES_TO_UNREACHABLE = 2;
 
 export interface WorkerSessionOptions {
