Borrow no slot after a refusal, and refuse no call on one slow sample

Cause of the two flaky tests of calls: - Several entries borrow slots that reports show as free. Calls that wait for another try hold no slot, so the reports show room that those calls need; a call was refused five times and ended with 4000. After a refusal for want of a slot an entry now uses only its own share of that runner for as long as a report counts (1 s). - The early refusal trusted an estimate from one answer, here the 700 ms of the runner that was leaving: the ninth call was refused with 3003 as 87 ms of waiting exceeded 62. Five answers are needed now, and a waiting call is given up by the estimate of that moment, not the one at its arrival.

--- a/packages/node/requests/constants.ts
+++ b/packages/node/requests/constants.ts
@@ -48,6 +48,8 @@
 export const QUEUE_WAIT_SHARE = 0.25;
 /** Mean deviations that a call may take longer than the mean. */
 export const DURATION_DEVIATIONS = 3;
+/** Answers before the estimated time refuses a call: one sample may be of a runner that is leaving. */
+export const DURATION_MINIMUM_SAMPLES = 5;
 /** Waiting calls are looked at again this often, for capacity that came back by itself. */
 export const ADMISSION_CHECK_MS = 20;
 export const DURATION_SMOOTHING = 0.1;
--- a/packages/node/requests/duration_estimate.ts
+++ b/packages/node/requests/duration_estimate.ts
@@ -4,11 +4,13 @@
  */
 import {
   DURATION_DEVIATIONS,
+  DURATION_MINIMUM_SAMPLES,
   DURATION_RECOVERY,
   DURATION_SMOOTHING,
 } from "./constants.ts";
 
 export class DurationEstimate {
+  #samples = 0;
   #meanMs = 0;
   #deviationMs = 0;
 
@@ -22,6 +24,11 @@
     return this.#meanMs;
   }
 
+  /** Whether there are answers enough to refuse a call by the estimate. */
+  get isSettled(): boolean {
+    return this.#samples >= DURATION_MINIMUM_SAMPLES;
+  }
+
   /** A time within which nearly every call ends. */
   get safeMs(): number {
     return this.#meanMs + DURATION_DEVIATIONS * this.#deviationMs;
@@ -29,6 +36,7 @@
 
   /** The first sample stands for the mean, half of it for the deviation. */
   add(durationMs: number): void {
+    this.#samples++;
     if (this.#meanMs === 0) {
       this.#meanMs = durationMs;
       this.#deviationMs = durationMs / 2;
--- a/packages/node/requests/filters/flow_filters_test.ts
+++ b/packages/node/requests/filters/flow_filters_test.ts
@@ -112,6 +112,42 @@
     expect(await enter()).to.equal(undefined);
   });
 
+  it("admission: lets no single slow answer refuse a call that could wait", async () => {
+    const clock = ManualClock.create();
+    const pool = { getCapacity: () => 8 } as never;
+    const admission = Admissions.create({ clock, pool }).get(CALL_SERVICE);
+    admission.noteAnswered(700);
+    const enter = () =>
+      admission.enter(createCall({ deadlineMs: clock.nowMs() + 500 }));
+    for (let count = 0; count < 8; count++) {
+      expect(await enter()).to.equal(undefined);
+    }
+    const ninth = enter();
+    expect(admission.queued).to.equal(1);
+    admission.noteAnswered(5);
+    admission.leave();
+    expect(await ninth).to.equal(undefined);
+    for (let count = 0; count < 4; count++) admission.noteAnswered(700);
+    expect(await enter()).to.include({ resultName: "DEADLINE_UNREACHABLE" });
+  });
+
+  it("admission: gives a waiting call up by what is known then, not when it came", async () => {
+    const clock = ManualClock.create();
+    const pool = { getCapacity: () => 1 } as never;
+    const admission = Admissions.create({ clock, pool }).get(CALL_SERVICE);
+    const enter = () => admission.enter(createCall({ deadlineMs: 450 }));
+    admission.noteAnswered(700);
+    expect(await enter()).to.equal(undefined);
+    const waiting = enter();
+    for (let count = 0; count < 20; count++) admission.noteAnswered(5);
+    await clock.advance(200);
+    admission.leave();
+    expect(await waiting).to.equal(undefined);
+    const late = enter();
+    await clock.advance(250);
+    expect(await late).to.include({ resultName: "DEADLINE_UNREACHABLE" });
+  });
+
   it("deduplicate: claims strict calls only, and settles what it claimed", async () => {
     const seen: Record<string, unknown> = {};
     const outcomes: Readonly<Record<string, RequestOutcome>> = {
--- a/packages/node/requests/service_admission.ts
+++ b/packages/node/requests/service_admission.ts
@@ -121,6 +121,7 @@
     if (this.#queue.size >= MAXIMUM_QUEUED_REQUESTS) {
       return failed("QUEUE_FULL", { retryAfterMs });
     }
+    if (!this.#duration.isSettled) return undefined;
     const remainingMs = request.deadlineMs - this.#options.clock.nowMs();
     const longestMs = (remainingMs - this.#getNeededMs()) * QUEUE_WAIT_SHARE;
     if (waitMs > longestMs) {
@@ -129,18 +130,24 @@
     return undefined;
   }
 
-  /** Ends as soon as the deadline can no longer be met, not at the deadline. */
+  /** Ends as soon as the deadline can no longer be met by what is known then, not at the deadline. */
   #wait(request: CallRequest): Promise<Admission> {
     const { clock } = this.#options;
     const { deadlineMs, organisation, exchange } = request;
     return new Promise((resolve) => {
+      const getTimeLeftMs = (): number =>
+        deadlineMs - this.#getNeededMs() - clock.nowMs();
       const giveUp = (): void => {
         if (!this.#queue.remove(waiting)) return;
         const retryAfterMs = UNREADY_RETRY_AFTER_MS;
         waiting.settle(failed("DEADLINE_UNREACHABLE", { retryAfterMs }));
       };
-      const lastStartMs = deadlineMs - this.#getNeededMs();
-      const timer = clock.after(lastStartMs - clock.nowMs(), giveUp);
+      const giveUpWhenLate = (): void => {
+        const leftMs = getTimeLeftMs();
+        if (leftMs <= 0) giveUp();
+        else timer = clock.after(leftMs, giveUpWhenLate);
+      };
+      let timer = clock.after(getTimeLeftMs(), giveUpWhenLate);
       exchange.signal.addEventListener("abort", giveUp, { once: true });
       const waiting: WaitingCall = {
         organisation: organisation.name,
--- a/packages/node/upstreams/balancing/fixed_shares.ts
+++ b/packages/node/upstreams/balancing/fixed_shares.ts
@@ -10,8 +10,8 @@
 
 /** Own slots and those that may be borrowed now. */
 export function getFixedShareLimit(candidate: Candidate): number {
-  const { share, slots, othersInUse, reportAgeMs } = candidate;
-  if (othersInUse === undefined) return share;
+  const { share, slots, othersInUse, mayBorrow, reportAgeMs } = candidate;
+  if (othersInUse === undefined || !mayBorrow) return share;
   const weight = Math.exp(-reportAgeMs / REPORT_DECAY_MS);
   const borrowable = Math.max(0, slots - othersInUse - share);
   return share + Math.floor(weight * borrowable);
--- a/packages/node/upstreams/constants.ts
+++ b/packages/node/upstreams/constants.ts
@@ -31,5 +31,11 @@
 /** Time in which the weight of a report falls to 1/e. */
 export const REPORT_DECAY_MS = 1_000;
 
+/**
+ * After a refusal for want of a slot nothing is borrowed of that runner for this time, as long as a
+ * report counts: calls that wait for another try hold no slot, so reports show room that they need.
+ */
+export const BORROWING_PAUSE_MS = REPORT_DECAY_MS;
+
 /** An attempt that waits for room looks again this often. */
 export const ROOM_CHECK_MS = 10;
--- a/packages/node/upstreams/runner.ts
+++ b/packages/node/upstreams/runner.ts
@@ -2,6 +2,7 @@
 import type { Clock, RunnerName } from "@coltsfootpond/common";
 import type { VmRecord } from "@coltsfootpond/ports";
 import { exchangeWithRunner } from "./exchange.ts";
+import { BORROWING_PAUSE_MS } from "./constants.ts";
 import { RunnerHealth } from "./health.ts";
 import { RunnerAgent } from "./runner_agent.ts";
 import {
@@ -38,6 +39,7 @@
   #report: LoadReport | undefined;
   #reportedMs = -Infinity;
   #othersInUse: number | undefined;
+  #fullMs = -Infinity;
 
   private constructor(options: RunnerOptions) {
     this.#options = options;
@@ -111,6 +113,7 @@
       share: Math.ceil(share * loadShare),
       slots: Math.ceil(slots * loadShare),
       othersInUse: this.#othersInUse,
+      mayBorrow: nowMs - this.#fullMs >= BORROWING_PAUSE_MS,
       reportAgeMs: nowMs - this.#reportedMs,
     };
   }
@@ -147,6 +150,7 @@
       this.#health.noteSuccess();
       return;
     }
+    if (outcome.blame === BLAME.FULL) this.#fullMs = nowMs;
     if (outcome.blame === BLAME.SILENT) this.#agent.suspectAll();
     if (this.#health.noteFailure(outcome.blame)) {
       this.#options.onEjected(this.name);
--- a/packages/node/upstreams/types.ts
+++ b/packages/node/upstreams/types.ts
@@ -66,5 +66,7 @@
   readonly slots: number;
   /** Slots that the other entries used when the runner last reported. */
   readonly othersInUse?: number;
+  /** False for a while after it refused this entry for want of a slot. */
+  readonly mayBorrow: boolean;
   readonly reportAgeMs: number;
 }
--- a/packages/node/upstreams/upstreams_test.ts
+++ b/packages/node/upstreams/upstreams_test.ts
@@ -24,6 +24,7 @@
     inUse: 0,
     share: 2,
     slots: 8,
+    mayBorrow: true,
     reportAgeMs: 0,
     ...change,
   };
