Hand the scheduler's lease over to a much larger entry

- The head start of larger entries is 10 ms for each entry, twice what entries read the row apart.
- A holder of less than two thirds of the largest announced share hands the lease over a second after it took it.
The row keeps when that was, so that holders do not hand over in turn while the large entries are away: at most once in 20 s.

The test of the lease failed without the handover.

--- a/packages/node/cell/lease_task.ts
+++ b/packages/node/cell/lease_task.ts
@@ -21,8 +21,19 @@
 const TICK_MS = 50;
 /** Spreads entries of equal size that want the lease. */
 const TAKEOVER_SPREAD_MS = 20;
-/** Longest head start of the largest entry, for each entry: they follow the row that much apart. */
-const HEAD_START_PER_PEER_MS = 5;
+/** Longest head start of the largest entry, for each entry: twice what they follow the row apart. */
+const HEAD_START_PER_PEER_MS = 10;
+/** A holder hands the lease over when an announced entry has this many times its processor share. */
+const HANDOVER_RATIO = 1.5;
+/** After taking the lease: larger entries that start or regain the store just now are back by then. */
+const HANDOVER_DELAY_MS = 1_000;
+/**
+ * Between two handovers, by whichever holder: the larger entries may be gone for good, and each change
+ * of holder costs the cell about a second.
+ */
+const HANDOVER_PERIOD_MS = 20_000;
+/** After handing over, the others go first: two pauses of the feed of 50 entries. */
+const HANDOVER_REST_MS = 1_000;
 
 export type LeaseChange =
   | {
@@ -54,6 +65,9 @@
   /** When the last successful renewal was sent, on both clocks. */
   renewedMs: number;
   renewedUnixMs: number;
+  readonly acquiredMs: number;
+  /** When this or an earlier holder last handed the lease over to a larger entry. */
+  handedOverUnixMs: number;
 }
 
 /** Holds, renews, observes and takes the lease. */
@@ -65,6 +79,7 @@
   #isBusy = false;
   #isLeaving = false;
   #takeAtMs: number | undefined;
+  #restsUntilMs = Number.NEGATIVE_INFINITY;
 
   private constructor(options: LeaseTaskOptions) {
     this.#options = options;
@@ -97,19 +112,24 @@
   /** Gives the lease up, so that another entry takes it at once. */
   async leave(): Promise<void> {
     this.#isLeaving = true;
+    await this.#release("leaving");
+  }
+
+  async #release(reason: string): Promise<void> {
     const held = this.#held;
     if (held === undefined) return;
-    this.#drop("leaving");
+    this.#drop(reason);
     const outcome = await this.#options.store.transact({
       conditions: [{ key: LEASE_KEY, version: held.version }],
       puts: [{
         key: LEASE_KEY,
-        value: this.#encode(held.epoch, held.beat + 1, true),
+        value: this.#encode({ ...held, beat: held.beat + 1 }, true),
       }],
       deletes: [],
     }, STORE_TIMEOUT_MS);
     this.#options.log.info("lease.released", {
       epoch: held.epoch,
+      reason,
       outcome: outcome.kind,
     });
   }
@@ -124,7 +144,9 @@
     if (!this.#options.follower.isLoaded) return;
     const nowMs = this.#options.clock.nowMs();
     if (this.#held !== undefined) {
-      if (nowMs - this.#held.renewedMs >= RENEW_PERIOD_MS) {
+      if (this.#mayHandOver(this.#held, nowMs)) {
+        void this.#run(() => this.#handOver());
+      } else if (nowMs - this.#held.renewedMs >= RENEW_PERIOD_MS) {
         void this.#run(() => this.#renew());
       }
       return;
@@ -157,7 +179,24 @@
       measureHeadStart(processorShare, shares);
   }
 
+  /** Whether a much larger entry could hold the lease, and none was let go first of late. */
+  #mayHandOver(held: Held, nowMs: number): boolean {
+    const { processorShare, getProcessorShares, nowUnixMs } = this.#options;
+    const largest = Math.max(0, ...getProcessorShares());
+    return this.canAct() && largest >= processorShare * HANDOVER_RATIO &&
+      nowMs - held.acquiredMs >= HANDOVER_DELAY_MS &&
+      Math.abs(nowUnixMs() - held.handedOverUnixMs) >= HANDOVER_PERIOD_MS;
+  }
+
+  async #handOver(): Promise<void> {
+    if (this.#held === undefined) return;
+    this.#held.handedOverUnixMs = this.#options.nowUnixMs();
+    this.#restsUntilMs = this.#options.clock.nowMs() + HANDOVER_REST_MS;
+    await this.#release("a larger entry may hold it");
+  }
+
   #mayTake(nowMs: number): boolean {
+    if (nowMs < this.#restsUntilMs) return false;
     const row = this.#options.follower.get(LEASE_KEY);
     if (row?.value === undefined) return true;
     const lease = decodeRow<LeaseRow>(row.value);
@@ -177,7 +216,12 @@
     const epoch = (previous?.epoch ?? 0) + 1;
     const beat = (previous?.beat ?? 0) + 1;
     const sent = { renewedMs: clock.nowMs(), renewedUnixMs: nowUnixMs() };
-    const value = this.#encode(epoch, beat, false);
+    const next = {
+      epoch,
+      beat,
+      handedOverUnixMs: previous?.handedOverUnixMs ?? 0,
+    };
+    const value = this.#encode(next, false);
     const outcome = await store.transact({
       conditions: [{ key: LEASE_KEY, version: row?.version ?? 0 }],
       puts: [{ key: LEASE_KEY, value }],
@@ -189,7 +233,7 @@
       return;
     }
     const { version } = outcome;
-    this.#held = { epoch, beat, version, ...sent };
+    this.#held = { ...next, version, ...sent, acquiredMs: sent.renewedMs };
     follower.apply([{ key: LEASE_KEY, version, value }]);
     log.info("lease.acquired", {
       epoch,
@@ -204,7 +248,8 @@
     if (held === undefined) return;
     const { store, follower, clock, nowUnixMs, log } = this.#options;
     const sent = { renewedMs: clock.nowMs(), renewedUnixMs: nowUnixMs() };
-    const value = this.#encode(held.epoch, held.beat + 1, false);
+    const next = { ...held, beat: held.beat + 1 };
+    const value = this.#encode(next, false);
     const outcome = await store.transact({
       conditions: [{ key: LEASE_KEY, version: held.version }],
       puts: [{ key: LEASE_KEY, value }],
@@ -215,7 +260,7 @@
       case "committed":
         Object.assign(held, sent, {
           version: outcome.version,
-          beat: held.beat + 1,
+          beat: next.beat,
         });
         follower.apply([{ key: LEASE_KEY, version: outcome.version, value }]);
         return;
@@ -251,7 +296,13 @@
     this.changes.next({ kind: "lost" });
   }
 
-  #encode(epoch: number, beat: number, isReleased: boolean): Uint8Array {
+  #encode(
+    { epoch, beat, handedOverUnixMs }: Pick<
+      Held,
+      "epoch" | "beat" | "handedOverUnixMs"
+    >,
+    isReleased: boolean,
+  ): Uint8Array {
     const { entry, incarnation } = this.#options;
     const row: LeaseRow = {
       holder: entry,
@@ -259,6 +310,7 @@
       epoch,
       beat,
       isReleased,
+      handedOverUnixMs,
     };
     return encodeRow(row);
   }
--- a/packages/node/cell/lease_task_test.ts
+++ b/packages/node/cell/lease_task_test.ts
@@ -9,9 +9,19 @@
 } from "./test_fixtures.ts";
 
 const STEP_MS = 10;
+/** Some moment of the wall clock. */
+const UNIX_START_MS = 1_700_000_000_000;
 
 /** An entry's lease over a shared store; its copy of the row is read every step while not cut. */
-function createEntry(name: string, store: StoreFake, clock: ManualClock) {
+function createEntry(
+  name: string,
+  store: StoreFake,
+  clock: ManualClock,
+  shares: { readonly own: number; readonly all: readonly number[] } = {
+    own: 1,
+    all: [1, 1],
+  },
+) {
   const state = { isCut: false };
   const away = {
     kind: "unavailable",
@@ -27,12 +37,12 @@
   const lease = LeaseTask.create({
     entry: name,
     incarnation: `${name}-1`,
-    processorShare: 1,
-    getProcessorShares: () => [1, 1],
+    processorShare: shares.own,
+    getProcessorShares: () => shares.all,
     store: own,
     follower,
     clock,
-    nowUnixMs: () => clock.nowMs(),
+    nowUnixMs: () => UNIX_START_MS + clock.nowMs(),
     random: { next: () => 0 },
     log: SILENT_LOG,
   });
@@ -80,6 +90,34 @@
     expect(second.lease.canAct()).to.equal(true);
   });
 
+  it("is handed over to a much larger entry, and not again and again while that one is away", async () => {
+    const clock = ManualClock.create();
+    const store = createStoreFake();
+    const all = [0.3, 0.3, 1.3];
+    const small = [0, 1].map((number) =>
+      createEntry(`small-${number}`, store, clock, { own: 0.3, all })
+    );
+    const large = createEntry("large", store, clock, { own: 1.3, all });
+    large.state.isCut = true;
+    const countEpochs = async (durationMs: number): Promise<number> => {
+      const epochs = new Set<number>();
+      for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += STEP_MS) {
+        await clock.advance(STEP_MS);
+        const acting = [...small, large].filter(({ lease }) => lease.canAct());
+        expect(acting.length).to.be.at.most(1);
+        acting.forEach(({ lease }) => epochs.add(lease.epoch ?? 0));
+      }
+      return epochs.size;
+    };
+    // One change of holder in vain, then none until the period is over.
+    expect(await countEpochs(15_000)).to.equal(2);
+    expect(large.lease.canAct()).to.equal(false);
+    large.state.isCut = false;
+    await countEpochs(12_000);
+    expect(large.lease.canAct()).to.equal(true);
+    expect(await countEpochs(30_000)).to.equal(1);
+  });
+
   it("lets the largest entry go first", () => {
     expect(measureHeadStart(0.7, [0.7, 0.7, 0.7])).to.equal(0);
     expect(measureHeadStart(1.4, [1.4, 0.35, 0.7])).to.equal(0);
--- a/packages/node/cell/rows.ts
+++ b/packages/node/cell/rows.ts
@@ -53,6 +53,8 @@
   readonly beat: number;
   /** Handed over: anyone may take it at once. */
   readonly isReleased: boolean;
+  /** When a holder last handed the lease over to a larger entry; 0 for never. */
+  readonly handedOverUnixMs: number;
 }
 
 /** Workers on which tasks may run; a new holder asks all of them before it starts anything. */
