--- /dev/null
+++ b/scripts/bench_days/replay_test.ts
@@ -0,0 +1,36 @@
+import { expect } from "chai";
+import { createArrivals, LOAD } from "./loads.ts";
+import { POLICIES } from "./policies.ts";
+import { replayDay } from "./replay.ts";
+import { type JobResult, scoreDay, scoreUnbounded } from "./score.ts";
+
+describe("replayed days", () => {
+  it("give the same figures again, and no policy earns more than a start at once", () => {
+    const day = [LOAD.URGENT_BURST, 7] as const;
+    const bound = scoreUnbounded(createArrivals(...day));
+    for (const policy of POLICIES) {
+      const { decisionP99Ms: _first, ...first } = replayDay(policy, ...day);
+      const { decisionP99Ms: _again, ...again } = replayDay(policy, ...day);
+      expect(again).to.deep.equal(first);
+      expect(first.whole).to.be.within(0, bound.whole);
+    }
+  });
+
+  it("count a job whole in time, less when late, and nothing past three objectives", () => {
+    const arrival = createArrivals(LOAD.STEADY, 1).find(({ kind }) =>
+      kind.name === "urgent"
+    )!;
+    const { kind, runsMs } = arrival;
+    const objectiveMs = kind.stretch * Math.max(...runsMs.flat()) +
+      kind.allowanceMs;
+    const share = (tookMs: number, state: JobResult["state"] = "completed") =>
+      scoreDay([{ arrival, state, tookMs }], 0).whole;
+    expect(share(objectiveMs)).to.equal(1);
+    expect(share(objectiveMs + 1)).to.be.closeTo(
+      kind.lateWorth / kind.worth,
+      1e-9,
+    );
+    expect(share(3 * objectiveMs + 1)).to.equal(0);
+    expect(share(1, "failed")).to.equal(0);
+  });
+});
