Serve Prometheus metrics of the scheduler

`--metrics-port` serves counters of every logged event and of reasons, histograms of callers' calls, calls of the store and the event loop's delay, and facts of the moment: lease, versions, ages of beliefs, jobs, workers. prom-client does the counting and the format. Events are counted by a wrapper of the log, so a new event needs no second place. docs/METRICS.md is held to the program by a test.

Ruled out: prom-client's default metrics, which start a native histogram of the event loop.

--- a/apps/coltsfootpond_scheduler/main.ts
+++ b/apps/coltsfootpond_scheduler/main.ts
@@ -1,11 +1,18 @@
 /**
  * The scheduler's daemon on the users' platform: reads the platform's settings file, runs one
- * entry and stops gracefully on SIGTERM. Exit codes: 0 stopped, 1 failed, 2 invalid settings.
+ * entry and stops gracefully on SIGTERM. `--metrics-port N` serves Prometheus metrics on the address
+ * for callers. Exit codes: 0 stopped, 1 failed, 2 invalid settings or arguments.
  */
 import { readFileSync } from "node:fs";
 import process from "node:process";
+import { parseArgs } from "node:util";
 import { SYSTEM_RANDOM, SystemClock } from "@coltsfootpond/common";
-import { CellEntry, type CellLog } from "@coltsfootpond/node";
+import {
+  CellEntry,
+  type CellLog,
+  CellMeters,
+  MetricsServer,
+} from "@coltsfootpond/node";
 import {
   createCallerWire,
   createRecordWire,
@@ -14,13 +21,16 @@
   decodeSettings,
   SETTINGS_VARIABLE,
 } from "@coltsfootpond/platform";
-import type { CellSettings } from "@coltsfootpond/ports";
+import type { CellSettings, HostPort } from "@coltsfootpond/ports";
 import { destination, pino } from "pino";
 
 const EXIT_CODE = { STOPPED: 0, FAILED: 1, INVALID_SETTINGS: 2 } as const;
 /** Lines are written in blocks of this size, or when the process is idle. */
 const LOG_BLOCK_BYTES = 4_096;
 const LOG_FLUSH_MS = 500;
+/** The event loop's delay is sampled this often. */
+const LOOP_CHECK_MS = 500;
+const MAXIMUM_PORT = 65_535;
 
 const stream = destination({ fd: 1, sync: false, minLength: LOG_BLOCK_BYTES });
 const lines = pino({ base: null }, stream);
@@ -53,19 +63,54 @@
   exit(EXIT_CODE.FAILED);
 }
 
+/** Undefined when no metrics are to be served. */
+function readMetricsPort(): number | undefined {
+  try {
+    const { values } = parseArgs({
+      options: { "metrics-port": { type: "string" } },
+    });
+    const text = values["metrics-port"];
+    if (text === undefined) return undefined;
+    const port = Number(text);
+    if (Number.isInteger(port) && port > 0 && port <= MAXIMUM_PORT) return port;
+    log.warn("arguments.invalid", {
+      problem: `--metrics-port: ${text} is no port`,
+    });
+  } catch (error) {
+    log.warn("arguments.invalid", { problem: String(error) });
+  }
+  exit(EXIT_CODE.INVALID_SETTINGS);
+}
+
+/** Without metrics the entry still serves. */
+async function serveMetrics(
+  meters: CellMeters,
+  address: HostPort,
+): Promise<void> {
+  try {
+    await MetricsServer.create(meters).listen(address);
+  } catch (error) {
+    log.warn("metrics.unavailable", { ...address, detail: String(error) });
+  }
+}
+
 async function main(): Promise<void> {
   setInterval(() => stream.flush(), LOG_FLUSH_MS).unref();
+  const metricsPort = readMetricsPort();
   const settings = readSettings();
+  const clock = SystemClock.create();
+  const meters = CellMeters.create();
   const entry = CellEntry.create({
     settings,
     store: createStateStore(settings.store),
     orders: createWorkerOrders(),
     callerWire: createCallerWire(),
     recordWire: createRecordWire(),
-    clock: SystemClock.create(),
+    clock,
     nowUnixMs: Date.now,
     random: SYSTEM_RANDOM,
     log,
+    meters,
   });
   process.on("SIGTERM", () => {
     entry.stop().then(() => exit(EXIT_CODE.STOPPED), fail);
@@ -74,6 +119,12 @@
   process.on("SIGHUP", () => log.info("settings.unchanged"));
   process.on("uncaughtException", fail);
   await entry.start();
+  if (metricsPort === undefined) return;
+  meters.watchEventLoop(clock, LOOP_CHECK_MS);
+  await serveMetrics(meters, {
+    host: settings.callers.host,
+    port: metricsPort,
+  });
 }
 
 main().catch(fail);
--- a/packages/node/cell/caller_server.ts
+++ b/packages/node/cell/caller_server.ts
@@ -14,6 +14,7 @@
   CallerRequest,
 } from "./caller_filters.ts";
 import type { CellLog } from "./log.ts";
+import type { CellMeters } from "./meters/cell_meters.ts";
 
 const INTERNAL_STATUS = 500;
 const READY_STATUS = 200;
@@ -28,6 +29,7 @@
   readonly clock: Clock;
   readonly log: CellLog;
   readonly isReady: () => boolean;
+  readonly meters: Pick<CellMeters, "noteCall">;
 }
 
 /** Serves callers until stopped. */
@@ -97,7 +99,7 @@
   ): Promise<void> {
     this.#inProgress++;
     response.once("close", () => this.#inProgress--);
-    const { wire, clock, log } = this.#options;
+    const { wire, clock, log, meters } = this.#options;
     const request: CallerRequest = {
       head: wire.decodeHead(
         incoming.method ?? "",
@@ -108,6 +110,8 @@
       readBody: (limitBytes) => readBody(incoming, limitBytes),
     };
     const answer = await this.#answer(request);
+    const tookMs = clock.nowMs() - request.receivedMs;
+    meters.noteCall(request.head.method, answer.status, tookMs);
     const isRoutine = request.head.method === "state" && answer.status === 200;
     if (!isRoutine) {
       log.info("call.answered", {
@@ -116,7 +120,7 @@
         status: answer.status,
         reason: answer.reason,
         version: request.state?.version,
-        tookMs: Math.round(clock.nowMs() - request.receivedMs),
+        tookMs: Math.round(tookMs),
       });
     }
     this.#send(incoming, response, answer);
--- a/packages/node/cell/cell_entry.ts
+++ b/packages/node/cell/cell_entry.ts
@@ -21,6 +21,8 @@
 import { JobLedger } from "./job_ledger.ts";
 import { type LeaseChange, LeaseTask } from "./lease_task.ts";
 import type { CellLog } from "./log.ts";
+import type { CellFacts, CellMeters } from "./meters/cell_meters.ts";
+import { createMeteredStore } from "./meters/metered_store.ts";
 import { PeerCopyTask } from "./peer_copy_task.ts";
 import { PeerServer } from "./peer_server.ts";
 import {
@@ -55,6 +57,7 @@
   readonly nowUnixMs: () => number;
   readonly random: Random;
   readonly log: CellLog;
+  readonly meters: CellMeters;
 }
 
 /** One entry. */
@@ -74,10 +77,12 @@
   #isLeaving = false;
 
   private constructor(options: CellEntryOptions) {
-    this.#options = options;
-    const { clock, random, log, settings, nowUnixMs } = options;
+    const { clock, random, settings, nowUnixMs, meters } = options;
+    const log = meters.countEvents(options.log);
+    this.#options = { ...options, log };
+    const direct = createMeteredStore(options.store, { meters, clock });
     this.#relay = StoreRelay.create({
-      direct: options.store,
+      direct,
       getPeers: () => this.#peers,
       clock,
       random,
@@ -85,7 +90,7 @@
     });
     this.#peerServer = settings.peers && PeerServer.create({
       address: settings.peers,
-      store: options.store,
+      store: direct,
       listOperatorRows: (afterVersion) =>
         [...this.#operators.rows()].filter(({ version }) =>
           version > afterVersion
@@ -155,7 +160,9 @@
       clock,
       log,
       isReady: () => this.#isReady(),
+      meters,
     });
+    meters.setFacts(() => this.#readFacts());
   }
 
   static create(options: CellEntryOptions): CellEntry {
@@ -257,6 +264,23 @@
       this.#options.clock.nowMs() - contactMs < STORE_SILENCE_MS;
   }
 
+  #readFacts(): CellFacts {
+    const nowMs = this.#options.clock.nowMs();
+    const counts = this.#scheduler?.countWork();
+    return {
+      holdsLease: this.#lease.epoch !== undefined,
+      epoch: this.#lease.epoch ?? 0,
+      declaredVersion: this.#declared.current?.version ?? 0,
+      stateAgeMs: nowMs - this.#state.contactMs,
+      operatorsAgeMs: nowMs - this.#operators.contactMs,
+      storeDownMs: this.#relay.downForMs,
+      waitingJobs: counts?.waitingJobs ?? 0,
+      begunJobs: counts?.begunJobs ?? 0,
+      workers: counts?.workers ?? 0,
+      reachableWorkers: counts?.reachableWorkers ?? 0,
+    };
+  }
+
   #takeLease(change: LeaseChange): void {
     this.#scheduler?.stop();
     this.#scheduler = undefined;
--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -152,6 +152,20 @@
     this.#fleet.stop();
   }
 
+  /** What this holder schedules now. */
+  countWork() {
+    const { jobs } = this.#jobs;
+    const { sessions } = this.#fleet;
+    const begunJobs = jobs.filter(({ hasBegun }) => hasBegun).length;
+    return {
+      waitingJobs: jobs.length - begunJobs,
+      begunJobs,
+      workers: sessions.length,
+      reachableWorkers: sessions.filter(({ isReachable }) => isReachable)
+        .length,
+    };
+  }
+
   /** Reads all that was written before the lease was taken; the feed may keep changes back. */
   async #awaitState(): Promise<void> {
     const { follower, takenVersion, clock } = this.#options;
--- /dev/null
+++ b/packages/node/cell/meters/cell_meters.ts
@@ -0,0 +1,209 @@
+/**
+ * What an entry of the cell counts, in Prometheus' terms. Every logged event is counted by name, so
+ * that decisions and changes of belief need no second place; the rest is measured where it happens
+ * or read when a scrape asks. Label values come from fixed sets only.
+ */
+import process from "node:process";
+import type { Clock } from "@coltsfootpond/common";
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { CellLog, LogFields } from "../log.ts";
+
+const MS_PER_SECOND = 1_000;
+/** From a store at its usual 4 ms to one that takes its whole time-out. */
+const SECONDS_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5];
+/** Events whose reason is one of a fixed set of words. */
+const EVENTS_WITH_REASON: ReadonlySet<string> = new Set([
+  "unit.closing",
+  "task.start_refused",
+]);
+/** Words after which a reason names a worker or an entry. */
+const REASON_NAMES = / (?:by|of) \S+$/;
+
+/** Read at each scrape. */
+export interface CellFacts {
+  readonly holdsLease: boolean;
+  readonly epoch: number;
+  readonly declaredVersion: number;
+  readonly stateAgeMs: number;
+  readonly operatorsAgeMs: number;
+  readonly storeDownMs: number;
+  readonly waitingJobs: number;
+  readonly begunJobs: number;
+  readonly workers: number;
+  readonly reachableWorkers: number;
+}
+
+/** The meters of one process. */
+export class CellMeters {
+  readonly #registry = new Registry();
+  readonly #events = this.#counter("events", "Logged events.", ["event"]);
+  readonly #reasons = this.#counter(
+    "event_reasons",
+    "Logged events with the reason that they give.",
+    ["event", "reason"],
+  );
+  readonly #calls = this.#histogram(
+    "call_seconds",
+    "Time to answer callers, by method and status.",
+    ["method", "status"],
+  );
+  readonly #storeCalls = this.#histogram(
+    "store_call_seconds",
+    "Time of calls of the store, by kind and outcome.",
+    ["kind", "outcome"],
+  );
+  readonly #loopDelay = this.#histogram(
+    "event_loop_delay_seconds",
+    "How late a regular timer fires.",
+    [],
+  );
+  #readFacts: (() => CellFacts) | undefined;
+
+  private constructor() {
+    this.#registerFacts();
+  }
+
+  static create(): CellMeters {
+    return new CellMeters();
+  }
+
+  /** A log that also counts. */
+  countEvents(log: CellLog): CellLog {
+    return {
+      info: (event, fields) => {
+        this.#countEvent(event, fields);
+        log.info(event, fields);
+      },
+      warn: (event, fields) => {
+        this.#countEvent(event, fields);
+        log.warn(event, fields);
+      },
+    };
+  }
+
+  noteCall(method: string, status: number, tookMs: number): void {
+    this.#calls.observe({ method, status }, tookMs / MS_PER_SECOND);
+  }
+
+  noteStoreCall(kind: string, outcome: string, tookMs: number): void {
+    this.#storeCalls.observe({ kind, outcome }, tookMs / MS_PER_SECOND);
+  }
+
+  /** Measures the event loop by the lateness of a timer of `periodMs`, until the process ends. */
+  watchEventLoop(clock: Clock, periodMs: number): void {
+    let dueMs = clock.nowMs() + periodMs;
+    clock.every(periodMs, () => {
+      const nowMs = clock.nowMs();
+      this.#loopDelay.observe(Math.max(0, nowMs - dueMs) / MS_PER_SECOND);
+      dueMs = nowMs + periodMs;
+    });
+  }
+
+  /** Where facts are read from at a scrape. */
+  setFacts(read: () => CellFacts): void {
+    this.#readFacts = read;
+  }
+
+  /** The Prometheus text format. */
+  format(): Promise<string> {
+    return this.#registry.metrics();
+  }
+
+  get contentType(): string {
+    return this.#registry.contentType;
+  }
+
+  #countEvent(event: string, fields: LogFields | undefined): void {
+    this.#events.inc({ event });
+    const reason = fields?.reason;
+    if (typeof reason !== "string" || !EVENTS_WITH_REASON.has(event)) return;
+    this.#reasons.inc({ event, reason: reason.replace(REASON_NAMES, "") });
+  }
+
+  #registerFacts(): void {
+    const facts: Readonly<
+      Record<string, readonly [string, (facts: CellFacts) => number]>
+    > = {
+      lease_held: [
+        "1 on the entry that schedules.",
+        ({ holdsLease }) => Number(holdsLease),
+      ],
+      lease_epoch: ["Epoch of the lease held.", ({ epoch }) => epoch],
+      declared_version: [
+        "Version of the declared state in force.",
+        ({ declaredVersion }) => declaredVersion,
+      ],
+      state_age_seconds: [
+        "Since the store last told of the state table.",
+        ({ stateAgeMs }) => stateAgeMs / MS_PER_SECOND,
+      ],
+      operators_age_seconds: [
+        "Since the store last told of the operators' table.",
+        ({ operatorsAgeMs }) => operatorsAgeMs / MS_PER_SECOND,
+      ],
+      store_down_seconds: [
+        "How long every way to the store has failed.",
+        ({ storeDownMs }) => storeDownMs / MS_PER_SECOND,
+      ],
+      waiting_jobs: ["Jobs not begun.", ({ waitingJobs }) => waitingJobs],
+      begun_jobs: ["Jobs begun and not ended.", ({ begunJobs }) => begunJobs],
+      workers: ["Workers the holder knows.", ({ workers }) => workers],
+      reachable_workers: [
+        "Workers that answer the holder.",
+        ({ reachableWorkers }) => reachableWorkers,
+      ],
+    };
+    for (const [name, [help, read]] of Object.entries(facts)) {
+      const readFacts = () => this.#readFacts?.();
+      new Gauge({
+        name: `coltsfootpond_${name}`,
+        help,
+        registers: [this.#registry],
+        collect() {
+          const now = readFacts();
+          if (now !== undefined) this.set(read(now));
+        },
+      });
+    }
+    this.#registerProcess();
+  }
+
+  #registerProcess(): void {
+    new Gauge({
+      name: "process_resident_memory_bytes",
+      help: "Resident memory.",
+      registers: [this.#registry],
+      collect() {
+        this.set(process.memoryUsage.rss());
+      },
+    });
+    new Gauge({
+      name: "process_cpu_seconds_total",
+      help: "Processor time of the process.",
+      registers: [this.#registry],
+      collect() {
+        const { user, system } = process.cpuUsage();
+        this.set((user + system) / 1e6);
+      },
+    });
+  }
+
+  #counter(name: string, help: string, labelNames: string[]): Counter {
+    return new Counter({
+      name: `coltsfootpond_${name}_total`,
+      help,
+      labelNames,
+      registers: [this.#registry],
+    });
+  }
+
+  #histogram(name: string, help: string, labelNames: string[]): Histogram {
+    return new Histogram({
+      name: `coltsfootpond_${name}`,
+      help,
+      labelNames,
+      buckets: SECONDS_BUCKETS,
+      registers: [this.#registry],
+    });
+  }
+}
--- /dev/null
+++ b/packages/node/cell/meters/cell_meters_test.ts
@@ -0,0 +1,87 @@
+import { ManualClock } from "@coltsfootpond/common";
+import { expect } from "chai";
+import { readFileSync } from "node:fs";
+import { SILENT_LOG } from "../log.ts";
+import { createStoreFake } from "../test_fixtures.ts";
+import { CellMeters } from "./cell_meters.ts";
+import { createMeteredStore } from "./metered_store.ts";
+import { METRICS_PATH, MetricsServer } from "./metrics_server.ts";
+
+describe("meters of the cell", () => {
+  it("count events, calls and the store's answers, and tell facts of the moment", async () => {
+    const clock = ManualClock.create();
+    const meters = CellMeters.create();
+    const log = meters.countEvents(SILENT_LOG);
+    log.info("unit.closing", { unit: "a", reason: "evicted" });
+    log.info("unit.closing", { unit: "b", reason: "evicted" });
+    log.warn("lease.lost", { reason: "taken by front-1" });
+    meters.noteCall("submit", 503, 3);
+    const store = createMeteredStore(createStoreFake(), { meters, clock });
+    await store.read("state", {}, 100);
+    let waitingJobs = 0;
+    meters.setFacts(() => ({
+      holdsLease: true,
+      epoch: 4,
+      declaredVersion: 12,
+      stateAgeMs: 1_500,
+      operatorsAgeMs: 0,
+      storeDownMs: 0,
+      waitingJobs,
+      begunJobs: 2,
+      workers: 33,
+      reachableWorkers: 32,
+    }));
+    waitingJobs = 7;
+    const lines = (await meters.format()).split("\n");
+    for (
+      const line of [
+        'coltsfootpond_events_total{event="unit.closing"} 2',
+        'coltsfootpond_event_reasons_total{event="unit.closing",reason="evicted"} 2',
+        'coltsfootpond_events_total{event="lease.lost"} 1',
+        'coltsfootpond_call_seconds_count{method="submit",status="503"} 1',
+        'coltsfootpond_store_call_seconds_count{kind="read",outcome="rows"} 1',
+        "coltsfootpond_lease_epoch 4",
+        "coltsfootpond_state_age_seconds 1.5",
+        "coltsfootpond_waiting_jobs 7",
+      ]
+    ) expect(lines).to.include(line);
+    expect(lines.some((line) => line.includes("front-1"))).to.equal(false);
+  });
+
+  it("keep one series a reason, whatever worker or entry it names", async () => {
+    const meters = CellMeters.create();
+    const log = meters.countEvents(SILENT_LOG);
+    for (let number = 0; number < 50; number++) {
+      log.info("unit.closing", { reason: `orders fenced by worker-${number}` });
+    }
+    const series = (await meters.format()).split("\n").filter((line) =>
+      line.startsWith("coltsfootpond_event_reasons_total")
+    );
+    expect(series).to.deep.equal([
+      'coltsfootpond_event_reasons_total{event="unit.closing",reason="orders fenced"} 50',
+    ]);
+  });
+
+  it("are all described in docs/METRICS.md, and no others", async () => {
+    const text = await CellMeters.create().format();
+    const registered = [...text.matchAll(/^# TYPE (\S+)/gm)].map(([, name]) =>
+      name
+    );
+    const page = readFileSync("docs/METRICS.md", "utf8");
+    const documented = [...page.matchAll(/^\| `([a-z_]+)/gm)].map(([, name]) =>
+      name
+    );
+    expect(documented.sort()).to.deep.equal(registered.sort());
+  });
+
+  it("are served as text", async () => {
+    const server = MetricsServer.create(CellMeters.create());
+    await server.listen({ host: "127.0.0.1", port: 0 });
+    const base = `http://127.0.0.1:${server.port}`;
+    const answer = await fetch(`${base}${METRICS_PATH}`);
+    expect(answer.status).to.equal(200);
+    expect(await answer.text()).to.include("process_resident_memory_bytes");
+    expect((await fetch(`${base}/other`)).status).to.equal(404);
+    server.close();
+  });
+});
--- a/packages/node/mod.ts
+++ b/packages/node/mod.ts
@@ -32,3 +32,5 @@
 export * from "./upstreams/balancing/choose.ts";
 export * from "./cell/cell_entry.ts";
 export * from "./cell/log.ts";
+export * from "./cell/meters/cell_meters.ts";
+export * from "./cell/meters/metrics_server.ts";
