Split the relay, the lease's rules and the entry's peers, and try faults in the cell by `npm run mutations`

- 17 faults in the cell are tried by the mutations' runner.
The runner itself was broken since packages/platform was renamed: it linked the package under its old name, so that no spec loaded and every entry ended as "NO SUCH TEST".
It links ports and platform now.

No decision changes.

--- a/packages/node/cell/cell_entry.ts
+++ b/packages/node/cell/cell_entry.ts
@@ -6,14 +6,11 @@
 import {
   type CallerWire,
   type CellSettings,
-  type HostPort,
   type RecordWire,
   STATE_TABLE,
-  type StateRow,
   type StateStore,
   type WorkerOrders,
 } from "@coltsfootpond/ports";
-import { STORE_TIMEOUT_MS } from "./constants.ts";
 import { createCallerFilters } from "./caller_filters.ts";
 import { CallerServer } from "./caller_server.ts";
 import { CellScheduler } from "./cell_scheduler.ts";
@@ -24,14 +21,8 @@
 import type { CellFacts, CellMeters } from "./meters/cell_meters.ts";
 import { createMeteredStore } from "./meters/metered_store.ts";
 import { PeerCopyTask } from "./peer_copy_task.ts";
+import { PeerBook } from "./peer_book.ts";
 import { PeerServer } from "./peer_server.ts";
-import {
-  decodeRow,
-  encodeRow,
-  isPeerKey,
-  peerKey,
-  type PeerRow,
-} from "./rows.ts";
 import { StoreRelay } from "./store_relay.ts";
 import { SeenVersion, TableFollower } from "./table_follower.ts";
 
@@ -39,7 +30,6 @@
 const DECLARED_STATE_REREAD_MS = 900;
 /** Entries share the store's rate of reads: each polls rarer the more there are. */
 const FOLLOW_PAUSE_PER_PEER_MS = 5;
-const ANNOUNCE_PAUSE_MS = 300;
 /** The store has not answered for this long: others should take new connections. */
 const STORE_SILENCE_MS = 2_500;
 /** The balancer asks once a second and needs two misses; then nothing new comes. */
@@ -71,8 +61,7 @@
   readonly #relay: StoreRelay;
   readonly #peerServer: PeerServer | undefined;
   readonly #peerCopy: PeerCopyTask;
-  #announced: readonly PeerRow[] = [];
-  #peers: readonly HostPort[] = [];
+  readonly #peers: PeerBook;
   #scheduler: CellScheduler | undefined;
   #isLeaving = false;
 
@@ -83,7 +72,7 @@
     const direct = createMeteredStore(options.store, { meters, clock });
     this.#relay = StoreRelay.create({
       direct,
-      getPeers: () => this.#peers,
+      getPeers: () => this.#peers.addresses,
       clock,
       random,
       log,
@@ -106,11 +95,16 @@
       isBusy: true,
       getPauseMs: () =>
         this.#scheduler === undefined
-          ? this.#peers.length * FOLLOW_PAUSE_PER_PEER_MS
+          ? this.#peers.addresses.length * FOLLOW_PAUSE_PER_PEER_MS
           : 0,
     });
-    this.#peers = this.#listPeers();
-    this.#state.changes.subscribe((rows) => this.#takePeers(rows));
+    this.#peers = PeerBook.create({
+      settings,
+      follower: this.#state,
+      store,
+      clock,
+      log,
+    });
     this.#operators = TableFollower.create({
       ...common,
       table: STATE_TABLE.OPERATORS,
@@ -131,8 +125,7 @@
       entry: settings.entry,
       incarnation: createUniqueId(),
       processorShare: settings.processorShare,
-      getProcessorShares: () =>
-        this.#announced.map(({ processorShare }) => processorShare),
+      getProcessorShares: () => this.#peers.processorShares,
       store,
       follower: this.#state,
       clock,
@@ -180,7 +173,7 @@
     void this.#state.run();
     void this.#operators.run();
     void this.#peerCopy.run();
-    void this.#announce();
+    void this.#peers.announce();
     this.#lease.start();
     this.#options.log.info("entry.started", {
       entry: this.#options.settings.entry,
@@ -193,6 +186,7 @@
     this.#isLeaving = true;
     const { clock, log, settings } = this.#options;
     log.info("entry.leaving");
+    this.#peers.stop();
     this.#server.announceClose();
     await this.#lease.leave();
     await clock.sleep(NOT_READY_LINGER_MS);
@@ -207,53 +201,6 @@
     log.info("entry.stopped");
   }
 
-  /** Writes where peers reach this entry, once for each life of the process. */
-  async #announce(): Promise<void> {
-    const { settings, clock, log } = this.#options;
-    const { peers, processorShare } = settings;
-    while (peers !== undefined && !this.#isLeaving) {
-      await clock.sleep(ANNOUNCE_PAUSE_MS);
-      if (!this.#state.isLoaded) continue;
-      const key = peerKey(settings.entry);
-      const row = this.#state.get(key)?.value;
-      const known = row && decodeRow<PeerRow>(row);
-      const isKnown = known?.host === peers.host &&
-        known.port === peers.port && known.processorShare === processorShare;
-      if (isKnown) return;
-      const outcome = await this.#relay.transact(
-        {
-          conditions: [],
-          puts: [{ key, value: encodeRow({ ...peers, processorShare }) }],
-          deletes: [],
-        },
-        STORE_TIMEOUT_MS,
-      );
-      if (outcome.kind === "committed") return;
-      log.warn("peer.announce_failed", { kind: outcome.kind });
-    }
-  }
-
-  /** Keeps who the other entries are, as announced and as the settings name them. */
-  #takePeers(rows: readonly StateRow[]): void {
-    if (!rows.some(({ key }) => isPeerKey(key))) return;
-    this.#announced = [...this.#state.rows()].filter(({ key }) =>
-      isPeerKey(key)
-    ).map(({ value }) => decodeRow<PeerRow>(value));
-    this.#peers = this.#listPeers();
-  }
-
-  #listPeers(): readonly HostPort[] {
-    const { peers: own, seeds } = this.#options.settings;
-    const byName = new Map(
-      [...seeds, ...this.#announced].map(({ host, port }) => [
-        `${host}:${port}`,
-        { host, port },
-      ]),
-    );
-    if (own !== undefined) byName.delete(`${own.host}:${own.port}`);
-    return [...byName.values()];
-  }
-
   #isReady(): boolean {
     const contactMs = Math.max(
       this.#state.contactMs,
--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -31,6 +31,7 @@
 import { ProgressWriter } from "./progress_writer.ts";
 import { BEGUN_KEY, encodeRow } from "./rows.ts";
 import { RunBook } from "./run_book.ts";
+import { isIncomplete, isStalled } from "./run_checks.ts";
 import type { TableFollower } from "./table_follower.ts";
 import { DIRECTORY_PERIOD_MS } from "./worker_directory.ts";
 import { putRow, WorkerFleet } from "./worker_fleet.ts";
@@ -49,8 +50,6 @@
 const COLLECT_PERIOD_MS = 1_000;
 /** A worker that refused a start is left alone this long. */
 const REFUSED_PAUSE_MS = 400;
-/** A run of which no member has made progress for this long stands still. */
-const STALL_MS = 2_500;
 
 export interface CellSchedulerOptions {
   readonly epoch: number;
@@ -354,17 +353,9 @@
 
   /** Stops runs that stand still. */
   #checkRun(unit: Unit): void {
-    const { run } = unit;
-    if (run === undefined || run.isClosing || unit.step.isPersistent) return;
-    const members = [...run.members];
-    const isStalled = members.length > 0 &&
-      members.every(([member]) =>
-        member.percent < 100 &&
-        member.percentSeenClockMs - member.percentSinceClockMs > STALL_MS
-      );
-    const isKnown = members.every(([, session]) => session.isReachable);
-    if (!isStalled || !isKnown) return;
-    members.forEach(([, session]) => this.#pause(session, QUARANTINE_MS));
+    if (!isStalled(unit)) return;
+    const sessions = [...unit.run?.members.values() ?? []];
+    sessions.forEach((session) => this.#pause(session, QUARANTINE_MS));
     this.#runs.close(unit, "no progress");
   }
 
@@ -373,13 +364,7 @@
     const unresolved = this.#fleet.findUnresolved();
     for (const job of this.#jobs.jobs) {
       for (const unit of job.units.values()) {
-        const { run } = unit;
-        if (run === undefined || run.isClosing) continue;
-        if (mayRunUnseen(unit, unresolved)) continue;
-        if (
-          run.members.size < unit.count &&
-          !job.progress.isUnitDone(unit.address)
-        ) {
+        if (isIncomplete(unit, unresolved)) {
           this.#runs.close(unit, "members are missing");
         }
       }
--- a/packages/node/cell/lease_task.ts
+++ b/packages/node/cell/lease_task.ts
@@ -7,6 +7,11 @@
 import type { StateRow, StateStore } from "@coltsfootpond/ports";
 import { Subject } from "rxjs";
 import { STORE_TIMEOUT_MS } from "./constants.ts";
+import {
+  HANDOVER_REST_MS,
+  isHandoverDue,
+  measureHeadStart,
+} from "./lease_rules.ts";
 import type { CellLog } from "./log.ts";
 import { decodeRow, encodeRow, LEASE_KEY, type LeaseRow } from "./rows.ts";
 import type { TableFollower } from "./table_follower.ts";
@@ -21,20 +26,6 @@
 const TICK_MS = 50;
 /** Spreads entries of equal size that want the lease. */
 const TAKEOVER_SPREAD_MS = 20;
-/** Longest head start of the largest entry, for each entry: twice what they follow the row apart. */
-const HEAD_START_PER_PEER_MS = 10;
-/** A holder hands the lease over when an announced entry has this many times its processor share. */
-const HANDOVER_RATIO = 1.5;
-/** After taking the lease: larger entries that start or regain the store just now are back by then. */
-const HANDOVER_DELAY_MS = 1_000;
-/**
- * Between two handovers, by whichever holder: the larger entries may be gone for good, and each change
- * of holder costs the cell about a second.
- */
-const HANDOVER_PERIOD_MS = 20_000;
-/** After handing over, the others go first: two pauses of the feed of 50 entries. */
-const HANDOVER_REST_MS = 1_000;
-
 export type LeaseChange =
   | {
     readonly kind: "acquired";
@@ -179,13 +170,14 @@
       measureHeadStart(processorShare, shares);
   }
 
-  /** Whether a much larger entry could hold the lease, and none was let go first of late. */
   #mayHandOver(held: Held, nowMs: number): boolean {
     const { processorShare, getProcessorShares, nowUnixMs } = this.#options;
-    const largest = Math.max(0, ...getProcessorShares());
-    return this.canAct() && largest >= processorShare * HANDOVER_RATIO &&
-      nowMs - held.acquiredMs >= HANDOVER_DELAY_MS &&
-      Math.abs(nowUnixMs() - held.handedOverUnixMs) >= HANDOVER_PERIOD_MS;
+    return this.canAct() && isHandoverDue({
+      ownShare: processorShare,
+      allShares: getProcessorShares(),
+      heldForMs: nowMs - held.acquiredMs,
+      sinceHandoverMs: Math.abs(nowUnixMs() - held.handedOverUnixMs),
+    });
   }
 
   async #handOver(): Promise<void> {
@@ -315,13 +307,3 @@
     return encodeRow(row);
   }
 }
-
-/** How much later an entry tries than the largest one, in milliseconds. */
-export function measureHeadStart(
-  ownShare: number,
-  allShares: readonly number[],
-): number {
-  const largest = Math.max(ownShare, ...allShares);
-  if (largest <= 0) return 0;
-  return (1 - ownShare / largest) * allShares.length * HEAD_START_PER_PEER_MS;
-}
--- a/packages/node/cell/lease_task_test.ts
+++ b/packages/node/cell/lease_task_test.ts
@@ -1,6 +1,7 @@
 import { ManualClock } from "@coltsfootpond/common";
 import { expect } from "chai";
-import { LeaseTask, measureHeadStart } from "./lease_task.ts";
+import { measureHeadStart } from "./lease_rules.ts";
+import { LeaseTask } from "./lease_task.ts";
 import { SILENT_LOG } from "./log.ts";
 import {
   createFollower,
--- a/packages/node/cell/peer_messages.ts
+++ b/packages/node/cell/peer_messages.ts
@@ -5,6 +5,7 @@
   StateRow,
   StateStore,
   TransactOutcome,
+  Unavailable,
 } from "@coltsfootpond/ports";
 import { pack, unpack } from "msgpackr";
 import { constants, gunzipSync, gzipSync } from "node:zlib";
@@ -83,3 +84,13 @@
       return store.follow(...call.arguments);
   }
 }
+
+/** Certainly without effect. */
+export function refused(reason: string): Unavailable {
+  return { kind: "unavailable", effect: "refused", reason };
+}
+
+/** May have taken effect, or still may. */
+export function lost(reason: string): Unavailable {
+  return { kind: "unavailable", effect: "lost", reason };
+}
--- /dev/null
+++ b/packages/node/cell/peers.ts
@@ -0,0 +1,109 @@
+/** Peers as this entry reaches them: which to ask, and one exchange with one of them. */
+import type { Clock, Random } from "@coltsfootpond/common";
+import {
+  type HostPort,
+  HttpClient,
+  type HttpOutcome,
+  type Unavailable,
+} from "@coltsfootpond/ports";
+import {
+  decodeMessage,
+  encodeMessage,
+  lost,
+  type PeerMessage,
+} from "./peer_messages.ts";
+
+/** How long a peer is left alone after it did not answer, or could not reach the store either. */
+const PEER_PAUSE_MS = 1_500;
+/** How much longer than its time-out a peer's answer may take whose bytes keep coming. */
+const SLOW_ANSWER_MS = 2_000;
+const PEER_CONNECTIONS = 6;
+const STATUS_OK = 200;
+
+export interface PeersOptions {
+  /** Addresses of the other entries. */
+  readonly getPeers: () => readonly HostPort[];
+  readonly clock: Clock;
+  readonly random: Random;
+}
+
+export class Peers {
+  readonly #options: PeersOptions;
+  readonly #clients = new Map<string, HttpClient>();
+  readonly #pausedUntilMs = new Map<string, number>();
+  #lastGood: string | undefined;
+
+  private constructor(options: PeersOptions) {
+    this.#options = options;
+  }
+
+  static create(options: PeersOptions): Peers {
+    return new Peers(options);
+  }
+
+  get isEmpty(): boolean {
+    return this.#options.getPeers().length === 0;
+  }
+
+  /** Up to `count` peers that are not paused: the last good one first, the others by chance. */
+  choose(count: number): readonly HostPort[] {
+    const nowMs = this.#options.clock.nowMs();
+    const open = this.#options.getPeers().filter((peer) =>
+      (this.#pausedUntilMs.get(formatPeer(peer)) ?? 0) <= nowMs
+    ).map((peer) => ({
+      peer,
+      order: formatPeer(peer) === this.#lastGood
+        ? -1
+        : this.#options.random.next(),
+    }));
+    open.sort((left, right) => left.order - right.order);
+    return open.slice(0, count).map(({ peer }) => peer);
+  }
+
+  /** One exchange; a peer that does not help is paused. */
+  async ask<Answer extends object>(
+    peer: HostPort,
+    path: string,
+    message: PeerMessage,
+    timeoutMs: number,
+  ): Promise<Answer | Unavailable> {
+    const name = formatPeer(peer);
+    const outcome = await this.#getClient(name, peer).exchange({
+      method: "POST",
+      path,
+      body: encodeMessage(message),
+      timeoutMs,
+      longestMs: timeoutMs + SLOW_ANSWER_MS,
+    });
+    const answer = decodeAnswer<Answer>(outcome);
+    if ("kind" in answer && answer.kind === "unavailable") {
+      const untilMs = this.#options.clock.nowMs() + PEER_PAUSE_MS;
+      this.#pausedUntilMs.set(name, untilMs);
+    } else {
+      this.#lastGood = name;
+    }
+    return answer;
+  }
+
+  #getClient(name: string, peer: HostPort): HttpClient {
+    const known = this.#clients.get(name);
+    if (known !== undefined) return known;
+    const created = HttpClient.create(peer, undefined, PEER_CONNECTIONS);
+    this.#clients.set(name, created);
+    return created;
+  }
+}
+
+function formatPeer({ host, port }: HostPort): string {
+  return `${host}:${port}`;
+}
+
+function decodeAnswer<Answer>(outcome: HttpOutcome): Answer | Unavailable {
+  if (outcome.kind === "unavailable") return outcome;
+  if (outcome.status !== STATUS_OK) return lost(`status ${outcome.status}`);
+  try {
+    return decodeMessage<Answer>(outcome.body);
+  } catch (error) {
+    return lost(`malformed answer: ${String(error)}`);
+  }
+}
--- /dev/null
+++ b/packages/node/cell/run_checks.ts
@@ -0,0 +1,28 @@
+/** Which runs of units cannot come to an end by themselves. */
+import type { WorkerName } from "@coltsfootpond/common";
+import { mayRunUnseen, type Unit } from "./live_job.ts";
+
+/** A run of which no member has made progress for this long stands still. */
+const STALL_MS = 2_500;
+
+/** Whether no member makes progress although all of their workers can be asked. */
+export function isStalled({ run, step }: Unit): boolean {
+  if (run === undefined || run.isClosing || step.isPersistent) return false;
+  const members = [...run.members];
+  return members.length > 0 &&
+    members.every(([member, session]) =>
+      session.isReachable && member.percent < 100 &&
+      member.percentSeenClockMs - member.percentSinceClockMs > STALL_MS
+    );
+}
+
+/** Whether members of a gang's run are missing for good, though the gang is not done. */
+export function isIncomplete(
+  unit: Unit,
+  unresolved: ReadonlySet<WorkerName>,
+): boolean {
+  const { run, job } = unit;
+  if (run === undefined || run.isClosing) return false;
+  return !mayRunUnseen(unit, unresolved) && run.members.size < unit.count &&
+    !job.progress.isUnitDone(unit.address);
+}
--- a/packages/node/cell/store_relay_test.ts
+++ b/packages/node/cell/store_relay_test.ts
@@ -3,7 +3,7 @@
 import { expect } from "chai";
 import { Buffer } from "node:buffer";
 import { SILENT_LOG } from "./log.ts";
-import { DIRECT_PROBE_PERIOD_MS } from "./store_relay.ts";
+import { DIRECT_PROBE_PERIOD_MS } from "./direct_way.ts";
 import { decodeMessage, encodeMessage } from "./peer_messages.ts";
 import { PeerServer } from "./peer_server.ts";
 import { StoreRelay } from "./store_relay.ts";
--- /dev/null
+++ b/scripts/mutations/cell_list.ts
@@ -0,0 +1,168 @@
+/** Faults in the cell's scheduler, its lease, its way to the store and its records of workers. */
+import type { Mutation } from "./types.ts";
+
+const CELL = "packages/node/cell";
+const POLICY = "packages/policy/cell";
+const FAULTS = `${CELL}/cell_faults_test.ts`;
+const COURSES = "keeps its promises";
+const NOT_TWICE = "no task twice";
+const ONE_HOLDER = "one holder acts";
+const IN_FORCE = "versions in force in time";
+const ACCEPTED = "accepted jobs are kept, refused ones never run";
+
+export const CELL_MUTATIONS: readonly Mutation[] = [
+  {
+    name: "take an unlisted run for gone though its start is unanswered",
+    promise: NOT_TWICE,
+    file: `${CELL}/member_book.ts`,
+    find:
+      `if (provenClockMs === undefined || provenClockMs >= reportClockMs) return;`,
+    replace: ``,
+    spec: `${CELL}/member_book_test.ts`,
+    title: "stay until a report after an answered start",
+  },
+  {
+    name: "keep a stop of an earlier life as a proof",
+    promise: NOT_TWICE,
+    file: `${CELL}/member_book.ts`,
+    find: `member.stoppedClockMs = undefined;`,
+    replace: ``,
+    spec: `${CELL}/member_book_test.ts`,
+    title: "keep no stop of an earlier life",
+  },
+  {
+    name: "believe a report that another has overtaken",
+    promise: NOT_TWICE,
+    file: `${CELL}/member_book.ts`,
+    find: `if (reportClockMs < this.#lastReportClockMs) return;`,
+    replace: ``,
+    spec: `${CELL}/member_book_test.ts`,
+    title: "are judged by the newest report",
+  },
+  {
+    name: "take a worker's clock for exact",
+    promise: NOT_TWICE,
+    file: `${CELL}/worker_leases.ts`,
+    find: `(nowMs - receivedMs) * SLOWEST_CLOCK_RATE;`,
+    replace: `(nowMs - receivedMs) * 1.1;`,
+    spec: `${CELL}/member_book_test.ts`,
+    title: "last as long as the slowest clock allows",
+  },
+  {
+    name: "send starts before their placement is stored",
+    promise: NOT_TWICE,
+    file: `${CELL}/cell_scheduler.ts`,
+    find: `this.#writer.mark(unit.job, true);`,
+    replace: `this.#runs.sendStarts(unit);`,
+    spec: `${CELL}/cell_scheduler_test.ts`,
+    title: "sends no start before its placement is stored",
+  },
+  {
+    name: "start old jobs though a silent worker may run them",
+    promise: NOT_TWICE,
+    file: `${CELL}/cell_scheduler.ts`,
+    find: `!unit.wasSeen && mayRunUnseen(unit, unresolved),`,
+    replace: `false,`,
+    spec: FAULTS,
+    title: COURSES,
+  },
+  {
+    name: "start a step before the one it follows is done",
+    promise: "steps in order",
+    file: `${POLICY}/job_progress.ts`,
+    find: `this.isStepDone(occurrence, earlier)`,
+    replace: `this.isStepDone(occurrence, earlier) || earlier >= 0`,
+    spec: FAULTS,
+    title: COURSES,
+  },
+  {
+    name: "count a failed run each time that it is listed",
+    promise: "attempts",
+    file: `${POLICY}/job_progress.ts`,
+    find: `  runs.add(run);`,
+    replace: `  runs.add(run + runs.size);`,
+    spec: `${POLICY}/job_progress_test.ts`,
+    title: "counts a failed run once",
+  },
+  {
+    name: "act as long as others wait before they take the lease",
+    promise: ONE_HOLDER,
+    file: `${CELL}/lease_task.ts`,
+    find: `const limitMs = LEASE_TERM_MS - ACTING_MARGIN_MS;`,
+    replace: `const limitMs = LEASE_TERM_MS * 2;`,
+    spec: `${CELL}/lease_task_test.ts`,
+    title: "has one holder who may act at any time",
+  },
+  {
+    name: "hand the lease over again and again",
+    promise: ONE_HOLDER,
+    file: `${CELL}/lease_task.ts`,
+    find: `this.#held.handedOverUnixMs = this.#options.nowUnixMs();`,
+    replace: ``,
+    spec: `${CELL}/lease_task_test.ts`,
+    title: "is handed over to a much larger entry",
+  },
+  {
+    name: "say refused though an unanswered write may come",
+    promise: ACCEPTED,
+    file: `${CELL}/job_ledger.ts`,
+    find: `mayBeWritten ||= outcome.effect === "lost";`,
+    replace: ``,
+    spec: `${CELL}/job_ledger_test.ts`,
+    title: "does not say refused",
+  },
+  {
+    name: "say refused when only the last of several tries was",
+    promise: ACCEPTED,
+    file: `${CELL}/store_relay.ts`,
+    find: `return first?.effect === "lost" ? first : second;`,
+    replace: `return second;`,
+    spec: `${CELL}/store_relay_test.ts`,
+    title: "says refused only when no try",
+  },
+  {
+    name: "spend the time of each call on a silent way",
+    promise: ACCEPTED,
+    file: `${CELL}/store_relay.ts`,
+    find: `if (!this.#direct.isDown || !hasPeers) {`,
+    replace: `if (this.#direct.isDown || true) {`,
+    spec: `${CELL}/store_relay_test.ts`,
+    title: "spends no call's time",
+  },
+  {
+    name: "never learn that the direct way works again",
+    promise: ACCEPTED,
+    file: `${CELL}/direct_way.ts`,
+    find: `if (outcome.kind === "rows") this.#note(true);`,
+    replace: ``,
+    spec: `${CELL}/store_relay_test.ts`,
+    title: "regains it",
+  },
+  {
+    name: "go on from the version of an empty answer of the feed",
+    promise: IN_FORCE,
+    file: `${CELL}/table_follower.ts`,
+    find: `      ...rows.map((row) => row.version),`,
+    replace: `      version,`,
+    spec: `${CELL}/table_follower_test.ts`,
+    title: "does not miss what a silent feed kept back",
+  },
+  {
+    name: "take rows of a peer's copy that were deleted since",
+    promise: IN_FORCE,
+    file: `${CELL}/table_follower.ts`,
+    find: `this.#rows.get(row.key)?.value !== undefined && this.#take(row)`,
+    replace: `this.#take(row)`,
+    spec: `${CELL}/peer_copy_task_test.ts`,
+    title: "bring newer versions of known rows",
+  },
+  {
+    name: "place a gang without the room for all of it",
+    promise: "gangs start whole",
+    file: `${POLICY}/fit.ts`,
+    find: `    if (chosen.length === request.count) return chosen;`,
+    replace: `    if (chosen.length > 0) return chosen;`,
+    spec: `${POLICY}/plan_round_test.ts`,
+    title: "waits when none has room",
+  },
+];
--- a/scripts/mutations/list.ts
+++ b/scripts/mutations/list.ts
@@ -1,4 +1,5 @@
 /** The faults that show that the checks of the promises can fail. */
+import { CELL_MUTATIONS } from "./cell_list.ts";
 import { STATE_MUTATIONS } from "./state_list.ts";
 import type { Mutation } from "./types.ts";
 
@@ -219,4 +220,5 @@
     title: "hold after any sequence",
   },
   ...STATE_MUTATIONS,
+  ...CELL_MUTATIONS,
 ];
--- a/scripts/mutations/main.ts
+++ b/scripts/mutations/main.ts
@@ -38,7 +38,8 @@
   const own = {
     common: "packages/common",
     policy: "packages/policy",
-    platform: "packages/ports",
+    ports: "packages/ports",
+    platform: "platform",
     node: "packages/node",
     "stand-ins": "stand_ins",
   };
