--- a/packages/node/cell/lease_rules.ts
+++ b/packages/node/cell/lease_rules.ts
@@ -11,7 +11,7 @@
  * of holder costs the cell about a second.
  */
 const HANDOVER_PERIOD_MS = 20_000;
-/** After handing over, the others go first: two pauses of the feed of 50 entries. */
+/** After handing over, the others go first: twice the longest head start of 50 entries, rounded up. */
 export const HANDOVER_REST_MS = 1_000;
 
 /** How much later an entry tries than the largest one, in milliseconds. */
