Pass whole tables on through peers, and let no scrape end the process

Found on reading the change again: - An answer between entries was refused above 2 MB once expanded. A whole table has many answers of the store's 1 MB; an entry cut off from the store could never have read a larger state table. The limit is now the one of all answers over HTTP.

--- a/apps/coltsfootpond_scheduler/main.ts
+++ b/apps/coltsfootpond_scheduler/main.ts
@@ -6,7 +6,7 @@
 import { readFileSync } from "node:fs";
 import process from "node:process";
 import { parseArgs } from "node:util";
-import { SYSTEM_RANDOM, SystemClock } from "@coltsfootpond/common";
+import { parsePort, SYSTEM_RANDOM, SystemClock } from "@coltsfootpond/common";
 import {
   CellEntry,
   type CellLog,
@@ -30,7 +30,6 @@
 const LOG_FLUSH_MS = 500;
 /** The event loop's delay is sampled this often. */
 const LOOP_CHECK_MS = 500;
-const MAXIMUM_PORT = 65_535;
 
 const stream = destination({ fd: 1, sync: false, minLength: LOG_BLOCK_BYTES });
 const lines = pino({ base: null }, stream);
@@ -71,8 +70,8 @@
     });
     const text = values["metrics-port"];
     if (text === undefined) return undefined;
-    const port = Number(text);
-    if (Number.isInteger(port) && port > 0 && port <= MAXIMUM_PORT) return port;
+    const port = parsePort(text);
+    if (port !== undefined) return port;
     log.warn("arguments.invalid", {
       problem: `--metrics-port: ${text} is no port`,
     });
@@ -88,7 +87,7 @@
   address: HostPort,
 ): Promise<void> {
   try {
-    await MetricsServer.create(meters).listen(address);
+    await MetricsServer.create({ meters, log }).listen(address);
   } catch (error) {
     log.warn("metrics.unavailable", { ...address, detail: String(error) });
   }
--- a/packages/common/mod.ts
+++ b/packages/common/mod.ts
@@ -6,6 +6,7 @@
 export * from "./events.ts";
 export * from "./ids.ts";
 export * from "./log.ts";
+export * from "./port.ts";
 export * from "./random.ts";
 export * from "./result_codes.ts";
 export * from "./settings/parse_settings.ts";
--- a/packages/common/settings/parse_settings.ts
+++ b/packages/common/settings/parse_settings.ts
@@ -1,5 +1,6 @@
 /** Reads the settings of one entry's process. */
 import type { EntryName, FailureDomainName, RegionName } from "../ids.ts";
+import { MAXIMUM_PORT } from "../port.ts";
 import { toCamelCase } from "../toml/camel_case.ts";
 import {
   digest,
@@ -14,7 +15,6 @@
 import type { SourceProblem } from "../toml/problem.ts";
 import type { NodeSettings } from "../types.ts";
 
-const MAXIMUM_PORT = 65_535;
 const MINIMUM_SECRET_LENGTH = 16;
 const DEFAULT_STOP_TIMEOUT_MS = 30_000;
 
--- a/packages/node/cell/caller_server.ts
+++ b/packages/node/cell/caller_server.ts
@@ -13,6 +13,7 @@
   CallerFilter,
   CallerRequest,
 } from "./caller_filters.ts";
+import { listenOn } from "./listen.ts";
 import type { CellLog } from "./log.ts";
 import type { CellMeters } from "./meters/cell_meters.ts";
 
@@ -62,8 +63,8 @@
   async listen(): Promise<void> {
     const { address, readiness } = this.#options;
     await Promise.all([
-      listen(this.#callers, address),
-      listen(this.#readiness, readiness),
+      listenOn(this.#callers, address),
+      listenOn(this.#readiness, readiness),
     ]);
   }
 
@@ -172,10 +173,3 @@
   }
   return length <= limitBytes ? Buffer.concat(chunks) : undefined;
 }
-
-function listen(server: Server, { host, port }: HostPort): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(port, host, () => resolve());
-  });
-}
--- a/packages/node/cell/meters/cell_meters.ts
+++ b/packages/node/cell/meters/cell_meters.ts
@@ -1,7 +1,8 @@
 /**
  * What an entry of the cell counts, in Prometheus' terms. Every logged event is counted by name, so
  * that decisions and changes of belief need no second place; the rest is measured where it happens
- * or read when a scrape asks. Label values come from fixed sets only.
+ * or read when a scrape asks. Label values come from
+ * bounded sets only.
  */
 import process from "node:process";
 import type { Clock } from "@coltsfootpond/common";
@@ -16,8 +17,10 @@
   "unit.closing",
   "task.start_refused",
 ]);
-/** Words after which a reason names a worker or an entry. */
-const REASON_NAMES = / (?:by|of) \S+$/;
+/** Distinct reasons that get a series of their own; there are about 30. */
+export const MAXIMUM_REASONS = 64;
+const OTHER_REASONS = "other";
+const MICROSECONDS_PER_SECOND = 1_000_000;
 
 /** Read at each scrape. */
 export interface CellFacts {
@@ -57,6 +60,7 @@
     "How late a regular timer fires.",
     [],
   );
+  readonly #knownReasons = new Set<string>();
   #readFacts: (() => CellFacts) | undefined;
 
   private constructor() {
@@ -117,7 +121,11 @@
     this.#events.inc({ event });
     const reason = fields?.reason;
     if (typeof reason !== "string" || !EVENTS_WITH_REASON.has(event)) return;
-    this.#reasons.inc({ event, reason: reason.replace(REASON_NAMES, "") });
+    if (this.#knownReasons.size < MAXIMUM_REASONS) {
+      this.#knownReasons.add(reason);
+    }
+    const isKnown = this.#knownReasons.has(reason);
+    this.#reasons.inc({ event, reason: isKnown ? reason : OTHER_REASONS });
   }
 
   #registerFacts(): void {
@@ -177,13 +185,14 @@
         this.set(process.memoryUsage.rss());
       },
     });
-    new Gauge({
+    new Counter({
       name: "process_cpu_seconds_total",
       help: "Processor time of the process.",
       registers: [this.#registry],
       collect() {
         const { user, system } = process.cpuUsage();
-        this.set((user + system) / 1e6);
+        this.reset();
+        this.inc((user + system) / MICROSECONDS_PER_SECOND);
       },
     });
   }
--- a/packages/node/cell/meters/metrics_server.ts
+++ b/packages/node/cell/meters/metrics_server.ts
@@ -1,45 +1,53 @@
 /** Serves the meters as Prometheus text, for those who scrape them. */
 import { createServer, type Server } from "node:http";
-import type { AddressInfo } from "node:net";
 import type { HostPort } from "@coltsfootpond/ports";
+import { getBoundPort, listenOn } from "../listen.ts";
+import type { CellLog } from "../log.ts";
 import type { CellMeters } from "./cell_meters.ts";
 
 export const METRICS_PATH = "/metrics";
-const STATUS = { OK: 200, NOT_FOUND: 404 } as const;
+const STATUS = { OK: 200, NOT_FOUND: 404, FAILED: 500 } as const;
 
+export interface MetricsServerOptions {
+  readonly meters: CellMeters;
+  readonly log: CellLog;
+}
+
+/** Answers scrapes until closed; never keeps a process alive by itself. */
 export class MetricsServer {
   readonly #server: Server;
 
-  private constructor(meters: CellMeters) {
+  private constructor({ meters, log }: MetricsServerOptions) {
     this.#server = createServer(async (incoming, response) => {
       incoming.resume();
       if (incoming.url !== METRICS_PATH) {
         response.writeHead(STATUS.NOT_FOUND).end();
         return;
       }
-      const text = await meters.format();
-      response.writeHead(STATUS.OK, { "content-type": meters.contentType });
-      response.end(text);
+      try {
+        const text = await meters.format();
+        response.writeHead(STATUS.OK, { "content-type": meters.contentType });
+        response.end(text);
+      } catch (error) {
+        log.warn("metrics.failed", { error: String(error) });
+        response.writeHead(STATUS.FAILED).end();
+      }
     });
-    // Scrapes must not keep a process alive that has nothing else to do.
     this.#server.unref();
   }
 
-  static create(meters: CellMeters): MetricsServer {
-    return new MetricsServer(meters);
+  static create(options: MetricsServerOptions): MetricsServer {
+    return new MetricsServer(options);
   }
 
   /** Rejects when the address cannot be bound. */
-  listen({ host, port }: HostPort): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, host, () => resolve());
-    });
+  listen(address: HostPort): Promise<void> {
+    return listenOn(this.#server, address);
   }
 
   /** The port that was bound. */
   get port(): number {
-    return (this.#server.address() as AddressInfo).port;
+    return getBoundPort(this.#server);
   }
 
   close(): void {
--- a/packages/node/cell/peer_messages.ts
+++ b/packages/node/cell/peer_messages.ts
@@ -1,14 +1,16 @@
 /** What entries ask of each other: calls of the store on behalf of one that cannot reach it. */
-import type {
-  FollowOutcome,
-  StateReadOutcome,
-  StateRow,
-  StateStore,
-  TransactOutcome,
-  Unavailable,
+import {
+  type FollowOutcome,
+  MAXIMUM_RESPONSE_BYTES,
+  type StateReadOutcome,
+  type StateRow,
+  type StateStore,
+  type TransactOutcome,
+  type Unavailable,
 } from "@coltsfootpond/ports";
 import { pack, unpack } from "msgpackr";
-import { constants, gunzipSync, gzipSync } from "node:zlib";
+import { promisify } from "node:util";
+import { constants, gunzip, gzip } from "node:zlib";
 
 export type StoreCall =
   | {
@@ -45,29 +47,35 @@
   | OperatorRowsCall
   | OperatorRowsAnswer;
 
-/** A decoded message is refused above this: twice what one answer of the store holds. */
-const MAXIMUM_MESSAGE_BYTES = 2 * 1_048_576;
 /** Smaller messages are not worth the processor time of compressing them. */
 const LEAST_COMPRESSED_BYTES = 4_096;
 /** First bytes of a gzip stream (RFC 1952); no message in msgpack begins with them. */
 const GZIP_MAGIC = [0x1f, 0x8b] as const;
 
-/** msgpack, compressed when large: a large declared state shrinks to a tenth or less. */
-export function encodeMessage(message: PeerMessage): Uint8Array {
+const compress = promisify<Uint8Array, { level: number }, Uint8Array>(gzip);
+const expand = promisify<
+  Uint8Array,
+  { maxOutputLength: number },
+  Uint8Array
+>(gunzip);
+
+/** msgpack, compressed when large, beside the event loop: declarations repeat themselves. */
+export async function encodeMessage(message: PeerMessage): Promise<Uint8Array> {
   const bytes = pack(message);
   return bytes.byteLength < LEAST_COMPRESSED_BYTES
     ? bytes
-    : gzipSync(bytes, { level: constants.Z_BEST_SPEED });
+    : await compress(bytes, { level: constants.Z_BEST_SPEED });
 }
 
-/** Throws on bytes that are no message. */
-export function decodeMessage<Message>(bytes: Uint8Array): Message {
+/** Rejects bytes that are no message. */
+export async function decodeMessage<Message>(
+  bytes: Uint8Array,
+): Promise<Message> {
   const isCompressed = GZIP_MAGIC.every((byte, index) => bytes[index] === byte);
-  return unpack(
-    isCompressed
-      ? gunzipSync(bytes, { maxOutputLength: MAXIMUM_MESSAGE_BYTES })
-      : bytes,
-  ) as Message;
+  const expanded = isCompressed
+    ? await expand(bytes, { maxOutputLength: MAXIMUM_RESPONSE_BYTES })
+    : bytes;
+  return unpack(expanded) as Message;
 }
 
 /** Carries a call out at a store. */
--- a/packages/node/cell/peer_server.ts
+++ b/packages/node/cell/peer_server.ts
@@ -1,20 +1,27 @@
 /** Serves the entries' own interface: calls of the store for peers that cannot reach it. */
 import { Buffer } from "node:buffer";
 import { createServer, type Server } from "node:http";
-import type { AddressInfo } from "node:net";
 import type { HostPort, StateRow, StateStore } from "@coltsfootpond/ports";
+import { getBoundPort, listenOn } from "./listen.ts";
 import type { CellLog } from "./log.ts";
 import {
   decodeMessage,
   encodeMessage,
   OPERATOR_ROWS_PATH,
+  type OperatorRowsAnswer,
   type OperatorRowsCall,
   runStoreCall,
   STORE_CALL_PATH,
   type StoreCall,
 } from "./peer_messages.ts";
 
-const STATUS = { OK: 200, MALFORMED: 400, NOT_FOUND: 404, TOO_LARGE: 413 };
+const STATUS = {
+  OK: 200,
+  MALFORMED: 400,
+  NOT_FOUND: 404,
+  TOO_LARGE: 413,
+  FAILED: 500,
+};
 /** A transaction of the store holds at most this much (the users' protocol), in msgpack less. */
 const MAXIMUM_BODY_BYTES = 1_048_576;
 
@@ -27,7 +34,7 @@
   readonly log: CellLog;
 }
 
-/** The server. */
+/** Answers peers until closed. */
 export class PeerServer {
   readonly #options: PeerServerOptions;
   readonly #server: Server;
@@ -61,16 +68,12 @@
   }
 
   listen(): Promise<void> {
-    const { host, port } = this.#options.address;
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, host, () => resolve());
-    });
+    return listenOn(this.#server, this.#options.address);
   }
 
   /** The port that was bound. */
   get port(): number {
-    return (this.#server.address() as AddressInfo).port;
+    return getBoundPort(this.#server);
   }
 
   close(): void {
@@ -82,24 +85,29 @@
     path: string,
     body: Uint8Array,
   ): Promise<{ readonly status: number; readonly body?: Uint8Array }> {
+    if (path !== STORE_CALL_PATH && path !== OPERATOR_ROWS_PATH) {
+      return { status: STATUS.NOT_FOUND };
+    }
+    let message: StoreCall | OperatorRowsCall;
     try {
-      switch (path) {
-        case STORE_CALL_PATH: {
-          const call = decodeMessage<StoreCall>(body);
-          const outcome = await runStoreCall(this.#options.store, call);
-          return { status: STATUS.OK, body: encodeMessage(outcome) };
-        }
-        case OPERATOR_ROWS_PATH: {
-          const { afterVersion } = decodeMessage<OperatorRowsCall>(body);
-          const rows = this.#options.listOperatorRows(afterVersion);
-          return { status: STATUS.OK, body: encodeMessage({ rows }) };
-        }
-        default:
-          return { status: STATUS.NOT_FOUND };
-      }
+      message = await decodeMessage(body);
     } catch (error) {
       this.#options.log.warn("peer.malformed", { error: String(error) });
       return { status: STATUS.MALFORMED };
     }
+    try {
+      const answer = path === STORE_CALL_PATH
+        ? await runStoreCall(this.#options.store, message as StoreCall)
+        : this.#listRows(message as OperatorRowsCall);
+      return { status: STATUS.OK, body: await encodeMessage(answer) };
+    } catch (error) {
+      // The peer takes its call for lost, as it may have taken effect.
+      this.#options.log.warn("peer.call_failed", { error: String(error) });
+      return { status: STATUS.FAILED };
+    }
+  }
+
+  #listRows({ afterVersion }: OperatorRowsCall): OperatorRowsAnswer {
+    return { rows: this.#options.listOperatorRows(afterVersion) };
   }
 }
--- a/packages/node/cell/peers.ts
+++ b/packages/node/cell/peers.ts
@@ -4,6 +4,7 @@
   type HostPort,
   HttpClient,
   type HttpOutcome,
+  SLOW_ANSWER_MS,
   type Unavailable,
 } from "@coltsfootpond/ports";
 import {
@@ -15,8 +16,7 @@
 
 /** How long a peer is left alone after it did not answer, or could not reach the store either. */
 const PEER_PAUSE_MS = 1_500;
-/** How much longer than its time-out a peer's answer may take whose bytes keep coming. */
-const SLOW_ANSWER_MS = 2_000;
+/** Two long polls and some calls side by side. */
 const PEER_CONNECTIONS = 6;
 const STATUS_OK = 200;
 
@@ -27,6 +27,7 @@
   readonly random: Random;
 }
 
+/** The other entries: whom to ask, and who failed of late. */
 export class Peers {
   readonly #options: PeersOptions;
   readonly #clients = new Map<string, HttpClient>();
@@ -71,11 +72,11 @@
     const outcome = await this.#getClient(name, peer).exchange({
       method: "POST",
       path,
-      body: encodeMessage(message),
+      body: await encodeMessage(message),
       timeoutMs,
       longestMs: timeoutMs + SLOW_ANSWER_MS,
     });
-    const answer = decodeAnswer<Answer>(outcome);
+    const answer = await decodeAnswer<Answer>(outcome);
     if ("kind" in answer && answer.kind === "unavailable") {
       const untilMs = this.#options.clock.nowMs() + PEER_PAUSE_MS;
       this.#pausedUntilMs.set(name, untilMs);
@@ -98,11 +99,13 @@
   return `${host}:${port}`;
 }
 
-function decodeAnswer<Answer>(outcome: HttpOutcome): Answer | Unavailable {
+async function decodeAnswer<Answer>(
+  outcome: HttpOutcome,
+): Promise<Answer | Unavailable> {
   if (outcome.kind === "unavailable") return outcome;
   if (outcome.status !== STATUS_OK) return lost(`status ${outcome.status}`);
   try {
-    return decodeMessage<Answer>(outcome.body);
+    return await decodeMessage<Answer>(outcome.body);
   } catch (error) {
     return lost(`malformed answer: ${String(error)}`);
   }
