Split the scheduler and the worker's session, and use what stands elsewhere

In the replay a failure was recorded under the time of the last round instead of its run's number; two in one round counted as one.

A worker of another life is logged as unreachable like one that does not answer.

--- a/packages/common/random.ts
+++ b/packages/common/random.ts
@@ -55,3 +55,8 @@
 export function nextInteger(random: Random, bound: number): number {
   return Math.floor(random.next() * bound);
 }
+
+/** Exponentially distributed with the given mean, as gaps between arrivals are. */
+export function drawExponential(random: Random, mean: number): number {
+  return -mean * Math.log(1 - random.next());
+}
--- /dev/null
+++ b/packages/node/cell/begun_row.ts
@@ -0,0 +1,34 @@
+/** Tells all entries which jobs have begun: they count the others as waiting. */
+import type { CellJobId } from "@coltsfootpond/policy";
+import type { StateStore } from "@coltsfootpond/ports";
+import type { CellLog } from "./log.ts";
+import { BEGUN_KEY, encodeRow } from "./rows.ts";
+import { putRow } from "./worker_fleet.ts";
+
+export interface BegunRowOptions {
+  readonly store: StateStore;
+  readonly log: CellLog;
+}
+
+/** Written by the holder when it has changed. */
+export class BegunRow {
+  readonly #options: BegunRowOptions;
+  #written = "";
+
+  private constructor(options: BegunRowOptions) {
+    this.#options = options;
+  }
+
+  static create(options: BegunRowOptions): BegunRow {
+    return new BegunRow(options);
+  }
+
+  /** A failed write is tried again with the next call. */
+  async write(jobIds: readonly CellJobId[]): Promise<void> {
+    const text = jobIds.join();
+    if (text === this.#written) return;
+    if (await putRow(this.#options, BEGUN_KEY, encodeRow({ jobIds }))) {
+      this.#written = text;
+    }
+  }
+}
--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -4,39 +4,30 @@
  * holder begins with an empty one and learns what runs from the workers themselves.
  */
 import type { Clock } from "@coltsfootpond/common";
-import { planRound, RUN_END } from "@coltsfootpond/policy";
+import { planRound } from "@coltsfootpond/policy";
 import type {
   CellSettings,
-  EndedTask,
   RecordWire,
-  RunningTask,
-  StartRefusal,
   StateRow,
   StateStore,
   WorkerOrders,
 } from "@coltsfootpond/ports";
 import type { Subscription } from "rxjs";
 import type { DeclaredStateTask } from "./declared_state.ts";
+import { BegunRow } from "./begun_row.ts";
 import { EndedRows } from "./ended_rows.ts";
 import { JobBook } from "./job_book.ts";
-import {
-  describeUnit,
-  formatUnitKey,
-  mayRunUnseen,
-  type Unit,
-} from "./live_job.ts";
+import { describeUnit, mayRunUnseen, type Unit } from "./live_job.ts";
 import type { CellLog } from "./log.ts";
-import type { Member, SessionListener } from "./member.ts";
 import { createPlanInput } from "./plan_input.ts";
 import { ProgressWriter } from "./progress_writer.ts";
-import { BEGUN_KEY, encodeRow } from "./rows.ts";
 import { RunBook } from "./run_book.ts";
 import { isIncomplete, isStalled } from "./run_checks.ts";
 import type { TableFollower } from "./table_follower.ts";
 import { DIRECTORY_PERIOD_MS } from "./worker_directory.ts";
-import { putRow, WorkerFleet } from "./worker_fleet.ts";
-import { QUARANTINE_MS, WorkerJudge } from "./worker_judge.ts";
-import type { WorkerSession } from "./worker_session.ts";
+import { WorkerFleet } from "./worker_fleet.ts";
+import { SessionEvents } from "./session_events.ts";
+import { QUARANTINE_MS } from "./worker_judge.ts";
 
 /** Changes that come within it share a round. */
 const ROUND_PAUSE_MS = 4;
@@ -48,8 +39,6 @@
 const BEGUN_PERIOD_MS = 500;
 /** One of 16 groups of jobs is looked through at a time. */
 const COLLECT_PERIOD_MS = 1_000;
-/** A worker that refused a start is left alone this long. */
-const REFUSED_PAUSE_MS = 400;
 
 export interface CellSchedulerOptions {
   readonly epoch: number;
@@ -69,25 +58,23 @@
 }
 
 /** Schedules all jobs of the cell while its lease is held. */
-export class CellScheduler implements SessionListener {
+export class CellScheduler {
   readonly #options: CellSchedulerOptions;
   readonly #jobs: JobBook;
   readonly #runs: RunBook;
   readonly #fleet: WorkerFleet;
-  readonly #judge: WorkerJudge;
   readonly #writer: ProgressWriter;
   readonly #endedRows: EndedRows;
+  readonly #begunRow: BegunRow;
   readonly #timers: { cancel(): void }[] = [];
   #subscription: Subscription | undefined;
   #isReady = false;
   #isStopped = false;
   #isRoundDue = false;
-  #begunWritten = "";
 
   private constructor(options: CellSchedulerOptions) {
     this.#options = options;
     const { settings, declared } = options;
-    this.#judge = WorkerJudge.create(options);
     this.#writer = ProgressWriter.create({
       ...options,
       snapshotEnds: () => this.#fleet.snapshotEnds(),
@@ -95,18 +82,11 @@
       onPlaced: (unit) => this.#runs.sendStarts(unit),
       onOvertaken: () => options.onOvertaken("progress of a later holder"),
     });
+    this.#begunRow = BegunRow.create(options);
     this.#endedRows = EndedRows.create({
       ...options,
       keepMs: settings.bounds.endedStateMs,
     });
-    this.#fleet = WorkerFleet.create({
-      ...options,
-      bounds: settings.bounds,
-      heartbeatMs: settings.workerHeartbeatMs,
-      isOut: (failureDomain) => declared.isOut(failureDomain),
-      listener: this,
-      onChanged: () => this.#requestRound(),
-    });
     this.#runs = RunBook.create({
       ...options,
       getSession: (worker) => this.#fleet.get(worker),
@@ -118,6 +98,22 @@
       writer: this.#writer,
       closeRun: (unit, reason) => this.#runs.close(unit, reason),
     });
+    const events = SessionEvents.create({
+      ...options,
+      jobs: this.#jobs,
+      runs: this.#runs,
+      writer: this.#writer,
+      isReady: () => this.#isReady,
+      requestRound: () => this.#requestRound(),
+    });
+    this.#fleet = WorkerFleet.create({
+      ...options,
+      bounds: settings.bounds,
+      heartbeatMs: settings.workerHeartbeatMs,
+      isOut: (failureDomain) => declared.isOut(failureDomain),
+      listener: events,
+      onChanged: () => this.#requestRound(),
+    });
   }
 
   static create(options: CellSchedulerOptions): CellScheduler {
@@ -218,7 +214,7 @@
     const strayUnits = this.#runs.listStrayUnits();
     const input = createPlanInput({
       jobs: this.#jobs.jobs.filter((job) => job.ending === undefined),
-      workers: this.#fleet.createViews(nowMs),
+      workers: this.#fleet.createViews(),
       guarantees: declared.current?.guarantees ?? [],
       nowMs,
       nowUnixMs: nowUnixMs(),
@@ -238,100 +234,10 @@
     }
   }
 
-  onRefused(
-    session: WorkerSession,
-    member: Member,
-    reason: StartRefusal | "wrong_life",
-  ): void {
-    this.#logTask("task.start_refused", session, member, { reason });
-    this.#pause(session, REFUSED_PAUSE_MS);
-    void session.quickPoll();
-    const unit = this.#runs.drop(member);
-    if (unit !== undefined) this.#runs.close(unit, `start refused: ${reason}`);
-  }
-
-  onUnsure(session: WorkerSession, member: Member): void {
-    this.#logTask("task.start_unanswered", session, member);
-    this.#pause(session, REFUSED_PAUSE_MS);
-    const unit = this.#runs.getUnit(member);
-    if (unit !== undefined) this.#runs.close(unit, "start unanswered");
-    else void session.stopMember(member);
-  }
-
-  onGone(session: WorkerSession, member: Member, reason: string): void {
-    this.#logTask("task.gone", session, member, { reason });
-    const unit = this.#runs.drop(member);
-    if (unit === undefined) return;
-    unit.job.progress.recordCheckpoint(unit.address, member.checkpoint);
-    this.#runs.close(unit, reason);
-  }
-
-  onEnded(session: WorkerSession, ended: EndedTask, member?: Member): void {
-    const { task, run, end } = ended;
-    this.#options.log.info("task.ended", {
-      task,
-      run,
-      worker: session.worker,
-      end,
-    });
-    if (member !== undefined) this.#runs.drop(member);
-    const place = this.#jobs.locate(task);
-    if (place !== undefined) {
-      const unit = place.job.units.get(formatUnitKey(place.address));
-      if (end === RUN_END.FAILED) unit?.failedOn.add(session.worker);
-      this.#judge.noteEnd(session, place.job.jobId, end);
-      this.#jobs.takeEnd(place, ended);
-      if (member !== undefined) this.#continueEnd(unit, ended);
-    }
-    this.#writer.markEnds();
-    this.#requestRound();
-  }
-
-  onStray(session: WorkerSession, running: RunningTask): void {
-    const member = this.#runs.addStray(session, running);
-    // Until all have reported, an end that makes the task's step due may still be missing.
-    if (this.#isReady) this.#runs.settleStray(member);
-  }
-
-  onReport(): void {
-    this.#requestRound();
-  }
-
-  onFenced(session: WorkerSession): void {
-    this.#options.onOvertaken(`orders fenced by ${session.worker}`);
-  }
-
-  /** The other members of a gang that is done are left to list their own ends. */
-  #continueEnd(unit: Unit | undefined, { run, end }: EndedTask): void {
-    if (unit?.run === undefined || unit.run.run !== run) return;
-    if (end !== RUN_END.DONE || unit.run.members.size === 0) {
-      this.#runs.close(unit, `a member ended ${end}`);
-    }
-  }
-
-  #logTask(
-    event: "task.start_refused" | "task.start_unanswered" | "task.gone",
-    session: WorkerSession,
-    { task, run }: Member,
-    fields: { readonly reason?: string } = {},
-  ): void {
-    const { worker } = session;
-    this.#options.log.warn(event, { task, run, worker, ...fields });
-  }
-
-  #pause(session: WorkerSession, durationMs: number): void {
-    session.pausedUntilMs = this.#options.clock.nowMs() + durationMs;
-  }
-
   async #writeBegun(): Promise<void> {
     if (!this.#options.canAct()) return;
-    const jobIds = this.#jobs.jobs.filter(({ hasBegun }) => hasBegun)
-      .map(({ jobId }) => jobId);
-    const text = jobIds.join();
-    if (text === this.#begunWritten) return;
-    if (await putRow(this.#options, BEGUN_KEY, encodeRow({ jobIds }))) {
-      this.#begunWritten = text;
-    }
+    const begun = this.#jobs.jobs.filter(({ hasBegun }) => hasBegun);
+    await this.#begunRow.write(begun.map(({ jobId }) => jobId));
   }
 
   async #collectEnded(): Promise<void> {
@@ -355,7 +261,7 @@
   #checkRun(unit: Unit): void {
     if (!isStalled(unit)) return;
     const sessions = [...unit.run?.members.values() ?? []];
-    sessions.forEach((session) => this.#pause(session, QUARANTINE_MS));
+    sessions.forEach((session) => session.pause(QUARANTINE_MS));
     this.#runs.close(unit, "no progress");
   }
 
--- a/packages/node/cell/direct_path.ts
+++ b/packages/node/cell/direct_path.ts
@@ -3,11 +3,10 @@
  * long polls that wait on it meanwhile end at once.
  */
 import type { Clock } from "@coltsfootpond/common";
-import { STATE_TABLE, type StateStore } from "@coltsfootpond/ports";
+import { lost, STATE_TABLE, type StateStore } from "@coltsfootpond/ports";
 import { Subject } from "rxjs";
 import type { CellLog } from "./log.ts";
 import {
-  lost,
   runStoreCall,
   type StoreCall,
   type StoreOutcome,
--- a/packages/node/cell/lease_task.ts
+++ b/packages/node/cell/lease_task.ts
@@ -50,15 +50,16 @@
   readonly log: CellLog;
 }
 
-interface Held {
-  readonly epoch: number;
+/** What changes in the row with each write. */
+type LeaseBeat = Pick<LeaseRow, "epoch" | "beat" | "handedOverUnixMs">;
+
+interface Held extends LeaseBeat {
   version: number;
   beat: number;
   /** When the last successful renewal was sent, on both clocks. */
   renewedMs: number;
   renewedUnixMs: number;
   readonly acquiredMs: number;
-  /** When this or an earlier holder last handed the lease over to a larger entry. */
   handedOverUnixMs: number;
 }
 
@@ -289,21 +290,11 @@
   }
 
   #encode(
-    { epoch, beat, handedOverUnixMs }: Pick<
-      Held,
-      "epoch" | "beat" | "handedOverUnixMs"
-    >,
+    { epoch, beat, handedOverUnixMs }: LeaseBeat,
     isReleased: boolean,
   ): Uint8Array {
-    const { entry, incarnation } = this.#options;
-    const row: LeaseRow = {
-      holder: entry,
-      incarnation,
-      epoch,
-      beat,
-      isReleased,
-      handedOverUnixMs,
-    };
-    return encodeRow(row);
+    const { entry: holder, incarnation } = this.#options;
+    const own = { holder, incarnation, isReleased };
+    return encodeRow({ ...own, epoch, beat, handedOverUnixMs });
   }
 }
--- a/packages/node/cell/peer_messages.ts
+++ b/packages/node/cell/peer_messages.ts
@@ -6,7 +6,6 @@
   type StateRow,
   type StateStore,
   type TransactOutcome,
-  type Unavailable,
 } from "@coltsfootpond/ports";
 import { pack, unpack } from "msgpackr";
 import { promisify } from "node:util";
@@ -92,13 +91,3 @@
       return store.follow(...call.arguments);
   }
 }
-
-/** Certainly without effect. */
-export function refused(reason: string): Unavailable {
-  return { kind: "unavailable", effect: "refused", reason };
-}
-
-/** May have taken effect, or still may. */
-export function lost(reason: string): Unavailable {
-  return { kind: "unavailable", effect: "lost", reason };
-}
--- a/packages/node/cell/peers.ts
+++ b/packages/node/cell/peers.ts
@@ -4,13 +4,13 @@
   type HostPort,
   HttpClient,
   type HttpOutcome,
+  lost,
   SLOW_ANSWER_MS,
   type Unavailable,
 } from "@coltsfootpond/ports";
 import {
   decodeMessage,
   encodeMessage,
-  lost,
   type PeerMessage,
 } from "./peer_messages.ts";
 
--- a/packages/node/cell/plan_input.ts
+++ b/packages/node/cell/plan_input.ts
@@ -10,6 +10,7 @@
   type QueueName,
   rankJob,
   type RunningUnit,
+  type StepSpec,
   TIER,
   type WaitingUnit,
   type WorkerView,
@@ -24,7 +25,7 @@
 /** About how long stopped work waits for another place. */
 const RESTART_WAIT_MS = 2_000;
 /** Worth of a core-second thrown away, and cores that an accelerator counts for (the users' prices). */
-const WASTE_PRICE = 0.0014;
+export const WASTE_PRICE = 0.0014;
 const CORES_PER_ACCELERATOR = 8;
 const MILLI = 1_000;
 /** Work that a guarantee covers waits this long for a place within one rack. */
@@ -103,9 +104,7 @@
   const lostMs = step.savesProgress
     ? Math.min(elapsedMs, SAVED_LOSS_MS)
     : elapsedMs;
-  const cores = step.need.cpuMilli / MILLI +
-    step.need.accelerators * CORES_PER_ACCELERATOR;
-  const waste = cores * unit.count * lostMs / MILLI * WASTE_PRICE;
+  const waste = measureCoreSeconds(step, lostMs) * unit.count * WASTE_PRICE;
   return {
     unit,
     step,
@@ -117,6 +116,13 @@
   };
 }
 
+/** Core-seconds of one task of the step, accelerators counted as cores. */
+export function measureCoreSeconds(step: StepSpec, durationMs: number): number {
+  const cores = step.need.cpuMilli / MILLI +
+    step.need.accelerators * CORES_PER_ACCELERATOR;
+  return cores * durationMs / MILLI;
+}
+
 /** The most accelerators that a job's tasks hold at a time. */
 function countAccelerators(job: LiveJob): number {
   return Math.max(
--- /dev/null
+++ b/packages/node/cell/reachability.ts
@@ -0,0 +1,47 @@
+/** Whether a worker answers, as far as its last calls tell. */
+import type { WorkerName } from "@coltsfootpond/common";
+import type { CellLog } from "./log.ts";
+
+/** One unanswered call happens to sound workers, too. */
+const FAILURES_TO_UNREACHABLE = 2;
+
+export interface ReachabilityOptions {
+  readonly worker: WorkerName;
+  readonly log: CellLog;
+}
+
+/** Counts unanswered calls in a row and logs the changes. */
+export class Reachability {
+  readonly #options: ReachabilityOptions;
+  #failures = 0;
+
+  private constructor(options: ReachabilityOptions) {
+    this.#options = options;
+  }
+
+  static create(options: ReachabilityOptions): Reachability {
+    return new Reachability(options);
+  }
+
+  get isReachable(): boolean {
+    return this.#failures < FAILURES_TO_UNREACHABLE;
+  }
+
+  /** Whether the last call was answered. */
+  get isAnswering(): boolean {
+    return this.#failures === 0;
+  }
+
+  noteAnswer(): void {
+    const { worker, log } = this.#options;
+    if (!this.isReachable) log.info("worker.reachable", { worker });
+    this.#failures = 0;
+  }
+
+  noteFailure(reason: string, members: number): void {
+    const { worker, log } = this.#options;
+    this.#failures++;
+    if (this.#failures !== FAILURES_TO_UNREACHABLE) return;
+    log.warn("worker.unreachable", { worker, reason, members });
+  }
+}
--- a/packages/node/cell/store_relay.ts
+++ b/packages/node/cell/store_relay.ts
@@ -5,13 +5,14 @@
  * is down only a probe uses it, so that no call spends its time on a silent connection.
  */
 import type { Clock, Random } from "@coltsfootpond/common";
-import type {
-  FollowOutcome,
-  HostPort,
-  StateReadOutcome,
-  StateStore,
-  TransactOutcome,
-  Unavailable,
+import {
+  type FollowOutcome,
+  type HostPort,
+  refused,
+  type StateReadOutcome,
+  type StateStore,
+  type TransactOutcome,
+  type Unavailable,
 } from "@coltsfootpond/ports";
 import type { Observable } from "rxjs";
 import { STORE_TIMEOUT_MS } from "./constants.ts";
@@ -20,7 +21,6 @@
 import {
   OPERATOR_ROWS_PATH,
   type OperatorRowsAnswer,
-  refused,
   STORE_CALL_PATH,
   type StoreCall,
   type StoreOutcome,
--- a/packages/node/cell/worker_fleet.ts
+++ b/packages/node/cell/worker_fleet.ts
@@ -7,7 +7,7 @@
   FailureDomainName,
   WorkerName,
 } from "@coltsfootpond/common";
-import { add, subtract, type WorkerView } from "@coltsfootpond/policy";
+import type { WorkerView } from "@coltsfootpond/policy";
 import type {
   CellBounds,
   RecordWire,
@@ -21,6 +21,7 @@
 import type { TableFollower } from "./table_follower.ts";
 import { WorkerDirectory } from "./worker_directory.ts";
 import type { SessionListener } from "./member.ts";
+import { measureRoom } from "./worker_room.ts";
 import { WorkerSession } from "./worker_session.ts";
 
 /** How long a new holder waits for the workers' first reports before it starts work. */
@@ -85,10 +86,10 @@
   }
 
   /** The workers that may take new tasks now. */
-  createViews(nowMs: number): readonly WorkerView[] {
+  createViews(): readonly WorkerView[] {
     return [...this.#sessions.values()].flatMap((session) => {
       const { record } = session;
-      if (record === undefined || !this.#isUsable(session, record, nowMs)) {
+      if (record === undefined || !this.#isUsable(session, record)) {
         return [];
       }
       return [createView(session, record)];
@@ -98,10 +99,9 @@
   #isUsable(
     session: WorkerSession,
     record: WorkerRecord,
-    nowMs: number,
   ): boolean {
     return !record.isDraining && session.isReachable && session.isRostered &&
-      session.pausedUntilMs <= nowMs &&
+      !session.isPaused &&
       !this.#options.isOut(record.failureDomain);
   }
 
@@ -257,17 +257,6 @@
   session: WorkerSession,
   record: WorkerRecord,
 ): WorkerView {
-  let free = record.capacity;
-  let releasing = { cpuMilli: 0, memoryMib: 0, accelerators: 0 };
-  const tasksByStep = new Map<string, number>();
-  for (const member of session.members) {
-    free = subtract(free, member.need);
-    if (member.isStopping) {
-      releasing = add(releasing, member.need);
-    }
-    const tasks = tasksByStep.get(member.stepKey) ?? 0;
-    tasksByStep.set(member.stepKey, tasks + 1);
-  }
   return {
     worker: record.worker,
     service: record.service,
@@ -275,9 +264,7 @@
     rack: record.rack,
     labels: new Set(record.labels),
     capacity: record.capacity,
-    free,
-    releasing,
+    ...measureRoom(record.capacity, session.members),
     slowness: record.warmUpLeftMs > 0 ? COLD_SLOWNESS : 1,
-    tasksByStep,
   };
 }
--- a/packages/node/cell/worker_judge.ts
+++ b/packages/node/cell/worker_judge.ts
@@ -1,5 +1,5 @@
 /** Judges workers by the ends of what they ran, whatever they say of themselves. */
-import type { Clock, WorkerName } from "@coltsfootpond/common";
+import type { WorkerName } from "@coltsfootpond/common";
 import { type CellJobId, RUN_END, type RunEnd } from "@coltsfootpond/policy";
 import type { CellLog } from "./log.ts";
 import type { WorkerSession } from "./worker_session.ts";
@@ -9,7 +9,6 @@
 export const QUARANTINE_MS = 4_000;
 
 export interface WorkerJudgeOptions {
-  readonly clock: Clock;
   readonly log: CellLog;
 }
 
@@ -35,9 +34,8 @@
     jobs.add(jobId);
     this.#failedJobs.set(worker, jobs);
     if (jobs.size < FAILURES_TO_QUARANTINE) return;
-    const { clock, log } = this.#options;
-    session.pausedUntilMs = clock.nowMs() + QUARANTINE_MS;
+    session.pause(QUARANTINE_MS);
     this.#failedJobs.delete(worker);
-    log.warn("worker.quarantined", { worker });
+    this.#options.log.warn("worker.quarantined", { worker });
   }
 }
--- /dev/null
+++ b/packages/node/cell/worker_room.ts
@@ -0,0 +1,28 @@
+/** What the tasks that a worker is known to hold leave of it. */
+import {
+  add,
+  type CellResources,
+  subtract,
+  type WorkerView,
+} from "@coltsfootpond/policy";
+import type { Member } from "./member.ts";
+
+const NOTHING: CellResources = { cpuMilli: 0, memoryMib: 0, accelerators: 0 };
+
+export type WorkerRoom = Pick<WorkerView, "free" | "releasing" | "tasksByStep">;
+
+/** Tasks that are being stopped still count; their room is `releasing` besides. */
+export function measureRoom(
+  capacity: CellResources,
+  members: Iterable<Member>,
+): WorkerRoom {
+  let free = capacity;
+  let releasing = NOTHING;
+  const tasksByStep = new Map<string, number>();
+  for (const { need, stepKey, isStopping } of members) {
+    free = subtract(free, need);
+    if (isStopping) releasing = add(releasing, need);
+    tasksByStep.set(stepKey, (tasksByStep.get(stepKey) ?? 0) + 1);
+  }
+  return { free, releasing, tasksByStep };
+}
--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -17,24 +17,15 @@
 import type { CellLog } from "./log.ts";
 import type { Member, SessionListener } from "./member.ts";
 import { MemberBook, type Report } from "./member_book.ts";
+import { Reachability } from "./reachability.ts";
+import { StoredEnds } from "./stored_ends.ts";
+import { ORDER_TIMEOUT_MS, RETRY_PAUSE_MS, TaskOrders } from "./task_orders.ts";
 import { WorkerLeases } from "./worker_leases.ts";
 
 /** Longest wait of one long poll; below the lease of a start, which the next poll extends. */
 const POLL_WAIT_MS = 1_000;
-/** Beyond the wait of a long poll: many round trips to a worker. */
-const ORDER_TIMEOUT_MS = 500;
-/** A start that is not answered by then is looked for, then stopped: many round trips. */
-const START_TIMEOUT_MS = 250;
-/** Lease of a start until the next renewal; short, so that an unanswered start is soon void. */
-const START_LEASE_MS = 2_500;
-/** Between tries at a worker that did not answer. */
-const RETRY_PAUSE_MS = 120;
-/** A worker answers at once while it lists ends that are not acknowledged: wait for the store. */
-const STORED_WAIT_MS = 400;
 /** Acknowledgements alone may wait this long for a renewal that carries them. */
 const ACKNOWLEDGE_PAUSE_MS = 800;
-/** One unanswered call happens to sound workers, too. */
-const FAILURES_TO_UNREACHABLE = 2;
 
 export interface WorkerSessionOptions {
   readonly target: WorkerTarget;
@@ -54,15 +45,13 @@
   record: WorkerRecord | undefined;
   /** Listed before the first start there, so that a new holder asks it. */
   isRostered = false;
-  /** Not used for new work until then. */
-  pausedUntilMs = 0;
   readonly #options: WorkerSessionOptions;
   readonly #leases: WorkerLeases;
   readonly #book: MemberBook;
-  #persistedEnd = 0;
-  #acknowledgedEnd = 0;
-  #failures = 0;
-  #onStored: (() => void) | undefined;
+  readonly #ends: StoredEnds;
+  readonly #reachability: Reachability;
+  readonly #tasks: TaskOrders;
+  #pausedUntilMs = 0;
   #isPolling = false;
   #isQuickPolling = false;
   #isStopped = false;
@@ -80,6 +69,23 @@
       onGone: (member, reason) => listener.onGone(this, member, reason),
       onStray: (running) => listener.onStray(this, running),
     });
+    this.#ends = StoredEnds.create(options.clock);
+    this.#reachability = Reachability.create({
+      worker: options.target.worker,
+      log: options.log,
+    });
+    this.#tasks = TaskOrders.create({
+      ...options,
+      book: this.#book,
+      leases: this.#leases,
+      isStopped: () => this.#isStopped,
+      takeStamp: (stamp) => this.#takeStamp(stamp),
+      askReport: () => this.quickPoll(),
+      onSent: () => this.wake(),
+      onRefused: (member, reason) => listener.onRefused(this, member, reason),
+      onUnsure: (member) => listener.onUnsure(this, member),
+      onFenced: () => listener.onFenced(this),
+    });
   }
 
   static create(options: WorkerSessionOptions): WorkerSession {
@@ -96,7 +102,7 @@
   }
 
   get isReachable(): boolean {
-    return this.hasReported && this.#failures < FAILURES_TO_UNREACHABLE;
+    return this.hasReported && this.#reachability.isReachable;
   }
 
   /** Ends up to this number have been taken in by the scheduler. */
@@ -115,8 +121,7 @@
   /** Ends up to `number` are stored; the worker may forget them. */
   setPersisted(number: number, lifeUnixMs: number): void {
     if (lifeUnixMs !== this.lifeUnixMs) return;
-    this.#persistedEnd = Math.max(this.#persistedEnd, number);
-    this.#onStored?.();
+    this.#ends.setStored(number);
     this.wake();
   }
 
@@ -124,6 +129,15 @@
     return this.#leases.lifeUnixMs;
   }
 
+  /** Gives it no new work for a while. */
+  pause(durationMs: number): void {
+    this.#pausedUntilMs = this.#options.clock.nowMs() + durationMs;
+  }
+
+  get isPaused(): boolean {
+    return this.#options.clock.nowMs() < this.#pausedUntilMs;
+  }
+
   stop(): void {
     this.#isStopped = true;
   }
@@ -161,71 +175,13 @@
   }
 
   /** Orders a reserved task to start; the outcome comes through the listener. */
-  async start(member: Member, payload: string): Promise<void> {
-    const { orders, epoch, listener } = this.#options;
-    const leaseUntilMs = this.#leases.grant(
-      Math.min(START_LEASE_MS, this.#options.bounds.leaseMaximumMs),
-    );
-    const outcome = await orders.start(this.target, {
-      task: member.task,
-      run: member.run,
-      payload,
-      leaseUntilMs,
-      epoch,
-      checkpoint: member.checkpoint,
-    }, START_TIMEOUT_MS);
-    if (this.#isStopped) return;
-    this.wake();
-    switch (outcome.kind) {
-      case "started":
-        this.#takeStamp(outcome.stamp);
-        if (!this.#book.has(member)) return;
-        member.startedClockMs = outcome.stamp.workerClockMs;
-        return;
-      case "refused":
-        if (outcome.stamp !== undefined) this.#takeStamp(outcome.stamp);
-        if (!this.#book.remove(member)) return;
-        if (outcome.reason === "fenced") listener.onFenced(this);
-        return listener.onRefused(this, member, outcome.reason);
-      case "wrong_life":
-        if (!this.#book.remove(member)) return;
-        return listener.onRefused(this, member, "wrong_life");
-      case "unavailable":
-        return await this.#settleStart(member);
-    }
+  start(member: Member, payload: string): Promise<void> {
+    return this.#tasks.start(member, payload);
   }
 
   /** Orders a run to stop, again until it is gone. */
-  async stopMember(member: Member): Promise<void> {
-    if (member.isStopping) return;
-    member.isStopping = true;
-    const { orders, epoch, clock, bounds, canAct, listener } = this.#options;
-    while (this.#book.has(member) && !this.#isStopped) {
-      if (member.stoppedClockMs === undefined && canAct()) {
-        const { task, run } = member;
-        const outcome = await orders.stop(
-          this.target,
-          { task, run, epoch },
-          ORDER_TIMEOUT_MS,
-        );
-        if (this.#isStopped) return;
-        if (outcome.kind === "stopped") {
-          this.#takeStamp(outcome.stamp);
-          member.stoppedClockMs = outcome.stamp.workerClockMs;
-        } else if (outcome.kind === "fenced") {
-          return listener.onFenced(this);
-        } else if (outcome.kind === "wrong_life") {
-          return this.#book.dropAll("the worker has left its address");
-        }
-      }
-      const isAcknowledged = member.stoppedClockMs !== undefined;
-      // An end that was listed has come through the long poll by then.
-      const isNeverRun = member.startedClockMs === undefined;
-      await clock.sleep(
-        isAcknowledged && !isNeverRun ? bounds.stopLimitMs : RETRY_PAUSE_MS,
-      );
-      if (isAcknowledged && this.#book.has(member)) await this.quickPoll();
-    }
+  stopMember(member: Member): Promise<void> {
+    return this.#tasks.stop(member);
   }
 
   /** Takes over a run that the worker reports and that this process did not start. */
@@ -252,15 +208,6 @@
     this.#book.dropAll(reason);
   }
 
-  async #settleStart(member: Member): Promise<void> {
-    if (!this.#book.has(member)) return;
-    await this.quickPoll();
-    if (this.#isStopped || !this.#book.has(member)) return;
-    if (member.startedClockMs === undefined) {
-      this.#options.listener.onUnsure(this, member);
-    }
-  }
-
   async #pollLoop(): Promise<void> {
     this.#isPolling = true;
     try {
@@ -270,8 +217,10 @@
           await this.#options.clock.sleep(ACKNOWLEDGE_PAUSE_MS);
           if (!this.#needsPoll()) return;
         }
-        await this.#awaitStored();
-        const isWaiting = this.hasMembers && this.#failures === 0;
+        await this.#ends.awaitStored(() =>
+          this.#isStopped ? 0 : this.processedEnd
+        );
+        const isWaiting = this.hasMembers && this.#reachability.isAnswering;
         const isAnswered = await this.#poll(isWaiting ? POLL_WAIT_MS : 0);
         if (!isAnswered) await this.#options.clock.sleep(RETRY_PAUSE_MS);
       }
@@ -280,23 +229,9 @@
     }
   }
 
-  async #awaitStored(): Promise<void> {
-    const { clock } = this.#options;
-    const untilMs = clock.nowMs() + STORED_WAIT_MS;
-    while (
-      this.processedEnd > this.#persistedEnd && !this.#isStopped &&
-      clock.nowMs() < untilMs
-    ) {
-      await new Promise<void>((resolve) => {
-        this.#onStored = resolve;
-        clock.after(untilMs - clock.nowMs(), resolve);
-      });
-    }
-  }
-
   #needsPoll(): boolean {
     if (!this.hasReported) return true;
-    return this.hasMembers || this.#persistedEnd > this.#acknowledgedEnd;
+    return this.hasMembers || this.#ends.isAcknowledgementDue;
   }
 
   /** True when the worker answered. */
@@ -305,10 +240,10 @@
     // Nothing is extended without the certainty of holding the scheduler's lease, nor for a worker
     // that did not answer: an unanswered renewal may have been carried out.
     const leaseUntilMs = this.hasReported && canAct() &&
-        this.hasMembers && this.#failures === 0
+        this.hasMembers && this.#reachability.isAnswering
       ? this.#leases.grant(this.#options.bounds.leaseMaximumMs)
       : undefined;
-    const acknowledgedEnd = this.#persistedEnd;
+    const acknowledgedEnd = this.#ends.stored;
     const { lifeUnixMs } = this;
     if (!canAct() && this.hasReported) {
       await clock.sleep(RETRY_PAUSE_MS);
@@ -322,19 +257,16 @@
     }, longPollMs + ORDER_TIMEOUT_MS);
     if (this.#isStopped) return true;
     if (outcome.kind === "report" && lifeUnixMs === this.lifeUnixMs) {
-      this.#acknowledgedEnd = Math.max(this.#acknowledgedEnd, acknowledgedEnd);
+      this.#ends.setAcknowledged(acknowledgedEnd);
     }
     return this.#takeOutcome(outcome);
   }
 
   #takeOutcome(outcome: RenewOutcome): boolean {
-    const { listener, log } = this.#options;
+    const { listener } = this.#options;
     switch (outcome.kind) {
       case "report":
-        if (this.#failures >= FAILURES_TO_UNREACHABLE) {
-          log.info("worker.reachable", { worker: this.worker });
-        }
-        this.#failures = 0;
+        this.#reachability.noteAnswer();
         this.#takeReport(outcome);
         listener.onReport(this);
         return true;
@@ -343,17 +275,10 @@
         return false;
       case "wrong_life":
         this.#book.dropAll("the worker has left its address");
-        this.#failures++;
+        this.#reachability.noteFailure("another life", 0);
         return false;
       case "unavailable":
-        this.#failures++;
-        if (this.#failures === FAILURES_TO_UNREACHABLE) {
-          log.warn("worker.unreachable", {
-            worker: this.worker,
-            reason: outcome.reason,
-            members: this.#book.size,
-          });
-        }
+        this.#reachability.noteFailure(outcome.reason, this.#book.size);
         return false;
     }
   }
@@ -373,8 +298,7 @@
   #takeLife(lifeUnixMs: number): boolean {
     const news = this.#leases.takeLife(lifeUnixMs);
     if (news !== "new_life") return news === "current";
-    this.#persistedEnd = 0;
-    this.#acknowledgedEnd = 0;
+    this.#ends.reset();
     this.#book.beginLife();
     this.wake();
     return true;
--- a/packages/node/relay/relay_table.ts
+++ b/packages/node/relay/relay_table.ts
@@ -11,13 +11,14 @@
   nextInteger,
   type Random,
 } from "@coltsfootpond/common";
-import type {
-  CallOptions,
-  ReadOutcome,
-  TablePort,
-  TableTransaction,
-  TransactionOutcome,
-  Unavailable,
+import {
+  type CallOptions,
+  lost,
+  type ReadOutcome,
+  refused,
+  type TablePort,
+  type TableTransaction,
+  type TransactionOutcome,
 } from "@coltsfootpond/ports";
 import { PeerFacts } from "../membership/peer_facts.ts";
 import type { MeshDelivery, RelayOperation } from "../mesh/messages.ts";
@@ -66,7 +67,7 @@
       options,
     );
     return outcome.kind === "rows"
-      ? lose("the peer answered another call")
+      ? lost("the peer answered another call")
       : outcome;
   }
 
@@ -84,7 +85,7 @@
   ): Promise<ReadOutcome> {
     const outcome = await this.#call(operation, options);
     const isRead = outcome.kind === "rows" || outcome.kind === "unavailable";
-    return isRead ? outcome : lose("the peer answered another call");
+    return isRead ? outcome : lost("the peer answered another call");
   }
 
   async #call(
@@ -132,7 +133,7 @@
       };
       const timer = clock.after(
         options.timeoutMs,
-        () => finish(lose("the relaying peer gave no answer")),
+        () => finish(lost("the relaying peer gave no answer")),
       );
       this.#pending.set(relayId, finish);
       mesh.send(peer, { kind: "relay_request", relayId, operation });
@@ -160,8 +161,7 @@
 
   async #serveDirect(operation: RelayOperation): Promise<RelayOutcome> {
     if (this.#serving >= RELAY_MAXIMUM_CALLS) {
-      const reason = "too many relayed calls";
-      return { kind: "unavailable", effect: "refused", reason };
+      return refused("too many relayed calls");
     }
     this.#serving += 1;
     try {
@@ -189,7 +189,3 @@
     }
   }
 }
-
-function lose(reason: string): Unavailable {
-  return { kind: "unavailable", effect: "lost", reason };
-}
--- a/packages/policy/cell/worth.ts
+++ b/packages/policy/cell/worth.ts
@@ -9,11 +9,11 @@
 const WORTH_BY_PRIORITY = [4, 3, 1] as const;
 const LOWEST_WORTH = 1;
 /** Share of a job's worth that does not grow with its work (the users' rules). */
-const BASE_WORTH_SHARE = 0.3;
+export const BASE_WORTH_SHARE = 0.3;
 /** A job counts for at most this many times its queue's usual worth (the users' rules). */
-const MAXIMUM_WORTH_FACTOR = 4;
+export const MAXIMUM_WORTH_FACTOR = 4;
 /** Past this many times its objective a job earns nothing (the users' rules). */
-const LATE_LIMIT_FACTOR = 3;
+export const LATE_LIMIT_FACTOR = 3;
 /** Share of the worth that a late job earns, about that of the users' sheets. */
 const LATE_WORTH_SHARE = 0.3;
 
--- a/packages/ports/http/http_json.ts
+++ b/packages/ports/http/http_json.ts
@@ -4,7 +4,8 @@
 import { Buffer as NodeBuffer } from "node:buffer";
 import type { JsonValue } from "@coltsfootpond/common";
 import { MAXIMUM_RESPONSE_BYTES } from "../constants.ts";
-import type { Unavailable, UnavailableKind } from "../types.ts";
+import type { Unavailable } from "../types.ts";
+import { unavailable } from "../unavailable.ts";
 
 /** Where a service of the platform listens. */
 export interface ServiceAddress {
@@ -44,10 +45,6 @@
 /** Request line and headers, roughly; bodies are counted exactly. */
 const HEADER_BYTES_ESTIMATE = 180;
 
-function unavailable(effect: UnavailableKind, reason: string): Unavailable {
-  return { kind: "unavailable", effect, reason };
-}
-
 /** A client of one service of the platform. */
 export class HttpClient {
   readonly #address: ServiceAddress;
--- a/packages/ports/http/http_platform.ts
+++ b/packages/ports/http/http_platform.ts
@@ -21,6 +21,7 @@
   VmListOutcome,
   VmListPort,
 } from "../types.ts";
+import { lost } from "../unavailable.ts";
 import {
   HttpClient,
   type ServiceAddress,
@@ -91,11 +92,7 @@
     });
     if (outcome.kind === "unavailable") return outcome;
     if (outcome.status === 200) return { kind: "stored" };
-    return {
-      kind: "unavailable",
-      effect: "lost",
-      reason: `status ${outcome.status}`,
-    };
+    return lost(`status ${outcome.status}`);
   }
 
   async get(key: string, options: CallOptions): Promise<GetOutcome> {
@@ -108,11 +105,7 @@
     if (outcome.kind === "unavailable") return outcome;
     if (outcome.status === 200) return { kind: "found", content: outcome.body };
     if (outcome.status === 404) return { kind: "absent" };
-    return {
-      kind: "unavailable",
-      effect: "lost",
-      reason: `status ${outcome.status}`,
-    };
+    return lost(`status ${outcome.status}`);
   }
 }
 
--- a/packages/ports/mod.ts
+++ b/packages/ports/mod.ts
@@ -3,6 +3,7 @@
 export * from "./http/http_json.ts";
 export * from "./http/http_platform.ts";
 export * from "./types.ts";
+export * from "./unavailable.ts";
 export * from "./table/fault_switch.ts";
 export * from "./table/memory_table.ts";
 export * from "./table/backoff.ts";
--- a/packages/ports/table/resilient_table.ts
+++ b/packages/ports/table/resilient_table.ts
@@ -10,8 +10,8 @@
   TableTransaction,
   TransactionOutcome,
   Unavailable,
-  UnavailableKind,
 } from "../types.ts";
+import { unavailable } from "../unavailable.ts";
 import { computeBackoffMs } from "./backoff.ts";
 import { listSettlementKeys, settleTransaction } from "./settlement.ts";
 import {
@@ -93,7 +93,7 @@
       deadlineMs: progress.deadlineMs,
     });
     if (admission.kind === "refused") {
-      return refuse("refused", admission.reason);
+      return unavailable("refused", admission.reason);
     }
     while (true) {
       const outcome = await this.#attempt(
@@ -146,7 +146,7 @@
       (timeoutMs) =>
         this.#port.read(listSettlementKeys(transaction), { timeoutMs }),
     );
-    if (read.kind === "unavailable") return refuse("lost", read.reason);
+    if (read.kind === "unavailable") return unavailable("lost", read.reason);
     const settlement = settleTransaction(transaction, read.rows);
     const written = new Set(transaction.writes.map((write) => write.key));
     const fenced = transaction.conditions.length > 0;
@@ -159,7 +159,7 @@
     if (settlement === "not_made" && fenced) {
       return { kind: "conflict", rows: read.rows };
     }
-    return refuse("lost", "later writes cover the trace of this one");
+    return unavailable("lost", "later writes cover the trace of this one");
   }
 
   #begin(options: CallOptions): Progress {
@@ -179,7 +179,7 @@
       this.#attemptTimeoutMs,
       progress.deadlineMs - startMs,
     );
-    if (timeoutMs <= 0) return refuse("refused", "deadline");
+    if (timeoutMs <= 0) return unavailable("refused", "deadline");
     const outcome = await call(timeoutMs);
     const nowMs = this.#clock.nowMs();
     if (isUnavailable(outcome)) {
@@ -204,7 +204,7 @@
   }
 
   #giveUp(progress: Progress, last: Unavailable): Unavailable {
-    return refuse(progress.lost ? "lost" : "refused", last.reason);
+    return unavailable(progress.lost ? "lost" : "refused", last.reason);
   }
 }
 
@@ -213,7 +213,3 @@
 ): outcome is Unavailable {
   return outcome.kind === "unavailable";
 }
-
-function refuse(effect: UnavailableKind, reason: string): Unavailable {
-  return { kind: "unavailable", effect, reason };
-}
--- a/scripts/bench_days/cell_model.ts
+++ b/scripts/bench_days/cell_model.ts
@@ -8,19 +8,15 @@
   type RackName,
   type WorkerName,
 } from "@coltsfootpond/common";
-import {
-  add,
-  type CellResources,
-  type StepSpec,
-  subtract,
-  type WorkerView,
-} from "@coltsfootpond/policy";
-import type { Member } from "../../packages/node/cell/member.ts";
+import type { CellResources, WorkerView } from "@coltsfootpond/policy";
+import { type Member, noteRunning } from "../../packages/node/cell/member.ts";
 import {
   createMember,
   type Unit,
   type UnitRun,
 } from "../../packages/node/cell/live_job.ts";
+import { measureCoreSeconds } from "../../packages/node/cell/plan_input.ts";
+import { measureRoom } from "../../packages/node/cell/worker_room.ts";
 import type { WorkerSession } from "../../packages/node/cell/worker_session.ts";
 import {
   EVENT,
@@ -39,7 +35,6 @@
   memoryMib: 524_288,
   accelerators: WORKER_ACCELERATORS,
 };
-const NOTHING: CellResources = { cpuMilli: 0, memoryMib: 0, accelerators: 0 };
 export const CELL_ACCELERATORS = WORKERS * CAPACITY.accelerators;
 const REMOTE_FACTOR = 3;
 const SLOW_SHARE = 0.17;
@@ -86,19 +81,13 @@
 /** What comes out of a step of time. */
 export interface EndedRun {
   readonly unit: Unit;
+  readonly run: number;
   readonly end: ModelEnd;
   /** Core-seconds of the run that are not saved. */
   readonly lostCoreSeconds: number;
 }
 
-const CORES_PER_ACCELERATOR = 8;
-const MILLI = 1_000;
-
-function countCores(step: StepSpec): number {
-  return step.need.cpuMilli / MILLI +
-    step.need.accelerators * CORES_PER_ACCELERATOR;
-}
-
+/** The workers and what runs on them. */
 export class CellModel {
   readonly #load: Load;
   readonly #workers = new Map<WorkerName, ModelWorker>();
@@ -229,24 +218,14 @@
       : progressMs - (end === "failed" ? 0 : savedAtStartMs);
     return {
       unit,
+      run: run.run,
       end,
-      lostCoreSeconds: countCores(unit.step) * unit.count * lostMs / MILLI,
+      lostCoreSeconds: measureCoreSeconds(unit.step, lostMs) * unit.count,
     };
   }
 }
 
 function createView(worker: ModelWorker): WorkerView {
-  let free = CAPACITY;
-  let releasing = NOTHING;
-  const tasksByStep = new Map<string, number>();
-  for (const member of worker.members) {
-    free = subtract(free, member.need);
-    if (member.isStopping) releasing = add(releasing, member.need);
-    tasksByStep.set(
-      member.stepKey,
-      (tasksByStep.get(member.stepKey) ?? 0) + 1,
-    );
-  }
   return {
     worker: worker.worker,
     service: SERVICE,
@@ -254,10 +233,8 @@
     rack: worker.rack,
     labels: new Set(),
     capacity: CAPACITY,
-    free,
-    releasing,
+    ...measureRoom(CAPACITY, worker.members),
     slowness: 1,
-    tasksByStep,
   };
 }
 
@@ -282,10 +259,6 @@
 function report({ run, progressMs, goalMs }: ModelRun, nowMs: number): void {
   const percent = Math.floor(100 * progressMs / goalMs);
   for (const member of run.members.keys()) {
-    if (member.percent !== percent || member.percentSeenClockMs === 0) {
-      member.percent = percent;
-      member.percentSinceClockMs = nowMs;
-    }
-    member.percentSeenClockMs = nowMs;
+    noteRunning(member, { ...member, percent }, nowMs);
   }
 }
--- a/scripts/bench_days/loads.ts
+++ b/scripts/bench_days/loads.ts
@@ -5,6 +5,7 @@
  */
 import {
   createId,
+  drawExponential,
   nextInteger,
   type OrganisationName,
   type RackName,
@@ -158,6 +159,7 @@
 export const WORKERS_PER_RACK = 8;
 export const WORKER_ACCELERATORS = 8;
 const RACK_ACCELERATORS = WORKERS_PER_RACK * WORKER_ACCELERATORS;
+const MS_PER_SECOND = 1_000;
 const MEMORY_MIB = 50_000;
 const BURST_FACTOR = 3;
 const CANCEL_FACTOR = 3;
@@ -275,7 +277,10 @@
   for (const kind of KINDS) {
     let atMs = 0;
     for (;;) {
-      atMs += -Math.log(1 - random.next()) * 1_000 / getRate(kind, load, atMs);
+      atMs += drawExponential(
+        random,
+        MS_PER_SECOND / getRate(kind, load, atMs),
+      );
       if (atMs >= WINDOW_MS) break;
       arrivals.push(createArrival(random, kind, load, atMs));
     }
--- a/scripts/bench_days/policies.ts
+++ b/scripts/bench_days/policies.ts
@@ -1,6 +1,5 @@
 /** The policies that a day is replayed with: ours, and baselines that differ in order or eviction. */
 import {
-  type PlanInput,
   planRound,
   type RoundPlan,
   TIER,
@@ -33,7 +32,7 @@
           : { tier: TIER.OPEN, density: -order(unit) },
         evictionGain: 0,
       }));
-      return planRound({ ...input, waiting } as PlanInput<Unit>);
+      return planRound({ ...input, waiting });
     },
   };
 }
--- a/scripts/bench_days/replay.ts
+++ b/scripts/bench_days/replay.ts
@@ -2,7 +2,11 @@
 import { performance } from "node:perf_hooks";
 import { type CellJobId, JobProgress } from "@coltsfootpond/policy";
 import type { OrganisationGuarantee } from "@coltsfootpond/ports";
-import { LiveJob, type Unit } from "../../packages/node/cell/live_job.ts";
+import {
+  formatUnitKey,
+  LiveJob,
+  type Unit,
+} from "../../packages/node/cell/live_job.ts";
 import { CELL_ACCELERATORS, CellModel, type EndedRun } from "./cell_model.ts";
 import {
   type Arrival,
@@ -14,11 +18,13 @@
 import type { DayPolicy } from "./policies.ts";
 import { type JobResult, type Score, scoreDay } from "./score.ts";
 
+/** Fine against the shortest runs of 0.5 s. */
 const STEP_MS = 10;
 /** Jobs that have not ended this long after the last arrival have earned nothing. */
 const DRAIN_MS = 120_000;
 /** A round is planned at least this often, as the holder's tick. */
 const ROUND_PERIOD_MS = 200;
+/** Of all accelerators, for each of the four organisations. */
 const GUARANTEED_SHARE = 0.15;
 /** A hopeless task fails after this share of its run. */
 const HOPELESS_AT_SHARE = 0.3;
@@ -42,6 +48,7 @@
   }),
 );
 
+/** One day in progress. */
 class Replay {
   readonly #policy: DayPolicy;
   readonly #cell: CellModel;
@@ -55,12 +62,16 @@
   #isRoundDue = false;
   #roundMs = 0;
 
-  constructor(policy: DayPolicy, load: Load, seed: number) {
+  private constructor(policy: DayPolicy, load: Load, seed: number) {
     this.#policy = policy;
     this.#cell = CellModel.create(load);
     this.#arrivals = createArrivals(load, seed);
   }
 
+  static create(policy: DayPolicy, load: Load, seed: number): Replay {
+    return new Replay(policy, load, seed);
+  }
+
   run(): DayReport {
     for (let nowMs = 0; nowMs < WINDOW_MS + DRAIN_MS; nowMs += STEP_MS) {
       this.#takeArrivals(nowMs);
@@ -102,7 +113,7 @@
     }
   }
 
-  #takeEnd({ unit, end, lostCoreSeconds }: EndedRun, nowMs: number): void {
+  #takeEnd({ unit, run, end, lostCoreSeconds }: EndedRun, nowMs: number): void {
     const { job, address } = unit;
     this.#lostCoreSeconds += lostCoreSeconds;
     this.#isRoundDue = true;
@@ -111,13 +122,11 @@
     if (replayed === undefined) return;
     if (end === "done") {
       job.progress.recordDone(address);
-      for (const [key, known] of job.units) {
-        if (known === unit) job.units.delete(key);
-      }
+      job.units.delete(formatUnitKey(address));
       job.openDueUnits(nowMs, nowMs);
       if (job.progress.isComplete()) this.#end(replayed, nowMs, "completed");
     } else if (end === "failed") {
-      job.progress.recordFailure(address, this.#roundMs);
+      job.progress.recordFailure(address, run);
       if (job.progress.isFailed()) this.#end(replayed, nowMs, "failed");
     }
   }
@@ -193,5 +202,5 @@
   load: Load,
   seed: number,
 ): DayReport {
-  return new Replay(policy, load, seed).run();
+  return Replay.create(policy, load, seed).run();
 }
--- a/scripts/bench_days/score.ts
+++ b/scripts/bench_days/score.ts
@@ -1,4 +1,11 @@
 /** Scores a replayed day as the users count: whole day, worst windows, kinds and organisations. */
+import {
+  BASE_WORTH_SHARE,
+  LATE_LIMIT_FACTOR,
+  MAXIMUM_WORTH_FACTOR,
+  measureChain,
+} from "@coltsfootpond/policy";
+import { WASTE_PRICE } from "../../packages/node/cell/plan_input.ts";
 import type { Arrival } from "./loads.ts";
 
 export interface JobResult {
@@ -17,14 +24,11 @@
   readonly worth: number;
 }
 
-const BASE_WORTH_SHARE = 0.3;
-const MAXIMUM_WORTH_FACTOR = 4;
-const LATE_LIMIT_FACTOR = 3;
+/** Windows of the users' reports. */
 const WINDOW_MS = 2_000;
 const WORST_WINDOWS = 2;
-/** Mean of the two sites' weights; price of a core-second by the worth of an average job. */
+/** Means of the two sites' weights. */
 const WEIGHT = { WHOLE: 0.68, WINDOWS: 0.2, ORGANISATION: 0.2, KIND: 0.12 };
-const WASTE_PRICE = 0.0014;
 
 function measureWork({ spec, runsMs }: Arrival): number {
   return runsMs.reduce((sum, runs, step) => {
@@ -34,13 +38,14 @@
   }, 0);
 }
 
-function measureChain({ spec, runsMs }: Arrival): number {
-  const ends: number[] = [];
-  for (const [number, step] of spec.steps.entries()) {
-    const startMs = Math.max(0, ...step.after.map((other) => ends[other] ?? 0));
-    ends.push(startMs + Math.max(...runsMs[number] ?? [0]));
-  }
-  return Math.max(...ends);
+/** The longest chain of true runs. */
+function measureTrueChain({ spec, runsMs }: Arrival): number {
+  return measureChain(
+    spec.steps.map((step, number) => ({
+      ...step,
+      estimateMs: Math.max(...runsMs[number] ?? [0]),
+    })),
+  );
 }
 
 function getUsualWork(results: readonly JobResult[]): Map<string, number> {
@@ -69,7 +74,8 @@
   const owed = kind.worth * factor;
   const isRight = state === (arrival.isHopeless ? "failed" : "completed");
   if (!isRight) return { owed, earned: 0 };
-  const objectiveMs = kind.stretch * measureChain(arrival) + kind.allowanceMs;
+  const objectiveMs = kind.stretch * measureTrueChain(arrival) +
+    kind.allowanceMs;
   if (tookMs <= objectiveMs) return { owed, earned: owed };
   const isLate = tookMs <= LATE_LIMIT_FACTOR * objectiveMs;
   return { owed, earned: isLate ? kind.lateWorth * factor : 0 };
@@ -130,7 +136,7 @@
     const state = arrival.isHopeless ? "failed" : "completed";
     const repeats = 1 +
       (arrival.firstRunFailsAtShare < 1 ? arrival.firstRunFailsAtShare : 0);
-    return { arrival, state, tookMs: measureChain(arrival) * repeats };
+    return { arrival, state, tookMs: measureTrueChain(arrival) * repeats };
   });
   return scoreDay(results, 0);
 }
--- a/scripts/bench_placement/arrivals.ts
+++ b/scripts/bench_placement/arrivals.ts
@@ -2,6 +2,7 @@
 import {
   createId,
   type Declarations,
+  drawExponential,
   MILLIPROCESSORS_PER_PROCESSOR,
   MS_PER_HOUR,
   MS_PER_MINUTE,
@@ -56,10 +57,6 @@
   [SIZE.TARGET]: 10 * MS_PER_HOUR,
 };
 
-function drawExponential(random: Random, mean: number): number {
-  return -mean * Math.log(1 - random.next());
-}
-
 /** How wrong each service's declared run time is; the same for all its jobs. */
 function getServiceBias(service: number): number {
   return [0.4, 1, 2.5][service % SERVICES_PER_CLASS] ?? 1;
