--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -31,7 +31,7 @@
 import { QUARANTINE_MS } from "./worker_quarantine.ts";
 
 /** Changes within this time are handled in one round. */
-const ROUND_DELAY_MS = 4;
+const MINIMUM_ROUND_DELAY_MS = 4;
 /** Delay between attempts to read the state table; many round trips to the store. */
 const RELOAD_DELAY_MS = 50;
 /** Period of the checks for expired leases, stalled runs and due occurrences (required: 250 ms). */
@@ -72,6 +72,7 @@
   #isReady = false;
   #isStopped = false;
   #isRoundDue = false;
+  #roundDurationMs = 0;
 
   private constructor(options: CellSchedulerOptions) {
     this.#options = options;
@@ -201,9 +202,15 @@
   #requestRound(): void {
     if (this.#isRoundDue || !this.#isReady || this.#isStopped) return;
     this.#isRoundDue = true;
-    this.#options.clock.after(ROUND_DELAY_MS, () => {
+    const { clock } = this.#options;
+    // Rounds take at most half of the processor time, so that calls and renewals are not late.
+    const delayMs = Math.max(MINIMUM_ROUND_DELAY_MS, this.#roundDurationMs);
+    clock.after(delayMs, () => {
       this.#isRoundDue = false;
-      if (!this.#isStopped) this.#round();
+      if (this.#isStopped) return;
+      const startedMs = clock.nowMs();
+      this.#round();
+      this.#roundDurationMs = clock.nowMs() - startedMs;
     });
   }
 
--- a/packages/policy/cell/eviction.ts
+++ b/packages/policy/cell/eviction.ts
@@ -58,8 +58,9 @@
   const groups = mustShareRack || mustUseDataRack
     ? groupByRack(eligible, mustUseDataRack ? dataRack : undefined)
     : [eligible];
+  const byWorker = indexByWorker(running);
   const plans = groups.flatMap((group) =>
-    planInGroup(group, request, running) ?? []
+    planInGroup(group, request, byWorker) ?? []
   );
   return plans.reduce<EvictionPlan<Unit> | undefined>(
     (best, plan) => best === undefined || plan.cost < best.cost ? plan : best,
@@ -83,7 +84,7 @@
 function planInGroup<Unit>(
   group: readonly WorkerCapacity[],
   request: FitRequest,
-  running: readonly RunningUnit<Unit>[],
+  byWorker: ReadonlyMap<WorkerName, readonly RunningUnit<Unit>[]>,
 ): EvictionPlan<Unit> | undefined {
   const search: EvictionSearch<Unit> = {
     capacities: new Map(group.map((capacity) => [capacity.view.worker, {
@@ -95,7 +96,6 @@
     workers: new Set(),
     cost: 0,
   };
-  const byWorker = indexByWorker(running);
   for (let task = 0; task < request.count; task++) {
     const next = findCheapest(search, request, byWorker);
     if (next === undefined) return undefined;
--- a/packages/policy/cell/fit.ts
+++ b/packages/policy/cell/fit.ts
@@ -75,26 +75,29 @@
     capacity.accelerators >= need.accelerators;
 }
 
-/** How many more tasks of the request fit on a worker, up to the step's `maximumPerWorker`. */
+/**
+ * How many more tasks of the request fit on a worker, up to the request's count and the step's
+ * `maximumPerWorker`.
+ */
 export function countFitting(
-  capacity: WorkerCapacity,
-  request: FitRequest,
+  { free, tasksByStep }: WorkerCapacity,
+  { step, stepKey, count }: FitRequest,
 ): number {
-  const { step, stepKey } = request;
   const need = getCountedNeed(step);
-  const resources = [
-    [capacity.free.cpuMilli, need.cpuMilli],
-    [capacity.free.memoryMib, need.memoryMib],
-    [capacity.free.accelerators, need.accelerators],
-  ] as const;
-  const byCapacity = Math.min(
-    ...resources.map(([free, needed]) =>
-      needed > 0 ? Math.floor(Math.max(0, free) / needed) : request.count
-    ),
+  const fitting = Math.min(
+    count,
+    countWhole(free.cpuMilli, need.cpuMilli),
+    countWhole(free.memoryMib, need.memoryMib),
+    countWhole(free.accelerators, need.accelerators),
   );
   const limit = step.maximumPerWorker;
-  if (limit === undefined) return byCapacity;
-  return Math.min(byCapacity, limit - (capacity.tasksByStep.get(stepKey) ?? 0));
+  if (limit === undefined) return fitting;
+  return Math.min(fitting, limit - (tasksByStep.get(stepKey) ?? 0));
+}
+
+function countWhole(available: number, needed: number): number {
+  if (needed <= 0) return Number.POSITIVE_INFINITY;
+  return Math.floor(Math.max(0, available) / needed);
 }
 
 /** Whether a worker may run the step at all, whatever its free capacity. */
@@ -104,23 +107,24 @@
     (step.requiredLabel === undefined || view.labels.has(step.requiredLabel));
 }
 
+/** A worker on which tasks of the request fit, and how many do. */
+interface FittingWorker {
+  readonly capacity: WorkerCapacity;
+  readonly fitting: number;
+}
+
 /**
  * Sorts the least slow workers first; then those in the rack with the fewest free accelerators,
  * then those with the least free capacity, so that whole workers and racks stay free for tasks and
  * gangs that need them.
  */
 function sortByPreference(
-  capacities: readonly WorkerCapacity[],
-): readonly WorkerCapacity[] {
-  const freeByRack = new Map(
-    [...groupByRack(capacities)].map(([rack, members]) => [
-      rack,
-      sumFreeAccelerators(members),
-    ]),
-  );
+  workers: readonly FittingWorker[],
+  freeByRack: ReadonlyMap<RackName, number>,
+): readonly FittingWorker[] {
   const getRackFree = ({ view }: WorkerCapacity) =>
     freeByRack.get(view.rack) ?? 0;
-  return [...capacities].sort((left, right) =>
+  return [...workers].sort(({ capacity: left }, { capacity: right }) =>
     left.view.slowness - right.view.slowness ||
     getRackFree(left) - getRackFree(right) ||
     left.free.accelerators - right.free.accelerators ||
@@ -134,16 +138,34 @@
   capacities: readonly WorkerCapacity[],
   request: FitRequest,
 ): readonly WorkerCapacity[] | undefined {
+  const workers: FittingWorker[] = [];
+  let total = 0;
+  for (const capacity of capacities) {
+    const fitting = countFitting(capacity, request);
+    if (fitting <= 0) continue;
+    workers.push({ capacity, fitting });
+    total += fitting;
+  }
+  // Most requests of a full cell fail here, before the costly sort.
+  if (total < request.count) return undefined;
   const chosen: WorkerCapacity[] = [];
-  for (const capacity of sortByPreference(capacities)) {
-    const fitting = Math.min(
-      countFitting(capacity, request),
-      request.count - chosen.length,
-    );
-    for (let taken = 0; taken < fitting; taken++) chosen.push(capacity);
-    if (chosen.length === request.count) return chosen;
+  const freeByRack = sumFreeAcceleratorsByRack(capacities);
+  for (const { capacity, fitting } of sortByPreference(workers, freeByRack)) {
+    const taken = Math.min(fitting, request.count - chosen.length);
+    for (let task = 0; task < taken; task++) chosen.push(capacity);
+    if (chosen.length === request.count) break;
+  }
+  return chosen;
+}
+
+function sumFreeAcceleratorsByRack(
+  capacities: readonly WorkerCapacity[],
+): ReadonlyMap<RackName, number> {
+  const sums = new Map<RackName, number>();
+  for (const { view, free } of capacities) {
+    sums.set(view.rack, (sums.get(view.rack) ?? 0) + free.accelerators);
   }
-  return undefined;
+  return sums;
 }
 
 function groupByRack(
@@ -176,6 +198,23 @@
   ).map(({ members }) => members);
 }
 
+/** Whether some rack holds all tasks of the request; cheaper than trying each rack in order. */
+function fitsInOneRack(
+  capacities: readonly WorkerCapacity[],
+  request: FitRequest,
+): boolean {
+  const fittingByRack = new Map<RackName, number>();
+  for (const capacity of capacities) {
+    const fitting = countFitting(capacity, request);
+    if (fitting <= 0) continue;
+    const { rack } = capacity.view;
+    const total = (fittingByRack.get(rack) ?? 0) + fitting;
+    if (total >= request.count) return true;
+    fittingByRack.set(rack, total);
+  }
+  return false;
+}
+
 /**
  * Finds workers for all tasks of the request, or returns undefined. A rack-bound gang is placed in
  * one rack, and tasks whose step names a data rack are placed there. With `allowRemote`, the gang
@@ -194,6 +233,11 @@
     const chosen = fillGreedily(eligible, request);
     return chosen && { capacities: chosen, isRemote: false };
   }
+  if (mustShareRack && !fitsInOneRack(eligible, request)) {
+    if (!options.allowRemote) return undefined;
+    const chosen = fillGreedily(eligible, request);
+    return chosen && { capacities: chosen, isRemote: true };
+  }
   for (const rack of orderRacks(eligible, dataRack)) {
     const isNearData = dataRack === undefined ||
       rack[0]?.view.rack === dataRack;
