--- a/packages/node/cell/job_repository.ts
+++ b/packages/node/cell/job_repository.ts
@@ -31,6 +31,15 @@
 
 /** Delay between tries within the caller's time-out. */
 const RETRY_DELAY_MS = 60;
+/**
+ * A read of a live job's row waits this long; the copy answers after that. Many round trips to the
+ * store, and short against the objectives of urgent jobs.
+ */
+const FRESH_READ_TIMEOUT_MS = 300;
+/** Callers who poll faster than this are answered from the copy in between. */
+const FRESH_READ_INTERVAL_MS = 50;
+/** Most concurrent reads of live jobs; further callers are answered from the copy. */
+const MAXIMUM_FRESH_READS = 8;
 /** After this time of failures on all paths the store counts as down. */
 const STORE_DOWN_THRESHOLD_MS = 150;
 
@@ -74,6 +83,9 @@
   readonly #liveByQueue = new Map<QueueName, Set<CellJobId>>();
   readonly #queueByJob = new Map<CellJobId, QueueName>();
   #begun: ReadonlySet<CellJobId> = new Set();
+  /** When the row of a job was last read for a caller, on the process's clock. */
+  readonly #freshReadMs = new Map<CellJobId, number>();
+  #freshReads = 0;
 
   private constructor(options: JobRepositoryOptions) {
     this.#options = options;
@@ -176,14 +188,19 @@
     }
   }
 
-  /** The job's state. A job that is missing in this entry's copy is read from the store. */
+  /**
+   * The job's state. A job that is missing in this entry's copy is read from the store, and so is
+   * one that has not ended there: with many entries, copies follow the store with some delay.
+   */
   async getState(
     jobId: CellJobId,
     requester: JobRequester,
     deadlineMs: number,
   ): Promise<StateOutcome> {
     const known = this.#options.follower.get(jobKey(jobId));
-    const row = known ?? await this.#lookUp(jobId, deadlineMs);
+    const row = known === undefined
+      ? await this.#lookUp(jobId, deadlineMs)
+      : await this.#refresh(jobId, known, deadlineMs);
     if (row === "unknown") return { kind: "unknown" };
     if (row?.value === undefined) return absent("no row");
     const job = decodeRow<JobRow>(row.value);
@@ -208,6 +225,37 @@
     return [...jobs].filter((jobId) => !this.#begun.has(jobId)).length;
   }
 
+  /** Reads the row of a live job again; the known one when the store does not answer soon. */
+  async #refresh(
+    jobId: CellJobId,
+    known: StateRow,
+    deadlineMs: number,
+  ): Promise<StateRow | undefined> {
+    const { store, follower, clock, getStoreDownMs } = this.#options;
+    const isLive = known.value !== undefined &&
+      decodeRow<JobRow>(known.value).kind === "live";
+    const nowMs = clock.nowMs();
+    const lastReadMs = this.#freshReadMs.get(jobId) ??
+      Number.NEGATIVE_INFINITY;
+    if (
+      !isLive || getStoreDownMs() > 0 ||
+      this.#freshReads >= MAXIMUM_FRESH_READS ||
+      nowMs - lastReadMs < FRESH_READ_INTERVAL_MS
+    ) return known;
+    this.#freshReadMs.set(jobId, nowMs);
+    this.#freshReads++;
+    const key = jobKey(jobId);
+    const outcome = await store.read(
+      STORE_TABLE.STATE,
+      { fromKey: key, toKey: `${key}~` },
+      Math.min(FRESH_READ_TIMEOUT_MS, this.#tryTimeout(deadlineMs)),
+    );
+    this.#freshReads--;
+    // The copy keeps the newer of both versions, so a stale answer changes nothing.
+    if (outcome.kind === "rows") follower.apply(outcome.rows);
+    return follower.get(key) ?? known;
+  }
+
   async #lookUp(
     jobId: CellJobId,
     deadlineMs: number,
@@ -278,6 +326,7 @@
       this.#queueByJob.set(jobId, queue);
       return;
     }
+    this.#freshReadMs.delete(jobId);
     const queue = this.#queueByJob.get(jobId);
     if (queue === undefined) return;
     this.#liveByQueue.get(queue)?.delete(jobId);
--- a/packages/node/cell/job_repository_test.ts
+++ b/packages/node/cell/job_repository_test.ts
@@ -1,8 +1,9 @@
 import { ManualClock, type OrganisationName } from "@coltsfootpond/common";
-import type { CellJobId } from "@coltsfootpond/policy";
+import { type CellJobId, JOB_STATE } from "@coltsfootpond/policy";
 import type { StateStore, TransactOutcome } from "@coltsfootpond/ports";
 import { expect } from "chai";
 import { JobRepository } from "./job_repository.ts";
+import { encodeRow, jobKey } from "./rows.ts";
 import {
   createFollower,
   createSpec,
@@ -126,4 +127,52 @@
       state: "queued",
     });
   });
+
+  it("shows an end that its copy of the table has not received", async () => {
+    const clock = ManualClock.create();
+    const { jobRepository, store } = createRepository(clock);
+    await jobRepository.submit(SPEC, 1_000);
+    await storeEnd(store);
+    expect(await jobRepository.getState(JOB, REQUESTER, 1_000)).to.deep.equal({
+      kind: "state",
+      state: "completed",
+    });
+  });
+
+  it("answers from its copy while the store is down, and between frequent polls of a live job", async () => {
+    const clock = ManualClock.create();
+    const downStore = createRepository(clock, undefined, 100);
+    await downStore.jobRepository.submit(SPEC, 1_000);
+    await storeEnd(downStore.store);
+    const getState = ({ jobRepository }: typeof downStore) =>
+      jobRepository.getState(JOB, REQUESTER, 1_000);
+    expect(await getState(downStore)).to.include({ state: "queued" });
+
+    const upStore = createRepository(clock);
+    await upStore.jobRepository.submit(SPEC, 1_000);
+    expect(await getState(upStore)).to.include({ state: "queued" });
+    await storeEnd(upStore.store);
+    expect(await getState(upStore)).to.include({ state: "queued" });
+    await clock.advance(100);
+    expect(await getState(upStore)).to.include({ state: "completed" });
+  });
 });
+
+/** Stores the end of the job as the lease holder does, without telling the repository. */
+async function storeEnd(store: StoreFake): Promise<void> {
+  const key = jobKey(JOB);
+  await store.transact({
+    conditions: [],
+    puts: [{
+      key,
+      value: encodeRow({
+        kind: "ended",
+        state: JOB_STATE.COMPLETED,
+        queue: SPEC.queue,
+        organisation: SPEC.organisation,
+        endedUnixMs: 0,
+      }),
+    }],
+    deletes: [],
+  }, 1_000);
+}
