--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -5,7 +5,7 @@
  * reports.
  */
 import type { Clock } from "@coltsfootpond/common";
-import { planRound } from "@coltsfootpond/policy";
+import { planRound, UrgentDemand } from "@coltsfootpond/policy";
 import type {
   CellSettings,
   RecordDecoder,
@@ -67,6 +67,7 @@
   readonly #writer: ProgressWriter;
   readonly #endedJobs: EndedJobCollector;
   readonly #begunJobs: BegunJobsWriter;
+  readonly #urgentDemand = UrgentDemand.create();
   readonly #timers: { cancel(): void }[] = [];
   #subscription: Subscription | undefined;
   #isReady = false;
@@ -99,6 +100,7 @@
       ...options,
       writer: this.#writer,
       closeRun: (unit, reason) => this.#runs.close(unit, reason),
+      urgentDemand: this.#urgentDemand,
     });
     const events = SessionEventHandler.create({
       ...options,
@@ -215,7 +217,7 @@
   }
 
   #round(): void {
-    const { clock, nowUnixMs, declared, canAct, log } = this.#options;
+    const { clock, nowUnixMs, declared, canAct, log, settings } = this.#options;
     if (!canAct()) return;
     const nowMs = clock.nowMs();
     const unreported = this.#fleet.findUnreportedWorkers();
@@ -226,6 +228,8 @@
       guarantees: declared.current?.guarantees ?? [],
       nowMs,
       nowUnixMs: nowUnixMs(),
+      urgentRatesPerS: this.#urgentDemand.computeRatesPerS(nowUnixMs()),
+      stopLimitMs: settings.bounds.stopLimitMs,
       isBlocked: (unit) =>
         strayUnits.has(describeUnit(unit)) ||
         !unit.wasRunByThisHolder && mayStillRunUnreported(unit, unreported),
--- a/packages/node/cell/job_registry.ts
+++ b/packages/node/cell/job_registry.ts
@@ -6,6 +6,7 @@
   JobProgress,
   RUN_END,
   type TaskName,
+  type UrgentDemand,
 } from "@coltsfootpond/policy";
 import type { EndedTask, StateRow } from "@coltsfootpond/ports";
 import {
@@ -16,6 +17,7 @@
   type Unit,
 } from "./live_job.ts";
 import type { CellLog } from "./log.ts";
+import { URGENT_PRIORITY } from "./plan_input.ts";
 import type { ProgressWriter } from "./progress_writer.ts";
 import {
   decodeRow,
@@ -33,6 +35,7 @@
   readonly log: CellLog;
   readonly writer: Pick<ProgressWriter, "mark" | "forget">;
   readonly closeRun: (unit: Unit, reason: string) => void;
+  readonly urgentDemand: UrgentDemand;
 }
 
 /** The live jobs of one epoch, by id. */
@@ -140,7 +143,8 @@
     { spec }: Extract<JobRow, { kind: "live" }>,
     rowVersion: number,
   ): void {
-    const { follower, clock, nowUnixMs, log } = this.#options;
+    const { follower, clock, nowUnixMs, log, urgentDemand } = this.#options;
+    if (spec.priority === URGENT_PRIORITY) urgentDemand.record(spec);
     const stored = follower.get(progressKey(spec.jobId));
     const row = stored?.value && decodeRow<ProgressRow>(stored.value);
     const job = LiveJob.create({
--- a/packages/node/cell/plan_input.ts
+++ b/packages/node/cell/plan_input.ts
@@ -1,9 +1,10 @@
 /** Builds the input of one planning round from the lease holder's jobs and workers. */
-import type { OrganisationName } from "@coltsfootpond/common";
+import type { OrganisationName, ServiceName } from "@coltsfootpond/common";
 import {
   canMeetObjective,
   computeCriticalPathMs,
   computeLateLoss,
+  computeUrgentReserves,
   computeWorkMs,
   type JobRankInput,
   type PlanInput,
@@ -19,7 +20,7 @@
 import type { LiveJob, Unit } from "./live_job.ts";
 
 /** Priority of the jobs that guarantees cover and for which other jobs may be evicted. */
-const URGENT_PRIORITY = 0;
+export const URGENT_PRIORITY = 0;
 /**
  * Upper bound of the work lost when a task that saves its progress is stopped: one checkpoint
  * period and a restore.
@@ -43,6 +44,10 @@
   readonly guarantees: readonly OrganisationGuarantee[];
   readonly nowMs: number;
   readonly nowUnixMs: number;
+  /** Accelerators that urgent jobs of each service ask for in a second. */
+  readonly urgentRatesPerS: ReadonlyMap<ServiceName, number>;
+  /** Longest time that a task takes to stop. */
+  readonly stopLimitMs: number;
   /** Whether the unit must not start yet, as an earlier run of it may still be running. */
   readonly isBlocked: (unit: Unit) => boolean;
 }
@@ -88,6 +93,7 @@
             rank.tier === RANK_TIER.GUARANTEED &&
               nowMs - unit.waitingSinceMs > SAME_RACK_WAIT_MS,
           evictionGain,
+          mayUseReserve: mayUseReserve(spec.priority, unit.step),
           service: spec.service,
           step: unit.step,
           stepKey: unit.stepKey,
@@ -97,7 +103,18 @@
       }
     }
   }
-  return { workers, waiting, running };
+  const urgentReserves = computeUrgentReserves({
+    ratesPerS: options.urgentRatesPerS,
+    stopLimitMs: options.stopLimitMs,
+    workers,
+  });
+  return { workers, waiting, running, urgentReserves };
+}
+
+/** Persistent tasks must start however full the cell is. */
+function mayUseReserve(priority: number, step: StepSpec): boolean {
+  return priority === URGENT_PRIORITY || step.isPersistent ||
+    step.need.accelerators === 0;
 }
 
 function createRunning(
--- a/packages/policy/cell/fit.ts
+++ b/packages/policy/cell/fit.ts
@@ -180,7 +180,9 @@
   return racks;
 }
 
-function sumFreeAccelerators(capacities: readonly WorkerCapacity[]): number {
+function sumFreeAccelerators(
+  capacities: readonly WorkerCapacity[],
+): number {
   return capacities.reduce((sum, { free }) => sum + free.accelerators, 0);
 }
 
--- a/packages/policy/cell/plan_round.ts
+++ b/packages/policy/cell/plan_round.ts
@@ -2,7 +2,7 @@
  * Plans one round of the cell scheduler: which waiting units start on which workers, and which
  * running units are evicted for others. A pure function; the caller executes the plan.
  */
-import type { WorkerName } from "@coltsfootpond/common";
+import type { ServiceName, WorkerName } from "@coltsfootpond/common";
 import { planEviction, type RunningUnit } from "./eviction.ts";
 import {
   createWorkerCapacity,
@@ -24,6 +24,8 @@
    * Job value gained by a start now instead of later; units that cost less may be evicted for it.
    */
   readonly evictionGain: number;
+  /** Whether it may use the accelerators that are kept free for urgent work. */
+  readonly mayUseReserve: boolean;
 }
 
 /** Workers and units at the time of the round; `Unit` is the caller's own type. */
@@ -31,6 +33,8 @@
   readonly workers: readonly WorkerView[];
   readonly waiting: readonly WaitingUnit<Unit>[];
   readonly running: readonly RunningUnit<Unit>[];
+  /** Accelerators of each service to keep free for urgent work; none when left out. */
+  readonly urgentReserves?: ReadonlyMap<ServiceName, number>;
 }
 
 /** A unit to start, with one worker per task. */
@@ -58,14 +62,22 @@
   const evicted = new Set<RunningUnit<Unit>>();
   const stepsWithoutFit = new Set<string>();
   let evictionPlans = 0;
+  const spare = createSpareAccelerators(capacities, input.urgentReserves);
   const waiting = [...input.waiting].sort((left, right) =>
     compareRanks(left.rank, right.rank)
   );
   for (const request of waiting) {
     if (stepsWithoutFit.has(request.stepKey)) continue;
+    const accelerators = request.step.need.accelerators * request.count;
+    const spareOfService = spare.get(request.service) ?? 0;
+    if (!request.mayUseReserve && accelerators > spareOfService) {
+      stepsWithoutFit.add(request.stepKey);
+      continue;
+    }
     const fit = findFit(capacities, request, request);
     if (fit !== undefined) {
       subtractFit(fit, request);
+      spare.set(request.service, spareOfService - accelerators);
       placements.push({
         unit: request.unit,
         workers: fit.capacities.map(({ view }) => view.worker),
@@ -85,6 +97,19 @@
   return { placements, evictions: [...evicted].map(({ unit }) => unit) };
 }
 
+/** Free accelerators of each service beyond those to keep free for urgent work. */
+function createSpareAccelerators(
+  capacities: readonly WorkerCapacity[],
+  urgentReserves: ReadonlyMap<ServiceName, number> = new Map(),
+): Map<ServiceName, number> {
+  const spare = new Map<ServiceName, number>();
+  for (const { view: { service }, free } of capacities) {
+    const known = spare.get(service) ?? -(urgentReserves.get(service) ?? 0);
+    spare.set(service, known + free.accelerators);
+  }
+  return spare;
+}
+
 /**
  * Returns the running units to evict so that the request fits, together with the capacity that is
  * already being released. Removes the workers that the request waits for from `capacities`, so that
--- a/packages/policy/cell/plan_round_test.ts
+++ b/packages/policy/cell/plan_round_test.ts
@@ -72,6 +72,7 @@
     rank: { tier: RANK_TIER.ORDINARY, density: 1 },
     allowRemote: false,
     evictionGain: 0,
+    mayUseReserve: true,
     ...overrides,
   };
 }
@@ -205,6 +206,29 @@
     expect(plan).to.deep.equal({ placements: [], evictions: ["gang"] });
   });
 
+  it("leaves the reserve to units that may use it", () => {
+    const plan = (urgentReserve: number) =>
+      planRound({
+        workers: [worker("a1", "a", 8)],
+        waiting: [
+          waiting("large", step(4), { mayUseReserve: false }),
+          waiting("urgent", step(2), {
+            rank: { tier: RANK_TIER.ORDINARY, density: 0 },
+          }),
+          waiting("small", step(1), {
+            rank: { tier: RANK_TIER.ORDINARY, density: 0 },
+            mayUseReserve: false,
+          }),
+        ],
+        running: [],
+        urgentReserves: new Map([[SERVICE, urgentReserve]]),
+      }).placements.map(({ unit }) => unit);
+    expect(plan(0)).to.deep.equal(["large", "urgent", "small"]);
+    expect(plan(4)).to.deep.equal(["large", "urgent"]);
+    expect(plan(5)).to.deep.equal(["urgent", "small"]);
+    expect(plan(7)).to.deep.equal(["urgent"]);
+  });
+
   it("never places more on a worker than its free capacity", () => {
     const request = fc.record({
       accelerators: fc.integer({ min: 0, max: 8 }),
--- a/scripts/bench_days/arrivals.ts
+++ b/scripts/bench_days/arrivals.ts
@@ -7,12 +7,16 @@
   brandId,
   drawExponential,
   nextInteger,
-  type OrganisationName,
-  type RackName,
   type Random,
   SeededRandom,
   type ServiceName,
 } from "@coltsfootpond/common";
+import {
+  ACCELERATORS_PER_WORKER,
+  type Deployment,
+  DEPLOYMENTS,
+  listRacks,
+} from "./deployments.ts";
 import type { CellJobId, CellJobSpec, StepSpec } from "@coltsfootpond/policy";
 
 /** The workload scenarios, by the names that the flag `--load` accepts. */
@@ -77,29 +81,21 @@
 export const ARRIVAL_WINDOW_MS = 60_000;
 /** The part of a day in which the disturbance that a scenario is named after takes place. */
 export const DISTURBANCE = { FROM_MS: 20_000, UNTIL_MS: 30_000 } as const;
-export const ORGANISATIONS = ["a", "b", "c", "d"].map((name) =>
-  brandId<OrganisationName>(name)
-);
 export const SERVICE = brandId<ServiceName>("service");
-export const RACKS = [0, 1, 2, 3, 4].map((number) =>
-  brandId<RackName>(`rack-${number}`)
-);
+/** What the kinds have in common in all deployments. */
+type KindShape = Omit<JobKind, keyof Deployment["kinds"]["urgent"]> & {
+  readonly name: keyof Deployment["kinds"];
+};
 
-const KINDS: readonly JobKind[] = [
+const KINDS: readonly KindShape[] = [
   {
     name: "large",
     priority: 1,
-    arrivalsPerS: 0.4,
     value: 3,
     lateValue: 1.2,
     stretch: 3,
-    allowanceMs: 1_000,
-    runMs: 8_000,
     runSpread: 0.35,
-    estimateSpread: 0.7,
-    tasks: 4.5,
     taskCountSpread: 0.7,
-    maximumTasks: 24,
     cpuMilli: 52_000,
     accelerators: [1, 2, 4, 8, 8],
     isGang: true,
@@ -114,17 +110,11 @@
   {
     name: "urgent",
     priority: 0,
-    arrivalsPerS: 1.36,
     value: 4,
     lateValue: 0.8,
     stretch: 1.5,
-    allowanceMs: 250,
-    runMs: 2_400,
     runSpread: 0.5,
-    estimateSpread: 0.35,
-    tasks: 3,
     taskCountSpread: 0.7,
-    maximumTasks: 18,
     cpuMilli: 15_000,
     accelerators: [1, 2, 4, 8, 8],
     isGang: true,
@@ -139,17 +129,11 @@
   {
     name: "wide",
     priority: 2,
-    arrivalsPerS: 0.45,
     value: 1,
     lateValue: 0.4,
     stretch: 3,
-    allowanceMs: 3_000,
-    runMs: 6_000,
     runSpread: 0.35,
-    estimateSpread: 0.7,
-    tasks: 13,
     taskCountSpread: 0.7,
-    maximumTasks: 80,
     cpuMilli: 11_000,
     accelerators: [1],
     isGang: false,
@@ -163,9 +147,6 @@
   },
 ];
 
-export const WORKERS_PER_RACK = 8;
-export const ACCELERATORS_PER_WORKER = 8;
-const ACCELERATORS_PER_RACK = WORKERS_PER_RACK * ACCELERATORS_PER_WORKER;
 const MS_PER_SECOND = 1_000;
 const TASK_MEMORY_MIB = 50_000;
 const BURST_FACTOR = 3;
@@ -198,6 +179,7 @@
   random: Random,
   kind: JobKind,
   number: number,
+  deployment: Deployment,
 ): { readonly step: StepSpec; readonly runsMs: readonly number[] } {
   const count = Math.max(
     1,
@@ -211,7 +193,9 @@
   const isGang = kind.isGang && count > 1;
   const accelerators =
     kind.accelerators[nextInteger(random, kind.accelerators.length)] ?? 1;
-  const fitsRack = count * accelerators <= ACCELERATORS_PER_RACK;
+  const fitsRack = count * accelerators <=
+    deployment.workersPerRack * ACCELERATORS_PER_WORKER;
+  const racks = listRacks(deployment);
   const step: StepSpec = {
     count,
     need: { cpuMilli: kind.cpuMilli, memoryMib: TASK_MEMORY_MIB, accelerators },
@@ -224,7 +208,7 @@
     isRackBound: isGang && fitsRack && drawBoolean(kind.rackBoundShare),
     requiredLabel: undefined,
     dataRack: drawBoolean(kind.dataRackShare)
-      ? RACKS[nextInteger(random, RACKS.length - 1)]
+      ? racks[nextInteger(random, racks.length - 1)]
       : undefined,
     maximumPerWorker: undefined,
     isPersistent: false,
@@ -242,11 +226,12 @@
   kind: JobKind,
   load: Load,
   atMs: number,
+  deployment: Deployment,
 ): Arrival {
   const stepCount = random.next() < kind.twoStepShare ? 2 : 1;
   const steps = Array.from(
     { length: stepCount },
-    (_, number) => createStep(random, kind, number),
+    (_, number) => createStep(random, kind, number, deployment),
   );
   const isCancelled = random.next() <
     kind.cancelShare * (load === LOAD.CANCELS ? CANCEL_FACTOR : 1);
@@ -261,7 +246,8 @@
       jobId,
       queue: brandId(kind.name),
       service: SERVICE,
-      organisation: ORGANISATIONS[nextInteger(random, ORGANISATIONS.length)],
+      organisation: deployment
+        .organisations[nextInteger(random, deployment.organisations.length)],
       priority: kind.priority,
       maximumAttempts: MAXIMUM_ATTEMPTS,
       stretch: kind.stretch,
@@ -281,10 +267,15 @@
 }
 
 /** All arrivals of a day in order of arrival time; the same load and seed give the same list. */
-export function createArrivals(load: Load, seed: number): readonly Arrival[] {
+export function createArrivals(
+  load: Load,
+  seed: number,
+  deployment: Deployment = DEPLOYMENTS.small,
+): readonly Arrival[] {
   const random = SeededRandom.create(seed);
   const arrivals: Arrival[] = [];
-  for (const kind of KINDS) {
+  for (const shape of KINDS) {
+    const kind = { ...shape, ...deployment.kinds[shape.name] };
     let atMs = 0;
     for (;;) {
       atMs += drawExponential(
@@ -292,7 +283,7 @@
         MS_PER_SECOND / getArrivalsPerS(kind, load, atMs),
       );
       if (atMs >= ARRIVAL_WINDOW_MS) break;
-      arrivals.push(createArrival(random, kind, load, atMs));
+      arrivals.push(createArrival(random, kind, load, atMs, deployment));
     }
   }
   return arrivals.sort((one, other) => one.atMs - other.atMs);
--- a/scripts/bench_days/cell_model.ts
+++ b/scripts/bench_days/cell_model.ts
@@ -22,32 +22,22 @@
 import { computeCoreSeconds } from "../../packages/node/cell/plan_input.ts";
 import { computeAvailability } from "../../packages/node/cell/worker_availability.ts";
 import type { WorkerSession } from "../../packages/node/cell/worker_session.ts";
+import { DISTURBANCE, LOAD, type Load, SERVICE } from "./arrivals.ts";
 import {
   ACCELERATORS_PER_WORKER,
-  DISTURBANCE,
-  LOAD,
-  type Load,
-  RACKS,
-  SERVICE,
-  WORKERS_PER_RACK,
-} from "./arrivals.ts";
+  type Deployment,
+  listRacks,
+} from "./deployments.ts";
 
-const WORKER_COUNT = 33;
-const DOMAIN_COUNT = 3;
 const WORKER_CAPACITY: CellResources = {
   cpuMilli: 128_000,
   memoryMib: 524_288,
   accelerators: ACCELERATORS_PER_WORKER,
 };
-export const CELL_ACCELERATORS = WORKER_COUNT * WORKER_CAPACITY.accelerators;
 /** A rack-bound run across racks is this much slower, and so is a run away from the rack of its data. */
 const REMOTE_SLOWDOWN_FACTOR = 3;
 const SLOW_WORKER_SHARE = 0.17;
 const WORKER_SLOWDOWN_FACTOR = 6.5;
-/** Delay of a start from saved progress, in addition to that of every start. */
-const RESTORE_DELAY_MS = 600;
-const STOP_DELAY_MS = 100;
-const START_DELAY_MS = 20;
 /** Period of the progress reports, in simulated time. */
 const REPORT_PERIOD_MS = 1_000;
 
@@ -100,20 +90,24 @@
 /** The simulated workers and the runs on them. */
 export class CellModel {
   readonly #load: Load;
+  readonly #deployment: Deployment;
   readonly #workers = new Map<WorkerName, ModelWorker>();
   readonly #runs = new Map<Unit, ModelRun>();
   readonly #savedProgressMs = new Map<Unit, number>();
   #nextRunNumber = 1;
   #nextReportMs = 0;
 
-  private constructor(load: Load) {
+  private constructor(load: Load, deployment: Deployment) {
     this.#load = load;
-    for (let number = 0; number < WORKER_COUNT; number++) {
+    this.#deployment = deployment;
+    const { workers, workersPerRack, failureDomains } = deployment;
+    const racks = listRacks(deployment);
+    for (let number = 0; number < workers; number++) {
       const worker = brandId<WorkerName>(`worker-${number}`);
       this.#workers.set(worker, {
         worker,
-        rack: RACKS[Math.floor(number / WORKERS_PER_RACK)] ?? RACKS[0]!,
-        failureDomain: brandId(`domain-${number % DOMAIN_COUNT}`),
+        rack: racks[Math.floor(number / workersPerRack)] ?? racks[0]!,
+        failureDomain: brandId(`domain-${number % failureDomains}`),
         taskRuns: new Set(),
         isSlow: false,
         isOut: false,
@@ -121,8 +115,8 @@
     }
   }
 
-  static create(load: Load): CellModel {
-    return new CellModel(load);
+  static create(load: Load, deployment: Deployment): CellModel {
+    return new CellModel(load, deployment);
   }
 
   get isIdle(): boolean {
@@ -172,19 +166,19 @@
         ? actualRun.fullRunMs * actualRun.failsAtShare
         : Infinity,
       progressAtStartMs: savedProgressMs,
-      remainingDelayMs: START_DELAY_MS +
-        (savedProgressMs > 0 ? RESTORE_DELAY_MS : 0),
+      remainingDelayMs: this.#deployment.startDelayMs +
+        (savedProgressMs > 0 ? this.#deployment.restoreDelayMs : 0),
       progressMs: savedProgressMs,
       endsAtMs: Infinity,
     });
   }
 
-  /** Stops the unit's run, if any; its capacity is free after STOP_DELAY_MS. */
+  /** Stops the unit's run, if any; its capacity is free after the stop delay. */
   stop(unit: Unit, nowMs: number): void {
     const running = this.#runs.get(unit);
     if (running === undefined || running.run.isClosing) return;
     running.run.isClosing = true;
-    running.endsAtMs = nowMs + STOP_DELAY_MS;
+    running.endsAtMs = nowMs + this.#deployment.stopDelayMs;
     for (const taskRun of running.run.taskRuns.keys()) {
       taskRun.isStopping = true;
     }
@@ -212,7 +206,8 @@
       nowMs < DISTURBANCE.UNTIL_MS;
     let number = 0;
     for (const worker of this.#workers.values()) {
-      const isAmongSlowWorkers = number++ < WORKER_COUNT * SLOW_WORKER_SHARE;
+      const isAmongSlowWorkers = number++ <
+        this.#deployment.workers * SLOW_WORKER_SHARE;
       worker.isSlow = isDisturbed && this.#load === LOAD.SLOW_WORKERS &&
         isAmongSlowWorkers;
       worker.isOut = isDisturbed && this.#load === LOAD.DOMAIN_OUT &&
--- a/scripts/bench_days/main.ts
+++ b/scripts/bench_days/main.ts
@@ -1,17 +1,22 @@
 /**
- * `npm run bench:days -- --load NAME --seeds N --first-seed S --json`: replays seeded days through
+ * `npm run bench:days -- --deployment NAME --load NAME --seeds N --first-seed S --json`: replays seeded days through
  * coltsfootpond's planner and the baseline policies and prints the mean scores side by side. The row
  * `at_once` is the upper bound. With `--json`, the last line printed is JSON.
  */
 import process from "node:process";
 import yargs from "yargs";
 import { createArrivals, LOAD, type Load } from "./arrivals.ts";
+import { type DeploymentName, DEPLOYMENTS } from "./deployments.ts";
 import { POLICIES } from "./policies.ts";
 import { type DayReport, replayDay } from "./replay.ts";
 import { type Score, scoreUnbounded } from "./score.ts";
 
 const options = yargs(process.argv.slice(2))
   .option("load", { choices: [...Object.values(LOAD), "all"], default: "all" })
+  .option("deployment", {
+    choices: Object.keys(DEPLOYMENTS),
+    default: DEPLOYMENTS.small.name,
+  })
   .option("seeds", { type: "number", default: 10 })
   .option("first-seed", { type: "number", default: 1 })
   .option("only", { type: "string", describe: "one policy by name" })
@@ -49,6 +54,7 @@
   return { load, policy, ...means };
 }
 
+const deployment = DEPLOYMENTS[options.deployment as DeploymentName];
 const loads = options.load === "all"
   ? Object.values(LOAD)
   : [options.load as Load];
@@ -64,13 +70,13 @@
     summarise(
       load,
       policy.name,
-      seeds.map((seed) => replayDay(policy, load, seed)),
+      seeds.map((seed) => replayDay(policy, load, seed, deployment)),
     )
   ),
   summarise(
     load,
     "at_once",
-    seeds.map((seed) => scoreUnbounded(createArrivals(load, seed))),
+    seeds.map((seed) => scoreUnbounded(createArrivals(load, seed, deployment))),
   ),
 ]);
 if (options.json) console.log(JSON.stringify({ seeds, summary }));
--- a/scripts/bench_days/policies.ts
+++ b/scripts/bench_days/policies.ts
@@ -1,6 +1,7 @@
 /**
- * The policies that a day is replayed with: coltsfootpond's planner, and baselines with another order
- * of waiting units and without evictions.
+ * The policies that a day is replayed with: coltsfootpond's planner, the same planner without
+ * room kept free for urgent work, and baselines with another order of waiting units and without
+ * evictions.
  */
 import {
   planRound,
@@ -47,6 +48,14 @@
 /** The policies to compare; `present` is the planner as it runs in production. */
 export const POLICIES: readonly DayPolicy[] = [
   { name: "present", decide: (options) => planRound(createPlanInput(options)) },
+  {
+    name: "no_reserve",
+    decide: (options) =>
+      planRound({
+        ...createPlanInput(options),
+        urgentReserves: new Map(),
+      }),
+  },
   createBaseline("first_come", ({ unit }) => unit.job.spec.acceptedUnixMs),
   createBaseline("shortest", ({ step }) => step.estimateMs),
   createBaseline(
--- a/scripts/bench_days/replay.ts
+++ b/scripts/bench_days/replay.ts
@@ -1,20 +1,29 @@
 /** Replays the arrivals of one day through a policy and scores the outcome by the platform's rules. */
 import { performance } from "node:perf_hooks";
-import { type CellJobId, JobProgress } from "@coltsfootpond/policy";
+import {
+  type CellJobId,
+  JobProgress,
+  UrgentDemand,
+} from "@coltsfootpond/policy";
 import type { OrganisationGuarantee } from "@coltsfootpond/ports";
 import {
   formatUnitKey,
   LiveJob,
   type Unit,
 } from "../../packages/node/cell/live_job.ts";
-import { CELL_ACCELERATORS, CellModel, type EndedRun } from "./cell_model.ts";
+import { CellModel, type EndedRun } from "./cell_model.ts";
 import {
   type Arrival,
   ARRIVAL_WINDOW_MS,
   createArrivals,
   type Load,
-  ORGANISATIONS,
 } from "./arrivals.ts";
+import {
+  countAccelerators,
+  type Deployment,
+  DEPLOYMENTS,
+} from "./deployments.ts";
+import { URGENT_PRIORITY } from "../../packages/node/cell/plan_input.ts";
 import type { DayPolicy } from "./policies.ts";
 import { type JobResult, type Score, scoreDay } from "./score.ts";
 
@@ -24,8 +33,6 @@
 const DRAIN_TIMEOUT_MS = 120_000;
 /** Maximum time between two scheduling rounds, like the lease holder's periodic round. */
 const ROUND_PERIOD_MS = 200;
-/** Share of the cell's accelerators that each of the four organisations is guaranteed. */
-const GUARANTEED_SHARE = 0.15;
 /** A task of a job that always fails does so after this share of its run time. */
 const ALWAYS_FAILS_AT_SHARE = 0.3;
 
@@ -43,16 +50,24 @@
   readonly live: LiveJob;
 }
 
-const GUARANTEES: readonly OrganisationGuarantee[] = ORGANISATIONS.map(
-  (organisation) => ({
+function createGuarantees(
+  deployment: Deployment,
+): readonly OrganisationGuarantee[] {
+  const accelerators = Math.round(
+    countAccelerators(deployment) * deployment.guaranteedShare,
+  );
+  return deployment.organisations.map((organisation) => ({
     organisation,
-    accelerators: Math.round(CELL_ACCELERATORS * GUARANTEED_SHARE),
-  }),
-);
+    accelerators,
+  }));
+}
 
 /** The state of one day while it is replayed. */
 class Replay {
   readonly #policy: DayPolicy;
+  readonly #deployment: Deployment;
+  readonly #guarantees: readonly OrganisationGuarantee[];
+  readonly #urgentDemand = UrgentDemand.create();
   readonly #cell: CellModel;
   readonly #arrivals: readonly Arrival[];
   readonly #jobs = new Map<CellJobId, ReplayedJob>();
@@ -64,14 +79,26 @@
   #isRoundDue = false;
   #nextRoundMs = 0;
 
-  private constructor(policy: DayPolicy, load: Load, seed: number) {
+  private constructor(
+    policy: DayPolicy,
+    load: Load,
+    seed: number,
+    deployment: Deployment,
+  ) {
     this.#policy = policy;
-    this.#cell = CellModel.create(load);
-    this.#arrivals = createArrivals(load, seed);
+    this.#deployment = deployment;
+    this.#guarantees = createGuarantees(deployment);
+    this.#cell = CellModel.create(load, deployment);
+    this.#arrivals = createArrivals(load, seed, deployment);
   }
 
-  static create(policy: DayPolicy, load: Load, seed: number): Replay {
-    return new Replay(policy, load, seed);
+  static create(
+    policy: DayPolicy,
+    load: Load,
+    seed: number,
+    deployment: Deployment,
+  ): Replay {
+    return new Replay(policy, load, seed, deployment);
   }
 
   run(): DayReport {
@@ -106,6 +133,7 @@
         progressVersion: 0,
       });
       live.openDueUnits(nowMs, nowMs);
+      if (spec.priority === URGENT_PRIORITY) this.#urgentDemand.record(spec);
       this.#jobs.set(spec.jobId, { arrival, live });
       this.#isRoundDue = true;
     }
@@ -161,9 +189,11 @@
     const plan = this.#policy.decide({
       jobs: [...this.#jobs.values()].map(({ live }) => live),
       workers: this.#cell.createWorkerViews(),
-      guarantees: GUARANTEES,
+      guarantees: this.#guarantees,
       nowMs,
       nowUnixMs: nowMs,
+      urgentRatesPerS: this.#urgentDemand.computeRatesPerS(nowMs),
+      stopLimitMs: this.#deployment.stopDelayMs,
       isBlocked: () => false,
     });
     this.#decisionTimesMs.push(performance.now() - startMs);
@@ -214,6 +244,7 @@
   policy: DayPolicy,
   load: Load,
   seed: number,
+  deployment: Deployment = DEPLOYMENTS.small,
 ): DayReport {
-  return Replay.create(policy, load, seed).run();
+  return Replay.create(policy, load, seed, deployment).run();
 }
--- a/scripts/bench_days/replay_test.ts
+++ b/scripts/bench_days/replay_test.ts
@@ -1,9 +1,22 @@
 import { expect } from "chai";
 import { createArrivals, LOAD } from "./arrivals.ts";
+import { type Deployment, DEPLOYMENTS } from "./deployments.ts";
 import { POLICIES } from "./policies.ts";
 import { replayDay } from "./replay.ts";
 import { type JobResult, scoreDay, scoreUnbounded } from "./score.ts";
 
+/** A quarter of the large deployment, with a quarter of its arrivals. */
+const OVERLOADED: Deployment = {
+  ...DEPLOYMENTS.large,
+  workers: 96,
+  guaranteedShare: 0.1,
+  kinds: {
+    large: { ...DEPLOYMENTS.large.kinds.large, arrivalsPerS: 0.75 },
+    urgent: { ...DEPLOYMENTS.large.kinds.urgent, arrivalsPerS: 3.25 },
+    wide: { ...DEPLOYMENTS.large.kinds.wide, arrivalsPerS: 0.5 },
+  },
+};
+
 describe("replayed day", () => {
   it("is deterministic, and no policy earns more than starting every job at once", () => {
     const day = [LOAD.URGENT_BURST, 7] as const;
@@ -35,4 +48,17 @@
     expect(share(3 * objectiveMs + 1)).to.equal(0);
     expect(share(1, "failed")).to.equal(0);
   });
+
+  it("evicts less and earns more with room kept free when urgent gangs arrive on a full cell whose tasks stop slowly", () => {
+    const [present, withoutReserve] = ["present", "no_reserve"].map((name) =>
+      replayDay(
+        POLICIES.find((policy) => policy.name === name)!,
+        LOAD.URGENT_BURST,
+        1,
+        OVERLOADED,
+      )
+    );
+    expect(present!.evictions).to.be.lessThan(withoutReserve!.evictions / 2);
+    expect(present!.worth).to.be.greaterThan(withoutReserve!.worth);
+  });
 });
