--- a/packages/node/cell/cell_entry.ts
+++ b/packages/node/cell/cell_entry.ts
@@ -16,6 +16,7 @@
 import { CellScheduler } from "./cell_scheduler.ts";
 import { DeclaredStateTracker } from "./declared_state_tracker.ts";
 import { JobRepository } from "./job_repository.ts";
+import { computeFollowDelayMs } from "./entry_count_delays.ts";
 import { type LeaseChange, SchedulerLease } from "./scheduler_lease.ts";
 import type { CellLog } from "./log.ts";
 import type { CellMeters, GaugeValues } from "./meters/cell_meters.ts";
@@ -31,8 +32,6 @@
  * state is in force, as a due read may first wait for a long poll of the same length.
  */
 const DECLARED_STATE_READ_PERIOD_MS = 900;
-/** Entries share the store's rate limit for reads, so each polls less often the more there are. */
-const FOLLOW_DELAY_PER_PEER_MS = 5;
 /**
  * After this time without an answer of the store the entry is not ready, so that the balancer sends
  * new connections to others.
@@ -102,7 +101,7 @@
       expectsChanges: true,
       getDelayMs: () =>
         this.#scheduler === undefined
-          ? this.#peerRegistry.addresses.length * FOLLOW_DELAY_PER_PEER_MS
+          ? computeFollowDelayMs(this.#peerRegistry.addresses.length)
           : 0,
     });
     this.#peerRegistry = PeerRegistry.create({
--- /dev/null
+++ b/packages/node/cell/entry_count_delays_test.ts
@@ -0,0 +1,37 @@
+import { expect } from "chai";
+import {
+  computeFollowDelayMs,
+  computeHandoverBackoffMs,
+  computeLongestAcquireDelayMs,
+} from "./entry_count_delays.ts";
+import { computeAcquireDelayMs } from "./lease_priority.ts";
+import { SCHEDULER_LEASE_MS } from "./scheduler_lease.ts";
+
+const ENTRY_COUNTS = [1, 10, 97, 300, 1_000, 3_864];
+/** Period of the renewals, which is also the largest age of a lease row that is still held. */
+const RENEW_PERIOD_MS = 400;
+
+describe("delays by the number of entries", () => {
+  it("let every entry see a renewal before the lease could have expired", () => {
+    for (const entries of ENTRY_COUNTS) {
+      const ageMs = RENEW_PERIOD_MS + computeFollowDelayMs(entries - 1);
+      expect(ageMs).to.be.lessThan(SCHEDULER_LEASE_MS - 500);
+    }
+  });
+
+  it("keep the old holder back until the smallest entry could have acquired the lease", () => {
+    for (const count of ENTRY_COUNTS) {
+      const longestMs = computeAcquireDelayMs(0.001, { largest: 4, count });
+      expect(longestMs).to.be.at.most(computeLongestAcquireDelayMs(count));
+      expect(computeHandoverBackoffMs(count)).to.be.greaterThan(longestMs);
+    }
+  });
+
+  it("share the store's reads among the entries", () => {
+    // Polls a second of all entries together; the smallest store allows 2,000 reads a second.
+    const pollsPerS = (entries: number) =>
+      entries * 1_000 / Math.max(1, computeFollowDelayMs(entries - 1));
+    expect(pollsPerS(97)).to.be.lessThan(250);
+    expect(pollsPerS(1_000)).to.be.lessThan(2_000);
+  });
+});
--- a/packages/node/cell/lease_priority.ts
+++ b/packages/node/cell/lease_priority.ts
@@ -2,13 +2,8 @@
  * Rules for which entry should hold the scheduler's lease: the one with the largest processor
  * share, as the lease holder has the most work.
  */
+import { computeLongestAcquireDelayMs } from "./entry_count_delays.ts";
 
-/**
- * Upper bound of the acquisition delay, for each announced entry; the delay grows with the gap
- * between the entry's share and the largest one. Twice FOLLOW_DELAY_PER_PEER_MS, as entries poll,
- * and so see a change of the lease row, at different times.
- */
-const ACQUIRE_DELAY_PER_PEER_MS = 10;
 /**
  * The lease is handed over when an announced entry has this many times the holder's processor
  * share.
@@ -24,12 +19,6 @@
  * each change of holder costs the cell about a second.
  */
 const MINIMUM_HANDOVER_INTERVAL_MS = 20_000;
-/**
- * Time after a handover in which the old holder does not compete: twice the longest acquisition
- * delay in a cell of 50 entries.
- */
-export const HANDOVER_BACKOFF_MS = 1_000;
-
 /** Processor shares that the entries announced, in cores of the reference speed. */
 export interface ProcessorShares {
   readonly largest: number;
@@ -37,13 +26,16 @@
   readonly count: number;
 }
 
-/** Milliseconds by which an entry delays its acquisition against the largest entry. */
+/**
+ * Milliseconds by which an entry delays its acquisition against the largest entry; grows with the
+ * gap between their shares.
+ */
 export function computeAcquireDelayMs(
   ownShare: number,
   { largest, count }: ProcessorShares,
 ): number {
   if (largest <= ownShare) return 0;
-  return (1 - ownShare / largest) * count * ACQUIRE_DELAY_PER_PEER_MS;
+  return (1 - ownShare / largest) * computeLongestAcquireDelayMs(count);
 }
 
 /** Input of the decision whether to hand the lease over. */
--- a/packages/node/cell/scheduler_lease.ts
+++ b/packages/node/cell/scheduler_lease.ts
@@ -9,9 +9,9 @@
 import type { StateRow, StateStore } from "@coltsfootpond/ports";
 import { Subject } from "rxjs";
 import { STORE_TIMEOUT_MS } from "./constants.ts";
+import { computeHandoverBackoffMs } from "./entry_count_delays.ts";
 import {
   computeAcquireDelayMs,
-  HANDOVER_BACKOFF_MS,
   isHandoverDue,
   type ProcessorShares,
 } from "./lease_priority.ts";
@@ -20,7 +20,7 @@
 import type { TableFollower } from "./table_follower.ts";
 
 /** Other entries may acquire a lease that has not been renewed for this long. */
-const SCHEDULER_LEASE_MS = 1_800;
+export const SCHEDULER_LEASE_MS = 1_800;
 /** Four renewals fit into the lease. */
 const RENEW_PERIOD_MS = 400;
 /**
@@ -197,8 +197,10 @@
 
   async #handOver(): Promise<void> {
     if (this.#held === undefined) return;
-    this.#held.handedOverUnixMs = this.#options.nowUnixMs();
-    this.#backoffUntilMs = this.#options.clock.nowMs() + HANDOVER_BACKOFF_MS;
+    const { clock, nowUnixMs, getProcessorShares } = this.#options;
+    this.#held.handedOverUnixMs = nowUnixMs();
+    this.#backoffUntilMs = clock.nowMs() +
+      computeHandoverBackoffMs(getProcessorShares().count);
     await this.#release("a larger entry may hold it");
   }
 
