--- a/packages/policy/cell/plan_round.ts
+++ b/packages/policy/cell/plan_round.ts
@@ -11,7 +11,7 @@
   subtractFit,
   type WorkerCapacity,
 } from "./fit.ts";
-import type { WorkerView } from "./types.ts";
+import type { CellResources, WorkerView } from "./types.ts";
 import { compareRanks, type Rank, RANK_TIER } from "./job_rank.ts";
 
 /** A unit that is due and waits for workers. */
@@ -62,7 +62,9 @@
   const evicted = new Set<RunningUnit<Unit>>();
   const stepsWithoutFit = new Set<string>();
   let evictionPlans = 0;
-  const spare = createSpareAccelerators(capacities, input.urgentReserves);
+  const spare = sumBeyondReserve(input, ({ free }) => free);
+  // A unit that does not fit beside the reserve of an empty service would never start.
+  const largest = sumBeyondReserve(input, ({ capacity }) => capacity);
   const waiting = [...input.waiting].sort((left, right) =>
     compareRanks(left.rank, right.rank)
   );
@@ -70,7 +72,9 @@
     if (stepsWithoutFit.has(request.stepKey)) continue;
     const accelerators = request.step.need.accelerators * request.count;
     const spareOfService = spare.get(request.service) ?? 0;
-    if (!request.mayUseReserve && accelerators > spareOfService) {
+    const mayUseReserve = request.mayUseReserve ||
+      accelerators > (largest.get(request.service) ?? 0);
+    if (!mayUseReserve && accelerators > spareOfService) {
       stepsWithoutFit.add(request.stepKey);
       continue;
     }
@@ -97,17 +101,18 @@
   return { placements, evictions: [...evicted].map(({ unit }) => unit) };
 }
 
-/** Free accelerators of each service beyond those to keep free for urgent work. */
-function createSpareAccelerators(
-  capacities: readonly WorkerCapacity[],
-  urgentReserves: ReadonlyMap<ServiceName, number> = new Map(),
+/** Sums accelerators of the workers of each service, less those to keep free for urgent work. */
+function sumBeyondReserve<Unit>(
+  { workers, urgentReserves }: PlanInput<Unit>,
+  getResources: (worker: WorkerView) => CellResources,
 ): Map<ServiceName, number> {
-  const spare = new Map<ServiceName, number>();
-  for (const { view: { service }, free } of capacities) {
-    const known = spare.get(service) ?? -(urgentReserves.get(service) ?? 0);
-    spare.set(service, known + free.accelerators);
+  const sums = new Map<ServiceName, number>();
+  for (const worker of workers) {
+    const { service } = worker;
+    const sum = sums.get(service) ?? -(urgentReserves?.get(service) ?? 0);
+    sums.set(service, sum + getResources(worker).accelerators);
   }
-  return spare;
+  return sums;
 }
 
 /**
--- a/packages/policy/cell/plan_round_test.ts
+++ b/packages/policy/cell/plan_round_test.ts
@@ -209,7 +209,7 @@
   it("leaves the reserve to units that may use it", () => {
     const plan = (urgentReserve: number) =>
       planRound({
-        workers: [worker("a1", "a", 8)],
+        workers: [worker("a1", "a", 8), worker("a2", "a", 0)],
         waiting: [
           waiting("large", step(4), { mayUseReserve: false }),
           waiting("urgent", step(2), {
@@ -229,6 +229,22 @@
     expect(plan(7)).to.deep.equal(["urgent"]);
   });
 
+  it("starts a unit that the reserve would keep waiting even in an empty service", () => {
+    const plan = (count: number) =>
+      planRound({
+        workers: [worker("a1", "a"), worker("a2", "a")],
+        waiting: [
+          waiting("large", step(8, { isGang: true, count }), {
+            mayUseReserve: false,
+          }),
+        ],
+        running: [],
+        urgentReserves: new Map([[SERVICE, 1]]),
+      }).placements.length;
+    expect(plan(1)).to.equal(1);
+    expect(plan(2)).to.equal(1);
+  });
+
   it("never places more on a worker than its free capacity", () => {
     const request = fc.record({
       accelerators: fc.integer({ min: 0, max: 8 }),
--- a/scripts/mutations/cell_mutations.ts
+++ b/scripts/mutations/cell_mutations.ts
@@ -171,7 +171,7 @@
     name: "fill the room that is kept free for urgent work",
     promise: "urgent work starts in time",
     file: `${POLICY}/plan_round.ts`,
-    find: `if (!request.mayUseReserve && accelerators > spareOfService) {`,
+    find: `if (!mayUseReserve && accelerators > spareOfService) {`,
     replace: `if (accelerators < 0) {`,
     spec: `${POLICY}/plan_round_test.ts`,
     title: "leaves the reserve to units that may use it",
