--- a/packages/node/failure_domains/pending_acknowledgements.ts
+++ b/packages/node/failure_domains/pending_acknowledgements.ts
@@ -24,11 +24,11 @@
   expect(failureDomain: FailureDomainName, version: number): void {
     const known = this.#expected.get(failureDomain);
     if (known !== undefined && known.version >= version) return;
-    known?.waiters.forEach((notify) => notify());
+    // An acknowledgement of the newer version covers the older one, so its waiters go on with it.
     this.#expected.set(failureDomain, {
       version,
       entries: new Set(),
-      waiters: new Set(),
+      waiters: known?.waiters ?? new Set(),
     });
   }
 
@@ -53,7 +53,10 @@
     return [...this.#expected.keys()];
   }
 
-  /** Resolves when all of `entries` have acknowledged, or after `timeoutMs`. */
+  /**
+   * Resolves when all of `entries` have acknowledged the expected version or one that replaced it
+   * meanwhile, or after `timeoutMs`.
+   */
   waitFor(
     failureDomain: FailureDomainName,
     entries: readonly EntryName[],
@@ -62,8 +65,10 @@
   ): Promise<void> {
     const expected = this.#expected.get(failureDomain);
     if (expected === undefined) return Promise.resolve();
-    const isComplete = () =>
-      entries.every((entry) => expected.entries.has(entry));
+    const isComplete = () => {
+      const acknowledged = this.list(failureDomain);
+      return entries.every((entry) => acknowledged.has(entry));
+    };
     if (isComplete()) return Promise.resolve();
     return new Promise((resolve) => {
       const finish = () => {
