--- a/packages/policy/placement/worker_health.ts
+++ b/packages/policy/placement/worker_health.ts
@@ -38,6 +38,8 @@
   /** Jobs that failed on it, weighted by the success share of their service at that time. */
   readonly failureWeights: Map<JobId, number>;
   quarantined: boolean;
+  /** Whether a probe was placed and has not failed. */
+  isProbing: boolean;
   probeAtMs: number;
   probeDelayMs: number;
   refusalDelayMs: number;
@@ -78,7 +80,9 @@
   ): FailureCause {
     const health = this.#get(worker);
     if (health.quarantined) {
-      this.#postponeProbe(health, nowMs);
+      // A job that was started before the quarantine says nothing new.
+      if (health.isProbing) health.probeAtMs = nowMs + health.probeDelayMs;
+      health.isProbing = false;
       return { kind: "none" };
     }
     const service = `${job.organisation}/${job.service}`;
@@ -139,7 +143,13 @@
 
   /** Records that a probe was placed; the next one may follow after a doubled delay. */
   startProbe(worker: WorkerName, nowMs: number): void {
-    this.#postponeProbe(this.#get(worker), nowMs);
+    const health = this.#get(worker);
+    health.isProbing = true;
+    health.probeDelayMs = Math.min(
+      MAXIMUM_PROBE_DELAY_MS,
+      2 * health.probeDelayMs,
+    );
+    health.probeAtMs = nowMs + health.probeDelayMs;
   }
 
   /** Removes a worker that was lost; true if it was in quarantine. */
@@ -167,6 +177,7 @@
       health = {
         failureWeights: new Map(),
         quarantined: false,
+        isProbing: false,
         probeAtMs: 0,
         probeDelayMs: 0,
         refusalDelayMs: 0,
@@ -185,14 +196,6 @@
     }
   }
 
-  #postponeProbe(health: WorkerHealth, nowMs: number): void {
-    health.probeDelayMs = Math.min(
-      MAXIMUM_PROBE_DELAY_MS,
-      2 * health.probeDelayMs,
-    );
-    health.probeAtMs = nowMs + health.probeDelayMs;
-  }
-
   #removeFailures(jobId: JobId, workers: ReadonlySet<WorkerName>): void {
     for (const worker of workers) {
       this.#workers.get(worker)?.failureWeights.delete(jobId);
