--- a/scripts/mutations/cell_mutations.ts
+++ b/scripts/mutations/cell_mutations.ts
@@ -99,7 +99,7 @@
     name: "hand the lease over repeatedly",
     promise: ONE_HOLDER,
     file: `${CELL}/scheduler_lease.ts`,
-    find: `this.#held.handedOverUnixMs = this.#options.nowUnixMs();`,
+    find: `this.#held.handedOverUnixMs = nowUnixMs();`,
     replace: ``,
     spec: `${CELL}/scheduler_lease_test.ts`,
     title: "is handed over to a much larger entry",
