--- a/packages/ports/table/settlement.ts
+++ b/packages/ports/table/settlement.ts
@@ -1,8 +1,9 @@
 /**
  * Determines whether a transaction whose response was lost took effect. Every row contains the id
  * of its last write: the transaction took effect if a row has its id. It did not if a row that it
- * would have changed is unchanged, or if another write made the next change to it. In the rare case
- * that later writes have replaced all its rows, the outcome is unknown.
+ * would have changed is unchanged, or if another write made the next change to it. The outcome is
+ * unknown if later writes may have replaced all its rows, also those that it writes without a
+ * condition.
  */
 import type { TableRow, TableTransaction } from "../types.ts";
 
@@ -16,10 +17,8 @@
 ): Settlement {
   if (rows.some((row) => row.writeId === transaction.writeId)) return "made";
   const written = new Set(transaction.writes.map((write) => write.key));
-  let hasConditionalWrite = false;
   for (const condition of transaction.conditions) {
     if (!written.has(condition.key)) continue;
-    hasConditionalWrite = true;
     const row = rows.find((one) => one.key === condition.key);
     const versionBefore = condition.kind === "version" ? condition.version : 0;
     if (row?.version === versionBefore || row?.version === versionBefore + 1) {
@@ -27,7 +26,7 @@
     }
     if (row === undefined && condition.kind === "absent") return "not_made";
   }
-  return hasConditionalWrite ? "unknown" : "not_made";
+  return transaction.writes.length > 0 ? "unknown" : "not_made";
 }
 
 /** The keys whose rows `settleTransaction` needs: those of the conditions and writes. */
