--- a/packages/node/requests/create_request_routes.ts
+++ b/packages/node/requests/create_request_routes.ts
@@ -202,7 +202,7 @@
   });
   const admissions = Admissions.create({ clock, pool });
   const records = CallRecords.create({ table, objects: platform.objects });
-  const recorder = AnswerRecorder.create(clock);
+  const recorder = AnswerRecorder.create(clock, events);
   const waits = JobWaits.create({ clock, jobs });
   const calls = CallsInProgress.create();
   const handle = createRequestChain({
--- a/packages/node/requests/filters/deduplicate.ts
+++ b/packages/node/requests/filters/deduplicate.ts
@@ -4,7 +4,7 @@
  * or `ATTEMPT_UNSETTLED` while the outcome is not known. Idempotent calls run without a claim, so
  * they are served while the table service is unavailable; their answers are recorded afterwards.
  */
-import { RESULT, RESULT_CLASS } from "@coltsfootpond/common";
+import { type EventSubject, RESULT, RESULT_CLASS } from "@coltsfootpond/common";
 import type { CallClaim, CallKey, CallRecords } from "../call_records.ts";
 import type { Handler, RequestFilter } from "../filter_chain.ts";
 import { MINIMUM_RETRY_AFTER_MS } from "../constants.ts";
@@ -27,6 +27,10 @@
   };
 }
 
+function getSubject({ requestId, service }: CallRequest): EventSubject {
+  return { requestId, service: service.name };
+}
+
 export function createDeduplicateFilter(
   options: DeduplicateOptions,
 ): RequestFilter<CallRequest, CallRequest> {
@@ -34,18 +38,21 @@
 
   /** Writes once while the caller waits; if that fails, retries in the background. */
   async function writeOrRetryLater(
+    subject: EventSubject,
     writeRecord: () => Promise<boolean>,
   ): Promise<void> {
-    if (!await writeRecord()) recorder.add(writeRecord);
+    if (!await writeRecord()) recorder.add(subject, writeRecord);
   }
 
   async function recordClaimedOutcome(
+    subject: EventSubject,
     claim: CallClaim,
     outcome: RequestOutcome,
   ): Promise<void> {
     if (outcome.kind === "answered") {
-      await writeOrRetryLater(() =>
-        records.recordAnswer(claim, outcome.answer)
+      await writeOrRetryLater(
+        subject,
+        () => records.recordAnswer(claim, outcome.answer),
       );
       return;
     }
@@ -53,8 +60,9 @@
     const { resultName } = outcome;
     const notRun = RESULT[resultName].class === RESULT_CLASS.NOT_RUN;
     const state = notRun ? "not_run" : "unknown";
-    await writeOrRetryLater(() =>
-      records.recordOutcome(claim, { state, resultName })
+    await writeOrRetryLater(
+      subject,
+      () => records.recordOutcome(claim, { state, resultName }),
     );
   }
 
@@ -74,7 +82,11 @@
         return await replayCall(records, claimOutcome.row);
       case "claimed": {
         const outcome = await next(request);
-        await recordClaimedOutcome(claimOutcome.claim, outcome);
+        await recordClaimedOutcome(
+          getSubject(request),
+          claimOutcome.claim,
+          outcome,
+        );
         return outcome;
       }
     }
@@ -87,8 +99,10 @@
       if (!request.idempotent) return await runClaimed(request, next);
       const outcome = await next(request);
       if (outcome.kind === "answered") {
-        recorder.add(() =>
-          records.recordUnclaimedAnswer(getCallKey(request), outcome.answer)
+        recorder.add(
+          getSubject(request),
+          () =>
+            records.recordUnclaimedAnswer(getCallKey(request), outcome.answer),
         );
       }
       return outcome;
--- a/packages/node/requests/filters/flow_filters_test.ts
+++ b/packages/node/requests/filters/flow_filters_test.ts
@@ -2,6 +2,7 @@
 import {
   brandId,
   ManualClock,
+  NULL_EVENT_SINK,
   type ResultName,
   type RunnerName,
   SeededRandom,
@@ -158,7 +159,7 @@
     for (const [name, outcome] of Object.entries(outcomes)) {
       const { table, objects } = new RequestFixture();
       const clock = ManualClock.create();
-      const recorder = AnswerRecorder.create(clock);
+      const recorder = AnswerRecorder.create(clock, NULL_EVENT_SINK);
       const records = CallRecords.create({ table, objects });
       const filter = createDeduplicateFilter({ records, recorder });
       const { next, seen: passed } = createNext<CallRequest>(outcome);
