--- a/packages/node/cell/callers/job_repository.ts
+++ b/packages/node/cell/callers/job_repository.ts
@@ -32,10 +32,10 @@
 /** Delay between tries within the caller's time-out. */
 const RETRY_DELAY_MS = 60;
 /**
- * Time-out of a read of a live job's row, after which the copy answers. Many round trips to the
- * store, and short against the objectives of urgent jobs.
+ * How long a caller waits for a read of a live job's row, before the copy answers. Many round trips
+ * to the store, and short against the objectives of urgent jobs.
  */
-const REFRESH_TIMEOUT_MS = 300;
+const REFRESH_WAIT_MS = 300;
 /** Between two reads of a job's row this close together, the copy answers. */
 const MINIMUM_REFRESH_INTERVAL_MS = 50;
 /** With this many reads of live jobs in progress, the copy answers further callers. */
@@ -225,13 +225,16 @@
     return [...jobs].filter((jobId) => !this.#begun.has(jobId)).length;
   }
 
-  /** Reads the row of a live job again; returns the known row when the store does not answer. */
+  /**
+   * Reads the row of a live job again. Returns the copy's row when the store has not answered soon;
+   * a later answer still reaches the copy.
+   */
   async #refresh(
     jobId: CellJobId,
     known: StateRow,
     deadlineMs: number,
-  ): Promise<StateRow | undefined> {
-    const { store, follower, clock, getStoreDownMs } = this.#options;
+  ): Promise<StateRow> {
+    const { follower, clock, getStoreDownMs } = this.#options;
     const isLive = known.value !== undefined &&
       decodeRow<JobRow>(known.value).kind === "live";
     const nowMs = clock.nowMs();
@@ -243,17 +246,24 @@
       nowMs - lastReadMs < MINIMUM_REFRESH_INTERVAL_MS
     ) return known;
     this.#lastRefreshMs.set(jobId, nowMs);
-    this.#refreshesInProgress++;
+    const waitMs = Math.min(REFRESH_WAIT_MS, deadlineMs - nowMs);
+    await Promise.race([this.#readIntoCopy(jobId), clock.sleep(waitMs)]);
+    return follower.get(jobKey(jobId)) ?? known;
+  }
+
+  async #readIntoCopy(jobId: CellJobId): Promise<void> {
+    const { store, follower } = this.#options;
     const key = jobKey(jobId);
+    this.#refreshesInProgress++;
+    // With a shorter time-out, a slow store would count as unreachable for all other calls.
     const outcome = await store.read(
       STORE_TABLE.STATE,
       { fromKey: key, toKey: `${key}~` },
-      Math.min(REFRESH_TIMEOUT_MS, this.#tryTimeout(deadlineMs)),
+      STORE_TIMEOUT_MS,
     );
     this.#refreshesInProgress--;
     // The copy keeps the newer of both versions, so a stale answer changes nothing.
     if (outcome.kind === "rows") follower.apply(outcome.rows);
-    return follower.get(key) ?? known;
   }
 
   async #lookUp(
--- a/packages/node/cell/callers/job_repository_test.ts
+++ b/packages/node/cell/callers/job_repository_test.ts
@@ -2,6 +2,7 @@
 import { type CellJobId, JOB_STATE } from "@coltsfootpond/policy";
 import type { StateStore, TransactOutcome } from "@coltsfootpond/ports";
 import { expect } from "chai";
+import { STORE_TIMEOUT_MS } from "../constants.ts";
 import { JobRepository } from "./job_repository.ts";
 import { encodeRow, jobKey } from "../rows.ts";
 import {
@@ -156,6 +157,42 @@
     await clock.advance(100);
     expect(await getState(upStore)).to.include({ state: "completed" });
   });
+
+  it("answers from its copy while a read is slow, without shortening the store's time-out", async () => {
+    const clock = ManualClock.create();
+    const fake = createStoreFake();
+    const timeoutsMs: number[] = [];
+    const slowStore: StoreFake = {
+      ...fake,
+      read: async (table, range, timeoutMs) => {
+        timeoutsMs.push(timeoutMs);
+        await clock.sleep(600);
+        return await fake.read(table, range, timeoutMs);
+      },
+    };
+    const jobRepository = JobRepository.create({
+      store: slowStore,
+      follower: createFollower(slowStore, clock),
+      clock,
+      getStoreDownMs: () => 0,
+      nowUnixMs: () => 0,
+    });
+    await jobRepository.submit(SPEC, 1_000);
+    await storeEnd(fake);
+    const askedMs = clock.nowMs();
+    let answeredMs = Infinity;
+    const first = jobRepository.getState(JOB, REQUESTER, askedMs + 3_000);
+    void first.then(() => (answeredMs = clock.nowMs()));
+    await clock.advance(1_000);
+    expect(await first).to.include({ state: "queued" });
+    expect(answeredMs - askedMs).to.be.at.most(300);
+    // A shorter one would make the store look unreachable to all other calls.
+    expect(timeoutsMs).to.deep.equal([STORE_TIMEOUT_MS]);
+    // The answer that came too late for the first request has reached the copy.
+    const second = await jobRepository.getState(JOB, REQUESTER, 9_000);
+    expect(second).to.include({ state: "completed" });
+    expect(timeoutsMs).to.have.length(1);
+  });
 });
 
 /** Stores the end of the job as the lease holder does, without telling the repository. */
--- a/packages/node/cell/cell_entry.ts
+++ b/packages/node/cell/cell_entry.ts
@@ -234,6 +234,7 @@
       begunJobs: counts?.begunJobs ?? 0,
       workers: counts?.workers ?? 0,
       reachableWorkers: counts?.reachableWorkers ?? 0,
+      urgentHeadroom: counts?.urgentHeadroom ?? 0,
     };
   }
 
--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -74,6 +74,8 @@
   #isStopped = false;
   #isRoundDue = false;
   #roundDurationMs = 0;
+  /** Accelerators that the last round left to urgent jobs. */
+  #urgentHeadroom = 0;
 
   private constructor(options: CellSchedulerOptions) {
     this.#options = options;
@@ -162,6 +164,7 @@
       workers: sessions.length,
       reachableWorkers: sessions.filter(({ isReachable }) => isReachable)
         .length,
+      urgentHeadroom: this.#urgentHeadroom,
     };
   }
 
@@ -234,6 +237,10 @@
         strayUnits.has(describeUnit(unit)) ||
         !unit.wasRunByThisHolder && mayStillRunUnreported(unit, unreported),
     });
+    this.#urgentHeadroom = [...input.urgentHeadroom?.values() ?? []].reduce(
+      (sum, accelerators) => sum + accelerators,
+      0,
+    );
     if (input.waiting.length === 0) return;
     const plan = planRound(input);
     for (const unit of plan.evictions) {
--- a/packages/node/cell/meters/cell_meters.ts
+++ b/packages/node/cell/meters/cell_meters.ts
@@ -33,6 +33,7 @@
   readonly begunJobs: number;
   readonly workers: number;
   readonly reachableWorkers: number;
+  readonly urgentHeadroom: number;
 }
 
 /** The metrics of one process. */
@@ -159,6 +160,10 @@
         "Workers that answer the holder.",
         ({ reachableWorkers }) => reachableWorkers,
       ],
+      urgent_headroom: [
+        "Accelerators that other work leaves to urgent jobs.",
+        ({ urgentHeadroom }) => urgentHeadroom,
+      ],
     };
     for (const [name, [help, read]] of Object.entries(gauges)) {
       const readGauges = () => this.#readGauges?.();
--- a/packages/node/cell/meters/cell_meters_test.ts
+++ b/packages/node/cell/meters/cell_meters_test.ts
@@ -30,6 +30,7 @@
       begunJobs: 2,
       workers: 33,
       reachableWorkers: 32,
+      urgentHeadroom: 12,
     }));
     waitingJobs = 7;
     const lines = (await meters.format()).split("\n");
@@ -43,6 +44,7 @@
         "coltsfootpond_lease_epoch 4",
         "coltsfootpond_state_age_seconds 1.5",
         "coltsfootpond_waiting_jobs 7",
+        "coltsfootpond_urgent_headroom 12",
       ]
     ) expect(lines).to.include(line);
     expect(lines.some((line) => line.includes("front-1"))).to.equal(false);
--- a/packages/policy/cell/fit.ts
+++ b/packages/policy/cell/fit.ts
@@ -235,12 +235,8 @@
     const chosen = fillGreedily(eligible, request);
     return chosen && { capacities: chosen, isRemote: false };
   }
-  if (mustShareRack && !fitsInOneRack(eligible, request)) {
-    if (!options.allowRemote) return undefined;
-    const chosen = fillGreedily(eligible, request);
-    return chosen && { capacities: chosen, isRemote: true };
-  }
-  for (const rack of orderRacks(eligible, dataRack)) {
+  const canFit = !mustShareRack || fitsInOneRack(eligible, request);
+  for (const rack of canFit ? orderRacks(eligible, dataRack) : []) {
     const isNearData = dataRack === undefined ||
       rack[0]?.view.rack === dataRack;
     if (!isNearData && (!mustShareRack || !options.allowRemote)) continue;
