--- a/scripts/mutations/cell_mutations.ts
+++ b/scripts/mutations/cell_mutations.ts
@@ -180,12 +180,25 @@
     name: "answer with the state of a live job from the entry's copy",
     promise: "ends are shown in time",
     file: `${CELL}/callers/job_repository.ts`,
-    find: `    if (outcome.kind === "rows") follower.apply(outcome.rows);
-    return follower.get(key) ?? known;`,
-    replace: `    return known;`,
+    find:
+      `    await Promise.race([this.#readIntoCopy(jobId), clock.sleep(waitMs)]);`,
+    replace: ``,
     spec: `${CELL}/callers/job_repository_test.ts`,
     title: "shows an end that its copy of the table has not received",
   },
+  {
+    name: "read a live job with the caller's wait as the store's time-out",
+    promise: ACCEPTED,
+    file: `${CELL}/callers/job_repository.ts`,
+    find: `      STORE_TIMEOUT_MS,
+    );
+    this.#refreshesInProgress--;`,
+    replace: `      REFRESH_WAIT_MS,
+    );
+    this.#refreshesInProgress--;`,
+    spec: `${CELL}/callers/job_repository_test.ts`,
+    title: "answers from its copy while a read is slow",
+  },
   {
     name: "pass a peer's call to a store that this entry cannot reach",
     promise: ACCEPTED,
