Log what a run without a listed end was concluded from

New events: worker.restarted (both incarnations, and whether a record or an answer named the later one) and worker.left (age of the last heartbeat). scheduler.ready names the workers of earlier placements that the new holder does not know, task.stray the run that the unit has instead. task.gone is also counted by its reason. No decision changes.

--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -187,6 +187,9 @@
       unreported: this.#fleet.sessions.filter((session) =>
         !session.hasReported
       ).length,
+      unknownWorkers: this.#jobs.listEarlierWorkers().filter((worker) =>
+        this.#fleet.get(worker) === undefined
+      ),
       adopted: this.#runs.size,
     });
     this.#closeIncompleteGangs();
--- a/packages/node/cell/job_registry.ts
+++ b/packages/node/cell/job_registry.ts
@@ -1,5 +1,5 @@
 /** The live jobs of the lease holder, built from their rows and the ends of their tasks. */
-import type { Clock } from "@coltsfootpond/common";
+import type { Clock, WorkerName } from "@coltsfootpond/common";
 import {
   type CellJobId,
   JOB_STATE,
@@ -79,6 +79,14 @@
     }
   }
 
+  /** Workers on which earlier lease holders may have started tasks. */
+  listEarlierWorkers(): readonly WorkerName[] {
+    const workers = this.jobs.flatMap(({ earlierPlacements }) =>
+      [...earlierPlacements.values()].flat()
+    );
+    return [...new Set(workers)];
+  }
+
   /** Removes an ended job and stops its runs. */
   close(job: LiveJob): void {
     if (!this.#jobs.delete(job.jobId)) return;
--- a/packages/node/cell/meters/cell_meters.ts
+++ b/packages/node/cell/meters/cell_meters.ts
@@ -14,6 +14,7 @@
 /** Events whose reason is one of a fixed set of words. */
 const EVENTS_WITH_REASON: ReadonlySet<string> = new Set([
   "unit.closing",
+  "task.gone",
   "task.start_refused",
 ]);
 /** Distinct reasons that get a time series of their own; there are about 30. */
--- a/packages/node/cell/run_registry.ts
+++ b/packages/node/cell/run_registry.ts
@@ -158,6 +158,7 @@
       task: taskRun.task,
       run: taskRun.run,
       worker: session.worker,
+      unitRun: unit?.run?.run,
     });
     void session.stopTaskRun(taskRun);
   }
--- a/packages/node/cell/session_event_handler.ts
+++ b/packages/node/cell/session_event_handler.ts
@@ -8,8 +8,8 @@
 } from "@coltsfootpond/ports";
 import type { JobRegistry } from "./job_registry.ts";
 import { formatUnitKey, type Unit } from "./live_job.ts";
-import type { CellLog } from "./log.ts";
-import type { SessionListener, TaskRun } from "./task_run.ts";
+import type { CellLog, LogFields } from "./log.ts";
+import type { GoneEvidence, SessionListener, TaskRun } from "./task_run.ts";
 import type { ProgressWriter } from "./progress_writer.ts";
 import type { RunRegistry } from "./run_registry.ts";
 import { WorkerQuarantine } from "./worker_quarantine.ts";
@@ -66,9 +66,13 @@
     else void session.stopTaskRun(taskRun);
   }
 
-  onGone(session: WorkerSession, taskRun: TaskRun, reason: string): void {
+  onGone(
+    session: WorkerSession,
+    taskRun: TaskRun,
+    { reason, inputs }: GoneEvidence,
+  ): void {
     const { runs } = this.#options;
-    this.#logTask("task.gone", session, taskRun, { reason });
+    this.#logTask("task.gone", session, taskRun, { reason, ...inputs });
     const unit = runs.drop(taskRun);
     if (unit === undefined) return;
     unit.job.progress.recordCheckpoint(unit.address, taskRun.checkpoint);
@@ -122,7 +126,7 @@
     event: "task.start_refused" | "task.start_unanswered" | "task.gone",
     { worker }: WorkerSession,
     { task, run }: TaskRun,
-    fields: { readonly reason?: string } = {},
+    fields: LogFields = {},
   ): void {
     this.#options.log.warn(event, { task, run, worker, ...fields });
   }
--- a/packages/node/cell/task_run.ts
+++ b/packages/node/cell/task_run.ts
@@ -5,6 +5,7 @@
   RunningTask,
   StartRefusal,
 } from "@coltsfootpond/ports";
+import type { LogFields } from "./log.ts";
 import type { WorkerSession } from "./worker_session.ts";
 
 /** One numbered run of one task on one worker; the run of a gang has one for each task. */
@@ -39,8 +40,12 @@
   onStartUnanswered(session: WorkerSession, taskRun: TaskRun): void;
   /** The run ended and the worker listed its end. */
   onEnded(session: WorkerSession, ended: EndedTask, taskRun?: TaskRun): void;
-  /** The run is gone without a listed end. */
-  onGone(session: WorkerSession, taskRun: TaskRun, reason: string): void;
+  /** The run is gone without a listed end; the evidence is logged. */
+  onGone(
+    session: WorkerSession,
+    taskRun: TaskRun,
+    evidence: GoneEvidence,
+  ): void;
   /** The worker reports a run that this lease holder did not start: a stray run. */
   onStray(session: WorkerSession, running: RunningTask): void;
   /** The worker sent a report. */
@@ -49,6 +54,12 @@
   onFenced(session: WorkerSession): void;
 }
 
+/** Why a run without a listed end is over, and the inputs of this conclusion for the log. */
+export interface GoneEvidence {
+  readonly reason: string;
+  readonly inputs: LogFields;
+}
+
 /** Key of a run of a task in maps. */
 export function taskRunKey(task: TaskName, run: number): string {
   return `${task}#${run}`;
--- a/packages/node/cell/worker_directory.ts
+++ b/packages/node/cell/worker_directory.ts
@@ -36,7 +36,15 @@
 export interface DirectorySnapshot {
   readonly records: ReadonlyMap<WorkerName, WorkerRecord>;
   /** Workers that have left for certain, as their records were removed early. */
-  readonly leftWorkers: readonly WorkerName[];
+  readonly leftWorkers: readonly LeftWorker[];
+}
+
+/** A worker whose record was removed early, and the heartbeat that shows it. */
+export interface LeftWorker {
+  readonly worker: WorkerName;
+  readonly heartbeat: number;
+  /** Upper bound of the age of the heartbeat at the removal. */
+  readonly heartbeatAgeMs: number;
 }
 
 /** Reads the workers' records. */
@@ -96,16 +104,17 @@
 
   #findLeft(
     records: ReadonlyMap<WorkerName, WorkerRecord>,
-  ): readonly WorkerName[] {
+  ): readonly LeftWorker[] {
     // After a failed read the removal may be of any age, so the worker may have been silent.
     if (this.#lastReadMs === undefined) return [];
     const nowMs = this.#options.clock.nowMs();
     const silenceMs = MISSED_HEARTBEATS_TO_REMOVAL * this.#options.heartbeatMs;
-    return [...this.#knownRecords.values()].filter((
-      { record, heartbeatNotBeforeMs },
-    ) =>
-      !records.has(record.worker) && nowMs - heartbeatNotBeforeMs < silenceMs
-    ).map(({ record }) => record.worker);
+    return [...this.#knownRecords.values()].map((
+      { record: { worker, heartbeat }, heartbeatNotBeforeMs },
+    ) => ({ worker, heartbeat, heartbeatAgeMs: nowMs - heartbeatNotBeforeMs }))
+      .filter(({ worker, heartbeatAgeMs }) =>
+        !records.has(worker) && heartbeatAgeMs < silenceMs
+      );
   }
 
   #updateKnown(records: ReadonlyMap<WorkerName, WorkerRecord>): void {
--- a/packages/node/cell/worker_fleet.ts
+++ b/packages/node/cell/worker_fleet.ts
@@ -144,8 +144,9 @@
     for (const session of this.#sessions.values()) {
       if (!snapshot.records.has(session.worker)) session.setRecord(undefined);
     }
-    for (const worker of snapshot.leftWorkers) {
-      this.#sessions.get(worker)?.markLeft("the worker has left");
+    for (const { worker, ...heartbeat } of snapshot.leftWorkers) {
+      this.#options.log.info("worker.left", { worker, ...heartbeat });
+      this.#sessions.get(worker)?.markLeft("the worker has left", heartbeat);
     }
     this.#dropIdleSessions();
     void this.#writeRoster();
--- a/packages/node/cell/worker_leases.ts
+++ b/packages/node/cell/worker_leases.ts
@@ -5,6 +5,7 @@
  */
 import type { Clock } from "@coltsfootpond/common";
 import type { ResponseMetadata } from "@coltsfootpond/ports";
+import type { LogFields } from "./log.ts";
 
 /** Lowest rate of a worker's clock (the platform's protocol). */
 const SLOWEST_CLOCK_RATE = 0.98;
@@ -100,6 +101,19 @@
     return leaseEndMs;
   }
 
+  /** What `haveLeasesExpired` is concluded from, for the log. */
+  describe(): LogFields {
+    return {
+      incarnationStartUnixMs: this.#incarnationStartUnixMs,
+      latestLeaseEndMs: this.#latestLeaseEndMs,
+      workerClockMs: this.#sample?.workerClockMs,
+      sampleAgeMs: Math.round(
+        this.#options.clock.nowMs() -
+          (this.#sample?.receivedMs ?? this.#clockUnknownSinceMs),
+      ),
+    };
+  }
+
   /** Whether every lease of the worker has expired, even on the slowest clock. */
   haveLeasesExpired(): boolean {
     const nowMs = this.#options.clock.nowMs();
--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -14,7 +14,7 @@
   WorkerRecord,
   WorkerTarget,
 } from "@coltsfootpond/ports";
-import type { CellLog } from "./log.ts";
+import type { CellLog, LogFields } from "./log.ts";
 import type { SessionListener, TaskRun } from "./task_run.ts";
 import { type Report, WorkerTaskRuns } from "./worker_task_runs.ts";
 import { Reachability } from "./reachability.ts";
@@ -73,7 +73,7 @@
     const { listener } = options;
     this.#taskRuns = WorkerTaskRuns.create({
       onEnded: (ended, taskRun) => listener.onEnded(this, ended, taskRun),
-      onGone: (taskRun, reason) => listener.onGone(this, taskRun, reason),
+      onGone: (taskRun, evidence) => listener.onGone(this, taskRun, evidence),
       onStray: (running) => listener.onStray(this, running),
     });
     this.#ends = EndAcknowledgements.create(options.clock);
@@ -154,7 +154,7 @@
   setRecord(record: WorkerRecord | undefined): void {
     this.record = record;
     if (record !== undefined) {
-      this.#applyIncarnation(record.incarnationStartUnixMs);
+      this.#applyIncarnation(record.incarnationStartUnixMs, "record");
     }
   }
 
@@ -206,7 +206,7 @@
   dropIfExpired(): void {
     if (!this.hasTaskRuns || this.isReachable) return;
     if (this.haveLeasesExpired()) {
-      this.#taskRuns.dropAll("the lease has lapsed");
+      this.#taskRuns.dropAll("the lease has lapsed", this.#leases.describe());
     }
   }
 
@@ -216,8 +216,8 @@
   }
 
   /** The worker has left for certain, so nothing runs there any more. */
-  markLeft(reason: string): void {
-    this.#taskRuns.dropAll(reason);
+  markLeft(reason: string, inputs: LogFields): void {
+    this.#taskRuns.dropAll(reason, inputs);
   }
 
   async #pollLoop(): Promise<void> {
@@ -306,17 +306,29 @@
 
   /** False for an answer of an earlier incarnation. */
   #applyMetadata(metadata: ResponseMetadata): boolean {
-    if (!this.#applyIncarnation(metadata.incarnationStartUnixMs)) return false;
+    if (!this.#applyIncarnation(metadata.incarnationStartUnixMs, "answer")) {
+      return false;
+    }
     this.#leases.applyClock(metadata);
     return true;
   }
 
   /** False for an earlier incarnation. A new one starts without runs and numbers its ends anew. */
-  #applyIncarnation(incarnationStartUnixMs: number): boolean {
+  #applyIncarnation(
+    incarnationStartUnixMs: number,
+    source: "record" | "answer",
+  ): boolean {
+    const earlierStartUnixMs = this.incarnationStartUnixMs;
     const status = this.#leases.applyIncarnation(incarnationStartUnixMs);
     if (status !== "new_incarnation") return status === "current";
     this.#ends.reset();
-    this.#taskRuns.beginIncarnation();
+    const inputs = { earlierStartUnixMs, incarnationStartUnixMs, source };
+    this.#options.log.info("worker.restarted", {
+      worker: this.worker,
+      runs: this.#taskRuns.size,
+      ...inputs,
+    });
+    this.#taskRuns.beginIncarnation(inputs);
     this.startPolling();
     return true;
   }
--- a/packages/node/cell/worker_task_runs.ts
+++ b/packages/node/cell/worker_task_runs.ts
@@ -8,7 +8,13 @@
   RenewOutcome,
   RunningTask,
 } from "@coltsfootpond/ports";
-import { type TaskRun, taskRunKey, updateFromReport } from "./task_run.ts";
+import type { LogFields } from "./log.ts";
+import {
+  type GoneEvidence,
+  type TaskRun,
+  taskRunKey,
+  updateFromReport,
+} from "./task_run.ts";
 
 /**
  * Maximum number of ends in one report (the platform's protocol); a full list may be incomplete.
@@ -22,7 +28,7 @@
   /** Called for each end once, in the order of the sequence numbers. */
   readonly onEnded: (ended: EndedTask, taskRun: TaskRun | undefined) => void;
   /** A task run is gone without a listed end. */
-  readonly onGone: (taskRun: TaskRun, reason: string) => void;
+  readonly onGone: (taskRun: TaskRun, evidence: GoneEvidence) => void;
   /** The worker reports a run that was not placed there. */
   readonly onStray: (running: RunningTask) => void;
 }
@@ -112,23 +118,29 @@
    * earlier stop counts. Unanswered starts may still reach it; all other runs ended with the
    * earlier incarnation.
    */
-  beginIncarnation(): void {
+  beginIncarnation(inputs: LogFields = {}): void {
     this.#processedSequence = 0;
     this.#lastReportClockMs = Number.NEGATIVE_INFINITY;
     for (const taskRun of this.all) {
       if (taskRun.startedClockMs === undefined) {
         taskRun.stoppedClockMs = undefined;
-      } else this.#drop(taskRun, "the worker began a new life");
+      } else {
+        const { percentReportedClockMs: reportedClockMs } = taskRun;
+        this.#drop(taskRun, {
+          reason: "the worker began a new life",
+          inputs: { ...inputs, reportedClockMs },
+        });
+      }
     }
   }
 
   /** Drops all task runs, as none of them can be running any more. */
-  dropAll(reason: string): void {
-    for (const taskRun of this.all) this.#drop(taskRun, reason);
+  dropAll(reason: string, inputs: LogFields = {}): void {
+    for (const taskRun of this.all) this.#drop(taskRun, { reason, inputs });
   }
 
-  #drop(taskRun: TaskRun, reason: string): void {
-    if (this.remove(taskRun)) this.#options.onGone(taskRun, reason);
+  #drop(taskRun: TaskRun, evidence: GoneEvidence): void {
+    if (this.remove(taskRun)) this.#options.onGone(taskRun, evidence);
   }
 
   #applyEnd(ended: EndedTask): void {
@@ -153,6 +165,10 @@
   #checkUnlisted(taskRun: TaskRun, reportClockMs: number): void {
     const provenClockMs = taskRun.startedClockMs ?? taskRun.stoppedClockMs;
     if (provenClockMs === undefined || provenClockMs >= reportClockMs) return;
-    this.#drop(taskRun, "not listed by the worker");
+    const { startedClockMs, stoppedClockMs } = taskRun;
+    this.#drop(taskRun, {
+      reason: "not listed by the worker",
+      inputs: { startedClockMs, stoppedClockMs, reportClockMs },
+    });
   }
 }
--- a/packages/node/cell/worker_task_runs_test.ts
+++ b/packages/node/cell/worker_task_runs_test.ts
@@ -30,7 +30,7 @@
   const ended: number[] = [];
   const taskRuns = WorkerTaskRuns.create({
     onEnded: ({ sequence }) => ended.push(sequence),
-    onGone: (_taskRun, reason) => goneReasons.push(reason),
+    onGone: (_taskRun, { reason }) => goneReasons.push(reason),
     onStray: () => {},
   });
   const report = (workerClockMs: number) =>
