--- a/packages/node/cell/cell_simulation.ts
+++ b/packages/node/cell/cell_simulation.ts
@@ -32,7 +32,8 @@
   endedJobRetentionMs: 20_000,
 } as const;
 
-const EXPIRY_CHECK_PERIOD_MS = 10;
+/** Period of the workers' checks for expired leases and due heartbeats. */
+const WORKER_CHECK_PERIOD_MS = 10;
 
 /** A simulated cell. */
 export class CellSimulation {
@@ -51,12 +52,17 @@
         name,
         simulation.clock,
         simulation.history,
+        SIMULATION_BOUNDS.leaseMaximumMs,
       );
       simulation.workers.set(worker.record.worker, worker);
     }
     simulation.clock.every(
-      EXPIRY_CHECK_PERIOD_MS,
-      () => simulation.workers.forEach((worker) => worker.expireLease()),
+      WORKER_CHECK_PERIOD_MS,
+      () =>
+        simulation.workers.forEach((worker) => {
+          worker.expireLease();
+          worker.writeHeartbeat();
+        }),
     );
     return simulation;
   }
@@ -157,18 +163,19 @@
 
   #read(...[table, range, timeoutMs]: Parameters<StoreFake["read"]>) {
     if (table !== "workers") return this.store.read(table, range, timeoutMs);
-    const rows = [...this.workers.keys()].map((key) => ({
-      key,
-      version: 1,
-      value: new Uint8Array(0),
-    }));
+    const rows = [...this.workers].filter(([, { storedRecord }]) =>
+      storedRecord !== undefined
+    ).map(([key]) => ({ key, version: 1, value: new Uint8Array(0) }));
     return Promise.resolve({ kind: "rows", rows, version: 1 } as const);
   }
 
   #createRecordDecoder(): RecordDecoder {
     return {
       decodeDeclaredState: () => undefined,
-      decodeWorker: (key) => this.get(key).record,
+      decodeWorker: (key) => {
+        const { isRecordUnreadable, storedRecord } = this.get(key);
+        return isRecordUnreadable ? undefined : storedRecord;
+      },
       classifyOperatorRow: () => ({ kind: "other" }),
     };
   }
--- /dev/null
+++ b/packages/node/cell/duplicate_runs/late_start_answer_test.ts
@@ -0,0 +1,60 @@
+import { ManualClock, type WorkerName } from "@coltsfootpond/common";
+import type { TaskName } from "@coltsfootpond/policy";
+import type { StartOutcome, WorkerPort } from "@coltsfootpond/ports";
+import { expect } from "chai";
+import { SIMULATION_BOUNDS } from "../cell_simulation.ts";
+import { createTaskRun } from "../live_job.ts";
+import { SILENT_LOG } from "../log.ts";
+import type { SessionListener } from "../task_run.ts";
+import { createJob } from "../test_fixtures.ts";
+import { WorkerSession } from "../worker_session.ts";
+
+const STARTED: StartOutcome = {
+  kind: "started",
+  metadata: { workerClockMs: 1, incarnationStartUnixMs: 0 },
+};
+
+/** A session whose worker answers a start when `answer` is called. */
+function createSession() {
+  const clock = ManualClock.create();
+  const strays: TaskName[] = [];
+  const listener: Pick<SessionListener, "onGone" | "onStray"> = {
+    onGone: () => {},
+    onStray: (_session, { task }) => void strays.push(task),
+  };
+  let answer: (outcome: StartOutcome) => void = () => {};
+  const session = WorkerSession.create({
+    target: { worker: "a" as WorkerName, address: "a:1" },
+    epoch: 1,
+    workerPort: {
+      start: () => new Promise((resolve) => (answer = resolve)),
+      renew: () =>
+        Promise.resolve({ kind: "unavailable", effect: "lost", reason: "" }),
+    } as unknown as WorkerPort,
+    bounds: SIMULATION_BOUNDS,
+    clock,
+    log: SILENT_LOG,
+    listener: listener as SessionListener,
+    canAct: () => true,
+  });
+  return { session, strays, answer: () => answer(STARTED) };
+}
+
+describe("a start that is answered late", () => {
+  // Guards against forgetting a run that was taken as over while its start was on its way.
+  it("makes its run a stray when the run was dropped meanwhile", async () => {
+    const { session, strays, answer } = createSession();
+    const job = createJob("00000000000000aa");
+    job.openDueUnits(0, 0);
+    const [unit] = job.units.values();
+    const taskRun = createTaskRun(unit!, 0, 1_000_001);
+    session.reserve(taskRun);
+    const start = session.start(taskRun, "payload");
+    session.markLeft("test", {});
+    expect(session.hasTaskRuns).to.equal(false);
+    answer();
+    await start;
+    session.stop();
+    expect(strays).to.deep.equal([taskRun.task]);
+  });
+});
--- a/packages/node/cell/worker_directory.ts
+++ b/packages/node/cell/worker_directory.ts
@@ -22,6 +22,7 @@
   readonly store: StateStore;
   readonly recordDecoder: RecordDecoder;
   readonly clock: Clock;
+  readonly nowUnixMs: () => number;
   readonly log: CellLog;
   readonly heartbeatMs: number;
 }
--- a/packages/node/cell/worker_fleet.ts
+++ b/packages/node/cell/worker_fleet.ts
@@ -38,6 +38,7 @@
   readonly recordDecoder: RecordDecoder;
   readonly follower: TableFollower;
   readonly clock: Clock;
+  readonly nowUnixMs: () => number;
   readonly log: CellLog;
   readonly bounds: CellBounds;
   readonly heartbeatMs: number;
@@ -61,14 +62,7 @@
 
   private constructor(options: WorkerFleetOptions) {
     this.#options = options;
-    const { store, recordDecoder, clock, log, heartbeatMs } = options;
-    this.#directory = WorkerDirectory.create({
-      store,
-      recordDecoder,
-      clock,
-      log,
-      heartbeatMs,
-    });
+    this.#directory = WorkerDirectory.create(options);
   }
 
   static create(options: WorkerFleetOptions): WorkerFleet {
--- a/packages/node/cell/workers_fake.ts
+++ b/packages/node/cell/workers_fake.ts
@@ -1,6 +1,7 @@
 /**
  * Workers in memory for the tests of the cell, on a manual clock: capacity, leases, runs that end,
- * ends that are listed until acknowledged, epochs, and calls that are lost or carried out late.
+ * ends that are listed until acknowledged, epochs, calls that are lost or carried out late,
+ * restarts under the same name, and records in the store that expire without heartbeats.
  */
 import {
   brandId,
@@ -31,6 +32,11 @@
   reason: "no answer",
 };
 
+/** Period of the heartbeats that a worker writes to its record. */
+const HEARTBEAT_PERIOD_MS = 1_500;
+/** The store removes a record whose last heartbeat is older. */
+const RECORD_LIFETIME_MS = 3 * HEARTBEAT_PERIOD_MS;
+
 interface Run {
   readonly task: TaskName;
   readonly run: number;
@@ -50,17 +56,33 @@
 }
 
 export class WorkerFake {
+  /** The name, the address and the capacity, which restarts do not change. */
   readonly record: WorkerRecord;
   readonly #clock: ManualClock;
+  readonly #leaseMaximumMs: number;
   readonly #history: RunHistory[];
   readonly #runs = new Map<TaskName, Run>();
   readonly #stoppedRuns = new Map<TaskName, number>();
   #ends: EndedTask[] = [];
   #endNumber = 0;
   #epoch = 0;
+  /** On the worker's clock. */
   #leaseUntilMs = 0;
+  #incarnationStartUnixMs = 1;
+  /** When the worker's clock was 0. */
+  #clockStartMs = 0;
+  #storedRecord: WorkerRecord | undefined;
+  #lastHeartbeatMs = Number.NEGATIVE_INFINITY;
   /** Calls get no answer and are not carried out. */
   isDisconnected = false;
+  /** Calls are carried out, but their answers are lost. */
+  losesAnswers = false;
+  /** The worker writes no heartbeats to its record. */
+  isCutFromStore = false;
+  /** The row of the worker's record holds bytes that cannot be decoded. */
+  isRecordUnreadable = false;
+  /** Another worker answers at the address. */
+  isReplaced = false;
   /** Lists ends forever, as if every acknowledgement were lost. */
   keepsEnds = false;
   /** Runs make no progress. */
@@ -72,9 +94,11 @@
     name: string,
     clock: ManualClock,
     history: RunHistory[],
+    leaseMaximumMs: number,
   ) {
     this.#clock = clock;
     this.#history = history;
+    this.#leaseMaximumMs = leaseMaximumMs;
     this.record = {
       worker: brandId<WorkerName>(name),
       service: brandId<ServiceName>("service"),
@@ -90,14 +114,62 @@
       heartbeat: 1,
       incarnationStartUnixMs: 1,
     };
+    this.writeHeartbeat();
   }
 
   static create(
     name: string,
     clock: ManualClock,
     history: RunHistory[],
+    leaseMaximumMs = Number.POSITIVE_INFINITY,
   ): WorkerFake {
-    return new WorkerFake(name, clock, history);
+    return new WorkerFake(name, clock, history, leaseMaximumMs);
+  }
+
+  /** The record as the store has it; undefined when it was removed. */
+  get storedRecord(): WorkerRecord | undefined {
+    const ageMs = this.#clock.nowMs() - this.#lastHeartbeatMs;
+    return ageMs < RECORD_LIFETIME_MS ? this.#storedRecord : undefined;
+  }
+
+  /** Writes the record when a heartbeat is due; the first of an incarnation is due at once. */
+  writeHeartbeat(): void {
+    if (this.isCutFromStore || this.isReplaced) return;
+    const incarnationStartUnixMs = this.#incarnationStartUnixMs;
+    const isFirst =
+      this.#storedRecord?.incarnationStartUnixMs !== incarnationStartUnixMs;
+    const nowMs = this.#clock.nowMs();
+    if (!isFirst && nowMs - this.#lastHeartbeatMs < HEARTBEAT_PERIOD_MS) return;
+    const heartbeat = isFirst ? 1 : this.#storedRecord!.heartbeat + 1;
+    this.#storedRecord = { ...this.record, heartbeat, incarnationStartUnixMs };
+    this.#lastHeartbeatMs = nowMs;
+  }
+
+  /**
+   * Ends the incarnation with all it knows and begins the next one under the same name. Starts that
+   * were to be carried out late are lost with it.
+   */
+  restart(): void {
+    const nowMs = this.#clock.nowMs();
+    for (const { task, run } of this.#runs.values()) {
+      const entry = this.#findHistory(task, run);
+      if (entry !== undefined) entry.endedMs = nowMs;
+    }
+    for (const { task, run } of this.#ends) {
+      const entry = this.#findHistory(task, run);
+      if (entry !== undefined) entry.mayRunAgain = true;
+    }
+    this.#runs.clear();
+    this.#stoppedRuns.clear();
+    this.#ends = [];
+    this.#endNumber = 0;
+    this.#epoch = 0;
+    this.#leaseUntilMs = 0;
+    this.#clockStartMs = nowMs;
+    this.#incarnationStartUnixMs = Math.max(
+      this.#incarnationStartUnixMs + 1,
+      nowMs,
+    );
   }
 
   get running(): readonly TaskName[] {
@@ -106,7 +178,7 @@
 
   /** Ends all runs when the lease has expired. */
   expireLease(): void {
-    if (this.#clock.nowMs() < this.#leaseUntilMs) return;
+    if (this.#workerClockMs < this.#leaseUntilMs) return;
     for (const { task, run } of this.#ends) {
       const entry = this.#findHistory(task, run);
       if (entry !== undefined) entry.mayRunAgain = true;
@@ -141,15 +213,22 @@
 
   start(command: StartCommand): StartOutcome {
     if (this.isDisconnected) return UNANSWERED;
+    if (this.isReplaced) return { kind: "wrong_life" };
     if (this.startDelayMs !== undefined) {
-      this.#clock.after(this.startDelayMs, () => void this.#runTask(command));
+      const incarnation = this.#incarnationStartUnixMs;
+      this.#clock.after(this.startDelayMs, () => {
+        if (incarnation === this.#incarnationStartUnixMs) {
+          this.#runTask(command);
+        }
+      });
       return UNANSWERED;
     }
-    return this.#runTask(command);
+    return this.#answer(this.#runTask(command));
   }
 
   stop({ task, run, epoch }: StopCommand): StopOutcome {
     if (this.isDisconnected) return UNANSWERED;
+    if (this.isReplaced) return { kind: "wrong_life" };
     if (epoch < this.#epoch) return { kind: "fenced" };
     this.#stoppedRuns.set(
       task,
@@ -158,23 +237,27 @@
     if ((this.#runs.get(task)?.run ?? Infinity) <= run) {
       this.end(task, "stopped");
     }
-    return { kind: "stopped", metadata: this.#createMetadata() };
+    return this.#answer({
+      kind: "stopped",
+      metadata: this.#createCommandMetadata(),
+    });
   }
 
   renew(command: RenewCommand): RenewOutcome {
     if (this.isDisconnected) return UNANSWERED;
+    if (this.isReplaced) return { kind: "wrong_life" };
     if (command.epoch < this.#epoch) return { kind: "fenced" };
     this.#epoch = command.epoch;
-    this.#leaseUntilMs = Math.max(
-      this.#leaseUntilMs,
-      command.leaseUntilMs ?? 0,
-    );
+    this.#extendLease(command.leaseUntilMs ?? 0);
     this.#ends = this.#ends.filter(({ sequence }) =>
       this.keepsEnds || sequence > command.acknowledgedSequence
     );
-    return {
+    return this.#answer({
       kind: "report",
-      metadata: this.#createMetadata(),
+      metadata: {
+        workerClockMs: this.#workerClockMs,
+        incarnationStartUnixMs: this.#incarnationStartUnixMs,
+      },
       running: [...this.#runs.values()].map(({ task, run, startedMs }) => ({
         task,
         run,
@@ -184,20 +267,20 @@
           : Math.min(99, (this.#clock.nowMs() - startedMs) / 1_000),
       })),
       ended: this.#ends,
-    };
+    });
   }
 
   #runTask(command: StartCommand): StartOutcome {
-    const metadata = this.#createMetadata();
+    const metadata = this.#createCommandMetadata();
     const refuse = (reason: "fenced" | "superseded" | "expired") =>
       ({ kind: "refused", reason, metadata }) as const;
     if (command.epoch < this.#epoch) return refuse("fenced");
     this.#epoch = command.epoch;
-    if (command.leaseUntilMs <= this.#clock.nowMs()) return refuse("expired");
+    if (command.leaseUntilMs <= this.#workerClockMs) return refuse("expired");
     if ((this.#stoppedRuns.get(command.task) ?? 0) >= command.run) {
       return refuse("superseded");
     }
-    this.#leaseUntilMs = Math.max(this.#leaseUntilMs, command.leaseUntilMs);
+    this.#extendLease(command.leaseUntilMs);
     const startedMs = this.#clock.nowMs();
     const { task, run } = command;
     this.#runs.set(task, { task, run, startedMs });
@@ -210,8 +293,25 @@
     return { kind: "started", metadata };
   }
 
-  #createMetadata(): ResponseMetadata {
-    return { workerClockMs: this.#clock.nowMs(), incarnationStartUnixMs: 1 };
+  get #workerClockMs(): number {
+    return this.#clock.nowMs() - this.#clockStartMs;
+  }
+
+  /** A longer lease than the maximum is shortened to it. */
+  #extendLease(leaseUntilMs: number): void {
+    this.#leaseUntilMs = Math.max(
+      this.#leaseUntilMs,
+      Math.min(leaseUntilMs, this.#workerClockMs + this.#leaseMaximumMs),
+    );
+  }
+
+  #answer<Outcome>(outcome: Outcome): Outcome | Unavailable {
+    return this.losesAnswers ? UNANSWERED : outcome;
+  }
+
+  /** Answers to commands do not name the incarnation (the platform's protocol). */
+  #createCommandMetadata(): ResponseMetadata {
+    return { workerClockMs: this.#workerClockMs, incarnationStartUnixMs: 0 };
   }
 }
 
