Attribute a run to an incarnation only after a report has listed it

A start that reached the new incarnation before the holder knew of it was counted to the old one, and the run was dropped as over when the worker's record named the new one, while it ran on until the next report showed it as a stray.

A new incarnation now ends only the runs that a report has listed. The others stay until a report that was requested after the answer to their start or stop does not list them; the order of requests and answers on the holder's own clock replaces the comparison of the worker's clocks, which start anew with each incarnation, and which could hold a run forever. A stop that was answered while the incarnation changed is sent again. The clock of a worker is read from reports only. The types StartOutcome and StopOutcome no longer carry metadata.

--- a/packages/node/cell/duplicate_runs/late_start_answer_test.ts
+++ b/packages/node/cell/duplicate_runs/late_start_answer_test.ts
@@ -9,10 +9,7 @@
 import { createJob } from "../test_fixtures.ts";
 import { WorkerSession } from "../worker_session.ts";
 
-const STARTED: StartOutcome = {
-  kind: "started",
-  metadata: { workerClockMs: 1, incarnationStartUnixMs: 0 },
-};
+const STARTED: StartOutcome = { kind: "started" };
 
 /** A session whose worker answers a start when `answer` is called. */
 function createSession() {
--- a/packages/node/cell/task_commands.ts
+++ b/packages/node/cell/task_commands.ts
@@ -2,7 +2,6 @@
 import type { Clock } from "@coltsfootpond/common";
 import type {
   CellBounds,
-  ResponseMetadata,
   StartRefusal,
   WorkerPort,
   WorkerTarget,
@@ -36,8 +35,6 @@
   readonly leases: WorkerLeases;
   readonly canAct: () => boolean;
   readonly isStopped: () => boolean;
-  /** Applies the incarnation and the clock of the worker's answer. */
-  readonly applyMetadata: (metadata: ResponseMetadata) => void;
   /** Requests a report at once. */
   readonly requestReport: () => Promise<void>;
   /** A command was sent, so the session has something to renew or to poll for. */
@@ -81,14 +78,10 @@
     this.#options.onSent();
     switch (outcome.kind) {
       case "started":
-        this.#options.applyMetadata(outcome.metadata);
         if (!taskRuns.has(taskRun)) return;
-        taskRun.startedClockMs = outcome.metadata.workerClockMs;
+        taskRun.startAnsweredMs ??= this.#options.clock.nowMs();
         return;
       case "refused":
-        if (outcome.metadata !== undefined) {
-          this.#options.applyMetadata(outcome.metadata);
-        }
         if (!taskRuns.remove(taskRun)) return;
         if (outcome.reason === "fenced") this.#options.onFenced();
         return this.#options.onRefused(taskRun, outcome.reason);
@@ -106,11 +99,11 @@
     taskRun.isStopping = true;
     const { taskRuns, clock, bounds, canAct, isStopped } = this.#options;
     while (taskRuns.has(taskRun) && !isStopped()) {
-      if (taskRun.stoppedClockMs === undefined && canAct()) {
+      if (taskRun.stopAnsweredMs === undefined && canAct()) {
         if (!await this.#sendStop(taskRun)) return;
       }
-      const isAcknowledged = taskRun.stoppedClockMs !== undefined;
-      const isStartUnconfirmed = taskRun.startedClockMs === undefined;
+      const isAcknowledged = taskRun.stopAnsweredMs !== undefined;
+      const isStartUnconfirmed = taskRun.startAnsweredMs === undefined;
       // A task that has started stops within `stopLimitMs`, and the long poll returns its end.
       await clock.sleep(
         isAcknowledged && !isStartUnconfirmed
@@ -128,12 +121,15 @@
     const { workerPort, target, epoch, taskRuns } = this.#options;
     const { task, run } = taskRun;
     const command = { task, run, epoch };
+    const { incarnationCount } = taskRuns;
     const outcome = await workerPort.stop(target, command, COMMAND_TIMEOUT_MS);
     if (this.#options.isStopped()) return false;
     switch (outcome.kind) {
       case "stopped":
-        this.#options.applyMetadata(outcome.metadata);
-        taskRun.stoppedClockMs = outcome.metadata.workerClockMs;
+        // A stop binds only the incarnation that received it.
+        if (incarnationCount === taskRuns.incarnationCount) {
+          taskRun.stopAnsweredMs = this.#options.clock.nowMs();
+        }
         return true;
       case "fenced":
         this.#options.onFenced();
@@ -152,6 +148,6 @@
     if (!taskRuns.has(taskRun)) return;
     await requestReport();
     if (isStopped() || !taskRuns.has(taskRun)) return;
-    if (taskRun.startedClockMs === undefined) onStartUnanswered(taskRun);
+    if (taskRun.startAnsweredMs === undefined) onStartUnanswered(taskRun);
   }
 }
--- a/packages/node/cell/task_run.ts
+++ b/packages/node/cell/task_run.ts
@@ -15,11 +15,13 @@
   readonly need: CellResources;
   /** The task's step as `{job}.{occurrence}.{step}`. */
   readonly stepKey: string;
-  /** When the start was acknowledged or the run was first listed, on the worker's clock. */
-  startedClockMs: number | undefined;
+  /** When the answer to the start, or the first report that lists the run, was received. */
+  startAnsweredMs: number | undefined;
+  /** Whether a report of the worker's present incarnation has listed it. */
+  isListed: boolean;
   isStopping: boolean;
-  /** When the stop was acknowledged, on the worker's clock. */
-  stoppedClockMs: number | undefined;
+  /** When the answer to the stop was received. */
+  stopAnsweredMs: number | undefined;
   checkpoint: string;
   percent: number;
   /** Worker clock of the report that first had the present percentage. */
@@ -70,8 +72,10 @@
   taskRun: TaskRun,
   running: RunningTask,
   reportClockMs: number,
+  receivedMs: number,
 ): void {
-  taskRun.startedClockMs ??= reportClockMs;
+  taskRun.startAnsweredMs ??= receivedMs;
+  taskRun.isListed = true;
   if (running.checkpoint !== "") taskRun.checkpoint = running.checkpoint;
   const isFirst = taskRun.percentReportedClockMs === 0;
   if (running.percent !== taskRun.percent || isFirst) {
--- a/packages/node/cell/worker_leases.ts
+++ b/packages/node/cell/worker_leases.ts
@@ -4,7 +4,7 @@
  * lease end ever sent.
  */
 import type { Clock } from "@coltsfootpond/common";
-import type { ResponseMetadata } from "@coltsfootpond/ports";
+import type { ReportMetadata } from "@coltsfootpond/ports";
 import type { LogFields } from "./log.ts";
 
 /** Lowest rate of a worker's clock (the platform's protocol). */
@@ -74,8 +74,8 @@
     return "new_incarnation";
   }
 
-  /** Applies the clock of an answer of the present incarnation. */
-  applyClock({ workerClockMs }: ResponseMetadata): void {
+  /** Applies the clock of a report of the present incarnation. */
+  applyClock({ workerClockMs }: ReportMetadata): void {
     const isFirst = this.#sample === undefined;
     if (workerClockMs >= (this.#sample?.workerClockMs ?? 0)) {
       const receivedMs = this.#options.clock.nowMs();
--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -8,7 +8,6 @@
 import type {
   CellBounds,
   RenewOutcome,
-  ResponseMetadata,
   RunningTask,
   WorkerPort,
   WorkerRecord,
@@ -72,6 +71,7 @@
     });
     const { listener } = options;
     this.#taskRuns = WorkerTaskRuns.create({
+      clock: options.clock,
       onEnded: (ended, taskRun) => listener.onEnded(this, ended, taskRun),
       onGone: (taskRun, evidence) => listener.onGone(this, taskRun, evidence),
       onStray: (running) => listener.onStray(this, running),
@@ -86,7 +86,6 @@
       taskRuns: this.#taskRuns,
       leases: this.#leases,
       isStopped: () => this.#isStopped,
-      applyMetadata: (metadata) => this.#applyMetadata(metadata),
       requestReport: () => this.pollNow(),
       onSent: () => this.startPolling(),
       onRefused: (taskRun, reason) => listener.onRefused(this, taskRun, reason),
@@ -261,6 +260,7 @@
       await clock.sleep(RETRY_DELAY_MS);
       return true;
     }
+    const requestedMs = clock.nowMs();
     const outcome = await workerPort.renew(this.target, {
       epoch,
       leaseUntilMs,
@@ -274,15 +274,15 @@
     ) {
       this.#ends.setAcknowledged(acknowledgedSequence);
     }
-    return this.#applyOutcome(outcome);
+    return this.#applyOutcome(outcome, requestedMs);
   }
 
-  #applyOutcome(outcome: RenewOutcome): boolean {
+  #applyOutcome(outcome: RenewOutcome, requestedMs: number): boolean {
     const { listener } = this.#options;
     switch (outcome.kind) {
       case "report":
         this.#reachability.recordAnswer();
-        this.#applyReport(outcome);
+        this.#applyReport(outcome, requestedMs);
         listener.onReport(this);
         return true;
       case "fenced":
@@ -298,25 +298,18 @@
     }
   }
 
-  #applyReport(report: Report): void {
-    if (this.#applyMetadata(report.metadata)) {
-      this.#taskRuns.applyReport(report);
-    }
-  }
-
-  /** False for an answer of an earlier incarnation. */
-  #applyMetadata(metadata: ResponseMetadata): boolean {
-    if (!this.#applyIncarnation(metadata.incarnationStartUnixMs, "answer")) {
-      return false;
-    }
-    this.#leases.applyClock(metadata);
-    return true;
+  /** Skips a report of an earlier incarnation. */
+  #applyReport(report: Report, requestedMs: number): void {
+    const { incarnationStartUnixMs } = report.metadata;
+    if (!this.#applyIncarnation(incarnationStartUnixMs, "report")) return;
+    this.#leases.applyClock(report.metadata);
+    this.#taskRuns.applyReport(report, requestedMs);
   }
 
   /** False for an earlier incarnation. A new one starts without runs and numbers its ends anew. */
   #applyIncarnation(
     incarnationStartUnixMs: number,
-    source: "record" | "answer",
+    source: "record" | "report",
   ): boolean {
     const earlierStartUnixMs = this.incarnationStartUnixMs;
     const status = this.#leases.applyIncarnation(incarnationStartUnixMs);
@@ -330,6 +323,8 @@
     });
     this.#taskRuns.beginIncarnation(inputs);
     this.startPolling();
+    // A long poll may wait while the runs that were not listed yet are in doubt.
+    if (source === "record" && this.hasTaskRuns) void this.pollNow();
     return true;
   }
 }
--- a/packages/node/cell/worker_task_runs.ts
+++ b/packages/node/cell/worker_task_runs.ts
@@ -2,6 +2,7 @@
  * The task runs placed on one worker, compared with what the worker reports. A task run is removed
  * only when its end is listed or when it is proven not to run there.
  */
+import type { Clock } from "@coltsfootpond/common";
 import type { CellResources } from "@coltsfootpond/policy";
 import type {
   EndedTask,
@@ -25,6 +26,7 @@
 export type Report = Extract<RenewOutcome, { kind: "report" }>;
 
 export interface WorkerTaskRunsOptions {
+  readonly clock: Clock;
   /** Called for each end once, in the order of the sequence numbers. */
   readonly onEnded: (ended: EndedTask, taskRun: TaskRun | undefined) => void;
   /** A task run is gone without a listed end. */
@@ -37,6 +39,7 @@
   readonly #options: WorkerTaskRunsOptions;
   readonly #taskRuns = new Map<string, TaskRun>();
   #processedSequence = 0;
+  #incarnationCount = 1;
   #lastReportClockMs = Number.NEGATIVE_INFINITY;
 
   private constructor(options: WorkerTaskRunsOptions) {
@@ -55,6 +58,11 @@
     return this.#taskRuns.size;
   }
 
+  /** Number of the worker's incarnations of which this session knows. */
+  get incarnationCount(): number {
+    return this.#incarnationCount;
+  }
+
   /** The ends up to this sequence number have been processed. */
   get processedSequence(): number {
     return this.#processedSequence;
@@ -85,9 +93,10 @@
       ...step,
       task: running.task,
       run: running.run,
-      startedClockMs: reportClockMs,
+      startAnsweredMs: this.#options.clock.nowMs(),
+      isListed: true,
       isStopping: false,
-      stoppedClockMs: undefined,
+      stopAnsweredMs: undefined,
       checkpoint: running.checkpoint,
       percent: running.percent,
       percentChangedClockMs: reportClockMs,
@@ -97,8 +106,11 @@
     return taskRun;
   }
 
-  /** Reports may arrive out of order: running tasks are read from the newest one only. */
-  applyReport({ metadata, running, ended }: Report): void {
+  /**
+   * Applies a report that was requested at `requestedMs`. Reports may arrive out of order: running
+   * tasks are read from the newest one only.
+   */
+  applyReport({ metadata, running, ended }: Report, requestedMs: number): void {
     const reportClockMs = metadata.workerClockMs;
     ended.forEach((end) => this.#applyEnd(end));
     if (reportClockMs < this.#lastReportClockMs) return;
@@ -109,28 +121,27 @@
       running.map(({ task, run }) => taskRunKey(task, run)),
     );
     for (const [key, taskRun] of [...this.#taskRuns]) {
-      if (!listed.has(key)) this.#checkUnlisted(taskRun, reportClockMs);
+      if (!listed.has(key)) this.#checkUnlisted(taskRun, requestedMs);
     }
   }
 
   /**
    * Resets for a new incarnation of the worker, whose ends and clock start anew and in which no
-   * earlier stop counts. Unanswered starts may still reach it; all other runs ended with the
-   * earlier incarnation.
+   * earlier stop counts. Only the runs that a report listed ended with the earlier incarnation: the
+   * answer to a start does not tell which incarnation started the run.
    */
   beginIncarnation(inputs: LogFields = {}): void {
+    this.#incarnationCount++;
     this.#processedSequence = 0;
     this.#lastReportClockMs = Number.NEGATIVE_INFINITY;
     for (const taskRun of this.all) {
-      if (taskRun.startedClockMs === undefined) {
-        taskRun.stoppedClockMs = undefined;
-      } else {
+      if (taskRun.isListed) {
         const { percentReportedClockMs: reportedClockMs } = taskRun;
         this.#drop(taskRun, {
           reason: "the worker began a new life",
           inputs: { ...inputs, reportedClockMs },
         });
-      }
+      } else taskRun.stopAnsweredMs = undefined;
     }
   }
 
@@ -155,20 +166,26 @@
   #applyRunning(running: RunningTask, reportClockMs: number): void {
     const taskRun = this.#taskRuns.get(taskRunKey(running.task, running.run));
     if (taskRun === undefined) this.#options.onStray(running);
-    else updateFromReport(taskRun, running, reportClockMs);
+    else {
+      const receivedMs = this.#options.clock.nowMs();
+      updateFromReport(taskRun, running, reportClockMs, receivedMs);
+    }
   }
 
   /**
-   * Drops a run that is listed neither as running nor as ended, if the report was made after the
-   * worker acknowledged the run's start or stop.
+   * Drops a run that is listed neither as running nor as ended, if the report was requested after
+   * the run's start or stop was answered, whichever incarnation of the worker answered it.
    */
-  #checkUnlisted(taskRun: TaskRun, reportClockMs: number): void {
-    const provenClockMs = taskRun.startedClockMs ?? taskRun.stoppedClockMs;
-    if (provenClockMs === undefined || provenClockMs >= reportClockMs) return;
-    const { startedClockMs, stoppedClockMs } = taskRun;
+  #checkUnlisted(taskRun: TaskRun, requestedMs: number): void {
+    const { startAnsweredMs, stopAnsweredMs } = taskRun;
+    const answeredMs = startAnsweredMs ?? stopAnsweredMs;
+    if (answeredMs === undefined || answeredMs >= requestedMs) return;
     this.#drop(taskRun, {
       reason: "not listed by the worker",
-      inputs: { startedClockMs, stoppedClockMs, reportClockMs },
+      inputs: {
+        answered: startAnsweredMs === undefined ? "stop" : "start",
+        requestedAfterMs: Math.round(requestedMs - answeredMs),
+      },
     });
   }
 }
--- a/packages/node/cell/worker_task_runs_test.ts
+++ b/packages/node/cell/worker_task_runs_test.ts
@@ -14,9 +14,10 @@
     run: 1,
     need: { cpuMilli: 0, memoryMib: 0, accelerators: 1 },
     stepKey: "",
-    startedClockMs: undefined,
+    startAnsweredMs: undefined,
+    isListed: false,
     isStopping: false,
-    stoppedClockMs: undefined,
+    stopAnsweredMs: undefined,
     checkpoint: "",
     percent: 0,
     percentChangedClockMs: 0,
@@ -29,17 +30,19 @@
   const goneReasons: string[] = [];
   const ended: number[] = [];
   const taskRuns = WorkerTaskRuns.create({
+    clock: ManualClock.create(),
     onEnded: ({ sequence }) => ended.push(sequence),
     onGone: (_taskRun, { reason }) => goneReasons.push(reason),
     onStray: () => {},
   });
-  const report = (workerClockMs: number) =>
+  /** A report without runs; its clock and the time of its request differ by a fixed amount. */
+  const report = (requestedMs: number, workerClockMs = requestedMs + 5_000) =>
     taskRuns.applyReport({
       kind: "report",
       metadata: { workerClockMs, incarnationStartUnixMs: 1 },
       running: [],
       ended: [],
-    });
+    }, requestedMs);
   return { taskRuns, goneReasons, ended, report };
 }
 
@@ -47,14 +50,14 @@
   it("stay until a report after an answered start or stop does not list them", () => {
     const { taskRuns, goneReasons, report } = createTaskRuns();
     const unanswered = createTaskRun();
-    const started = createTaskRun({ run: 2, startedClockMs: 100 });
+    const started = createTaskRun({ run: 2, startAnsweredMs: 100 });
     taskRuns.add(unanswered);
     taskRuns.add(started);
     report(100);
     expect(taskRuns.size).to.equal(2);
     report(101);
     expect(taskRuns.all).to.deep.equal([unanswered]);
-    unanswered.stoppedClockMs = 150;
+    unanswered.stopAnsweredMs = 150;
     report(150);
     expect(taskRuns.size).to.equal(1);
     report(151);
@@ -64,8 +67,8 @@
   it("are compared with the newest report, even if reports arrive out of order", () => {
     const { taskRuns, report } = createTaskRuns();
     report(200);
-    taskRuns.add(createTaskRun({ startedClockMs: 50 }));
-    report(100);
+    taskRuns.add(createTaskRun({ startAnsweredMs: 50 }));
+    report(201, 100);
     expect(taskRuns.size).to.equal(1);
   });
 
@@ -78,23 +81,35 @@
         metadata: { workerClockMs: 1, incarnationStartUnixMs: 1 },
         running: [],
         ended: sequences.map((sequence) => ({ sequence, ...end })),
-      });
+      }, 1);
     }
     expect(ended).to.deep.equal([1, 2, 3]);
   });
 
   it("do not count a stop of an earlier incarnation as proof in a new one", () => {
     const { taskRuns, goneReasons, report } = createTaskRuns();
-    const unanswered = createTaskRun({ stoppedClockMs: 90_000 });
+    const unanswered = createTaskRun({ stopAnsweredMs: 9 });
     taskRuns.add(unanswered);
-    taskRuns.add(createTaskRun({ run: 2, startedClockMs: 5 }));
+    taskRuns.add(createTaskRun({ run: 2, startAnsweredMs: 5, isListed: true }));
     taskRuns.beginIncarnation();
     expect(goneReasons).to.deep.equal(["the worker began a new life"]);
-    expect(unanswered.stoppedClockMs).to.equal(undefined);
-    unanswered.stoppedClockMs = 10;
+    expect(unanswered.stopAnsweredMs).to.equal(undefined);
+    report(10);
+    expect(taskRuns.size).to.equal(1);
+    unanswered.stopAnsweredMs = 10;
     report(11);
     expect(taskRuns.size).to.equal(0);
   });
+
+  it("whose start was answered stay in a new incarnation until it does not list them", () => {
+    const { taskRuns, goneReasons, report } = createTaskRuns();
+    taskRuns.add(createTaskRun({ startAnsweredMs: 100 }));
+    taskRuns.beginIncarnation();
+    report(100, 7);
+    expect(taskRuns.size).to.equal(1);
+    report(101, 8);
+    expect(goneReasons).to.deep.equal(["not listed by the worker"]);
+  });
 });
 
 describe("leases of a worker", () => {
--- a/packages/node/cell/workers_fake.ts
+++ b/packages/node/cell/workers_fake.ts
@@ -16,7 +16,6 @@
   EndedTask,
   RenewCommand,
   RenewOutcome,
-  ResponseMetadata,
   StartCommand,
   StartOutcome,
   StopCommand,
@@ -239,7 +238,6 @@
     }
     return this.#answer({
       kind: "stopped",
-      metadata: this.#createCommandMetadata(),
     });
   }
 
@@ -271,9 +269,8 @@
   }
 
   #runTask(command: StartCommand): StartOutcome {
-    const metadata = this.#createCommandMetadata();
     const refuse = (reason: "fenced" | "superseded" | "expired") =>
-      ({ kind: "refused", reason, metadata }) as const;
+      ({ kind: "refused", reason }) as const;
     if (command.epoch < this.#epoch) return refuse("fenced");
     this.#epoch = command.epoch;
     if (command.leaseUntilMs <= this.#workerClockMs) return refuse("expired");
@@ -290,7 +287,7 @@
       run,
       startedMs,
     });
-    return { kind: "started", metadata };
+    return { kind: "started" };
   }
 
   get #workerClockMs(): number {
@@ -308,11 +305,6 @@
   #answer<Outcome>(outcome: Outcome): Outcome | Unavailable {
     return this.losesAnswers ? UNANSWERED : outcome;
   }
-
-  /** Answers to commands do not name the incarnation (the platform's protocol). */
-  #createCommandMetadata(): ResponseMetadata {
-    return { workerClockMs: this.#workerClockMs, incarnationStartUnixMs: 0 };
-  }
 }
 
 /**
--- a/packages/ports/cell/workers.ts
+++ b/packages/ports/cell/workers.ts
@@ -34,9 +34,9 @@
   readonly address: string;
 }
 
-/** Part of every response of a worker. */
-export interface ResponseMetadata {
-  /** The worker's monotonic clock when it responded. */
+/** The incarnation and the clock of a worker that sent a report. */
+export interface ReportMetadata {
+  /** The worker's monotonic clock when it responded; each incarnation has its own. */
   readonly workerClockMs: number;
   /** 0 when not reported. */
   readonly incarnationStartUnixMs: number;
@@ -56,20 +56,19 @@
   | "unhealthy"
   | "invalid";
 
-/** `wrong_life`: another instance answers at the worker's address. */
+/**
+ * `wrong_life`: another instance answers at the worker's address. The other outcomes do not tell
+ * which incarnation of the worker answered.
+ */
 export type StartOutcome =
-  | { readonly kind: "started"; readonly metadata: ResponseMetadata }
-  | {
-    readonly kind: "refused";
-    readonly reason: StartRefusal;
-    readonly metadata: ResponseMetadata | undefined;
-  }
+  | { readonly kind: "started" }
+  | { readonly kind: "refused"; readonly reason: StartRefusal }
   | { readonly kind: "wrong_life" }
   | Unavailable;
 
 /** `stopped`: the worker has acknowledged the command; the end is reported by a later renewal. */
 export type StopOutcome =
-  | { readonly kind: "stopped"; readonly metadata: ResponseMetadata }
+  | { readonly kind: "stopped" }
   | { readonly kind: "fenced" }
   | { readonly kind: "wrong_life" }
   | Unavailable;
@@ -97,7 +96,7 @@
 export type RenewOutcome =
   | {
     readonly kind: "report";
-    readonly metadata: ResponseMetadata;
+    readonly metadata: ReportMetadata;
     readonly running: readonly RunningTask[];
     readonly ended: readonly EndedTask[];
   }
--- a/scripts/bench_days/cell_model.ts
+++ b/scripts/bench_days/cell_model.ts
@@ -279,6 +279,6 @@
 ): void {
   const percent = Math.floor(100 * progressMs / requiredProgressMs);
   for (const taskRun of run.taskRuns.keys()) {
-    updateFromReport(taskRun, { ...taskRun, percent }, nowMs);
+    updateFromReport(taskRun, { ...taskRun, percent }, nowMs, nowMs);
   }
 }
