Keep a gang from starting again while an unreported worker may run part of it

Cause: a new lease holder adopts the tasks of a gang that workers have reported. While other workers of the gang do not answer it, it evicts the gang for urgent work (or one of the tasks ends); with the tasks that it knew of gone, the run was taken as over, and the gang was placed again at once. The check that no worker which has not reported may still run the unit was made only for units of which this holder had not run anything, and adopting one task counted as having run it. The tasks on the cut-off workers end 50 to 200 ms after the others (broken), so the two runs overlapped for that time. The stored placement had the same gap: it listed the adopted tasks only, so that the next holder did not know of the rest.

Ruled out there: leases (none had expired), the roster (the workers were known and unreported), late starts.

Now the check holds until this holder has placed the unit itself, for starts and for stored placements. Placing it is allowed only when every worker of the earlier placement has reported or its leases have expired, so nothing of it is left.

--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -238,7 +238,7 @@
       stopLimitMs: settings.bounds.stopLimitMs,
       isBlocked: (unit) =>
         strayUnits.has(describeUnit(unit)) ||
-        !unit.wasRunByThisHolder && mayStillRunUnreported(unit, unreported),
+        mayStillRunUnreported(unit, unreported),
     });
     this.#urgentHeadroom = [...input.urgentHeadroom?.values() ?? []].reduce(
       (sum, accelerators) => sum + accelerators,
--- a/packages/node/cell/live_job.ts
+++ b/packages/node/cell/live_job.ts
@@ -37,8 +37,8 @@
   /** When it became due, or when its last run was over, on the process's clock. */
   waitingSinceMs: number;
   run: UnitRun | undefined;
-  /** Whether this lease holder started or adopted a run of the unit. */
-  wasRunByThisHolder: boolean;
+  /** Whether this lease holder placed the unit itself, which rules out earlier runs of it. */
+  wasPlacedByThisHolder: boolean;
   readonly failedOn: Set<WorkerName>;
 }
 
@@ -89,25 +89,23 @@
   }
 
   /**
-   * Placements of all runs that may be running, including those of an earlier holder that no worker
-   * has reported yet.
+   * Placements of all runs that may be running. Until this lease holder has placed a unit itself,
+   * they include the workers of an earlier holder's placement: not all tasks of a gang that it has
+   * adopted may have been reported yet.
    */
   listPlacements(): readonly PlacementRecord[] {
-    const own = [...this.units].flatMap(([key, { run }]) =>
-      run === undefined ? [] : [
-        [
-          key,
-          run.run,
-          [...run.taskRuns.values()].map(({ worker }) => worker),
-        ] as const,
-      ]
-    );
-    const listed = new Set(own.map(([key]) => key));
-    // The run numbers of an earlier holder's placements are not kept; 0 stands for them.
-    const earlier = [...this.earlierPlacements].filter(([key]) =>
-      !listed.has(key) && this.units.get(key)?.wasRunByThisHolder === false
-    ).map(([key, workers]) => [key, 0, workers] as const);
-    return [...own, ...earlier];
+    return [...this.units].flatMap(([key, unit]) => {
+      const own = [...unit.run?.taskRuns.values() ?? []];
+      const workers = new Set([
+        ...own.map(({ worker }) => worker),
+        ...unit.wasPlacedByThisHolder
+          ? []
+          : this.earlierPlacements.get(key) ?? [],
+      ]);
+      if (unit.run === undefined && workers.size === 0) return [];
+      // The run number of an earlier holder's placement is not kept; 0 stands for it.
+      return [[key, unit.run?.run ?? 0, [...workers]] as const];
+    });
   }
 
   /** Units whose starts wait until their placement is stored. */
@@ -166,7 +164,7 @@
       count: step.isGang ? step.count : 1,
       waitingSinceMs: nowMs,
       run: undefined,
-      wasRunByThisHolder: false,
+      wasPlacedByThisHolder: false,
       failedOn: new Set(),
     });
   }
@@ -186,12 +184,15 @@
   return `${unit.job.jobId}.${formatUnitKey(unit.address)}`;
 }
 
-/** Whether an earlier lease holder placed the unit on a worker that has not reported yet. */
+/**
+ * Whether an earlier lease holder placed the unit on a worker that has not reported yet, which may
+ * run its task, or one task of its gang while this holder has adopted the others.
+ */
 export function mayStillRunUnreported(
   unit: Unit,
   unreported: ReadonlySet<WorkerName>,
 ): boolean {
-  if (unreported.size === 0) return false;
+  if (unit.wasPlacedByThisHolder || unreported.size === 0) return false;
   const workers = unit.job.earlierPlacements.get(formatUnitKey(unit.address));
   return workers?.some((worker) => unreported.has(worker)) ?? false;
 }
--- a/packages/node/cell/run_registry.ts
+++ b/packages/node/cell/run_registry.ts
@@ -64,6 +64,7 @@
   place(unit: Unit, workers: readonly WorkerName[]): void {
     const nowMs = this.#options.clock.nowMs();
     const run = this.#open(unit, ++this.#nextRun, true);
+    unit.wasPlacedByThisHolder = true;
     this.#options.log.info("unit.started", {
       unit: describeUnit(unit),
       run: run.run,
@@ -183,7 +184,6 @@
       isClosing: false,
     };
     unit.run = run;
-    unit.wasRunByThisHolder = true;
     unit.job.hasBegun = true;
     return run;
   }
