--- a/packages/node/cell/begun_jobs_writer.ts
+++ b/packages/node/cell/begun_jobs_writer.ts
@@ -1,25 +1,18 @@
 /** Stores which jobs have begun, so that every entry can count the other live jobs as waiting. */
 import type { CellJobId } from "@coltsfootpond/policy";
-import type { StateStore } from "@coltsfootpond/ports";
-import type { CellLog } from "./log.ts";
+import { putRow, type PutRowOptions } from "./put_row.ts";
 import { BEGUN_KEY, encodeRow } from "./rows.ts";
-import { putRow } from "./worker_fleet.ts";
-
-export interface BegunJobsWriterOptions {
-  readonly store: StateStore;
-  readonly log: CellLog;
-}
 
 /** Used by the lease holder; writes the row only when the list has changed. */
 export class BegunJobsWriter {
-  readonly #options: BegunJobsWriterOptions;
+  readonly #options: PutRowOptions;
   #written = "";
 
-  private constructor(options: BegunJobsWriterOptions) {
+  private constructor(options: PutRowOptions) {
     this.#options = options;
   }
 
-  static create(options: BegunJobsWriterOptions): BegunJobsWriter {
+  static create(options: PutRowOptions): BegunJobsWriter {
     return new BegunJobsWriter(options);
   }
 
--- a/packages/node/cell/worker_fleet.ts
+++ b/packages/node/cell/worker_fleet.ts
@@ -16,8 +16,8 @@
   WorkerPort,
   WorkerRecord,
 } from "@coltsfootpond/ports";
-import { STORE_TIMEOUT_MS } from "./constants.ts";
 import type { CellLog } from "./log.ts";
+import { putRow } from "./put_row.ts";
 import { decodeRow, encodeRow, ROSTER_KEY, type RosterRow } from "./rows.ts";
 import type { TableFollower } from "./table_follower.ts";
 import { WorkerDirectory } from "./worker_directory.ts";
@@ -236,22 +236,6 @@
   }
 }
 
-/** Stores one row without a condition; false when it may not have been stored. */
-export async function putRow(
-  { store, log }: { readonly store: StateStore; readonly log: CellLog },
-  key: string,
-  value: Uint8Array,
-): Promise<boolean> {
-  const outcome = await store.transact(
-    { conditions: [], puts: [{ key, value }], deletes: [] },
-    STORE_TIMEOUT_MS,
-  );
-  if (outcome.kind !== "committed") {
-    log.warn("row.write_failed", { key, kind: outcome.kind });
-  }
-  return outcome.kind === "committed";
-}
-
 /**
  * Whether nothing runs on the worker or will be started there, so that a new lease holder need not
  * collect its report.
