Count a worker that a new holder does not know as one that may run earlier tasks

A new holder waited only for workers that the stored roster or a record names. A worker that the roster had lost, and whose record had expired while it was cut off from the store, was in neither, and the units that the stored placements put there were started again at once, while they ran on under a lease of up to 10 s.

Every worker of an earlier holder's placement now counts as unreported until it has reported in this epoch, or until the longest lease has passed since the holder took over; whether it has a session does not matter. Having reported stands for the epoch, so that a later restart of the worker holds nothing up. A run that is dropped without a listed end marks its job for storing, so that the stored placements do not name workers that are gone.

--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -4,7 +4,7 @@
  * epoch of the lease; a new one starts empty and collects the running tasks from the workers'
  * reports.
  */
-import type { Clock } from "@coltsfootpond/common";
+import type { Clock, WorkerName } from "@coltsfootpond/common";
 import { planRound, UrgentDemand } from "@coltsfootpond/policy";
 import type {
   CellSettings,
@@ -69,6 +69,8 @@
   readonly #begunJobs: BegunJobsWriter;
   readonly #urgentDemand = UrgentDemand.create();
   readonly #timers: { cancel(): void }[] = [];
+  readonly #isUnreported = (worker: WorkerName) =>
+    this.#fleet.isUnreported(worker);
   #subscription: Subscription | undefined;
   #isReady = false;
   #isStopped = false;
@@ -226,7 +228,6 @@
     const { clock, nowUnixMs, declared, canAct, log, settings } = this.#options;
     if (!canAct()) return;
     const nowMs = clock.nowMs();
-    const unreported = this.#fleet.findUnreportedWorkers();
     const strayUnits = this.#runs.listStrayUnits();
     const input = createPlanInput({
       jobs: this.#jobs.jobs.filter((job) => job.ending === undefined),
@@ -238,7 +239,7 @@
       stopLimitMs: settings.bounds.stopLimitMs,
       isBlocked: (unit) =>
         strayUnits.has(describeUnit(unit)) ||
-        mayStillRunUnreported(unit, unreported),
+        mayStillRunUnreported(unit, this.#isUnreported),
     });
     this.#urgentHeadroom = [...input.urgentHeadroom?.values() ?? []].reduce(
       (sum, accelerators) => sum + accelerators,
@@ -289,10 +290,9 @@
 
   /** Stops gangs that lost tasks for good, as the others can't work without them. */
   #closeIncompleteGangs(): void {
-    const unreported = this.#fleet.findUnreportedWorkers();
     for (const job of this.#jobs.jobs) {
       for (const unit of job.units.values()) {
-        if (isIncomplete(unit, unreported)) {
+        if (isIncomplete(unit, this.#isUnreported)) {
           this.#runs.close(unit, "members are missing");
         }
       }
--- a/packages/node/cell/live_job.ts
+++ b/packages/node/cell/live_job.ts
@@ -190,11 +190,11 @@
  */
 export function mayStillRunUnreported(
   unit: Unit,
-  unreported: ReadonlySet<WorkerName>,
+  isUnreported: (worker: WorkerName) => boolean,
 ): boolean {
-  if (unit.wasPlacedByThisHolder || unreported.size === 0) return false;
+  if (unit.wasPlacedByThisHolder) return false;
   const workers = unit.job.earlierPlacements.get(formatUnitKey(unit.address));
-  return workers?.some((worker) => unreported.has(worker)) ?? false;
+  return workers?.some(isUnreported) ?? false;
 }
 
 /** Key of a unit within its job: `{occurrence}.{step}.{index}`. */
--- a/packages/node/cell/run_checks.ts
+++ b/packages/node/cell/run_checks.ts
@@ -20,11 +20,11 @@
 /** Whether a gang's run has lost tasks for good although the gang is not done. */
 export function isIncomplete(
   unit: Unit,
-  unreported: ReadonlySet<WorkerName>,
+  isUnreported: (worker: WorkerName) => boolean,
 ): boolean {
   const { run, job } = unit;
   if (run === undefined || run.isClosing) return false;
-  return !mayStillRunUnreported(unit, unreported) &&
+  return !mayStillRunUnreported(unit, isUnreported) &&
     run.taskRuns.size < unit.count &&
     !job.progress.isUnitDone(unit.address);
 }
--- a/packages/node/cell/session_event_handler.ts
+++ b/packages/node/cell/session_event_handler.ts
@@ -71,11 +71,13 @@
     taskRun: TaskRun,
     { reason, inputs }: GoneEvidence,
   ): void {
-    const { runs } = this.#options;
+    const { runs, writer } = this.#options;
     this.#logTask("task.gone", session, taskRun, { reason, ...inputs });
     const unit = runs.drop(taskRun);
     if (unit === undefined) return;
     unit.job.progress.recordCheckpoint(unit.address, taskRun.checkpoint);
+    // A later holder would wait for a worker that the stored placement names.
+    writer.mark(unit.job, false);
     runs.close(unit, reason);
   }
 
--- a/packages/node/cell/worker_fleet.ts
+++ b/packages/node/cell/worker_fleet.ts
@@ -23,6 +23,7 @@
 import { WorkerDirectory } from "./worker_directory.ts";
 import type { SessionListener } from "./task_run.ts";
 import { computeAvailability } from "./worker_availability.ts";
+import { computeLongestLeaseMs } from "./worker_leases.ts";
 import { WorkerSession } from "./worker_session.ts";
 
 /** How long a new lease holder waits for the workers' first reports before it starts tasks. */
@@ -56,6 +57,9 @@
   readonly #options: WorkerFleetOptions;
   readonly #sessions = new Map<WorkerName, WorkerSession>();
   readonly #directory: WorkerDirectory;
+  /** Workers that have reported in this epoch, as far as asked for or no longer in use. */
+  readonly #reportedWorkers = new Set<WorkerName>();
+  readonly #createdMs: number;
   #writtenRoster = "";
   #isWritingRoster = false;
   #isStopped = false;
@@ -63,6 +67,7 @@
   private constructor(options: WorkerFleetOptions) {
     this.#options = options;
     this.#directory = WorkerDirectory.create(options);
+    this.#createdMs = options.clock.nowMs();
   }
 
   static create(options: WorkerFleetOptions): WorkerFleet {
@@ -102,13 +107,20 @@
       !this.#options.isOut(record.failureDomain);
   }
 
-  /** Workers that have not reported and may run tasks that an earlier lease holder started. */
-  findUnreportedWorkers(): ReadonlySet<WorkerName> {
-    return new Set(
-      [...this.#sessions.values()].filter((session) =>
-        !session.hasReported && !session.haveLeasesExpired()
-      ).map(({ worker }) => worker),
-    );
+  /**
+   * Whether the worker may run tasks that an earlier lease holder started: it has not reported in
+   * this epoch, and leases that were granted before may not have expired. This includes workers
+   * that neither the roster nor a record names.
+   */
+  isUnreported(worker: WorkerName): boolean {
+    if (this.#reportedWorkers.has(worker)) return false;
+    if (this.#sessions.get(worker)?.hasReported) {
+      this.#reportedWorkers.add(worker);
+      return false;
+    }
+    const { clock, bounds } = this.#options;
+    return clock.nowMs() - this.#createdMs <=
+      computeLongestLeaseMs(bounds.leaseMaximumMs);
   }
 
   /**
@@ -155,7 +167,7 @@
     const known = this.#sessions.get(worker);
     if (known !== undefined && known.target.address === address) return known;
     if (known?.hasTaskRuns) return known;
-    known?.stop();
+    if (known !== undefined) this.#close(known);
     const { epoch, workerPort, clock, log, canAct, bounds, listener } =
       this.#options;
     const session = WorkerSession.create({
@@ -178,12 +190,17 @@
       const isIdle = session.record === undefined && !session.hasTaskRuns &&
         (session.hasReported || session.haveLeasesExpired());
       if (!isIdle) continue;
-      session.stop();
+      this.#close(session);
       this.#options.workerPort.forget(session.target);
       this.#sessions.delete(session.worker);
     }
   }
 
+  #close(session: WorkerSession): void {
+    if (session.hasReported) this.#reportedWorkers.add(session.worker);
+    session.stop();
+  }
+
   /** Opens sessions with the workers that an earlier lease holder may have used. */
   openRosterSessions(): void {
     const row = this.#options.follower.get(ROSTER_KEY);
--- a/packages/node/cell/worker_leases.ts
+++ b/packages/node/cell/worker_leases.ts
@@ -12,6 +12,11 @@
 /** Time for the worker to end runs whose lease has expired. */
 const EXPIRY_MARGIN_MS = 100;
 
+/** Longest time for which a lease may hold, on the fastest clock that can measure it. */
+export function computeLongestLeaseMs(leaseMaximumMs: number): number {
+  return leaseMaximumMs / SLOWEST_CLOCK_RATE + EXPIRY_MARGIN_MS;
+}
+
 export interface WorkerLeasesOptions {
   readonly clock: Clock;
   readonly leaseMaximumMs: number;
@@ -118,8 +123,8 @@
   haveLeasesExpired(): boolean {
     const nowMs = this.#options.clock.nowMs();
     if (this.#sample === undefined) {
-      const longestMs = this.#options.leaseMaximumMs / SLOWEST_CLOCK_RATE;
-      return nowMs - this.#clockUnknownSinceMs > longestMs + EXPIRY_MARGIN_MS;
+      return nowMs - this.#clockUnknownSinceMs >
+        computeLongestLeaseMs(this.#options.leaseMaximumMs);
     }
     const { workerClockMs, receivedMs } = this.#sample;
     const leastClockMs = workerClockMs +
--- a/scripts/mutations/cell_mutations.ts
+++ b/scripts/mutations/cell_mutations.ts
@@ -62,7 +62,7 @@
     name: "start old jobs although a worker that has not reported may run them",
     promise: NO_TASK_TWICE,
     file: `${CELL}/cell_scheduler.ts`,
-    find: `mayStillRunUnreported(unit, unreported),`,
+    find: `mayStillRunUnreported(unit, this.#isUnreported),`,
     replace: `false,`,
     spec: FAULTS_TEST,
     title: FAULT_SEQUENCES,
