Poll an unreachable worker without task runs, so that it is used again once it answers

Ends that the cut workers listed were never read. Cause: a session polls while it has task runs or ends to acknowledge. When the leases of an unreachable worker have lapsed, its task runs are dropped, and nothing polls it again. Its reachability changes only with a poll's outcome, so it stays unusable although it answers and its record stays in the store.

--- a/packages/node/cell/cell_scheduler_test.ts
+++ b/packages/node/cell/cell_scheduler_test.ts
@@ -78,6 +78,71 @@
     expect(simulation.history[0]!.end).to.equal("lapsed");
   });
 
+  it("uses a worker again that answers only after the leases of its tasks have expired", async () => {
+    const simulation = CellSimulation.create(["a", "b"]);
+    const onWorkerA = { steps: [createStep({ requiredLabel: "a" })] };
+    await simulation.submit(createSpec(JOB, onWorkerA));
+    simulation.startScheduler();
+    await simulation.clock.advance(3_000);
+    expect(simulation.get("a").running).to.deep.equal([`${JOB}.0.0.0`]);
+    simulation.get("a").isDisconnected = true;
+    await simulation.clock.advance(20_000);
+    simulation.get("a").isDisconnected = false;
+    await simulation.clock.advance(3_000);
+    expect(simulation.get("a").running).to.deep.equal([`${JOB}.0.0.0`]);
+    expect(simulation.runsOf(`${JOB}.0.0.0`)).to.have.length(2);
+    expect(simulation.countOverlaps()).to.equal(0);
+  });
+
+  it("counts an end that a worker lists only after the leases of its tasks have expired", async () => {
+    const simulation = CellSimulation.create(["a", "b"]);
+    const spec = createSpec(JOB, {
+      steps: [createStep({ requiredLabel: "a" })],
+    });
+    await simulation.submit(spec);
+    simulation.startScheduler();
+    await simulation.clock.advance(3_000);
+    simulation.get("a").isDisconnected = true;
+    simulation.get("a").end(simulation.get("a").running[0]!, "done");
+    await simulation.clock.advance(20_000);
+    simulation.get("a").isDisconnected = false;
+    await simulation.clock.advance(3_000);
+    expect(simulation.readJob(spec)).to.include({ state: "completed" });
+    expect(simulation.history).to.have.length(1);
+  });
+
+  it("starts a gang that needs workers which did not answer for some time", async () => {
+    const simulation = CellSimulation.create(["a", "b", "c", "d"]);
+    const other = createSpec("00000000000000aa", {
+      steps: [createStep({ count: 2, maximumPerWorker: 1 })],
+    });
+    await simulation.submit(other);
+    simulation.startScheduler();
+    await simulation.clock.advance(3_000);
+    const cut = [...simulation.workers.values()].filter(({ running }) =>
+      running.length > 0
+    );
+    expect(cut).to.have.length(2);
+    cut.forEach((worker) => (worker.isDisconnected = true));
+    await simulation.clock.advance(20_000);
+    simulation.workers.forEach((worker) =>
+      worker.running.forEach((task) => worker.end(task, "done"))
+    );
+    const need = { cpuMilli: 8_000, memoryMib: 8_000, accelerators: 8 };
+    const gang = createSpec(JOB, {
+      steps: [createStep({ count: 3, need, isGang: true, isRackBound: true })],
+    });
+    await simulation.submit(gang);
+    cut.forEach((worker) => (worker.isDisconnected = false));
+    await simulation.clock.advance(3_000);
+    const running = [...simulation.workers.values()].flatMap((worker) =>
+      worker.running
+    );
+    expect(running.sort()).to.deep.equal(
+      [0, 1, 2].map((task) => `${JOB}.0.0.${task}`),
+    );
+  });
+
   it("adopts running tasks of a lease holder that stopped", async () => {
     const simulation = CellSimulation.create(["a", "b"]);
     const spec = createSpec(JOB, { steps: [createStep({ count: 4 })] });
--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -28,7 +28,7 @@
 
 /** Longest wait of a long poll; below the lease of a start, which the next poll extends. */
 const LONG_POLL_MS = 1_000;
-/** Delay of acknowledgements without a renewal that could carry them. */
+/** Delay before each poll of a worker without task runs. */
 const ACKNOWLEDGE_DELAY_MS = 800;
 
 export interface WorkerSessionOptions {
@@ -158,7 +158,7 @@
     }
   }
 
-  /** Starts polling if there is something to renew, to read or to acknowledge. */
+  /** Starts polling if something is to be renewed, read or acknowledged, or it is unreachable. */
   startPolling(): void {
     if (!this.#isPollLoopRunning) void this.#pollLoop();
   }
@@ -242,7 +242,8 @@
   }
 
   #needsPoll(): boolean {
-    if (!this.hasReported) return true;
+    // An unreachable worker gets no tasks, so only a poll can show that it answers again.
+    if (!this.isReachable) return true;
     return this.hasTaskRuns || this.#ends.isAcknowledgementDue;
   }
 
