Measure the age of a worker's heartbeat on the wall clock too

Callers saw (in a test of the directory): a worker whose record had expired was taken as gone, so that its tasks were started elsewhere while they ran on. A record that is removed within three heartbeat periods of the last heartbeat shows that the worker has left. The age was measured on the monotonic clock, which stops while the holder's VM is suspended, so that a silent worker's record seemed to have been removed early. The lease of the scheduler already uses both clocks.

The age is now the larger of the two. Other uses of the monotonic clock were read for the same fault: leases of workers, the time to wait before the lease is acquired and time-outs only grow longer by a suspension, which is safe.

--- a/packages/node/cell/worker_directory.ts
+++ b/packages/node/cell/worker_directory.ts
@@ -27,10 +27,19 @@
   readonly heartbeatMs: number;
 }
 
+/** One moment on the monotonic clock and on the wall clock. */
+interface Moment {
+  readonly monotonicMs: number;
+  readonly unixMs: number;
+}
+
 interface KnownRecord {
   readonly record: WorkerRecord;
-  /** Time of the read before the heartbeat was first seen: the heartbeat is not older than that. */
-  readonly heartbeatNotBeforeMs: number;
+  /**
+   * The read before the heartbeat was first seen: the heartbeat is not older than that. Undefined
+   * when there was none.
+   */
+  readonly heartbeatNotBefore: Moment | undefined;
 }
 
 /** One read of all records. */
@@ -52,7 +61,7 @@
 export class WorkerDirectory {
   readonly #options: WorkerDirectoryOptions;
   #knownRecords = new Map<WorkerName, KnownRecord>();
-  #lastReadMs: number | undefined;
+  #lastRead: Moment | undefined;
   #version = 0;
   readonly #unreadable = new Set<string>();
 
@@ -66,8 +75,8 @@
 
   /** Reads all records; undefined when the store gave no fresh answer. */
   async read(): Promise<DirectorySnapshot | undefined> {
-    const { store, clock, log } = this.#options;
-    const startedMs = clock.nowMs();
+    const { store, log } = this.#options;
+    const started = this.#now();
     const outcome = await store.read(
       STORE_TABLE.WORKERS,
       {},
@@ -75,7 +84,7 @@
     );
     if (outcome.kind === "unavailable") {
       log.warn("workers.read_failed", { ...outcome });
-      this.#lastReadMs = undefined;
+      this.#lastRead = undefined;
       return undefined;
     }
     if (outcome.version < this.#version) {
@@ -90,7 +99,7 @@
     }
     const leftWorkers = this.#findLeft(records);
     this.#updateKnown(records);
-    this.#lastReadMs = startedMs;
+    this.#lastRead = started;
     return { records, leftWorkers };
   }
 
@@ -107,12 +116,15 @@
     records: ReadonlyMap<WorkerName, WorkerRecord>,
   ): readonly LeftWorker[] {
     // After a failed read the removal may be of any age, so the worker may have been silent.
-    if (this.#lastReadMs === undefined) return [];
-    const nowMs = this.#options.clock.nowMs();
+    if (this.#lastRead === undefined) return [];
     const silenceMs = MISSED_HEARTBEATS_TO_REMOVAL * this.#options.heartbeatMs;
     return [...this.#knownRecords.values()].map((
-      { record: { worker, heartbeat }, heartbeatNotBeforeMs },
-    ) => ({ worker, heartbeat, heartbeatAgeMs: nowMs - heartbeatNotBeforeMs }))
+      { record: { worker, heartbeat }, heartbeatNotBefore },
+    ) => ({
+      worker,
+      heartbeat,
+      heartbeatAgeMs: this.#computeAgeMs(heartbeatNotBefore),
+    }))
       .filter(({ worker, heartbeatAgeMs }) =>
         !records.has(worker) && heartbeatAgeMs < silenceMs
       );
@@ -127,13 +139,31 @@
         known.record.incarnationStartUnixMs === record.incarnationStartUnixMs;
       next.set(record.worker, {
         record,
-        heartbeatNotBeforeMs: isSameHeartbeat
-          ? known.heartbeatNotBeforeMs
+        heartbeatNotBefore: isSameHeartbeat
+          ? known.heartbeatNotBefore
           : known === undefined
-          ? Number.NEGATIVE_INFINITY
-          : this.#lastReadMs ?? Number.NEGATIVE_INFINITY,
+          ? undefined
+          : this.#lastRead,
       });
     }
     this.#knownRecords = next;
   }
+
+  #now(): Moment {
+    const { clock, nowUnixMs } = this.#options;
+    return { monotonicMs: clock.nowMs(), unixMs: nowUnixMs() };
+  }
+
+  /**
+   * Age by the clock that shows more: the monotonic clock stops while the VM is suspended, and the
+   * wall clock may be set back.
+   */
+  #computeAgeMs(moment: Moment | undefined): number {
+    if (moment === undefined) return Number.POSITIVE_INFINITY;
+    const now = this.#now();
+    return Math.max(
+      now.monotonicMs - moment.monotonicMs,
+      now.unixMs - moment.unixMs,
+    );
+  }
 }
