Do not take a worker as gone whose record cannot be decoded

Callers saw (in a test of the directory): a worker that runs on was taken as gone and its tasks were started elsewhere. Records that decode were compared with the ones known before, so that a row with bytes that cannot be read looked like a removed one. Only a row that is missing counts as removed now.

--- a/packages/node/cell/worker_directory.ts
+++ b/packages/node/cell/worker_directory.ts
@@ -97,7 +97,9 @@
       const record = row.value && this.#decode(row.key, row.value);
       if (record !== undefined) records.set(record.worker, record);
     }
-    const leftWorkers = this.#findLeft(records);
+    const leftWorkers = this.#findLeft(
+      new Set(outcome.rows.flatMap(({ key, value }) => value ? [key] : [])),
+    );
     this.#updateKnown(records);
     this.#lastRead = started;
     return { records, leftWorkers };
@@ -112,9 +114,8 @@
     return record;
   }
 
-  #findLeft(
-    records: ReadonlyMap<WorkerName, WorkerRecord>,
-  ): readonly LeftWorker[] {
+  /** A row that cannot be decoded is no removal. */
+  #findLeft(presentKeys: ReadonlySet<string>): readonly LeftWorker[] {
     // After a failed read the removal may be of any age, so the worker may have been silent.
     if (this.#lastRead === undefined) return [];
     const silenceMs = MISSED_HEARTBEATS_TO_REMOVAL * this.#options.heartbeatMs;
@@ -126,7 +127,7 @@
       heartbeatAgeMs: this.#computeAgeMs(heartbeatNotBefore),
     }))
       .filter(({ worker, heartbeatAgeMs }) =>
-        !records.has(worker) && heartbeatAgeMs < silenceMs
+        !presentKeys.has(worker) && heartbeatAgeMs < silenceMs
       );
   }
 
