Confirm a placement only for the run that the stored row names

Callers saw (in a test of the writer): the starts of a run were sent before its placement was stored. When a unit was evicted and placed again while the write of its first placement was on its way, the confirmation of that write released the second run. Until the next write the stored placement named the first run's workers, so that a holder that took over in between did not know where the unit ran. The write now confirms the run that it stored; a replaced one is ignored, and the second run's own write, already due, confirms that.

--- a/packages/node/cell/live_job.ts
+++ b/packages/node/cell/live_job.ts
@@ -108,9 +108,11 @@
     });
   }
 
-  /** Units whose starts wait until their placement is stored. */
-  listPending(): readonly Unit[] {
-    return [...this.units.values()].filter(({ run }) => run?.isPending);
+  /** Runs whose starts wait until their placement is stored, with their units. */
+  listPending(): readonly (readonly [Unit, UnitRun])[] {
+    return [...this.units.values()].flatMap((unit) =>
+      unit.run?.isPending ? [[unit, unit.run] as const] : []
+    );
   }
 
   get jobId(): CellJobId {
--- a/packages/node/cell/progress_writer.ts
+++ b/packages/node/cell/progress_writer.ts
@@ -7,7 +7,7 @@
 import type { CellJobId } from "@coltsfootpond/policy";
 import type { StateRow, StateStore } from "@coltsfootpond/ports";
 import { STORE_TIMEOUT_MS } from "./constants.ts";
-import type { LiveJob, Unit } from "./live_job.ts";
+import type { LiveJob, Unit, UnitRun } from "./live_job.ts";
 import type { CellLog } from "./log.ts";
 import {
   decodeRow,
@@ -189,7 +189,10 @@
       version,
       value,
     }]);
-    pending.forEach((unit) => this.#options.onPlaced(unit));
+    for (const [unit, run] of pending) {
+      // Another run may have replaced it meanwhile; the next write stores that one's placement.
+      if (unit.run === run) this.#options.onPlaced(unit);
+    }
   }
 
   /** Stores the job's end, unless a cancellation came first. */
@@ -246,8 +249,8 @@
 /** One write of a job's progress. */
 interface ProgressWrite {
   readonly job: LiveJob;
-  /** Units whose placement is stored by this write for the first time. */
-  readonly pending: readonly Unit[];
+  /** Runs whose placement is stored by this write for the first time, with their units. */
+  readonly pending: readonly (readonly [Unit, UnitRun])[];
   readonly value: Uint8Array;
 }
 
