Stop a run whose start is answered after it was taken as over

Callers saw (in a test of a worker's session): when a run was dropped while its start was on its way (a record removed early, another instance at the address) and the worker then acknowledged the start, nobody learned of the run: the session had nothing to poll for, and the unit could be started elsewhere while it ran. Such a run is now a stray like one that a report lists: it is followed until it is gone, stopped or adopted, and holds its unit back meanwhile.

--- a/packages/node/cell/task_commands.ts
+++ b/packages/node/cell/task_commands.ts
@@ -43,6 +43,8 @@
     taskRun: TaskRun,
     reason: StartRefusal | "wrong_life",
   ) => void;
+  /** A start was answered after its run was taken as over. */
+  readonly onStartedLate: (taskRun: TaskRun) => void;
   /** A start was not answered and the worker does not list the run. */
   readonly onStartUnanswered: (taskRun: TaskRun) => void;
   readonly onFenced: () => void;
@@ -78,7 +80,7 @@
     this.#options.onSent();
     switch (outcome.kind) {
       case "started":
-        if (!taskRuns.has(taskRun)) return;
+        if (!taskRuns.has(taskRun)) return this.#options.onStartedLate(taskRun);
         taskRun.startAnsweredMs ??= this.#options.clock.nowMs();
         return;
       case "refused":
--- a/packages/node/cell/task_run.ts
+++ b/packages/node/cell/task_run.ts
@@ -48,7 +48,10 @@
     taskRun: TaskRun,
     evidence: GoneEvidence,
   ): void;
-  /** The worker reports a run that this lease holder did not start: a stray run. */
+  /**
+   * The worker has started a run that this lease holder does not follow: a stray run. A report
+   * lists it, or its start was answered after it was taken as over.
+   */
   onStray(session: WorkerSession, running: RunningTask): void;
   /** The worker sent a report. */
   onReport(session: WorkerSession): void;
--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -89,6 +89,8 @@
       requestReport: () => this.pollNow(),
       onSent: () => this.startPolling(),
       onRefused: (taskRun, reason) => listener.onRefused(this, taskRun, reason),
+      onStartedLate: ({ task, run, checkpoint }) =>
+        listener.onStray(this, { task, run, checkpoint, percent: 0 }),
       onStartUnanswered: (taskRun) => listener.onStartUnanswered(this, taskRun),
       onFenced: () => listener.onFenced(this),
     });
@@ -193,7 +195,7 @@
     return this.#commands.stop(taskRun);
   }
 
-  /** Adds a stray run that the worker reports. */
+  /** Adds a stray run, which the worker has started. */
   adopt(
     running: RunningTask,
     step: { readonly need: CellResources; readonly stepKey: string },
--- a/packages/node/cell/worker_task_runs.ts
+++ b/packages/node/cell/worker_task_runs.ts
@@ -31,7 +31,7 @@
   readonly onEnded: (ended: EndedTask, taskRun: TaskRun | undefined) => void;
   /** A task run is gone without a listed end. */
   readonly onGone: (taskRun: TaskRun, evidence: GoneEvidence) => void;
-  /** The worker reports a run that was not placed there. */
+  /** The worker reports a run that is not registered; the listener may adopt it. */
   readonly onStray: (running: RunningTask) => void;
 }
 
@@ -83,24 +83,23 @@
       this.#taskRuns.delete(taskRunKey(taskRun.task, taskRun.run));
   }
 
-  /** Adds a run that the newest report lists. */
+  /** Adds a run that the worker has started, according to a report or an answer to its start. */
   adopt(
     running: RunningTask,
     step: { readonly need: CellResources; readonly stepKey: string },
   ): TaskRun {
-    const reportClockMs = this.#lastReportClockMs;
     const taskRun: TaskRun = {
       ...step,
       task: running.task,
       run: running.run,
       startAnsweredMs: this.#options.clock.nowMs(),
-      isListed: true,
+      isListed: false,
       isStopping: false,
       stopAnsweredMs: undefined,
       checkpoint: running.checkpoint,
       percent: running.percent,
-      percentChangedClockMs: reportClockMs,
-      percentReportedClockMs: reportClockMs,
+      percentChangedClockMs: 0,
+      percentReportedClockMs: 0,
     };
     this.add(taskRun);
     return taskRun;
@@ -164,12 +163,12 @@
   }
 
   #applyRunning(running: RunningTask, reportClockMs: number): void {
-    const taskRun = this.#taskRuns.get(taskRunKey(running.task, running.run));
-    if (taskRun === undefined) this.#options.onStray(running);
-    else {
-      const receivedMs = this.#options.clock.nowMs();
-      updateFromReport(taskRun, running, reportClockMs, receivedMs);
-    }
+    const key = taskRunKey(running.task, running.run);
+    if (!this.#taskRuns.has(key)) this.#options.onStray(running);
+    const taskRun = this.#taskRuns.get(key);
+    if (taskRun === undefined) return;
+    const receivedMs = this.#options.clock.nowMs();
+    updateFromReport(taskRun, running, reportClockMs, receivedMs);
   }
 
   /**
