Count the lease of a start as one of the maximum length

Callers saw nothing yet; found by reading. A start carries a short lease whose end is a time on the worker's clock. If the worker has restarted under its name and no report has told so, its clock is another one, and the end may lie far ahead there; the worker then shortens the lease only to the maximum. The holder counted the short one. It was saved by the renewal that follows a start, which is counted even if it does not arrive, except where the last poll had failed and none is sent.

The holder now counts a lease of the maximum length for a start; what the start carries stays short. A worker that becomes unreachable after a start is waited for no longer than before in the usual case, as the renewal counted the same.

The new test fails when the short lease is counted.

--- a/packages/node/cell/task_commands.ts
+++ b/packages/node/cell/task_commands.ts
@@ -70,7 +70,7 @@
       task: taskRun.task,
       run: taskRun.run,
       payload,
-      leaseUntilMs: leases.grant(
+      leaseUntilMs: leases.grantForStart(
         Math.min(START_LEASE_MS, bounds.leaseMaximumMs),
       ),
       epoch,
--- a/packages/node/cell/worker_leases.ts
+++ b/packages/node/cell/worker_leases.ts
@@ -98,12 +98,30 @@
    * the lease may take effect even if it is not answered.
    */
   grant(durationMs: number): number {
+    const leaseEndMs = this.#computeLeaseEnd(durationMs);
+    this.#recordLeaseEnd(leaseEndMs);
+    return leaseEndMs;
+  }
+
+  /**
+   * Returns the end of a short lease that a start carries, but records one of the maximum length: a
+   * later incarnation, of which no report has told yet, reads the end on a clock of its own and
+   * shortens the lease only to the maximum.
+   */
+  grantForStart(durationMs: number): number {
+    this.#recordLeaseEnd(this.#computeLeaseEnd(this.#options.leaseMaximumMs));
+    return this.#computeLeaseEnd(durationMs);
+  }
+
+  #computeLeaseEnd(durationMs: number): number {
     const { workerClockMs, receivedMs } = this.#sample ??
       { workerClockMs: 0, receivedMs: 0 };
     const elapsedMs = this.#options.clock.nowMs() - receivedMs;
-    const leaseEndMs = Math.floor(workerClockMs + elapsedMs + durationMs);
+    return Math.floor(workerClockMs + elapsedMs + durationMs);
+  }
+
+  #recordLeaseEnd(leaseEndMs: number): void {
     this.#latestLeaseEndMs = Math.max(this.#latestLeaseEndMs, leaseEndMs);
-    return leaseEndMs;
   }
 
   /** What `haveLeasesExpired` is concluded from, for the log. */
--- a/packages/node/cell/worker_task_runs_test.ts
+++ b/packages/node/cell/worker_task_runs_test.ts
@@ -123,6 +123,21 @@
     expect(leases.haveLeasesExpired()).to.equal(true);
   });
 
+  // Guards against judging a start's lease by the clock of an incarnation that may be over.
+  it("last up to the maximum after a start, whose deadline another incarnation may read", async () => {
+    const clock = ManualClock.create();
+    const leases = WorkerLeases.create({ clock, leaseMaximumMs: LEASE_MS });
+    leases.applyIncarnation(1);
+    leases.applyClock({ workerClockMs: 0, incarnationStartUnixMs: 1 });
+    await clock.advance(60_000);
+    expect(leases.haveLeasesExpired()).to.equal(true);
+    expect(leases.grantForStart(2_500)).to.equal(62_500);
+    await clock.advance(LEASE_MS);
+    expect(leases.haveLeasesExpired()).to.equal(false);
+    await clock.advance(LEASE_MS);
+    expect(leases.haveLeasesExpired()).to.equal(true);
+  });
+
   it("are unknown again when the worker begins a new incarnation", async () => {
     const clock = ManualClock.create();
     const leases = WorkerLeases.create({ clock, leaseMaximumMs: LEASE_MS });
