Log each run that a new lease holder adopts

The line names the task, the run, the worker and how many tasks of the gang are followed by now, so that a log shows a gang that is known in part.

--- a/packages/node/cell/run_registry.ts
+++ b/packages/node/cell/run_registry.ts
@@ -153,6 +153,13 @@
       run.taskRuns.set(taskRun, session);
       this.#unitByTaskRun.set(taskRun, unit);
       this.#strays.delete(taskRun);
+      this.#options.log.info("task.adopted", {
+        task: taskRun.task,
+        run: run.run,
+        worker: session.worker,
+        members: run.taskRuns.size,
+        count: unit.count,
+      });
       return;
     }
     this.#options.log.warn("task.stray", {
