Keep stored placements of occurrences that are not due on this entry's clock

A holder opens the units of an occurrence when it is due on its wall clock, and stored the placements of open units only. With a clock behind the former holder's, the first write of the job dropped the placement of an occurrence that the former holder had started already, and the next holder started it again at once while a worker that did not answer still ran it.

Every earlier placement is now stored until its unit is done or this holder has placed it itself. The same class as the fault of adopted gangs: what a holder knows of a unit was taken for all there is.

--- a/packages/node/cell/live_job.ts
+++ b/packages/node/cell/live_job.ts
@@ -94,17 +94,25 @@
    * adopted may have been reported yet.
    */
   listPlacements(): readonly PlacementRecord[] {
-    return [...this.units].flatMap(([key, unit]) => {
-      const own = [...unit.run?.taskRuns.values() ?? []];
+    // An occurrence that an earlier holder placed may not be due on this entry's wall clock.
+    const keys = new Set([
+      ...this.units.keys(),
+      ...this.earlierPlacements.keys(),
+    ]);
+    return [...keys].flatMap((key) => {
+      const unit = this.units.get(key);
+      const isDone = unit === undefined &&
+        this.progress.isUnitDone(parseUnitKey(key));
+      const own = [...unit?.run?.taskRuns.values() ?? []];
       const workers = new Set([
         ...own.map(({ worker }) => worker),
-        ...unit.wasPlacedByThisHolder
+        ...isDone || unit?.wasPlacedByThisHolder
           ? []
           : this.earlierPlacements.get(key) ?? [],
       ]);
-      if (unit.run === undefined && workers.size === 0) return [];
+      if (unit?.run === undefined && workers.size === 0) return [];
       // The run number of an earlier holder's placement is not kept; 0 stands for it.
-      return [[key, unit.run?.run ?? 0, [...workers]] as const];
+      return [[key, unit?.run?.run ?? 0, [...workers]] as const];
     });
   }
 
@@ -206,6 +214,12 @@
   return `${occurrence}.${step}.${index}`;
 }
 
+/** The address of a key that `formatUnitKey` returned. */
+function parseUnitKey(key: string): UnitAddress {
+  const [occurrence = 0, step = 0, index = 0] = key.split(".").map(Number);
+  return { occurrence, step, index };
+}
+
 /** Name of one task of a unit; `taskIndex` counts the tasks of a gang. */
 export function formatTaskName(unit: Unit, taskIndex: number): TaskName {
   const index = unit.step.isGang ? taskIndex : unit.address.index;
