Store only those workers of an earlier placement that have not reported

The placement now names only workers that have not reported in this epoch, by the same check that holds a start back.

The new test fails on the parent ([a, b] instead of [b]).

--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -84,6 +84,7 @@
     const { settings, declared } = options;
     this.#writer = ProgressWriter.create({
       ...options,
+      isUnreported: this.#isUnreported,
       snapshotProcessedEnds: () => this.#fleet.snapshotProcessedEnds(),
       onClosed: (job) => this.#jobs.close(job),
       onPlaced: (unit) => this.#runs.sendStarts(unit),
--- a/packages/node/cell/duplicate_runs/replaced_placement_test.ts
+++ b/packages/node/cell/duplicate_runs/replaced_placement_test.ts
@@ -48,6 +48,7 @@
       nowUnixMs: () => 0,
       log: SILENT_LOG,
       canAct: () => true,
+      isUnreported: () => false,
       snapshotProcessedEnds: () => () => {},
       onClosed: () => {},
       onPlaced: ({ run }: Unit) => {
--- a/packages/node/cell/duplicate_runs/stored_placements_test.ts
+++ b/packages/node/cell/duplicate_runs/stored_placements_test.ts
@@ -30,6 +30,17 @@
     const job = createRecurringJob();
     job.openDueUnits(0, 500);
     expect(job.units.size).to.equal(0);
-    expect(job.listPlacements()).to.deep.equal([["0.0.0", 0, [A, B]]]);
+    const placements = job.listPlacements(() => true);
+    expect(placements).to.deep.equal([["0.0.0", 0, [A, B]]]);
+  });
+
+  // Guards against making each later holder wait for a worker that this one has heard.
+  it("name no worker of an earlier placement that has reported", () => {
+    const job = createRecurringJob();
+    job.openDueUnits(0, 1_500);
+    expect(job.units.size).to.equal(1);
+    const placements = job.listPlacements((worker) => worker === B);
+    expect(placements).to.deep.equal([["0.0.0", 0, [B]]]);
+    expect(job.listPlacements(() => false)).to.deep.equal([]);
   });
 });
--- a/packages/node/cell/live_job.ts
+++ b/packages/node/cell/live_job.ts
@@ -90,10 +90,12 @@
 
   /**
    * Placements of all runs that may be running. Until this lease holder has placed a unit itself,
-   * they include the workers of an earlier holder's placement: not all tasks of a gang that it has
-   * adopted may have been reported yet.
+   * they include the workers of an earlier holder's placement that have not reported yet: one of
+   * them may run a task of a gang of which this holder has adopted the others.
    */
-  listPlacements(): readonly PlacementRecord[] {
+  listPlacements(
+    isUnreported: (worker: WorkerName) => boolean,
+  ): readonly PlacementRecord[] {
     // An occurrence that an earlier holder placed may not be due on this entry's wall clock.
     const keys = new Set([
       ...this.units.keys(),
@@ -108,7 +110,7 @@
         ...own.map(({ worker }) => worker),
         ...isDone || unit?.wasPlacedByThisHolder
           ? []
-          : this.earlierPlacements.get(key) ?? [],
+          : this.earlierPlacements.get(key)?.filter(isUnreported) ?? [],
       ]);
       if (unit?.run === undefined && workers.size === 0) return [];
       // The run number of an earlier holder's placement is not kept; 0 stands for it.
--- a/packages/node/cell/progress_writer.ts
+++ b/packages/node/cell/progress_writer.ts
@@ -3,7 +3,12 @@
  * lease holder has read, so that a holder that has lost the lease changes nothing. Run ends are
  * acknowledged to workers only after they are stored.
  */
-import { type Clock, createUniqueId, type Timer } from "@coltsfootpond/common";
+import {
+  type Clock,
+  createUniqueId,
+  type Timer,
+  type WorkerName,
+} from "@coltsfootpond/common";
 import type { CellJobId } from "@coltsfootpond/policy";
 import type { StateRow, StateStore } from "@coltsfootpond/ports";
 import { STORE_TIMEOUT_MS } from "./constants.ts";
@@ -36,6 +41,8 @@
   readonly nowUnixMs: () => number;
   readonly log: CellLog;
   readonly canAct: () => boolean;
+  /** Whether the worker may run tasks of an earlier lease holder that are not known yet. */
+  readonly isUnreported: (worker: WorkerName) => boolean;
   /**
    * Called before the rows are encoded, to record which run ends they include. The returned
    * function is called once all rows are stored; the workers may then delete these ends.
@@ -148,7 +155,8 @@
   ): Promise<boolean> {
     const { store, log, canAct } = this.#options;
     if (!canAct()) return false;
-    const writes = jobs.map(createWrite);
+    const { isUnreported } = this.#options;
+    const writes = jobs.map((job) => createWrite(job, isUnreported));
     jobs.forEach((job) => this.#dirty.delete(job));
     const outcome = await store.transact({
       conditions: jobs.map((job) => ({
@@ -254,7 +262,10 @@
   readonly value: Uint8Array;
 }
 
-function createWrite(job: LiveJob): ProgressWrite {
+function createWrite(
+  job: LiveJob,
+  isUnreported: (worker: WorkerName) => boolean,
+): ProgressWrite {
   const writeId = createUniqueId();
   job.writeIds.add(writeId);
   return {
@@ -263,7 +274,7 @@
     value: encodeRow({
       writeId,
       record: job.progress.toRecord(),
-      placements: job.listPlacements(),
+      placements: job.listPlacements(isUnreported),
     }),
   };
 }
