Store the workers of stray runs, so that a later holder waits for them

Stray runs now count as placements until they are gone, and a stray marks its job for storing.

The two tests of adopted gangs now also check that the gang runs again in the end.

--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -84,7 +84,10 @@
     const { settings, declared } = options;
     this.#writer = ProgressWriter.create({
       ...options,
-      isUnreported: this.#isUnreported,
+      findOtherRuns: (job) => ({
+        isUnreported: this.#isUnreported,
+        strayWorkers: this.#runs.listStrayWorkers(job),
+      }),
       snapshotProcessedEnds: () => this.#fleet.snapshotProcessedEnds(),
       onClosed: (job) => this.#jobs.close(job),
       onPlaced: (unit) => this.#runs.sendStarts(unit),
--- a/packages/node/cell/duplicate_runs/replaced_placement_test.ts
+++ b/packages/node/cell/duplicate_runs/replaced_placement_test.ts
@@ -8,6 +8,7 @@
   createFollower,
   createJob,
   createStoreFake,
+  NO_OTHER_RUNS,
 } from "../test_fixtures.ts";
 
 function createRun(run: number): UnitRun {
@@ -48,7 +49,7 @@
       nowUnixMs: () => 0,
       log: SILENT_LOG,
       canAct: () => true,
-      isUnreported: () => false,
+      findOtherRuns: () => NO_OTHER_RUNS,
       snapshotProcessedEnds: () => () => {},
       onClosed: () => {},
       onPlaced: ({ run }: Unit) => {
--- a/packages/node/cell/duplicate_runs/takeover_test.ts
+++ b/packages/node/cell/duplicate_runs/takeover_test.ts
@@ -15,6 +15,11 @@
   );
 }
 
+function countRunning(simulation: CellSimulation, prefix: string): number {
+  return [...simulation.workers.values()].flatMap(({ running }) => running)
+    .filter((task) => task.startsWith(prefix)).length;
+}
+
 function readRoster(simulation: CellSimulation): readonly string[] {
   const row = simulation.store.rows().get(ROSTER_KEY);
   if (row?.value === undefined) return [];
@@ -98,6 +103,7 @@
     reported.end(reported.running[0]!, "failed");
     await simulation.clock.advance(20_000);
     expect(simulation.countOverlaps()).to.equal(0);
+    expect(countRunning(simulation, `${JOB}.0.0.`)).to.equal(2);
   });
 
   // Guards against storing only the adopted tasks of a gang as its placement.
@@ -110,5 +116,6 @@
     simulation.startScheduler();
     await simulation.clock.advance(20_000);
     expect(simulation.countOverlaps()).to.equal(0);
+    expect(countRunning(simulation, `${JOB}.0.0.`)).to.equal(2);
   });
 });
--- a/packages/node/cell/live_job.ts
+++ b/packages/node/cell/live_job.ts
@@ -26,6 +26,14 @@
   isClosing: boolean;
 }
 
+/** Runs that may be running although they belong to no unit's present run. */
+export interface OtherRuns {
+  /** Whether the worker may run tasks of an earlier lease holder that are not known yet. */
+  readonly isUnreported: (worker: WorkerName) => boolean;
+  /** Workers of the job's stray runs, by unit key. */
+  readonly strayWorkers: ReadonlyMap<string, readonly WorkerName[]>;
+}
+
 /** What is placed and started as one: a single task, or all tasks of a gang. */
 export interface Unit {
   readonly job: LiveJob;
@@ -91,15 +99,17 @@
   /**
    * Placements of all runs that may be running. Until this lease holder has placed a unit itself,
    * they include the workers of an earlier holder's placement that have not reported yet: one of
-   * them may run a task of a gang of which this holder has adopted the others.
+   * them may run a task of a gang of which this holder has adopted the others. Stray runs count
+   * until they are gone, however they came about.
    */
   listPlacements(
-    isUnreported: (worker: WorkerName) => boolean,
+    { isUnreported, strayWorkers }: OtherRuns,
   ): readonly PlacementRecord[] {
     // An occurrence that an earlier holder placed may not be due on this entry's wall clock.
     const keys = new Set([
       ...this.units.keys(),
       ...this.earlierPlacements.keys(),
+      ...strayWorkers.keys(),
     ]);
     return [...keys].flatMap((key) => {
       const unit = this.units.get(key);
@@ -111,6 +121,7 @@
         ...isDone || unit?.wasPlacedByThisHolder
           ? []
           : this.earlierPlacements.get(key)?.filter(isUnreported) ?? [],
+        ...strayWorkers.get(key) ?? [],
       ]);
       if (unit?.run === undefined && workers.size === 0) return [];
       // The run number of an earlier holder's placement is not kept; 0 stands for it.
--- a/packages/node/cell/progress_writer.ts
+++ b/packages/node/cell/progress_writer.ts
@@ -3,16 +3,11 @@
  * lease holder has read, so that a holder that has lost the lease changes nothing. Run ends are
  * acknowledged to workers only after they are stored.
  */
-import {
-  type Clock,
-  createUniqueId,
-  type Timer,
-  type WorkerName,
-} from "@coltsfootpond/common";
+import { type Clock, createUniqueId, type Timer } from "@coltsfootpond/common";
 import type { CellJobId } from "@coltsfootpond/policy";
 import type { StateRow, StateStore } from "@coltsfootpond/ports";
 import { STORE_TIMEOUT_MS } from "./constants.ts";
-import type { LiveJob, Unit, UnitRun } from "./live_job.ts";
+import type { LiveJob, OtherRuns, Unit, UnitRun } from "./live_job.ts";
 import type { CellLog } from "./log.ts";
 import {
   decodeRow,
@@ -41,8 +36,8 @@
   readonly nowUnixMs: () => number;
   readonly log: CellLog;
   readonly canAct: () => boolean;
-  /** Whether the worker may run tasks of an earlier lease holder that are not known yet. */
-  readonly isUnreported: (worker: WorkerName) => boolean;
+  /** Runs of the job that its units do not show, but that a later holder must know of. */
+  readonly findOtherRuns: (job: LiveJob) => OtherRuns;
   /**
    * Called before the rows are encoded, to record which run ends they include. The returned
    * function is called once all rows are stored; the workers may then delete these ends.
@@ -155,8 +150,8 @@
   ): Promise<boolean> {
     const { store, log, canAct } = this.#options;
     if (!canAct()) return false;
-    const { isUnreported } = this.#options;
-    const writes = jobs.map((job) => createWrite(job, isUnreported));
+    const { findOtherRuns } = this.#options;
+    const writes = jobs.map((job) => createWrite(job, findOtherRuns(job)));
     jobs.forEach((job) => this.#dirty.delete(job));
     const outcome = await store.transact({
       conditions: jobs.map((job) => ({
@@ -264,7 +259,7 @@
 
 function createWrite(
   job: LiveJob,
-  isUnreported: (worker: WorkerName) => boolean,
+  otherRuns: OtherRuns,
 ): ProgressWrite {
   const writeId = createUniqueId();
   job.writeIds.add(writeId);
@@ -274,7 +269,7 @@
     value: encodeRow({
       writeId,
       record: job.progress.toRecord(),
-      placements: job.listPlacements(isUnreported),
+      placements: job.listPlacements(otherRuns),
     }),
   };
 }
--- a/packages/node/cell/progress_writer_test.ts
+++ b/packages/node/cell/progress_writer_test.ts
@@ -3,7 +3,12 @@
 import { ProgressWriter } from "./progress_writer.ts";
 import { SILENT_LOG } from "./log.ts";
 import { decodeRow, encodeRow, type JobRow } from "./rows.ts";
-import { createFollower, createJob, createStoreFake } from "./test_fixtures.ts";
+import {
+  createFollower,
+  createJob,
+  createStoreFake,
+  NO_OTHER_RUNS,
+} from "./test_fixtures.ts";
 
 describe("progress writer", () => {
   it("continues after a timer that fires early and after a failed write", async () => {
@@ -32,7 +37,7 @@
       nowUnixMs: () => 0,
       log: SILENT_LOG,
       canAct: () => true,
-      isUnreported: () => false,
+      findOtherRuns: () => NO_OTHER_RUNS,
       snapshotProcessedEnds: () => () => confirmed++,
       onClosed: () => {},
       onPlaced: () => {},
@@ -73,7 +78,7 @@
       nowUnixMs: () => 0,
       log: SILENT_LOG,
       canAct: () => true,
-      isUnreported: () => false,
+      findOtherRuns: () => NO_OTHER_RUNS,
       snapshotProcessedEnds: () => () => {},
       onClosed: (ended) => writer.forget(ended),
       onPlaced: () => {},
--- a/packages/node/cell/run_registry.ts
+++ b/packages/node/cell/run_registry.ts
@@ -10,6 +10,7 @@
   createTaskRun,
   describeUnit,
   formatUnitKey,
+  type LiveJob,
   type TaskLocation,
   type Unit,
   type UnitRun,
@@ -171,6 +172,18 @@
     void session.stopTaskRun(taskRun);
   }
 
+  /** Workers of the job's stray runs, by unit key. */
+  listStrayWorkers(job: LiveJob): ReadonlyMap<string, readonly WorkerName[]> {
+    const workers = new Map<string, WorkerName[]>();
+    for (const [{ task }, { worker }] of this.#strays) {
+      const location = this.#options.locateTask(task);
+      if (location?.job !== job) continue;
+      const key = formatUnitKey(location.address);
+      workers.set(key, [...workers.get(key) ?? [], worker]);
+    }
+    return workers;
+  }
+
   /** Units, as `describeUnit` names them, that have a stray run. */
   listStrayUnits(): ReadonlySet<string> {
     return new Set(
--- a/packages/node/cell/session_event_handler.ts
+++ b/packages/node/cell/session_event_handler.ts
@@ -99,8 +99,10 @@
   }
 
   onStray(session: WorkerSession, running: RunningTask): void {
-    const { runs, isReady } = this.#options;
+    const { jobs, runs, writer, isReady } = this.#options;
     const taskRun = runs.addStray(session, running);
+    const job = jobs.locateTask(running.task)?.job;
+    if (job !== undefined) writer.mark(job, false);
     // Before all workers have reported, the end that makes the task's step due may be missing.
     if (isReady()) runs.resolveStray(taskRun);
   }
--- a/packages/node/cell/test_fixtures.ts
+++ b/packages/node/cell/test_fixtures.ts
@@ -13,7 +13,7 @@
   StateTransaction,
   TransactOutcome,
 } from "@coltsfootpond/ports";
-import { LiveJob } from "./live_job.ts";
+import { LiveJob, type OtherRuns } from "./live_job.ts";
 import { SILENT_LOG } from "./log.ts";
 import { SeenVersion, TableFollower } from "./table_follower.ts";
 
@@ -72,6 +72,12 @@
   });
 }
 
+/** For placements of jobs without strays, when all workers have reported. */
+export const NO_OTHER_RUNS: OtherRuns = {
+  isUnreported: () => false,
+  strayWorkers: new Map(),
+};
+
 /** A copy of the state table that reads the store only when the test calls it. */
 export function createFollower(
   store: StateStore,
