Count a lease that is granted before an incarnation has reported

Callers saw (in a test of the leases, found by the reviewer): a start whose placement was written slowly went out after the worker's record had named a new incarnation and before that had reported. Its lease was not counted: without a sample of the clock, expiry was measured from when the incarnation was first seen. It is now measured from the last grant.

The new test fails on the parent.

--- a/packages/node/cell/worker_leases.ts
+++ b/packages/node/cell/worker_leases.ts
@@ -33,8 +33,8 @@
   readonly #options: WorkerLeasesOptions;
   #incarnationStartUnixMs = 0;
   /**
-   * When this object was created, or a later incarnation was first seen; used until there is a
-   * sample of the incarnation's clock.
+   * When this object was created, a later incarnation was first seen, or a lease was granted since
+   * then; used until there is a sample of the incarnation's clock.
    */
   #clockUnknownSinceMs: number;
   #sample:
@@ -121,6 +121,10 @@
   }
 
   #recordLeaseEnd(leaseEndMs: number): void {
+    // Without its clock, the incarnation may hold any lease for the maximum time.
+    if (!this.isClockKnown) {
+      this.#clockUnknownSinceMs = this.#options.clock.nowMs();
+    }
     this.#latestLeaseEndMs = Math.max(this.#latestLeaseEndMs, leaseEndMs);
   }
 
--- a/packages/node/cell/worker_task_runs_test.ts
+++ b/packages/node/cell/worker_task_runs_test.ts
@@ -138,6 +138,21 @@
     expect(leases.haveLeasesExpired()).to.equal(true);
   });
 
+  // Guards against ignoring a lease that is granted before the first report of an incarnation.
+  it("last from a grant to an incarnation whose clock is unknown", async () => {
+    const clock = ManualClock.create();
+    const leases = WorkerLeases.create({ clock, leaseMaximumMs: LEASE_MS });
+    leases.applyIncarnation(1);
+    leases.applyClock({ workerClockMs: 100_000, incarnationStartUnixMs: 1 });
+    leases.applyIncarnation(2);
+    await clock.advance(2_000);
+    leases.grantForStart(2_500);
+    await clock.advance(LEASE_MS);
+    expect(leases.haveLeasesExpired()).to.equal(false);
+    await clock.advance(LEASE_MS);
+    expect(leases.haveLeasesExpired()).to.equal(true);
+  });
+
   it("are unknown again when the worker begins a new incarnation", async () => {
     const clock = ManualClock.create();
     const leases = WorkerLeases.create({ clock, leaseMaximumMs: LEASE_MS });
