Keep a worker's session while the answer to a start may arrive

Callers saw (in the simulated cell, found by the reviewer): a run that was dropped because its worker's record had been removed, and whose start the worker then acknowledged, ran on unnoticed until its lease ended. The same read that dropped the run closed the session as unused, so that the answer was ignored and the run did not become a stray.

The new test fails with the former condition in worker_fleet.ts (lapsed instead of stopped).

--- a/packages/node/cell/duplicate_runs/late_start_answer_test.ts
+++ b/packages/node/cell/duplicate_runs/late_start_answer_test.ts
@@ -1,12 +1,16 @@
 import { ManualClock, type WorkerName } from "@coltsfootpond/common";
 import type { TaskName } from "@coltsfootpond/policy";
-import type { StartOutcome, WorkerPort } from "@coltsfootpond/ports";
+import type {
+  StartCommand,
+  StartOutcome,
+  WorkerPort,
+} from "@coltsfootpond/ports";
 import { expect } from "chai";
-import { SIMULATION_BOUNDS } from "../cell_simulation.ts";
+import { CellSimulation, SIMULATION_BOUNDS } from "../cell_simulation.ts";
 import { createTaskRun } from "../live_job.ts";
 import { SILENT_LOG } from "../log.ts";
 import type { SessionListener } from "../task_run.ts";
-import { createJob } from "../test_fixtures.ts";
+import { createJob, createSpec, createStep } from "../test_fixtures.ts";
 import { WorkerSession } from "../worker_session.ts";
 
 const STARTED: StartOutcome = { kind: "started" };
@@ -38,6 +42,27 @@
 }
 
 describe("a start that is answered late", () => {
+  // Guards against closing the session that waits for the answer.
+  it("is stopped in a cell whose worker's record was removed meanwhile", async () => {
+    const simulation = CellSimulation.create(["a", "b"]);
+    const { clock } = simulation;
+    const worker = simulation.get("a");
+    simulation.startScheduler();
+    // The record that is removed below has a recent heartbeat.
+    await clock.advance(2_760);
+    const start = worker.start.bind(worker);
+    Object.defineProperty(worker, "start", {
+      value: (command: StartCommand) =>
+        clock.sleep(1_000).then(() => start(command)),
+    });
+    const steps = [createStep({ requiredLabel: "a" })];
+    await simulation.submit(createSpec("00000000000000cc", { steps }));
+    await clock.advance(30);
+    Object.defineProperty(worker, "storedRecord", { value: undefined });
+    await clock.advance(9_000);
+    expect(simulation.history.map(({ end }) => end)).to.deep.equal(["stopped"]);
+  });
+
   // Guards against forgetting a run that was taken as over while its start was on its way.
   it("makes its run a stray when the run was dropped meanwhile", async () => {
     const { session, strays, answer } = createSession();
--- a/packages/node/cell/task_commands.ts
+++ b/packages/node/cell/task_commands.ts
@@ -2,6 +2,7 @@
 import type { Clock } from "@coltsfootpond/common";
 import type {
   CellBounds,
+  StartOutcome,
   StartRefusal,
   WorkerPort,
   WorkerTarget,
@@ -53,6 +54,7 @@
 /** Sends commands; their outcomes are passed to the callbacks of the options. */
 export class TaskCommands {
   readonly #options: TaskCommandsOptions;
+  #unansweredStarts = 0;
 
   private constructor(options: TaskCommandsOptions) {
     this.#options = options;
@@ -62,22 +64,19 @@
     return new TaskCommands(options);
   }
 
+  /** Whether the answer to a start may still arrive. */
+  get isStartUnanswered(): boolean {
+    return this.#unansweredStarts > 0;
+  }
+
   /** Starts a reserved task. */
   async start(taskRun: TaskRun, payload: string): Promise<void> {
-    const { workerPort, target, epoch, leases, bounds, taskRuns } =
-      this.#options;
-    const outcome = await workerPort.start(target, {
-      task: taskRun.task,
-      run: taskRun.run,
-      payload,
-      leaseUntilMs: leases.grantForStart(
-        Math.min(START_LEASE_MS, bounds.leaseMaximumMs),
-      ),
-      epoch,
-      checkpoint: taskRun.checkpoint,
-    }, START_TIMEOUT_MS);
+    this.#unansweredStarts++;
+    const outcome = await this.#sendStart(taskRun, payload);
+    this.#unansweredStarts--;
     if (this.#options.isStopped()) return;
     this.#options.onSent();
+    const { taskRuns } = this.#options;
     switch (outcome.kind) {
       case "started":
         if (!taskRuns.has(taskRun)) return this.#options.onStartedLate(taskRun);
@@ -95,6 +94,20 @@
     }
   }
 
+  #sendStart(taskRun: TaskRun, payload: string): Promise<StartOutcome> {
+    const { workerPort, target, epoch, leases, bounds } = this.#options;
+    return workerPort.start(target, {
+      task: taskRun.task,
+      run: taskRun.run,
+      payload,
+      leaseUntilMs: leases.grantForStart(
+        Math.min(START_LEASE_MS, bounds.leaseMaximumMs),
+      ),
+      epoch,
+      checkpoint: taskRun.checkpoint,
+    }, START_TIMEOUT_MS);
+  }
+
   /** Stops a task run; repeats the command until the run is gone. */
   async stop(taskRun: TaskRun): Promise<void> {
     if (taskRun.isStopping) return;
--- a/packages/node/cell/worker_fleet.ts
+++ b/packages/node/cell/worker_fleet.ts
@@ -166,7 +166,7 @@
   #openSession(worker: WorkerName, address: string): WorkerSession {
     const known = this.#sessions.get(worker);
     if (known !== undefined && known.target.address === address) return known;
-    if (known?.hasTaskRuns) return known;
+    if (known !== undefined && !known.isIdle) return known;
     if (known !== undefined) this.#close(known);
     const { epoch, workerPort, clock, log, canAct, bounds, listener } =
       this.#options;
@@ -187,9 +187,9 @@
 
   #dropIdleSessions(): void {
     for (const session of [...this.#sessions.values()]) {
-      const isIdle = session.record === undefined && !session.hasTaskRuns &&
+      const isUnused = session.record === undefined && session.isIdle &&
         (session.hasReported || session.haveLeasesExpired());
-      if (!isIdle) continue;
+      if (!isUnused) continue;
       this.#close(session);
       this.#options.workerPort.forget(session.target);
       this.#sessions.delete(session.worker);
--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -127,6 +127,11 @@
     return this.#taskRuns.size > 0;
   }
 
+  /** Whether nothing runs there and no answer to a start may still arrive. */
+  get isIdle(): boolean {
+    return !this.hasTaskRuns && !this.#commands.isStartUnanswered;
+  }
+
   /** Ends up to `sequence` are stored; the worker may delete them. */
   setEndsStored(sequence: number, incarnationStartUnixMs: number): void {
     if (incarnationStartUnixMs !== this.incarnationStartUnixMs) return;
