End the polls of a stopped session before they grant a lease

A poll loop that waited for ends to be stored went on after its session had been stopped. Whether the entry may act is a property of the process, so that after losing and acquiring the scheduler's lease again the session of the earlier epoch granted a worker one more lease, which the new epoch does not count if the worker hears the old poll and none of the new ones. The same for a second batch of progress rows, which could have made the new epoch take its own earlier writes for those of another holder. Both now check that they were not stopped.

--- a/packages/node/cell/progress_writer.ts
+++ b/packages/node/cell/progress_writer.ts
@@ -149,7 +149,7 @@
     deletes: readonly CellJobId[],
   ): Promise<boolean> {
     const { store, log, canAct } = this.#options;
-    if (!canAct()) return false;
+    if (this.#isStopped || !canAct()) return false;
     const { findOtherRuns } = this.#options;
     const writes = jobs.map((job) => createWrite(job, findOtherRuns(job)));
     jobs.forEach((job) => this.#dirty.delete(job));
--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -238,6 +238,8 @@
         await this.#ends.awaitStored(() =>
           this.#isStopped ? 0 : this.processedSequence
         );
+        // This entry may act again by now, but in another epoch.
+        if (this.#isStopped) return;
         const isWaiting = this.hasTaskRuns && this.#reachability.isAnswering;
         const isAnswered = await this.#poll(isWaiting ? LONG_POLL_MS : 0);
         if (!isAnswered) await this.#options.clock.sleep(RETRY_DELAY_MS);
