Extend the model check by restarts, late calls and writes, and evictions

The random sequences could not express workers that restart under their names, with the record showing it late; processes that end, with their records removed at once or not, and their addresses taken by others; answers that are lost or overtake each other; renewals and writes that are carried out late; records that expire or cannot be read; clocks that run slow; directory reads that fail or take long; holders that are replaced while only some workers report; and urgent jobs that evict gangs. All of these can now come in combination, with jobs whose tasks run until the faults are over, so longer than the longest lease. A holder that steps down is followed by another, as the entries do.

A gang ends only when all tasks of one run are there; the fake counted tasks of different runs.

--- a/packages/node/cell/cell_simulation.ts
+++ b/packages/node/cell/cell_simulation.ts
@@ -2,13 +2,18 @@
 import {
   ManualClock,
   SeededRandom,
+  type Timer,
   type WorkerName,
 } from "@coltsfootpond/common";
 import type { CellJobSpec, TaskName } from "@coltsfootpond/policy";
-import type { CellSettings, RecordDecoder } from "@coltsfootpond/ports";
+import type {
+  CellSettings,
+  RecordDecoder,
+  WorkerRecord,
+} from "@coltsfootpond/ports";
 import { CellScheduler } from "./cell_scheduler.ts";
 import { DeclaredStateTracker } from "./declared_state_tracker.ts";
-import { SILENT_LOG } from "./log.ts";
+import { type CellLog, SILENT_LOG } from "./log.ts";
 import {
   decodeRow,
   encodeRow,
@@ -18,11 +23,8 @@
 } from "./rows.ts";
 import { SeenVersion, TableFollower } from "./table_follower.ts";
 import { createStoreFake, type StoreFake } from "./test_fixtures.ts";
-import {
-  createWorkerPortFake,
-  type RunHistory,
-  WorkerFake,
-} from "./workers_fake.ts";
+import { createWorkerPortFake } from "./worker_port_fake.ts";
+import { type RunHistory, WorkerFake } from "./workers_fake.ts";
 
 /** Bounds of the simulated deployment, in milliseconds. */
 export const SIMULATION_BOUNDS = {
@@ -41,21 +43,22 @@
   readonly store: StoreFake = createStoreFake();
   readonly history: RunHistory[] = [];
   readonly workers = new Map<WorkerName, WorkerFake>();
+  /** Of the schedulers that are started from now on. */
+  log: CellLog = SILENT_LOG;
+  /** Reads of the workers' records get no answer. */
+  isDirectoryUnavailable = false;
+  /** Time until the answer to a read of the workers' records arrives. */
+  directoryDelayMs = 0;
+  /** The record that the bytes of a row stand for. */
+  readonly #records = new WeakMap<Uint8Array, WorkerRecord>();
+  readonly #refreshTimers = new Map<CellScheduler, Timer>();
   #epoch = 0;
 
   private constructor() {}
 
   static create(workerNames: readonly string[]): CellSimulation {
     const simulation = new CellSimulation();
-    for (const name of workerNames) {
-      const worker = WorkerFake.create(
-        name,
-        simulation.clock,
-        simulation.history,
-        SIMULATION_BOUNDS.leaseMaximumMs,
-      );
-      simulation.workers.set(worker.record.worker, worker);
-    }
+    workerNames.forEach((name) => simulation.addWorker(name));
     simulation.clock.every(
       WORKER_CHECK_PERIOD_MS,
       () =>
@@ -67,6 +70,19 @@
     return simulation;
   }
 
+  /** Adds a worker, by default at an address of its own. */
+  addWorker(name: string, address?: string): WorkerFake {
+    const worker = WorkerFake.create(
+      name,
+      this.clock,
+      this.history,
+      SIMULATION_BOUNDS.leaseMaximumMs,
+      address,
+    );
+    this.workers.set(worker.record.worker, worker);
+    return worker;
+  }
+
   get(name: string): WorkerFake {
     return this.workers.get(name as WorkerName)!;
   }
@@ -98,15 +114,21 @@
     return row?.value && decodeRow<JobRow>(row.value);
   }
 
-  /** Starts a scheduler with the next epoch. Stopping it leaves the workers as they are. */
-  startScheduler(canAct: () => boolean = () => true): CellScheduler {
-    const { clock, store } = this;
+  /**
+   * Starts a scheduler with the next epoch. Stopping it leaves the workers as they are; it stops by
+   * itself when it finds signs of a newer holder.
+   */
+  startScheduler(
+    canAct: () => boolean = () => true,
+    onStopped: () => void = () => {},
+  ): CellScheduler {
+    const { clock, store, log } = this;
     const common = {
       store,
       clock,
       random: SeededRandom.create(1),
       seen: SeenVersion.create(),
-      log: SILENT_LOG,
+      log,
     };
     const follower = TableFollower.create({ table: "state", ...common });
     const operators = TableFollower.create({ table: "operators", ...common });
@@ -128,19 +150,29 @@
       declared: DeclaredStateTracker.create({
         follower: operators,
         recordDecoder,
-        log: SILENT_LOG,
+        log,
       }),
       clock,
       nowUnixMs: () => clock.nowMs(),
-      log: SILENT_LOG,
+      log,
       canAct,
-      onNewerHolder: () => scheduler.stop(),
+      onNewerHolder: () => {
+        this.stopScheduler(scheduler);
+        onStopped();
+      },
     });
-    clock.every(10, () => void this.#refresh(follower));
+    const refresh = clock.every(10, () => void this.#refresh(follower));
+    this.#refreshTimers.set(scheduler, refresh);
     void scheduler.start();
     return scheduler;
   }
 
+  /** Stops a scheduler and the reads of its copy of the state table. */
+  stopScheduler(scheduler: CellScheduler): void {
+    scheduler.stop();
+    this.#refreshTimers.get(scheduler)?.cancel();
+  }
+
   /** Number of runs during which another run of the same task was started. */
   countOverlaps(): number {
     return this.history.filter((run, position) =>
@@ -161,21 +193,30 @@
     if (outcome.kind === "rows") follower.apply(outcome.rows);
   }
 
-  #read(...[table, range, timeoutMs]: Parameters<StoreFake["read"]>) {
-    if (table !== "workers") return this.store.read(table, range, timeoutMs);
-    const rows = [...this.workers].filter(([, { storedRecord }]) =>
-      storedRecord !== undefined
-    ).map(([key]) => ({ key, version: 1, value: new Uint8Array(0) }));
-    return Promise.resolve({ kind: "rows", rows, version: 1 } as const);
+  async #read(...[table, range, timeoutMs]: Parameters<StoreFake["read"]>) {
+    if (table !== "workers") {
+      return await this.store.read(table, range, timeoutMs);
+    }
+    const rows = [...this.workers].flatMap(([key, { storedRecord }]) => {
+      if (storedRecord === undefined) return [];
+      const value = new Uint8Array(0);
+      this.#records.set(value, storedRecord);
+      return [{ key, version: 1, value }];
+    });
+    if (this.isDirectoryUnavailable) {
+      return { kind: "unavailable", effect: "lost", reason: "test" } as const;
+    }
+    if (this.directoryDelayMs > 0) {
+      await this.clock.sleep(this.directoryDelayMs);
+    }
+    return { kind: "rows", rows, version: 1 } as const;
   }
 
   #createRecordDecoder(): RecordDecoder {
     return {
       decodeDeclaredState: () => undefined,
-      decodeWorker: (key) => {
-        const { isRecordUnreadable, storedRecord } = this.get(key);
-        return isRecordUnreadable ? undefined : storedRecord;
-      },
+      decodeWorker: (key, value) =>
+        this.get(key).isRecordUnreadable ? undefined : this.#records.get(value),
       classifyOperatorRow: () => ({ kind: "other" }),
     };
   }
--- /dev/null
+++ b/packages/node/cell/faults/faulty_cell.ts
@@ -0,0 +1,192 @@
+/**
+ * A simulated cell in which random faults of workers, lease holders and the store come in
+ * combination while jobs run. The faults then end, and the cell gets time to complete the jobs.
+ */
+import { nextInteger, SeededRandom } from "@coltsfootpond/common";
+import type { CellJobSpec } from "@coltsfootpond/policy";
+import type { CellScheduler } from "../cell_scheduler.ts";
+import { CellSimulation } from "../cell_simulation.ts";
+import type { RunHistory, WorkerFake } from "../workers_fake.ts";
+import {
+  createRandomJob,
+  createUrgentJob,
+  type RandomJob,
+} from "./random_jobs.ts";
+import { type StoreFault, StoreFaults } from "./store_faults.ts";
+import {
+  drawClockRate,
+  endWorkerFaults,
+  injectWorkerFault,
+} from "./worker_faults.ts";
+
+const WORKERS = ["a", "b", "c", "d"] as const;
+const JOBS = 5;
+const FAULTY_STEPS = 24;
+const STEP_MS = 500;
+/** Enough for every lease to expire and all work to finish once the faults are over. */
+const RECOVERY_MS = 45_000;
+const MAXIMUM_FAULTS_PER_STEP = 3;
+/** Time until an entry acquires the lease that another has given up. */
+const ACQUISITION_MS = 300;
+/** Share of the faults that are faults of a worker. */
+const WORKER_FAULT_SHARE = 0.65;
+const MAXIMUM_DIRECTORY_DELAY_MS = 800;
+const STORE_FAULTS: readonly StoreFault[] = [
+  "none",
+  "refuses",
+  "loses",
+  "delays",
+];
+
+export class FaultyCell {
+  readonly simulation = CellSimulation.create(WORKERS);
+  readonly #jobs: RandomJob[];
+  readonly #random: SeededRandom;
+  readonly #storeFaults: StoreFaults;
+  #scheduler: CellScheduler | undefined;
+  #mayAct = { current: true };
+  #isRecovering = false;
+
+  private constructor(seed: number) {
+    const random = SeededRandom.create(seed);
+    this.#random = random;
+    this.#jobs = Array.from(
+      { length: JOBS },
+      (_, number) => createRandomJob(random, number),
+    );
+    this.#storeFaults = StoreFaults.create(this.simulation, random);
+    this.simulation.workers.forEach((worker) => drawClockRate(worker, random));
+  }
+
+  static create(seed: number): FaultyCell {
+    return new FaultyCell(seed);
+  }
+
+  get jobs(): readonly CellJobSpec[] {
+    return this.#jobs.map(({ spec }) => spec);
+  }
+
+  async run(): Promise<void> {
+    this.#replaceScheduler();
+    for (let step = 0; step < FAULTY_STEPS; step++) {
+      if (step < JOBS) await this.#submit(this.#jobs[step]!.spec);
+      const faults = 1 + nextInteger(this.#random, MAXIMUM_FAULTS_PER_STEP);
+      for (let fault = 0; fault < faults; fault++) await this.#injectFault();
+      this.#endTasks();
+      await this.simulation.clock.advance(STEP_MS);
+    }
+    await this.#recover();
+  }
+
+  async #submit(spec: CellJobSpec): Promise<void> {
+    await this.#storeFaults.suspend(() => this.simulation.submit(spec));
+  }
+
+  async #recover(): Promise<void> {
+    const { simulation } = this;
+    this.#isRecovering = true;
+    this.#storeFaults.current = "none";
+    simulation.isDirectoryUnavailable = false;
+    simulation.directoryDelayMs = 0;
+    simulation.workers.forEach(endWorkerFaults);
+    this.#replaceScheduler();
+    for (let passedMs = 0; passedMs < RECOVERY_MS; passedMs += STEP_MS) {
+      this.#endTasks();
+      await simulation.clock.advance(STEP_MS);
+    }
+  }
+
+  /** Starts a new lease holder. The previous one stops or runs on without the right to act. */
+  #replaceScheduler(): void {
+    this.#mayAct.current = false;
+    if (this.#random.next() < 0.5 && this.#scheduler !== undefined) {
+      this.simulation.stopScheduler(this.#scheduler);
+    }
+    const mayAct = { current: true };
+    this.#mayAct = mayAct;
+    this.#scheduler = this.simulation.startScheduler(
+      () => mayAct.current,
+      () => this.#replaceStopped(mayAct),
+    );
+  }
+
+  /** A holder that has found signs of a newer one gives up the lease, and another acquires it. */
+  #replaceStopped(mayAct: { current: boolean }): void {
+    if (!mayAct.current) return;
+    mayAct.current = false;
+    this.simulation.clock.after(ACQUISITION_MS, () => {
+      if (this.#mayAct === mayAct) this.#replaceScheduler();
+    });
+  }
+
+  async #injectFault(): Promise<void> {
+    const { simulation } = this;
+    const random = this.#random;
+    if (random.next() < WORKER_FAULT_SHARE) {
+      injectWorkerFault(this.#pickWorker(), { simulation, random });
+      return;
+    }
+    const choice = nextInteger(random, 9);
+    if (choice <= 3) {
+      this.#storeFaults.current = STORE_FAULTS[choice]!;
+    } else if (choice === 4) {
+      this.#replaceScheduler();
+    } else if (choice === 5) {
+      this.#replaceSchedulerPartlyReported();
+    } else if (choice === 6) {
+      await this.#submitUrgent();
+    } else if (choice === 7) {
+      simulation.isDirectoryUnavailable = random.next() < 0.5;
+    } else {
+      simulation.directoryDelayMs = nextInteger(
+        random,
+        MAXIMUM_DIRECTORY_DELAY_MS,
+      );
+    }
+  }
+
+  /** The new holder reaches only some of the workers on which tasks run. */
+  #replaceSchedulerPartlyReported(): void {
+    for (const worker of this.simulation.workers.values()) {
+      worker.isDisconnected = this.#random.next() < 0.5;
+    }
+    this.#replaceScheduler();
+  }
+
+  async #submitUrgent(): Promise<void> {
+    const nowUnixMs = this.simulation.clock.nowMs();
+    const job = createUrgentJob(this.#random, this.#jobs.length, nowUnixMs);
+    this.#jobs.push(job);
+    await this.#submit(job.spec);
+  }
+
+  #pickWorker(): WorkerFake {
+    const workers = [...this.simulation.workers.values()];
+    return workers[nextInteger(this.#random, workers.length)]!;
+  }
+
+  /** Ends some tasks. A gang ends as a whole, and only when all tasks of its run are there. */
+  #endTasks(): void {
+    for (const { spec, isEndless } of this.#jobs) {
+      if (isEndless && !this.#isRecovering) continue;
+      for (const [number, step] of spec.steps.entries()) {
+        const prefix = `${spec.jobId}.0.${number}.`;
+        const running = this.simulation.history.filter(({ task, endedMs }) =>
+          endedMs === undefined && task.startsWith(prefix)
+        );
+        const runs = new Set(running.map(({ run }) => run));
+        const isWhole = !step.isGang ||
+          runs.size === 1 && running.length === step.count;
+        if (!isWhole || this.#random.next() < 0.7) continue;
+        this.#end(running);
+      }
+    }
+  }
+
+  #end(running: readonly RunHistory[]): void {
+    const end = this.#random.next() < 0.8 ? "done" : "failed";
+    for (const { worker, task } of running) {
+      this.simulation.get(worker).end(task, end);
+    }
+  }
+}
--- /dev/null
+++ b/packages/node/cell/faults/worker_faults.ts
@@ -0,0 +1,106 @@
+/** Faults of single workers, each of which the platform's protocol allows. */
+import { nextInteger, type Random } from "@coltsfootpond/common";
+import type { CellSimulation } from "../cell_simulation.ts";
+import type { WorkerFake } from "../workers_fake.ts";
+
+type WorkerFault = (worker: WorkerFake, cell: WorkerFaultContext) => void;
+
+interface WorkerFaultContext {
+  readonly simulation: CellSimulation;
+  readonly random: Random;
+}
+
+const SLOWEST_CLOCK_RATE = 0.98;
+/** Answers may come after the time-outs of starts (250 ms) and of other calls (500 ms). */
+const MAXIMUM_ANSWER_DELAY_MS = 600;
+/** Upper bound of the time by which a call is carried out late. */
+const MAXIMUM_CALL_DELAY_MS = 4_000;
+const MINIMUM_CALL_DELAY_MS = 200;
+
+function drawCallDelayMs(random: Random): number {
+  return MINIMUM_CALL_DELAY_MS + nextInteger(random, MAXIMUM_CALL_DELAY_MS);
+}
+
+/** Another worker takes the place of one that has left. */
+function replace(worker: WorkerFake, { simulation }: WorkerFaultContext): void {
+  if (worker.isReplaced) return;
+  worker.leave(false);
+  worker.isReplaced = true;
+  const name = `${worker.record.worker}+`;
+  simulation.addWorker(name, worker.record.address);
+}
+
+/** Starts the process again, if another worker has not taken its place. */
+function restart(worker: WorkerFake): void {
+  if (!worker.isReplaced) worker.restart();
+}
+
+/** The record shows the restart only once the worker reaches the store again. */
+function restartCutFromStore(worker: WorkerFake): void {
+  if (worker.isReplaced) return;
+  worker.isCutFromStore = true;
+  worker.restart();
+}
+
+function leave(worker: WorkerFake, { random }: WorkerFaultContext): void {
+  if (!worker.isReplaced) worker.leave(random.next() < 0.5);
+}
+
+/** A planned end, which removes the record, and a start without access to the store. */
+function leaveAndReturnCutFromStore(worker: WorkerFake): void {
+  if (worker.isReplaced) return;
+  worker.leave(true);
+  restartCutFromStore(worker);
+}
+
+const WORKER_FAULTS: readonly WorkerFault[] = [
+  (worker) => (worker.isDisconnected = true),
+  (worker) => (worker.isDisconnected = false),
+  (worker, { random }) => (worker.startDelayMs = drawCallDelayMs(random)),
+  (worker) => (worker.startDelayMs = undefined),
+  (worker, { random }) => (worker.renewalDelayMs = drawCallDelayMs(random)),
+  (worker) => (worker.renewalDelayMs = undefined),
+  (worker) => (worker.losesAnswers = true),
+  (worker) => (worker.losesAnswers = false),
+  (worker) => (worker.isCutFromStore = true),
+  (worker) => (worker.isCutFromStore = false),
+  (worker) => (worker.isRecordUnreadable = true),
+  (worker) => (worker.isRecordUnreadable = false),
+  (worker, { random }) => {
+    const maximumMs = nextInteger(random, MAXIMUM_ANSWER_DELAY_MS);
+    worker.drawAnswerDelayMs = () => nextInteger(random, maximumMs + 1);
+  },
+  (worker) => (worker.drawAnswerDelayMs = () => 0),
+  restart,
+  restart,
+  restartCutFromStore,
+  leave,
+  leaveAndReturnCutFromStore,
+  replace,
+];
+
+/** Draws the worker's clock, whose rate stays. */
+export function drawClockRate(worker: WorkerFake, random: Random): void {
+  worker.clockRate = random.next() < 0.5 ? 1 : SLOWEST_CLOCK_RATE;
+}
+
+/** Begins or ends a fault of the worker, or ends or restarts its process. */
+export function injectWorkerFault(
+  worker: WorkerFake,
+  context: WorkerFaultContext,
+): void {
+  const number = nextInteger(context.random, WORKER_FAULTS.length);
+  WORKER_FAULTS[number]!(worker, context);
+}
+
+/** Ends all faults of the worker; a process that has left starts unless it was replaced. */
+export function endWorkerFaults(worker: WorkerFake): void {
+  worker.isDisconnected = false;
+  worker.losesAnswers = false;
+  worker.isCutFromStore = false;
+  worker.isRecordUnreadable = false;
+  worker.startDelayMs = undefined;
+  worker.renewalDelayMs = undefined;
+  worker.drawAnswerDelayMs = () => 0;
+  if (worker.hasLeft) restart(worker);
+}
--- a/packages/node/cell/workers_fake.ts
+++ b/packages/node/cell/workers_fake.ts
@@ -1,7 +1,8 @@
 /**
  * Workers in memory for the tests of the cell, on a manual clock: capacity, leases, runs that end,
  * ends that are listed until acknowledged, epochs, calls that are lost or carried out late,
- * restarts under the same name, and records in the store that expire without heartbeats.
+ * processes that end or restart under the same name, and records in the store that expire without
+ * heartbeats.
  */
 import {
   brandId,
@@ -21,11 +22,10 @@
   StopCommand,
   StopOutcome,
   Unavailable,
-  WorkerPort,
   WorkerRecord,
 } from "@coltsfootpond/ports";
 
-const UNANSWERED: Unavailable = {
+export const UNANSWERED: Unavailable = {
   kind: "unavailable",
   effect: "lost",
   reason: "no answer",
@@ -72,6 +72,8 @@
   #clockStartMs = 0;
   #storedRecord: WorkerRecord | undefined;
   #lastHeartbeatMs = Number.NEGATIVE_INFINITY;
+  /** The process has ended and no other has started under the name. */
+  #hasLeft = false;
   /** Calls get no answer and are not carried out. */
   isDisconnected = false;
   /** Calls are carried out, but their answers are lost. */
@@ -82,18 +84,25 @@
   isRecordUnreadable = false;
   /** Another worker answers at the address. */
   isReplaced = false;
+  /** Rate of the worker's clock; the platform's protocol allows 0.98 to 1. */
+  clockRate = 1;
   /** Lists ends forever, as if every acknowledgement were lost. */
   keepsEnds = false;
   /** Runs make no progress. */
   isStalled = false;
   /** When set, starts get no answer and are carried out after this time. */
   startDelayMs: number | undefined;
+  /** When set, renewals get no answer and are carried out after this time. */
+  renewalDelayMs: number | undefined;
+  /** Time that the next answer takes; another answer may overtake it. */
+  drawAnswerDelayMs: () => number = () => 0;
 
   private constructor(
     name: string,
     clock: ManualClock,
     history: RunHistory[],
     leaseMaximumMs: number,
+    address: string,
   ) {
     this.#clock = clock;
     this.#history = history;
@@ -101,7 +110,7 @@
     this.record = {
       worker: brandId<WorkerName>(name),
       service: brandId<ServiceName>("service"),
-      address: `${name}:1`,
+      address,
       failureDomain: brandId<FailureDomainName>("domain"),
       rack: brandId<RackName>("rack"),
       // Each worker has its name as a label, so that tests can place tasks.
@@ -121,8 +130,9 @@
     clock: ManualClock,
     history: RunHistory[],
     leaseMaximumMs = Number.POSITIVE_INFINITY,
+    address = `${name}:1`,
   ): WorkerFake {
-    return new WorkerFake(name, clock, history, leaseMaximumMs);
+    return new WorkerFake(name, clock, history, leaseMaximumMs, address);
   }
 
   /** The record as the store has it; undefined when it was removed. */
@@ -133,7 +143,7 @@
 
   /** Writes the record when a heartbeat is due; the first of an incarnation is due at once. */
   writeHeartbeat(): void {
-    if (this.isCutFromStore || this.isReplaced) return;
+    if (this.isCutFromStore || this.isReplaced || this.#hasLeft) return;
     const incarnationStartUnixMs = this.#incarnationStartUnixMs;
     const isFirst =
       this.#storedRecord?.incarnationStartUnixMs !== incarnationStartUnixMs;
@@ -145,30 +155,56 @@
   }
 
   /**
-   * Ends the incarnation with all it knows and begins the next one under the same name. Starts that
+   * Ends the incarnation with all it knows and begins the next one under the same name. Calls that
    * were to be carried out late are lost with it.
    */
   restart(): void {
     const nowMs = this.#clock.nowMs();
+    this.#endProcess();
+    this.#hasLeft = false;
+    this.#clockStartMs = nowMs;
+    this.#incarnationStartUnixMs = Math.max(
+      this.#incarnationStartUnixMs + 1,
+      nowMs,
+    );
+  }
+
+  /** Ends the process; a planned end removes the record at once. */
+  leave(isRecordRemoved: boolean): void {
+    this.#endProcess();
+    this.#hasLeft = true;
+    if (isRecordRemoved) this.#storedRecord = undefined;
+  }
+
+  /** Whether its process has ended and none has started since. */
+  get hasLeft(): boolean {
+    return this.#hasLeft;
+  }
+
+  /** Identifies the incarnation. */
+  get incarnationStartUnixMs(): number {
+    return this.#incarnationStartUnixMs;
+  }
+
+  #endProcess(): void {
     for (const { task, run } of this.#runs.values()) {
       const entry = this.#findHistory(task, run);
-      if (entry !== undefined) entry.endedMs = nowMs;
-    }
-    for (const { task, run } of this.#ends) {
-      const entry = this.#findHistory(task, run);
-      if (entry !== undefined) entry.mayRunAgain = true;
+      if (entry !== undefined) entry.endedMs = this.#clock.nowMs();
     }
+    this.#markEndsLost();
     this.#runs.clear();
     this.#stoppedRuns.clear();
     this.#ends = [];
     this.#endNumber = 0;
     this.#epoch = 0;
     this.#leaseUntilMs = 0;
-    this.#clockStartMs = nowMs;
-    this.#incarnationStartUnixMs = Math.max(
-      this.#incarnationStartUnixMs + 1,
-      nowMs,
-    );
+  }
+
+  #markEndsLost(): void {
+    for (const { task, run } of this.#ends) {
+      const entry = this.#findHistory(task, run);
+      if (entry !== undefined) entry.mayRunAgain = true;
+    }
   }
 
   get running(): readonly TaskName[] {
@@ -178,10 +214,7 @@
   /** Ends all runs when the lease has expired. */
   expireLease(): void {
     if (this.#workerClockMs < this.#leaseUntilMs) return;
-    for (const { task, run } of this.#ends) {
-      const entry = this.#findHistory(task, run);
-      if (entry !== undefined) entry.mayRunAgain = true;
-    }
+    this.#markEndsLost();
     for (const task of [...this.#runs.keys()]) this.end(task, "lapsed");
   }
 
@@ -213,14 +246,9 @@
   start(command: StartCommand): StartOutcome {
     if (this.isDisconnected) return UNANSWERED;
     if (this.isReplaced) return { kind: "wrong_life" };
+    if (this.#hasLeft) return UNANSWERED;
     if (this.startDelayMs !== undefined) {
-      const incarnation = this.#incarnationStartUnixMs;
-      this.#clock.after(this.startDelayMs, () => {
-        if (incarnation === this.#incarnationStartUnixMs) {
-          this.#runTask(command);
-        }
-      });
-      return UNANSWERED;
+      return this.#callLate(this.startDelayMs, () => this.#runTask(command));
     }
     return this.#answer(this.#runTask(command));
   }
@@ -228,6 +256,7 @@
   stop({ task, run, epoch }: StopCommand): StopOutcome {
     if (this.isDisconnected) return UNANSWERED;
     if (this.isReplaced) return { kind: "wrong_life" };
+    if (this.#hasLeft) return UNANSWERED;
     if (epoch < this.#epoch) return { kind: "fenced" };
     this.#stoppedRuns.set(
       task,
@@ -244,6 +273,17 @@
   renew(command: RenewCommand): RenewOutcome {
     if (this.isDisconnected) return UNANSWERED;
     if (this.isReplaced) return { kind: "wrong_life" };
+    if (this.#hasLeft) return UNANSWERED;
+    if (this.renewalDelayMs !== undefined) {
+      return this.#callLate(
+        this.renewalDelayMs,
+        () => this.#applyRenewal(command),
+      );
+    }
+    return this.#applyRenewal(command);
+  }
+
+  #applyRenewal(command: RenewCommand): RenewOutcome {
     if (command.epoch < this.#epoch) return { kind: "fenced" };
     this.#epoch = command.epoch;
     this.#extendLease(command.leaseUntilMs ?? 0);
@@ -268,6 +308,16 @@
     });
   }
 
+  /** Carries the call out after `delayMs`, if the incarnation still runs then. */
+  #callLate(delayMs: number, call: () => void): Unavailable {
+    const incarnation = this.#incarnationStartUnixMs;
+    this.#clock.after(delayMs, () => {
+      const isCurrent = incarnation === this.#incarnationStartUnixMs;
+      if (isCurrent && !this.#hasLeft) call();
+    });
+    return UNANSWERED;
+  }
+
   #runTask(command: StartCommand): StartOutcome {
     const refuse = (reason: "fenced" | "superseded" | "expired") =>
       ({ kind: "refused", reason }) as const;
@@ -291,7 +341,7 @@
   }
 
   get #workerClockMs(): number {
-    return this.#clock.nowMs() - this.#clockStartMs;
+    return (this.#clock.nowMs() - this.#clockStartMs) * this.clockRate;
   }
 
   /** A longer lease than the maximum is shortened to it. */
@@ -306,43 +356,3 @@
     return this.losesAnswers ? UNANSWERED : outcome;
   }
 }
-
-/**
- * Sends commands to fake workers. Answers take CALL_DURATION_MS, and long polls wait for an end.
- */
-export function createWorkerPortFake(
-  workers: ReadonlyMap<WorkerName, WorkerFake>,
-  clock: ManualClock,
-): WorkerPort {
-  const CALL_DURATION_MS = 2;
-  const get = (worker: WorkerName) => workers.get(worker)!;
-  return {
-    start: async ({ worker }, command, timeoutMs) => {
-      await clock.sleep(CALL_DURATION_MS);
-      const outcome = get(worker).start(command);
-      if (outcome.kind === "unavailable") await clock.sleep(timeoutMs);
-      return outcome;
-    },
-    stop: async ({ worker }, command, timeoutMs) => {
-      await clock.sleep(CALL_DURATION_MS);
-      const outcome = get(worker).stop(command);
-      if (outcome.kind === "unavailable") await clock.sleep(timeoutMs);
-      return outcome;
-    },
-    renew: async ({ worker }, command, timeoutMs) => {
-      await clock.sleep(CALL_DURATION_MS);
-      let outcome = get(worker).renew(command);
-      const deadlineMs = clock.nowMs() + command.longPollMs;
-      while (
-        outcome.kind === "report" && outcome.ended.length === 0 &&
-        clock.nowMs() < deadlineMs
-      ) {
-        await clock.sleep(CALL_DURATION_MS * 5);
-        outcome = get(worker).renew({ ...command, leaseUntilMs: undefined });
-      }
-      if (outcome.kind === "unavailable") await clock.sleep(timeoutMs);
-      return outcome;
-    },
-    forget: () => {},
-  };
-}
