End only the incarnation whose record was removed

A worker ended as planned, so that its record was removed at once, started again under its name without access to the store, and received a start. The removal was taken for the end of everything on the worker, also of the run that the new incarnation had started, as the answer to the start names no incarnation.

A removal now ends the incarnation that the record named, and of its runs those that a report has listed; the others stay until a report or the end of their lease, as with an incarnation that a later one replaces.

--- a/packages/node/cell/worker_directory.ts
+++ b/packages/node/cell/worker_directory.ts
@@ -52,6 +52,7 @@
 /** A worker whose record was removed early, and the heartbeat that shows it. */
 export interface LeftWorker {
   readonly worker: WorkerName;
+  readonly incarnationStartUnixMs: number;
   readonly heartbeat: number;
   /** Upper bound of the age of the heartbeat at the removal. */
   readonly heartbeatAgeMs: number;
@@ -120,10 +121,11 @@
     if (this.#lastRead === undefined) return [];
     const silenceMs = MISSED_HEARTBEATS_TO_REMOVAL * this.#options.heartbeatMs;
     return [...this.#knownRecords.values()].map((
-      { record: { worker, heartbeat }, heartbeatNotBefore },
+      { record, heartbeatNotBefore },
     ) => ({
-      worker,
-      heartbeat,
+      worker: record.worker,
+      incarnationStartUnixMs: record.incarnationStartUnixMs,
+      heartbeat: record.heartbeat,
       heartbeatAgeMs: this.#computeAgeMs(heartbeatNotBefore),
     }))
       .filter(({ worker, heartbeatAgeMs }) =>
--- a/packages/node/cell/worker_fleet.ts
+++ b/packages/node/cell/worker_fleet.ts
@@ -150,9 +150,9 @@
     for (const session of this.#sessions.values()) {
       if (!snapshot.records.has(session.worker)) session.setRecord(undefined);
     }
-    for (const { worker, ...heartbeat } of snapshot.leftWorkers) {
-      this.#options.log.info("worker.left", { worker, ...heartbeat });
-      this.#sessions.get(worker)?.markLeft("the worker has left", heartbeat);
+    for (const leftWorker of snapshot.leftWorkers) {
+      this.#options.log.info("worker.left", { ...leftWorker });
+      this.#sessions.get(leftWorker.worker)?.markLeft(leftWorker);
     }
     this.#dropIdleSessions();
     void this.#writeRoster();
--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -13,7 +13,7 @@
   WorkerRecord,
   WorkerTarget,
 } from "@coltsfootpond/ports";
-import type { CellLog, LogFields } from "./log.ts";
+import type { CellLog } from "./log.ts";
 import type { SessionListener, TaskRun } from "./task_run.ts";
 import { type Report, WorkerTaskRuns } from "./worker_task_runs.ts";
 import { Reachability } from "./reachability.ts";
@@ -23,6 +23,7 @@
   RETRY_DELAY_MS,
   TaskCommands,
 } from "./task_commands.ts";
+import type { LeftWorker } from "./worker_directory.ts";
 import { WorkerLeases } from "./worker_leases.ts";
 
 /** Longest wait of a long poll; below the lease of a start, which the next poll extends. */
@@ -221,9 +222,20 @@
     return this.#leases.haveLeasesExpired();
   }
 
-  /** The worker has left for certain, so nothing runs there any more. */
-  markLeft(reason: string, inputs: LogFields): void {
-    this.#taskRuns.dropAll(reason, inputs);
+  /**
+   * The incarnation of the worker that its record named has left for certain. The runs that no
+   * report has listed stay, as another incarnation may have started them.
+   */
+  markLeft(
+    { incarnationStartUnixMs, heartbeat, heartbeatAgeMs }: LeftWorker,
+  ): void {
+    if (incarnationStartUnixMs < this.incarnationStartUnixMs) return;
+    this.#taskRuns.dropListed("the worker has left", {
+      incarnationStartUnixMs,
+      heartbeat,
+      heartbeatAgeMs,
+    });
+    if (this.hasTaskRuns) void this.pollNow();
   }
 
   async #pollLoop(): Promise<void> {
--- a/packages/node/cell/worker_task_runs.ts
+++ b/packages/node/cell/worker_task_runs.ts
@@ -133,14 +133,16 @@
     this.#incarnationCount++;
     this.#processedSequence = 0;
     this.#lastReportClockMs = Number.NEGATIVE_INFINITY;
+    this.dropListed("the worker began a new life", inputs);
+    for (const taskRun of this.all) taskRun.stopAnsweredMs = undefined;
+  }
+
+  /** Drops the runs that a report has listed, as the incarnation that reported them is over. */
+  dropListed(reason: string, inputs: LogFields): void {
     for (const taskRun of this.all) {
-      if (taskRun.isListed) {
-        const { percentReportedClockMs: reportedClockMs } = taskRun;
-        this.#drop(taskRun, {
-          reason: "the worker began a new life",
-          inputs: { ...inputs, reportedClockMs },
-        });
-      } else taskRun.stopAnsweredMs = undefined;
+      if (!taskRun.isListed) continue;
+      const { percentReportedClockMs: reportedClockMs } = taskRun;
+      this.#drop(taskRun, { reason, inputs: { ...inputs, reportedClockMs } });
     }
   }
 
