Acknowledge ends only to the incarnation that listed them

Every poll repeated the last acknowledgement.

A poll now carries an acknowledgement only while one is due and only after the poll before was answered; the first poll after a failed one carries none and shows the incarnation.

--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -276,7 +276,12 @@
         this.hasTaskRuns && this.#reachability.isAnswering
       ? this.#leases.grant(this.#options.bounds.leaseMaximumMs)
       : undefined;
-    const acknowledgedSequence = this.#ends.storedSequence;
+    // Sent only while needed and to a worker that answered the poll before: to an incarnation of
+    // which no report has told, the number would mean ends that nobody has read.
+    const acknowledgedSequence =
+      this.#reachability.isAnswering && this.#ends.isAcknowledgementDue
+        ? this.#ends.storedSequence
+        : 0;
     const { incarnationStartUnixMs } = this;
     if (!canAct() && this.hasReported) {
       await clock.sleep(RETRY_DELAY_MS);
