--- a/packages/node/cell/plan_input.ts
+++ b/packages/node/cell/plan_input.ts
@@ -1,5 +1,9 @@
 /** Builds the input of one planning round from the lease holder's jobs and workers. */
-import type { OrganisationName, ServiceName } from "@coltsfootpond/common";
+import type {
+  OrganisationName,
+  ServiceName,
+  WorkerName,
+} from "@coltsfootpond/common";
 import {
   canMeetObjective,
   computeCriticalPathMs,
@@ -34,6 +38,11 @@
 export const WASTE_PRICE = 0.0014;
 const CORES_PER_ACCELERATOR = 8;
 const MILLI = 1_000;
+/**
+ * How long a unit waits for a worker on which it has not failed; no other may be able to run it.
+ */
+const AVOID_WAIT_MS = 2_000;
+const NO_WORKERS: ReadonlySet<WorkerName> = new Set();
 /** How long guaranteed work waits for a placement within one rack. */
 const SAME_RACK_WAIT_MS = 1_200;
 
@@ -97,7 +106,9 @@
           step: unit.step,
           stepKey: unit.stepKey,
           count: unit.count,
-          avoid: unit.failedOn,
+          avoid: nowMs - unit.waitingSinceMs < AVOID_WAIT_MS
+            ? unit.failedOn
+            : NO_WORKERS,
         });
       }
     }
--- a/packages/node/cell/failed_everywhere_test.ts
+++ b/packages/node/cell/retries/failed_everywhere_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
-import { CellSimulation } from "./cell_simulation.ts";
-import { createSpec } from "./test_fixtures.ts";
+import { CellSimulation } from "../cell_simulation.ts";
+import { createSpec } from "../test_fixtures.ts";
 
 describe("a task that failed on every worker", () => {
   // Guards against a job with attempts left that no worker may run any more.
