--- a/packages/node/cell/begun_jobs_writer.ts
+++ b/packages/node/cell/begun_jobs_writer.ts
@@ -1,6 +1,6 @@
 /** Stores which jobs have begun, so that every entry can count the other live jobs as waiting. */
 import type { CellJobId } from "@coltsfootpond/policy";
-import { putRow, type PutRowOptions } from "./put_row.ts";
+import { putRow, type PutRowOptions } from "./state_rows/put_row.ts";
 import { BEGUN_KEY, encodeRow } from "./rows.ts";
 
 /** Used by the lease holder; writes the row only when the list has changed. */
--- a/packages/node/cell/cell_simulation.ts
+++ b/packages/node/cell/cell_simulation.ts
@@ -23,7 +23,7 @@
 } from "./rows.ts";
 import { SeenVersion, TableFollower } from "./table_follower.ts";
 import { createStoreFake, type StoreFake } from "./test_fixtures.ts";
-import { createWorkerPortFake } from "./worker_port_fake.ts";
+import { createWorkerPortFake } from "./fakes/worker_port_fake.ts";
 import { type RunHistory, WorkerFake } from "./workers_fake.ts";
 
 /** Bounds of the simulated deployment, in milliseconds. */
--- a/packages/node/cell/worker_port_fake.ts
+++ b/packages/node/cell/fakes/worker_port_fake.ts
@@ -1,7 +1,7 @@
 /** Sends commands to fake workers, with answers that take time or are lost. */
 import type { ManualClock, WorkerName } from "@coltsfootpond/common";
 import type { Unavailable, WorkerPort } from "@coltsfootpond/ports";
-import { UNANSWERED, type WorkerFake } from "./workers_fake.ts";
+import { UNANSWERED, type WorkerFake } from "../workers_fake.ts";
 
 /** Time until a call arrives. */
 const CALL_DURATION_MS = 2;
--- a/packages/node/cell/put_row.ts
+++ b/packages/node/cell/state_rows/put_row.ts
@@ -1,8 +1,8 @@
 /** Writes of single rows of the state table that the lease holder rewrites as a whole. */
 import type { StateStore } from "@coltsfootpond/ports";
-import { STORE_TIMEOUT_MS } from "./constants.ts";
-import type { CellLog } from "./log.ts";
-import type { TableFollower } from "./table_follower.ts";
+import { STORE_TIMEOUT_MS } from "../constants.ts";
+import type { CellLog } from "../log.ts";
+import type { TableFollower } from "../table_follower.ts";
 
 export interface PutRowOptions {
   readonly store: StateStore;
--- a/packages/node/cell/worker_fleet.ts
+++ b/packages/node/cell/worker_fleet.ts
@@ -17,7 +17,7 @@
   WorkerRecord,
 } from "@coltsfootpond/ports";
 import type { CellLog } from "./log.ts";
-import { putRow } from "./put_row.ts";
+import { putRow } from "./state_rows/put_row.ts";
 import { decodeRow, encodeRow, ROSTER_KEY, type RosterRow } from "./rows.ts";
 import type { TableFollower } from "./table_follower.ts";
 import { WorkerDirectory } from "./worker_directory.ts";
--- a/scripts/mutations/cell_mutations.ts
+++ b/scripts/mutations/cell_mutations.ts
@@ -98,7 +98,7 @@
   {
     name: "replace the roster whatever its stored version",
     promise: NO_TASK_TWICE,
-    file: `${CELL}/put_row.ts`,
+    file: `${CELL}/state_rows/put_row.ts`,
     find: `conditions: [{ key, version: known }],`,
     replace: `conditions: [],`,
     spec: `${DUPLICATE_RUNS}/takeover_test.ts`,
