--- a/scripts/mutations/cell_mutations.ts
+++ b/scripts/mutations/cell_mutations.ts
@@ -3,7 +3,6 @@
 
 const CELL = "packages/node/cell";
 const POLICY = "packages/policy/cell";
-const DUPLICATE_RUNS = `${CELL}/duplicate_runs`;
 const FAULTS_TEST = `${CELL}/cell_faults_test.ts`;
 const FAULT_SEQUENCES = "keeps its invariants";
 const NO_TASK_TWICE = "no task twice";
@@ -67,109 +66,6 @@
     spec: FAULTS_TEST,
     title: FAULT_SEQUENCES,
   },
-  {
-    name: "let an adopted task stand for the unreported tasks of its gang",
-    promise: NO_TASK_TWICE,
-    file: `${CELL}/run_registry.ts`,
-    find: `unit.run = run;`,
-    replace: `unit.run = run; unit.wasPlacedByThisHolder = true;`,
-    spec: `${DUPLICATE_RUNS}/takeover_test.ts`,
-    title: "starts no gang again while an unreported worker",
-  },
-  {
-    name: "store only the adopted tasks of a gang as its placement",
-    promise: NO_TASK_TWICE,
-    file: `${CELL}/live_job.ts`,
-    find: `...unit.wasPlacedByThisHolder`,
-    replace: `...unit.wasPlacedByThisHolder || unit.run !== undefined`,
-    spec: `${DUPLICATE_RUNS}/takeover_test.ts`,
-    title: "leaves the unreported workers of an adopted gang",
-  },
-  {
-    name: "wait only for the workers with which the new holder has a session",
-    promise: NO_TASK_TWICE,
-    file: `${CELL}/worker_fleet.ts`,
-    find: `return clock.nowMs() - this.#createdMs <=`,
-    replace:
-      `return this.#sessions.has(worker) && clock.nowMs() - this.#createdMs <=`,
-    spec: `${DUPLICATE_RUNS}/takeover_test.ts`,
-    title: "that a worker unknown to it may still run",
-  },
-  {
-    name: "replace the roster whatever its stored version",
-    promise: NO_TASK_TWICE,
-    file: `${CELL}/state_rows/put_row.ts`,
-    find: `conditions: [{ key, version: known }],`,
-    replace: `conditions: [],`,
-    spec: `${DUPLICATE_RUNS}/takeover_test.ts`,
-    title: "finds the newest roster",
-  },
-  {
-    name: "end the runs that no report has listed with an incarnation",
-    promise: NO_TASK_TWICE,
-    file: `${CELL}/worker_task_runs.ts`,
-    find: `if (!taskRun.isListed) continue;`,
-    replace: `if (taskRun.startAnsweredMs === undefined) continue;`,
-    spec: `${DUPLICATE_RUNS}/worker_restart_test.ts`,
-    title: "keeps the run that it started before its record",
-  },
-  {
-    name: "count the short lease of a start",
-    promise: NO_TASK_TWICE,
-    file: `${CELL}/worker_leases.ts`,
-    find:
-      `this.#recordLeaseEnd(this.#computeLeaseEnd(this.#options.leaseMaximumMs));`,
-    replace: `this.#recordLeaseEnd(this.#computeLeaseEnd(durationMs));`,
-    spec: `${CELL}/worker_task_runs_test.ts`,
-    title: "last up to the maximum after a start",
-  },
-  {
-    name: "measure the age of a heartbeat on the monotonic clock only",
-    promise: NO_TASK_TWICE,
-    file: `${CELL}/worker_directory.ts`,
-    find: `now.unixMs - moment.unixMs,`,
-    replace: ``,
-    spec: `${DUPLICATE_RUNS}/worker_directory_test.ts`,
-    title: "counts the time for which its VM was suspended",
-  },
-  {
-    name: "take a worker as gone whose record cannot be decoded",
-    promise: NO_TASK_TWICE,
-    file: `${CELL}/worker_directory.ts`,
-    find:
-      `new Set(outcome.rows.flatMap(({ key, value }) => value ? [key] : [])),`,
-    replace: `new Set(records.keys()),`,
-    spec: `${DUPLICATE_RUNS}/worker_directory_test.ts`,
-    title: "whose record cannot be read",
-  },
-  {
-    name: "forget a run whose start is answered after it was dropped",
-    promise: NO_TASK_TWICE,
-    file: `${CELL}/task_commands.ts`,
-    find:
-      `if (!taskRuns.has(taskRun)) return this.#options.onStartedLate(taskRun);`,
-    replace: `if (!taskRuns.has(taskRun)) return;`,
-    spec: `${DUPLICATE_RUNS}/late_start_answer_test.ts`,
-    title: "makes its run a stray",
-  },
-  {
-    name: "confirm whichever run the unit has when a placement is stored",
-    promise: NO_TASK_TWICE,
-    file: `${CELL}/progress_writer.ts`,
-    find: `if (unit.run === run) this`,
-    replace: `this`,
-    spec: `${DUPLICATE_RUNS}/replaced_placement_test.ts`,
-    title: "confirms only the run",
-  },
-  {
-    name: "never poll an unreachable worker without task runs",
-    promise: "capacity is used again",
-    file: `${CELL}/worker_session.ts`,
-    find: `if (!this.isReachable) return true;`,
-    replace: `if (!this.hasReported) return true;`,
-    spec: `${CELL}/cell_scheduler_test.ts`,
-    title: "uses a worker again that answers only after",
-  },
   {
     name: "start a step before the steps before it are done",
     promise: "steps in order",
