--- a/scripts/mutations/duplicate_run_mutations.ts
+++ b/scripts/mutations/duplicate_run_mutations.ts
@@ -19,8 +19,9 @@
     name: "store only the adopted tasks of a gang as its placement",
     promise: NO_TASK_TWICE,
     file: `${CELL}/live_job.ts`,
-    find: `...unit.wasPlacedByThisHolder`,
-    replace: `...unit.wasPlacedByThisHolder || unit.run !== undefined`,
+    find: `...isDone || unit?.wasPlacedByThisHolder`,
+    replace:
+      `...isDone || unit?.wasPlacedByThisHolder || unit?.run !== undefined`,
     spec: `${DUPLICATE_RUNS}/takeover_test.ts`,
     title: "leaves the unreported workers of an adopted gang",
   },
