--- a/packages/node/cell/worker_fleet.ts
+++ b/packages/node/cell/worker_fleet.ts
@@ -57,7 +57,7 @@
   readonly #options: WorkerFleetOptions;
   readonly #sessions = new Map<WorkerName, WorkerSession>();
   readonly #directory: WorkerDirectory;
-  /** Workers that have reported in this epoch, as far as asked for or no longer in use. */
+  /** Workers of which it is known that they have reported in this epoch; not a complete list. */
   readonly #reportedWorkers = new Set<WorkerName>();
   readonly #createdMs: number;
   #writtenRoster = "";
--- a/packages/node/cell/worker_leases.ts
+++ b/packages/node/cell/worker_leases.ts
@@ -12,7 +12,7 @@
 /** Time for the worker to end runs whose lease has expired. */
 const EXPIRY_MARGIN_MS = 100;
 
-/** Longest time for which a lease may hold, on the fastest clock that can measure it. */
+/** Longest time for which a lease of the maximum length may hold, on the slowest clock. */
 export function computeLongestLeaseMs(leaseMaximumMs: number): number {
   return leaseMaximumMs / SLOWEST_CLOCK_RATE + EXPIRY_MARGIN_MS;
 }
