Address each command to one incarnation of a worker

What callers saw: in the simulated cell a task ran twice at the same time (a late renewal reached an incarnation of which no report had told and was read on its clock), and a task started again after an end 'done' (an acknowledgement of the earlier incarnation's ends dropped the unread end of the next one).

Cause: a number or a time was sent to a process that may no longer be the one it is true of. A call was sent to an address, and whichever incarnation of the worker listened there carried it out.

Ruled out: recording longer lease ends, as a call without an answer may arrive at any time; ordering calls by their answers, as calls may overtake each other; a short end that no clock reads as long, as a new incarnation may have a clock that shows less than any end.

Change: starts, stops, leases and acknowledgements name the incarnation that reported last, and are written only to a connection over which it has reported. Another incarnation answers with its report, or the command is not sent ('restarted').

Two tests of restarts expected a start within 100 ms of an unknown restart; the start is now sent after the new incarnation has reported.

--- a/packages/node/cell/duplicate_runs/worker_restart_test.ts
+++ b/packages/node/cell/duplicate_runs/worker_restart_test.ts
@@ -24,11 +24,13 @@
     simulation.startScheduler();
     await simulation.clock.advance(10_000);
     const worker = simulation.get("a");
+    // The removal is read after a report of the new incarnation has listed its run.
+    simulation.directoryDelayMs = 1_600;
     worker.leave(true);
     worker.isCutFromStore = true;
     worker.restart();
     await simulation.submit(createSpec(JOB));
-    await simulation.clock.advance(100);
+    await simulation.clock.advance(1_400);
     expect(worker.running).to.have.length(1);
     simulation.get("b").isDisconnected = false;
     await simulation.clock.advance(10_000);
@@ -51,9 +53,9 @@
     worker.restart();
     const later = createSpec("00000000000000ee");
     await simulation.submit(later);
-    await simulation.clock.advance(100);
-    expect(worker.running).to.have.length(1);
-    const [task] = worker.running;
+    await simulation.clock.advance(1_000);
+    const task = worker.running.find((name) => name.startsWith(later.jobId));
+    expect(task).to.not.equal(undefined);
     worker.end(task!, "done");
     await simulation.clock.advance(5_000);
     expect(simulation.runsOf(task!)).to.have.length(1);
--- a/packages/node/cell/session_event_handler.ts
+++ b/packages/node/cell/session_event_handler.ts
@@ -47,7 +47,7 @@
   onRefused(
     session: WorkerSession,
     taskRun: TaskRun,
-    reason: StartRefusal | "wrong_life",
+    reason: StartRefusal | "wrong_life" | "restarted",
   ): void {
     const { runs } = this.#options;
     this.#logTask("task.start_refused", session, taskRun, { reason });
--- a/packages/node/cell/task_commands.ts
+++ b/packages/node/cell/task_commands.ts
@@ -2,6 +2,7 @@
 import type { Clock } from "@coltsfootpond/common";
 import type {
   CellBounds,
+  IncarnationCommand,
   StartOutcome,
   StartRefusal,
   WorkerPort,
@@ -42,7 +43,7 @@
   readonly onSent: () => void;
   readonly onRefused: (
     taskRun: TaskRun,
-    reason: StartRefusal | "wrong_life",
+    reason: StartRefusal | "wrong_life" | "restarted",
   ) => void;
   /** A start was answered after its run was taken as over. */
   readonly onStartedLate: (taskRun: TaskRun) => void;
@@ -87,8 +88,9 @@
         if (outcome.reason === "fenced") this.#options.onFenced();
         return this.#options.onRefused(taskRun, outcome.reason);
       case "wrong_life":
+      case "restarted":
         if (!taskRuns.remove(taskRun)) return;
-        return this.#options.onRefused(taskRun, "wrong_life");
+        return this.#options.onRefused(taskRun, outcome.kind);
       case "unavailable":
         return await this.#resolveUnansweredStart(taskRun);
     }
@@ -97,6 +99,7 @@
   #sendStart(taskRun: TaskRun, payload: string): Promise<StartOutcome> {
     const { workerPort, target, epoch, leases, bounds } = this.#options;
     return workerPort.start(target, {
+      ...this.#createAddress(),
       task: taskRun.task,
       run: taskRun.run,
       payload,
@@ -135,7 +138,7 @@
   async #sendStop(taskRun: TaskRun): Promise<boolean> {
     const { workerPort, target, epoch, taskRuns } = this.#options;
     const { task, run } = taskRun;
-    const command = { task, run, epoch };
+    const command = { ...this.#createAddress(), task, run, epoch };
     const { incarnationCount } = taskRuns;
     const outcome = await workerPort.stop(target, command, COMMAND_TIMEOUT_MS);
     if (this.#options.isStopped()) return false;
@@ -152,11 +155,21 @@
       case "wrong_life":
         taskRuns.dropAll("the worker has left its address");
         return false;
+      case "restarted":
+        await this.#options.requestReport();
+        return true;
       case "unavailable":
         return true;
     }
   }
 
+  /** The incarnation that reported last, and whether this entry may still send commands to it. */
+  #createAddress(): IncarnationCommand {
+    const { leases, canAct, isStopped } = this.#options;
+    const { incarnationStartUnixMs } = leases;
+    return { incarnationStartUnixMs, maySend: () => canAct() && !isStopped() };
+  }
+
   async #resolveUnansweredStart(taskRun: TaskRun): Promise<void> {
     const { taskRuns, requestReport, isStopped, onStartUnanswered } =
       this.#options;
--- a/packages/node/cell/task_run.ts
+++ b/packages/node/cell/task_run.ts
@@ -32,11 +32,14 @@
 
 /** Receives the events of worker sessions; implemented by SessionEventHandler. */
 export interface SessionListener {
-  /** The worker refused the start, or another instance (`wrong_life`) answered at its address. */
+  /**
+   * The worker refused the start, another instance (`wrong_life`) answered at its address, or it has
+   * `restarted`.
+   */
   onRefused(
     session: WorkerSession,
     taskRun: TaskRun,
-    reason: StartRefusal | "wrong_life",
+    reason: StartRefusal | "wrong_life" | "restarted",
   ): void;
   /** A start was not answered and the worker does not list the run. */
   onStartUnanswered(session: WorkerSession, taskRun: TaskRun): void;
--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -276,19 +276,21 @@
         this.hasTaskRuns && this.#reachability.isAnswering
       ? this.#leases.grant(this.#options.bounds.leaseMaximumMs)
       : undefined;
-    // Sent only while needed and to a worker that answered the poll before: to an incarnation of
-    // which no report has told, the number would mean ends that nobody has read.
     const acknowledgedSequence =
       this.#reachability.isAnswering && this.#ends.isAcknowledgementDue
         ? this.#ends.storedSequence
         : 0;
-    const { incarnationStartUnixMs } = this;
+    const incarnationStartUnixMs = this.hasReported
+      ? this.incarnationStartUnixMs
+      : undefined;
     if (!canAct() && this.hasReported) {
       await clock.sleep(RETRY_DELAY_MS);
       return true;
     }
     const requestedMs = clock.nowMs();
     const outcome = await workerPort.renew(this.target, {
+      incarnationStartUnixMs,
+      maySend: () => !this.#isStopped && (canAct() || !this.hasReported),
       epoch,
       leaseUntilMs,
       acknowledgedSequence,
@@ -297,7 +299,7 @@
     if (this.#isStopped) return true;
     if (
       outcome.kind === "report" &&
-      incarnationStartUnixMs === this.incarnationStartUnixMs
+      outcome.metadata.incarnationStartUnixMs === incarnationStartUnixMs
     ) {
       this.#ends.setAcknowledged(acknowledgedSequence);
     }
--- a/packages/node/cell/workers_fake.ts
+++ b/packages/node/cell/workers_fake.ts
@@ -247,16 +247,19 @@
     if (this.isDisconnected) return UNANSWERED;
     if (this.isReplaced) return { kind: "wrong_life" };
     if (this.#hasLeft) return UNANSWERED;
+    if (!this.#isAddressed(command)) return { kind: "restarted" };
     if (this.startDelayMs !== undefined) {
       return this.#callLate(this.startDelayMs, () => this.#runTask(command));
     }
     return this.#answer(this.#runTask(command));
   }
 
-  stop({ task, run, epoch }: StopCommand): StopOutcome {
+  stop(command: StopCommand): StopOutcome {
     if (this.isDisconnected) return UNANSWERED;
     if (this.isReplaced) return { kind: "wrong_life" };
     if (this.#hasLeft) return UNANSWERED;
+    if (!this.#isAddressed(command)) return { kind: "restarted" };
+    const { task, run, epoch } = command;
     if (epoch < this.#epoch) return { kind: "fenced" };
     this.#stoppedRuns.set(
       task,
@@ -286,10 +289,12 @@
   #applyRenewal(command: RenewCommand): RenewOutcome {
     if (command.epoch < this.#epoch) return { kind: "fenced" };
     this.#epoch = command.epoch;
-    this.#extendLease(command.leaseUntilMs ?? 0);
-    this.#ends = this.#ends.filter(({ sequence }) =>
-      this.keepsEnds || sequence > command.acknowledgedSequence
-    );
+    if (this.#isAddressed(command)) {
+      this.#extendLease(command.leaseUntilMs ?? 0);
+      this.#ends = this.#ends.filter(({ sequence }) =>
+        this.keepsEnds || sequence > command.acknowledgedSequence
+      );
+    }
     return this.#answer({
       kind: "report",
       metadata: {
@@ -308,6 +313,12 @@
     });
   }
 
+  /** A command reaches only the incarnation to which its connection was opened. */
+  #isAddressed({ incarnationStartUnixMs }: Partial<StartCommand>): boolean {
+    return incarnationStartUnixMs === undefined ||
+      incarnationStartUnixMs === this.#incarnationStartUnixMs;
+  }
+
   /** Carries the call out after `delayMs`, if the incarnation still runs then. */
   #callLate(delayMs: number, call: () => void): Unavailable {
     const incarnation = this.#incarnationStartUnixMs;
--- a/packages/ports/cell/workers.ts
+++ b/packages/ports/cell/workers.ts
@@ -57,13 +57,14 @@
   | "invalid";
 
 /**
- * `wrong_life`: another instance answers at the worker's address. The other outcomes do not tell
- * which incarnation of the worker answered.
+ * `wrong_life`: another instance answers at the worker's address. `restarted`: the worker answers as
+ * another incarnation, and the command was not sent.
  */
 export type StartOutcome =
   | { readonly kind: "started" }
   | { readonly kind: "refused"; readonly reason: StartRefusal }
   | { readonly kind: "wrong_life" }
+  | { readonly kind: "restarted" }
   | Unavailable;
 
 /** `stopped`: the worker has acknowledged the command; the end is reported by a later renewal. */
@@ -71,6 +72,7 @@
   | { readonly kind: "stopped" }
   | { readonly kind: "fenced" }
   | { readonly kind: "wrong_life" }
+  | { readonly kind: "restarted" }
   | Unavailable;
 
 /** One run that a worker reports as running. */
@@ -104,8 +106,19 @@
   | { readonly kind: "wrong_life" }
   | Unavailable;
 
+/**
+ * A command for one incarnation of a worker. It is written only to a connection over which this
+ * incarnation has sent a report: a connection ends with its process, so no other incarnation
+ * receives the command.
+ */
+export interface IncarnationCommand {
+  readonly incarnationStartUnixMs: number;
+  /** Checked again right before the command is written, as opening a connection takes time. */
+  readonly maySend: () => boolean;
+}
+
 /** Starts one run of a task. */
-export interface StartCommand {
+export interface StartCommand extends IncarnationCommand {
   readonly task: TaskName;
   readonly run: number;
   readonly payload: string;
@@ -117,14 +130,20 @@
 }
 
 /** Stops one run of a task. */
-export interface StopCommand {
+export interface StopCommand extends IncarnationCommand {
   readonly task: TaskName;
   readonly run: number;
   readonly epoch: number;
 }
 
-/** Extends the lease of all tasks on a worker and asks for a report of them. */
-export interface RenewCommand {
+/**
+ * Extends the lease of all tasks on a worker and asks for a report of them. Another incarnation gets
+ * neither the lease nor the acknowledgement; its report is returned.
+ */
+export interface RenewCommand
+  extends Omit<IncarnationCommand, "incarnationStartUnixMs"> {
+  /** Undefined to ask any incarnation for its report, without a lease or an acknowledgement. */
+  readonly incarnationStartUnixMs: number | undefined;
   readonly epoch: number;
   /** Undefined to leave the lease as it is. */
   readonly leaseUntilMs: number | undefined;
