Order a worker's incarnations by their reports, not by its wall clock

A worker restarted under its name with an earlier start time, as its time of day had been set back; the lease holder took its reports for those of an earlier incarnation and skipped them for good.

Cause: the wall clock of another machine was taken as an order.

Ruled out: a record that names another incarnation as evidence of its order, as it may be one of an earlier incarnation that was written late or that a holder has just read for the first time.

Change: the start time only identifies an incarnation. One that answers a request sent after the present one was known is later; an answer to an earlier request is skipped, and another report is requested. A record that names another incarnation leads to a report. An early removal of a record ends only the incarnation that it names.

A worker that restarted and that the holder does not reach now keeps its runs until its leases have lapsed, although its record names a new incarnation; before, they were dropped at once.

The check that an older incarnation is 'old' moved from the leases to the incarnation.

--- a/packages/node/cell/task_commands.ts
+++ b/packages/node/cell/task_commands.ts
@@ -35,6 +35,7 @@
   readonly clock: Clock;
   readonly taskRuns: WorkerTaskRuns;
   readonly leases: WorkerLeases;
+  readonly getIncarnationStartUnixMs: () => number;
   readonly canAct: () => boolean;
   readonly isStopped: () => boolean;
   /** Requests a report at once. */
@@ -165,9 +166,11 @@
 
   /** The incarnation that reported last, and whether this entry may still send commands to it. */
   #createAddress(): IncarnationCommand {
-    const { leases, canAct, isStopped } = this.#options;
-    const { incarnationStartUnixMs } = leases;
-    return { incarnationStartUnixMs, maySend: () => canAct() && !isStopped() };
+    const { getIncarnationStartUnixMs, canAct, isStopped } = this.#options;
+    return {
+      incarnationStartUnixMs: getIncarnationStartUnixMs(),
+      maySend: () => canAct() && !isStopped(),
+    };
   }
 
   async #resolveUnansweredStart(taskRun: TaskRun): Promise<void> {
--- a/packages/node/cell/worker_leases.ts
+++ b/packages/node/cell/worker_leases.ts
@@ -22,16 +22,9 @@
   readonly leaseMaximumMs: number;
 }
 
-/**
- * Compares an incarnation with the newest one known. `old`: an earlier incarnation;
- * `new_incarnation`: the first message of a later one.
- */
-export type IncarnationStatus = "old" | "current" | "new_incarnation";
-
-/** Clock, incarnation and leases of one worker. */
+/** Clock and leases of the present incarnation of one worker. */
 export class WorkerLeases {
   readonly #options: WorkerLeasesOptions;
-  #incarnationStartUnixMs = 0;
   /**
    * When this object was created, a later incarnation was first seen, or a lease was granted since
    * then; used until there is a sample of the incarnation's clock.
@@ -51,32 +44,15 @@
     return new WorkerLeases(options);
   }
 
-  /**
-   * Start of the worker's newest incarnation in Unix milliseconds, which identifies it; 0 until
-   * known.
-   */
-  get incarnationStartUnixMs(): number {
-    return this.#incarnationStartUnixMs;
-  }
-
   /** Whether there is a sample of the clock of the present incarnation. */
   get isClockKnown(): boolean {
     return this.#sample !== undefined;
   }
 
-  /** Applies the incarnation that a worker's record or answer names; 0 stands for unknown. */
-  applyIncarnation(incarnationStartUnixMs: number): IncarnationStatus {
-    if (
-      incarnationStartUnixMs === 0 ||
-      incarnationStartUnixMs === this.#incarnationStartUnixMs
-    ) return "current";
-    if (incarnationStartUnixMs < this.#incarnationStartUnixMs) return "old";
-    const isFirst = this.#incarnationStartUnixMs === 0;
-    this.#incarnationStartUnixMs = incarnationStartUnixMs;
-    if (isFirst) return "current";
+  /** Resets for a later incarnation, whose clock starts anew. */
+  beginIncarnation(): void {
     this.#sample = undefined;
     this.#clockUnknownSinceMs = this.#options.clock.nowMs();
-    return "new_incarnation";
   }
 
   /** Applies the clock of a report of the present incarnation. */
@@ -131,7 +107,6 @@
   /** What `haveLeasesExpired` is concluded from, for the log. */
   describe(): LogFields {
     return {
-      incarnationStartUnixMs: this.#incarnationStartUnixMs,
       latestLeaseEndMs: this.#latestLeaseEndMs,
       workerClockMs: this.#sample?.workerClockMs,
       sampleAgeMs: Math.round(
--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -25,6 +25,7 @@
 } from "./task_commands.ts";
 import type { LeftWorker } from "./worker_directory.ts";
 import { WorkerLeases } from "./worker_leases.ts";
+import { WorkerIncarnation } from "./incarnations/worker_incarnation.ts";
 
 /** Longest wait of a long poll; below the lease of a start, which the next poll extends. */
 const LONG_POLL_MS = 1_000;
@@ -53,6 +54,7 @@
    */
   isRostered = false;
   readonly #options: WorkerSessionOptions;
+  readonly #incarnation: WorkerIncarnation;
   readonly #leases: WorkerLeases;
   readonly #taskRuns: WorkerTaskRuns;
   readonly #ends: EndAcknowledgements;
@@ -61,11 +63,14 @@
   #pausedUntilMs = 0;
   #isPollLoopRunning = false;
   #isImmediatePollRunning = false;
+  /** Whether a report is needed to tell which incarnation of the worker is the present one. */
+  #isReportDue = false;
   #isStopped = false;
 
   private constructor(options: WorkerSessionOptions) {
     this.#options = options;
     this.target = options.target;
+    this.#incarnation = WorkerIncarnation.create(options.clock);
     this.#leases = WorkerLeases.create({
       clock: options.clock,
       leaseMaximumMs: options.bounds.leaseMaximumMs,
@@ -86,6 +91,7 @@
       ...options,
       taskRuns: this.#taskRuns,
       leases: this.#leases,
+      getIncarnationStartUnixMs: () => this.incarnationStartUnixMs,
       isStopped: () => this.#isStopped,
       requestReport: () => this.pollNow(),
       onSent: () => this.startPolling(),
@@ -140,8 +146,9 @@
     this.startPolling();
   }
 
+  /** Identifies the incarnation that reported last; 0 before the first report. */
   get incarnationStartUnixMs(): number {
-    return this.#leases.incarnationStartUnixMs;
+    return this.#incarnation.startUnixMs ?? 0;
   }
 
   /** Gives the worker no new tasks for a while. */
@@ -157,11 +164,18 @@
     this.#isStopped = true;
   }
 
-  /** Applies the worker's record; one of a new incarnation drops the runs of the old one. */
+  /**
+   * Applies the worker's record. It may lag behind the reports, so one that names another
+   * incarnation only requests a report.
+   */
   setRecord(record: WorkerRecord | undefined): void {
+    const earlierStartUnixMs = this.record?.incarnationStartUnixMs;
     this.record = record;
-    if (record !== undefined) {
-      this.#applyIncarnation(record.incarnationStartUnixMs, "record");
+    if (record === undefined || !this.hasReported) return;
+    const { incarnationStartUnixMs } = record;
+    const isNamedAnew = incarnationStartUnixMs !== earlierStartUnixMs;
+    if (isNamedAnew && incarnationStartUnixMs !== this.incarnationStartUnixMs) {
+      this.#requestReport();
     }
   }
 
@@ -224,12 +238,12 @@
 
   /**
    * The incarnation of the worker that its record named has left for certain. The runs that no
-   * report has listed stay, as another incarnation may have started them.
+   * report of it has listed stay.
    */
   markLeft(
     { incarnationStartUnixMs, heartbeat, heartbeatAgeMs }: LeftWorker,
   ): void {
-    if (incarnationStartUnixMs < this.incarnationStartUnixMs) return;
+    if (incarnationStartUnixMs !== this.incarnationStartUnixMs) return;
     this.#taskRuns.dropListed("the worker has left", {
       incarnationStartUnixMs,
       heartbeat,
@@ -242,7 +256,7 @@
     this.#isPollLoopRunning = true;
     try {
       while (!this.#isStopped && this.#needsPoll()) {
-        const isIdle = !this.hasTaskRuns;
+        const isIdle = !this.hasTaskRuns && !this.#isReportDue;
         if (isIdle && this.hasReported) {
           await this.#options.clock.sleep(ACKNOWLEDGE_DELAY_MS);
           if (!this.#needsPoll()) return;
@@ -263,7 +277,7 @@
 
   #needsPoll(): boolean {
     // An unreachable worker gets no tasks, so only a poll can show that it answers again.
-    if (!this.isReachable) return true;
+    if (!this.isReachable || this.#isReportDue) return true;
     return this.hasTaskRuns || this.#ends.isAcknowledgementDue;
   }
 
@@ -327,33 +341,39 @@
     }
   }
 
-  /** Skips a report of an earlier incarnation. */
   #applyReport(report: Report, requestedMs: number): void {
     const { incarnationStartUnixMs } = report.metadata;
-    if (!this.#applyIncarnation(incarnationStartUnixMs, "report")) return;
+    const earlierStartUnixMs = this.incarnationStartUnixMs;
+    const status = this.#incarnation.applyReport(
+      incarnationStartUnixMs,
+      requestedMs,
+    );
+    if (status === "undecided") return this.#requestReport();
+    this.#isReportDue = false;
+    if (status === "new") this.#beginIncarnation(earlierStartUnixMs);
     this.#leases.applyClock(report.metadata);
     this.#taskRuns.applyReport(report, requestedMs);
   }
 
-  /** False for an earlier incarnation. A new one starts without runs and numbers its ends anew. */
-  #applyIncarnation(
-    incarnationStartUnixMs: number,
-    source: "record" | "report",
-  ): boolean {
-    const earlierStartUnixMs = this.incarnationStartUnixMs;
-    const status = this.#leases.applyIncarnation(incarnationStartUnixMs);
-    if (status !== "new_incarnation") return status === "current";
-    this.#ends.reset();
-    const inputs = { earlierStartUnixMs, incarnationStartUnixMs, source };
+  /** A new incarnation starts without runs and numbers its ends anew. */
+  #beginIncarnation(earlierStartUnixMs: number): void {
+    const { incarnationStartUnixMs } = this;
+    const inputs = { earlierStartUnixMs, incarnationStartUnixMs };
     this.#options.log.info("worker.restarted", {
       worker: this.worker,
       runs: this.#taskRuns.size,
       ...inputs,
     });
+    this.#ends.reset();
+    this.#leases.beginIncarnation();
     this.#taskRuns.beginIncarnation(inputs);
     this.startPolling();
-    // A long poll may wait while the runs that were not listed yet are in doubt.
-    if (source === "record" && this.hasTaskRuns) void this.pollNow();
-    return true;
+  }
+
+  #requestReport(): void {
+    this.#isReportDue = true;
+    this.startPolling();
+    // A long poll may wait for an incarnation that has ended.
+    void this.pollNow();
   }
 }
--- a/packages/node/cell/worker_task_runs_test.ts
+++ b/packages/node/cell/worker_task_runs_test.ts
@@ -127,7 +127,6 @@
   it("last up to the maximum after a start, whose deadline another incarnation may read", async () => {
     const clock = ManualClock.create();
     const leases = WorkerLeases.create({ clock, leaseMaximumMs: LEASE_MS });
-    leases.applyIncarnation(1);
     leases.applyClock({ workerClockMs: 0, incarnationStartUnixMs: 1 });
     await clock.advance(60_000);
     expect(leases.haveLeasesExpired()).to.equal(true);
@@ -142,9 +141,8 @@
   it("last from a grant to an incarnation whose clock is unknown", async () => {
     const clock = ManualClock.create();
     const leases = WorkerLeases.create({ clock, leaseMaximumMs: LEASE_MS });
-    leases.applyIncarnation(1);
     leases.applyClock({ workerClockMs: 100_000, incarnationStartUnixMs: 1 });
-    leases.applyIncarnation(2);
+    leases.beginIncarnation();
     await clock.advance(2_000);
     leases.grantForStart(2_500);
     await clock.advance(LEASE_MS);
@@ -156,12 +154,12 @@
   it("are unknown again when the worker begins a new incarnation", async () => {
     const clock = ManualClock.create();
     const leases = WorkerLeases.create({ clock, leaseMaximumMs: LEASE_MS });
-    leases.applyIncarnation(1);
+    leases.applyClock({ workerClockMs: 0, incarnationStartUnixMs: 1 });
     await clock.advance(60_000);
-    expect(leases.applyIncarnation(2)).to.equal("new_incarnation");
+    expect(leases.haveLeasesExpired()).to.equal(true);
+    leases.beginIncarnation();
     expect(leases.isClockKnown).to.equal(false);
     expect(leases.haveLeasesExpired()).to.equal(false);
-    expect(leases.applyIncarnation(1)).to.equal("old");
     await clock.advance(LEASE_MS * 1.1);
     expect(leases.haveLeasesExpired()).to.equal(true);
   });
--- a/packages/node/cell/workers_fake.ts
+++ b/packages/node/cell/workers_fake.ts
@@ -158,15 +158,16 @@
    * Ends the incarnation with all it knows and begins the next one under the same name. Calls that
    * were to be carried out late are lost with it.
    */
-  restart(): void {
-    const nowMs = this.#clock.nowMs();
+  restart(
+    startUnixMs = Math.max(
+      this.#incarnationStartUnixMs + 1,
+      this.#clock.nowMs(),
+    ),
+  ): void {
     this.#endProcess();
     this.#hasLeft = false;
-    this.#clockStartMs = nowMs;
-    this.#incarnationStartUnixMs = Math.max(
-      this.#incarnationStartUnixMs + 1,
-      nowMs,
-    );
+    this.#clockStartMs = this.#clock.nowMs();
+    this.#incarnationStartUnixMs = startUnixMs;
   }
 
   /** Ends the process; a planned end removes the record at once. */
--- a/scripts/mutations/duplicate_run_mutations.ts
+++ b/scripts/mutations/duplicate_run_mutations.ts
@@ -142,7 +142,7 @@
     name: "end the runs of a later incarnation with a removed record",
     promise: NO_TASK_TWICE,
     file: `${CELL}/worker_session.ts`,
-    find: `if (incarnationStartUnixMs < this.incarnationStartUnixMs) return;`,
+    find: `if (incarnationStartUnixMs !== this.incarnationStartUnixMs) return;`,
     replace: ``,
     spec: `${DUPLICATE_RUNS}/worker_restart_test.ts`,
     title: "after a planned end while cut off",
