End no run by an answer that is older than its start

A poll finds another instance at a worker's address and its answer (421) is delayed; meanwhile the worker takes the address over, reports and starts a task; the answer then arrives, and the holder takes the run as over and starts it elsewhere.

Cause: an answer was compared with what was known when it arrived, not when it was requested.

Change: such an answer ends the runs whose start was sent, or which were reported, before the request. Other runs stay until a later answer.

The test fails without the change (the run is dropped).

--- a/packages/node/cell/live_job.ts
+++ b/packages/node/cell/live_job.ts
@@ -267,6 +267,7 @@
     run,
     need: getCountedNeed(unit.step),
     stepKey: unit.stepKey,
+    startSentMs: undefined,
     startAnsweredMs: undefined,
     isListed: false,
     isStopping: false,
--- a/packages/node/cell/task_commands.ts
+++ b/packages/node/cell/task_commands.ts
@@ -74,6 +74,7 @@
   /** Starts a reserved task. */
   async start(taskRun: TaskRun, payload: string): Promise<void> {
     this.#unansweredStarts++;
+    taskRun.startSentMs = this.#options.clock.nowMs();
     const outcome = await this.#sendStart(taskRun, payload);
     this.#unansweredStarts--;
     if (this.#options.isStopped()) return;
@@ -141,6 +142,7 @@
     const { task, run } = taskRun;
     const command = { ...this.#createAddress(), task, run, epoch };
     const { incarnationCount } = taskRuns;
+    const requestedMs = this.#options.clock.nowMs();
     const outcome = await workerPort.stop(target, command, COMMAND_TIMEOUT_MS);
     if (this.#options.isStopped()) return false;
     switch (outcome.kind) {
@@ -154,8 +156,8 @@
         this.#options.onFenced();
         return false;
       case "wrong_life":
-        taskRuns.dropAll("the worker has left its address");
-        return false;
+        taskRuns.dropReplaced(requestedMs);
+        return true;
       case "restarted":
         await this.#options.requestReport();
         return true;
--- a/packages/node/cell/task_run.ts
+++ b/packages/node/cell/task_run.ts
@@ -15,6 +15,8 @@
   readonly need: CellResources;
   /** The task's step as `{job}.{occurrence}.{step}`. */
   readonly stepKey: string;
+  /** When the start was sent; undefined while it is not, and for adopted runs. */
+  startSentMs: number | undefined;
   /** When the answer to the start, or the first report that lists the run, was received. */
   startAnsweredMs: number | undefined;
   /** Whether a report of the worker's present incarnation has listed it. */
--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -332,7 +332,7 @@
         listener.onFenced(this);
         return false;
       case "wrong_life":
-        this.#taskRuns.dropAll("the worker has left its address");
+        this.#taskRuns.dropReplaced(requestedMs);
         this.#reachability.recordFailure("another life", 0);
         return false;
       case "unavailable":
--- a/packages/node/cell/worker_task_runs.ts
+++ b/packages/node/cell/worker_task_runs.ts
@@ -92,6 +92,7 @@
       ...step,
       task: running.task,
       run: running.run,
+      startSentMs: undefined,
       startAnsweredMs: this.#options.clock.nowMs(),
       isListed: false,
       isStopping: false,
@@ -146,6 +147,21 @@
     }
   }
 
+  /**
+   * Drops the runs that were at the worker's address before a request, sent at `requestedMs`, which
+   * another instance has answered there. The worker may have come to the address after the answer.
+   */
+  dropReplaced(requestedMs: number): void {
+    for (const taskRun of this.all) {
+      const placedMs = taskRun.startSentMs ?? taskRun.startAnsweredMs;
+      if (placedMs === undefined || placedMs >= requestedMs) continue;
+      this.#drop(taskRun, {
+        reason: "the worker has left its address",
+        inputs: { requestedAfterMs: Math.round(requestedMs - placedMs) },
+      });
+    }
+  }
+
   /** Drops all task runs, as none of them can be running any more. */
   dropAll(reason: string, inputs: LogFields = {}): void {
     for (const taskRun of this.all) this.#drop(taskRun, { reason, inputs });
--- a/packages/node/cell/worker_task_runs_test.ts
+++ b/packages/node/cell/worker_task_runs_test.ts
@@ -14,6 +14,7 @@
     run: 1,
     need: { cpuMilli: 0, memoryMib: 0, accelerators: 1 },
     stepKey: "",
+    startSentMs: undefined,
     startAnsweredMs: undefined,
     isListed: false,
     isStopping: false,
--- a/scripts/mutations/duplicate_run_mutations.ts
+++ b/scripts/mutations/duplicate_run_mutations.ts
@@ -147,6 +147,15 @@
     spec: `${DUPLICATE_RUNS}/worker_restart_test.ts`,
     title: "after a planned end while cut off",
   },
+  {
+    name: "end runs by an answer that is older than their starts",
+    promise: NO_TASK_TWICE,
+    file: `${CELL}/worker_task_runs.ts`,
+    find: `if (placedMs === undefined || placedMs >= requestedMs) continue;`,
+    replace: ``,
+    spec: `${CELL}/worker_connections/earlier_instance_test.ts`,
+    title: "was started after the worker came",
+  },
   {
     name: "repeat the last acknowledgement in every poll",
     promise: NO_TASK_TWICE,
