Write each command only to a connection of the incarnation it names

Cause: the client of the workers' protocol ignored the incarnation that a command names and sent it to the worker's address, where another incarnation may answer.

As a connection carries one call at a time, waiting calls no longer wait in the pool of Node's agent, which opens a new connection for them when theirs breaks. HttpClient writes a request for a connection to that one only, and opens no other; it checks 'maySend' right before it writes.

--- a/packages/ports/http/http_client.ts
+++ b/packages/ports/http/http_client.ts
@@ -1,11 +1,12 @@
 /** An HTTP client for the platform's services, with time-outs, size limits and keep-alive. */
 import type { Buffer } from "node:buffer";
 import { Agent, request } from "node:http";
+import type { Socket } from "node:net";
 import { Buffer as NodeBuffer } from "node:buffer";
 import type { JsonValue } from "@coltsfootpond/common";
 import { MAXIMUM_RESPONSE_BYTES } from "../constants.ts";
 import type { Unavailable } from "../types.ts";
-import { unavailable } from "../unavailable.ts";
+import { refused, unavailable } from "../unavailable.ts";
 
 /** The address on which a service of the platform listens. */
 export interface ServiceAddress {
@@ -19,6 +20,9 @@
   addReceived(bytes: number): void;
 }
 
+/** A connection of an `HttpClient`; no longer writable once either end has closed it. */
+export type HttpConnection = Pick<Socket, "writable">;
+
 /** One request. */
 export interface HttpClientRequest {
   readonly method: "GET" | "POST" | "PUT" | "DELETE";
@@ -32,6 +36,13 @@
    * `timeoutMs` bounds the whole exchange.
    */
   readonly totalTimeoutMs?: number;
+  /**
+   * Writes the request only to this connection, which must be idle. For clients of one connection:
+   * the pool of a larger one may choose another, and the request is then refused.
+   */
+  readonly connection?: HttpConnection;
+  /** Checked right before the request is written, as opening a connection takes time. */
+  readonly maySend?: () => boolean;
 }
 
 /** A complete response of any status except 503, or why there is none. */
@@ -40,6 +51,8 @@
     readonly kind: "response";
     readonly status: number;
     readonly body: Buffer;
+    /** The connection over which it arrived. */
+    readonly connection: HttpConnection;
   }
   | Unavailable;
 
@@ -47,6 +60,8 @@
 const MAXIMUM_SOCKETS = 32;
 /** Estimated bytes of the request line and headers; bodies are counted exactly. */
 const HEADER_BYTES_ESTIMATE = 180;
+const CONNECTION_CLOSED = "connection closed";
+const NOT_SENT = "not to be sent any more";
 
 /** A client of one service, with a pool of connections. */
 export class HttpClient {
@@ -76,12 +91,18 @@
     this.#agent.destroy();
   }
 
-  /** `refused`: status 503, or no connection was made. Every other failure is `lost`. */
+  /** `refused`: status 503, or nothing was written. Every other failure is `lost`. */
   exchange(clientRequest: HttpClientRequest): Promise<HttpOutcome> {
+    const { connection, maySend } = clientRequest;
+    // The pool would open another connection for the request.
+    if (connection !== undefined && !this.#isIdle(connection)) {
+      return Promise.resolve(refused(CONNECTION_CLOSED));
+    }
+    if (maySend?.() === false) return Promise.resolve(refused(NOT_SENT));
     const body = clientRequest.body ?? new Uint8Array(0);
     this.#meter?.addSent(body.byteLength + HEADER_BYTES_ESTIMATE);
     return new Promise((resolve) => {
-      let connected = false;
+      let isWritten = false;
       const outgoing = request({
         ...this.#address,
         agent: this.#agent,
@@ -107,16 +128,26 @@
         clearTimeout(totalTimer);
         resolve(outcome);
       };
+      const write = (): void => {
+        if (maySend?.() === false) {
+          return void outgoing.destroy(new Error(NOT_SENT));
+        }
+        isWritten = true;
+        outgoing.end(body);
+      };
       outgoing.on("socket", (socket) => {
-        if (!socket.connecting) connected = true;
-        else socket.once("connect", () => (connected = true));
+        if (connection !== undefined && socket !== connection) {
+          outgoing.destroy(new Error(CONNECTION_CLOSED));
+        } else if (socket.connecting) socket.once("connect", write);
+        else write();
       });
       outgoing.on(
         "error",
         (error) =>
-          finish(unavailable(connected ? "lost" : "refused", error.message)),
+          finish(unavailable(isWritten ? "lost" : "refused", error.message)),
       );
       outgoing.on("response", (incoming) => {
+        const { socket } = incoming;
         const chunks: Buffer[] = [];
         let length = 0;
         incoming.on("data", (chunk: Buffer) => {
@@ -144,13 +175,20 @@
             kind: "response",
             status: incoming.statusCode ?? 0,
             body: NodeBuffer.concat(chunks),
+            connection: socket,
           });
         });
       });
-      outgoing.end(body);
     });
   }
 
+  #isIdle(connection: HttpConnection): boolean {
+    return connection.writable &&
+      Object.values(this.#agent.freeSockets).some((sockets) =>
+        sockets?.some((socket) => socket === connection)
+      );
+  }
+
   /** Posts JSON and parses the JSON response; a status other than 200 is `lost`. */
   async postJson<Answer>(
     path: string,
