Draw more restarts of workers in the model check

The model check drew two plain restarts among 20 faults of a worker, none with a time of day that was set back: the fake's restart() could not express it before, and nothing drew it.

Change: 8 of 26 faults restart a process, besides those with a cut from the store: plain ones, ones that name an earlier start, ones whose monotonic clock begins with the value that the earlier process showed, and series of up to four within 1.5 s under one holder. Each process of a name has a start of its own, and the fake identifies processes by a number of their own in place of that start.

--- a/packages/node/cell/fakes/worker_port_fake.ts
+++ b/packages/node/cell/fakes/worker_port_fake.ts
@@ -43,7 +43,7 @@
       call(worker, timeoutMs, (fake) => fake.stop(command)),
     renew: ({ worker }, command, timeoutMs) =>
       call(worker, timeoutMs, async (fake) => {
-        const incarnation = fake.incarnationStartUnixMs;
+        const process = fake.processNumber;
         let outcome = fake.renew(command);
         const deadlineMs = clock.nowMs() + command.longPollMs;
         while (
@@ -52,7 +52,7 @@
         ) {
           await clock.sleep(POLL_CHECK_PERIOD_MS);
           // The connection ends with the process.
-          if (incarnation !== fake.incarnationStartUnixMs) return UNANSWERED;
+          if (process !== fake.processNumber) return UNANSWERED;
           // The acknowledgement and the lease took effect when the call arrived.
           outcome = fake.renew({
             ...command,
--- a/packages/node/cell/faults/worker_faults.ts
+++ b/packages/node/cell/faults/worker_faults.ts
@@ -16,6 +16,8 @@
 /** Upper bound of the time by which a call is carried out late. */
 const MAXIMUM_CALL_DELAY_MS = 4_000;
 const MINIMUM_CALL_DELAY_MS = 200;
+const MAXIMUM_FURTHER_RESTARTS = 3;
+const RESTART_SERIES_MS = 1_500;
 
 function drawCallDelayMs(random: Random): number {
   return MINIMUM_CALL_DELAY_MS + nextInteger(random, MAXIMUM_CALL_DELAY_MS);
@@ -35,6 +37,33 @@
   if (!worker.isReplaced) worker.restart();
 }
 
+/** The machine's time of day was set back, so that the new process seems to be an earlier one. */
+function restartInThePast(
+  worker: WorkerFake,
+  { simulation, random }: WorkerFaultContext,
+): void {
+  const startUnixMs = 1 + nextInteger(random, simulation.clock.nowMs() + 1);
+  if (!worker.isReplaced) worker.restart(startUnixMs);
+}
+
+/** The clock starts anew, but with the value that the earlier process's clock shows. */
+function restartOnEqualClock(worker: WorkerFake): void {
+  if (!worker.isReplaced) worker.restart(undefined, worker.workerClockMs);
+}
+
+/** Restarts of which most are over before a report or the record can show them. */
+function restartRepeatedly(
+  worker: WorkerFake,
+  { simulation, random }: WorkerFaultContext,
+): void {
+  restart(worker);
+  const restarts = 1 + nextInteger(random, MAXIMUM_FURTHER_RESTARTS);
+  for (let number = 0; number < restarts; number++) {
+    const delayMs = nextInteger(random, RESTART_SERIES_MS);
+    simulation.clock.after(delayMs, () => restart(worker));
+  }
+}
+
 /** The record shows the restart only once the worker reaches the store again. */
 function restartCutFromStore(worker: WorkerFake): void {
   if (worker.isReplaced) return;
@@ -73,6 +102,12 @@
   (worker) => (worker.drawAnswerDelayMs = () => 0),
   restart,
   restart,
+  restart,
+  restart,
+  restartInThePast,
+  restartInThePast,
+  restartOnEqualClock,
+  restartRepeatedly,
   restartCutFromStore,
   leave,
   leaveAndReturnCutFromStore,
--- a/packages/node/cell/workers_fake.ts
+++ b/packages/node/cell/workers_fake.ts
@@ -68,7 +68,10 @@
   /** On the worker's clock. */
   #leaseUntilMs = 0;
   #incarnationStartUnixMs = 1;
-  /** When the worker's clock was 0. */
+  readonly #earlierStartsUnixMs = new Set<number>();
+  /** Number of processes that have started under the name; identifies the present one. */
+  #processNumber = 1;
+  /** When the worker's clock would have been 0. */
   #clockStartMs = 0;
   #storedRecord: WorkerRecord | undefined;
   #lastHeartbeatMs = Number.NEGATIVE_INFINITY;
@@ -156,17 +159,23 @@
 
   /**
    * Ends the incarnation with all it knows and begins the next one under the same name. Calls that
-   * were to be carried out late are lost with it.
+   * were to be carried out late are lost with it. The next one names `startUnixMs`, by a wall clock
+   * that may have been set back, or a time slightly later if an earlier one has named that already;
+   * its monotonic clock first shows `workerClockMs`.
    */
   restart(
     startUnixMs = Math.max(
       this.#incarnationStartUnixMs + 1,
       this.#clock.nowMs(),
     ),
+    workerClockMs = 0,
   ): void {
     this.#endProcess();
     this.#hasLeft = false;
-    this.#clockStartMs = this.#clock.nowMs();
+    this.#processNumber++;
+    this.#clockStartMs = this.#clock.nowMs() - workerClockMs / this.clockRate;
+    this.#earlierStartsUnixMs.add(this.#incarnationStartUnixMs);
+    while (this.#earlierStartsUnixMs.has(startUnixMs)) startUnixMs++;
     this.#incarnationStartUnixMs = startUnixMs;
   }
 
@@ -182,9 +191,9 @@
     return this.#hasLeft;
   }
 
-  /** Identifies the incarnation. */
-  get incarnationStartUnixMs(): number {
-    return this.#incarnationStartUnixMs;
+  /** Identifies the process. */
+  get processNumber(): number {
+    return this.#processNumber;
   }
 
   #endProcess(): void {
@@ -214,7 +223,7 @@
 
   /** Ends all runs when the lease has expired. */
   expireLease(): void {
-    if (this.#workerClockMs < this.#leaseUntilMs) return;
+    if (this.workerClockMs < this.#leaseUntilMs) return;
     this.#markEndsLost();
     for (const task of [...this.#runs.keys()]) this.end(task, "lapsed");
   }
@@ -299,7 +308,7 @@
     return this.#answer({
       kind: "report",
       metadata: {
-        workerClockMs: this.#workerClockMs,
+        workerClockMs: this.workerClockMs,
         incarnationStartUnixMs: this.#incarnationStartUnixMs,
       },
       running: [...this.#runs.values()].map(({ task, run, startedMs }) => ({
@@ -322,9 +331,9 @@
 
   /** Carries the call out after `delayMs`, if the incarnation still runs then. */
   #callLate(delayMs: number, call: () => void): Unavailable {
-    const incarnation = this.#incarnationStartUnixMs;
+    const process = this.#processNumber;
     this.#clock.after(delayMs, () => {
-      const isCurrent = incarnation === this.#incarnationStartUnixMs;
+      const isCurrent = process === this.#processNumber;
       if (isCurrent && !this.#hasLeft) call();
     });
     return UNANSWERED;
@@ -335,7 +344,7 @@
       ({ kind: "refused", reason }) as const;
     if (command.epoch < this.#epoch) return refuse("fenced");
     this.#epoch = command.epoch;
-    if (command.leaseUntilMs <= this.#workerClockMs) return refuse("expired");
+    if (command.leaseUntilMs <= this.workerClockMs) return refuse("expired");
     if ((this.#stoppedRuns.get(command.task) ?? 0) >= command.run) {
       return refuse("superseded");
     }
@@ -352,7 +361,8 @@
     return { kind: "started" };
   }
 
-  get #workerClockMs(): number {
+  /** The worker's monotonic clock. */
+  get workerClockMs(): number {
     return (this.#clock.nowMs() - this.#clockStartMs) * this.clockRate;
   }
 
@@ -360,7 +370,7 @@
   #extendLease(leaseUntilMs: number): void {
     this.#leaseUntilMs = Math.max(
       this.#leaseUntilMs,
-      Math.min(leaseUntilMs, this.#workerClockMs + this.#leaseMaximumMs),
+      Math.min(leaseUntilMs, this.workerClockMs + this.#leaseMaximumMs),
     );
   }
 
