Wait before another report is requested of an undecided incarnation

Cause: a report whose incarnation is undecided counts as an answer, after which the poll loop polled again at once. A worker whose reports name no incarnation any more would be polled without a pause (1,999 polls in the test's 1.1 s at 1 ms a poll; 20 allowed, seen by no caller).

Change: the loop waits as after a poll without an answer.

--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -268,7 +268,9 @@
         if (this.#isStopped) return;
         const isWaiting = this.hasTaskRuns && this.#reachability.isAnswering;
         const isAnswered = await this.#poll(isWaiting ? LONG_POLL_MS : 0);
-        if (!isAnswered) await this.#options.clock.sleep(RETRY_DELAY_MS);
+        if (!isAnswered || this.#isReportDue) {
+          await this.#options.clock.sleep(RETRY_DELAY_MS);
+        }
       }
     } finally {
       this.#isPollLoopRunning = false;
