Model late stops and the ends of gang members

Gangs of the simulated cell ended by the test's hand only, as a whole, and stops took effect at once.

Change: a task takes up to the stop limit to stop. Of a gang that fails one task ends 'failed', the others 'broken'. A gang ends 'done' as before only when all tasks of one run are there.

--- a/packages/node/cell/faults/faulty_cell.ts
+++ b/packages/node/cell/faults/faulty_cell.ts
@@ -5,8 +5,9 @@
 import { nextInteger, SeededRandom } from "@coltsfootpond/common";
 import type { CellJobSpec } from "@coltsfootpond/policy";
 import type { CellScheduler } from "../cell_scheduler.ts";
-import { CellSimulation } from "../cell_simulation.ts";
+import { CellSimulation, SIMULATION_BOUNDS } from "../cell_simulation.ts";
 import type { RunHistory, WorkerFake } from "../workers_fake.ts";
+import { GangMembers } from "./gang_members.ts";
 import {
   createRandomJob,
   createUrgentJob,
@@ -65,8 +66,11 @@
     this.#storeFaults = StoreFaults.create(this.simulation, random);
     this.simulation.workers.forEach((worker) => {
       drawClockRate(worker, random);
+      worker.drawStopDurationMs = () =>
+        nextInteger(random, SIMULATION_BOUNDS.stopLimitMs + 1);
       worker.carriesCallsOver = options.hasCallsCarriedOver ?? false;
     });
+    GangMembers.create(this.simulation, random, () => this.jobs);
   }
 
   static create(seed: number, options: FaultyCellOptions = {}): FaultyCell {
@@ -189,14 +193,16 @@
         const isWhole = !step.isGang ||
           runs.size === 1 && running.length === step.count;
         if (!isWhole || this.#random.next() < 0.7) continue;
-        this.#end(running);
+        this.#end(running, step.isGang);
       }
     }
   }
 
-  #end(running: readonly RunHistory[]): void {
+  /** A task of a gang that fails ends alone; the others end `broken` later. */
+  #end(running: readonly RunHistory[], isGang: boolean): void {
     const end = this.#random.next() < 0.8 ? "done" : "failed";
-    for (const { worker, task } of running) {
+    const ending = isGang && end === "failed" ? running.slice(0, 1) : running;
+    for (const { worker, task } of ending) {
       this.simulation.get(worker).end(task, end);
     }
   }
--- a/packages/node/cell/workers_fake.ts
+++ b/packages/node/cell/workers_fake.ts
@@ -103,6 +103,8 @@
   drawTravelMs: () => number = () => 0;
   /** When set, stops get no answer and are carried out after this time. */
   stopDelayMs: number | undefined;
+  /** Time that a task takes to stop. */
+  drawStopDurationMs: () => number = () => 0;
   /** Time that the next answer takes; another answer may overtake it. */
   drawAnswerDelayMs: () => number = () => 0;
 
@@ -234,9 +236,10 @@
     for (const task of [...this.#runs.keys()]) this.end(task, "lapsed");
   }
 
-  end(task: TaskName, end: RunEnd): void {
+  /** Ends a run of the task; by default the present one. */
+  end(task: TaskName, end: RunEnd, runNumber?: number): void {
     const run = this.#runs.get(task);
-    if (run === undefined) return;
+    if (run === undefined || run.run !== (runNumber ?? run.run)) return;
     this.#runs.delete(task);
     this.#ends.push({
       sequence: ++this.#endNumber,
@@ -286,8 +289,9 @@
       task,
       Math.max(run, this.#stoppedRuns.get(task) ?? 0),
     );
-    if ((this.#runs.get(task)?.run ?? Infinity) <= run) {
-      this.end(task, "stopped");
+    const present = this.#runs.get(task)?.run;
+    if (present !== undefined && present <= run) {
+      this.#endStopped(task, present);
     }
     return { kind: "stopped" };
   }
@@ -330,6 +334,15 @@
     });
   }
 
+  #endStopped(task: TaskName, run: number): void {
+    const durationMs = this.drawStopDurationMs();
+    if (durationMs === 0) return this.end(task, "stopped", run);
+    const process = this.#processNumber;
+    this.#clock.after(durationMs, () => {
+      if (process === this.#processNumber) this.end(task, "stopped", run);
+    });
+  }
+
   /** Carries the call out after `delayMs`, if the process still runs then or calls outlast it. */
   #callLate(delayMs: number, call: () => void): Unavailable {
     const process = this.#processNumber;
