Count an acknowledgement only for the incarnation that received it

What callers would see: work that the worker repeats to list and the holder to read: ends of the present incarnation are not acknowledged until there are more of them than the earlier one's, and as a worker answers a poll at once while it lists ends, it is polled without a pause (2,490 polls in 5 s in the test).

Cause: the answer of an earlier incarnation that arrives after a later one has reported was compared with the incarnation that the poll named, and counted for the present one's ends.

Change: it counts only if that is still the present one. The test fails without it: the end is never acknowledged.

--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -313,9 +313,11 @@
       longPollMs,
     }, longPollMs + COMMAND_TIMEOUT_MS);
     if (this.#isStopped) return true;
+    // The answer of an earlier incarnation may arrive after a later one has reported.
     if (
       outcome.kind === "report" &&
-      outcome.metadata.incarnationStartUnixMs === incarnationStartUnixMs
+      outcome.metadata.incarnationStartUnixMs === incarnationStartUnixMs &&
+      incarnationStartUnixMs === this.incarnationStartUnixMs
     ) {
       this.#ends.setAcknowledged(acknowledgedSequence);
     }
