Log for whom a unit is evicted

On-call engineers and callers saw `unit.evicted` with the evicted unit only, so that a unit that is evicted over and over could not be told from evictions for several urgent units.

The plan of a round names the waiting unit of each eviction and the workers that it waits for; the log has them as `forUnit` and `workers`. What is planned is unchanged.

Tests: three expectations of plan_round_test.ts compared the names of the evicted units; they now compare the whole entries.

--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -251,8 +251,12 @@
     );
     if (input.waiting.length === 0) return;
     const plan = planRound(input);
-    for (const unit of plan.evictions) {
-      log.info("unit.evicted", { unit: describeUnit(unit) });
+    for (const { unit, forUnit, workers } of plan.evictions) {
+      log.info("unit.evicted", {
+        unit: describeUnit(unit),
+        forUnit: describeUnit(forUnit),
+        workers,
+      });
       this.#runs.close(unit, "evicted");
     }
     for (const { unit, workers } of plan.placements) {
--- a/packages/policy/cell/plan_round.ts
+++ b/packages/policy/cell/plan_round.ts
@@ -3,7 +3,11 @@
  * running units are evicted for others. A pure function; the caller executes the plan.
  */
 import type { ServiceName, WorkerName } from "@coltsfootpond/common";
-import { planEviction, type RunningUnit } from "./eviction.ts";
+import {
+  type EvictionPlan,
+  planEviction,
+  type RunningUnit,
+} from "./eviction.ts";
 import {
   createWorkerCapacity,
   findFit,
@@ -43,10 +47,17 @@
   readonly workers: readonly WorkerName[];
 }
 
+/** A running unit to evict for a waiting unit, and the workers that the waiting unit waits for. */
+export interface Eviction<Unit> {
+  readonly unit: Unit;
+  readonly forUnit: Unit;
+  readonly workers: readonly WorkerName[];
+}
+
 /** Units to start and units to evict. */
 export interface RoundPlan<Unit> {
   readonly placements: readonly Placement<Unit>[];
-  readonly evictions: readonly Unit[];
+  readonly evictions: readonly Eviction<Unit>[];
 }
 
 /** Most units for which one round searches for victims; limits the duration of a round. */
@@ -59,6 +70,7 @@
 export function planRound<Unit>(input: PlanInput<Unit>): RoundPlan<Unit> {
   const capacities = input.workers.map(createWorkerCapacity);
   const placements: Placement<Unit>[] = [];
+  const evictions: Eviction<Unit>[] = [];
   const evicted = new Set<RunningUnit<Unit>>();
   const stepsWithoutFit = new Set<string>();
   let evictionPlans = 0;
@@ -94,11 +106,17 @@
     if (!mayEvict || evictionPlans >= MAXIMUM_EVICTION_PLANS) continue;
     evictionPlans++;
     const candidates = input.running.filter((unit) => !evicted.has(unit));
-    chooseEvictions(capacities, request, candidates).forEach((unit) =>
-      evicted.add(unit)
-    );
+    const eviction = chooseEvictions(capacities, request, candidates);
+    for (const victim of eviction?.victims ?? []) {
+      evicted.add(victim);
+      evictions.push({
+        unit: victim.unit,
+        forUnit: request.unit,
+        workers: [...eviction?.workers ?? []],
+      });
+    }
   }
-  return { placements, evictions: [...evicted].map(({ unit }) => unit) };
+  return { placements, evictions };
 }
 
 /** Sums the accelerators of the workers of each service and subtracts its headroom. */
@@ -117,22 +135,22 @@
 
 /**
  * Returns the running units to evict so that the request fits, together with the capacity that is
- * already being released. Removes the workers that the request waits for from `capacities`, so that
+ * already being released, if that is justified. Removes the workers that the request waits for from `capacities`, so that
  * nothing else is placed on them in this round.
  */
 function chooseEvictions<Unit>(
   capacities: WorkerCapacity[],
   request: WaitingUnit<Unit>,
   running: readonly RunningUnit<Unit>[],
-): readonly RunningUnit<Unit>[] {
+): EvictionPlan<Unit> | undefined {
   const plan = planEviction(capacities, request, running, request);
-  if (plan === undefined) return [];
+  if (plan === undefined) return undefined;
   const isJustified = request.rank.tier === RANK_TIER.GUARANTEED ||
     plan.cost < request.evictionGain;
-  if (!isJustified) return [];
+  if (!isJustified) return undefined;
   const others = capacities.filter(({ view }) =>
     !plan.workers.has(view.worker)
   );
   capacities.splice(0, capacities.length, ...others);
-  return plan.victims;
+  return plan;
 }
--- a/packages/policy/cell/plan_round_test.ts
+++ b/packages/policy/cell/plan_round_test.ts
@@ -162,7 +162,10 @@
       ],
       running: [running("dear", ["a1"], 8, 5), running("cheap", ["a2"], 8, 1)],
     });
-    expect(plan).to.deep.equal({ placements: [], evictions: ["cheap"] });
+    expect(plan).to.deep.equal({
+      placements: [],
+      evictions: [{ unit: "cheap", forUnit: "urgent", workers: ["a2"] }],
+    });
   });
 
   it("evicts nothing for other work if the eviction costs more than it gains", () => {
@@ -173,7 +176,9 @@
         running: [running("other", ["a1"], 8, 2)],
       }).evictions;
     expect(evictions(1)).to.deep.equal([]);
-    expect(evictions(3)).to.deep.equal(["other"]);
+    expect(evictions(3)).to.deep.equal([
+      { unit: "other", forUnit: "urgent", workers: ["a1"] },
+    ]);
   });
 
   it("waits for capacity that is being released instead of evicting more", () => {
@@ -203,7 +208,10 @@
       ],
       running: [running("gang", ["a1", "a2"], 4, 1)],
     });
-    expect(plan).to.deep.equal({ placements: [], evictions: ["gang"] });
+    expect(plan).to.deep.equal({
+      placements: [],
+      evictions: [{ unit: "gang", forUnit: "first", workers: ["a1", "a2"] }],
+    });
   });
 
   it("leaves the headroom to units that may use it", () => {
--- a/scripts/bench_days/replay.ts
+++ b/scripts/bench_days/replay.ts
@@ -197,7 +197,7 @@
       isBlocked: () => false,
     });
     this.#decisionTimesMs.push(performance.now() - startMs);
-    for (const unit of plan.evictions) {
+    for (const { unit } of plan.evictions) {
       this.#evictions++;
       this.#cell.stop(unit, nowMs);
     }
