Displace placements that the next round would evict

Callers saw urgent jobs wait while other units were started, evicted a few milliseconds later and started again on the same workers, over and over; each time costs a start, a stop and work.

Cause: a round places waiting units in order of rank (value for each unit of remaining work), but allows evictions by another measure: the urgent unit's loss by lateness against the victim's lost work and lateness. A small unit ranks before an urgent one that needs whole workers, and costs next to nothing to evict when it has just started. So once it had stopped, the next round placed it again ahead of the urgent unit, and the round after that evicted it again. The urgent unit's reservation lasts for one round and is made only at its own place in the order, so it did not prevent this.

Ruled out: the guaranteed tier, which comes first in the order, so its plans are unchanged; blocked units; the headroom, which urgent units may use.

Change: placements of the round are candidates for the victims of a unit that is planned later, on the terms of an eviction (`displacementCost` is what an eviction right after the start would cost). A displaced unit is planned again at once and may fit elsewhere. If nothing but placements had to give way, the urgent unit is placed in the same round.

--- a/packages/node/cell/evictions/evictions_test.ts
+++ b/packages/node/cell/evictions/evictions_test.ts
@@ -41,4 +41,31 @@
       workers: ["a"],
     }]);
   });
+
+  // Guards against a unit that is started again on the workers from which it was evicted, ahead of
+  // the urgent unit, and evicted again, over and over, while the urgent unit waits.
+  it("happens once, and the urgent unit starts next", async () => {
+    const simulation = CellSimulation.create(["a"]);
+    const evictions = recordEvictions(simulation);
+    simulation.startScheduler();
+    const steps = [createStep({ count: 2 })];
+    await simulation.submit(createSpec(ORDINARY_JOB, { steps }));
+    await simulation.clock.advance(1_000);
+    await simulation.submit(createSpec(URGENT_JOB, {
+      steps: [createStep({ need: WHOLE_WORKER })],
+      priority: 0,
+      acceptedUnixMs: simulation.clock.nowMs(),
+    }));
+    await simulation.clock.advance(500);
+    expect(evictions.map(({ unit }) => unit)).to.deep.equal([
+      `${ORDINARY_JOB}.0.0.0`,
+      `${ORDINARY_JOB}.0.0.1`,
+    ]);
+    const worker = simulation.get("a");
+    expect(worker.running).to.deep.equal([`${URGENT_JOB}.0.0.0`]);
+    worker.end(worker.running[0]!, "done");
+    await simulation.clock.advance(500);
+    expect(worker.running).to.have.length(2);
+    expect(simulation.history).to.have.length(5);
+  });
 });
--- a/packages/node/cell/plan_input.ts
+++ b/packages/node/cell/plan_input.ts
@@ -101,6 +101,9 @@
             rank.tier === RANK_TIER.GUARANTEED &&
               nowMs - unit.waitingSinceMs > SAME_RACK_WAIT_MS,
           evictionGain,
+          displacementCost: spec.priority === URGENT_PRIORITY
+            ? undefined
+            : computeLateLoss(rankInput, RESTART_WAIT_MS),
           mayUseHeadroom: mayUseHeadroom(spec.priority, unit.step),
           service: spec.service,
           step: unit.step,
--- a/packages/policy/cell/fit.ts
+++ b/packages/policy/cell/fit.ts
@@ -259,3 +259,13 @@
     capacity.tasksByStep.set(request.stepKey, tasks + 1);
   }
 }
+
+/** Undoes `subtractFit`. */
+export function restoreFit(fit: Fit, request: FitRequest): void {
+  const need = getCountedNeed(request.step);
+  for (const capacity of fit.capacities) {
+    capacity.free = addCellResources(capacity.free, need);
+    const tasks = capacity.tasksByStep.get(request.stepKey) ?? 0;
+    capacity.tasksByStep.set(request.stepKey, tasks - 1);
+  }
+}
--- a/packages/policy/cell/plan_round.ts
+++ b/packages/policy/cell/plan_round.ts
@@ -1,6 +1,10 @@
 /**
  * Plans one round of the cell scheduler: which waiting units start on which workers, and which
  * running units are evicted for others. A pure function; the caller executes the plan.
+ *
+ * The order of rank and the justification of evictions weigh different things, so a unit may be
+ * placed before another for which the next round would evict it. The other one displaces it
+ * instead: on the same terms as an eviction, the placement is taken back before it is executed.
  */
 import type { ServiceName, WorkerName } from "@coltsfootpond/common";
 import {
@@ -11,7 +15,9 @@
 import {
   createWorkerCapacity,
   findFit,
+  type Fit,
   type FitRequest,
+  restoreFit,
   subtractFit,
   type WorkerCapacity,
 } from "./fit.ts";
@@ -28,6 +34,8 @@
    * Job value gained by a start now instead of later; units that cost less may be evicted for it.
    */
   readonly evictionGain: number;
+  /** Job value lost if another unit takes its workers in this round; undefined if none may. */
+  readonly displacementCost: number | undefined;
   /** Whether it may use the headroom for urgent jobs. */
   readonly mayUseHeadroom: boolean;
 }
@@ -68,55 +76,163 @@
  * has not fitted, the other units of that step are skipped.
  */
 export function planRound<Unit>(input: PlanInput<Unit>): RoundPlan<Unit> {
-  const capacities = input.workers.map(createWorkerCapacity);
-  const placements: Placement<Unit>[] = [];
-  const evictions: Eviction<Unit>[] = [];
-  const evicted = new Set<RunningUnit<Unit>>();
-  const stepsWithoutFit = new Set<string>();
-  let evictionPlans = 0;
-  const spare = sumBeyondHeadroom(input, ({ free }) => free);
-  // A unit that does not fit into an empty service less its headroom would never start.
-  const largest = sumBeyondHeadroom(input, ({ capacity }) => capacity);
-  const waiting = [...input.waiting].sort((left, right) =>
-    compareRanks(left.rank, right.rank)
-  );
-  for (const request of waiting) {
-    if (stepsWithoutFit.has(request.stepKey)) continue;
-    const accelerators = request.step.need.accelerators * request.count;
-    const spareOfService = spare.get(request.service) ?? 0;
-    const mayUseHeadroom = request.mayUseHeadroom ||
-      accelerators > (largest.get(request.service) ?? 0);
-    if (!mayUseHeadroom && accelerators > spareOfService) {
-      stepsWithoutFit.add(request.stepKey);
-      continue;
-    }
-    const fit = findFit(capacities, request, request);
-    if (fit !== undefined) {
-      subtractFit(fit, request);
-      spare.set(request.service, spareOfService - accelerators);
-      placements.push({
-        unit: request.unit,
-        workers: fit.capacities.map(({ view }) => view.worker),
-      });
-      continue;
+  return Round.create(input).plan();
+}
+
+/** A placement of this round, which a unit that is planned later may displace. */
+interface TentativePlacement<Unit> {
+  readonly request: WaitingUnit<Unit>;
+  readonly fit: Fit;
+}
+
+/** State of one round while it is planned. */
+class Round<Unit> {
+  readonly #input: PlanInput<Unit>;
+  /** Workers on which units may still be placed. */
+  #capacities: readonly WorkerCapacity[];
+  /** By the unit as it would run. */
+  readonly #placements = new Map<RunningUnit<Unit>, TentativePlacement<Unit>>();
+  readonly #evictions: Eviction<Unit>[] = [];
+  readonly #evicted = new Set<RunningUnit<Unit>>();
+  readonly #stepsWithoutFit = new Set<string>();
+  /** Free accelerators of each service beyond its headroom. */
+  readonly #spare: Map<ServiceName, number>;
+  /** Accelerators of each service beyond its headroom. */
+  readonly #largest: ReadonlyMap<ServiceName, number>;
+  #evictionPlans = 0;
+
+  private constructor(input: PlanInput<Unit>) {
+    this.#input = input;
+    this.#capacities = input.workers.map(createWorkerCapacity);
+    this.#spare = sumBeyondHeadroom(input, ({ free }) => free);
+    this.#largest = sumBeyondHeadroom(input, ({ capacity }) => capacity);
+  }
+
+  static create<Unit>(input: PlanInput<Unit>): Round<Unit> {
+    return new Round(input);
+  }
+
+  plan(): RoundPlan<Unit> {
+    const queue = [...this.#input.waiting].sort((left, right) =>
+      compareRanks(left.rank, right.rank)
+    );
+    for (let position = 0; position < queue.length; position++) {
+      const displaced = this.#planUnit(queue[position]!);
+      queue.splice(position + 1, 0, ...displaced);
     }
-    stepsWithoutFit.add(request.stepKey);
-    const mayEvict = request.rank.tier === RANK_TIER.GUARANTEED ||
-      request.evictionGain > 0;
-    if (!mayEvict || evictionPlans >= MAXIMUM_EVICTION_PLANS) continue;
-    evictionPlans++;
-    const candidates = input.running.filter((unit) => !evicted.has(unit));
-    const eviction = chooseEvictions(capacities, request, candidates);
+    return {
+      placements: [...this.#placements.keys()].map(({ unit, workers }) => ({
+        unit,
+        workers,
+      })),
+      evictions: this.#evictions,
+    };
+  }
+
+  /** Returns the units that the request displaces; they may fit elsewhere. */
+  #planUnit(request: WaitingUnit<Unit>): readonly WaitingUnit<Unit>[] {
+    if (this.#stepsWithoutFit.has(request.stepKey)) return [];
+    const mayStart = this.#isWithinHeadroom(request);
+    if (mayStart && this.#place(request)) return [];
+    const eviction = mayStart ? this.#planEviction(request) : undefined;
+    const { displaced, victims } = this.#displace(eviction);
+    const isPlaced = displaced.length > 0 && victims.length === 0 &&
+      this.#place(request);
+    if (isPlaced) return displaced;
+    this.#stepsWithoutFit.add(request.stepKey);
+    if (eviction !== undefined) this.#evict(request, victims, eviction.workers);
+    return displaced;
+  }
+
+  /** Whether the unit leaves the headroom free, may use it, or could never start otherwise. */
+  #isWithinHeadroom(request: WaitingUnit<Unit>): boolean {
+    const { service, mayUseHeadroom } = request;
+    const accelerators = countAccelerators(request);
+    return mayUseHeadroom || accelerators <= (this.#spare.get(service) ?? 0) ||
+      accelerators > (this.#largest.get(service) ?? 0);
+  }
+
+  /** False if the unit does not fit. */
+  #place(request: WaitingUnit<Unit>): boolean {
+    const fit = findFit(this.#capacities, request, request);
+    if (fit === undefined) return false;
+    subtractFit(fit, request);
+    this.#addSpare(request, -countAccelerators(request));
+    const { unit, step, stepKey, displacementCost } = request;
+    this.#placements.set({
+      unit,
+      step,
+      stepKey,
+      workers: fit.capacities.map(({ view }) => view.worker),
+      isEvictable: displacementCost !== undefined,
+      evictionCost: displacementCost ?? 0,
+    }, { request, fit });
+    return true;
+  }
+
+  /** The evictions that make the request fit, if there are any and they are justified. */
+  #planEviction(request: WaitingUnit<Unit>): EvictionPlan<Unit> | undefined {
+    const isGuaranteed = request.rank.tier === RANK_TIER.GUARANTEED;
+    if (!isGuaranteed && request.evictionGain <= 0) return undefined;
+    if (this.#evictionPlans >= MAXIMUM_EVICTION_PLANS) return undefined;
+    this.#evictionPlans++;
+    const candidates = [
+      ...this.#input.running.filter((unit) => !this.#evicted.has(unit)),
+      ...this.#placements.keys(),
+    ];
+    const plan = planEviction(this.#capacities, request, candidates, request);
+    const isJustified = isGuaranteed ||
+      plan !== undefined && plan.cost < request.evictionGain;
+    return isJustified ? plan : undefined;
+  }
+
+  /** Takes back the placements among the victims; the other victims are running. */
+  #displace(eviction: EvictionPlan<Unit> | undefined) {
+    const displaced: WaitingUnit<Unit>[] = [];
+    const victims: RunningUnit<Unit>[] = [];
     for (const victim of eviction?.victims ?? []) {
-      evicted.add(victim);
-      evictions.push({
-        unit: victim.unit,
-        forUnit: request.unit,
-        workers: [...eviction?.workers ?? []],
-      });
+      const placement = this.#placements.get(victim);
+      if (placement === undefined) {
+        victims.push(victim);
+        continue;
+      }
+      const { request, fit } = placement;
+      this.#placements.delete(victim);
+      restoreFit(fit, request);
+      this.#addSpare(request, countAccelerators(request));
+      displaced.push(request);
+    }
+    return { displaced, victims };
+  }
+
+  /**
+   * Evicts the victims. Nothing else is placed in this round on the workers that the request waits
+   * for, whose capacity may partly be free or being released already.
+   */
+  #evict(
+    { unit: forUnit }: WaitingUnit<Unit>,
+    victims: readonly RunningUnit<Unit>[],
+    workers: ReadonlySet<WorkerName>,
+  ): void {
+    for (const victim of victims) {
+      this.#evicted.add(victim);
+      const { unit } = victim;
+      this.#evictions.push({ unit, forUnit, workers: [...workers] });
     }
+    this.#capacities = this.#capacities.filter(({ view }) =>
+      !workers.has(view.worker)
+    );
   }
-  return { placements, evictions };
+
+  #addSpare({ service }: WaitingUnit<Unit>, accelerators: number): void {
+    const spare = this.#spare.get(service) ?? 0;
+    this.#spare.set(service, spare + accelerators);
+  }
+}
+
+/** Accelerators of all tasks of the unit. */
+function countAccelerators<Unit>({ step, count }: WaitingUnit<Unit>): number {
+  return step.need.accelerators * count;
 }
 
 /** Sums the accelerators of the workers of each service and subtracts its headroom. */
@@ -132,25 +248,3 @@
   }
   return sums;
 }
-
-/**
- * Returns the running units to evict so that the request fits, together with the capacity that is
- * already being released, if that is justified. Removes the workers that the request waits for from `capacities`, so that
- * nothing else is placed on them in this round.
- */
-function chooseEvictions<Unit>(
-  capacities: WorkerCapacity[],
-  request: WaitingUnit<Unit>,
-  running: readonly RunningUnit<Unit>[],
-): EvictionPlan<Unit> | undefined {
-  const plan = planEviction(capacities, request, running, request);
-  if (plan === undefined) return undefined;
-  const isJustified = request.rank.tier === RANK_TIER.GUARANTEED ||
-    plan.cost < request.evictionGain;
-  if (!isJustified) return undefined;
-  const others = capacities.filter(({ view }) =>
-    !plan.workers.has(view.worker)
-  );
-  capacities.splice(0, capacities.length, ...others);
-  return plan;
-}
--- a/packages/policy/cell/plan_round_test.ts
+++ b/packages/policy/cell/plan_round_test.ts
@@ -8,13 +8,15 @@
 import { expect } from "chai";
 import fc from "fast-check";
 import type { RunningUnit } from "./eviction.ts";
-import { addCellResources, coversNeed } from "./fit.ts";
+import { addCellResources, coversNeed, subtractCellResources } from "./fit.ts";
 import { planRound, type WaitingUnit } from "./plan_round.ts";
 import type { CellResources, StepSpec, WorkerView } from "./types.ts";
 import { RANK_TIER } from "./job_rank.ts";
 
 const SERVICE = "service" as ServiceName;
 const NO_RESOURCES = { cpuMilli: 0, memoryMib: 0, accelerators: 0 };
+/** Cost of the work that a unit has done when a later round evicts it. */
+const LOST_WORK = 0.01;
 const WHOLE_WORKER = { cpuMilli: 128_000, memoryMib: 512_000, accelerators: 8 };
 
 function worker(
@@ -72,6 +74,7 @@
     rank: { tier: RANK_TIER.ORDINARY, density: 1 },
     allowRemote: false,
     evictionGain: 0,
+    displacementCost: 0,
     mayUseHeadroom: true,
     ...overrides,
   };
@@ -93,6 +96,87 @@
   };
 }
 
+/** Resources that the tasks of the units use on one worker. */
+function sumOn(
+  worker: WorkerName,
+  units: readonly RunningUnit<string>[],
+): CellResources {
+  return units.flatMap(({ workers, step }) =>
+    workers.filter((other) => other === worker).map(() => step.need)
+  ).reduce(addCellResources, NO_RESOURCES);
+}
+
+interface SimulatedUnit {
+  readonly request: WaitingUnit<string>;
+  /** The first round in which it waits. */
+  readonly fromRound: number;
+  /** Rounds until its capacity is free after an eviction. */
+  readonly stopRounds: number;
+}
+
+/**
+ * Plans and executes rounds, in which no task ends, until two in a row change nothing. Returns each
+ * eviction as `unit for unit`.
+ */
+function runRounds(
+  views: readonly WorkerView[],
+  units: readonly SimulatedUnit[],
+): readonly string[] {
+  const started = new Map<string, RunningUnit<string>>();
+  const stopping = new Map<string, number>();
+  const evictions: string[] = [];
+  const lastArrival = Math.max(0, ...units.map(({ fromRound }) => fromRound));
+  let lastChange = lastArrival;
+  for (let round = 0; round <= lastChange + 1; round++) {
+    expect(round, "rounds").to.be.lessThan(100);
+    for (const [unit, endRound] of stopping) {
+      if (round < endRound) continue;
+      stopping.delete(unit);
+      started.delete(unit);
+    }
+    const active = [...started.values()];
+    const plan = planRound({
+      workers: views.map((view) => ({
+        ...view,
+        free: subtractCellResources(view.free, sumOn(view.worker, active)),
+        releasing: sumOn(
+          view.worker,
+          active.filter(({ unit }) => stopping.has(unit)),
+        ),
+      })),
+      waiting: units.filter(({ request, fromRound }) =>
+        fromRound <= round && !started.has(request.unit)
+      ).map(({ request }) => request),
+      running: active.map((unit) => ({
+        ...unit,
+        isEvictable: unit.isEvictable && !stopping.has(unit.unit),
+      })),
+    });
+    for (const { unit, forUnit } of plan.evictions) {
+      const { stopRounds } = units.find(({ request }) =>
+        request.unit === unit
+      )!;
+      stopping.set(unit, round + stopRounds);
+      evictions.push(`${unit} for ${forUnit}`);
+    }
+    for (const { unit, workers } of plan.placements) {
+      const { request } = units.find(({ request }) => request.unit === unit)!;
+      const { step, stepKey, displacementCost } = request;
+      started.set(unit, {
+        unit,
+        step,
+        stepKey,
+        workers,
+        isEvictable: displacementCost !== undefined,
+        evictionCost: (displacementCost ?? 0) + LOST_WORK,
+      });
+    }
+    const isChanged = plan.placements.length > 0 || stopping.size > 0;
+    if (isChanged) lastChange = round;
+  }
+  return evictions;
+}
+
 const RACK_GANG = { isGang: true, isRackBound: true } as const;
 
 describe("planRound", () => {
@@ -214,6 +298,66 @@
     });
   });
 
+  // Guards against a unit that is started and evicted over and over for the same urgent unit.
+  it("starts an urgent unit instead of one that the next round would evict for it", () => {
+    const placements = (displacementCost: number | undefined) =>
+      planRound({
+        workers: [worker("a1", "a")],
+        waiting: [
+          waiting("urgent", step(8), { evictionGain: 3 }),
+          waiting("small", step(1), {
+            rank: { tier: RANK_TIER.ORDINARY, density: 9 },
+            displacementCost,
+          }),
+        ],
+        running: [],
+      }).placements.map(({ unit }) => unit);
+    expect(placements(2)).to.deep.equal(["urgent"]);
+    expect(placements(3)).to.deep.equal(["small"]);
+    expect(placements(undefined)).to.deep.equal(["small"]);
+  });
+
+  // Guards against units that take the freed workers of a gang before all its victims have stopped.
+  it("keeps workers that are free already for the unit for which others are being stopped", () => {
+    const leaving = { ...worker("a2", "a", 0), releasing: WHOLE_WORKER };
+    const plan = planRound({
+      workers: [worker("a1", "a"), leaving],
+      waiting: [
+        waiting("urgent", step(8, { ...RACK_GANG, count: 2 }), {
+          evictionGain: 3,
+        }),
+        waiting("small", step(1), {
+          rank: { tier: RANK_TIER.ORDINARY, density: 9 },
+        }),
+      ],
+      running: [],
+    });
+    expect(plan).to.deep.equal({ placements: [], evictions: [] });
+  });
+
+  it("places a displaced unit on another worker, and counts its headroom once", () => {
+    const small = { rank: { tier: RANK_TIER.ORDINARY, density: 9 } };
+    const plan = planRound({
+      workers: [worker("labelled", "b"), worker("other", "b")],
+      waiting: [
+        waiting("small", step(2), { ...small, mayUseHeadroom: false }),
+        waiting("urgent", step(8, { requiredLabel: "special" }), {
+          evictionGain: 3,
+        }),
+        waiting("last", step(6), { mayUseHeadroom: false }),
+      ],
+      running: [],
+    });
+    expect(plan).to.deep.equal({
+      placements: [
+        { unit: "urgent", workers: ["labelled"] },
+        { unit: "small", workers: ["other"] },
+        { unit: "last", workers: ["other"] },
+      ],
+      evictions: [],
+    });
+  });
+
   it("leaves the headroom to units that may use it", () => {
     const plan = (headroom: number) =>
       planRound({
@@ -302,4 +446,47 @@
       { numRuns: 500, seed: 7 },
     );
   });
+
+  // Guards against any mix of ranks, sizes and costs in which the same eviction comes over and over.
+  it("evicts no unit twice for the same urgent unit, and settles", () => {
+    const request = fc.record({
+      accelerators: fc.integer({ min: 1, max: 8 }),
+      count: fc.integer({ min: 1, max: 2 }),
+      density: fc.integer({ min: 1, max: 9 }),
+      evictionGain: fc.integer({ min: 0, max: 3 }),
+      delayCost: fc.integer({ min: 0, max: 2 }),
+      stopRounds: fc.integer({ min: 1, max: 3 }),
+    });
+    fc.assert(
+      fc.property(
+        fc.integer({ min: 1, max: 4 }),
+        fc.array(request, { maxLength: 8 }),
+        fc.array(fc.integer({ min: 0, max: 3 }), { maxLength: 8 }),
+        (workers, requests, arrivals) => {
+          const views = Array.from(
+            { length: workers },
+            (_, index) => worker(`w${index}`, "rack"),
+          );
+          const units = requests.map((one, index) => ({
+            ...one,
+            request: waiting(
+              `u${index}`,
+              step(one.accelerators, { count: one.count }),
+              {
+                rank: { tier: RANK_TIER.ORDINARY, density: one.density },
+                evictionGain: one.evictionGain,
+                displacementCost: one.evictionGain > 0
+                  ? undefined
+                  : one.delayCost,
+              },
+            ),
+            fromRound: arrivals[index] ?? 0,
+          }));
+          const evictions = runRounds(views, units);
+          expect(new Set(evictions).size).to.equal(evictions.length);
+        },
+      ),
+      { numRuns: 500, seed: 7 },
+    );
+  });
 });
--- a/scripts/bench_rounds/full_cell.ts
+++ b/scripts/bench_rounds/full_cell.ts
@@ -101,6 +101,7 @@
     rank: { tier: RANK_TIER.ORDINARY, density: random.next() },
     allowRemote: random.next() < 0.3,
     evictionGain: kind.priority === 0 ? random.next() : 0,
+    displacementCost: kind.priority === 0 ? undefined : 0,
     mayUseHeadroom: true,
   };
 }
