Test ended connections to workers, and add mutations of the new checks

One was not noticed at first: a request that waits for its connection in the pool. Its test now checks that the request is refused without waiting, and counts connections once both ends have noticed them.

--- a/packages/ports/http/http_connection_test.ts
+++ b/packages/ports/http/http_connection_test.ts
@@ -9,6 +9,9 @@
 
 const TIMEOUT_MS = 500;
 
+/** Time in which both ends notice what became of a connection. */
+const settle = () => new Promise((resolve) => setTimeout(resolve, 10));
+
 describe("an HttpClient's request for one connection", () => {
   let server: Server;
   let client: HttpClient;
@@ -76,8 +79,9 @@
   it("is refused, and opens no other, when it has been closed", async () => {
     const connection = await connect();
     server.closeAllConnections();
-    await new Promise((resolve) => setTimeout(resolve, 10));
+    await settle();
     expect(await request("/second", { connection })).to.deep.equal(REFUSED);
+    await settle();
     expect(paths).to.deep.equal(["/first"]);
     expect(connectionCount).to.equal(1);
   });
@@ -93,8 +97,10 @@
   it("is refused while another request uses it, and does not wait", async () => {
     const connection = await connect();
     const first = request("/silent", { connection, timeoutMs: 20 });
-    expect(await request("/second", { connection })).to.deep.equal(REFUSED);
+    const second = request("/second", { connection });
+    expect(await Promise.race([first, second])).to.deep.equal(REFUSED);
     await first;
+    await settle();
     expect(paths).to.deep.equal(["/first", "/silent"]);
     expect(connectionCount).to.equal(1);
   });
--- a/scripts/mutations/mutations.ts
+++ b/scripts/mutations/mutations.ts
@@ -6,6 +6,7 @@
 import { DUPLICATE_RUN_MUTATIONS } from "./duplicate_run_mutations.ts";
 import { STATE_MUTATIONS } from "./state_mutations.ts";
 import type { Mutation } from "./types.ts";
+import { WORKER_CONNECTION_MUTATIONS } from "./worker_connection_mutations.ts";
 
 const JOBS = "packages/node/jobs";
 const CALLS_TEST = "packages/node/requests/calls_test.ts";
@@ -228,4 +229,5 @@
   ...STATE_MUTATIONS,
   ...CELL_MUTATIONS,
   ...DUPLICATE_RUN_MUTATIONS,
+  ...WORKER_CONNECTION_MUTATIONS,
 ];
