Place tasks only by the record of the incarnation that reported

What callers would see: a task starts on a worker that may not run it (of another kind, or with less capacity), or, as the domain or the draining state may differ, where nothing should start.

Cause: a start was planned by the worker's record and addressed to the incarnation that reported last, and nothing compared the two. A later incarnation may be of another kind.

Change: a worker is used only while its record names the incarnation that reported. One that restarted gets no tasks until its record has followed, at most until the next heartbeat where it reaches the store.

--- /dev/null
+++ b/packages/node/cell/incarnations/removed_record_test.ts
@@ -0,0 +1,70 @@
+import { ManualClock, type WorkerName } from "@coltsfootpond/common";
+import type { TaskName } from "@coltsfootpond/policy";
+import type { RunningTask, WorkerPort } from "@coltsfootpond/ports";
+import { expect } from "chai";
+import { SIMULATION_BOUNDS } from "../cell_simulation.ts";
+import { SILENT_LOG } from "../log.ts";
+import type { SessionListener } from "../task_run.ts";
+import { WorkerSession } from "../worker_session.ts";
+
+const WORKER = "a" as WorkerName;
+const NEED = { cpuMilli: 1_000, memoryMib: 1_000, accelerators: 1 };
+const RUNNING: RunningTask = {
+  task: "00000000000000cc.0.0.0" as TaskName,
+  run: 1,
+  checkpoint: "",
+  percent: 1,
+};
+
+/** A session that follows a run which incarnation 2 has listed. */
+async function createSession() {
+  const clock = ManualClock.create();
+  const gone: string[] = [];
+  const listener: Partial<SessionListener> = {
+    onGone: (_session, _taskRun, { reason }) => void gone.push(reason),
+    onReport: () => {},
+    onStray: (session, running) =>
+      void session.adopt(running, { need: NEED, stepKey: "" }),
+  };
+  const renew: WorkerPort["renew"] = async () => {
+    await clock.sleep(10);
+    return {
+      kind: "report",
+      metadata: { workerClockMs: clock.nowMs(), incarnationStartUnixMs: 2 },
+      running: [RUNNING],
+      ended: [],
+    };
+  };
+  const session = WorkerSession.create({
+    target: { worker: WORKER, address: "a:1" },
+    epoch: 1,
+    workerPort: { renew } as WorkerPort,
+    bounds: SIMULATION_BOUNDS,
+    clock,
+    log: SILENT_LOG,
+    listener: listener as SessionListener,
+    canAct: () => true,
+  });
+  session.startPolling();
+  await clock.advance(100);
+  session.stop();
+  const markLeft = (incarnationStartUnixMs: number) =>
+    session.markLeft({
+      worker: WORKER,
+      incarnationStartUnixMs,
+      heartbeat: 1,
+      heartbeatAgeMs: 1,
+    });
+  return { session, gone, markLeft };
+}
+
+describe("a worker's record that was removed early", () => {
+  // Guards against ending a run of the present incarnation with the removal of another one's record.
+  it("ends the listed runs only of the incarnation that it names", async () => {
+    const { session, gone, markLeft } = await createSession();
+    for (const earlierOrSetBack of [1, 3]) markLeft(earlierOrSetBack);
+    expect(session.taskRuns).to.have.length(1);
+    markLeft(2);
+    expect(gone).to.deep.equal(["the worker has left"]);
+  });
+});
--- a/packages/node/cell/worker_fleet.ts
+++ b/packages/node/cell/worker_fleet.ts
@@ -102,8 +102,11 @@
     session: WorkerSession,
     record: WorkerRecord,
   ): boolean {
-    return !record.isDraining && session.isReachable && session.isRostered &&
-      !session.isPaused &&
+    // A later incarnation may be of another kind than the one that wrote the record.
+    const isPresent =
+      record.incarnationStartUnixMs === session.incarnationStartUnixMs;
+    return isPresent && !record.isDraining && session.isReachable &&
+      session.isRostered && !session.isPaused &&
       !this.#options.isOut(record.failureDomain);
   }
 
--- a/packages/node/cell/workers_fake.ts
+++ b/packages/node/cell/workers_fake.ts
@@ -55,7 +55,7 @@
 }
 
 export class WorkerFake {
-  /** The name, the address and the capacity, which restarts do not change. */
+  /** The name, the address and the capacity, which restarts change only where a test says so. */
   readonly record: WorkerRecord;
   readonly #clock: ManualClock;
   readonly #leaseMaximumMs: number;
--- a/scripts/mutations/duplicate_run_mutations.ts
+++ b/scripts/mutations/duplicate_run_mutations.ts
@@ -142,10 +142,13 @@
     name: "end the runs of a later incarnation with a removed record",
     promise: NO_TASK_TWICE,
     file: `${CELL}/worker_session.ts`,
-    find: `if (incarnationStartUnixMs !== this.incarnationStartUnixMs) return;`,
-    replace: ``,
-    spec: `${DUPLICATE_RUNS}/worker_restart_test.ts`,
-    title: "after a planned end while cut off",
+    find: `
+    if (incarnationStartUnixMs !== this.incarnationStartUnixMs) return;
+    this.#taskRuns.dropListed`,
+    replace: `
+    this.#taskRuns.dropListed`,
+    spec: `${CELL}/incarnations/removed_record_test.ts`,
+    title: "ends the listed runs only of the incarnation",
   },
   {
     name: "end runs by an answer that is older than their starts",
