Log which process a run was taken as over on, and what it had answered

What an on-call engineer couldn't tell: `task.gone` after another instance had answered at the address (421) named neither the address nor whether the worker had ever answered the start. For lapsed leases the line had no report of the run to compare the latest lease end with, so that a renewal which was not counted could not be seen.

Change: `task.gone` names the worker's address and incarnation, the lease holder's epoch, the age of the start and of the answers to start and stop, whether a report listed the run and the worker's clock of the last one. `task.start_refused` and `task.start_unanswered` name address, epoch and incarnation, as a refused start ends a run as well.

--- /dev/null
+++ b/packages/node/cell/run_evidence/run_evidence_test.ts
@@ -0,0 +1,103 @@
+import { expect } from "chai";
+import { CellSimulation, SIMULATION_BOUNDS } from "../cell_simulation.ts";
+import type { LogFields } from "../log.ts";
+import { createSpec } from "../test_fixtures.ts";
+import type { WorkerFake } from "../workers_fake.ts";
+
+const JOB = "00000000000000cc";
+const TASK = `${JOB}.0.0.0`;
+
+interface Line extends LogFields {
+  readonly event: string;
+}
+
+/** A cell whose log lines are collected as the daemon writes them. */
+function createLoggedCell(names: readonly string[]) {
+  const simulation = CellSimulation.create(names);
+  const lines: Line[] = [];
+  const write = (event: string, fields: LogFields = {}) =>
+    void lines.push(JSON.parse(JSON.stringify({ event, ...fields })));
+  simulation.log = { info: write, warn: write };
+  const find = (event: string, fields: LogFields = {}) =>
+    lines.filter((line) =>
+      line.event === event &&
+      Object.entries(fields).every(([key, value]) => line[key] === value)
+    );
+  return { simulation, find };
+}
+
+/** A cell with one task that runs since about a second. */
+async function createRunningCell(names: readonly string[]) {
+  const cell = createLoggedCell(names);
+  const { simulation } = cell;
+  // Records that are removed below have a recent heartbeat.
+  simulation.startScheduler();
+  await simulation.clock.advance(1_700);
+  await simulation.submit(createSpec(JOB));
+  await simulation.clock.advance(1_300);
+  return { ...cell, worker: findRunning(simulation) };
+}
+
+function findRunning(simulation: CellSimulation): WorkerFake {
+  const [worker] = [...simulation.workers.values()].filter(({ running }) =>
+    running.length > 0
+  );
+  return worker!;
+}
+
+describe("the log of a conclusion that a run is over", () => {
+  // Guards against a 421 of which the log shows neither the address nor what the run had answered.
+  it("names the address when another instance answers there", async () => {
+    const { simulation, find, worker } = await createRunningCell(["a", "b"]);
+    worker.isReplaced = true;
+    await simulation.clock.advance(1_500);
+    const [gone] = find("task.gone");
+    expect(gone).to.include({
+      task: TASK,
+      address: worker.record.address,
+      epoch: 1,
+      incarnationStartUnixMs: 1,
+      reason: "the worker has left its address",
+      isListed: true,
+    });
+    expect(gone!.requestedAfterMs).to.be.greaterThan(0);
+    expect(gone!.startSentAgoMs).to.be.greaterThan(1_000);
+    expect(gone!.startAnsweredAgoMs).to.be.greaterThan(1_000);
+  });
+
+  // Guards against lapsed leases whose end and clock can't be compared in the log.
+  it("names the latest lease end and the worker's clock when the leases have lapsed", async () => {
+    const { simulation, find, worker } = await createRunningCell(["a", "b"]);
+    worker.isDisconnected = true;
+    await simulation.clock.advance(8_000);
+    const [gone] = find("task.gone");
+    expect(gone).to.include({ task: TASK, reason: "the lease has lapsed" });
+    const { leaseMaximumMs } = SIMULATION_BOUNDS;
+    const read = (name: string) => Number(gone![name]);
+    expect(read("workerClockMs") + 0.98 * read("sampleAgeMs")).to.be
+      .greaterThan(read("latestLeaseEndMs"));
+    // The long poll that the last report answered had granted the maximum up to a second before.
+    expect(read("latestLeaseEndMs") - read("reportedClockMs")).to.be.within(
+      leaseMaximumMs - 1_100,
+      leaseMaximumMs + 100,
+    );
+  });
+
+  // Guards against a report that doesn't list the run and may have been requested too early.
+  it("names when the report was requested that does not list the run", async () => {
+    const { simulation, find, worker } = await createRunningCell(["a", "b"]);
+    const { renew } = worker;
+    worker.renew = (command) => {
+      const outcome = renew.call(worker, command);
+      return outcome.kind === "report" ? { ...outcome, running: [] } : outcome;
+    };
+    await simulation.clock.advance(1_500);
+    const [gone] = find("task.gone");
+    expect(gone).to.include({
+      task: TASK,
+      reason: "not listed by the worker",
+      answered: "start",
+    });
+    expect(gone!.requestedAfterMs).to.be.greaterThan(0);
+  });
+});
--- a/packages/node/cell/session_event_handler.ts
+++ b/packages/node/cell/session_event_handler.ts
@@ -19,6 +19,7 @@
 const REFUSED_BACKOFF_MS = 400;
 
 export interface SessionEventHandlerOptions {
+  readonly epoch: number;
   readonly jobs: JobRegistry;
   readonly runs: RunRegistry;
   readonly writer: ProgressWriter;
@@ -72,7 +73,11 @@
     { reason, inputs }: GoneEvidence,
   ): void {
     const { runs, writer } = this.#options;
-    this.#logTask("task.gone", session, taskRun, { reason, ...inputs });
+    this.#logTask("task.gone", session, taskRun, {
+      reason,
+      ...this.#describeAnswers(taskRun),
+      ...inputs,
+    });
     const unit = runs.drop(taskRun);
     if (unit === undefined) return;
     unit.job.progress.recordCheckpoint(unit.address, taskRun.checkpoint);
@@ -126,12 +131,33 @@
     }
   }
 
+  /** What was sent to the worker, and what it has answered about the run so far. */
+  #describeAnswers(taskRun: TaskRun): LogFields {
+    const nowMs = this.#options.clock.nowMs();
+    const computeAgeMs = (ms: number | undefined) =>
+      ms === undefined ? undefined : Math.round(nowMs - ms);
+    return {
+      startSentAgoMs: computeAgeMs(taskRun.startSentMs),
+      startAnsweredAgoMs: computeAgeMs(taskRun.startAnsweredMs),
+      stopAnsweredAgoMs: computeAgeMs(taskRun.stopAnsweredMs),
+      isListed: taskRun.isListed,
+      reportedClockMs: taskRun.percentReportedClockMs,
+    };
+  }
+
   #logTask(
     event: "task.start_refused" | "task.start_unanswered" | "task.gone",
-    { worker }: WorkerSession,
+    { target, incarnationStartUnixMs }: WorkerSession,
     { task, run }: TaskRun,
     fields: LogFields = {},
   ): void {
-    this.#options.log.warn(event, { task, run, worker, ...fields });
+    this.#options.log.warn(event, {
+      task,
+      run,
+      ...target,
+      epoch: this.#options.epoch,
+      incarnationStartUnixMs,
+      ...fields,
+    });
   }
 }
