Log both ages of the heartbeat by which a worker has left

What an on-call engineer couldn't tell: `worker.left` had one age and not the age from which a record expires, so that neither a wrong limit nor a clock that had stood still with the VM was visible.

Change: `worker.left` and its `task.gone` name the age on the monotonic and on the wall clock, and the lifetime of a record.

The test fails without the change.

--- a/packages/node/cell/run_evidence/run_evidence_test.ts
+++ b/packages/node/cell/run_evidence/run_evidence_test.ts
@@ -46,6 +46,27 @@
 }
 
 describe("the log of a conclusion that a run is over", () => {
+  // Guards against a removed record whose heartbeat's age, and the limit for it, are not logged.
+  it("names the heartbeat and both ages when a worker's record was removed early", async () => {
+    const { simulation, find, worker } = await createRunningCell(["a", "b"]);
+    worker.leave(true);
+    await simulation.clock.advance(1_500);
+    const [left] = find("worker.left");
+    const [gone] = find("task.gone");
+    expect(gone).to.include({
+      task: TASK,
+      worker: worker.record.worker,
+      reason: "the worker has left",
+      isListed: true,
+      incarnationStartUnixMs: 1,
+    });
+    expect(left!.recordLifetimeMs).to.equal(4_500);
+    for (const line of [left!, gone!]) {
+      expect(line.monotonicAgeMs).to.be.within(0, 4_499);
+      expect(line.wallAgeMs).to.equal(line.monotonicAgeMs);
+    }
+  });
+
   // Guards against a 421 of which the log shows neither the address nor what the run had answered.
   it("names the address when another instance answers there", async () => {
     const { simulation, find, worker } = await createRunningCell(["a", "b"]);
--- a/packages/node/cell/worker_directory.ts
+++ b/packages/node/cell/worker_directory.ts
@@ -56,6 +56,11 @@
   readonly heartbeat: number;
   /** Upper bound of the age of the heartbeat at the removal. */
   readonly heartbeatAgeMs: number;
+  /** The same age on each of the two clocks, for the log. */
+  readonly monotonicAgeMs: number;
+  readonly wallAgeMs: number;
+  /** A heartbeat of this age may be the cause of the removal. */
+  readonly recordLifetimeMs: number;
 }
 
 /** Reads the workers' records. */
@@ -119,17 +124,19 @@
   #findLeft(presentKeys: ReadonlySet<string>): readonly LeftWorker[] {
     // After a failed read the removal may be of any age, so the worker may have been silent.
     if (this.#lastRead === undefined) return [];
-    const silenceMs = MISSED_HEARTBEATS_TO_REMOVAL * this.#options.heartbeatMs;
+    const recordLifetimeMs = MISSED_HEARTBEATS_TO_REMOVAL *
+      this.#options.heartbeatMs;
     return [...this.#knownRecords.values()].map((
       { record, heartbeatNotBefore },
     ) => ({
       worker: record.worker,
       incarnationStartUnixMs: record.incarnationStartUnixMs,
       heartbeat: record.heartbeat,
-      heartbeatAgeMs: this.#computeAgeMs(heartbeatNotBefore),
+      ...this.#computeAges(heartbeatNotBefore),
+      recordLifetimeMs,
     }))
       .filter(({ worker, heartbeatAgeMs }) =>
-        !presentKeys.has(worker) && heartbeatAgeMs < silenceMs
+        !presentKeys.has(worker) && heartbeatAgeMs < recordLifetimeMs
       );
   }
 
@@ -161,12 +168,13 @@
    * Age by the clock that shows more: the monotonic clock stops while the VM is suspended, and the
    * wall clock may be set back.
    */
-  #computeAgeMs(moment: Moment | undefined): number {
-    if (moment === undefined) return Number.POSITIVE_INFINITY;
+  #computeAges(moment: Moment | undefined) {
     const now = this.#now();
-    return Math.max(
-      now.monotonicMs - moment.monotonicMs,
-      now.unixMs - moment.unixMs,
-    );
+    const monotonicAgeMs = now.monotonicMs -
+      (moment?.monotonicMs ?? Number.NEGATIVE_INFINITY);
+    const wallAgeMs = now.unixMs -
+      (moment?.unixMs ?? Number.NEGATIVE_INFINITY);
+    const heartbeatAgeMs = Math.max(monotonicAgeMs, wallAgeMs);
+    return { heartbeatAgeMs, monotonicAgeMs, wallAgeMs };
   }
 }
--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -240,15 +240,10 @@
    * The incarnation of the worker that its record named has left for certain. The runs that no
    * report of it has listed stay.
    */
-  markLeft(
-    { incarnationStartUnixMs, heartbeat, heartbeatAgeMs }: LeftWorker,
-  ): void {
+  markLeft({ worker: _, ...evidence }: LeftWorker): void {
+    const { incarnationStartUnixMs } = evidence;
     if (incarnationStartUnixMs !== this.incarnationStartUnixMs) return;
-    this.#taskRuns.dropListed("the worker has left", {
-      incarnationStartUnixMs,
-      heartbeat,
-      heartbeatAgeMs,
-    });
+    this.#taskRuns.dropListed("the worker has left", evidence);
     if (this.hasTaskRuns) void this.pollNow();
   }
 
