Log when the report that shows a restart was requested

What an on-call engineer couldn't tell: `worker.restarted` named both incarnations but not why one is the later, which since the order follows from the reports is when the report was requested.

Change: `worker.restarted` and its `task.gone` name `requestedAfterMs`, the time from the first report of the earlier incarnation to the request.

The test fails without the change.

--- a/packages/node/cell/incarnations/worker_incarnation.ts
+++ b/packages/node/cell/incarnations/worker_incarnation.ts
@@ -19,7 +19,6 @@
 export class WorkerIncarnation {
   readonly #clock: Clock;
   #startUnixMs: number | undefined;
-  /** When the first report of the present incarnation was received. */
   #firstReportedMs = 0;
 
   private constructor(clock: Clock) {
@@ -35,6 +34,11 @@
     return this.#startUnixMs;
   }
 
+  /** When the first report of the present incarnation was received. */
+  get firstReportedMs(): number {
+    return this.#firstReportedMs;
+  }
+
   /** Applies the incarnation that a report names. */
   applyReport(startUnixMs: number, requestedMs: number): IncarnationStatus {
     if (startUnixMs === this.#startUnixMs) return "current";
--- a/packages/node/cell/run_evidence/run_evidence_test.ts
+++ b/packages/node/cell/run_evidence/run_evidence_test.ts
@@ -86,6 +86,25 @@
     expect(gone!.startAnsweredAgoMs).to.be.greaterThan(1_000);
   });
 
+  // Guards against a restart of which the log doesn't show why its report is the later one.
+  it("names how much later the report of a new incarnation was requested", async () => {
+    const { simulation, find, worker } = await createRunningCell(["a", "b"]);
+    worker.restart(2_345);
+    await simulation.clock.advance(2_000);
+    const [restarted] = find("worker.restarted");
+    const [gone] = find("task.gone");
+    expect(gone).to.include({
+      task: TASK,
+      reason: "the worker began a new life",
+      earlierStartUnixMs: 1,
+      incarnationStartUnixMs: 2_345,
+    });
+    for (const line of [restarted!, gone!]) {
+      expect(line.requestedAfterMs).to.be.greaterThan(0);
+    }
+    expect(gone!.reportedClockMs).to.be.greaterThan(0);
+  });
+
   // Guards against lapsed leases whose end and clock can't be compared in the log.
   it("names the latest lease end and the worker's clock when the leases have lapsed", async () => {
     const { simulation, find, worker } = await createRunningCell(["a", "b"]);
--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -343,21 +343,34 @@
   #applyReport(report: Report, requestedMs: number): void {
     const { incarnationStartUnixMs } = report.metadata;
     const earlierStartUnixMs = this.incarnationStartUnixMs;
+    const requestedAfterMs = requestedMs - this.#incarnation.firstReportedMs;
     const status = this.#incarnation.applyReport(
       incarnationStartUnixMs,
       requestedMs,
     );
     if (status === "undecided") return this.#requestReport();
     this.#isReportDue = false;
-    if (status === "new") this.#beginIncarnation(earlierStartUnixMs);
+    if (status === "new") {
+      this.#beginIncarnation(earlierStartUnixMs, requestedAfterMs);
+    }
     this.#leases.applyClock(report.metadata);
     this.#taskRuns.applyReport(report, requestedMs);
   }
 
-  /** A new incarnation starts without runs and numbers its ends anew. */
-  #beginIncarnation(earlierStartUnixMs: number): void {
+  /**
+   * A new incarnation starts without runs and numbers its ends anew. Its report was requested
+   * `requestedAfterMs` after the first report of the earlier one.
+   */
+  #beginIncarnation(
+    earlierStartUnixMs: number,
+    requestedAfterMs: number,
+  ): void {
     const { incarnationStartUnixMs } = this;
-    const inputs = { earlierStartUnixMs, incarnationStartUnixMs };
+    const inputs = {
+      earlierStartUnixMs,
+      incarnationStartUnixMs,
+      requestedAfterMs: Math.round(requestedAfterMs),
+    };
     this.#options.log.info("worker.restarted", {
       worker: this.worker,
       runs: this.#taskRuns.size,
