Log a start that is answered after its run was taken as over

What an on-call engineer couldn't tell: the run showed up as `task.stray`, as if a report had listed it.

Change: `task.started_late`.

Shown: in the simulated cell a start takes 200 ms while a poll finds another instance at the address; the line appears. With the answer forgotten, the task runs twice, `task.gone` has no `startAnsweredAgoMs`, and `task.stray` follows without `task.started_late`. The test fails without the change.

--- a/packages/node/cell/run_evidence/run_evidence_test.ts
+++ b/packages/node/cell/run_evidence/run_evidence_test.ts
@@ -1,7 +1,8 @@
+import type { StartCommand } from "@coltsfootpond/ports";
 import { expect } from "chai";
 import { CellSimulation, SIMULATION_BOUNDS } from "../cell_simulation.ts";
 import type { LogFields } from "../log.ts";
-import { createSpec } from "../test_fixtures.ts";
+import { createSpec, createStep } from "../test_fixtures.ts";
 import type { WorkerFake } from "../workers_fake.ts";
 
 const JOB = "00000000000000cc";
@@ -140,4 +141,40 @@
     });
     expect(gone!.requestedAfterMs).to.be.greaterThan(0);
   });
+
+  // Guards against a start that is answered after its run was dropped, without a line in the log.
+  it("shows a start that is answered after its run was dropped", async () => {
+    const { simulation, find } = createLoggedCell(["a", "b"]);
+    const { clock } = simulation;
+    const worker = simulation.get("a");
+    simulation.startScheduler();
+    await clock.advance(2_760);
+    const start = worker.start.bind(worker);
+    worker.start =
+      ((command: StartCommand) =>
+        clock.sleep(200).then(() =>
+          start(command)
+        )) as unknown as typeof worker.start;
+    const steps = [createStep({ requiredLabel: "a" })];
+    await simulation.submit(createSpec(JOB, { steps }));
+    await clock.advance(30);
+    // Polls show another instance at the address until just before the start is answered.
+    worker.isReplaced = true;
+    await clock.advance(150);
+    worker.isReplaced = false;
+    await clock.advance(2_000);
+    const [gone] = find("task.gone", { task: TASK });
+    expect(gone).to.include({ isListed: false });
+    expect(gone!.startSentAgoMs).to.be.greaterThan(0);
+    expect(gone).to.not.have.property("startAnsweredAgoMs");
+    expect(find("task.started_late", { run: gone!.run })).to.deep.equal([{
+      event: "task.started_late",
+      task: TASK,
+      run: gone!.run,
+      worker: "a",
+      address: "a:1",
+      epoch: 1,
+      incarnationStartUnixMs: 1,
+    }]);
+  });
 });
--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -96,8 +96,7 @@
       requestReport: () => this.pollNow(),
       onSent: () => this.startPolling(),
       onRefused: (taskRun, reason) => listener.onRefused(this, taskRun, reason),
-      onStartedLate: ({ task, run, checkpoint }) =>
-        listener.onStray(this, { task, run, checkpoint, percent: 0 }),
+      onStartedLate: (taskRun) => this.#reportStartedLate(taskRun),
       onStartUnanswered: (taskRun) => listener.onStartUnanswered(this, taskRun),
       onFenced: () => listener.onFenced(this),
     });
@@ -382,6 +381,19 @@
     this.startPolling();
   }
 
+  #reportStartedLate({ task, run, checkpoint }: TaskRun): void {
+    const { log, listener, epoch } = this.#options;
+    const { incarnationStartUnixMs } = this;
+    log.warn("task.started_late", {
+      task,
+      run,
+      ...this.target,
+      epoch,
+      incarnationStartUnixMs,
+    });
+    listener.onStray(this, { task, run, checkpoint, percent: 0 });
+  }
+
   #requestReport(): void {
     this.#isReportDue = true;
     this.startPolling();
