Log why a run is not adopted, and ends of runs that no unit had

What an on-call engineer couldn't tell: `task.stray` did not say whether the run is one of this epoch that was taken as over, which proves that the conclusion was false, or one of an earlier holder. Nor did `task.ended` of a run that ended on its own after `task.gone`.

Change: `task.stray` names the reason, `task.ended` has `isFollowed`; `task.stray` and `task.adopted` name the address and the incarnation that reports the run, and the epoch.

Both tests fail without the change.

--- a/packages/node/cell/run_evidence/run_evidence_test.ts
+++ b/packages/node/cell/run_evidence/run_evidence_test.ts
@@ -7,6 +7,8 @@
 
 const JOB = "00000000000000cc";
 const TASK = `${JOB}.0.0.0`;
+/** A task that takes a whole worker. */
+const LARGE_NEED = { cpuMilli: 8_000, memoryMib: 8_000, accelerators: 8 };
 
 interface Line extends LogFields {
   readonly event: string;
@@ -46,6 +48,25 @@
   return worker!;
 }
 
+/** A gang of two; the worker of one task does not answer the second lease holder. */
+async function createPartlyReportedCell() {
+  const cell = createLoggedCell(["a", "b", "c", "d"]);
+  const { simulation } = cell;
+  const { clock } = simulation;
+  const steps = [createStep({ count: 2, isGang: true, need: LARGE_NEED })];
+  await simulation.submit(createSpec(JOB, { steps, maximumAttempts: 9 }));
+  const first = simulation.startScheduler();
+  await clock.advance(1_000);
+  const [reported, unreported] = [...simulation.workers.values()].filter((
+    { running },
+  ) => running.length > 0);
+  simulation.stopScheduler(first);
+  unreported!.isDisconnected = true;
+  simulation.startScheduler();
+  await clock.advance(1_000);
+  return { ...cell, reported: reported!, unreported: unreported! };
+}
+
 describe("the log of a conclusion that a run is over", () => {
   // Guards against a removed record whose heartbeat's age, and the limit for it, are not logged.
   it("names the heartbeat and both ages when a worker's record was removed early", async () => {
@@ -177,4 +198,37 @@
       incarnationStartUnixMs: 1,
     }]);
   });
+
+  // Guards against a run that ran on after it was taken as over, without a line that says so.
+  it("shows a run that a worker reports after it was taken as over", async () => {
+    const { simulation, find, worker } = await createRunningCell(["a", "b"]);
+    // The worker only seems to have left its address.
+    worker.isReplaced = true;
+    await simulation.clock.advance(1_100);
+    worker.isReplaced = false;
+    await simulation.clock.advance(1_000);
+    const [gone] = find("task.gone", { task: TASK });
+    const { run } = gone!;
+    expect(find("task.stray", { task: TASK, run })[0]).to.include({
+      worker: gone!.worker,
+      address: gone!.address,
+      epoch: 1,
+      incarnationStartUnixMs: 1,
+      reason: "a run of this epoch that was taken as over",
+    });
+    const [ended] = find("task.ended", { task: TASK, run });
+    expect(ended).to.include({ end: "stopped", isFollowed: false });
+  });
+
+  // Guards against an adopted run of which the log doesn't show who reported it.
+  it("names the incarnation that reports an adopted run", async () => {
+    const { find, reported } = await createPartlyReportedCell();
+    expect(find("task.adopted")[0]).to.include({
+      run: 1_000_001,
+      worker: reported.record.worker,
+      address: reported.record.address,
+      epoch: 2,
+      incarnationStartUnixMs: 1,
+    });
+  });
 });
--- a/packages/node/cell/run_registry.ts
+++ b/packages/node/cell/run_registry.ts
@@ -157,7 +157,9 @@
       this.#options.log.info("task.adopted", {
         task: taskRun.task,
         run: run.run,
-        worker: session.worker,
+        ...session.target,
+        epoch: this.#options.epoch,
+        incarnationStartUnixMs: session.incarnationStartUnixMs,
         members: run.taskRuns.size,
         count: unit.count,
       });
@@ -166,8 +168,11 @@
     this.#options.log.warn("task.stray", {
       task: taskRun.task,
       run: taskRun.run,
-      worker: session.worker,
+      ...session.target,
+      epoch: this.#options.epoch,
+      incarnationStartUnixMs: session.incarnationStartUnixMs,
       unitRun: unit?.run?.run,
+      reason: this.#describeStray(unit, taskRun.run),
     });
     void session.stopTaskRun(taskRun);
   }
@@ -229,9 +234,22 @@
     this.#options.onFinished();
   }
 
+  /** Why the run is not adopted. */
+  #describeStray(unit: Unit | undefined, run: number): string {
+    if (unit === undefined) return "the task needs no run";
+    if (this.#isOwn(run)) return "a run of this epoch that was taken as over";
+    return unit.run?.run === run
+      ? "its run is being ended"
+      : "the unit has another run";
+  }
+
+  #isOwn(run: number): boolean {
+    return run > this.#options.epoch * RUNS_PER_EPOCH;
+  }
+
   /** Runs of earlier lease holders are adopted unless the unit has a newer run. */
   #mayAdopt(unit: Unit, run: number): boolean {
-    if (run > this.#options.epoch * RUNS_PER_EPOCH) return false;
+    if (this.#isOwn(run)) return false;
     return unit.run === undefined ||
       unit.run.run === run && !unit.run.isClosing;
   }
--- a/packages/node/cell/session_event_handler.ts
+++ b/packages/node/cell/session_event_handler.ts
@@ -89,7 +89,13 @@
   onEnded(session: WorkerSession, ended: EndedTask, taskRun?: TaskRun): void {
     const { jobs, runs, writer, log, requestRound } = this.#options;
     const { task, run, end } = ended;
-    log.info("task.ended", { task, run, worker: session.worker, end });
+    log.info("task.ended", {
+      task,
+      run,
+      worker: session.worker,
+      end,
+      isFollowed: taskRun !== undefined && runs.getUnit(taskRun) !== undefined,
+    });
     if (taskRun !== undefined) runs.drop(taskRun);
     const location = jobs.locateTask(task);
     if (location !== undefined) {
