Log why the workers of an earlier placement no longer count

What an on-call engineer couldn't tell: a unit that a new lease holder starts again, as every worker of the earlier placement has reported or the longest lease has passed, left `unit.started` without either.

Change: `unit.started` of a unit that an earlier holder placed names which of the workers have reported, the age of this holder, the longest lease, and whether this holder had counted the unit as its own. These are read again for the line, not taken from the check.

The test fails without the change.

--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -102,6 +102,8 @@
       ...options,
       getSession: (worker) => this.#fleet.get(worker),
       locateTask: (task) => this.#jobs.locateTask(task),
+      describeEarlierWorkers: (workers) =>
+        this.#fleet.describeEarlierWorkers(workers),
       onFinished: () => this.#requestRound(),
     });
     this.#jobs = JobRegistry.create({
--- a/packages/node/cell/duplicate_runs/stored_placements_test.ts
+++ b/packages/node/cell/duplicate_runs/stored_placements_test.ts
@@ -42,6 +42,7 @@
     canAct: () => true,
     getSession: () => session,
     locateTask: () => ({ job, step, stepKey, address }),
+    describeEarlierWorkers: () => ({}),
     onFinished: () => {},
   });
   return { runs, session };
--- a/packages/node/cell/run_evidence/run_evidence_test.ts
+++ b/packages/node/cell/run_evidence/run_evidence_test.ts
@@ -7,6 +7,7 @@
 
 const JOB = "00000000000000cc";
 const TASK = `${JOB}.0.0.0`;
+const UNIT = `${JOB}.0.0.0`;
 /** A task that takes a whole worker. */
 const LARGE_NEED = { cpuMilli: 8_000, memoryMib: 8_000, accelerators: 8 };
 
@@ -163,6 +164,25 @@
     expect(gone!.requestedAfterMs).to.be.greaterThan(0);
   });
 
+  // Guards against a unit that a new holder starts again for a reason that the log doesn't show.
+  it("names why the workers of an earlier placement no longer count", async () => {
+    const { simulation, find, reported, unreported } =
+      await createPartlyReportedCell();
+    reported.end(reported.running[0]!, "failed");
+    await simulation.clock.advance(10_000);
+    const [first, second] = find("unit.started", { unit: UNIT });
+    expect(first).to.not.have.property("earlierPlacement");
+    const earlier = second!.earlierPlacement as LogFields;
+    expect(earlier).to.deep.include({
+      reported: [reported.record.worker],
+      unreported: [unreported.record.worker],
+      wasPlacedByThisHolder: false,
+    });
+    expect(earlier.holderAgeMs).to.be.greaterThan(
+      earlier.longestLeaseMs as number,
+    );
+  });
+
   // Guards against a start that is answered after its run was dropped, without a line in the log.
   it("shows a start that is answered after its run was dropped", async () => {
     const { simulation, find } = createLoggedCell(["a", "b"]);
--- a/packages/node/cell/run_registry.ts
+++ b/packages/node/cell/run_registry.ts
@@ -15,7 +15,7 @@
   type Unit,
   type UnitRun,
 } from "./live_job.ts";
-import type { CellLog } from "./log.ts";
+import type { CellLog, LogFields } from "./log.ts";
 import type { TaskRun } from "./task_run.ts";
 import type { WorkerSession } from "./worker_session.ts";
 
@@ -31,6 +31,10 @@
   readonly getSession: (worker: WorkerName) => WorkerSession | undefined;
   /** The job, step and unit of a task; undefined when its job is not live. */
   readonly locateTask: (task: TaskName) => TaskLocation | undefined;
+  /** Why the workers of an earlier lease holder's placement no longer count, for the log. */
+  readonly describeEarlierWorkers: (
+    workers: readonly WorkerName[],
+  ) => LogFields;
   /** A run is over: its capacity is free and its unit may wait again. */
   readonly onFinished: () => void;
 }
@@ -65,12 +69,14 @@
   place(unit: Unit, workers: readonly WorkerName[]): void {
     const nowMs = this.#options.clock.nowMs();
     const run = this.#open(unit, ++this.#nextRun, true);
+    const earlierPlacement = this.#describeEarlierPlacement(unit);
     unit.wasPlacedByThisHolder = true;
     this.#options.log.info("unit.started", {
       unit: describeUnit(unit),
       run: run.run,
       workers,
       waitedMs: Math.round(nowMs - unit.waitingSinceMs),
+      earlierPlacement,
     });
     for (const [index, worker] of workers.entries()) {
       const session = this.#options.getSession(worker);
@@ -234,6 +240,17 @@
     this.#options.onFinished();
   }
 
+  /** Undefined when no earlier lease holder placed the unit. */
+  #describeEarlierPlacement(unit: Unit): LogFields | undefined {
+    const { earlierPlacements } = unit.job;
+    const workers = earlierPlacements.get(formatUnitKey(unit.address));
+    if (workers === undefined) return undefined;
+    return {
+      ...this.#options.describeEarlierWorkers(workers),
+      wasPlacedByThisHolder: unit.wasPlacedByThisHolder,
+    };
+  }
+
   /** Why the run is not adopted. */
   #describeStray(unit: Unit | undefined, run: number): string {
     if (unit === undefined) return "the task needs no run";
--- a/packages/node/cell/worker_fleet.ts
+++ b/packages/node/cell/worker_fleet.ts
@@ -16,7 +16,7 @@
   WorkerPort,
   WorkerRecord,
 } from "@coltsfootpond/ports";
-import type { CellLog } from "./log.ts";
+import type { CellLog, LogFields } from "./log.ts";
 import { putRow } from "./state_rows/put_row.ts";
 import { decodeRow, encodeRow, ROSTER_KEY, type RosterRow } from "./rows.ts";
 import type { TableFollower } from "./table_follower.ts";
@@ -116,16 +116,30 @@
    * that neither the roster nor a record names.
    */
   isUnreported(worker: WorkerName): boolean {
-    if (this.#reportedWorkers.has(worker)) return false;
-    if (this.#sessions.get(worker)?.hasReported) {
-      this.#reportedWorkers.add(worker);
-      return false;
-    }
+    if (this.#hasReported(worker)) return false;
     const { clock, bounds } = this.#options;
     return clock.nowMs() - this.#createdMs <=
       computeLongestLeaseMs(bounds.leaseMaximumMs);
   }
 
+  #hasReported(worker: WorkerName): boolean {
+    if (this.#reportedWorkers.has(worker)) return true;
+    if (!this.#sessions.get(worker)?.hasReported) return false;
+    this.#reportedWorkers.add(worker);
+    return true;
+  }
+
+  /** What `isUnreported` is concluded from for the workers of an earlier placement, for the log. */
+  describeEarlierWorkers(workers: readonly WorkerName[]): LogFields {
+    const { clock, bounds } = this.#options;
+    return {
+      reported: workers.filter((worker) => this.#hasReported(worker)),
+      unreported: workers.filter((worker) => !this.#hasReported(worker)),
+      holderAgeMs: Math.round(clock.nowMs() - this.#createdMs),
+      longestLeaseMs: Math.round(computeLongestLeaseMs(bounds.leaseMaximumMs)),
+    };
+  }
+
   /**
    * Takes note of the ends of task runs that have been processed so far; the returned function
    * marks them as stored.
