Log how many runs a worker lists in its first report

What an on-call engineer couldn't tell: after a change of the lease holder, whether a worker that had reported did not list a run, or listed it and the holder overlooked it. Both left no line.

Change: `worker.first_report`, once for each session: address, incarnation, worker clock, and the numbers of runs and ends listed.

The test fails without the change.

--- a/packages/node/cell/run_evidence/run_evidence_test.ts
+++ b/packages/node/cell/run_evidence/run_evidence_test.ts
@@ -251,4 +251,18 @@
       incarnationStartUnixMs: 1,
     });
   });
+
+  // Guards against a new holder that overlooks a run which a worker listed, without a trace of it.
+  it("names how many runs a worker lists in its first report", async () => {
+    const { find, reported } = await createPartlyReportedCell();
+    const lines = find("worker.first_report", { epoch: 2 });
+    expect(lines).to.have.length(3);
+    const line = lines.find(({ worker }) => worker === reported.record.worker);
+    expect(line).to.include({
+      address: reported.record.address,
+      incarnationStartUnixMs: 1,
+      running: 1,
+      ended: 0,
+    });
+  });
 });
--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -349,6 +349,7 @@
     );
     if (status === "undecided") return this.#requestReport();
     this.#isReportDue = false;
+    if (!this.hasReported) this.#logFirstReport(report);
     if (status === "new") {
       this.#beginIncarnation(earlierStartUnixMs, requestedAfterMs);
     }
@@ -356,6 +357,17 @@
     this.#taskRuns.applyReport(report, requestedMs);
   }
 
+  /** Shows a run that the worker lists and that this lease holder neither adopts nor stops. */
+  #logFirstReport({ metadata, running, ended }: Report): void {
+    this.#options.log.info("worker.first_report", {
+      ...this.target,
+      epoch: this.#options.epoch,
+      ...metadata,
+      running: running.length,
+      ended: ended.length,
+    });
+  }
+
   /**
    * A new incarnation starts without runs and numbers its ends anew. Its report was requested
    * `requestedAfterMs` after the first report of the earlier one.
