--- a/packages/node/cell/incarnations/removed_record_test.ts
+++ b/packages/node/cell/incarnations/removed_record_test.ts
@@ -54,6 +54,9 @@
       incarnationStartUnixMs,
       heartbeat: 1,
       heartbeatAgeMs: 1,
+      monotonicAgeMs: 1,
+      wallAgeMs: 1,
+      recordLifetimeMs: 4_500,
     });
   return { session, gone, markLeft };
 }
