Give each simulated lease holder clocks of its own

All schedulers of the simulated cell shared one clock, and a holder lost the right to act by a switch of the test.

Change: each holder runs on a VM whose monotonic clock has a start and a rate (within a percent) of its own and whose time of day is off by up to 3 s. It renews the lease and may act by the rule of SchedulerLease: within the lease less the margin, by both clocks. Its process may freeze for up to 5 s; timers and answers are handled when it wakes, and another VM acquires the lease when it has lapsed. Steps of the time of day and VMs whose monotonic clock stops while they are suspended are not modelled.

Workers that the next holder has reached refuse its commands by their epoch.

--- a/packages/node/cell/cell_simulation.ts
+++ b/packages/node/cell/cell_simulation.ts
@@ -9,6 +9,8 @@
 import type {
   CellSettings,
   RecordDecoder,
+  StateStore,
+  WorkerPort,
   WorkerRecord,
 } from "@coltsfootpond/ports";
 import { CellScheduler } from "./cell_scheduler.ts";
@@ -23,6 +25,7 @@
 } from "./rows.ts";
 import { SeenVersion, TableFollower } from "./table_follower.ts";
 import { createStoreFake, type StoreFake } from "./test_fixtures.ts";
+import { VmFake } from "./fakes/vm_fake.ts";
 import { createWorkerPortFake } from "./fakes/worker_port_fake.ts";
 import { type RunHistory, WorkerFake } from "./workers_fake.ts";
 
@@ -121,8 +124,16 @@
   startScheduler(
     canAct: () => boolean = () => true,
     onStopped: () => void = () => {},
+    vm = VmFake.create({
+      clock: this.clock,
+      startMs: this.clock.nowMs(),
+      rate: 1,
+      unixErrorMs: 0,
+    }),
   ): CellScheduler {
-    const { clock, store, log } = this;
+    const { log } = this;
+    const clock = vm;
+    const store = this.#createStoreOf(vm);
     const common = {
       store,
       clock,
@@ -137,14 +148,14 @@
       epoch: ++this.#epoch,
       acquiredVersion: Math.max(
         0,
-        ...[...store.rows().values()].map(({ version }) => version),
+        ...[...this.store.rows().values()].map(({ version }) => version),
       ),
       settings: {
         workerHeartbeatMs: 1_500,
         bounds: SIMULATION_BOUNDS,
       } as CellSettings,
-      store: { ...store, read: (table, ...rest) => this.#read(table, ...rest) },
-      workerPort: createWorkerPortFake(this.workers, clock),
+      store,
+      workerPort: this.#createWorkerPortOf(vm),
       recordDecoder,
       follower,
       declared: DeclaredStateTracker.create({
@@ -153,7 +164,7 @@
         log,
       }),
       clock,
-      nowUnixMs: () => clock.nowMs(),
+      nowUnixMs: () => vm.nowUnixMs(),
       log,
       canAct,
       onNewerHolder: () => {
@@ -161,7 +172,7 @@
         onStopped();
       },
     });
-    const refresh = clock.every(10, () => void this.#refresh(follower));
+    const refresh = clock.every(10, () => void this.#refresh(follower, vm));
     this.#refreshTimers.set(scheduler, refresh);
     void scheduler.start();
     return scheduler;
@@ -188,8 +199,27 @@
     return this.history.filter((run) => run.task === task as TaskName);
   }
 
-  async #refresh(follower: TableFollower): Promise<void> {
-    const outcome = await this.store.read("state", {}, 1);
+  #createStoreOf(vm: VmFake): StateStore {
+    const { store } = this;
+    return {
+      transact: (...call) => vm.receive(store.transact(...call)),
+      read: (...call) => vm.receive(this.#read(...call)),
+      follow: (...call) => vm.receive(store.follow(...call)),
+    };
+  }
+
+  #createWorkerPortOf(vm: VmFake): WorkerPort {
+    const port = createWorkerPortFake(this.workers, this.clock);
+    return {
+      start: (...call) => vm.receive(port.start(...call)),
+      stop: (...call) => vm.receive(port.stop(...call)),
+      renew: (...call) => vm.receive(port.renew(...call)),
+      forget: (target) => port.forget(target),
+    };
+  }
+
+  async #refresh(follower: TableFollower, vm: VmFake): Promise<void> {
+    const outcome = await vm.receive(this.store.read("state", {}, 1));
     if (outcome.kind === "rows") follower.apply(outcome.rows);
   }
 
--- a/packages/node/cell/faults/faulty_cell.ts
+++ b/packages/node/cell/faults/faulty_cell.ts
@@ -7,6 +7,7 @@
 import type { CellScheduler } from "../cell_scheduler.ts";
 import { CellSimulation, SIMULATION_BOUNDS } from "../cell_simulation.ts";
 import type { RunHistory, WorkerFake } from "../workers_fake.ts";
+import { LeaseHolder } from "./lease_holder.ts";
 import { GangMembers } from "./gang_members.ts";
 import {
   createRandomJob,
@@ -53,7 +54,7 @@
   readonly #random: SeededRandom;
   readonly #storeFaults: StoreFaults;
   #scheduler: CellScheduler | undefined;
-  #mayAct = { current: true };
+  #holder: LeaseHolder | undefined;
   #isRecovering = false;
 
   private constructor(seed: number, options: FaultyCellOptions) {
@@ -113,24 +114,37 @@
 
   /** Starts a new lease holder. The previous one stops or runs on without the right to act. */
   #replaceScheduler(): void {
-    this.#mayAct.current = false;
+    this.#holder?.release();
     if (this.#random.next() < 0.5 && this.#scheduler !== undefined) {
       this.simulation.stopScheduler(this.#scheduler);
     }
-    const mayAct = { current: true };
-    this.#mayAct = mayAct;
+    this.#startScheduler();
+  }
+
+  #startScheduler(): void {
+    const holder = LeaseHolder.create(this.simulation.clock, this.#random);
+    this.#holder = holder;
     this.#scheduler = this.simulation.startScheduler(
-      () => mayAct.current,
-      () => this.#replaceStopped(mayAct),
+      () => holder.canAct(),
+      () => this.#replaceStopped(holder),
+      holder.vm,
     );
   }
 
   /** A holder that has found signs of a newer one gives up the lease, and another acquires it. */
-  #replaceStopped(mayAct: { current: boolean }): void {
-    if (!mayAct.current) return;
-    mayAct.current = false;
+  #replaceStopped(holder: LeaseHolder): void {
+    holder.release();
+    if (this.#holder !== holder) return;
     this.simulation.clock.after(ACQUISITION_MS, () => {
-      if (this.#mayAct === mayAct) this.#replaceScheduler();
+      if (this.#holder === holder) this.#replaceScheduler();
+    });
+  }
+
+  /** The holder's process stands still; another VM acquires the lease when it has lapsed. */
+  #freezeHolder(): void {
+    const holder = this.#holder;
+    holder?.freeze(() => {
+      if (this.#holder === holder) this.#startScheduler();
     });
   }
 
@@ -141,7 +155,7 @@
       injectWorkerFault(this.#pickWorker(), { simulation, random });
       return;
     }
-    const choice = nextInteger(random, 9);
+    const choice = nextInteger(random, 11);
     if (choice <= 3) {
       this.#storeFaults.current = STORE_FAULTS[choice]!;
     } else if (choice === 4) {
@@ -152,6 +166,8 @@
       await this.#submitUrgent();
     } else if (choice === 7) {
       simulation.isDirectoryUnavailable = random.next() < 0.5;
+    } else if (choice >= 9) {
+      this.#freezeHolder();
     } else {
       simulation.directoryDelayMs = nextInteger(
         random,
