--- a/packages/node/cell/worker_leases.ts
+++ b/packages/node/cell/worker_leases.ts
@@ -62,8 +62,8 @@
       const receivedMs = this.#options.clock.nowMs();
       this.#sample = { workerClockMs, receivedMs };
     }
-    // An earlier lease holder of the cell, or a command meant for an earlier incarnation, may
-    // already have granted this worker a lease of the maximum length.
+    // An earlier lease holder of the cell may already have granted this worker a lease of the
+    // maximum length.
     if (isFirst) {
       this.#latestLeaseEndMs = workerClockMs + this.#options.leaseMaximumMs;
     }
@@ -80,9 +80,9 @@
   }
 
   /**
-   * Returns the end of a short lease that a start carries, but records one of the maximum length: a
-   * later incarnation, of which no report has told yet, reads the end on a clock of its own and
-   * shortens the lease only to the maximum.
+   * Returns the end of a short lease that a start carries, but records one of the maximum length:
+   * the protocol does not rule out that a start without an answer is carried out by a later
+   * incarnation, which reads the end on a clock of its own (decision 0011).
    */
   grantForStart(durationMs: number): number {
     this.#recordLeaseEnd(this.#computeLeaseEnd(this.#options.leaseMaximumMs));
--- a/packages/node/cell/worker_task_runs.ts
+++ b/packages/node/cell/worker_task_runs.ts
@@ -127,8 +127,8 @@
 
   /**
    * Resets for a new incarnation of the worker, whose ends and clock start anew and in which no
-   * earlier stop counts. Only the runs that a report listed ended with the earlier incarnation: the
-   * answer to a start does not tell which incarnation started the run.
+   * earlier stop counts. Only the runs that a report listed ended with the earlier incarnation: a
+   * start without an answer may still be carried out (decision 0011).
    */
   beginIncarnation(inputs: LogFields = {}): void {
     this.#incarnationCount++;
