Make the test of an unread end fail again without the binding

Since workers are used only by the record of the incarnation that reported, the task could not start again within the test while the worker was cut off from the store, and the start came later than the 40 ms that the test waited. It now ends the task whenever it starts before the next acknowledgement, and lets the record follow: with commands that name no incarnation both tests fail. The mutation list has that fault.

--- a/packages/node/cell/duplicate_runs/worker_restart_test.ts
+++ b/packages/node/cell/duplicate_runs/worker_restart_test.ts
@@ -31,6 +31,7 @@
     expect(worker.running).to.have.length(1);
     // The long poll that waits for the second task's end gets no answer.
     worker.restart();
+    // It gets tasks again once its record names the incarnation that reports.
     worker.isCutFromStore = false;
     const later = createSpec("00000000000000ee");
     await simulation.submit(later);
--- a/packages/node/cell/incarnations/addressed_commands_test.ts
+++ b/packages/node/cell/incarnations/addressed_commands_test.ts
@@ -52,9 +52,13 @@
     worker.isCutFromStore = true;
     worker.restart();
     await simulation.submit(second);
-    await clock.advance(40);
-    const [later] = worker.running;
-    if (later !== undefined) worker.end(later, "done");
+    // Before the poll that acknowledges.
+    for (let passedMs = 0; passedMs < 300; passedMs += 10) {
+      await clock.advance(10);
+      worker.running.forEach((later) => worker.end(later, "done"));
+    }
+    await clock.advance(2_000);
+    worker.isCutFromStore = false;
     await clock.advance(10_000);
     const doneRuns = simulation.history.filter(({ end }) => end === "done");
     expect(simulation.countOverlaps()).to.equal(0);
--- a/packages/node/cell/incarnations/set_back_clock_test.ts
+++ b/packages/node/cell/incarnations/set_back_clock_test.ts
@@ -5,14 +5,14 @@
 const JOB = "00000000000000aa";
 const LATER_JOB = "00000000000000bb";
 const RECORD_CASES = [
-  { title: "once its record follows at once", cutFromStoreMs: 0 },
-  { title: "once its record follows later", cutFromStoreMs: 2_000 },
+  { title: "when its record follows at once", cutFromStoreMs: 0 },
+  { title: "when its record follows later", cutFromStoreMs: 2_000 },
 ];
 
 describe("a worker that restarts with its wall clock set back", () => {
   for (const { title, cutFromStoreMs } of RECORD_CASES) {
     // Guards against skipping the reports of an incarnation that names an earlier start.
-    it(`runs its tasks again, ${title}`, async () => {
+    it(`runs its tasks again ${title}`, async () => {
       const simulation = CellSimulation.create(["a"]);
       const { clock } = simulation;
       const worker = simulation.get("a");
--- a/scripts/mutations/duplicate_run_mutations.ts
+++ b/scripts/mutations/duplicate_run_mutations.ts
@@ -150,6 +150,22 @@
     spec: `${CELL}/incarnations/removed_record_test.ts`,
     title: "ends the listed runs only of the incarnation",
   },
+  {
+    name: "name no incarnation in commands",
+    promise: NO_TASK_TWICE,
+    file: `${CELL}/task_commands.ts`,
+    find: `      incarnationStartUnixMs: getIncarnationStartUnixMs(),`,
+    replace: `      incarnationStartUnixMs: undefined as unknown as number,`,
+    furtherEdits: [{
+      file: `${CELL}/worker_session.ts`,
+      find: `    const outcome = await workerPort.renew(this.target, {
+      incarnationStartUnixMs,`,
+      replace: `    const outcome = await workerPort.renew(this.target, {
+      incarnationStartUnixMs: undefined,`,
+    }],
+    spec: `${CELL}/incarnations/addressed_commands_test.ts`,
+    title: "acknowledges no end of the new incarnation",
+  },
   {
     name: "end runs by an answer that is older than their starts",
     promise: NO_TASK_TWICE,
