Check unlisted runs of a new incarnation by the test that still has them

The mutation 'end the runs that no report has listed with an incarnation' was not noticed any more: since commands are bound, the test of a restart that it named has no run whose start is unanswered when the incarnation ends. The test of the runs themselves has one and notices it.

--- a/scripts/mutations/duplicate_run_mutations.ts
+++ b/scripts/mutations/duplicate_run_mutations.ts
@@ -50,8 +50,8 @@
     file: `${CELL}/worker_task_runs.ts`,
     find: `if (!taskRun.isListed) continue;`,
     replace: `if (taskRun.startAnsweredMs === undefined) continue;`,
-    spec: `${DUPLICATE_RUNS}/worker_restart_test.ts`,
-    title: "keeps the run that it started before its record",
+    spec: `${CELL}/worker_task_runs_test.ts`,
+    title: "whose start was answered stay in a new incarnation",
   },
   {
     name: "count the short lease of a start",
