--- a/scripts/mutations/duplicate_run_mutations.ts
+++ b/scripts/mutations/duplicate_run_mutations.ts
@@ -175,15 +175,6 @@
     spec: `${CELL}/worker_connections/earlier_instance_test.ts`,
     title: "was started after the worker came",
   },
-  {
-    name: "repeat the last acknowledgement in every poll",
-    promise: NO_TASK_TWICE,
-    file: `${CELL}/worker_session.ts`,
-    find: `this.#reachability.isAnswering && this.#ends.isAcknowledgementDue`,
-    replace: `true`,
-    spec: `${DUPLICATE_RUNS}/worker_restart_test.ts`,
-    title: "does not lose an end to an acknowledgement",
-  },
   {
     name: "close a session while a start is unanswered",
     promise: NO_TASK_TWICE,
