--- a/packages/node/cell/worker_connections/earlier_instance_test.ts
+++ b/packages/node/cell/worker_connections/earlier_instance_test.ts
@@ -18,7 +18,7 @@
 
 describe("an answer of the instance that had a worker's address before", () => {
   // Guards against ending a run by an answer to a request that was sent before the run's start.
-  it("ends no run that was started after the worker came to the address", async () => {
+  it("ends no run that was started after the worker took the address over", async () => {
     const clock = ManualClock.create();
     let polls = 0;
     const gone: string[] = [];
--- a/packages/node/cell/worker_task_runs.ts
+++ b/packages/node/cell/worker_task_runs.ts
@@ -149,7 +149,7 @@
 
   /**
    * Drops the runs that were at the worker's address before a request, sent at `requestedMs`, which
-   * another instance has answered there. The worker may have come to the address after the answer.
+   * another instance has answered there. The worker may have taken the address over after the answer.
    */
   dropReplaced(requestedMs: number): void {
     for (const taskRun of this.all) {
--- a/scripts/mutations/duplicate_run_mutations.ts
+++ b/scripts/mutations/duplicate_run_mutations.ts
@@ -173,7 +173,7 @@
     find: `if (placedMs === undefined || placedMs >= requestedMs) continue;`,
     replace: ``,
     spec: `${CELL}/worker_connections/earlier_instance_test.ts`,
-    title: "was started after the worker came",
+    title: "was started after the worker took",
   },
   {
     name: "close a session while a start is unanswered",
