Show that a task that crashes its workers is started without end

The simulated workers can now crash under a task, return under the same or another name, and show the end of their process by lost connections, as real ones do; a disconnected worker still shows nothing.

--- a/packages/node/cell/fakes/worker_port_fake.ts
+++ b/packages/node/cell/fakes/worker_port_fake.ts
@@ -12,7 +12,11 @@
   Unavailable,
   WorkerPort,
 } from "@coltsfootpond/ports";
-import { UNANSWERED, type WorkerFake } from "../workers_fake.ts";
+import {
+  CONNECTION_LOST,
+  UNANSWERED,
+  type WorkerFake,
+} from "../workers_fake.ts";
 
 /** Least time until a call arrives. */
 const CALL_DURATION_MS = 2;
@@ -143,11 +147,10 @@
     const travelMs = worker.drawTravelMs() + (isWritten ? 0 : CALL_DURATION_MS);
     if (travelMs > 0) await this.#clock.sleep(travelMs);
     if (connection.processNumber !== worker.processNumber) {
-      if (!worker.isDisconnected) return UNANSWERED;
-      return await neverSettle();
+      return await this.#fail(connection);
     }
     const outcome = await carryOut();
-    if (outcome.kind === "unavailable") return await neverSettle();
+    if (outcome.kind === "unavailable") return await this.#fail(connection);
     const answerDelayMs = worker.drawAnswerDelayMs();
     if (answerDelayMs > 0) await this.#clock.sleep(answerDelayMs);
     if (isReport(outcome)) {
@@ -156,6 +159,15 @@
     }
     return outcome;
   }
+
+  /** The machine shows that the process has ended, unless it is disconnected. */
+  async #fail({ processNumber }: Connection): Promise<Unavailable> {
+    const worker = this.#worker;
+    const hasEnded = worker.hasLeft || processNumber !== worker.processNumber;
+    return hasEnded && !worker.isDisconnected
+      ? CONNECTION_LOST
+      : await neverSettle();
+  }
 }
 
 function isReport(
--- a/packages/node/cell/workers_fake.ts
+++ b/packages/node/cell/workers_fake.ts
@@ -30,6 +30,11 @@
   effect: "lost",
   reason: "no answer",
 };
+/** The process has ended, and its machine has closed or refused the connection. */
+export const CONNECTION_LOST: Unavailable = {
+  ...UNANSWERED,
+  reason: "connection lost",
+};
 
 /** Period of the heartbeats that a worker writes to its record. */
 const HEARTBEAT_PERIOD_MS = 1_500;
@@ -105,6 +110,8 @@
   stopDelayMs: number | undefined;
   /** Time that a task takes to stop. */
   drawStopDurationMs: () => number = () => 0;
+  /** Called after each start that the worker carries out. */
+  onStarted: (task: TaskName) => void = () => {};
   /** Time that the next answer takes; another answer may overtake it. */
   drawAnswerDelayMs: () => number = () => 0;
 
@@ -372,6 +379,7 @@
       run,
       startedMs,
     });
+    this.onStarted(task);
     return { kind: "started" };
   }
 
