Model tasks that crash their workers in the check under faults

In 40% of the sequences one more job, of single tasks or a gang, crashes each worker that starts it; the worker returns after 3 s under its name or another one.

--- a/packages/node/cell/faults/faulty_cell.ts
+++ b/packages/node/cell/faults/faulty_cell.ts
@@ -8,8 +8,10 @@
 import { CellSimulation, SIMULATION_BOUNDS } from "../cell_simulation.ts";
 import type { RunHistory, WorkerFake } from "../workers_fake.ts";
 import { LeaseHolder } from "./lease_holder.ts";
+import { addCrashingTasks, CRASH_DELAY_MS } from "../fakes/crashing_tasks.ts";
 import { GangMembers } from "./gang_members.ts";
 import {
+  createCrashingJob,
   createRandomJob,
   createUrgentJob,
   type RandomJob,
@@ -21,6 +23,12 @@
   injectWorkerFault,
 } from "./worker_faults.ts";
 
+/** Number of the job with crashing tasks; beyond those of all other jobs. */
+const CRASHING_JOB = 0xcccc;
+const CRASHING_SHARE = 0.4;
+/** Keeps the draws for this job apart, so that a seed's other faults stay as they are. */
+const CRASHING_SEED_OFFSET = 1_000_000_007;
+const MAXIMUM_SUBMIT_MS = 8_000;
 const WORKERS = ["a", "b", "c", "d"] as const;
 const JOBS = 5;
 const FAULTY_STEPS = 24;
@@ -51,6 +59,8 @@
 export class FaultyCell {
   readonly simulation = CellSimulation.create(WORKERS);
   readonly #jobs: RandomJob[];
+  /** The job whose tasks crash their workers; undefined in most sequences. */
+  readonly crashingJob: CellJobSpec | undefined;
   readonly #random: SeededRandom;
   readonly #storeFaults: StoreFaults;
   #scheduler: CellScheduler | undefined;
@@ -71,7 +81,29 @@
         nextInteger(random, SIMULATION_BOUNDS.stopLimitMs + 1);
       worker.carriesCallsOver = options.hasCallsCarriedOver ?? false;
     });
-    GangMembers.create(this.simulation, random, () => this.jobs);
+    GangMembers.create(
+      this.simulation,
+      random,
+      () => [...this.jobs, ...this.crashingJob ? [this.crashingJob] : []],
+    );
+    this.crashingJob = this.#addCrashingJob(
+      SeededRandom.create(seed + CRASHING_SEED_OFFSET),
+    );
+  }
+
+  #addCrashingJob(random: SeededRandom): CellJobSpec | undefined {
+    if (random.next() >= CRASHING_SHARE) return undefined;
+    const { spec } = createCrashingJob(random, CRASHING_JOB);
+    addCrashingTasks(this.simulation, {
+      isCrashing: (task) => task.startsWith(`${spec.jobId}.`),
+      drawReturn: () => random.next() < 0.5 ? "same_name" : "other_name",
+      drawDelayMs: () => nextInteger(random, 2 * CRASH_DELAY_MS),
+    });
+    this.simulation.clock.after(
+      nextInteger(random, MAXIMUM_SUBMIT_MS),
+      () => void this.#submit(spec),
+    );
+    return spec;
   }
 
   static create(seed: number, options: FaultyCellOptions = {}): FaultyCell {
--- a/packages/node/cell/faults/random_jobs.ts
+++ b/packages/node/cell/faults/random_jobs.ts
@@ -45,6 +45,21 @@
   };
 }
 
+/** A job whose tasks crash each worker that starts them: single tasks or a gang. */
+export function createCrashingJob(random: Random, number: number): RandomJob {
+  const step = createStep({
+    count: 1 + nextInteger(random, 2),
+    isGang: random.next() < 0.4,
+    need: drawNeed(random),
+  });
+  const spec = createSpec(formatJobId(number), {
+    steps: [step],
+    priority: 1 + nextInteger(random, 2),
+    maximumAttempts: MAXIMUM_ATTEMPTS,
+  });
+  return { spec, isEndless: true };
+}
+
 /** An urgent job that takes whole workers, so that running jobs are evicted for it. */
 export function createUrgentJob(
   random: Random,
