--- a/packages/node/cell/crashes/crashing_task_test.ts
+++ b/packages/node/cell/crashes/crashing_task_test.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import { CellSimulation } from "../cell_simulation.ts";
 import { addCrashingTasks, type CrashReturn } from "../fakes/crashing_tasks.ts";
+import type { CellLog } from "../log.ts";
 import { createSpec, createStep } from "../test_fixtures.ts";
 
 const WORKERS = ["a", "b", "c", "d", "e", "f", "g", "h"];
@@ -24,9 +25,14 @@
     isCrashing: (task) => task === crashingTask,
     drawReturn: () => crashReturn,
   });
+  let evictions = 0;
+  const info: CellLog["info"] = (event, fields) => {
+    if (event === "unit.evicted" && fields?.unit === crashingTask) evictions++;
+  };
+  simulation.log = { info, warn: () => {} };
   const scheduler = simulation.startScheduler();
   await simulation.submit(spec);
-  return { simulation, scheduler };
+  return { simulation, scheduler, countEvictions: () => evictions };
 }
 
 describe("a task that crashes its workers", () => {
@@ -86,26 +92,40 @@
 
   // Guards against losing the count with an eviction of the crashing run.
   it("is given up although its runs are evicted", async () => {
-    const { simulation } = await startCell("other_name");
-    for (let number = 0; number < 30; number++) {
-      await simulation.submit(createSpec(`${number}`.padStart(16, "0"), {
+    const { simulation, countEvictions } = await startCell("other_name");
+    for (let run = 1; run <= MOST_STARTS; run++) {
+      await advanceUntil(
+        simulation,
+        () => simulation.runsOf(TASK).length >= run,
+      );
+      // The crash is not known yet.
+      await simulation.submit(createSpec(`${run}`.padStart(16, "0"), {
         priority: 0,
         acceptedUnixMs: simulation.clock.nowMs(),
         steps: [createStep({ count: 8, need: WHOLE_WORKER })],
       }));
-      await simulation.clock.advance(300);
+      await simulation.clock.advance(1_000);
       for (const worker of simulation.workers.values()) {
         worker.running.filter((task) => task !== TASK)
           .forEach((task) => worker.end(task, "done"));
       }
-      await simulation.clock.advance(700);
     }
-    await simulation.clock.advance(15_000);
+    await simulation.clock.advance(5_000);
+    expect(countEvictions()).to.be.greaterThan(0);
     expect(simulation.runsOf(TASK).length).to.be.within(3, MOST_STARTS);
     expect(readState(simulation)).to.equal("failed");
   });
 });
 
+/** Advances in small steps, up to the time in which many tasks could run. */
+async function advanceUntil(
+  { clock }: CellSimulation,
+  isReached: () => boolean,
+): Promise<void> {
+  const deadlineMs = clock.nowMs() + COURSE_MS / 4;
+  while (!isReached() && clock.nowMs() < deadlineMs) await clock.advance(5);
+}
+
 function readState(simulation: CellSimulation): string {
   const row = simulation.readJob(SPEC);
   return row?.kind === "ended" ? row.state : row?.kind ?? "missing";
