--- a/packages/node/cell/callers/caller_filters.ts
+++ b/packages/node/cell/callers/caller_filters.ts
@@ -205,7 +205,7 @@
     case "state":
       return {
         status: STATUS.OK,
-        body: codec.encodeState(outcome.state),
+        body: codec.encodeState(outcome.state, outcome.failureReason),
         reason: outcome.state,
       };
     case "absent":
--- a/packages/node/cell/callers/job_repository.ts
+++ b/packages/node/cell/callers/job_repository.ts
@@ -7,6 +7,7 @@
 import {
   type CellJobId,
   type CellJobSpec,
+  type FailureReason,
   JOB_STATE,
   type JobState,
   type QueueName,
@@ -56,7 +57,12 @@
 };
 /** `unknown`: the store gave no answer in time. */
 export type StateOutcome =
-  | { readonly kind: "state"; readonly state: JobState }
+  | {
+    readonly kind: "state";
+    readonly state: JobState;
+    /** Why a failed job has ended; undefined in rows of earlier versions. */
+    readonly failureReason?: FailureReason;
+  }
   | { readonly kind: "absent"; readonly reason: string }
   | { readonly kind: "unknown" };
 
@@ -209,7 +215,11 @@
       case "barred":
         return absent("cancelled before it was submitted");
       case "ended":
-        return { kind: "state", state: job.state };
+        return {
+          kind: "state",
+          state: job.state,
+          ...(job.reason === undefined ? {} : { failureReason: job.reason }),
+        };
       case "live":
         return {
           kind: "state",
--- a/packages/node/cell/callers/job_repository_test.ts
+++ b/packages/node/cell/callers/job_repository_test.ts
@@ -4,7 +4,7 @@
 import { expect } from "chai";
 import { STORE_TIMEOUT_MS } from "../constants.ts";
 import { JobRepository } from "./job_repository.ts";
-import { encodeRow, jobKey } from "../rows.ts";
+import { encodeRow, jobKey, type JobRow } from "../rows.ts";
 import {
   createFollower,
   createSpec,
@@ -140,6 +140,17 @@
     });
   });
 
+  it("shows why a job has failed", async () => {
+    const { jobRepository, store } = createRepository(ManualClock.create());
+    await jobRepository.submit(SPEC, 1_000);
+    await storeEnd(store, { state: "failed", reason: "crashes" });
+    expect(await jobRepository.getState(JOB, REQUESTER, 1_000)).to.deep.equal({
+      kind: "state",
+      state: "failed",
+      failureReason: "crashes",
+    });
+  });
+
   it("answers from its copy while the store is down, and between frequent polls of a live job", async () => {
     const clock = ManualClock.create();
     const downStore = createRepository(clock, undefined, 100);
@@ -196,7 +207,12 @@
 });
 
 /** Stores the end of the job as the lease holder does, without telling the repository. */
-async function storeEnd(store: StoreFake): Promise<void> {
+async function storeEnd(
+  store: StoreFake,
+  end: Pick<Extract<JobRow, { kind: "ended" }>, "state" | "reason"> = {
+    state: JOB_STATE.COMPLETED,
+  },
+): Promise<void> {
   const key = jobKey(JOB);
   await store.transact({
     conditions: [],
@@ -204,7 +220,7 @@
       key,
       value: encodeRow({
         kind: "ended",
-        state: JOB_STATE.COMPLETED,
+        ...end,
         queue: SPEC.queue,
         organisation: SPEC.organisation,
         endedUnixMs: 0,
--- a/packages/ports/cell/codecs.ts
+++ b/packages/ports/cell/codecs.ts
@@ -3,7 +3,12 @@
  * callers, and the rows that operators and workers write.
  */
 import type { FailureDomainName } from "@coltsfootpond/common";
-import type { JobState, Recurrence, StepSpec } from "@coltsfootpond/policy";
+import type {
+  FailureReason,
+  JobState,
+  Recurrence,
+  StepSpec,
+} from "@coltsfootpond/policy";
 import type { DeclaredState } from "./declared_state.ts";
 import type { WorkerRecord } from "./workers.ts";
 
@@ -39,8 +44,8 @@
     headers: Readonly<Record<string, string | string[] | undefined>>,
   ): RequestHead;
   decodeJob(body: Uint8Array): SubmittedJobOutcome;
-  /** The body of a response about one job. */
-  encodeState(state: JobState): string;
+  /** The body of a response about one job; `failureReason` says why a failed one has ended. */
+  encodeState(state: JobState, failureReason?: FailureReason): string;
   /** The body of a response about a queue: the number of its jobs that have begun no task. */
   encodeCount(waitingJobs: number): string;
 }
