Start nothing on a worker that has changed since the placement

What workers would see (LIMIT): a start beyond their capacity. A placement is stored before its starts are sent, which may take seconds while the store is slow or away. Meanwhile the worker's record may show less capacity, or that it drains or is out of service; the start was sent all the same, and only a worker that guards its capacity refuses it.

Change: before the starts of a unit are sent, each of its workers must still be usable and have room for all that is placed there; otherwise the placement is taken back and the unit waits again.

--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -103,6 +103,7 @@
     this.#runs = RunRegistry.create({
       ...options,
       getSession: (worker) => this.#fleet.get(worker),
+      mayStart: (worker) => this.#fleet.mayStart(worker),
       locateTask: (task) => this.#jobs.locateTask(task),
       describeEarlierWorkers: (workers) =>
         this.#fleet.describeEarlierWorkers(workers),
--- a/packages/node/cell/duplicate_runs/stored_placements_test.ts
+++ b/packages/node/cell/duplicate_runs/stored_placements_test.ts
@@ -41,6 +41,7 @@
     log: SILENT_LOG,
     canAct: () => true,
     getSession: () => session,
+    mayStart: () => true,
     locateTask: () => ({ job, step, stepKey, address }),
     describeEarlierWorkers: () => ({}),
     onFinished: () => {},
--- a/packages/node/cell/run_registry.ts
+++ b/packages/node/cell/run_registry.ts
@@ -29,6 +29,8 @@
   readonly log: CellLog;
   readonly canAct: () => boolean;
   readonly getSession: (worker: WorkerName) => WorkerSession | undefined;
+  /** Whether the worker is usable and has room for all tasks that are placed there. */
+  readonly mayStart: (worker: WorkerName) => boolean;
   /** The job, step and unit of a task; undefined when its job is not live. */
   readonly locateTask: (task: TaskName) => TaskLocation | undefined;
   /** Why the workers of an earlier lease holder's placement no longer count, for the log. */
@@ -100,6 +102,14 @@
       this.close(unit, "the lease is in doubt");
       return;
     }
+    // The worker may have changed while the placement was being stored.
+    const unusable = [...run.taskRuns.values()].find(({ worker }) =>
+      !this.#options.mayStart(worker)
+    );
+    if (unusable !== undefined) {
+      this.close(unit, `${unusable.worker} has changed since the placement`);
+      return;
+    }
     run.isPending = false;
     for (const [taskRun, session] of run.taskRuns) {
       void session.start(taskRun, job.spec.payload);
--- a/packages/node/cell/worker_availability.ts
+++ b/packages/node/cell/worker_availability.ts
@@ -7,7 +7,7 @@
 } from "@coltsfootpond/policy";
 import type { TaskRun } from "./task_run.ts";
 
-const NO_RESOURCES: CellResources = {
+export const NO_RESOURCES: CellResources = {
   cpuMilli: 0,
   memoryMib: 0,
   accelerators: 0,
--- a/packages/node/cell/worker_fleet.ts
+++ b/packages/node/cell/worker_fleet.ts
@@ -8,7 +8,7 @@
   FailureDomainName,
   WorkerName,
 } from "@coltsfootpond/common";
-import type { WorkerView } from "@coltsfootpond/policy";
+import { coversNeed, type WorkerView } from "@coltsfootpond/policy";
 import type {
   CellBounds,
   RecordDecoder,
@@ -22,7 +22,7 @@
 import type { TableFollower } from "./table_follower.ts";
 import { WorkerDirectory } from "./worker_directory.ts";
 import type { SessionListener } from "./task_run.ts";
-import { computeAvailability } from "./worker_availability.ts";
+import { computeAvailability, NO_RESOURCES } from "./worker_availability.ts";
 import { computeLongestLeaseMs } from "./worker_leases.ts";
 import { WorkerSession } from "./worker_session.ts";
 
@@ -98,6 +98,15 @@
     });
   }
 
+  /** Whether the worker is usable and has room for all tasks that are placed there. */
+  mayStart(worker: WorkerName): boolean {
+    const session = this.#sessions.get(worker);
+    const record = session?.record;
+    if (session === undefined || record === undefined) return false;
+    const { free } = computeAvailability(record.capacity, session.taskRuns);
+    return this.#isUsable(session, record) && coversNeed(free, NO_RESOURCES);
+  }
+
   #isUsable(
     session: WorkerSession,
     record: WorkerRecord,
