Keep the deficit of a shrunk worker out of the headroom of the others

A worker whose capacity has shrunk below what it runs has less than nothing free. A round summed the free accelerators of a service with that deficit, so that work which may not use the headroom for urgent jobs waited although another worker had room for it. The deficit now counts as no free capacity. The test failed before: no placement, with 8 accelerators free and a headroom of 2.

--- a/packages/policy/cell/plan_round.ts
+++ b/packages/policy/cell/plan_round.ts
@@ -281,7 +281,8 @@
   for (const worker of workers) {
     const { service } = worker;
     const sum = sums.get(service) ?? -(urgentHeadroom?.get(service) ?? 0);
-    sums.set(service, sum + getResources(worker).accelerators);
+    // A worker whose capacity has shrunk may have less than nothing free.
+    sums.set(service, sum + Math.max(0, getResources(worker).accelerators));
   }
   return sums;
 }
