Measure the work of jobs by the largest capacity of any worker

A round measured all work by the capacity of the worker that came first, however much that one had shrunk: without accelerators there, a task of eight of them ranked as a small one. The work is now measured by the largest capacity of each resource.

--- a/packages/node/cell/plan_input.ts
+++ b/packages/node/cell/plan_input.ts
@@ -10,6 +10,7 @@
   computeLateLoss,
   computeUrgentHeadroom,
   computeWorkMs,
+  findLargestCapacity,
   type JobRankInput,
   type PlanInput,
   type QueueName,
@@ -68,7 +69,7 @@
   const workers = options.workers.filter(({ worker }) =>
     !suspects.probedWorkers.has(worker)
   );
-  const capacity = workers[0]?.capacity;
+  const capacity = findLargestCapacity(options.workers);
   if (capacity === undefined) return { workers, waiting: [], running: [] };
   const guaranteed = findGuaranteedJobs(jobs, options.guarantees);
   const meanWorkByQueue = computeMeanWork(jobs, capacity);
--- a/packages/policy/cell/fit.ts
+++ b/packages/policy/cell/fit.ts
@@ -65,6 +65,19 @@
   };
 }
 
+/** The largest capacity of each resource that one of the workers has; undefined without workers. */
+export function findLargestCapacity(
+  workers: readonly WorkerView[],
+): CellResources | undefined {
+  return workers.map(({ capacity }) => capacity).reduce<
+    CellResources | undefined
+  >((largest, capacity) => ({
+    cpuMilli: Math.max(largest?.cpuMilli ?? 0, capacity.cpuMilli),
+    memoryMib: Math.max(largest?.memoryMib ?? 0, capacity.memoryMib),
+    accelerators: Math.max(largest?.accelerators ?? 0, capacity.accelerators),
+  }), undefined);
+}
+
 /** Whether the free capacity is enough for the need in every resource. */
 export function coversNeed(
   capacity: CellResources,
