--- a/packages/node/cell/cell_faults_test.ts
+++ b/packages/node/cell/cell_faults_test.ts
@@ -117,6 +117,7 @@
         checkOrder(cell);
         checkStartsAfterDone(cell);
         checkCrashingJob(cell);
+        expect(cell.capacityViolations, "capacity").to.deep.equal([]);
       }));
       incomplete.push(...describeFailure(seed, () => {
         checkCompleted(cell);
--- a/packages/node/cell/cell_simulation.ts
+++ b/packages/node/cell/cell_simulation.ts
@@ -53,7 +53,8 @@
   /** Time until the answer to a read of the workers' records arrives. */
   directoryDelayMs = 0;
   /** Called after each start that a worker carries out. */
-  onStarted: (worker: WorkerFake, task: TaskName) => void = () => {};
+  readonly startListeners: ((worker: WorkerFake, task: TaskName) => void)[] =
+    [];
   /** The record that the bytes of a row stand for. */
   readonly #records = new WeakMap<Uint8Array, WorkerRecord>();
   readonly #refreshTimers = new Map<CellScheduler, Timer>();
@@ -84,7 +85,8 @@
       SIMULATION_BOUNDS.leaseMaximumMs,
       address,
     );
-    worker.onStarted = (task) => this.onStarted(worker, task);
+    worker.onStarted = (task) =>
+      this.startListeners.forEach((listener) => listener(worker, task));
     this.workers.set(worker.record.worker, worker);
     return worker;
   }
--- a/packages/node/cell/fakes/crashing_tasks.ts
+++ b/packages/node/cell/fakes/crashing_tasks.ts
@@ -23,7 +23,7 @@
 ): void {
   const { isCrashing, drawReturn, drawDelayMs = () => CRASH_DELAY_MS } =
     options;
-  simulation.onStarted = (worker, task) => {
+  simulation.startListeners.push((worker, task) => {
     if (!isCrashing(task)) return;
     const { processNumber } = worker;
     simulation.clock.after(drawDelayMs(), () => {
@@ -31,7 +31,7 @@
         worker.running.includes(task);
       if (isRunning) crash(simulation, worker, drawReturn());
     });
-  };
+  });
 }
 
 function crash(
--- a/packages/node/cell/faults/faulty_cell.ts
+++ b/packages/node/cell/faults/faulty_cell.ts
@@ -3,11 +3,16 @@
  * combination while jobs run. The faults then end, and the cell gets time to complete the jobs.
  */
 import { nextInteger, SeededRandom } from "@coltsfootpond/common";
-import type { CellJobSpec } from "@coltsfootpond/policy";
+import type {
+  CellJobSpec,
+  CellResources,
+  TaskName,
+} from "@coltsfootpond/policy";
 import type { CellScheduler } from "../cell_scheduler.ts";
 import { CellSimulation, SIMULATION_BOUNDS } from "../cell_simulation.ts";
 import type { RunHistory, WorkerFake } from "../workers_fake.ts";
 import { LeaseHolder } from "./lease_holder.ts";
+import { CapacityFaults } from "./capacity_faults.ts";
 import { addCrashingTasks, CRASH_DELAY_MS } from "../fakes/crashing_tasks.ts";
 import { GangMembers } from "./gang_members.ts";
 import {
@@ -29,6 +34,12 @@
 /** Keeps the draws for this job apart, so that a seed's other faults stay as they are. */
 const CRASHING_SEED_OFFSET = 1_000_000_007;
 const MAXIMUM_SUBMIT_MS = 8_000;
+/** Share of the sequences in which capacities change, and their draws. */
+const CAPACITY_SHARE = 0.5;
+const CAPACITY_SEED_OFFSET = 2_000_000_011;
+/** Time after the last fault until starts are checked, and until capacities stay. */
+const CAPACITY_CHECK_MS = 8_000;
+const CAPACITY_END_MS = 18_000;
 const WORKERS = ["a", "b", "c", "d"] as const;
 const JOBS = 5;
 const FAULTY_STEPS = 24;
@@ -61,6 +72,7 @@
   readonly #jobs: RandomJob[];
   /** The job whose tasks crash their workers; undefined in most sequences. */
   readonly crashingJob: CellJobSpec | undefined;
+  readonly #capacityFaults: CapacityFaults | undefined;
   readonly #random: SeededRandom;
   readonly #storeFaults: StoreFaults;
   #scheduler: CellScheduler | undefined;
@@ -89,6 +101,14 @@
     this.crashingJob = this.#addCrashingJob(
       SeededRandom.create(seed + CRASHING_SEED_OFFSET),
     );
+    const capacityRandom = SeededRandom.create(seed + CAPACITY_SEED_OFFSET);
+    if (capacityRandom.next() < CAPACITY_SHARE) {
+      this.#capacityFaults = CapacityFaults.create({
+        simulation: this.simulation,
+        random: capacityRandom,
+        getNeed: (task) => this.#getNeed(task),
+      });
+    }
   }
 
   #addCrashingJob(random: SeededRandom): CellJobSpec | undefined {
@@ -114,6 +134,17 @@
     return this.#jobs.map(({ spec }) => spec);
   }
 
+  /** Starts that brought a worker over its capacity although no other fault was near. */
+  get capacityViolations(): readonly string[] {
+    return this.#capacityFaults?.violations ?? [];
+  }
+
+  #getNeed(task: TaskName): CellResources {
+    const [jobId, , step] = task.split(".");
+    const jobs = [...this.jobs, ...this.crashingJob ? [this.crashingJob] : []];
+    return jobs.find((job) => job.jobId === jobId)!.steps[Number(step)]!.need;
+  }
+
   async run(): Promise<void> {
     this.#replaceScheduler();
     for (let step = 0; step < FAULTY_STEPS; step++) {
@@ -139,6 +170,8 @@
     simulation.workers.forEach(endWorkerFaults);
     this.#replaceScheduler();
     for (let passedMs = 0; passedMs < RECOVERY_MS; passedMs += STEP_MS) {
+      if (passedMs === CAPACITY_CHECK_MS) this.#capacityFaults?.beginChecks();
+      if (passedMs === CAPACITY_END_MS) this.#capacityFaults?.end();
       this.#endTasks();
       await simulation.clock.advance(STEP_MS);
     }
