Count starts sent to a process that has ended; give up after five uncertain crashes

The run was taken as over, but its crash did not count, as only answered starts did. A start that was sent to an incarnation that has ended counts now. The limit is five now, which is what the rule allows (two starts after the third crash) as long as each crash counts.

--- a/packages/node/cell/worker_task_runs.ts
+++ b/packages/node/cell/worker_task_runs.ts
@@ -43,8 +43,8 @@
   #processedSequence = 0;
   #incarnationCount = 1;
   #lastReportClockMs = Number.NEGATIVE_INFINITY;
-  /** Runs that an earlier incarnation has started. */
-  readonly #startedBefore = new WeakSet<TaskRun>();
+  /** Runs whose start was sent to an earlier incarnation. */
+  readonly #sentBefore = new WeakSet<TaskRun>();
 
   private constructor(options: WorkerTaskRunsOptions) {
     this.#options = options;
@@ -143,9 +143,9 @@
     this.dropListed("the worker began a new life", "ended", inputs);
     for (const taskRun of this.all) {
       taskRun.stopAnsweredMs = undefined;
-      if (taskRun.startAnsweredMs !== undefined) {
-        this.#startedBefore.add(taskRun);
-      }
+      const wasSent = taskRun.startSentMs !== undefined ||
+        taskRun.startAnsweredMs !== undefined;
+      if (wasSent) this.#sentBefore.add(taskRun);
     }
   }
 
@@ -230,7 +230,7 @@
     if (answeredMs === undefined || answeredMs >= requestedMs) return;
     this.#drop(taskRun, {
       reason: "not listed by the worker",
-      processFate: this.#startedBefore.has(taskRun) ? "ended" : "continues",
+      processFate: this.#sentBefore.has(taskRun) ? "ended" : "continues",
       inputs: {
         answered: startAnsweredMs === undefined ? "stop" : "start",
         requestedAfterMs: Math.round(requestedMs - answeredMs),
--- a/packages/policy/cell/crashes/crash_evidence.ts
+++ b/packages/policy/cell/crashes/crash_evidence.ts
@@ -47,8 +47,11 @@
 const WAVE_WORKERS = 3;
 /** The crashes at the start, each on another machine, by which a unit is given up. */
 const CRASHES_TO_GIVE_UP = 3;
-/** Crashes without a run that lasted, whatever their evidence, by which a unit is given up. */
-const MAXIMUM_CRASHES = 4;
+/**
+ * Crashes without a run that lasted, whatever their evidence, by which a unit is given up: after the
+ * third, at most two more starts are allowed (the platform's rules).
+ */
+const MAXIMUM_CRASHES = 5;
 
 /** The evidence of a lost run; undefined for one that lasted or was on a worker cut off with others. */
 export function classifyLostRun(run: LostRun): CrashEvidence | undefined {
