Show that a removed record ends a run of a worker that has returned

The simulated store can now remove the record of a worker that has restarted, as it does when the silence or the planned stop of the earlier incarnation is applied late; the next heartbeat writes it again.

--- a/packages/node/cell/faults/worker_faults.ts
+++ b/packages/node/cell/faults/worker_faults.ts
@@ -20,6 +20,8 @@
 const SLOW_TRAVEL_SHARE = 0.1;
 const MAXIMUM_FURTHER_RESTARTS = 3;
 const RESTART_SERIES_MS = 1_500;
+const MINIMUM_REMOVAL_DELAY_MS = 400;
+const REMOVAL_DELAY_RANGE_MS = 1_600;
 
 function drawCallDelayMs(random: Random): number {
   return MINIMUM_CALL_DELAY_MS + nextInteger(random, MAXIMUM_CALL_DELAY_MS);
@@ -80,6 +82,20 @@
   worker.restart();
 }
 
+/**
+ * Removes the record some time after a restart, as the silence or the planned stop of the earlier
+ * incarnation is applied late. The next heartbeat writes it again.
+ */
+function restartAndLoseRecord(
+  worker: WorkerFake,
+  { simulation, random }: WorkerFaultContext,
+): void {
+  restart(worker);
+  const delayMs = MINIMUM_REMOVAL_DELAY_MS +
+    nextInteger(random, REMOVAL_DELAY_RANGE_MS);
+  simulation.clock.after(delayMs, () => worker.removeRecord());
+}
+
 function leave(worker: WorkerFake, { random }: WorkerFaultContext): void {
   if (!worker.isReplaced) worker.leave(random.next() < 0.5);
 }
@@ -122,6 +138,8 @@
   restartOnEqualClock,
   restartRepeatedly,
   restartCutFromStore,
+  restartAndLoseRecord,
+  restartAndLoseRecord,
   leave,
   leaveAndReturnCutFromStore,
   replace,
--- a/packages/node/cell/workers_fake.ts
+++ b/packages/node/cell/workers_fake.ts
@@ -81,6 +81,7 @@
   #clockStartMs = 0;
   #storedRecord: WorkerRecord | undefined;
   #lastHeartbeatMs = Number.NEGATIVE_INFINITY;
+  #isRecordRemoved = false;
   /** The process has ended and no other has started under the name. */
   #hasLeft = false;
   /** Calls get no answer and are not carried out. */
@@ -157,7 +158,8 @@
   /** The record as the store has it; undefined when it was removed. */
   get storedRecord(): WorkerRecord | undefined {
     const ageMs = this.#clock.nowMs() - this.#lastHeartbeatMs;
-    return ageMs < RECORD_LIFETIME_MS ? this.#storedRecord : undefined;
+    const isExpired = ageMs >= RECORD_LIFETIME_MS;
+    return isExpired || this.#isRecordRemoved ? undefined : this.#storedRecord;
   }
 
   /** Writes the record when a heartbeat is due; the first of an incarnation is due at once. */
@@ -171,6 +173,15 @@
     const heartbeat = isFirst ? 1 : this.#storedRecord!.heartbeat + 1;
     this.#storedRecord = { ...this.record, heartbeat, incarnationStartUnixMs };
     this.#lastHeartbeatMs = nowMs;
+    this.#isRecordRemoved = false;
+  }
+
+  /**
+   * The record is removed for an earlier incarnation, whose silence or planned stop the store applies
+   * late; the next heartbeat writes it again.
+   */
+  removeRecord(): void {
+    this.#isRecordRemoved = true;
   }
 
   /**
