Take a removed record only as a reason to ask whether a worker has left

Cause: a record that was removed before three heartbeats were over was taken as proof that the incarnation it last named had left. A record belongs to a name, and ids return: the removal may be due to the silence or the planned stop of the earlier incarnation, although the record names the new one already.

Change: a removal counts only if the incarnation had announced its stop and its record is older than the time after which an earlier one's expires. Then the worker is asked: an answer refutes it, a refused connection confirms it, silence leaves it to the lease. Planned stops are noticed as soon as before (a test), by two calls more.

--- a/packages/node/cell/duplicate_runs/worker_directory_test.ts
+++ b/packages/node/cell/duplicate_runs/worker_directory_test.ts
@@ -14,6 +14,8 @@
   const clock = ManualClock.create();
   const { record } = WorkerFake.create(WORKER, clock, []);
   let heartbeat = 1;
+  let isDraining = true;
+  let incarnationStartUnixMs = 1;
   let value: Uint8Array | undefined = new Uint8Array(0);
   let suspendedMs = 0;
   let version = 0;
@@ -31,7 +33,9 @@
       decodeDeclaredState: () => undefined,
       classifyOperatorRow: () => ({ kind: "other" }),
       decodeWorker: (_key, bytes): WorkerRecord | undefined =>
-        bytes === UNREADABLE ? undefined : { ...record, heartbeat },
+        bytes === UNREADABLE
+          ? undefined
+          : { ...record, heartbeat, isDraining, incarnationStartUnixMs },
     },
     clock,
     nowUnixMs: () => clock.nowMs() + suspendedMs,
@@ -46,28 +50,56 @@
   return {
     readAfter,
     beat: () => void heartbeat++,
+    stopDraining: () => void (isDraining = false),
+    restart: () => {
+      incarnationStartUnixMs++;
+      heartbeat = 1;
+    },
     setRow: (row: Uint8Array | undefined) => void (value = row),
     /** The VM stands still: only the time of day goes on. */
     suspend: (durationMs: number) => void (suspendedMs += durationMs),
   };
 }
 
-/** The heartbeat of the last read is at most 700 ms old. */
+/** A draining worker whose heartbeat was at most 700 ms old in the last read. */
 async function createWithRecentHeartbeat() {
   const directory = createDirectory();
   await directory.readAfter(0);
   directory.beat();
+  await directory.readAfter(5_000);
+  directory.beat();
   await directory.readAfter(700);
   return directory;
 }
 
 describe("the directory of workers", () => {
-  it("takes a worker as gone whose record was removed before it could expire", async () => {
+  it("finds a draining worker whose record was removed before it could expire", async () => {
     const directory = await createWithRecentHeartbeat();
     directory.setRow(undefined);
     expect(await directory.readAfter(700)).to.deep.equal([WORKER]);
   });
 
+  // Guards against a removal that is due to the silence of an earlier incarnation.
+  it("does not take a worker as gone that has not announced its stop", async () => {
+    const directory = await createWithRecentHeartbeat();
+    directory.stopDraining();
+    await directory.readAfter(700);
+    directory.setRow(undefined);
+    expect(await directory.readAfter(700)).to.deep.equal([]);
+  });
+
+  // The same for an incarnation that drains before the record of the earlier one has expired.
+  it("does not take a worker as gone that has just started again", async () => {
+    const directory = await createWithRecentHeartbeat();
+    directory.restart();
+    for (let read = 0; read < 6; read++) {
+      await directory.readAfter(700);
+      directory.beat();
+    }
+    directory.setRow(undefined);
+    expect(await directory.readAfter(700)).to.deep.equal([]);
+  });
+
   it("does not take a worker as gone whose record may have expired", async () => {
     const directory = await createWithRecentHeartbeat();
     directory.setRow(undefined);
--- a/packages/node/cell/incarnations/removed_record_test.ts
+++ b/packages/node/cell/incarnations/removed_record_test.ts
@@ -1,11 +1,16 @@
 import { ManualClock, type WorkerName } from "@coltsfootpond/common";
 import type { TaskName } from "@coltsfootpond/policy";
-import type { RunningTask, WorkerPort } from "@coltsfootpond/ports";
+import type {
+  RunningTask,
+  Unavailable,
+  WorkerPort,
+} from "@coltsfootpond/ports";
 import { expect } from "chai";
 import { SIMULATION_BOUNDS } from "../cell_simulation.ts";
 import { SILENT_LOG } from "../log.ts";
 import type { SessionListener } from "../task_run.ts";
 import { WorkerSession } from "../worker_session.ts";
+import { CONNECTION_LOST, UNANSWERED } from "../workers_fake.ts";
 
 const WORKER = "a" as WorkerName;
 const NEED = { cpuMilli: 1_000, memoryMib: 1_000, accelerators: 1 };
@@ -23,12 +28,14 @@
   const listener: Partial<SessionListener> = {
     onGone: (_session, _taskRun, { reason }) => void gone.push(reason),
     onReport: () => {},
+    onContactLost: () => {},
     onStray: (session, running) =>
       void session.adopt(running, { need: NEED, stepKey: "" }),
   };
+  let failure: Unavailable | undefined;
   const renew: WorkerPort["renew"] = async () => {
     await clock.sleep(10);
-    return {
+    return failure ?? {
       kind: "report",
       metadata: { workerClockMs: clock.nowMs(), incarnationStartUnixMs: 2 },
       running: [RUNNING],
@@ -47,8 +54,7 @@
   });
   session.startPolling();
   await clock.advance(100);
-  session.stop();
-  const markLeft = (incarnationStartUnixMs: number) =>
+  const markLeft = async (incarnationStartUnixMs: number) => {
     session.markLeft({
       worker: WORKER,
       incarnationStartUnixMs,
@@ -57,17 +63,45 @@
       monotonicAgeMs: 1,
       wallAgeMs: 1,
       recordLifetimeMs: 4_500,
+      recordAgeMs: 9_000,
     });
-  return { session, gone, markLeft };
+    await clock.advance(300);
+  };
+  return {
+    clock,
+    session,
+    gone,
+    markLeft,
+    fail: (outcome: Unavailable) => void (failure = outcome),
+  };
 }
 
 describe("a worker's record that was removed early", () => {
   // Guards against ending a run of the present incarnation with the removal of another one's record.
   it("ends the listed runs only of the incarnation that it names", async () => {
-    const { session, gone, markLeft } = await createSession();
-    for (const earlierOrSetBack of [1, 3]) markLeft(earlierOrSetBack);
+    const { session, gone, markLeft, fail } = await createSession();
+    fail(CONNECTION_LOST);
+    for (const earlierOrSetBack of [1, 3]) await markLeft(earlierOrSetBack);
     expect(session.taskRuns).to.have.length(1);
-    markLeft(2);
+    await markLeft(2);
     expect(gone).to.deep.equal(["the worker has left"]);
   });
+
+  // Guards against ending a run whose worker goes on or has only fallen silent.
+  it("ends no run of a worker that answers or does not refuse the connection", async () => {
+    const { session, markLeft, fail } = await createSession();
+    await markLeft(2);
+    fail(UNANSWERED);
+    await markLeft(2);
+    expect(session.taskRuns).to.have.length(1);
+  });
+
+  // Guards against counting a removal that an answer has refuted since.
+  it("ends no run when the connection is refused only after an answer", async () => {
+    const { clock, session, markLeft, fail } = await createSession();
+    await markLeft(2);
+    fail(CONNECTION_LOST);
+    await clock.advance(300);
+    expect(session.taskRuns).to.have.length(1);
+  });
 });
--- a/packages/node/cell/run_evidence/run_evidence_test.ts
+++ b/packages/node/cell/run_evidence/run_evidence_test.ts
@@ -72,6 +72,8 @@
   // Guards against a removed record whose heartbeat's age, and the limit for it, are not logged.
   it("names the heartbeat and both ages when a worker's record was removed early", async () => {
     const { simulation, find, worker } = await createRunningCell(["a", "b"]);
+    Object.assign(worker.record, { isDraining: true });
+    await simulation.clock.advance(4_500);
     worker.leave(true);
     await simulation.clock.advance(1_500);
     const [left] = find("worker.left");
@@ -87,6 +89,7 @@
     for (const line of [left!, gone!]) {
       expect(line.monotonicAgeMs).to.be.within(0, 4_499);
       expect(line.wallAgeMs).to.equal(line.monotonicAgeMs);
+      expect(line.recordAgeMs).to.be.greaterThan(4_500);
     }
   });
 
--- a/packages/node/cell/worker_directory.ts
+++ b/packages/node/cell/worker_directory.ts
@@ -1,7 +1,9 @@
 /**
- * The workers of the cell, read from their own records. The platform removes the record of a silent
- * worker after some missed heartbeats. A record that was removed sooner shows that its worker has
- * left, so that nothing runs there any more.
+ * The workers of the cell, read from their own records. The platform removes the record of a worker
+ * that has left, and of a silent one after some missed heartbeats. A worker may start again under its
+ * name, and a removal may be due to an earlier incarnation, so a removal only suggests that a worker
+ * has left: the incarnation must have announced its stop, and its record must be older than the time
+ * after which that of an earlier one expires.
  */
 import type { Clock, WorkerName } from "@coltsfootpond/common";
 import {
@@ -40,16 +42,21 @@
    * when there was none.
    */
   readonly heartbeatNotBefore: Moment | undefined;
+  /** When a record of the incarnation was first received. */
+  readonly firstRead: Moment;
 }
 
 /** One read of all records. */
 export interface DirectorySnapshot {
   readonly records: ReadonlyMap<WorkerName, WorkerRecord>;
-  /** Workers that have left for certain, as their records were removed early. */
+  /** Draining workers whose records were removed early. */
   readonly leftWorkers: readonly LeftWorker[];
 }
 
-/** A worker whose record was removed early, and the heartbeat that shows it. */
+/**
+ * A draining worker whose record was removed before its silence can be the cause. It has left if it
+ * does not answer either.
+ */
 export interface LeftWorker {
   readonly worker: WorkerName;
   readonly incarnationStartUnixMs: number;
@@ -61,6 +68,8 @@
   readonly wallAgeMs: number;
   /** A heartbeat of this age may be the cause of the removal. */
   readonly recordLifetimeMs: number;
+  /** Lower bound of the age of the incarnation's record when it was last read. */
+  readonly recordAgeMs: number;
 }
 
 /** Reads the workers' records. */
@@ -124,19 +133,27 @@
   #findLeft(presentKeys: ReadonlySet<string>): readonly LeftWorker[] {
     // After a failed read the removal may be of any age, so the worker may have been silent.
     if (this.#lastRead === undefined) return [];
+    const lastRead = this.#lastRead;
     const recordLifetimeMs = MISSED_HEARTBEATS_TO_REMOVAL *
       this.#options.heartbeatMs;
-    return [...this.#knownRecords.values()].map((
-      { record, heartbeatNotBefore },
-    ) => ({
+    const draining = [...this.#knownRecords.values()].filter(({ record }) =>
+      record.isDraining
+    );
+    return draining.map(({ record, heartbeatNotBefore, firstRead }) => ({
       worker: record.worker,
       incarnationStartUnixMs: record.incarnationStartUnixMs,
       heartbeat: record.heartbeat,
       ...this.#computeAges(heartbeatNotBefore),
       recordLifetimeMs,
+      // The clock that shows less: the wall clock may be set forward.
+      recordAgeMs: Math.min(
+        lastRead.monotonicMs - firstRead.monotonicMs,
+        lastRead.unixMs - firstRead.unixMs,
+      ),
     }))
-      .filter(({ worker, heartbeatAgeMs }) =>
-        !presentKeys.has(worker) && heartbeatAgeMs < recordLifetimeMs
+      .filter(({ worker, heartbeatAgeMs, recordAgeMs }) =>
+        !presentKeys.has(worker) && heartbeatAgeMs < recordLifetimeMs &&
+        recordAgeMs > recordLifetimeMs
       );
   }
 
@@ -144,16 +161,20 @@
     const next = new Map<WorkerName, KnownRecord>();
     for (const record of records.values()) {
       const known = this.#knownRecords.get(record.worker);
-      const isSameHeartbeat = known !== undefined &&
-        known.record.heartbeat === record.heartbeat &&
-        known.record.incarnationStartUnixMs === record.incarnationStartUnixMs;
+      const isSameIncarnation =
+        known?.record.incarnationStartUnixMs === record.incarnationStartUnixMs;
+      const isSameHeartbeat = isSameIncarnation &&
+        known?.record.heartbeat === record.heartbeat;
       next.set(record.worker, {
         record,
         heartbeatNotBefore: isSameHeartbeat
-          ? known.heartbeatNotBefore
+          ? known?.heartbeatNotBefore
           : known === undefined
           ? undefined
           : this.#lastRead,
+        firstRead: isSameIncarnation && known !== undefined
+          ? known.firstRead
+          : this.#now(),
       });
     }
     this.#knownRecords = next;
--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -67,6 +67,8 @@
   /** Whether a report is needed to tell which incarnation of the worker is the present one. */
   #isReportDue = false;
   #isStopped = false;
+  /** The removal of the present incarnation's record, until the worker answers. */
+  #left: LeftWorker | undefined;
   /** The incarnation that its record last showed as draining. */
   #drainingStartUnixMs: number | undefined;
 
@@ -174,6 +176,7 @@
   setRecord(record: WorkerRecord | undefined): void {
     const earlierStartUnixMs = this.record?.incarnationStartUnixMs;
     this.record = record;
+    if (record !== undefined) this.#left = undefined;
     this.#applyDraining(record);
     if (record === undefined || !this.hasReported) return;
     const { incarnationStartUnixMs } = record;
@@ -255,14 +258,21 @@
   }
 
   /**
-   * The incarnation of the worker that its record named has left for certain. The runs that no
-   * report of it has listed stay.
+   * The worker seems to have left. It has if its machine refuses the next call; an answer shows that
+   * the record was removed for another reason.
    */
-  markLeft({ worker: _, ...evidence }: LeftWorker): void {
-    const { incarnationStartUnixMs } = evidence;
-    if (incarnationStartUnixMs !== this.incarnationStartUnixMs) return;
+  markLeft(left: LeftWorker): void {
+    if (left.incarnationStartUnixMs !== this.incarnationStartUnixMs) return;
+    this.#left = left;
+    void this.pollNow();
+  }
+
+  /** The runs that no report of the incarnation has listed stay. */
+  #dropIfLeft({ isConnectionLost }: Unavailable): void {
+    if (this.#left === undefined || isConnectionLost !== true) return;
+    const { worker: _, ...evidence } = this.#left;
+    this.#left = undefined;
     this.#taskRuns.dropListed("the worker has left", "stopped", evidence);
-    if (this.hasTaskRuns) void this.pollNow();
   }
 
   async #pollLoop(): Promise<void> {
@@ -355,6 +365,7 @@
         return false;
       case "unavailable":
         this.#recordLostContact(outcome);
+        this.#dropIfLeft(outcome);
         this.#reachability.recordFailure(outcome.reason, this.#taskRuns.size);
         return false;
     }
@@ -380,6 +391,7 @@
     );
     if (status === "undecided") return this.#requestReport();
     this.#isReportDue = false;
+    this.#left = undefined;
     if (!this.hasReported) this.#logFirstReport(report);
     if (status === "new") {
       this.#beginIncarnation(earlierStartUnixMs, requestedAfterMs);
