--- a/scripts/mutations/duplicate_run_mutations.ts
+++ b/scripts/mutations/duplicate_run_mutations.ts
@@ -105,7 +105,7 @@
     name: "never poll an unreachable worker without task runs",
     promise: "capacity is used again",
     file: `${CELL}/worker_session.ts`,
-    find: `if (!this.isReachable || this.#isReportDue) return true;`,
+    find: `if (!isAnswering || this.#isReportDue) return true;`,
     replace: `if (!this.hasReported || this.#isReportDue) return true;`,
     spec: `${CELL}/cell_scheduler_test.ts`,
     title: "uses a worker again that answers only after",
@@ -138,15 +138,43 @@
     spec: `${DUPLICATE_RUNS}/stored_placements_test.ts`,
     title: "name the worker of a stray run",
   },
+  {
+    name: "take a removed record as proof without asking the worker",
+    promise: NO_TASK_TWICE,
+    file: `${CELL}/worker_session.ts`,
+    find: `if (this.#left === undefined || isConnectionLost !== true) return;`,
+    replace: `if (this.#left === undefined) return;`,
+    spec: `${CELL}/incarnations/removed_record_test.ts`,
+    title: "ends no run of a worker that answers",
+  },
+  {
+    name: "take the removed record of a worker that does not drain as its end",
+    promise: NO_TASK_TWICE,
+    file: `${CELL}/worker_directory.ts`,
+    find: `.filter(({ record }) =>
+      record.isDraining
+    );`,
+    replace: `;`,
+    spec: `${DUPLICATE_RUNS}/worker_directory_test.ts`,
+    title: "that has not announced its stop",
+  },
+  {
+    name: "take the removed record of a new incarnation as its end",
+    promise: NO_TASK_TWICE,
+    file: `${CELL}/worker_directory.ts`,
+    find: `&&
+        recordAgeMs > recordLifetimeMs`,
+    replace: ``,
+    spec: `${DUPLICATE_RUNS}/worker_directory_test.ts`,
+    title: "that has just started again",
+  },
   {
     name: "end the runs of a later incarnation with a removed record",
     promise: NO_TASK_TWICE,
     file: `${CELL}/worker_session.ts`,
-    find: `
-    if (incarnationStartUnixMs !== this.incarnationStartUnixMs) return;
-    this.#taskRuns.dropListed`,
-    replace: `
-    this.#taskRuns.dropListed`,
+    find:
+      `if (left.incarnationStartUnixMs !== this.incarnationStartUnixMs) return;`,
+    replace: ``,
     spec: `${CELL}/incarnations/removed_record_test.ts`,
     title: "ends the listed runs only of the incarnation",
   },
--- a/scripts/mutations/mutations.ts
+++ b/scripts/mutations/mutations.ts
@@ -3,6 +3,7 @@
  * fail when a promise is broken. This file lists those of jobs, calls, configuration and the table.
  */
 import { CELL_MUTATIONS } from "./cell_mutations.ts";
+import { CRASH_MUTATIONS } from "./crash_mutations.ts";
 import { DUPLICATE_RUN_MUTATIONS } from "./duplicate_run_mutations.ts";
 import { STATE_MUTATIONS } from "./state_mutations.ts";
 import type { Mutation } from "./types.ts";
@@ -228,6 +229,7 @@
   },
   ...STATE_MUTATIONS,
   ...CELL_MUTATIONS,
+  ...CRASH_MUTATIONS,
   ...DUPLICATE_RUN_MUTATIONS,
   ...WORKER_CONNECTION_MUTATIONS,
 ];
