--- a/scripts/mutations/crash_mutations.ts
+++ b/scripts/mutations/crash_mutations.ts
@@ -25,7 +25,7 @@
     find: `if (unit !== undefined && lost !== undefined) {`,
     replace: `if (unit === undefined && lost !== undefined) {`,
     spec: `${CRASHES}/crashing_task_test.ts`,
-    title: "although the lease holder changes 0 ms",
+    title: "although the lease holder changes 500 ms",
   },
   {
     name: "start all tasks of a step after a crash",
