Check the run of an earlier lease holder for a crash only once

A waiting unit was compared with its worker's present incarnation in every round until it was placed again. A run that the worker had listed as failed counted as a crash once the worker restarted later, for whatever reason, while the unit waited. The unit is now checked once, when it is certain that the run is over or running.

--- a/packages/node/cell/crashes/crash_tracker.ts
+++ b/packages/node/cell/crashes/crash_tracker.ts
@@ -11,10 +11,7 @@
   hasLasted,
   type LostRun,
 } from "@coltsfootpond/policy";
-import {
-  type EarlierRunChecks,
-  findCrashedEarlierRun,
-} from "./earlier_runs.ts";
+import { findCrashedEarlierRun, type GetSession } from "./earlier_runs.ts";
 import {
   describeUnit,
   formatUnitKey,
@@ -38,6 +35,12 @@
 /** Longer than it takes until a lost run is known to be over. */
 const LOSS_RETENTION_MS = 30_000;
 
+export interface EarlierRunChecks {
+  readonly getSession: GetSession;
+  /** Whether the unit may have a run that no report has shown yet. */
+  readonly isBlocked: (unit: Unit) => boolean;
+}
+
 export interface CrashTrackerOptions {
   readonly log: CellLog;
   readonly locateTask: (task: TaskRun["task"]) => UnitOfJob | undefined;
@@ -55,6 +58,8 @@
 export class CrashTracker {
   readonly #options: CrashTrackerOptions;
   #losses: readonly WorkerLoss[] = [];
+  /** Units whose earlier run has been found to be over or running. */
+  readonly #checkedUnits = new WeakSet<Unit>();
 
   private constructor(options: CrashTrackerOptions) {
     this.#options = options;
@@ -104,14 +109,19 @@
     for (const job of jobs) {
       for (const key of job.earlierRuns.keys()) {
         const unit = job.units.get(key);
-        const lost = unit && findCrashedEarlierRun(unit, checks);
-        if (unit !== undefined && lost !== undefined) {
-          this.#recordEarlier(unit, lost);
-        }
+        if (unit !== undefined) this.#checkEarlierRun(unit, checks);
       }
     }
   }
 
+  /** Checks once, as a worker that restarts later has not crashed under the run. */
+  #checkEarlierRun(unit: Unit, checks: EarlierRunChecks): void {
+    if (this.#checkedUnits.has(unit) || checks.isBlocked(unit)) return;
+    this.#checkedUnits.add(unit);
+    const lost = findCrashedEarlierRun(unit, checks.getSession);
+    if (lost !== undefined) this.#recordEarlier(unit, lost);
+  }
+
   #recordEarlier(
     unit: Unit,
     { run, worker }: { readonly run: number; readonly worker: WorkerName },
--- a/packages/node/cell/crashes/earlier_runs.ts
+++ b/packages/node/cell/crashes/earlier_runs.ts
@@ -6,27 +6,23 @@
 import { type EarlierRun, formatUnitKey, type Unit } from "../live_job.ts";
 import type { WorkerSession } from "../worker_session.ts";
 
-export interface EarlierRunChecks {
-  readonly getSession: (worker: WorkerName) => WorkerSession | undefined;
-  /** Whether the unit may have a run that no report has shown yet. */
-  readonly isBlocked: (unit: Unit) => boolean;
-}
+export type GetSession = (worker: WorkerName) => WorkerSession | undefined;
 
-/** The earlier run of a unit if a worker's process has ended since, with that worker. */
+/** The earlier run of a waiting unit, with a worker whose process has ended since. */
 export function findCrashedEarlierRun(
   unit: Unit,
-  { getSession, isBlocked }: EarlierRunChecks,
+  getSession: GetSession,
 ): { readonly run: number; readonly worker: WorkerName } | undefined {
   const earlier = unit.job.earlierRuns.get(formatUnitKey(unit.address));
-  const isOpen = unit.run === undefined && !unit.wasPlacedByThisHolder;
-  if (earlier === undefined || !isOpen || isBlocked(unit)) return undefined;
+  const isWaiting = unit.run === undefined && !unit.wasPlacedByThisHolder;
+  if (earlier === undefined || !isWaiting) return undefined;
   const worker = findEndedWorker(earlier, getSession);
   return worker === undefined ? undefined : { run: earlier.run, worker };
 }
 
 function findEndedWorker(
   { incarnations }: EarlierRun,
-  getSession: EarlierRunChecks["getSession"],
+  getSession: GetSession,
 ): WorkerName | undefined {
   return [...incarnations].find(([worker, startUnixMs]) => {
     if (startUnixMs === 0) return false;
