Test the crash tracker directly; name the workers of suspects as such

Planned stops now have a direct test.

probedWorkers is called workersOfSuspects; no other change of the program.

--- a/packages/node/cell/crashes/suspect_units.ts
+++ b/packages/node/cell/crashes/suspect_units.ts
@@ -17,14 +17,14 @@
 
 export class SuspectUnits {
   /** Workers of suspects that run; no other unit starts there. */
-  readonly probedWorkers: ReadonlySet<WorkerName>;
+  readonly workersOfSuspects: ReadonlySet<WorkerName>;
   readonly #suspects: ReadonlySet<Unit>;
   /** By key of the step, the one unit of the step that may start. */
   readonly #firstByStep: ReadonlyMap<string, Unit>;
 
   private constructor(suspects: readonly Unit[]) {
     this.#suspects = new Set(suspects);
-    this.probedWorkers = new Set(
+    this.workersOfSuspects = new Set(
       suspects.flatMap(({ run }) =>
         [...run?.taskRuns.values() ?? []].map(({ worker }) => worker)
       ),
--- a/packages/node/cell/plan_input.ts
+++ b/packages/node/cell/plan_input.ts
@@ -67,7 +67,7 @@
   const { jobs, nowMs } = options;
   const suspects = SuspectUnits.create(jobs);
   const workers = options.workers.filter(({ worker }) =>
-    !suspects.probedWorkers.has(worker)
+    !suspects.workersOfSuspects.has(worker)
   );
   const capacity = findLargestCapacity(options.workers);
   if (capacity === undefined) return { workers, waiting: [], running: [] };
--- a/scripts/mutations/crash_mutations.ts
+++ b/scripts/mutations/crash_mutations.ts
@@ -40,7 +40,7 @@
     name: "start other units beside a suspect",
     promise: FEW_CRASHES,
     file: "packages/node/cell/plan_input.ts",
-    find: `!suspects.probedWorkers.has(worker)`,
+    find: `!suspects.workersOfSuspects.has(worker)`,
     replace: `true`,
     spec: `${CRASHES}/able_task_test.ts`,
     title: "nothing starts beside it until it has lasted",
@@ -69,7 +69,7 @@
     file: `${CRASHES}/crash_tracker.ts`,
     find: `if (location === undefined || session.isDraining) return;`,
     replace: `if (location === undefined) return;`,
-    spec: `${CRASHES}/able_task_test.ts`,
-    title: "when draining workers stop under it",
+    spec: `${CRASHES}/crash_tracker_test.ts`,
+    title: "does not count planned stops",
   },
 ];
