--- a/packages/node/cell/fakes/vm_fake.ts
+++ b/packages/node/cell/fakes/vm_fake.ts
@@ -4,6 +4,12 @@
  */
 import type { Clock, ManualClock, Timer } from "@coltsfootpond/common";
 
+/**
+ * Real timers take at least 1 ms. A shorter delay, as the rounding of clock rates leaves it, would not
+ * advance the manual clock.
+ */
+const LEAST_TIMER_MS = 1;
+
 export interface VmFakeOptions {
   /** The manual clock, which stands for true time. */
   readonly clock: ManualClock;
@@ -45,7 +51,7 @@
       if (this.#isFrozen) timer = clock.after(this.#remainingMs, fire);
       else callback();
     };
-    let timer = clock.after(delayMs / rate, fire);
+    let timer = clock.after(Math.max(delayMs / rate, LEAST_TIMER_MS), fire);
     return { cancel: () => timer.cancel() };
   }
 
@@ -80,6 +86,7 @@
   }
 
   get #remainingMs(): number {
-    return this.#frozenUntilMs - this.#options.clock.nowMs();
+    const remainingMs = this.#frozenUntilMs - this.#options.clock.nowMs();
+    return remainingMs > 0 ? Math.max(remainingMs, LEAST_TIMER_MS) : 0;
   }
 }
--- a/packages/node/cell/fakes/vm_fake_test.ts
+++ b/packages/node/cell/fakes/vm_fake_test.ts
@@ -15,6 +15,17 @@
     expect(vm.nowUnixMs()).to.equal(1_700);
   });
 
+  // Guards against sequences that never end, as a timer of less than the clock's precision repeats.
+  it("advances the clock with each timer", async () => {
+    const clock = ManualClock.create();
+    const options = { startMs: 500, rate: 1.01, unixErrorMs: 0 };
+    const vm = VmFake.create({ clock, ...options });
+    let firedMs: number | undefined;
+    vm.after(1e-13, () => (firedMs = clock.nowMs()));
+    await clock.advance(10);
+    expect(firedMs).to.equal(1);
+  });
+
   it("handles timers and answers after it was frozen", async () => {
     const clock = ManualClock.create();
     const vm = VmFake.create({ clock, startMs: 0, rate: 1, unixErrorMs: 0 });
