Start nothing that would exceed an organisation's quota

Cause: `maxCount` and `weight` of the declared state were not read, and no decision compared what an organisation has running with its quota. Operators saw an organisation with more accelerators running than its quota allows.

Change: the decoder reads both fields into `DeclaredState.shares`. Each task run has the account that it counts for; the usage of an organisation is summed over all worker sessions, stray runs and stored placements of earlier holders on workers that have not reported. `planRound` holds a unit back whose start would exceed the quota, also units for which others would be evicted or displaced, and `RunRegistry.sendStarts` checks again when the placement is stored. A holder that has not read a declared state starts nothing, as it does not know the quotas.

A held-back unit causes no eviction and blocks no other unit.

The simulated cell gets a declared state, which tests can change.

--- a/packages/node/cell/callers/caller_filters_fuzz_test.ts
+++ b/packages/node/cell/callers/caller_filters_fuzz_test.ts
@@ -41,6 +41,7 @@
     brandId<OrganisationName>("organisation"),
   ]]),
   guarantees: [],
+  shares: [],
   capacityEnforcingServices: new Set(),
   limits: {
     headerBytes: 8_192,
--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -22,6 +22,8 @@
 import { describeUnit, mayStillRunUnreported, type Unit } from "./live_job.ts";
 import type { CellLog } from "./log.ts";
 import { createPlanInput } from "./plan_input.ts";
+import { OrganisationQuotas } from "./quotas/organisation_quotas.ts";
+import { findAccountOfEnded } from "./quotas/run_account.ts";
 import { ProgressWriter } from "./progress_writer.ts";
 import { RunRegistry } from "./run_registry.ts";
 import { isIncomplete, isStalled } from "./run_checks.ts";
@@ -65,6 +67,7 @@
   readonly #jobs: JobRegistry;
   readonly #runs: RunRegistry;
   readonly #fleet: WorkerFleet;
+  readonly #quotas: OrganisationQuotas;
   readonly #writer: ProgressWriter;
   readonly #crashes: CrashTracker;
   readonly #endedJobs: EndedJobCollector;
@@ -104,6 +107,8 @@
       ...options,
       getSession: (worker) => this.#fleet.get(worker),
       mayStart: (worker) => this.#fleet.mayStart(worker),
+      findAccountOfEnded: (task) => findAccountOfEnded(task, options.follower),
+      findQuotaExcess: (unit) => this.#quotas.findExcess(unit),
       locateTask: (task) => this.#jobs.locateTask(task),
       describeEarlierWorkers: (workers) =>
         this.#fleet.describeEarlierWorkers(workers),
@@ -137,6 +142,12 @@
       listener: events,
       onChanged: () => this.#requestRound(),
     });
+    this.#quotas = OrganisationQuotas.create({
+      getDeclaredState: () => declared.current,
+      listJobs: () => this.#jobs.jobs,
+      listSessions: () => this.#fleet.sessions,
+      isUnreported: this.#isUnreported,
+    });
   }
 
   static create(options: CellSchedulerOptions): CellScheduler {
@@ -149,6 +160,7 @@
     await this.#awaitRows();
     if (this.#isStopped) return;
     this.#applyRows(follower.rows());
+    this.#quotas.recordEarlierPlacements();
     this.#subscription = follower.changes.subscribe((rows) =>
       this.#applyRows(rows)
     );
@@ -241,7 +253,8 @@
 
   #round(): void {
     const { clock, nowUnixMs, declared, canAct, log, settings } = this.#options;
-    if (!canAct()) return;
+    // Without the declared state, the quotas are not known.
+    if (!canAct() || declared.current === undefined) return;
     const nowMs = clock.nowMs();
     const strayUnits = this.#runs.listStrayUnits();
     const isBlocked = (unit: Unit) =>
@@ -254,7 +267,8 @@
     const input = createPlanInput({
       jobs: this.#jobs.jobs.filter((job) => job.ending === undefined),
       workers: this.#fleet.createUsableWorkerViews(),
-      guarantees: declared.current?.guarantees ?? [],
+      guarantees: declared.current.guarantees,
+      shares: this.#quotas.createShares(),
       nowMs,
       nowUnixMs: nowUnixMs(),
       urgentRatesPerS: this.#urgentDemand.computeRatesPerS(nowUnixMs()),
--- a/packages/node/cell/cell_simulation.ts
+++ b/packages/node/cell/cell_simulation.ts
@@ -8,7 +8,9 @@
 import type { CellJobSpec, TaskName } from "@coltsfootpond/policy";
 import type {
   CellSettings,
+  DeclaredState,
   RecordDecoder,
+  StateRow,
   StateStore,
   WorkerPort,
   WorkerRecord,
@@ -40,6 +42,22 @@
 /** Period of the workers' checks for expired leases and due heartbeats. */
 const WORKER_CHECK_PERIOD_MS = 10;
 
+const DECLARED_STATE_KEY = "declared";
+const NOTHING_DECLARED: DeclaredState = {
+  version: 1,
+  queues: [],
+  organisationByApiKey: new Map(),
+  guarantees: [],
+  shares: [],
+  capacityEnforcingServices: new Set(),
+  limits: {
+    headerBytes: 8_192,
+    bodyBytes: 65_536,
+    headerTimeoutMs: 5_000,
+    keepAliveMs: 5_000,
+  },
+};
+
 /** A simulated cell. */
 export class CellSimulation {
   readonly clock = ManualClock.create();
@@ -50,11 +68,16 @@
   log: CellLog = SILENT_LOG;
   /** Reads of the workers' records get no answer. */
   isDirectoryUnavailable = false;
+  /** Schedulers that are started from now on read no declared state until the next version. */
+  isDeclaredStateUnknown = false;
   /** Time until the answer to a read of the workers' records arrives. */
   directoryDelayMs = 0;
   /** Called after each start that a worker carries out. */
   readonly startListeners: ((worker: WorkerFake, task: TaskName) => void)[] =
     [];
+  /** In force on all schedulers. */
+  #declared: DeclaredState = NOTHING_DECLARED;
+  readonly #operatorFollowers = new Set<TableFollower>();
   /** The record that the bytes of a row stand for. */
   readonly #records = new WeakMap<Uint8Array, WorkerRecord>();
   readonly #refreshTimers = new Map<CellScheduler, Timer>();
@@ -76,6 +99,20 @@
     return simulation;
   }
 
+  /** Declares a next version with these shares; all schedulers read it at once. */
+  declareShares(shares: DeclaredState["shares"]): void {
+    const version = this.#declared.version + 1;
+    this.#declared = { ...this.#declared, version, shares };
+    for (const follower of this.#operatorFollowers) {
+      follower.apply([this.#createDeclaredRow()]);
+    }
+  }
+
+  #createDeclaredRow(): StateRow {
+    const { version } = this.#declared;
+    return { key: DECLARED_STATE_KEY, version, value: new Uint8Array(0) };
+  }
+
   /** Adds a worker, by default at an address of its own. */
   addWorker(name: string, address?: string): WorkerFake {
     const worker = WorkerFake.create(
@@ -107,6 +144,22 @@
     }, 1);
   }
 
+  /** Stores the end of the job, as an entry does for a caller who cancels it. */
+  async cancel({ jobId, queue, organisation }: CellJobSpec): Promise<void> {
+    const value = encodeRow({
+      kind: "ended",
+      state: "cancelled",
+      queue,
+      organisation,
+      endedUnixMs: this.clock.nowMs(),
+    });
+    await this.store.transact({
+      conditions: [],
+      puts: [{ key: jobKey(jobId), value }],
+      deletes: [],
+    }, 1);
+  }
+
   /** Deletes the job's stored progress; the workers still list the ends. */
   async deleteProgress(spec: CellJobSpec): Promise<void> {
     await this.store.transact({
@@ -147,8 +200,22 @@
       log,
     };
     const follower = TableFollower.create({ table: "state", ...common });
-    const operators = TableFollower.create({ table: "operators", ...common });
+    const operators = TableFollower.create({
+      table: "operators",
+      ...common,
+      // Versions of the declared state are not those of the store.
+      seen: SeenVersion.create(),
+    });
     const recordDecoder = this.#createRecordDecoder();
+    const declared = DeclaredStateTracker.create({
+      follower: operators,
+      recordDecoder,
+      log,
+    });
+    this.#operatorFollowers.add(operators);
+    if (!this.isDeclaredStateUnknown) {
+      operators.apply([this.#createDeclaredRow()]);
+    }
     const scheduler = CellScheduler.create({
       epoch: ++this.#epoch,
       acquiredVersion: Math.max(
@@ -163,11 +230,7 @@
       workerPort: this.#createWorkerPortOf(vm),
       recordDecoder,
       follower,
-      declared: DeclaredStateTracker.create({
-        follower: operators,
-        recordDecoder,
-        log,
-      }),
+      declared,
       clock,
       nowUnixMs: () => vm.nowUnixMs(),
       log,
@@ -249,10 +312,10 @@
 
   #createRecordDecoder(): RecordDecoder {
     return {
-      decodeDeclaredState: () => undefined,
+      decodeDeclaredState: () => this.#declared,
       decodeWorker: (key, value) =>
         this.get(key).isRecordUnreadable ? undefined : this.#records.get(value),
-      classifyOperatorRow: () => ({ kind: "other" }),
+      classifyOperatorRow: () => ({ kind: "declared_state" }),
     };
   }
 }
--- a/packages/node/cell/duplicate_runs/stored_placements_test.ts
+++ b/packages/node/cell/duplicate_runs/stored_placements_test.ts
@@ -42,6 +42,8 @@
     canAct: () => true,
     getSession: () => session,
     mayStart: () => true,
+    findAccountOfEnded: () => ({ kind: "unknown" }),
+    findQuotaExcess: () => undefined,
     locateTask: () => ({ job, step, stepKey, address }),
     describeEarlierWorkers: () => ({}),
     onFinished: () => {},
--- a/packages/node/cell/incarnations/removed_record_test.ts
+++ b/packages/node/cell/incarnations/removed_record_test.ts
@@ -30,7 +30,11 @@
     onReport: () => {},
     onContactLost: () => {},
     onStray: (session, running) =>
-      void session.adopt(running, { need: NEED, stepKey: "" }),
+      void session.adopt(running, {
+        need: NEED,
+        account: { kind: "unknown" },
+        stepKey: "",
+      }),
   };
   let failure: Unavailable | undefined;
   const renew: WorkerPort["renew"] = async () => {
--- a/packages/node/cell/live_job.ts
+++ b/packages/node/cell/live_job.ts
@@ -11,6 +11,7 @@
   type TaskName,
   type UnitAddress,
 } from "@coltsfootpond/policy";
+import { createAccount } from "./quotas/run_account.ts";
 import type { EndedState, PlacementRecord } from "./rows.ts";
 import type { TaskRun } from "./task_run.ts";
 import type { WorkerSession } from "./worker_session.ts";
@@ -278,7 +279,7 @@
 }
 
 /** The address of a key that `formatUnitKey` returned. */
-function parseUnitKey(key: string): UnitAddress {
+export function parseUnitKey(key: string): UnitAddress {
   const [occurrence = 0, step = 0, index = 0] = key.split(".").map(Number);
   return { occurrence, step, index };
 }
@@ -316,6 +317,7 @@
     task: formatTaskName(unit, index),
     run,
     need: getCountedNeed(unit.step),
+    account: createAccount(unit.job, unit.step),
     stepKey: unit.stepKey,
     startSentMs: undefined,
     startAnsweredMs: undefined,
--- a/packages/node/cell/plan_input.ts
+++ b/packages/node/cell/plan_input.ts
@@ -12,6 +12,7 @@
   computeWorkMs,
   findLargestCapacity,
   type JobRankInput,
+  type OrganisationShares,
   type PlanInput,
   type QueueName,
   RANK_TIER,
@@ -58,6 +59,7 @@
   readonly urgentRatesPerS: ReadonlyMap<ServiceName, number>;
   /** Longest time that a task takes to stop. */
   readonly stopLimitMs: number;
+  readonly shares?: OrganisationShares;
   /** Whether the unit must not start yet, as an earlier run of it may still be running. */
   readonly isBlocked: (unit: Unit) => boolean;
 }
@@ -104,6 +106,7 @@
         const isGuaranteed = rank.tier === RANK_TIER.GUARANTEED;
         waiting.push({
           unit,
+          organisation: spec.organisation,
           rank,
           allowRemote: !canMeetObjective(rankInput) ||
             isGuaranteed && waitedMs > SAME_RACK_WAIT_MS,
@@ -127,7 +130,8 @@
     stopLimitMs: options.stopLimitMs,
     workers,
   });
-  return { workers, waiting, running, urgentHeadroom };
+  const { shares } = options;
+  return { workers, waiting, running, urgentHeadroom, shares };
 }
 
 /** Persistent tasks must start however full the cell is. */
@@ -149,6 +153,7 @@
   const waste = computeCoreSeconds(step, lostMs) * unit.count * WASTE_PRICE;
   return {
     unit,
+    organisation: job.spec.organisation,
     step,
     stepKey: unit.stepKey,
     workers: [...run?.taskRuns.values() ?? []].map(({ worker }) => worker),
--- a/packages/node/cell/run_registry.ts
+++ b/packages/node/cell/run_registry.ts
@@ -16,6 +16,8 @@
   type UnitRun,
 } from "./live_job.ts";
 import type { CellLog, LogFields } from "./log.ts";
+import type { QuotaExcess } from "./quotas/organisation_quotas.ts";
+import { createAccount, type RunAccount } from "./quotas/run_account.ts";
 import type { TaskRun } from "./task_run.ts";
 import type { WorkerSession } from "./worker_session.ts";
 
@@ -31,6 +33,10 @@
   readonly getSession: (worker: WorkerName) => WorkerSession | undefined;
   /** Whether the worker is usable and has room for all tasks that are placed there. */
   readonly mayStart: (worker: WorkerName) => boolean;
+  /** What a run of a task whose job is not live counts as in the usage of organisations. */
+  readonly findAccountOfEnded: (task: TaskName) => RunAccount;
+  /** The excess over the quota of the unit's organisation, with the unit's reservations. */
+  readonly findQuotaExcess: (unit: Unit) => QuotaExcess | undefined;
   /** The job, step and unit of a task; undefined when its job is not live. */
   readonly locateTask: (task: TaskName) => TaskLocation | undefined;
   /** Why the workers of an earlier lease holder's placement no longer count, for the log. */
@@ -110,6 +116,12 @@
       this.close(unit, `${unusable.worker} has changed since the placement`);
       return;
     }
+    // The quota may have fallen, and stray runs may have been found, in the meantime.
+    const excess = this.#options.findQuotaExcess(unit);
+    if (excess !== undefined) {
+      this.close(unit, "over the quota since the placement", { ...excess });
+      return;
+    }
     run.isPending = false;
     for (const [taskRun, session] of run.taskRuns) {
       void session.start(taskRun, job.spec.payload);
@@ -117,7 +129,7 @@
   }
 
   /** Ends the unit's run: every task run that may still be running is stopped. */
-  close(unit: Unit, reason: string): void {
+  close(unit: Unit, reason: string, inputs: LogFields = {}): void {
     const { run } = unit;
     if (run === undefined) return;
     if (!run.isClosing) {
@@ -127,6 +139,7 @@
         run: run.run,
         reason,
         members: run.taskRuns.size,
+        ...inputs,
       });
       this.#stopTaskRuns(run);
     }
@@ -149,6 +162,9 @@
       need: location === undefined
         ? NO_RESOURCES
         : getCountedNeed(location.step),
+      account: location === undefined
+        ? this.#options.findAccountOfEnded(running.task)
+        : createAccount(location.job, location.step),
       stepKey: location?.stepKey ?? "",
     });
     this.#strays.set(taskRun, session);
--- a/packages/node/cell/task_run.ts
+++ b/packages/node/cell/task_run.ts
@@ -6,13 +6,18 @@
   StartRefusal,
 } from "@coltsfootpond/ports";
 import type { LogFields } from "./log.ts";
+import type { RunAccount } from "./quotas/run_account.ts";
 import type { WorkerSession } from "./worker_session.ts";
 
+/** What a registry of runs knows about a run that a worker reports. */
+export type AdoptedStep = Pick<TaskRun, "need" | "account" | "stepKey">;
+
 /** One numbered run of one task on one worker; the run of a gang has one for each task. */
 export interface TaskRun {
   readonly task: TaskName;
   readonly run: number;
   readonly need: CellResources;
+  readonly account: RunAccount;
   /** The task's step as `{job}.{occurrence}.{step}`. */
   readonly stepKey: string;
   /** When the start was sent; undefined while it is not, and for adopted runs. */
--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -4,7 +4,6 @@
  * proves that it does not run there, or when its lease has expired on the slowest clock.
  */
 import type { Clock, WorkerName } from "@coltsfootpond/common";
-import type { CellResources } from "@coltsfootpond/policy";
 import type {
   CellBounds,
   RenewOutcome,
@@ -15,7 +14,7 @@
   WorkerTarget,
 } from "@coltsfootpond/ports";
 import type { CellLog } from "./log.ts";
-import type { SessionListener, TaskRun } from "./task_run.ts";
+import type { AdoptedStep, SessionListener, TaskRun } from "./task_run.ts";
 import { type Report, WorkerTaskRuns } from "./worker_task_runs.ts";
 import { Reachability } from "./reachability.ts";
 import { EndAcknowledgements } from "./end_acknowledgements.ts";
@@ -239,7 +238,7 @@
   /** Adds a stray run, which the worker has started. */
   adopt(
     running: RunningTask,
-    step: { readonly need: CellResources; readonly stepKey: string },
+    step: AdoptedStep,
   ): TaskRun {
     return this.#taskRuns.adopt(running, step);
   }
--- a/packages/node/cell/worker_task_runs.ts
+++ b/packages/node/cell/worker_task_runs.ts
@@ -3,7 +3,6 @@
  * only when its end is listed or when it is proven not to run there.
  */
 import type { Clock } from "@coltsfootpond/common";
-import type { CellResources } from "@coltsfootpond/policy";
 import type {
   EndedTask,
   RenewOutcome,
@@ -11,6 +10,7 @@
 } from "@coltsfootpond/ports";
 import type { LogFields } from "./log.ts";
 import {
+  type AdoptedStep,
   type GoneEvidence,
   type LostContact,
   type ProcessFate,
@@ -90,7 +90,7 @@
   /** Adds a run that the worker has started, according to a report or an answer to its start. */
   adopt(
     running: RunningTask,
-    step: { readonly need: CellResources; readonly stepKey: string },
+    step: AdoptedStep,
   ): TaskRun {
     const taskRun: TaskRun = {
       ...step,
--- a/packages/node/cell/worker_task_runs_test.ts
+++ b/packages/node/cell/worker_task_runs_test.ts
@@ -13,6 +13,7 @@
     task: TASK,
     run: 1,
     need: { cpuMilli: 0, memoryMib: 0, accelerators: 1 },
+    account: { kind: "unknown" },
     stepKey: "",
     startSentMs: undefined,
     startAnsweredMs: undefined,
--- a/packages/policy/cell/changed_capacity_test.ts
+++ b/packages/policy/cell/changed_capacity_test.ts
@@ -35,6 +35,7 @@
       urgentHeadroom: new Map([[SERVICE, 2]]),
       running: [],
       waiting: [{
+        organisation: undefined,
         unit: "unit",
         service: SERVICE,
         step: {
--- a/packages/policy/cell/crashes/isolation_test.ts
+++ b/packages/policy/cell/crashes/isolation_test.ts
@@ -37,6 +37,7 @@
 ): WaitingUnit<string> {
   return {
     unit,
+    organisation: undefined,
     isolation,
     service: SERVICE,
     step: {
--- a/packages/policy/cell/eviction.ts
+++ b/packages/policy/cell/eviction.ts
@@ -2,7 +2,11 @@
  * Chooses the running units to evict so that a waiting unit fits, at the least cost. Greedy: places
  * one task at a time on the worker where it costs least. A gang among the victims is counted once.
  */
-import type { RackName, WorkerName } from "@coltsfootpond/common";
+import type {
+  OrganisationName,
+  RackName,
+  WorkerName,
+} from "@coltsfootpond/common";
 import {
   addCellResources,
   countFitting,
@@ -17,6 +21,8 @@
 /** A running unit: a gang or a single task. */
 export interface RunningUnit<Unit> {
   readonly unit: Unit;
+  /** Undefined on public queues. */
+  readonly organisation: OrganisationName | undefined;
   readonly step: StepSpec;
   readonly stepKey: string;
   readonly workers: readonly WorkerName[];
--- a/packages/policy/cell/fit.ts
+++ b/packages/policy/cell/fit.ts
@@ -67,7 +67,7 @@
 
 /** The largest capacity of each resource that one of the workers has; undefined without workers. */
 export function findLargestCapacity(
-  workers: readonly WorkerView[],
+  workers: readonly Pick<WorkerView, "capacity">[],
 ): CellResources | undefined {
   return workers.map(({ capacity }) => capacity).reduce<
     CellResources | undefined
--- a/packages/policy/cell/plan_round.ts
+++ b/packages/policy/cell/plan_round.ts
@@ -6,7 +6,11 @@
  * placed before another for which the next round would evict it. The other one displaces it
  * instead: on the same terms as an eviction, the placement is taken back before it is executed.
  */
-import type { ServiceName, WorkerName } from "@coltsfootpond/common";
+import type {
+  OrganisationName,
+  ServiceName,
+  WorkerName,
+} from "@coltsfootpond/common";
 import { allowsStart, ISOLATION, type Isolation } from "./crashes/isolation.ts";
 import {
   type EvictionPlan,
@@ -24,10 +28,14 @@
 } from "./fit.ts";
 import type { CellResources, WorkerView } from "./types.ts";
 import { compareRanks, type Rank, RANK_TIER } from "./job_rank.ts";
+import type { OrganisationShares } from "./quotas/organisation_usage.ts";
+import { QuotaLedger } from "./quotas/quota_ledger.ts";
 
 /** A unit that is due and waits for workers. */
 export interface WaitingUnit<Unit> extends FitRequest {
   readonly unit: Unit;
+  /** Undefined on public queues. */
+  readonly organisation: OrganisationName | undefined;
   readonly rank: Rank;
   /** May start in another rack than its data, or spread over racks, where it runs slower. */
   readonly allowRemote: boolean;
@@ -50,6 +58,8 @@
   readonly running: readonly RunningUnit<Unit>[];
   /** Accelerators of each service that units without `mayUseHeadroom` leave free; default none. */
   readonly urgentHeadroom?: ReadonlyMap<ServiceName, number>;
+  /** Undefined where no organisation has a quota or a weight. */
+  readonly shares?: OrganisationShares;
 }
 
 /** A unit to start, with one worker per task. */
@@ -98,6 +108,7 @@
   readonly #evictions: Eviction<Unit>[] = [];
   readonly #evicted = new Set<RunningUnit<Unit>>();
   readonly #stepsWithoutFit = new Set<string>();
+  readonly #quotas: QuotaLedger;
   /** Workers on which units start in this round. */
   readonly #startedOn = new Set<WorkerName>();
   /** Free accelerators of each service beyond its headroom. */
@@ -108,6 +119,7 @@
 
   private constructor(input: PlanInput<Unit>) {
     this.#input = input;
+    this.#quotas = QuotaLedger.create(input.shares);
     this.#capacities = input.workers.map(createWorkerCapacity);
     this.#spare = sumBeyondHeadroom(input, ({ free }) => free);
     this.#largest = sumBeyondHeadroom(input, ({ capacity }) => capacity);
@@ -137,6 +149,7 @@
   /** Returns the units that the request displaces; they may fit elsewhere. */
   #planUnit(request: WaitingUnit<Unit>): readonly WaitingUnit<Unit>[] {
     if (this.#stepsWithoutFit.has(request.stepKey)) return [];
+    if (!this.#quotas.covers(request)) return [];
     const mayStart = this.#isWithinHeadroom(request);
     if (mayStart && this.#place(request)) return [];
     const eviction = mayStart ? this.#planEviction(request) : undefined;
@@ -165,9 +178,11 @@
     subtractFit(fit, request);
     this.#recordStart(request, fit);
     this.#addSpare(request, -countAccelerators(request));
-    const { unit, step, stepKey, displacementCost } = request;
+    this.#quotas.reserve(request);
+    const { unit, organisation, step, stepKey, displacementCost } = request;
     this.#placements.set({
       unit,
+      organisation,
       step,
       stepKey,
       workers: fit.capacities.map(({ view }) => view.worker),
@@ -233,6 +248,7 @@
       this.#placements.delete(victim);
       restoreFit(fit, request);
       this.#addSpare(request, countAccelerators(request));
+      this.#quotas.release(request);
       displaced.push(request);
     }
     return { displaced, victims };
@@ -240,13 +256,16 @@
 
   /**
    * Evicts the victims. Nothing else is placed in this round on the workers that the request waits
-   * for, whose capacity may partly be free or being released already.
+   * for, whose capacity may partly be free or being released already, nor in the part of the quota
+   * that it needs.
    */
   #evict(
-    { unit: forUnit }: WaitingUnit<Unit>,
+    request: WaitingUnit<Unit>,
     victims: readonly RunningUnit<Unit>[],
     workers: ReadonlySet<WorkerName>,
   ): void {
+    const { unit: forUnit } = request;
+    this.#quotas.reserve(request);
     for (const victim of victims) {
       this.#evicted.add(victim);
       const { unit } = victim;
--- a/packages/policy/cell/plan_round_test.ts
+++ b/packages/policy/cell/plan_round_test.ts
@@ -66,6 +66,7 @@
 ): WaitingUnit<string> {
   return {
     unit,
+    organisation: undefined,
     service: SERVICE,
     step: spec,
     stepKey: unit,
@@ -88,6 +89,7 @@
 ): RunningUnit<string> {
   return {
     unit,
+    organisation: undefined,
     step: step(accelerators),
     stepKey: unit,
     workers: workers as WorkerName[],
@@ -164,6 +166,7 @@
       const { step, stepKey, displacementCost } = request;
       started.set(unit, {
         unit,
+        organisation: request.organisation,
         step,
         stepKey,
         workers,
--- a/packages/policy/mod.ts
+++ b/packages/policy/mod.ts
@@ -16,3 +16,5 @@
 export * from "./cell/plan_round.ts";
 export * from "./cell/job_rank.ts";
 export * from "./cell/urgent_headroom.ts";
+export * from "./cell/quotas/organisation_usage.ts";
+export * from "./cell/quotas/quota_ledger.ts";
--- a/packages/ports/cell/declared_state.ts
+++ b/packages/ports/cell/declared_state.ts
@@ -1,6 +1,6 @@
 /** What operators declare for the cell's scheduler: queues, API keys, guarantees and limits. */
 import type { OrganisationName, ServiceName } from "@coltsfootpond/common";
-import type { QueueName } from "@coltsfootpond/policy";
+import type { CellResources, QueueName } from "@coltsfootpond/policy";
 
 /** One queue: where callers submit its jobs, and the parameters that its jobs get. */
 export interface QueueDeclaration {
@@ -27,12 +27,22 @@
   readonly accelerators: number;
 }
 
+/** Weight and quota of one organisation. */
+export interface OrganisationShare {
+  readonly organisation: OrganisationName;
+  /** Share when the cell is full, relative to the others; undefined if not declared. */
+  readonly weight: number | undefined;
+  /** Undefined without a limit; a resource of 0 is not limited. */
+  readonly quota: CellResources | undefined;
+}
+
 /** One version of everything that the operators declare. */
 export interface DeclaredState {
   readonly version: number;
   readonly queues: readonly QueueDeclaration[];
   readonly organisationByApiKey: ReadonlyMap<string, OrganisationName>;
   readonly guarantees: readonly OrganisationGuarantee[];
+  readonly shares: readonly OrganisationShare[];
   /** Services whose workers refuse a start that exceeds their capacity. */
   readonly capacityEnforcingServices: ReadonlySet<ServiceName>;
   /** Limits of the HTTP server that callers use. */
--- a/scripts/bench_rounds/full_cell.ts
+++ b/scripts/bench_rounds/full_cell.ts
@@ -51,6 +51,7 @@
   );
   const running = workers.map(({ worker }): RunningUnit<string> => ({
     unit: `running-${worker}`,
+    organisation: undefined,
     step: createStep(1, CAPACITY, false),
     stepKey: `running-${worker}`,
     workers: [worker],
@@ -93,6 +94,7 @@
   };
   return {
     unit,
+    organisation: undefined,
     service: brandId("service"),
     step: createStep(count, need, kind.isGang),
     stepKey: unit,
--- /dev/null
+++ b/scripts/mutations/quota_mutations.ts
@@ -0,0 +1,227 @@
+/** Mutations of the rules by which the quotas of organisations are kept. */
+import type { Mutation } from "./types.ts";
+
+const NODE = "packages/node/cell";
+const NODE_QUOTAS = `${NODE}/quotas`;
+const POLICY_QUOTAS = "packages/policy/cell/quotas";
+const PLAN_ROUND = "packages/policy/cell/plan_round.ts";
+const USAGE_TEST = `${NODE_QUOTAS}/count_usage_test.ts`;
+const CELL_TEST = `${NODE_QUOTAS}/quota_simulation_test.ts`;
+const ROUND_TEST = `${POLICY_QUOTAS}/quota_test.ts`;
+const PROMISE = "no start over the quota";
+
+/** Leaves out the task runs of a worker for which the condition does not hold. */
+function countOnly(
+  condition: string,
+): Pick<Mutation, "file" | "find" | "replace" | "promise"> {
+  return {
+    promise: PROMISE,
+    file: `${NODE_QUOTAS}/organisation_quotas.ts`,
+    find: `        taskRuns,\n`,
+    replace: `        taskRuns: taskRuns.filter((taskRun) => ${condition}),\n`,
+  };
+}
+
+export const QUOTA_MUTATIONS: readonly Mutation[] = [
+  {
+    ...countOnly("taskRun.startSentMs !== undefined"),
+    name: "do not count runs that are reserved and not sent",
+    spec: CELL_TEST,
+    title: "counts placements that are not stored yet",
+  },
+  {
+    ...countOnly("taskRun.startAnsweredMs !== undefined"),
+    name: "do not count starts that are not answered",
+    spec: CELL_TEST,
+    title: "counts starts that were not answered",
+  },
+  {
+    ...countOnly("!taskRun.isListed"),
+    name: "do not count runs that a report has listed",
+    spec: CELL_TEST,
+    title: "lets a wide step of single tasks run in waves",
+  },
+  {
+    ...countOnly("!taskRun.isStopping"),
+    name: "do not count runs that are being stopped",
+    spec: CELL_TEST,
+    title: "counts runs of a cancelled job until they are gone",
+  },
+  {
+    ...countOnly("taskRun.lostContact === undefined"),
+    name: "do not count runs of a worker that does not answer",
+    spec: CELL_TEST,
+    title: "counts the runs of a worker that does not answer",
+  },
+  {
+    name: "do not count earlier placements on unreported workers",
+    promise: PROMISE,
+    file: `${NODE_QUOTAS}/organisation_quotas.ts`,
+    find:
+      `unreported: this.#earlierPlacements.list(this.#options.isUnreported),`,
+    replace: `unreported: [],`,
+    spec: CELL_TEST,
+    title: "counts the placements of an earlier holder on unreported workers",
+  },
+  {
+    name: "forget an earlier placement when its job ends",
+    promise: PROMISE,
+    file: `${NODE_QUOTAS}/earlier_placements.ts`,
+    find: `    for (const job of jobs) {`,
+    replace:
+      `    this.#recordedJobs.clear();\n    this.#placements = [];\n    for (const job of jobs) {`,
+    spec: CELL_TEST,
+    title: "although their job is cancelled",
+  },
+  {
+    name: "count only the reported tasks of an earlier gang",
+    promise: PROMISE,
+    file: `${NODE_QUOTAS}/earlier_placements.ts`,
+    find: `tasks: Math.max(unreported, tasks - reported)`,
+    replace: `tasks: unreported`,
+    spec: USAGE_TEST,
+    title: "includes earlier placements on unreported workers",
+  },
+  {
+    name: "do not count stray runs of ended jobs",
+    promise: PROMISE,
+    file: `${NODE_QUOTAS}/count_usage.ts`,
+    find: `ownersOfRest.add(account.organisation);`,
+    replace: ``,
+    spec: CELL_TEST,
+    title: "counts stray runs of a cancelled job until they are gone",
+  },
+  {
+    name: "do not count stray runs of unknown jobs",
+    promise: PROMISE,
+    file: `${NODE_QUOTAS}/count_usage.ts`,
+    find:
+      `organisations.forEach((organisation) => ownersOfRest.add(organisation));`,
+    replace: ``,
+    spec: USAGE_TEST,
+    title: "includes a stray run of an unknown job for every organisation",
+  },
+  {
+    name: "start before the declared state is known",
+    promise: PROMISE,
+    file: `${NODE}/cell_scheduler.ts`,
+    find: `if (!canAct() || declared.current === undefined) return;`,
+    replace: `if (!canAct()) return;`,
+    furtherEdits: [{
+      file: `${NODE}/cell_scheduler.ts`,
+      find: `guarantees: declared.current.guarantees,`,
+      replace: `guarantees: declared.current?.guarantees ?? [],`,
+    }],
+    spec: CELL_TEST,
+    title: "that is not known yet lets nothing start",
+  },
+  {
+    name: "send starts without a second check of the quota",
+    promise: PROMISE,
+    file: `${NODE}/run_registry.ts`,
+    find: `if (excess !== undefined) {`,
+    replace: `if (excess !== undefined && run.run < 0) {`,
+    spec: CELL_TEST,
+    title: "that falls while a placement is being stored prevents its start",
+  },
+  {
+    name: "count one task of a gang",
+    promise: PROMISE,
+    file: `${POLICY_QUOTAS}/organisation_usage.ts`,
+    find: `return multiplyResources(step.need, count);`,
+    replace: `return multiplyResources(step.need, Math.sign(count));`,
+    spec: ROUND_TEST,
+    title: "counts a gang whole",
+  },
+  {
+    name: "do not count the processor time of filler steps",
+    promise: PROMISE,
+    file: `${POLICY_QUOTAS}/organisation_usage.ts`,
+    find: `return multiplyResources(step.need, count);`,
+    replace:
+      `return multiplyResources({ ...step.need, cpuMilli: step.isFiller ? 0 : step.need.cpuMilli }, count);`,
+    spec: ROUND_TEST,
+    title: "counts the processor time of filler steps",
+  },
+  {
+    name: "do not count the placements of a round",
+    promise: PROMISE,
+    file: PLAN_ROUND,
+    find: `    this.#quotas.reserve(request);\n    const { unit, organisation`,
+    replace: `    const { unit, organisation`,
+    spec: ROUND_TEST,
+    title: "counts each placement of the round",
+  },
+  {
+    name: "keep counting a displaced placement",
+    promise: PROMISE,
+    file: PLAN_ROUND,
+    find: `      this.#quotas.release(request);\n`,
+    replace: ``,
+    spec: ROUND_TEST,
+    title: "takes back what a displaced placement has reserved",
+  },
+  {
+    name: "evict for more units than the quota lets start",
+    promise: PROMISE,
+    file: PLAN_ROUND,
+    find:
+      `    this.#quotas.reserve(request);\n    for (const victim of victims) {`,
+    replace: `    for (const victim of victims) {`,
+    spec: ROUND_TEST,
+    title: "counts units for which others are evicted",
+  },
+  {
+    name: "count an evicted run as gone",
+    promise: PROMISE,
+    file: PLAN_ROUND,
+    find: `      this.#evicted.add(victim);\n`,
+    replace:
+      `      this.#evicted.add(victim);\n      this.#quotas.release({ ...victim, count: victim.workers.length });\n`,
+    spec: ROUND_TEST,
+    title: "counts an evicted run until it is gone",
+  },
+  {
+    name: "hold no unit back",
+    promise: PROMISE,
+    file: PLAN_ROUND,
+    find: `if (!this.#quotas.covers(request)) return [];`,
+    replace: ``,
+    spec: ROUND_TEST,
+    title: "without effect on other units",
+  },
+  {
+    name: "hold back only what would lift the usage above the quota",
+    promise: PROMISE,
+    file: `${POLICY_QUOTAS}/quota_ledger.ts`,
+    find: `return isWithinQuota(total, quota);`,
+    replace:
+      `return isWithinQuota(total, quota) || !isWithinQuota(this.getUsage(organisation), quota);`,
+    spec: ROUND_TEST,
+    title: "lets nothing start above a quota",
+  },
+  {
+    name: "let units start again once the quota has fallen below the usage",
+    promise: PROMISE,
+    file: `${POLICY_QUOTAS}/quota_ledger.ts`,
+    find: `return isWithinQuota(total, quota);`,
+    replace:
+      `return isWithinQuota(total, quota) || !isWithinQuota(this.getUsage(organisation), quota);`,
+    furtherEdits: [{
+      file: `${NODE}/run_registry.ts`,
+      find: `if (excess !== undefined) {`,
+      replace: `if (excess !== undefined && run.run < 0) {`,
+    }],
+    spec: CELL_TEST,
+    title: "that falls stops no run",
+  },
+  {
+    name: "take stray runs of ended jobs for those of a public queue",
+    promise: PROMISE,
+    file: `${NODE_QUOTAS}/run_account.ts`,
+    find: `return { kind: "unsized", organisation: row.organisation };`,
+    replace: `return { kind: "unsized", organisation: undefined };`,
+    spec: USAGE_TEST,
+    title: "takes the organisation of an ended job from its row",
+  },
+];
