Estimate workers' speeds from the tasks of one step

Cause: nothing in the policy knows a worker's speed, and estimates of durations are wrong by up to 90%, so that one task's duration says little about its worker.

The estimator compares the progress rates of tasks of the same step on different workers, which share one estimate whatever its error. Levels of steps and speeds of workers are solved for alternately; estimates are shrunk towards 1, samples decay with a half-life of 30 s, and a worker whose recent samples differ from its older ones loses the older ones.

--- /dev/null
+++ b/packages/policy/cell/speeds/speed_estimates.ts
@@ -0,0 +1,351 @@
+/**
+ * Estimates the speed of each worker from the progress rates of tasks of the same step on different
+ * workers. Such tasks share one estimate of their duration, so its error does not matter. In log
+ * space, a rate is the sum of the step's level, the worker's speed and the noise of the task; levels
+ * and speeds are solved for alternately.
+ */
+import type { WorkerName } from "@coltsfootpond/common";
+import { computeWeightedMean, computeWeightedMedian } from "./statistics.ts";
+
+/** Progress of one task over one interval. */
+export interface SpeedSample {
+  readonly worker: WorkerName;
+  /** Identifies the worker's incarnation. */
+  readonly incarnationStartUnixMs: number;
+  /** `{job}.{occurrence}.{step}`; tasks of one step are compared with each other. */
+  readonly stepKey: string;
+  /** Identifies the task's run; a newer sample of the same run replaces the earlier one. */
+  readonly runKey: string;
+  /** Progress per millisecond of work on the worker's clock, 1 = whole task. */
+  readonly ratePerMs: number;
+  /** The rate is at most `ratePerMs`: too little progress was reported for an exact rate. */
+  readonly isUpperBound: boolean;
+}
+
+/** Estimated speed of one worker. */
+export interface SpeedEstimate {
+  readonly incarnationStartUnixMs: number;
+  /** Natural logarithm of the speed, shrunk towards 0 (the usual worker). */
+  readonly logSpeed: number;
+  /** Number of samples, each weighted by its age; 0 where there are none. */
+  readonly weight: number;
+  /** Standard error of `logSpeed`. */
+  readonly standardError: number;
+}
+
+/** An estimate that another lease holder made. */
+export interface EarlierEstimate {
+  readonly worker: WorkerName;
+  readonly incarnationStartUnixMs: number;
+  readonly logSpeed: number;
+  readonly weight: number;
+}
+
+/**
+ * Standard deviation of the logarithm of the length of tasks of one step. Lengths differ by 15 to
+ * 30%; a smaller value than the largest would take noise for differences of speed.
+ */
+const TASK_NOISE = 0.3;
+/** Standard deviation of the logarithm of workers' speeds, for shrinking; 0.6 to 1.6 has 0.4. */
+const SPEED_SPREAD = 0.4;
+/** Number of samples that the assumption of the usual speed counts as. */
+const PRIOR_WEIGHT = (TASK_NOISE / SPEED_SPREAD) ** 2;
+/** The weight of a sample halves in this time; a worker gets about one single task in 5 s. */
+const HALF_LIFE_MS = 30_000;
+/** Older samples are dropped. */
+const MAXIMUM_AGE_MS = 60_000;
+/** Samples within this time show a worker's present speed; reports come once a second. */
+const RECENT_MS = 1_500;
+/**
+ * A worker's older samples are dropped if the recent ones differ by this many standard errors, and
+ * by more than CHANGE_MINIMUM: with one recent sample, by a factor of about 3.
+ */
+const CHANGE_STANDARD_ERRORS = 3;
+const CHANGE_MINIMUM = 0.25;
+/**
+ * A worker's older samples are dropped, too, if the rates of its runs have changed by a factor of 2
+ * on average. Rounded percentages change the rate of an interval of 5% by up to 40%.
+ */
+const RUN_CHANGE = Math.log(2);
+/** Levels and speeds are solved for this many times; each solution starts from the previous one. */
+const SWEEPS = 3;
+/** Residuals this many standard deviations from a worker's median are cut off. */
+const CUT_OFF_DEVIATIONS = 2;
+/** Workers whose speed is known at least this well define the usual speed. */
+const REFERENCE_WEIGHT = 1;
+/** With fewer workers the median is not known better than by assuming 0. */
+const MINIMUM_REFERENCE_WORKERS = 5;
+/** The number of samples is limited, as each solution visits all of them; the oldest are dropped. */
+const MAXIMUM_SAMPLES = 20_000;
+
+interface StoredSample {
+  readonly sample: SpeedSample;
+  readonly logRate: number;
+  /** Of the run's previous sample; undefined for its first one. */
+  readonly previousLogRate: number | undefined;
+  readonly atMs: number;
+}
+
+interface Residual {
+  readonly value: number;
+  readonly weight: number;
+  /** Change of the run's rate since its previous sample. */
+  readonly change: number | undefined;
+  readonly atMs: number;
+}
+
+interface WorkerState {
+  readonly incarnationStartUnixMs: number;
+  /** Samples before this time are from a time when the worker had another speed. */
+  changedMs: number;
+  earlier:
+    | { readonly estimate: EarlierEstimate; readonly atMs: number }
+    | undefined;
+  logSpeed: number;
+}
+
+/** Collects samples and estimates speeds from them. */
+export class SpeedEstimates {
+  readonly #samples = new Map<string, StoredSample>();
+  readonly #workers = new Map<WorkerName, WorkerState>();
+
+  private constructor() {}
+
+  static create(): SpeedEstimates {
+    return new SpeedEstimates();
+  }
+
+  /** Adds a sample; samples of an earlier incarnation of the worker are dropped. */
+  add(sample: SpeedSample, nowMs: number): void {
+    if (!(sample.ratePerMs > 0) || !Number.isFinite(sample.ratePerMs)) return;
+    this.#openWorker(sample.worker, sample.incarnationStartUnixMs);
+    // Deleted first, so that the map stays in the order of the samples' times.
+    const previousLogRate = this.#samples.get(sample.runKey)?.logRate;
+    this.#samples.delete(sample.runKey);
+    const logRate = Math.log(sample.ratePerMs);
+    this.#samples.set(sample.runKey, {
+      sample,
+      logRate,
+      previousLogRate,
+      atMs: nowMs,
+    });
+  }
+
+  /** Uses an earlier lease holder's estimate until samples outweigh it. */
+  addEarlier(estimate: EarlierEstimate, atMs: number): void {
+    const { worker, incarnationStartUnixMs } = estimate;
+    this.#openWorker(worker, incarnationStartUnixMs).earlier = {
+      estimate,
+      atMs,
+    };
+  }
+
+  /** Forgets a worker that is gone. */
+  delete(worker: WorkerName): void {
+    this.#workers.delete(worker);
+    this.#dropSamples(({ sample }) => sample.worker === worker);
+  }
+
+  /** The estimates of all workers that have samples or an earlier estimate. */
+  estimate(nowMs: number): ReadonlyMap<WorkerName, SpeedEstimate> {
+    this.#dropOld(nowMs);
+    let residuals = this.#computeResiduals(nowMs);
+    for (let sweep = 0; sweep < SWEEPS; sweep++) {
+      if (this.#dropBeforeChanges(residuals, nowMs)) {
+        residuals = this.#computeResiduals(nowMs);
+      }
+      for (const [worker, state] of this.#workers) {
+        state.logSpeed = summarise(residuals.get(worker) ?? []).logSpeed;
+      }
+      residuals = this.#computeResiduals(nowMs);
+    }
+    const summaries = [...this.#workers].map(([worker, state]) => ({
+      worker,
+      state,
+      ...summarise(residuals.get(worker) ?? []),
+    }));
+    const known = summaries.filter(({ weight }) => weight >= REFERENCE_WEIGHT);
+    const referenceLogSpeed = known.length < MINIMUM_REFERENCE_WORKERS
+      ? 0
+      : computeWeightedMedian(
+        known.map(({ mean }) => ({ value: mean, weight: 1 })),
+      );
+    return new Map(
+      summaries.map(({ worker, state, mean, weight }) => [worker, {
+        incarnationStartUnixMs: state.incarnationStartUnixMs,
+        logSpeed: weight === 0 ? 0 : shrink(mean - referenceLogSpeed, weight),
+        weight,
+        standardError: TASK_NOISE / Math.sqrt(weight + PRIOR_WEIGHT),
+      }]),
+    );
+  }
+
+  #openWorker(worker: WorkerName, incarnationStartUnixMs: number): WorkerState {
+    const known = this.#workers.get(worker);
+    if (known?.incarnationStartUnixMs === incarnationStartUnixMs) return known;
+    if (known !== undefined) this.delete(worker);
+    const state: WorkerState = {
+      incarnationStartUnixMs,
+      changedMs: Number.NEGATIVE_INFINITY,
+      earlier: undefined,
+      logSpeed: 0,
+    };
+    this.#workers.set(worker, state);
+    return state;
+  }
+
+  #dropSamples(isDropped: (stored: StoredSample) => boolean): void {
+    for (const [key, stored] of this.#samples) {
+      if (isDropped(stored)) this.#samples.delete(key);
+    }
+  }
+
+  #dropOld(nowMs: number): void {
+    for (const [key, { atMs }] of this.#samples) {
+      const isExcess = this.#samples.size > MAXIMUM_SAMPLES;
+      if (!isExcess && nowMs - atMs <= MAXIMUM_AGE_MS) break;
+      this.#samples.delete(key);
+    }
+    for (const state of this.#workers.values()) {
+      const { earlier } = state;
+      if (earlier === undefined || nowMs - earlier.atMs <= MAXIMUM_AGE_MS) {
+        continue;
+      }
+      state.earlier = undefined;
+    }
+  }
+
+  /** Logarithms of the tasks' rates relative to their steps, by worker. */
+  #computeResiduals(
+    nowMs: number,
+  ): ReadonlyMap<WorkerName, readonly Residual[]> {
+    const steps = new Map<string, StoredSample[]>();
+    for (const stored of this.#samples.values()) {
+      const step = steps.get(stored.sample.stepKey);
+      if (step === undefined) steps.set(stored.sample.stepKey, [stored]);
+      else step.push(stored);
+    }
+    const residuals = new Map<WorkerName, Residual[]>();
+    const add = (worker: WorkerName, residual: Residual) => {
+      const known = residuals.get(worker);
+      if (known === undefined) residuals.set(worker, [residual]);
+      else known.push(residual);
+    };
+    for (const step of steps.values()) this.#compareStep(step, nowMs, add);
+    for (const [worker, { earlier, changedMs }] of this.#workers) {
+      if (earlier === undefined || earlier.atMs < changedMs) continue;
+      const { estimate: { logSpeed, weight }, atMs } = earlier;
+      add(worker, {
+        value: logSpeed,
+        weight: weight * computeDecay(nowMs - atMs),
+        change: undefined,
+        atMs,
+      });
+    }
+    return residuals;
+  }
+
+  #compareStep(
+    step: readonly StoredSample[],
+    nowMs: number,
+    add: (worker: WorkerName, residual: Residual) => void,
+  ): void {
+    const exact = step.filter(({ sample }) => !sample.isUpperBound);
+    const workers = new Set(exact.map(({ sample }) => sample.worker));
+    const isComparable = workers.size > 1 ||
+      workers.size === 1 && step.length > exact.length;
+    if (!isComparable) return;
+    const level = computeWeightedMedian(exact.map(({ sample, logRate }) => ({
+      value: logRate - this.#getLogSpeed(sample.worker),
+      weight: 1,
+    })));
+    // The level is an average of as many noisy tasks, its own one among them.
+    const stepWeight = (exact.length - 1) / exact.length || 0.5;
+    for (const { sample, logRate, previousLogRate, atMs } of step) {
+      const { worker, isUpperBound } = sample;
+      const value = logRate - level;
+      if (isUpperBound && value > this.#getLogSpeed(worker)) continue;
+      if (atMs < (this.#workers.get(worker)?.changedMs ?? 0)) continue;
+      const weight = stepWeight * computeDecay(nowMs - atMs);
+      const change = previousLogRate === undefined
+        ? undefined
+        : logRate - previousLogRate;
+      add(worker, { value, weight, change, atMs });
+    }
+  }
+
+  #getLogSpeed(worker: WorkerName): number {
+    return this.#workers.get(worker)?.logSpeed ?? 0;
+  }
+
+  /** True if the recent samples show that some worker's speed has changed. */
+  #dropBeforeChanges(
+    residuals: ReadonlyMap<WorkerName, readonly Residual[]>,
+    nowMs: number,
+  ): boolean {
+    let isChanged = false;
+    for (const [worker, all] of residuals) {
+      const recent = all.filter(({ atMs }) => nowMs - atMs <= RECENT_MS);
+      const older = all.filter(({ atMs }) => nowMs - atMs > RECENT_MS);
+      if (older.length === 0 || recent.length === 0) continue;
+      if (!haveRunsChanged(recent) && !areUnlike(recent, older)) continue;
+      const state = this.#workers.get(worker);
+      if (state === undefined) continue;
+      state.changedMs = nowMs - RECENT_MS;
+      isChanged = true;
+    }
+    return isChanged;
+  }
+}
+
+/** Share of its weight that a sample of this age has left. */
+function computeDecay(ageMs: number): number {
+  return 2 ** (-Math.max(0, ageMs) / HALF_LIFE_MS);
+}
+
+/** Whether the rates of the runs themselves have changed, which no task's length explains. */
+function haveRunsChanged(recent: readonly Residual[]): boolean {
+  const changes = recent.flatMap(({ change, weight }) =>
+    change === undefined ? [] : [{ value: change, weight }]
+  );
+  return changes.length > 0 &&
+    Math.abs(computeWeightedMean(changes)) > RUN_CHANGE;
+}
+
+/** Whether the recent samples differ from the older ones by more than noise explains. */
+function areUnlike(
+  recent: readonly Residual[],
+  older: readonly Residual[],
+): boolean {
+  const difference = Math.abs(
+    computeWeightedMean(recent) - summarise(older).mean,
+  );
+  const limit = CHANGE_MINIMUM + CHANGE_STANDARD_ERRORS * TASK_NOISE *
+      Math.sqrt(
+        1 / sumWeights(recent) + 1 / (sumWeights(older) + PRIOR_WEIGHT),
+      );
+  return difference > limit;
+}
+
+function sumWeights(residuals: readonly Residual[]): number {
+  return residuals.reduce((sum, { weight }) => sum + weight, 0);
+}
+
+function shrink(logSpeed: number, weight: number): number {
+  return logSpeed * weight / (weight + PRIOR_WEIGHT);
+}
+
+/** The mean without the influence of single outliers, such as one task that hangs. */
+function summarise(residuals: readonly Residual[]) {
+  const weight = sumWeights(residuals);
+  if (weight === 0) return { mean: 0, logSpeed: 0, weight };
+  const median = computeWeightedMedian(residuals);
+  const limit = CUT_OFF_DEVIATIONS * TASK_NOISE;
+  const mean = computeWeightedMean(
+    residuals.map(({ value, weight }) => ({
+      value: Math.min(Math.max(value, median - limit), median + limit),
+      weight,
+    })),
+  );
+  return { mean, logSpeed: shrink(mean, weight), weight };
+}
