Choose workers by their estimated speed

The lease holder derives samples from reports and ends of single tasks and gives each `WorkerView` a speed. A unit tries the slowest speed that lets its job meet its objective first, then faster ones, then mixtures, then the fastest of those that are too slow; it starts at once if any of them fits. With equal speeds the plan is the same as before.

--- a/packages/node/cell/capacity/reference_capacity_test.ts
+++ b/packages/node/cell/capacity/reference_capacity_test.ts
@@ -25,6 +25,7 @@
     free: capacity,
     releasing: { cpuMilli: 0, memoryMib: 0, accelerators: 0 },
     slowness: 1,
+    speed: 1,
     tasksByStep: new Map(),
   };
 }
--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -29,6 +29,7 @@
 import { DIRECTORY_PERIOD_MS } from "./worker_directory.ts";
 import { WorkerFleet } from "./worker_fleet.ts";
 import { SessionEventHandler } from "./session_event_handler.ts";
+import { SpeedTracker } from "./speeds/speed_tracker.ts";
 import { QUARANTINE_MS } from "./worker_quarantine.ts";
 
 /** Changes within this time are handled in one round. */
@@ -39,6 +40,8 @@
 const TICK_PERIOD_MS = 200;
 /** Counts of waiting jobs may be 2 s old (the platform's protocol). */
 const BEGUN_PERIOD_MS = 500;
+/** Workers report about once a second while tasks run. */
+const SPEEDS_PERIOD_MS = 500;
 /** Each time, one of the 16 groups of job rows is searched for old jobs. */
 const COLLECT_PERIOD_MS = 1_000;
 
@@ -67,6 +70,7 @@
   readonly #fleet: WorkerFleet;
   readonly #writer: ProgressWriter;
   readonly #crashes: CrashTracker;
+  readonly #speeds: SpeedTracker;
   readonly #endedJobs: EndedJobCollector;
   readonly #begunJobs: BegunJobsWriter;
   readonly #urgentDemand = UrgentDemand.create();
@@ -120,8 +124,13 @@
       locateTask: (task) => this.#jobs.locateTask(task),
       applyCrash: (unit, crash) => this.#jobs.applyCrash(unit, crash),
     });
+    this.#speeds = SpeedTracker.create({
+      ...options,
+      getUnit: (taskRun) => this.#runs.getUnit(taskRun),
+    });
     const events = SessionEventHandler.create({
       ...options,
+      speeds: this.#speeds,
       jobs: this.#jobs,
       runs: this.#runs,
       writer: this.#writer,
@@ -135,6 +144,7 @@
       heartbeatMs: settings.workerHeartbeatMs,
       isOut: (failureDomain) => declared.isOut(failureDomain),
       listener: events,
+      getSpeed: (session) => this.#speeds.getSpeed(session),
       onChanged: () => this.#requestRound(),
     });
   }
@@ -215,6 +225,7 @@
       clock.every(DIRECTORY_PERIOD_MS, () => void this.#fleet.read()),
       clock.every(BEGUN_PERIOD_MS, () => void this.#writeBegun()),
       clock.every(COLLECT_PERIOD_MS, () => void this.#collectEnded()),
+      clock.every(SPEEDS_PERIOD_MS, () => this.#updateSpeeds()),
     );
     this.#requestRound();
   }
@@ -281,6 +292,10 @@
     }
   }
 
+  #updateSpeeds(): void {
+    if (this.#speeds.update()) this.#requestRound();
+  }
+
   async #writeBegun(): Promise<void> {
     if (!this.#options.canAct()) return;
     const begun = this.#jobs.jobs.filter(({ hasBegun }) => hasBegun);
--- a/packages/node/cell/cell_simulation.ts
+++ b/packages/node/cell/cell_simulation.ts
@@ -70,6 +70,7 @@
       () =>
         simulation.workers.forEach((worker) => {
           worker.expireLease();
+          worker.endFinished();
           worker.writeHeartbeat();
         }),
     );
--- a/packages/node/cell/plan_input.ts
+++ b/packages/node/cell/plan_input.ts
@@ -8,10 +8,12 @@
   canMeetObjective,
   computeCriticalPathMs,
   computeLateLoss,
+  computeMinimumSpeed,
   computeUrgentHeadroom,
   computeWorkMs,
   findLargestCapacity,
   type JobRankInput,
+  listSpeeds,
   type PlanInput,
   type QueueName,
   RANK_TIER,
@@ -73,6 +75,7 @@
   if (capacity === undefined) return { workers, waiting: [], running: [] };
   const guaranteed = findGuaranteedJobs(jobs, options.guarantees);
   const meanWorkByQueue = computeMeanWork(jobs, capacity);
+  const speeds = listSpeeds(workers);
   const waiting: WaitingUnit<Unit>[] = [];
   const running: RunningUnit<Unit>[] = [];
   for (const job of jobs) {
@@ -93,6 +96,7 @@
       isGuaranteed: guaranteed.has(job),
     };
     const rank = rankJob(rankInput);
+    const minimumSpeed = computeMinimumSpeed(rankInput, speeds);
     const evictionGain = spec.priority === URGENT_PRIORITY
       ? computeLateLoss(rankInput, Number.POSITIVE_INFINITY)
       : 0;
@@ -116,6 +120,7 @@
           step: unit.step,
           stepKey: unit.stepKey,
           count: unit.count,
+          minimumSpeed,
           avoid: waitedMs < AVOID_WAIT_MS ? unit.failedOn : NO_WORKERS,
           isolation: suspects.getIsolation(unit, waitedMs, isGuaranteed),
         });
--- a/packages/node/cell/session_event_handler.ts
+++ b/packages/node/cell/session_event_handler.ts
@@ -18,6 +18,7 @@
 } from "./task_run.ts";
 import type { ProgressWriter } from "./progress_writer.ts";
 import type { RunRegistry } from "./run_registry.ts";
+import type { SpeedTracker } from "./speeds/speed_tracker.ts";
 import { WorkerQuarantine } from "./worker_quarantine.ts";
 import type { WorkerSession } from "./worker_session.ts";
 
@@ -30,6 +31,7 @@
   readonly runs: RunRegistry;
   readonly writer: ProgressWriter;
   readonly crashes: CrashTracker;
+  readonly speeds: SpeedTracker;
   readonly clock: Clock;
   readonly log: CellLog;
   /** Whether the workers' reports have been collected; stray runs are resolved only then. */
@@ -105,7 +107,10 @@
       end,
       isFollowed: taskRun !== undefined && runs.getUnit(taskRun) !== undefined,
     });
-    if (taskRun !== undefined) runs.drop(taskRun);
+    if (taskRun !== undefined) {
+      this.#options.speeds.recordEnd(session, ended, taskRun);
+      runs.drop(taskRun);
+    }
     const location = jobs.locateTask(task);
     if (location !== undefined) {
       const unit = location.job.units.get(formatUnitKey(location.address));
@@ -127,7 +132,8 @@
     if (isReady()) runs.resolveStray(taskRun);
   }
 
-  onReport(): void {
+  onReport(session: WorkerSession): void {
+    this.#options.speeds.recordReport(session);
     this.#options.requestRound();
   }
 
--- a/packages/node/cell/worker_fleet.ts
+++ b/packages/node/cell/worker_fleet.ts
@@ -48,6 +48,8 @@
   /** Whether the failure domain is out of service. */
   readonly isOut: (failureDomain: FailureDomainName) => boolean;
   readonly listener: SessionListener;
+  /** The speed of the worker's present incarnation; 1 where not known. */
+  readonly getSpeed: (session: WorkerSession) => number;
   /** Called when workers were added or removed, or became usable. */
   readonly onChanged: () => void;
 }
@@ -94,7 +96,7 @@
       if (record === undefined || !this.#isUsable(session, record)) {
         return [];
       }
-      return [createView(session, record)];
+      return [createView(session, record, this.#options.getSpeed(session))];
     });
   }
 
@@ -296,6 +298,7 @@
 function createView(
   session: WorkerSession,
   record: WorkerRecord,
+  speed: number,
 ): WorkerView {
   return {
     worker: record.worker,
@@ -306,5 +309,6 @@
     capacity: record.capacity,
     ...computeAvailability(record.capacity, session.taskRuns),
     slowness: record.warmUpRemainingMs > 0 ? WARM_UP_SLOWNESS : 1,
+    speed,
   };
 }
--- a/packages/node/cell/workers_fake.ts
+++ b/packages/node/cell/workers_fake.ts
@@ -102,6 +102,10 @@
   carriesCallsOver = false;
   /** Runs make no progress. */
   isStalled = false;
+  /** When set, runs end by themselves after this time. */
+  taskDurationMs: number | undefined;
+  /** Runs keep the progress that they have at this time. */
+  stalledFromMs = Number.POSITIVE_INFINITY;
   /** When set, starts get no answer and are carried out after this time. */
   startDelayMs: number | undefined;
   /** When set, renewals get no answer and are carried out after this time. */
@@ -345,14 +349,34 @@
         task,
         run,
         checkpoint: "",
-        percent: this.isStalled
-          ? 7
-          : Math.min(99, (this.#clock.nowMs() - startedMs) / 1_000),
+        percent: this.#computePercent(startedMs),
       })),
       ended: this.#ends,
     });
   }
 
+  #computePercent(startedMs: number): number {
+    if (this.isStalled) return 7;
+    const elapsedMs = this.#computeProgressMs(startedMs);
+    return this.taskDurationMs === undefined
+      ? Math.min(99, elapsedMs / 1_000)
+      : Math.min(99, Math.floor(100 * elapsedMs / this.taskDurationMs));
+  }
+
+  #computeProgressMs(startedMs: number): number {
+    const untilMs = Math.min(this.#clock.nowMs(), this.stalledFromMs);
+    return Math.max(0, untilMs - startedMs);
+  }
+
+  /** Ends the runs that have lasted for `taskDurationMs`. */
+  endFinished(): void {
+    if (this.taskDurationMs === undefined || this.isStalled) return;
+    for (const { task, startedMs } of [...this.#runs.values()]) {
+      const elapsedMs = this.#computeProgressMs(startedMs);
+      if (elapsedMs >= this.taskDurationMs) this.end(task, "done");
+    }
+  }
+
   #endStopped(task: TaskName, run: number): void {
     const durationMs = this.drawStopDurationMs();
     if (durationMs === 0) return this.end(task, "stopped", run);
--- a/packages/policy/cell/changed_capacity_test.ts
+++ b/packages/policy/cell/changed_capacity_test.ts
@@ -23,6 +23,7 @@
     free: { ...rest, accelerators: capacity - used },
     releasing: { cpuMilli: 0, memoryMib: 0, accelerators: 0 },
     slowness: 1,
+    speed: 1,
     tasksByStep: new Map(),
   };
 }
--- a/packages/policy/cell/crashes/isolation_test.ts
+++ b/packages/policy/cell/crashes/isolation_test.ts
@@ -25,6 +25,7 @@
     free: { ...CAPACITY, accelerators: 8 - tasks },
     releasing: { cpuMilli: 0, memoryMib: 0, accelerators: 0 },
     slowness: 1,
+    speed: 1,
     tasksByStep: new Map(tasks > 0 ? [["running", tasks]] : []),
   };
 }
--- a/packages/policy/cell/fit.ts
+++ b/packages/policy/cell/fit.ts
@@ -1,5 +1,6 @@
 /** Finds workers for the tasks of one unit: for all of them, or for none. */
 import type { RackName, ServiceName, WorkerName } from "@coltsfootpond/common";
+import { listSpeedGroups, type SpeedRequest } from "./speeds/speed_fit.ts";
 import type { CellResources, StepSpec, WorkerView } from "./types.ts";
 
 /** Free capacity of one worker during a planning round; each placement is subtracted from it. */
@@ -11,7 +12,7 @@
 }
 
 /** The tasks of one unit, which must be placed together. */
-export interface FitRequest {
+export interface FitRequest extends SpeedRequest {
   readonly service: ServiceName;
   readonly step: StepSpec;
   /** `{job}.{occurrence}.{step}`; key of `tasksByStep`. */
@@ -127,9 +128,10 @@
 }
 
 /**
- * Sorts the least slow workers first; then those in the rack with the fewest free accelerators,
- * then those with the least free capacity, so that whole workers and racks stay free for tasks and
- * gangs that need them.
+ * Sorts the least slow workers first; then those of the lowest speed, as the caller leaves out
+ * workers that are too slow; then those in the rack with the fewest free accelerators, then those
+ * with the least free capacity, so that whole workers and racks stay free for tasks and gangs that
+ * need them.
  */
 function sortByPreference(
   workers: readonly FittingWorker[],
@@ -139,6 +141,7 @@
     freeByRack.get(view.rack) ?? 0;
   return [...workers].sort(({ capacity: left }, { capacity: right }) =>
     left.view.slowness - right.view.slowness ||
+    left.view.speed - right.view.speed ||
     getRackFree(left) - getRackFree(right) ||
     left.free.accelerators - right.free.accelerators ||
     left.free.cpuMilli - right.free.cpuMilli ||
@@ -234,7 +237,8 @@
  * Finds workers for all tasks of the request, or returns undefined. A rack-bound gang is placed in
  * one rack, and tasks whose step names a data rack are placed there. With `allowRemote`, the gang
  * may be spread over racks, and the tasks may be placed outside their data rack, if there is no
- * better fit. Callers allow this for jobs that are late or have waited long.
+ * better fit. Callers allow this for jobs that are late or have waited long. Workers of unequal
+ * speed are tried in groups (see `listSpeedGroups`).
  */
 export function findFit(
   capacities: readonly WorkerCapacity[],
@@ -242,6 +246,25 @@
   options: { readonly allowRemote: boolean },
 ): Fit | undefined {
   const eligible = capacities.filter(({ view }) => isEligible(view, request));
+  // Most requests of a full cell fail here, before the groups are tried.
+  const anyFit = findFitAmong(eligible, request, options);
+  if (anyFit === undefined) return undefined;
+  const groups = listSpeedGroups(eligible, request);
+  if (groups.length === 1) return anyFit;
+  // A remote run on the fastest workers takes longer than another one on slow workers.
+  const allowRemote = anyFit.isRemote;
+  for (const group of groups) {
+    const fit = findFitAmong(group, request, { allowRemote });
+    if (fit !== undefined) return fit;
+  }
+  return anyFit;
+}
+
+function findFitAmong(
+  eligible: readonly WorkerCapacity[],
+  request: FitRequest,
+  options: { readonly allowRemote: boolean },
+): Fit | undefined {
   const { dataRack, isRackBound, isGang } = request.step;
   const mustShareRack = isRackBound && isGang && request.count > 1;
   if (!mustShareRack && dataRack === undefined) {
--- a/packages/policy/cell/plan_round_test.ts
+++ b/packages/policy/cell/plan_round_test.ts
@@ -34,6 +34,7 @@
     free: { ...WHOLE_WORKER, accelerators: freeAccelerators },
     releasing: NO_RESOURCES,
     slowness: 1,
+    speed: 1,
     tasksByStep: new Map(),
   };
 }
--- a/packages/policy/cell/types.ts
+++ b/packages/policy/cell/types.ts
@@ -90,6 +90,8 @@
   readonly releasing: CellResources;
   /** Expected run duration relative to a healthy worker; above 1 is slower. */
   readonly slowness: number;
+  /** Estimated speed relative to the usual worker, in few classes; 1 where not known. */
+  readonly speed: number;
   /** Number of tasks on it by `{job}.{occurrence}.{step}`, for `maximumPerWorker`. */
   readonly tasksByStep: ReadonlyMap<string, number>;
 }
--- a/packages/policy/mod.ts
+++ b/packages/policy/mod.ts
@@ -16,3 +16,6 @@
 export * from "./cell/plan_round.ts";
 export * from "./cell/job_rank.ts";
 export * from "./cell/urgent_headroom.ts";
+export * from "./cell/speeds/speed_classes.ts";
+export * from "./cell/speeds/speed_estimates.ts";
+export * from "./cell/speeds/speed_need.ts";
--- a/scripts/bench_days/cell_model.ts
+++ b/scripts/bench_days/cell_model.ts
@@ -252,6 +252,7 @@
     capacity: WORKER_CAPACITY,
     ...computeAvailability(WORKER_CAPACITY, worker.taskRuns),
     slowness: 1,
+    speed: 1,
   };
 }
 
--- a/scripts/bench_rounds/full_cell.ts
+++ b/scripts/bench_rounds/full_cell.ts
@@ -71,6 +71,7 @@
     free: { ...CAPACITY, accelerators: 0 },
     releasing: NO_RESOURCES,
     slowness: 1,
+    speed: 1,
     tasksByStep: new Map(),
   };
 }
