--- a/packages/node/cell/cell_simulation.ts
+++ b/packages/node/cell/cell_simulation.ts
@@ -93,6 +93,7 @@
       () =>
         simulation.workers.forEach((worker) => {
           worker.expireLease();
+          worker.endFinished();
           worker.writeHeartbeat();
         }),
     );
--- a/packages/node/cell/plan_input.ts
+++ b/packages/node/cell/plan_input.ts
@@ -8,10 +8,12 @@
   canMeetObjective,
   computeCriticalPathMs,
   computeLateLoss,
+  computeMinimumSpeed,
   computeUrgentHeadroom,
   computeWorkMs,
   findLargestCapacity,
   type JobRankInput,
+  listSpeeds,
   type OrganisationShares,
   type PlanInput,
   type QueueName,
@@ -75,6 +77,7 @@
   if (capacity === undefined) return { workers, waiting: [], running: [] };
   const guaranteed = findGuaranteedJobs(jobs, options.guarantees);
   const meanWorkByQueue = computeMeanWork(jobs, capacity);
+  const speeds = listSpeeds(workers);
   const waiting: WaitingUnit<Unit>[] = [];
   const running: RunningUnit<Unit>[] = [];
   for (const job of jobs) {
@@ -95,6 +98,7 @@
       isGuaranteed: guaranteed.has(job),
     };
     const rank = rankJob(rankInput);
+    const minimumSpeed = computeMinimumSpeed(rankInput, speeds);
     const evictionGain = spec.priority === URGENT_PRIORITY
       ? computeLateLoss(rankInput, Number.POSITIVE_INFINITY)
       : 0;
@@ -119,6 +123,7 @@
           step: unit.step,
           stepKey: unit.stepKey,
           count: unit.count,
+          minimumSpeed,
           avoid: waitedMs < AVOID_WAIT_MS ? unit.failedOn : NO_WORKERS,
           isolation: suspects.getIsolation(unit, waitedMs, isGuaranteed),
         });
--- a/packages/policy/cell/quotas/quota_fixtures.ts
+++ b/packages/policy/cell/quotas/quota_fixtures.ts
@@ -118,6 +118,7 @@
       free: own.reduce(subtractCellResources, CAPACITY),
       releasing: NOTHING,
       slowness: 1,
+      speed: 1,
       tasksByStep: new Map(),
     };
   });
