Evict an organisation's own work for its guaranteed jobs

Cause: an organisation's ordinary work filled its quota, so a job that its guarantee covers waited for that work to end although the cell had room.

Change: where a quota holds back a guaranteed unit, or an urgent one that gains more than it costs, the cheapest runs of the same organisation are evicted, unless enough of them is being stopped already.

--- a/packages/node/cell/plan_input.ts
+++ b/packages/node/cell/plan_input.ts
@@ -164,6 +164,7 @@
     workers: [...run?.taskRuns.values() ?? []].map(({ worker }) => worker),
     isEvictable: job.spec.priority > URGENT_PRIORITY &&
       run?.isClosing === false,
+    isClosing: run?.isClosing,
     evictionCost: waste + computeLateLoss(rankInput, lostMs + RESTART_WAIT_MS),
   };
 }
--- a/packages/policy/cell/plan_round.ts
+++ b/packages/policy/cell/plan_round.ts
@@ -30,6 +30,7 @@
 import { compareRanks, type Rank, RANK_TIER } from "./job_rank.ts";
 import type { OrganisationShares } from "./quotas/organisation_usage.ts";
 import { QuotaLedger } from "./quotas/quota_ledger.ts";
+import { planQuotaReclaim } from "./quotas/quota_reclaim.ts";
 
 /** A unit that is due and waits for workers. */
 export interface WaitingUnit<Unit> extends FitRequest {
@@ -83,6 +84,7 @@
 
 /** Most units for which one round searches for victims; limits the duration of a round. */
 const MAXIMUM_EVICTION_PLANS = 8;
+const NO_WORKERS: ReadonlySet<WorkerName> = new Set();
 
 /**
  * Plans one round, in order of rank; units of equal rank keep their order. After one unit of a step
@@ -149,7 +151,10 @@
   /** Returns the units that the request displaces; they may fit elsewhere. */
   #planUnit(request: WaitingUnit<Unit>): readonly WaitingUnit<Unit>[] {
     if (this.#stepsWithoutFit.has(request.stepKey)) return [];
-    if (!this.#quotas.covers(request)) return [];
+    if (!this.#quotas.covers(request)) {
+      this.#reclaimQuota(request);
+      return [];
+    }
     const mayStart = this.#isWithinHeadroom(request);
     if (mayStart && this.#place(request)) return [];
     const eviction = mayStart ? this.#planEviction(request) : undefined;
@@ -234,6 +239,20 @@
     return isJustified ? plan : undefined;
   }
 
+  /** Evicts work of the unit's own organisation, which then has room within its quota. */
+  #reclaimQuota(request: WaitingUnit<Unit>): void {
+    const isGuaranteed = request.rank.tier === RANK_TIER.GUARANTEED;
+    if (!isGuaranteed && request.evictionGain <= 0) return;
+    const reclaim = planQuotaReclaim(request, {
+      running: this.#input.running,
+      evicted: this.#evicted,
+      ledger: this.#quotas,
+    });
+    if (reclaim === undefined) return;
+    const isJustified = isGuaranteed || reclaim.cost < request.evictionGain;
+    if (isJustified) this.#evict(request, reclaim.victims, NO_WORKERS);
+  }
+
   /** Takes back the placements among the victims; the other victims are running. */
   #displace(eviction: EvictionPlan<Unit> | undefined) {
     const displaced: WaitingUnit<Unit>[] = [];
--- a/packages/policy/cell/quotas/quota_ledger.ts
+++ b/packages/policy/cell/quotas/quota_ledger.ts
@@ -17,6 +17,8 @@
   readonly organisation: OrganisationName | undefined;
   readonly step: StepSpec;
   readonly count: number;
+  /** Whether it may use the reserve for urgent jobs. */
+  readonly mayUseHeadroom: boolean;
 }
 
 /**
@@ -41,12 +43,32 @@
   covers(request: QuotaRequest): boolean {
     const { organisation } = request;
     if (organisation === undefined) return true;
-    const quota = this.#shares?.limits.get(organisation)?.quota;
     const total = addCellResources(
       this.getUsage(organisation),
       computeRequirement(request),
     );
-    return isWithinQuota(total, quota);
+    const quota = this.getQuota(organisation);
+    if (!isWithinQuota(total, quota)) return false;
+    return request.mayUseHeadroom || this.#leavesReserve(request, total, quota);
+  }
+
+  /** A unit that could never start beside the reserve may use it. */
+  #leavesReserve(
+    request: QuotaRequest,
+    total: CellResources,
+    quota: CellResources | undefined,
+  ): boolean {
+    const reserve = request.organisation &&
+      this.#shares?.urgentReserves?.get(request.organisation);
+    if (reserve === undefined) return true;
+    const isWithin = (usage: CellResources) =>
+      isWithinQuota(addCellResources(usage, reserve), quota);
+    return isWithin(total) || !isWithin(computeRequirement(request));
+  }
+
+  /** Undefined without a limit. */
+  getQuota(organisation: OrganisationName): CellResources | undefined {
+    return this.#shares?.limits.get(organisation)?.quota;
   }
 
   getUsage(organisation: OrganisationName): CellResources {
