Leave a part of each quota to urgent jobs

Cause: an urgent job of an organisation at its quota waits until evicted tasks have stopped, up to 0.9 s, and their work since the last checkpoint is lost.

Change: as with the headroom of a service, other work of an organisation leaves free what its urgent jobs ask for in twice the time that a task takes to stop, at most a fifth of the quota.

--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -157,6 +157,9 @@
       listJobs: () => this.#jobs.jobs,
       listSessions: () => this.#fleet.sessions,
       isUnreported: this.#isUnreported,
+      getUrgentRatesPerS: () =>
+        this.#urgentDemand.computeOrganisationRatesPerS(options.nowUnixMs()),
+      stopLimitMs: settings.bounds.stopLimitMs,
     });
   }
 
--- a/packages/node/cell/quotas/organisation_quotas.ts
+++ b/packages/node/cell/quotas/organisation_quotas.ts
@@ -5,11 +5,13 @@
 import type { OrganisationName, WorkerName } from "@coltsfootpond/common";
 import {
   type CellResources,
+  computeUrgentReserve,
   findLargestCapacity,
   isWithinQuota,
   NO_USAGE,
   type OrganisationLimits,
   type OrganisationShares,
+  type UrgentRates,
 } from "@coltsfootpond/policy";
 import type { DeclaredState } from "@coltsfootpond/ports";
 import type { LiveJob, Unit } from "../live_job.ts";
@@ -23,6 +25,10 @@
   readonly listSessions: () => readonly WorkerSession[];
   /** Whether the worker may run tasks of an earlier lease holder that are not known yet. */
   readonly isUnreported: (worker: WorkerName) => boolean;
+  /** Resources that urgent jobs of each organisation ask for in a second. */
+  readonly getUrgentRatesPerS: () => UrgentRates;
+  /** Longest time that a task takes to stop. */
+  readonly stopLimitMs: number;
 }
 
 /** Usage above a quota, with the version of the declared state that has the quota. */
@@ -68,7 +74,21 @@
       organisations: [...limits.keys()],
       largestCapacity: findLargestCapacity(capacities) ?? NO_USAGE,
     });
-    return { usage, limits };
+    return { usage, limits, urgentReserves: this.#computeReserves(limits) };
+  }
+
+  #computeReserves(
+    limits: ReadonlyMap<OrganisationName, OrganisationLimits>,
+  ): ReadonlyMap<OrganisationName, CellResources> {
+    const { getUrgentRatesPerS, stopLimitMs } = this.#options;
+    const reserves = new Map<OrganisationName, CellResources>();
+    for (const [organisation, ratePerS] of getUrgentRatesPerS()) {
+      const quota = limits.get(organisation)?.quota;
+      if (quota === undefined) continue;
+      const reserve = computeUrgentReserve({ ratePerS, quota, stopLimitMs });
+      reserves.set(organisation, reserve);
+    }
+    return reserves;
   }
 
   /**
--- a/packages/policy/cell/quotas/organisation_usage.ts
+++ b/packages/policy/cell/quotas/organisation_usage.ts
@@ -18,6 +18,8 @@
 export interface OrganisationShares {
   readonly usage: OrganisationUsage;
   readonly limits: ReadonlyMap<OrganisationName, OrganisationLimits>;
+  /** Part of the quotas that work without `mayUseHeadroom` leaves free; default none. */
+  readonly urgentReserves?: ReadonlyMap<OrganisationName, CellResources>;
 }
 
 const RESOURCES = ["cpuMilli", "memoryMib", "accelerators"] as const;
--- a/packages/policy/cell/urgent_headroom.ts
+++ b/packages/policy/cell/urgent_headroom.ts
@@ -3,8 +3,10 @@
  * arrived yet. An urgent job that evicts other work waits until the evicted tasks have stopped, and
  * their work since the last checkpoint is lost.
  */
-import type { ServiceName } from "@coltsfootpond/common";
-import type { CellJobSpec, WorkerView } from "./types.ts";
+import type { OrganisationName, ServiceName } from "@coltsfootpond/common";
+import { addUsage, multiplyResources } from "./quotas/organisation_usage.ts";
+import type { UrgentRates } from "./quotas/urgent_reserve.ts";
+import type { CellJobSpec, CellResources, WorkerView } from "./types.ts";
 
 /**
  * Urgent jobs accepted within this time count towards the rate: several jobs also in a small
@@ -26,7 +28,9 @@
 interface UrgentArrival {
   readonly service: ServiceName;
   readonly acceptedUnixMs: number;
-  readonly accelerators: number;
+  readonly organisation: OrganisationName | undefined;
+  /** Of the step that needs most accelerators. */
+  readonly requirement: CellResources;
 }
 
 /** Measures how many accelerators urgent jobs ask for in a second. */
@@ -40,26 +44,45 @@
   }
 
   /** Takes note of an urgent job. Jobs may be recorded in any order, and long after acceptance. */
-  record({ service, acceptedUnixMs, steps }: CellJobSpec): void {
-    const accelerators = Math.max(
-      0,
-      ...steps.map(({ count, need }) => count * need.accelerators),
-    );
-    this.#arrivals.push({ service, acceptedUnixMs, accelerators });
+  record({ service, acceptedUnixMs, organisation, steps }: CellJobSpec): void {
+    const [requirement] = steps.map(({ count, need }) =>
+      multiplyResources(need, count)
+    ).sort((left, right) => right.accelerators - left.accelerators);
+    if (requirement === undefined) return;
+    this.#arrivals.push({ service, acceptedUnixMs, organisation, requirement });
   }
 
   /** Mean over the last RATE_WINDOW_MS, in accelerators a second. */
   computeRatesPerS(nowUnixMs: number): ReadonlyMap<ServiceName, number> {
-    this.#arrivals = this.#arrivals.filter(({ acceptedUnixMs }) =>
-      Math.abs(nowUnixMs - acceptedUnixMs) < RATE_WINDOW_MS
-    );
+    this.#dropOld(nowUnixMs);
     const rates = new Map<ServiceName, number>();
-    for (const { service, accelerators } of this.#arrivals) {
+    for (const { service, requirement: { accelerators } } of this.#arrivals) {
       const rate = accelerators * MS_PER_SECOND / RATE_WINDOW_MS;
       rates.set(service, (rates.get(service) ?? 0) + rate);
     }
     return rates;
   }
+
+  /** The same for each organisation, in all resources. */
+  computeOrganisationRatesPerS(nowUnixMs: number): UrgentRates {
+    this.#dropOld(nowUnixMs);
+    const rates = new Map<OrganisationName, CellResources>();
+    for (const { organisation, requirement } of this.#arrivals) {
+      if (organisation === undefined) continue;
+      const rate = multiplyResources(
+        requirement,
+        MS_PER_SECOND / RATE_WINDOW_MS,
+      );
+      addUsage(rates, organisation, rate);
+    }
+    return rates;
+  }
+
+  #dropOld(nowUnixMs: number): void {
+    this.#arrivals = this.#arrivals.filter(({ acceptedUnixMs }) =>
+      Math.abs(nowUnixMs - acceptedUnixMs) < RATE_WINDOW_MS
+    );
+  }
 }
 
 export interface UrgentHeadroomInput {
--- a/packages/policy/mod.ts
+++ b/packages/policy/mod.ts
@@ -18,6 +18,7 @@
 export * from "./cell/urgent_headroom.ts";
 export * from "./cell/quotas/organisation_usage.ts";
 export * from "./cell/quotas/quota_ledger.ts";
+export * from "./cell/quotas/urgent_reserve.ts";
 export * from "./cell/speeds/speed_classes.ts";
 export * from "./cell/speeds/speed_estimates.ts";
 export * from "./cell/speeds/speed_need.ts";
