Divide a full service by the weights of organisations

Cause: units of all organisations were placed in order of rank, so that one organisation with many valuable jobs took the whole cell and delayed all others.

Change: where organisations have weights and ask for more than a service has, `planRound` computes a fair level (weighted max-min fairness of dominant shares). Within a tier it places first what fits into the share of its organisation, then what takes one that is below its share beyond it, then all else. Guaranteed work comes first as before, work without value last. A unit that has waited 2 s and whose organisation is below its share may evict runs of organisations above theirs; if nothing of its organisation runs, runs of any that keeps something. Value evictions spare organisations below their share and prefer victims above theirs where costs differ by less than 20%.

The properties failed without the quota check, with evictions down to nothing, and without the precedence of guarantees.

--- a/packages/node/cell/plan_input.ts
+++ b/packages/node/cell/plan_input.ts
@@ -120,6 +120,7 @@
           stepKey: unit.stepKey,
           count: unit.count,
           avoid: waitedMs < AVOID_WAIT_MS ? unit.failedOn : NO_WORKERS,
+          waitedMs,
           isolation: suspects.getIsolation(unit, waitedMs, isGuaranteed),
         });
       }
@@ -159,6 +160,7 @@
     workers: [...run?.taskRuns.values() ?? []].map(({ worker }) => worker),
     isEvictable: job.spec.priority > URGENT_PRIORITY &&
       run?.isClosing === false,
+    isClosing: run?.isClosing,
     evictionCost: waste + computeLateLoss(rankInput, lostMs + RESTART_WAIT_MS),
   };
 }
--- a/packages/policy/cell/eviction.ts
+++ b/packages/policy/cell/eviction.ts
@@ -27,6 +27,8 @@
   readonly stepKey: string;
   readonly workers: readonly WorkerName[];
   readonly isEvictable: boolean;
+  /** Whether it is being stopped, or ends because one of its tasks ended; default false. */
+  readonly isClosing?: boolean;
   /** Cost of stopping it, in job value: lost work, and the value that the job loses by lateness. */
   readonly evictionCost: number;
 }
--- a/packages/policy/cell/plan_round.ts
+++ b/packages/policy/cell/plan_round.ts
@@ -12,11 +12,7 @@
   WorkerName,
 } from "@coltsfootpond/common";
 import { allowsStart, ISOLATION, type Isolation } from "./crashes/isolation.ts";
-import {
-  type EvictionPlan,
-  planEviction,
-  type RunningUnit,
-} from "./eviction.ts";
+import type { EvictionPlan, RunningUnit } from "./eviction.ts";
 import {
   createWorkerCapacity,
   findFit,
@@ -27,9 +23,12 @@
   type WorkerCapacity,
 } from "./fit.ts";
 import type { CellResources, WorkerView } from "./types.ts";
-import { compareRanks, type Rank, RANK_TIER } from "./job_rank.ts";
+import { type Rank, RANK_TIER } from "./job_rank.ts";
 import type { OrganisationShares } from "./quotas/organisation_usage.ts";
 import { QuotaLedger } from "./quotas/quota_ledger.ts";
+import { planEvictionByShares, planReclaim } from "./quotas/share_evictions.ts";
+import { ShareQueue } from "./quotas/share_queue.ts";
+import { WeightedShares } from "./quotas/weighted_shares.ts";
 
 /** A unit that is due and waits for workers. */
 export interface WaitingUnit<Unit> extends FitRequest {
@@ -47,6 +46,8 @@
   readonly displacementCost: number | undefined;
   /** Whether it may use the headroom for urgent jobs. */
   readonly mayUseHeadroom: boolean;
+  /** Since it became due, or since its last run was over; default 0. */
+  readonly waitedMs?: number;
   /** Default none. */
   readonly isolation?: Isolation;
 }
@@ -83,6 +84,8 @@
 
 /** Most units for which one round searches for victims; limits the duration of a round. */
 const MAXIMUM_EVICTION_PLANS = 8;
+/** The same for units of organisations below their share, so that urgent units keep theirs. */
+const MAXIMUM_RECLAIM_PLANS = 4;
 
 /**
  * Plans one round, in order of rank; units of equal rank keep their order. After one unit of a step
@@ -109,6 +112,7 @@
   readonly #evicted = new Set<RunningUnit<Unit>>();
   readonly #stepsWithoutFit = new Set<string>();
   readonly #quotas: QuotaLedger;
+  readonly #shares: WeightedShares | undefined;
   /** Workers on which units start in this round. */
   readonly #startedOn = new Set<WorkerName>();
   /** Free accelerators of each service beyond its headroom. */
@@ -116,10 +120,12 @@
   /** Accelerators of each service beyond its headroom. */
   readonly #largest: ReadonlyMap<ServiceName, number>;
   #evictionPlans = 0;
+  #reclaimPlans = 0;
 
   private constructor(input: PlanInput<Unit>) {
     this.#input = input;
     this.#quotas = QuotaLedger.create(input.shares);
+    this.#shares = WeightedShares.create(input);
     this.#capacities = input.workers.map(createWorkerCapacity);
     this.#spare = sumBeyondHeadroom(input, ({ free }) => free);
     this.#largest = sumBeyondHeadroom(input, ({ capacity }) => capacity);
@@ -130,13 +136,12 @@
   }
 
   plan(): RoundPlan<Unit> {
-    const queue = [...this.#input.waiting].sort((left, right) =>
-      compareRanks(left.rank, right.rank)
-    );
-    for (let position = 0; position < queue.length; position++) {
-      const displaced = this.#planUnit(queue[position]!);
-      queue.splice(position + 1, 0, ...displaced);
-    }
+    const queue = ShareQueue.create(this.#input.waiting, this.#shares);
+    for (
+      let request = queue.next();
+      request !== undefined;
+      request = queue.next()
+    ) queue.putBack(this.#planUnit(request));
     return {
       placements: [...this.#placements.keys()].map(({ unit, workers }) => ({
         unit,
@@ -152,7 +157,9 @@
     if (!this.#quotas.covers(request)) return [];
     const mayStart = this.#isWithinHeadroom(request);
     if (mayStart && this.#place(request)) return [];
-    const eviction = mayStart ? this.#planEviction(request) : undefined;
+    const eviction = mayStart
+      ? this.#planEviction(request) ?? this.#planReclaim(request)
+      : undefined;
     const { displaced, victims } = this.#displace(eviction);
     const isPlaced = displaced.length > 0 && victims.length === 0 &&
       this.#place(request);
@@ -179,6 +186,7 @@
     this.#recordStart(request, fit);
     this.#addSpare(request, -countAccelerators(request));
     this.#quotas.reserve(request);
+    this.#shares?.add(request, 1);
     const { unit, organisation, step, stepKey, displacementCost } = request;
     this.#placements.set({
       unit,
@@ -219,21 +227,39 @@
     if (request.isolation === ISOLATION.EMPTY_WORKERS) return undefined;
     if (this.#evictionPlans >= MAXIMUM_EVICTION_PLANS) return undefined;
     this.#evictionPlans++;
-    const candidates = [
-      ...this.#input.running.filter((unit) => !this.#evicted.has(unit)),
-      ...this.#placements.keys(),
-    ];
-    const plan = planEviction(
+    const plan = planEvictionByShares(
       this.#listCapacities(request),
       request,
-      candidates,
-      request,
+      this.#listCandidates(),
+      this.#shares,
     );
     const isJustified = isGuaranteed ||
       plan !== undefined && plan.cost < request.evictionGain;
     return isJustified ? plan : undefined;
   }
 
+  /** The evictions that give an organisation below its share what others have above theirs. */
+  #planReclaim(request: WaitingUnit<Unit>): EvictionPlan<Unit> | undefined {
+    if (this.#shares?.mayReclaim(request) !== true) return undefined;
+    if (request.isolation === ISOLATION.EMPTY_WORKERS) return undefined;
+    if (this.#reclaimPlans >= MAXIMUM_RECLAIM_PLANS) return undefined;
+    this.#reclaimPlans++;
+    return planReclaim(
+      this.#listCapacities(request),
+      request,
+      this.#listCandidates(),
+      this.#shares,
+    );
+  }
+
+  /** Units that run, or are placed, and are not evicted in this round. */
+  #listCandidates(): readonly RunningUnit<Unit>[] {
+    return [
+      ...this.#input.running.filter((unit) => !this.#evicted.has(unit)),
+      ...this.#placements.keys(),
+    ];
+  }
+
   /** Takes back the placements among the victims; the other victims are running. */
   #displace(eviction: EvictionPlan<Unit> | undefined) {
     const displaced: WaitingUnit<Unit>[] = [];
@@ -249,6 +275,7 @@
       restoreFit(fit, request);
       this.#addSpare(request, countAccelerators(request));
       this.#quotas.release(request);
+      this.#shares?.add(request, -1);
       displaced.push(request);
     }
     return { displaced, victims };
@@ -266,8 +293,10 @@
   ): void {
     const { unit: forUnit } = request;
     this.#quotas.reserve(request);
+    this.#shares?.add(request, 1);
     for (const victim of victims) {
       this.#evicted.add(victim);
+      this.#shares?.addRunning(victim, -1);
       const { unit } = victim;
       this.#evictions.push({ unit, forUnit, workers: [...workers] });
     }
--- a/scripts/mutations/quota_mutations.ts
+++ b/scripts/mutations/quota_mutations.ts
@@ -22,6 +22,13 @@
   };
 }
 
+const SHARES = `${POLICY_QUOTAS}/weighted_shares.ts`;
+const SHARE_QUEUE = `${POLICY_QUOTAS}/share_queue.ts`;
+const SHARE_EVICTIONS = `${POLICY_QUOTAS}/share_evictions.ts`;
+const SHARE_TEST = `${POLICY_QUOTAS}/share_test.ts`;
+const PROPERTIES_TEST = `${POLICY_QUOTAS}/quota_properties_test.ts`;
+const SHARES_PROMISE = "shares follow the weights";
+
 export const QUOTA_MUTATIONS: readonly Mutation[] = [
   {
     ...countOnly("taskRun.startSentMs !== undefined"),
@@ -224,4 +231,151 @@
     spec: USAGE_TEST,
     title: "takes the organisation of an ended job from its row",
   },
+  {
+    name: "place in order of rank whatever the shares",
+    promise: SHARES_PROMISE,
+    file: SHARE_QUEUE,
+    find: `this.#shares?.isContended(service) === true;`,
+    replace: `this.#shares?.isContended(service) === undefined;`,
+    spec: SHARE_TEST,
+    title: "divide a full cell by the weights",
+  },
+  {
+    name: "place in order of rank whatever the shares, in a flood",
+    promise: SHARES_PROMISE,
+    file: SHARE_QUEUE,
+    find: `this.#shares?.isContended(service) === true;`,
+    replace: `this.#shares?.isContended(service) === undefined;`,
+    spec: PROPERTIES_TEST,
+    title: "within one gang of their shares",
+  },
+  {
+    name: "divide by weights without regard to the demand",
+    promise: SHARES_PROMISE,
+    file: `${POLICY_QUOTAS}/fair_level.ts`,
+    find: `if (dominantShare / weight > level) return level;`,
+    replace: `if (dominantShare >= 0) return level;`,
+    spec: SHARE_TEST,
+    title: "divides the whole capacity, and is infinite",
+  },
+  {
+    name: "leave idle what an organisation below its share cannot use",
+    promise: SHARES_PROMISE,
+    file: SHARE_QUEUE,
+    find: `if (queue.position >= queue.units.length) continue;`,
+    replace:
+      `if (queue.position >= queue.units.length || queue.phase === PHASE.ABOVE_SHARE) continue;`,
+    spec: SHARE_TEST,
+    title: "what the others cannot use|does not ask for",
+  },
+  {
+    name: "subject guarantees to the shares",
+    promise: SHARES_PROMISE,
+    file: SHARE_QUEUE,
+    find: `const isShared = rank.tier !== RANK_TIER.GUARANTEED &&`,
+    replace: `const isShared =`,
+    furtherEdits: [{
+      file: SHARE_QUEUE,
+      find: `const tier = units[0]?.[0].rank.tier;`,
+      replace:
+        `const tier: number | undefined = undefined as number | undefined;`,
+    }, {
+      file: SHARE_QUEUE,
+      find: `units.findIndex(([{ rank }]) => rank.tier !== tier)`,
+      replace: `units.findIndex(() => tier !== undefined)`,
+    }, {
+      file: SHARE_QUEUE,
+      find: `const isShared = request.rank.tier !== RANK_TIER.GUARANTEED &&\n`,
+      replace: `const isShared =\n`,
+    }],
+    spec: SHARE_TEST,
+    title: "come after guarantees",
+  },
+  {
+    name: "let worthless work of an organisation below its share go first",
+    promise: SHARES_PROMISE,
+    file: SHARE_QUEUE,
+    find: `const tier = units[0]?.[0].rank.tier;`,
+    replace:
+      `const tier: number | undefined = undefined as number | undefined;`,
+    furtherEdits: [{
+      file: SHARE_QUEUE,
+      find: `units.findIndex(([{ rank }]) => rank.tier !== tier)`,
+      replace: `units.findIndex(() => tier !== undefined)`,
+    }, {
+      file: SHARES,
+      find: `rank.tier === RANK_TIER.WORTHLESS) continue;`,
+      replace: `rank.tier < 0) continue;`,
+    }],
+    spec: SHARE_TEST,
+    title: "let no work without value go before",
+  },
+  {
+    name: "evict work of an organisation below its share for one above",
+    promise: SHARES_PROMISE,
+    file: SHARES,
+    find: `return this.isBelow(request) || !this.isBelow(tasks);`,
+    replace: `return true;`,
+    spec: SHARE_TEST,
+    title: "protect an organisation below its share",
+  },
+  {
+    name: "choose victims by cost alone",
+    promise: SHARES_PROMISE,
+    file: SHARE_EVICTIONS,
+    find: `const ALIKE_FACTOR = 1.2;`,
+    replace: `const ALIKE_FACTOR = 1;`,
+    spec: SHARE_TEST,
+    title: "prefer victims of organisations above",
+  },
+  {
+    name: "choose victims by share alone",
+    promise: SHARES_PROMISE,
+    file: SHARE_EVICTIONS,
+    find: `const ALIKE_FACTOR = 1.2;`,
+    replace: `const ALIKE_FACTOR = 1_000;`,
+    spec: SHARE_TEST,
+    title: "prefer victims of organisations above",
+  },
+  {
+    name: "reclaim nothing",
+    promise: SHARES_PROMISE,
+    file: SHARES,
+    find: `(request.waitedMs ?? 0) >= RECLAIM_WAIT_MS`,
+    replace: `(request.waitedMs ?? 0) < 0`,
+    spec: PROPERTIES_TEST,
+    title: "start a wide gang of an organisation without runs",
+  },
+  {
+    name: "give what is reclaimed for a wide gang to others",
+    promise: SHARES_PROMISE,
+    file: SHARES,
+    find: `if (this.hasNothing(unit)) return true;`,
+    replace: ``,
+    spec: PROPERTIES_TEST,
+    title: "start a wide gang of an organisation without runs",
+  },
+  {
+    name: "reclaim at once",
+    promise: SHARES_PROMISE,
+    file: SHARES,
+    find: `(request.waitedMs ?? 0) >= RECLAIM_WAIT_MS`,
+    replace: `(request.waitedMs ?? 0) >= 0`,
+    spec: SHARE_TEST,
+    title: "reclaim capacity for a unit that has waited",
+  },
+  {
+    name: "reclaim from organisations that have only their share",
+    promise: SHARES_PROMISE,
+    file: SHARE_EVICTIONS,
+    find: `: candidates.filter((candidate) => shares.isAbove(candidate));`,
+    replace: `: candidates;`,
+    furtherEdits: [{
+      file: SHARE_EVICTIONS,
+      find: `shares.allowsReclaim(request, plan.victims)`,
+      replace: `request.unit !== undefined`,
+    }],
+    spec: SHARE_TEST,
+    title: "reclaim nothing from an organisation that has only its share",
+  },
 ];
