--- a/packages/node/cell/plan_input.ts
+++ b/packages/node/cell/plan_input.ts
@@ -125,6 +125,7 @@
           count: unit.count,
           minimumSpeed,
           avoid: waitedMs < AVOID_WAIT_MS ? unit.failedOn : NO_WORKERS,
+          waitedMs,
           isolation: suspects.getIsolation(unit, waitedMs, isGuaranteed),
         });
       }
--- a/packages/node/cell/quotas/organisation_quotas.ts
+++ b/packages/node/cell/quotas/organisation_quotas.ts
@@ -11,6 +11,7 @@
   NO_USAGE,
   type OrganisationLimits,
   type OrganisationShares,
+  type OrganisationUsage,
   type UrgentRates,
 } from "@coltsfootpond/policy";
 import type { DeclaredState } from "@coltsfootpond/ports";
@@ -60,12 +61,19 @@
   createShares(): OrganisationShares | undefined {
     const limits = this.#listLimits();
     if (limits.size === 0) return undefined;
+    const usage = this.countUsage();
+    return { usage, limits, urgentReserves: this.#computeReserves(limits) };
+  }
+
+  /** What runs for each organisation, also for those without a quota. */
+  countUsage(): OrganisationUsage {
+    const limits = this.#listLimits();
     this.recordEarlierPlacements();
     const sessions = this.#options.listSessions();
     const capacities = sessions.flatMap(({ record }) =>
       record === undefined ? [] : [record]
     );
-    const usage = countUsage({
+    return countUsage({
       workers: sessions.map(({ record, taskRuns }) => ({
         capacity: record?.capacity,
         taskRuns,
@@ -74,7 +82,6 @@
       organisations: [...limits.keys()],
       largestCapacity: findLargestCapacity(capacities) ?? NO_USAGE,
     });
-    return { usage, limits, urgentReserves: this.#computeReserves(limits) };
   }
 
   #computeReserves(
--- a/packages/policy/cell/plan_round.ts
+++ b/packages/policy/cell/plan_round.ts
@@ -12,11 +12,7 @@
   WorkerName,
 } from "@coltsfootpond/common";
 import { allowsStart, ISOLATION, type Isolation } from "./crashes/isolation.ts";
-import {
-  type EvictionPlan,
-  planEviction,
-  type RunningUnit,
-} from "./eviction.ts";
+import type { EvictionPlan, RunningUnit } from "./eviction.ts";
 import {
   createWorkerCapacity,
   findFit,
@@ -27,10 +23,13 @@
   type WorkerCapacity,
 } from "./fit.ts";
 import type { CellResources, WorkerView } from "./types.ts";
-import { compareRanks, type Rank, RANK_TIER } from "./job_rank.ts";
+import { type Rank, RANK_TIER } from "./job_rank.ts";
 import type { OrganisationShares } from "./quotas/organisation_usage.ts";
-import { QuotaLedger } from "./quotas/quota_ledger.ts";
-import { planQuotaReclaim } from "./quotas/quota_reclaim.ts";
+import { QuotaLedger, type QuotaWait } from "./quotas/quota_ledger.ts";
+import { planQuotaReclaim, type QuotaReclaim } from "./quotas/quota_reclaim.ts";
+import { planEvictionByShares, planReclaim } from "./quotas/share_evictions.ts";
+import { ShareQueue } from "./quotas/share_queue.ts";
+import { WeightedShares } from "./quotas/weighted_shares.ts";
 
 /** A unit that is due and waits for workers. */
 export interface WaitingUnit<Unit> extends FitRequest {
@@ -48,6 +47,8 @@
   readonly displacementCost: number | undefined;
   /** Whether it may use the headroom for urgent jobs. */
   readonly mayUseHeadroom: boolean;
+  /** Since it became due, or since its last run was over; default 0. */
+  readonly waitedMs?: number;
   /** Default none. */
   readonly isolation?: Isolation;
 }
@@ -80,10 +81,14 @@
 export interface RoundPlan<Unit> {
   readonly placements: readonly Placement<Unit>[];
   readonly evictions: readonly Eviction<Unit>[];
+  /** Units that quotas hold back; absent if there are none. */
+  readonly quotaWaits?: readonly QuotaWait<Unit>[];
 }
 
 /** Most units for which one round searches for victims; limits the duration of a round. */
 const MAXIMUM_EVICTION_PLANS = 8;
+/** The same for units of organisations below their share, so that urgent units keep theirs. */
+const MAXIMUM_RECLAIM_PLANS = 4;
 const NO_WORKERS: ReadonlySet<WorkerName> = new Set();
 
 /**
@@ -111,6 +116,8 @@
   readonly #evicted = new Set<RunningUnit<Unit>>();
   readonly #stepsWithoutFit = new Set<string>();
   readonly #quotas: QuotaLedger;
+  readonly #quotaWaits: QuotaWait<Unit>[] = [];
+  readonly #shares: WeightedShares | undefined;
   /** Workers on which units start in this round. */
   readonly #startedOn = new Set<WorkerName>();
   /** Free accelerators of each service beyond its headroom. */
@@ -118,10 +125,12 @@
   /** Accelerators of each service beyond its headroom. */
   readonly #largest: ReadonlyMap<ServiceName, number>;
   #evictionPlans = 0;
+  #reclaimPlans = 0;
 
   private constructor(input: PlanInput<Unit>) {
     this.#input = input;
     this.#quotas = QuotaLedger.create(input.shares);
+    this.#shares = WeightedShares.create(input);
     this.#capacities = input.workers.map(createWorkerCapacity);
     this.#spare = sumBeyondHeadroom(input, ({ free }) => free);
     this.#largest = sumBeyondHeadroom(input, ({ capacity }) => capacity);
@@ -132,32 +141,44 @@
   }
 
   plan(): RoundPlan<Unit> {
-    const queue = [...this.#input.waiting].sort((left, right) =>
-      compareRanks(left.rank, right.rank)
-    );
-    for (let position = 0; position < queue.length; position++) {
-      const displaced = this.#planUnit(queue[position]!);
-      queue.splice(position + 1, 0, ...displaced);
-    }
+    const queue = ShareQueue.create(this.#input.waiting, this.#shares);
+    for (
+      let request = queue.next();
+      request !== undefined;
+      request = queue.next()
+    ) queue.putBack(this.#planUnit(request));
     return {
       placements: [...this.#placements.keys()].map(({ unit, workers }) => ({
         unit,
         workers,
       })),
       evictions: this.#evictions,
+      ...(this.#quotaWaits.length > 0 ? { quotaWaits: this.#quotaWaits } : {}),
     };
   }
 
   /** Returns the units that the request displaces; they may fit elsewhere. */
   #planUnit(request: WaitingUnit<Unit>): readonly WaitingUnit<Unit>[] {
     if (this.#stepsWithoutFit.has(request.stepKey)) return [];
-    if (!this.#quotas.covers(request)) {
-      this.#reclaimQuota(request);
-      return [];
+    const wait = this.#quotas.findWait(request);
+    if (wait === undefined) return this.#planWithinQuota(request);
+    const reclaim = this.#planQuotaReclaim(request);
+    const { displaced, victims } = this.#displace(reclaim);
+    if (displaced.length > 0 && this.#quotas.findWait(request) === undefined) {
+      return [...displaced, ...this.#planWithinQuota(request)];
     }
+    this.#quotaWaits.push(wait);
+    if (reclaim !== undefined) this.#evict(request, victims, NO_WORKERS);
+    return displaced;
+  }
+
+  /** Plans a unit that its organisation's quota does not hold back. */
+  #planWithinQuota(request: WaitingUnit<Unit>): readonly WaitingUnit<Unit>[] {
     const mayStart = this.#isWithinHeadroom(request);
     if (mayStart && this.#place(request)) return [];
-    const eviction = mayStart ? this.#planEviction(request) : undefined;
+    const eviction = mayStart
+      ? this.#planEviction(request) ?? this.#planReclaim(request)
+      : undefined;
     const { displaced, victims } = this.#displace(eviction);
     const isPlaced = displaced.length > 0 && victims.length === 0 &&
       this.#place(request);
@@ -184,6 +205,7 @@
     this.#recordStart(request, fit);
     this.#addSpare(request, -countAccelerators(request));
     this.#quotas.reserve(request);
+    this.#shares?.add(request, 1);
     const { unit, organisation, step, stepKey, displacementCost } = request;
     this.#placements.set({
       unit,
@@ -224,37 +246,57 @@
     if (request.isolation === ISOLATION.EMPTY_WORKERS) return undefined;
     if (this.#evictionPlans >= MAXIMUM_EVICTION_PLANS) return undefined;
     this.#evictionPlans++;
-    const candidates = [
-      ...this.#input.running.filter((unit) => !this.#evicted.has(unit)),
-      ...this.#placements.keys(),
-    ];
-    const plan = planEviction(
+    const plan = planEvictionByShares(
       this.#listCapacities(request),
       request,
-      candidates,
-      request,
+      this.#listCandidates(),
+      this.#shares,
     );
     const isJustified = isGuaranteed ||
       plan !== undefined && plan.cost < request.evictionGain;
     return isJustified ? plan : undefined;
   }
 
-  /** Evicts work of the unit's own organisation, which then has room within its quota. */
-  #reclaimQuota(request: WaitingUnit<Unit>): void {
+  /** Victims among the work of the unit's own organisation, without which it is within its quota. */
+  #planQuotaReclaim(
+    request: WaitingUnit<Unit>,
+  ): QuotaReclaim<Unit> | undefined {
     const isGuaranteed = request.rank.tier === RANK_TIER.GUARANTEED;
-    if (!isGuaranteed && request.evictionGain <= 0) return;
+    if (!isGuaranteed && request.evictionGain <= 0) return undefined;
     const reclaim = planQuotaReclaim(request, {
-      running: this.#input.running,
+      units: [...this.#input.running, ...this.#placements.keys()],
       evicted: this.#evicted,
       ledger: this.#quotas,
     });
-    if (reclaim === undefined) return;
-    const isJustified = isGuaranteed || reclaim.cost < request.evictionGain;
-    if (isJustified) this.#evict(request, reclaim.victims, NO_WORKERS);
+    const isJustified = isGuaranteed ||
+      reclaim !== undefined && reclaim.cost < request.evictionGain;
+    return isJustified ? reclaim : undefined;
+  }
+
+  /** The evictions that give an organisation below its share what others have above theirs. */
+  #planReclaim(request: WaitingUnit<Unit>): EvictionPlan<Unit> | undefined {
+    if (this.#shares?.mayReclaim(request) !== true) return undefined;
+    if (request.isolation === ISOLATION.EMPTY_WORKERS) return undefined;
+    if (this.#reclaimPlans >= MAXIMUM_RECLAIM_PLANS) return undefined;
+    this.#reclaimPlans++;
+    return planReclaim(
+      this.#listCapacities(request),
+      request,
+      this.#listCandidates(),
+      this.#shares,
+    );
+  }
+
+  /** Units that run, or are placed, and are not evicted in this round. */
+  #listCandidates(): readonly RunningUnit<Unit>[] {
+    return [
+      ...this.#input.running.filter((unit) => !this.#evicted.has(unit)),
+      ...this.#placements.keys(),
+    ];
   }
 
   /** Takes back the placements among the victims; the other victims are running. */
-  #displace(eviction: EvictionPlan<Unit> | undefined) {
+  #displace(eviction: Pick<EvictionPlan<Unit>, "victims"> | undefined) {
     const displaced: WaitingUnit<Unit>[] = [];
     const victims: RunningUnit<Unit>[] = [];
     for (const victim of eviction?.victims ?? []) {
@@ -268,6 +310,7 @@
       restoreFit(fit, request);
       this.#addSpare(request, countAccelerators(request));
       this.#quotas.release(request);
+      this.#shares?.add(request, -1);
       displaced.push(request);
     }
     return { displaced, victims };
@@ -285,8 +328,10 @@
   ): void {
     const { unit: forUnit } = request;
     this.#quotas.reserve(request);
+    this.#shares?.add(request, 1);
     for (const victim of victims) {
       this.#evicted.add(victim);
+      this.#shares?.addRunning(victim, -1);
       const { unit } = victim;
       this.#evictions.push({ unit, forUnit, workers: [...workers] });
     }
--- a/packages/policy/cell/quotas/quota_ledger.ts
+++ b/packages/policy/cell/quotas/quota_ledger.ts
@@ -21,6 +21,15 @@
   readonly mayUseHeadroom: boolean;
 }
 
+/** A unit that the quota of its organisation holds back, with what this follows from. */
+export interface QuotaWait<Unit> {
+  readonly unit: Unit;
+  readonly organisation: OrganisationName;
+  readonly usage: CellResources;
+  readonly requirement: CellResources;
+  readonly quota: CellResources;
+}
+
 /**
  * Starts from the usage of all runs, whatever their state. What a round places is added, and what it
  * takes back is subtracted; an evicted run counts until it is gone.
@@ -39,24 +48,28 @@
     return new QuotaLedger(shares);
   }
 
-  /** Whether a start of the unit leaves its organisation within its quota. */
-  covers(request: QuotaRequest): boolean {
-    const { organisation } = request;
-    if (organisation === undefined) return true;
-    const total = addCellResources(
-      this.getUsage(organisation),
-      computeRequirement(request),
-    );
+  /** Why the quota of the unit's organisation holds it back; undefined if it does not. */
+  findWait<Unit>(
+    request: QuotaRequest & { readonly unit: Unit },
+  ): QuotaWait<Unit> | undefined {
+    const { unit, organisation } = request;
+    if (organisation === undefined) return undefined;
     const quota = this.getQuota(organisation);
-    if (!isWithinQuota(total, quota)) return false;
-    return request.mayUseHeadroom || this.#leavesReserve(request, total, quota);
+    if (quota === undefined) return undefined;
+    const usage = this.getUsage(organisation);
+    const requirement = computeRequirement(request);
+    const total = addCellResources(usage, requirement);
+    const mayStart = isWithinQuota(total, quota) &&
+      (request.mayUseHeadroom || this.#leavesReserve(request, total, quota));
+    if (mayStart) return undefined;
+    return { unit, organisation, usage, requirement, quota };
   }
 
   /** A unit that could never start beside the reserve may use it. */
   #leavesReserve(
     request: QuotaRequest,
     total: CellResources,
-    quota: CellResources | undefined,
+    quota: CellResources,
   ): boolean {
     const reserve = request.organisation &&
       this.#shares?.urgentReserves?.get(request.organisation);
--- a/packages/policy/cell/quotas/quota_reclaim.ts
+++ b/packages/policy/cell/quotas/quota_reclaim.ts
@@ -21,7 +21,8 @@
 }
 
 export interface QuotaReclaimInput<Unit> {
-  readonly running: readonly RunningUnit<Unit>[];
+  /** Units that run, or that this round places. */
+  readonly units: readonly RunningUnit<Unit>[];
   /** Units that this round evicts; they count as running until they are gone. */
   readonly evicted: ReadonlySet<RunningUnit<Unit>>;
   readonly ledger: QuotaLedger;
@@ -33,12 +34,12 @@
  */
 export function planQuotaReclaim<Unit>(
   request: QuotaRequest,
-  { running, evicted, ledger }: QuotaReclaimInput<Unit>,
+  { units, evicted, ledger }: QuotaReclaimInput<Unit>,
 ): QuotaReclaim<Unit> | undefined {
   const { organisation } = request;
   if (organisation === undefined) return undefined;
   const quota = ledger.getQuota(organisation);
-  const own = running.filter((unit) => unit.organisation === organisation);
+  const own = units.filter((unit) => unit.organisation === organisation);
   const isReleasing = (unit: RunningUnit<Unit>) =>
     unit.isClosing === true || evicted.has(unit);
   const released = own.filter(isReleasing).map(getUsage)
--- a/packages/policy/cell/quotas/quota_reclaim_test.ts
+++ b/packages/policy/cell/quotas/quota_reclaim_test.ts
@@ -80,13 +80,29 @@
     const wide = createStepOf(4, { count: 3, isGang: true });
     const shares = createShares([[A, { accelerators: 8 }]], running);
     const reclaim = planQuotaReclaim(createWaiting("wide", A, wide), {
-      running,
+      units: running,
       evicted: new Set<RunningUnit<string>>(),
       ledger: QuotaLedger.create(shares),
     });
     expect(reclaim).to.equal(undefined);
   });
 
+  // Guards against ordinary work of higher rank that starts, and is evicted again, in each round.
+  it("is displaced if it was placed in the same round", () => {
+    const plan = planRound({
+      workers: createWorkers(WORKERS),
+      running: [],
+      waiting: [
+        createWaiting("ordinary", A, ONE, {
+          rank: { tier: RANK_TIER.ORDINARY, density: 5 },
+        }),
+        createWaiting("urgent", A, createStepOf(8), URGENT),
+      ],
+      shares: createShares([[A, { accelerators: 8 }]]),
+    });
+    expect(plan.placements.map(({ unit }) => unit)).to.deep.equal(["urgent"]);
+  });
+
   // Guards against victims without which the unit would be within the quota all the same.
   it("is evicted no more than needed", () => {
     const sizes = fc.array(
@@ -106,7 +122,7 @@
         const shares = createShares([[A, { accelerators: limit }]], running);
         const request = createWaiting("urgent", A, ONE);
         const reclaim = planQuotaReclaim(request, {
-          running,
+          units: running,
           evicted: new Set<RunningUnit<string>>(),
           ledger: QuotaLedger.create(shares),
         });
--- a/scripts/mutations/quota_mutations.ts
+++ b/scripts/mutations/quota_mutations.ts
@@ -22,6 +22,15 @@
   };
 }
 
+const SHARES = `${POLICY_QUOTAS}/weighted_shares.ts`;
+const SHARE_QUEUE = `${POLICY_QUOTAS}/share_queue.ts`;
+const SHARE_EVICTIONS = `${POLICY_QUOTAS}/share_evictions.ts`;
+const SHARE_TEST = `${POLICY_QUOTAS}/share_test.ts`;
+const PROPERTIES_TEST = `${POLICY_QUOTAS}/quota_properties_test.ts`;
+const REFUSAL_TEST = `${NODE_QUOTAS}/quota_refusal_test.ts`;
+const REFUSAL_PROMISE = "quotas are told truthfully";
+const SHARES_PROMISE = "shares follow the weights";
+
 export const QUOTA_MUTATIONS: readonly Mutation[] = [
   {
     ...countOnly("taskRun.startSentMs !== undefined"),
@@ -185,8 +194,8 @@
     name: "hold no unit back",
     promise: PROMISE,
     file: PLAN_ROUND,
-    find: `if (!this.#quotas.covers(request)) return [];`,
-    replace: ``,
+    find: `if (wait !== undefined) {`,
+    replace: `if (wait !== undefined && request.count < 0) {`,
     spec: ROUND_TEST,
     title: "without effect on other units",
   },
@@ -194,9 +203,9 @@
     name: "hold back only what would lift the usage above the quota",
     promise: PROMISE,
     file: `${POLICY_QUOTAS}/quota_ledger.ts`,
-    find: `return isWithinQuota(total, quota);`,
+    find: `if (isWithinQuota(total, quota)) return undefined;`,
     replace:
-      `return isWithinQuota(total, quota) || !isWithinQuota(this.getUsage(organisation), quota);`,
+      `if (isWithinQuota(total, quota) || !isWithinQuota(usage, quota)) return undefined;`,
     spec: ROUND_TEST,
     title: "lets nothing start above a quota",
   },
@@ -204,9 +213,9 @@
     name: "let units start again once the quota has fallen below the usage",
     promise: PROMISE,
     file: `${POLICY_QUOTAS}/quota_ledger.ts`,
-    find: `return isWithinQuota(total, quota);`,
+    find: `if (isWithinQuota(total, quota)) return undefined;`,
     replace:
-      `return isWithinQuota(total, quota) || !isWithinQuota(this.getUsage(organisation), quota);`,
+      `if (isWithinQuota(total, quota) || !isWithinQuota(usage, quota)) return undefined;`,
     furtherEdits: [{
       file: `${NODE}/run_registry.ts`,
       find: `if (excess !== undefined) {`,
@@ -224,4 +233,205 @@
     spec: USAGE_TEST,
     title: "takes the organisation of an ended job from its row",
   },
+  {
+    name: "place in order of rank whatever the shares",
+    promise: SHARES_PROMISE,
+    file: SHARE_QUEUE,
+    find: `this.#shares?.isContended(service) === true;`,
+    replace: `this.#shares?.isContended(service) === undefined;`,
+    spec: SHARE_TEST,
+    title: "divide a full cell by the weights",
+  },
+  {
+    name: "place in order of rank whatever the shares, in a flood",
+    promise: SHARES_PROMISE,
+    file: SHARE_QUEUE,
+    find: `this.#shares?.isContended(service) === true;`,
+    replace: `this.#shares?.isContended(service) === undefined;`,
+    spec: PROPERTIES_TEST,
+    title: "within one gang of their shares",
+  },
+  {
+    name: "divide by weights without regard to the demand",
+    promise: SHARES_PROMISE,
+    file: `${POLICY_QUOTAS}/fair_level.ts`,
+    find: `if (dominantShare / weight > level) return level;`,
+    replace: `if (dominantShare >= 0) return level;`,
+    spec: SHARE_TEST,
+    title: "divides the whole capacity, and is infinite",
+  },
+  {
+    name: "leave idle what an organisation below its share cannot use",
+    promise: SHARES_PROMISE,
+    file: SHARE_QUEUE,
+    find: `if (queue.position >= queue.units.length) continue;`,
+    replace:
+      `if (queue.position >= queue.units.length || queue.phase === PHASE.ABOVE_SHARE) continue;`,
+    spec: SHARE_TEST,
+    title: "what the others cannot use|does not ask for",
+  },
+  {
+    name: "subject guarantees to the shares",
+    promise: SHARES_PROMISE,
+    file: SHARE_QUEUE,
+    find: `const isShared = rank.tier !== RANK_TIER.GUARANTEED &&`,
+    replace: `const isShared =`,
+    furtherEdits: [{
+      file: SHARE_QUEUE,
+      find: `const tier = units[0]?.[0].rank.tier;`,
+      replace:
+        `const tier: number | undefined = undefined as number | undefined;`,
+    }, {
+      file: SHARE_QUEUE,
+      find: `units.findIndex(([{ rank }]) => rank.tier !== tier)`,
+      replace: `units.findIndex(() => tier !== undefined)`,
+    }, {
+      file: SHARE_QUEUE,
+      find: `const isShared = request.rank.tier !== RANK_TIER.GUARANTEED &&\n`,
+      replace: `const isShared =\n`,
+    }],
+    spec: SHARE_TEST,
+    title: "come after guarantees",
+  },
+  {
+    name: "let worthless work of an organisation below its share go first",
+    promise: SHARES_PROMISE,
+    file: SHARE_QUEUE,
+    find: `const tier = units[0]?.[0].rank.tier;`,
+    replace:
+      `const tier: number | undefined = undefined as number | undefined;`,
+    furtherEdits: [{
+      file: SHARE_QUEUE,
+      find: `units.findIndex(([{ rank }]) => rank.tier !== tier)`,
+      replace: `units.findIndex(() => tier !== undefined)`,
+    }, {
+      file: SHARES,
+      find: `rank.tier === RANK_TIER.WORTHLESS) continue;`,
+      replace: `rank.tier < 0) continue;`,
+    }],
+    spec: SHARE_TEST,
+    title: "let no work without value go before",
+  },
+  {
+    name: "evict work of an organisation below its share for one above",
+    promise: SHARES_PROMISE,
+    file: SHARES,
+    find: `return this.isBelow(request) || !this.isBelow(tasks);`,
+    replace: `return true;`,
+    spec: SHARE_TEST,
+    title: "protect an organisation below its share",
+  },
+  {
+    name: "choose victims by cost alone",
+    promise: SHARES_PROMISE,
+    file: SHARE_EVICTIONS,
+    find: `const ALIKE_FACTOR = 1.2;`,
+    replace: `const ALIKE_FACTOR = 1;`,
+    spec: SHARE_TEST,
+    title: "prefer victims of organisations above",
+  },
+  {
+    name: "choose victims by share alone",
+    promise: SHARES_PROMISE,
+    file: SHARE_EVICTIONS,
+    find: `const ALIKE_FACTOR = 1.2;`,
+    replace: `const ALIKE_FACTOR = 1_000;`,
+    spec: SHARE_TEST,
+    title: "prefer victims of organisations above",
+  },
+  {
+    name: "reclaim nothing",
+    promise: SHARES_PROMISE,
+    file: SHARES,
+    find: `(request.waitedMs ?? 0) >= RECLAIM_WAIT_MS`,
+    replace: `(request.waitedMs ?? 0) < 0`,
+    spec: PROPERTIES_TEST,
+    title: "start a wide gang of an organisation without runs",
+  },
+  {
+    name: "give what is reclaimed for a wide gang to others",
+    promise: SHARES_PROMISE,
+    file: SHARES,
+    find: `if (this.hasNothing(unit)) return true;`,
+    replace: ``,
+    spec: PROPERTIES_TEST,
+    title: "start a wide gang of an organisation without runs",
+  },
+  {
+    name: "reclaim at once",
+    promise: SHARES_PROMISE,
+    file: SHARES,
+    find: `(request.waitedMs ?? 0) >= RECLAIM_WAIT_MS`,
+    replace: `(request.waitedMs ?? 0) >= 0`,
+    spec: SHARE_TEST,
+    title: "reclaim capacity for a unit that has waited",
+  },
+  {
+    name: "reclaim from organisations that have only their share",
+    promise: SHARES_PROMISE,
+    file: SHARE_EVICTIONS,
+    find: `: candidates.filter((candidate) => shares.isAbove(candidate));`,
+    replace: `: candidates;`,
+    furtherEdits: [{
+      file: SHARE_EVICTIONS,
+      find: `shares.allowsReclaim(request, plan.victims)`,
+      replace: `request.unit !== undefined`,
+    }],
+    spec: SHARE_TEST,
+    title: "reclaim nothing from an organisation that has only its share",
+  },
+  {
+    name: "accept a job that can never run",
+    promise: REFUSAL_PROMISE,
+    file: `${NODE_QUOTAS}/quota_history.ts`,
+    find: `if (isWithinQuota(requirement, quota)) continue;`,
+    replace: `if (count > 0) continue;`,
+    spec: REFUSAL_TEST,
+    title: "is refused with the reason",
+  },
+  {
+    name: "refuse a job that has been accepted",
+    promise: REFUSAL_PROMISE,
+    file: `${NODE}/callers/caller_filters.ts`,
+    find: `const tooWide = jobRepository.isKnown(spec.jobId)`,
+    replace: `const tooWide = spec.jobId === ""`,
+    spec: REFUSAL_TEST,
+    title: "is the same job if it has been accepted before",
+  },
+  {
+    name: "refuse a job although an earlier submission may take effect",
+    promise: REFUSAL_PROMISE,
+    file: `${NODE_QUOTAS}/quota_history.ts`,
+    find: `const MEMORY_MS = 10_000;`,
+    replace: `const MEMORY_MS = 0;`,
+    spec: REFUSAL_TEST,
+    title: "is accepted shortly after the quota has fallen",
+  },
+  {
+    name: "refuse a wide step of single tasks",
+    promise: REFUSAL_PROMISE,
+    file: `${NODE_QUOTAS}/quota_history.ts`,
+    find: `const count = step.isGang ? step.count : 1;`,
+    replace: `const count = step.count;`,
+    spec: REFUSAL_TEST,
+    title: "is not refused if the tasks start one by one",
+  },
+  {
+    name: "log a wait in every round",
+    promise: REFUSAL_PROMISE,
+    file: `${NODE_QUOTAS}/quota_wait_log.ts`,
+    find: `if (this.#logged.get(unit) === text) continue;`,
+    replace: ``,
+    spec: CELL_TEST,
+    title: "is logged once for a unit that it holds back",
+  },
+  {
+    name: "count waiting jobs as running in the gauges",
+    promise: REFUSAL_PROMISE,
+    file: `${NODE_QUOTAS}/organisation_gauges.ts`,
+    find: `if (hasBegun) continue;`,
+    replace: ``,
+    spec: CELL_TEST,
+    title: "is shown with what runs and what waits",
+  },
 ];
