Add the forecast of load and the decision on admission

No job is refused for lack of capacity, so jobs that have lost all value occupy capacity that others need. Pure modules in packages/policy/cell/admission summarise the load of a service and decide on one submitted job: refused only if it certainly does not fit now, and either cannot end within three times its objective or would be late and displace denser arrivals.

Nothing calls the modules yet.

--- a/packages/policy/cell/job_rank.ts
+++ b/packages/policy/cell/job_rank.ts
@@ -17,7 +17,7 @@
 /** A job later than this many times its objective has no value (the platform's rules). */
 export const LATE_LIMIT_FACTOR = 3;
 /** Share of its value that a late job keeps; close to that of the platform's data sheets. */
-const LATE_VALUE_SHARE = 0.3;
+export const LATE_VALUE_SHARE = 0.3;
 
 /** Share of a whole worker that one task needs, by its dominant resource. */
 export function computeWorkerShare(
@@ -85,7 +85,9 @@
 export const RANK_TIER = { GUARANTEED: 0, ORDINARY: 1, WORTHLESS: 2 } as const;
 
 /** Value of the job if it meets its objective, relative to a mean job of lowest priority. */
-export function estimateValue(input: JobRankInput): number {
+export function estimateValue(
+  input: Pick<JobRankInput, "spec" | "workMs" | "meanWorkMs">,
+): number {
   const { spec, workMs, meanWorkMs } = input;
   const base = VALUE_BY_PRIORITY[spec.priority] ?? LOWEST_VALUE;
   const size = meanWorkMs > 0 ? workMs / meanWorkMs : 1;
--- a/packages/policy/mod.ts
+++ b/packages/policy/mod.ts
@@ -16,3 +16,7 @@
 export * from "./cell/plan_round.ts";
 export * from "./cell/job_rank.ts";
 export * from "./cell/urgent_headroom.ts";
+export * from "./cell/admission/admission.ts";
+export * from "./cell/admission/admission_floor.ts";
+export * from "./cell/admission/duration_ratios.ts";
+export * from "./cell/admission/load_forecast.ts";
