Refuse submitted jobs by the load that the lease holder publishes

Without a usable row all jobs are admitted as before.

A refusal (429) first writes a row beside the job's, and each submission is stored on the condition that this row has not changed, so an earlier try that is still under way at another entry fails. A try that finds a refusal of which its entry did not know is answered 503, as it may have been overtaken by that one.

A write of the row causes no planning round: with one, able_task_test.ts "is not given up after repeated losses" failed, because the round started a task 92 ms before a restart.

--- a/packages/node/cell/callers/caller_filters.ts
+++ b/packages/node/cell/callers/caller_filters.ts
@@ -11,6 +11,7 @@
   RequestHead,
 } from "@coltsfootpond/ports";
 import { findOrganisation, findQueue } from "../declared_state_tracker.ts";
+import type { AdmissionGate } from "../admission/admission_gate.ts";
 import type { JobRepository } from "./job_repository.ts";
 
 /** A caller's request and what the filters have found out about it so far. */
@@ -44,6 +45,7 @@
 export interface CallerFilterOptions {
   readonly codec: CallerCodec;
   readonly jobRepository: JobRepository;
+  readonly admission: Pick<AdmissionGate, "check">;
   readonly getDeclaredState: () => DeclaredState | undefined;
   readonly nowUnixMs: () => number;
 }
@@ -56,6 +58,7 @@
   METHOD_NOT_ALLOWED: 405,
   GONE: 410,
   TOO_LARGE: 413,
+  TOO_MANY: 429,
   UNAVAILABLE: 503,
   TIMEOUT: 504,
 } as const;
@@ -150,7 +153,7 @@
 
 async function submit(
   request: CallerRequest,
-  { codec, jobRepository }: CallerFilterOptions,
+  { codec, jobRepository, admission }: CallerFilterOptions,
   nowUnixMs: number,
 ): Promise<CallerAnswer> {
   const { queue, state, organisation } = request;
@@ -181,12 +184,22 @@
     allowanceMs: queue.allowanceMs,
     acceptedUnixMs: nowUnixMs,
   };
-  const outcome = await jobRepository.submit(spec, getDeadlineMs(request));
+  const deadlineMs = getDeadlineMs(request);
+  const gate = await admission.check(spec, state.guarantees, deadlineMs);
+  const outcome = gate.kind === "pass"
+    ? await jobRepository.submit(spec, deadlineMs)
+    : gate;
   switch (outcome.kind) {
     case "accepted":
       return { status: STATUS.OK, body: "{}", reason: "accepted" };
     case "refused":
       return unavailable("the store refused the job");
+    case "refused_now": {
+      const { retryAfterS, reason } = outcome;
+      return { status: STATUS.TOO_MANY, retryAfterS, reason };
+    }
+    case "barred":
+      return unavailable("another try of the job was refused");
     case "unknown":
       return { status: STATUS.TIMEOUT, reason: "fate of the write unknown" };
   }
--- a/packages/node/cell/callers/caller_filters_fuzz_test.ts
+++ b/packages/node/cell/callers/caller_filters_fuzz_test.ts
@@ -113,6 +113,7 @@
   const codec = createCallerCodec();
   const filters = createCallerFilters({
     codec,
+    admission: { check: () => Promise.resolve({ kind: "pass" }) },
     jobRepository: JobRepository.create({
       store,
       follower: createFollower(store, clock),
--- a/packages/node/cell/callers/job_repository.ts
+++ b/packages/node/cell/callers/job_repository.ts
@@ -27,6 +27,7 @@
   jobKey,
   type JobRow,
   parseJobKey,
+  refusalKey,
 } from "../rows.ts";
 import type { TableFollower } from "../table_follower.ts";
 
@@ -44,9 +45,19 @@
 /** After this time of failures on all paths the store counts as down. */
 const STORE_DOWN_THRESHOLD_MS = 150;
 
-/** `unknown`: the write may still take effect; `refused`: it certainly never does. */
+/**
+ * `unknown`: the write may still take effect; `refused`: it certainly never does; `barred`: neither
+ * does this one, as another try of the job was refused for lack of capacity meanwhile.
+ */
 export type SubmitOutcome = {
-  readonly kind: "accepted" | "unknown" | "refused";
+  readonly kind: "accepted" | "unknown" | "refused" | "barred";
+};
+/**
+ * `refused`: no earlier try of the job is stored or will be; `accepted`: one is stored; `unknown`:
+ * the store has not settled this; `unavailable`: nothing was written.
+ */
+export type RefuseOutcome = {
+  readonly kind: "refused" | "accepted" | "unknown" | "unavailable";
 };
 /**
  * `absent`: there is no such job, or it belongs to another organisation. `unknown` and `refused`
@@ -116,10 +127,13 @@
       return { kind: "refused" };
     }
     const value = encodeRow({ kind: "live", spec });
+    const markerKey = refusalKey(spec.jobId);
+    const newestAtStart = this.#options.follower.newestSeenVersion;
+    let marker = this.#options.follower.get(markerKey)?.version ?? 0;
     let mayBeWritten = false;
     while (true) {
       const outcome = await this.#transact({
-        conditions: [{ key, version: 0 }],
+        conditions: [{ key, version: 0 }, { key: markerKey, version: marker }],
         puts: [{ key, value }],
         deletes: [],
       }, deadlineMs);
@@ -131,9 +145,17 @@
             value,
           }]);
           return { kind: "accepted" };
-        case "conflict":
+        case "conflict": {
           this.#options.follower.apply(outcome.rows);
-          return { kind: "accepted" };
+          if (outcome.rows.some((row) => row.key === key)) {
+            return { kind: "accepted" };
+          }
+          const found = findVersion(outcome.rows, markerKey);
+          // A refusal that is not known to be older than this try may have been a later try's.
+          if (found > newestAtStart) return { kind: "barred" };
+          marker = found;
+          continue;
+        }
         case "unavailable":
           mayBeWritten ||= outcome.effect === "lost";
       }
@@ -145,6 +167,43 @@
     }
   }
 
+  /**
+   * Makes certain that no try of the job that was submitted before is stored later, also by another
+   * entry, so that the answer that it was refused is true. Retries until `deadlineMs` on the
+   * process's clock.
+   */
+  async refuse(jobId: CellJobId, deadlineMs: number): Promise<RefuseOutcome> {
+    const { follower, nowUnixMs } = this.#options;
+    const key = jobKey(jobId);
+    const markerKey = refusalKey(jobId);
+    const row = { kind: "refused", endedUnixMs: nowUnixMs() } as const;
+    const value = encodeRow(row);
+    let marker = follower.get(markerKey)?.version ?? 0;
+    while (true) {
+      if (follower.get(key) !== undefined) return { kind: "accepted" };
+      if (this.#options.getStoreDownMs() > STORE_DOWN_THRESHOLD_MS) {
+        return { kind: "unavailable" };
+      }
+      const outcome = await this.#transact({
+        conditions: [{ key, version: 0 }, { key: markerKey, version: marker }],
+        puts: [{ key: markerKey, value }],
+        deletes: [],
+      }, deadlineMs);
+      switch (outcome.kind) {
+        case "committed":
+          follower.apply([{ key: markerKey, version: outcome.version, value }]);
+          return { kind: "refused" };
+        case "conflict":
+          follower.apply(outcome.rows);
+          marker = findVersion(outcome.rows, markerKey);
+          continue;
+        case "unavailable":
+          if (outcome.effect === "refused") return { kind: "unavailable" };
+      }
+      if (!await this.#pause(deadlineMs)) return { kind: "unknown" };
+    }
+  }
+
   /**
    * Marks the job cancelled. An unknown id is stored as barred, so that a later submit does not run
    * it.
@@ -354,6 +413,11 @@
   }
 }
 
+/** Version of the row among those of a conflict; 0 when it does not exist. */
+function findVersion(rows: readonly StateRow[], key: string): number {
+  return rows.find((row) => row.key === key)?.version ?? 0;
+}
+
 function absent(reason: string): StateOutcome {
   return { kind: "absent", reason };
 }
--- a/packages/node/cell/cell_entry.ts
+++ b/packages/node/cell/cell_entry.ts
@@ -11,6 +11,8 @@
   STORE_TABLE,
   type WorkerPort,
 } from "@coltsfootpond/ports";
+import { AdmissionGate } from "./admission/admission_gate.ts";
+import { PublishedLoad } from "./admission/published_load.ts";
 import { createCallerFilters } from "./callers/caller_filters.ts";
 import { CallerServer } from "./callers/caller_server.ts";
 import { CellScheduler } from "./cell_scheduler.ts";
@@ -146,6 +148,17 @@
       getStoreDownMs: () => this.#relay.downForMs,
       nowUnixMs,
     });
+    const getStoreDownMs = () => this.#relay.downForMs;
+    const follower = this.#stateFollower;
+    const load = PublishedLoad.create({ follower, clock, log, getStoreDownMs });
+    const { entry, failureDomain } = settings;
+    const admission = AdmissionGate.create({
+      entry,
+      failureDomain,
+      load,
+      jobRepository,
+      log,
+    });
     this.#server = CallerServer.create({
       address: settings.callerAddress,
       readiness: settings.readiness,
@@ -153,6 +166,7 @@
       filters: createCallerFilters({
         codec: options.callerCodec,
         jobRepository,
+        admission,
         getDeclaredState: () => this.#declared.current,
         nowUnixMs,
       }),
--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -15,6 +15,7 @@
 } from "@coltsfootpond/ports";
 import type { Subscription } from "rxjs";
 import type { DeclaredStateTracker } from "./declared_state_tracker.ts";
+import { LOAD_PERIOD_MS, LoadPublisher } from "./admission/load_publisher.ts";
 import { BegunJobsWriter } from "./begun_jobs_writer.ts";
 import { CrashTracker } from "./crashes/crash_tracker.ts";
 import { EndedJobCollector } from "./ended_job_collector.ts";
@@ -23,6 +24,7 @@
 import type { CellLog } from "./log.ts";
 import { createPlanInput } from "./plan_input.ts";
 import { ProgressWriter } from "./progress_writer.ts";
+import { LOAD_KEY } from "./rows.ts";
 import { RunRegistry } from "./run_registry.ts";
 import { isIncomplete, isStalled } from "./run_checks.ts";
 import type { TableFollower } from "./table_follower.ts";
@@ -69,6 +71,7 @@
   readonly #crashes: CrashTracker;
   readonly #endedJobs: EndedJobCollector;
   readonly #begunJobs: BegunJobsWriter;
+  readonly #load: LoadPublisher;
   readonly #urgentDemand = UrgentDemand.create();
   readonly #timers: { cancel(): void }[] = [];
   readonly #isUnreported = (worker: WorkerName) =>
@@ -96,6 +99,7 @@
       onNewerHolder: () => options.onNewerHolder("progress of a later holder"),
     });
     this.#begunJobs = BegunJobsWriter.create(options);
+    this.#load = LoadPublisher.create(options);
     this.#endedJobs = EndedJobCollector.create({
       ...options,
       retentionMs: settings.bounds.endedJobRetentionMs,
@@ -114,6 +118,7 @@
       writer: this.#writer,
       closeRun: (unit, reason) => this.#runs.close(unit, reason),
       urgentDemand: this.#urgentDemand,
+      onTaskDone: (unit) => this.#load.recordDone(unit),
     });
     this.#crashes = CrashTracker.create({
       ...options,
@@ -149,9 +154,10 @@
     await this.#awaitRows();
     if (this.#isStopped) return;
     this.#applyRows(follower.rows());
-    this.#subscription = follower.changes.subscribe((rows) =>
-      this.#applyRows(rows)
-    );
+    this.#subscription = follower.changes.subscribe((rows) => {
+      // Planning does not read the published load.
+      if (rows.some(({ key }) => key !== LOAD_KEY)) this.#applyRows(rows);
+    });
     this.#subscription.add(
       declared.changes.subscribe(() => this.#requestRound()),
     );
@@ -214,6 +220,7 @@
       clock.every(TICK_PERIOD_MS, () => this.#tick()),
       clock.every(DIRECTORY_PERIOD_MS, () => void this.#fleet.read()),
       clock.every(BEGUN_PERIOD_MS, () => void this.#writeBegun()),
+      clock.every(LOAD_PERIOD_MS, () => void this.#publishLoad()),
       clock.every(COLLECT_PERIOD_MS, () => void this.#collectEnded()),
     );
     this.#requestRound();
@@ -261,6 +268,7 @@
       stopLimitMs: settings.bounds.stopLimitMs,
       isBlocked,
     });
+    this.#load.observe(input);
     this.#urgentHeadroom = [...input.urgentHeadroom?.values() ?? []].reduce(
       (sum, accelerators) => sum + accelerators,
       0,
@@ -287,6 +295,10 @@
     await this.#begunJobs.write(begun.map(({ jobId }) => jobId));
   }
 
+  async #publishLoad(): Promise<void> {
+    if (this.#options.canAct()) await this.#load.publish(this.#jobs.jobs);
+  }
+
   async #collectEnded(): Promise<void> {
     if (this.#options.canAct()) await this.#endedJobs.collect();
   }
--- a/packages/node/cell/job_registry.ts
+++ b/packages/node/cell/job_registry.ts
@@ -38,6 +38,8 @@
   readonly writer: Pick<ProgressWriter, "mark" | "forget">;
   readonly closeRun: (unit: Unit, reason: string) => void;
   readonly urgentDemand: UrgentDemand;
+  /** Called for each task that has ended as done, with the run that its unit has. */
+  readonly onTaskDone: (unit: Unit) => void;
 }
 
 /** The live jobs of one epoch, by id. */
@@ -115,6 +117,7 @@
     switch (ended.end) {
       case RUN_END.DONE:
         if (step.isPersistent || job.progress.isUnitDone(address)) return;
+        if (unit?.run?.run === ended.run) this.#options.onTaskDone(unit);
         job.progress.recordDone(address);
         if (unit?.run === undefined) job.units.delete(key);
         else if (unit.run.run !== ended.run) closeRun(unit, "done before");
--- a/packages/node/cell/rows.ts
+++ b/packages/node/cell/rows.ts
@@ -5,6 +5,7 @@
   CellJobSpec,
   FailureReason,
   JobState,
+  LoadForecast,
   ProgressRecord,
   QueueName,
 } from "@coltsfootpond/policy";
@@ -30,6 +31,23 @@
   /** Cancelled before it was submitted: a later submit does not run it. */
   | { readonly kind: "barred"; readonly endedUnixMs: number };
 
+/**
+ * Marks that submissions of the job were refused for lack of capacity. Each submission is stored on
+ * the condition that this row has not changed, so one that is still under way at a refusal fails.
+ */
+export interface RefusalRow {
+  readonly kind: "refused";
+  /** When it was refused; named as in the rows of ended jobs, with which it is deleted. */
+  readonly endedUnixMs: number;
+}
+
+/** The load that the lease holder publishes, on which entries decide on submitted jobs. */
+export interface LoadRow extends LoadForecast {
+  readonly epoch: number;
+  /** Renewal counter of the lease when the row was written; its age in renewals. */
+  readonly beat: number;
+}
+
 /** Progress of a live job. */
 export interface ProgressRow {
   /** Id of the write, by which a write whose answer was lost is recognised. */
@@ -98,6 +116,7 @@
 export const LEASE_KEY = "lease/holder";
 export const ROSTER_KEY = "cell/roster";
 export const BEGUN_KEY = "cell/begun";
+export const LOAD_KEY = "cell/load";
 /** Job rows are spread over 16 groups by the first digit of the job's id. */
 const JOB_KEY_PATTERN = /^jobs-[0-9a-f]\/(.+)$/;
 
@@ -105,6 +124,11 @@
   return `jobs-${jobId.charAt(0).toLowerCase()}/${jobId}`;
 }
 
+/** Key of the job's refusals, in the group of the job's row, so that one transaction covers both. */
+export function refusalKey(jobId: CellJobId): string {
+  return `${jobKey(jobId)}.refused`;
+}
+
 /** All groups of job rows. */
 export const JOB_GROUPS: readonly string[] = [..."0123456789abcdef"].map(
   (digit) => `jobs-${digit}`,
@@ -134,7 +158,15 @@
 
 /** Encodes the value of any row. */
 export function encodeRow(
-  row: JobRow | ProgressRow | LeaseRow | RosterRow | BegunJobsRow | PeerRow,
+  row:
+    | JobRow
+    | RefusalRow
+    | ProgressRow
+    | LeaseRow
+    | RosterRow
+    | BegunJobsRow
+    | LoadRow
+    | PeerRow,
 ): Uint8Array {
   return pack(row);
 }
--- a/packages/node/cell/table_follower.ts
+++ b/packages/node/cell/table_follower.ts
@@ -94,6 +94,11 @@
     return this.#cursor;
   }
 
+  /** Newest version of the store in any answer to this process. */
+  get newestSeenVersion(): number {
+    return this.#options.seen.newest;
+  }
+
   /** Whether the whole table has been read and the store still has the history after the copy. */
   get isLoaded(): boolean {
     return this.#isLoaded;
