--- a/packages/node/cell/admission/load_publisher_test.ts
+++ b/packages/node/cell/admission/load_publisher_test.ts
@@ -29,11 +29,13 @@
 async function submitMany(
   simulation: CellSimulation,
   jobs: number,
+  stretch = 3,
 ): Promise<void> {
   for (let job = 0; job < jobs; job++) {
-    await simulation.submit(createSpec(`00000000000000${10 + job}`, {
+    await simulation.submit(createSpec(`${job}`.padStart(16, "0"), {
       steps: [createStep({ need: WHOLE_WORKER, estimateMs: 4_000 })],
       acceptedUnixMs: simulation.clock.nowMs(),
+      stretch,
     }));
   }
 }
@@ -75,6 +77,29 @@
     gapsMs.forEach((gapMs) => expect(gapMs).to.be.within(500, 1_000));
   });
 
+  // Guards against forecasts by estimates that are wrong for a whole queue.
+  it("has the learned ratio of real to estimated duration", async () => {
+    const simulation = CellSimulation.create(["a", "b", "c", "d"]);
+    simulation.startScheduler();
+    await simulation.clock.advance(1_000);
+    // None of them loses its value, and so its place in the backlog, while it waits.
+    await submitMany(simulation, 30, 100);
+    const ratios: number[] = [];
+    for (let round = 0; round < 20; round++) {
+      await simulation.clock.advance(8_000);
+      for (const worker of simulation.workers.values()) {
+        worker.running.forEach((task) => worker.end(task, "done"));
+      }
+      const row = readRow(simulation);
+      if (row?.queues[0] === undefined) break;
+      ratios.push(row.queues[0].durationRatio);
+    }
+    // The tasks took twice their estimate of 4 s; 20 of them count as right beforehand.
+    expect(ratios[0]).to.be.within(1, 1.3);
+    expect(ratios.at(-1)).to.be.within(1.4, 2);
+    expect(readRow(simulation)?.services).to.deep.equal([]);
+  });
+
   it("is written without services once the backlog is gone, and then no more", async () => {
     const simulation = CellSimulation.create(["a"]);
     simulation.startScheduler();
