Let work that has lost all value neither evict nor use the headroom

Urgent jobs too late to have any value stayed entitled to the headroom, and only the computed gain, which is 0 for them, kept the planner from evicting for them. planRound now plans no eviction and no displacement for RANK_TIER.WORTHLESS whatever the gain, and such jobs leave the headroom to others. Persistent tasks and recurring jobs are excepted: the age of a recurring job is not that of its occurrence. Urgent jobs covered by a guarantee keep their tier, as guarantees take precedence.

--- a/packages/node/cell/plan_input.ts
+++ b/packages/node/cell/plan_input.ts
@@ -6,6 +6,7 @@
 } from "@coltsfootpond/common";
 import {
   canMeetObjective,
+  type CellJobSpec,
   computeCriticalPathMs,
   computeLateLoss,
   computeUrgentHeadroom,
@@ -14,6 +15,7 @@
   type JobRankInput,
   type PlanInput,
   type QueueName,
+  type Rank,
   RANK_TIER,
   rankJob,
   type RunningUnit,
@@ -111,7 +113,7 @@
           displacementCost: spec.priority === URGENT_PRIORITY
             ? undefined
             : computeLateLoss(rankInput, RESTART_WAIT_MS),
-          mayUseHeadroom: mayUseHeadroom(spec.priority, unit.step),
+          mayUseHeadroom: mayUseHeadroom(spec, rank, unit.step),
           service: spec.service,
           step: unit.step,
           stepKey: unit.stepKey,
@@ -130,9 +132,17 @@
   return { workers, waiting, running, urgentHeadroom };
 }
 
-/** Persistent tasks must start however full the cell is. */
-function mayUseHeadroom(priority: number, step: StepSpec): boolean {
-  return priority === URGENT_PRIORITY || step.isPersistent ||
+/**
+ * Persistent tasks must start however full the cell is. Urgent jobs that have lost all value leave
+ * the headroom to others; the age of recurring jobs is not that of the occurrence.
+ */
+function mayUseHeadroom(
+  { priority, recurrence }: CellJobSpec,
+  { tier }: Rank,
+  step: StepSpec,
+): boolean {
+  const hasValue = tier !== RANK_TIER.WORTHLESS || recurrence !== undefined;
+  return priority === URGENT_PRIORITY && hasValue || step.isPersistent ||
     step.need.accelerators === 0;
 }
 
--- a/packages/policy/cell/plan_round.ts
+++ b/packages/policy/cell/plan_round.ts
@@ -199,6 +199,7 @@
 
   /** The evictions that make the request fit, if there are any and they are justified. */
   #planEviction(request: WaitingUnit<Unit>): EvictionPlan<Unit> | undefined {
+    if (request.rank.tier === RANK_TIER.WORTHLESS) return undefined;
     const isGuaranteed = request.rank.tier === RANK_TIER.GUARANTEED;
     if (!isGuaranteed && request.evictionGain <= 0) return undefined;
     if (request.isolation === ISOLATION.EMPTY_WORKERS) return undefined;
