Forecast single tasks apart from gangs, and count free capacity in waves

The row now has the waiting single tasks and the rate at which single tasks run; a job with single tasks is admitted if it can run on the free capacity in waves within its objective, waits for denser single tasks only, and is not refused for displacing gangs.

--- a/packages/node/cell/admission/admission_gate_test.ts
+++ b/packages/node/cell/admission/admission_gate_test.ts
@@ -48,6 +48,8 @@
       runningWorkMs: 100_000,
       waiting: [[GUARANTEED_LEVEL, 100 * 3_600_000]],
       arriving: [],
+      singleTaskRate: 100,
+      waitingSingleTasks: [[GUARANTEED_LEVEL, 100 * 3_600_000]],
     }],
     queues: [],
   },
--- a/packages/node/cell/admission/published_load.ts
+++ b/packages/node/cell/admission/published_load.ts
@@ -39,6 +39,8 @@
     runningWorkMs: z.number(),
     waiting: LEVEL_WORKS,
     arriving: LEVEL_WORKS,
+    singleTaskRate: z.number().positive(),
+    waitingSingleTasks: LEVEL_WORKS,
   })),
   queues: z.array(z.object({
     queue: z.custom<QueueName>(isText),
--- a/packages/node/cell/admission/published_load_test.ts
+++ b/packages/node/cell/admission/published_load_test.ts
@@ -27,6 +27,8 @@
     runningWorkMs: 0,
     waiting: [[1, 2]],
     arriving: [],
+    singleTaskRate: 1,
+    waitingSingleTasks: [],
   }],
   queues: [],
 };
--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -118,7 +118,7 @@
       writer: this.#writer,
       closeRun: (unit, reason) => this.#runs.close(unit, reason),
       urgentDemand: this.#urgentDemand,
-      onTaskDone: (unit) => this.#load.recordDone(unit),
+      onTaskDone: (unit) => this.#load.collector.recordDone(unit),
     });
     this.#crashes = CrashTracker.create({
       ...options,
@@ -268,7 +268,7 @@
       stopLimitMs: settings.bounds.stopLimitMs,
       isBlocked,
     });
-    this.#load.observe(input);
+    this.#load.collector.observe(input);
     this.#urgentHeadroom = [...input.urgentHeadroom?.values() ?? []].reduce(
       (sum, accelerators) => sum + accelerators,
       0,
--- a/packages/policy/cell/admission/admission.ts
+++ b/packages/policy/cell/admission/admission.ts
@@ -18,9 +18,9 @@
 import {
   computeLevel,
   computeLevelDensity,
+  countWaves,
   type LevelWork,
   type LoadForecast,
-  mayFitNow,
   type QueueLoad,
   type ServiceLoad,
 } from "./load_forecast.ts";
@@ -60,6 +60,8 @@
   readonly rate: number;
   readonly startMs: number;
   readonly endMs: number;
+  /** Expected duration of its critical path. */
+  readonly pathMs: number;
   readonly objectiveMs: number;
   readonly displacedValue: number;
   readonly freeAccelerators: number;
@@ -86,21 +88,29 @@
   }
   const isUrgent = spec.priority === URGENT_PRIORITY;
   if (isUrgent && isGuaranteed) return admit("guarantee");
-  if (mayFitNow(spec.steps, load, isUrgent)) return admit("free capacity");
+  const waves = countWaves(spec.steps, load, isUrgent);
+  if (waves === 1) return admit("free capacity");
   if (isUrgent && load.hasEvictableRuns) return admit("evictable work runs");
   const queue = queues.find(({ queue }) => queue === spec.queue);
   const forecast = forecastJob(spec, load, queue);
-  const { endMs, objectiveMs, value, displacedValue } = forecast;
+  const { endMs, objectiveMs, value, displacedValue, pathMs } = forecast;
+  // Single tasks run beside waiting gangs, which need more capacity at once.
+  if (waves * pathMs <= objectiveMs) return admit("free capacity in waves");
   if (endMs > LATE_LIMIT_FACTOR * objectiveMs) {
     return refuse("cannot end in time", request, forecast, load);
   }
-  const isLate = endMs > objectiveMs;
+  const isLate = endMs > objectiveMs && isAllGangs(spec);
   if (isLate && displacedValue > LATE_VALUE_SHARE * value) {
     return refuse("displaces more value", request, forecast, load);
   }
   return admit("may end in time");
 }
 
+/** Single tasks run in gaps that gangs leave, so it is not certain that they displace anything. */
+function isAllGangs({ steps }: CellJobSpec): boolean {
+  return steps.every(({ isGang }) => isGang);
+}
+
 /** Persistent tasks have no end, and filler tasks use what other tasks leave. */
 function isOpenEnded({ isPersistent, isFiller }: CellJobSpec["steps"][number]) {
   return isPersistent || isFiller;
@@ -125,10 +135,9 @@
   };
   const ratio = queue?.durationRatio ?? 1;
   const workMs = estimatedWorkMs * ratio;
-  const { rate } = load;
+  const pathMs = criticalPathMs * ratio;
   const level = computeLevel(rankJob(rankInput).density);
-  const aheadMs = sumAbove(load.waiting, level) +
-    sumAbove(load.arriving, level) * ARRIVAL_WINDOW_MS;
+  const { aheadMs, rate } = forecastWait(spec, load, level);
   const startMs = EVIDENCE_SHARE * aheadMs / rate;
   return {
     level,
@@ -137,13 +146,28 @@
     aheadMs,
     rate,
     startMs,
-    endMs: startMs + Math.max(criticalPathMs * ratio, workMs / rate),
+    endMs: startMs + Math.max(pathMs, EVIDENCE_SHARE * workMs / rate),
+    pathMs,
     objectiveMs: computeObjectiveMs(rankInput),
     displacedValue: EVIDENCE_SHARE * workMs * computePrice(load, level),
     freeAccelerators: load.free.accelerators,
   };
 }
 
+/**
+ * The work that comes before the job, and the rate at which it is done. Jobs of single tasks wait
+ * for denser single tasks only, as they run beside gangs that wait for more capacity at once.
+ */
+function forecastWait(spec: CellJobSpec, load: ServiceLoad, level: number) {
+  if (!isAllGangs(spec)) {
+    const aheadMs = sumAbove(load.waitingSingleTasks, level);
+    return { aheadMs, rate: load.singleTaskRate };
+  }
+  const aheadMs = sumAbove(load.waiting, level) +
+    sumAbove(load.arriving, level) * ARRIVAL_WINDOW_MS;
+  return { aheadMs, rate: load.rate };
+}
+
 /**
  * Value lost for each worker-millisecond that denser work gives up: the mean density of the denser
  * arrivals, scaled by the share of the service that they fill.
--- a/packages/policy/cell/admission/load_forecast.ts
+++ b/packages/policy/cell/admission/load_forecast.ts
@@ -33,6 +33,8 @@
  * moments, for example after workers have come back.
  */
 const MINIMUM_BUSY_SHARE = 0.75;
+/** The same for single tasks. Gangs leave about this share of a full service in gaps. */
+const MINIMUM_SINGLE_TASK_SHARE = 0.1;
 /** Largest number of accelerators of one task that has a slot count of its own. */
 const MAXIMUM_SLOT_ACCELERATORS = 8;
 const SIGNIFICANT_DIGITS = 2;
@@ -60,6 +62,10 @@
   readonly waiting: readonly LevelWork[];
   /** Work of jobs submitted lately, per millisecond. */
   readonly arriving: readonly LevelWork[];
+  /** The part of `rate` that single tasks get, beside gangs and in the gaps between them. */
+  readonly singleTaskRate: number;
+  /** The part of `waiting` that is single tasks. */
+  readonly waitingSingleTasks: readonly LevelWork[];
 }
 
 export interface QueueLoad {
@@ -80,6 +86,8 @@
   readonly service: ServiceName;
   readonly level: number;
   readonly workMs: number;
+  /** Tasks that start one by one; false for gangs. */
+  readonly isSingleTasks: boolean;
 }
 
 /** One running unit. */
@@ -144,6 +152,8 @@
       computeWorkerShare(getCountedNeed(run.step), reference),
   }));
   const busy = sum(running, ({ share }) => share);
+  const singleTasks = running.filter(({ step }) => !step.isGang);
+  const busySingleTasks = sum(singleTasks, ({ share }) => share);
   return {
     service,
     reference,
@@ -166,6 +176,13 @@
       input.arrivals.filter(ofService),
       input.arrivalWindowMs,
     ),
+    singleTaskRate: round(
+      Math.max(busySingleTasks, size * MINIMUM_SINGLE_TASK_SHARE),
+    ),
+    waitingSingleTasks: sumByLevel(
+      waiting.filter(({ isSingleTasks }) => isSingleTasks),
+      1,
+    ),
   };
 }
 
@@ -193,28 +210,36 @@
   );
 }
 
-/** Whether all tasks that become due first may fit: false only if they certainly do not. */
-export function mayFitNow(
+/**
+ * In how many waves the tasks that become due first may run on the capacity that is free now;
+ * infinite if one of them certainly does not fit, or not all tasks of a gang.
+ */
+export function countWaves(
   steps: readonly StepSpec[],
   load: ServiceLoad,
   mayUseHeadroom: boolean,
-): boolean {
+): number {
   const headroom = mayUseHeadroom ? 0 : load.headroomAccelerators;
-  const free = load.free.accelerators - headroom;
-  let needed: CellResources = { cpuMilli: 0, memoryMib: 0, accelerators: 0 };
-  for (const step of steps) {
-    if (step.after.length > 0) continue;
+  const accelerators = Math.max(0, load.free.accelerators - headroom);
+  const free = { ...load.free, accelerators };
+  const waves = steps.filter(({ after }) => after.length === 0).map((step) => {
     const need = getCountedNeed(step);
-    for (const [name, amount] of Object.entries(need)) {
-      const key = name as keyof CellResources;
-      needed = { ...needed, [key]: needed[key] + amount * step.count };
-    }
-    const slots = load.slots[need.accelerators - 1];
-    if (slots !== undefined && slots < step.count) return false;
-  }
-  return needed.cpuMilli <= load.free.cpuMilli &&
-    needed.memoryMib <= load.free.memoryMib &&
-    (needed.accelerators === 0 || needed.accelerators <= free);
+    const fitting = Math.min(
+      load.slots[need.accelerators - 1] ?? Infinity,
+      countWhole(free.cpuMilli, need.cpuMilli),
+      countWhole(free.memoryMib, need.memoryMib),
+      countWhole(free.accelerators, need.accelerators),
+    );
+    if (fitting < (step.isGang ? step.count : 1)) return Infinity;
+    return step.count / fitting;
+  });
+  // Steps that are due together share the capacity.
+  const sumOfWaves = sum(waves, (count) => count);
+  return sumOfWaves <= 1 ? 1 : Math.ceil(sumOfWaves);
+}
+
+function countWhole(available: number, needed: number): number {
+  return needed <= 0 ? Infinity : Math.floor(available / needed);
 }
 
 function sumByLevel(
