--- a/scripts/bench_days/arrivals.ts
+++ b/scripts/bench_days/arrivals.ts
@@ -24,6 +24,8 @@
   STEADY: "steady",
   URGENT_BURST: "urgent_burst",
   LARGE_BURST: "large_burst",
+  /** Both at once, while the wide jobs go on. */
+  TWO_BURSTS: "two_bursts",
   DOMAIN_OUT: "domain_out",
   SLOW_WORKERS: "slow_workers",
   CANCELS: "cancels",
@@ -170,8 +172,10 @@
 function getArrivalsPerS(kind: JobKind, load: Load, atMs: number): number {
   const isDisturbed = atMs >= DISTURBANCE.FROM_MS &&
     atMs < DISTURBANCE.UNTIL_MS;
-  const isBurst = load === LOAD.URGENT_BURST && kind.priority === 0 ||
-    load === LOAD.LARGE_BURST && kind.priority === 1;
+  const isBurst = kind.priority === 0 &&
+      (load === LOAD.URGENT_BURST || load === LOAD.TWO_BURSTS) ||
+    kind.priority === 1 &&
+      (load === LOAD.LARGE_BURST || load === LOAD.TWO_BURSTS);
   return kind.arrivalsPerS * (isDisturbed && isBurst ? BURST_FACTOR : 1);
 }
 
--- a/scripts/bench_days/main.ts
+++ b/scripts/bench_days/main.ts
@@ -40,6 +40,7 @@
   "worstKind",
   "worstOrganisation",
   "evictions",
+  "refusedJobs",
   "lostCoreSeconds",
   "decisionP99Ms",
 ] as const;
--- a/scripts/bench_days/policies.ts
+++ b/scripts/bench_days/policies.ts
@@ -1,6 +1,6 @@
 /**
- * The policies that a day is replayed with: coltsfootpond's planner, the same planner without
- * headroom for urgent jobs, and baselines with another order of waiting units and without
+ * The policies that a day is replayed with: coltsfootpond's planner and admission, the planner
+ * without refusals and without headroom for urgent jobs, and baselines with another order of waiting units and without
  * evictions.
  */
 import {
@@ -18,6 +18,8 @@
 /** A named policy that plans one round from the same input as the lease holder's planner. */
 export interface DayPolicy {
   readonly name: string;
+  /** Whether submitted jobs may be refused, as entries do. */
+  readonly hasAdmission?: boolean;
   decide(options: PlanInputOptions): RoundPlan<Unit>;
 }
 
@@ -47,7 +49,15 @@
 
 /** The policies to compare; `present` is the planner as it runs in production. */
 export const POLICIES: readonly DayPolicy[] = [
-  { name: "present", decide: (options) => planRound(createPlanInput(options)) },
+  {
+    name: "present",
+    hasAdmission: true,
+    decide: (options) => planRound(createPlanInput(options)),
+  },
+  {
+    name: "admit_all",
+    decide: (options) => planRound(createPlanInput(options)),
+  },
   {
     name: "no_headroom",
     decide: (options) =>
--- a/scripts/bench_days/replay.ts
+++ b/scripts/bench_days/replay.ts
@@ -12,6 +12,7 @@
   LiveJob,
   type Unit,
 } from "../../packages/node/cell/live_job.ts";
+import { AdmissionModel } from "./admission_model.ts";
 import { CellModel, type EndedRun } from "./cell_model.ts";
 import {
   type Arrival,
@@ -24,8 +25,9 @@
   type Deployment,
   DEPLOYMENTS,
 } from "./deployments.ts";
+import type { PlanInputOptions } from "../../packages/node/cell/plan_input.ts";
 import type { DayPolicy } from "./policies.ts";
-import { type JobResult, type Score, scoreDay } from "./score.ts";
+import { type JobResult, listOnTime, type Score, scoreDay } from "./score.ts";
 
 /** Step of the simulated clock; small against the shortest runs of 0.5 s. */
 const STEP_MS = 10;
@@ -40,6 +42,11 @@
 export interface DayReport extends Score {
   readonly policy: string;
   readonly evictions: number;
+  /** Jobs that were refused at least once. */
+  readonly refusedJobs: number;
+  readonly refusedJobIds: readonly CellJobId[];
+  /** Jobs that ended as expected within their objective. */
+  readonly onTimeJobIds: readonly CellJobId[];
   readonly lostCoreSeconds: number;
   /** 99th percentile of the real time that a round takes to plan. */
   readonly decisionP99Ms: number;
@@ -69,11 +76,16 @@
   readonly #guarantees: readonly OrganisationGuarantee[];
   readonly #urgentDemand = UrgentDemand.create();
   readonly #cell: CellModel;
+  readonly #admission: AdmissionModel | undefined;
+  /** Refused jobs whose callers submit them again. */
+  #returning: readonly { readonly arrival: Arrival; readonly atMs: number }[] =
+    [];
   readonly #arrivals: readonly Arrival[];
   readonly #jobs = new Map<CellJobId, ReplayedJob>();
   readonly #results = new Map<CellJobId, JobResult>();
   readonly #decisionTimesMs: number[] = [];
   #nextArrivalIndex = 0;
+  #admittedJobs = 0;
   #evictions = 0;
   #lostCoreSeconds = 0;
   #isRoundDue = false;
@@ -89,6 +101,7 @@
     this.#deployment = deployment;
     this.#guarantees = createGuarantees(deployment);
     this.#cell = CellModel.create(load, deployment);
+    this.#admission = policy.hasAdmission ? AdmissionModel.create() : undefined;
     this.#arrivals = createArrivals(load, seed, deployment);
   }
 
@@ -107,38 +120,53 @@
       nowMs < ARRIVAL_WINDOW_MS + DRAIN_TIMEOUT_MS;
       nowMs += STEP_MS
     ) {
-      this.#admitArrivals(nowMs);
+      this.#admission?.publish(nowMs, () => this.#createPlanOptions(nowMs));
+      this.#submitArrivals(nowMs);
       this.#cancelJobs(nowMs);
       for (const ended of this.#cell.advance(nowMs, STEP_MS)) {
         this.#handleRunEnd(ended, nowMs);
       }
       if (this.#isRoundDue || nowMs >= this.#nextRoundMs) this.#runRound(nowMs);
       const isOver = this.#nextArrivalIndex === this.#arrivals.length &&
-        this.#jobs.size === 0 && this.#cell.isIdle;
+        this.#returning.length === 0 && this.#jobs.size === 0 &&
+        this.#cell.isIdle;
       if (isOver) break;
     }
     return this.#report();
   }
 
-  #admitArrivals(nowMs: number): void {
+  #submitArrivals(nowMs: number): void {
+    const due = this.#returning.filter(({ atMs }) => atMs <= nowMs);
+    this.#returning = this.#returning.filter(({ atMs }) => atMs > nowMs);
+    for (const { arrival } of due) this.#submit(arrival, nowMs);
     for (;;) {
       const arrival = this.#arrivals[this.#nextArrivalIndex];
       if (arrival === undefined || arrival.atMs > nowMs) return;
       this.#nextArrivalIndex++;
-      const { spec } = arrival;
-      const live = LiveJob.create({
-        spec,
-        progress: JobProgress.create(spec),
-        rowVersion: this.#nextArrivalIndex,
-        progressVersion: 0,
-      });
-      live.openDueUnits(nowMs, nowMs);
-      if (spec.priority === URGENT_PRIORITY) this.#urgentDemand.record(spec);
-      this.#jobs.set(spec.jobId, { arrival, live });
-      this.#isRoundDue = true;
+      this.#submit(arrival, nowMs);
     }
   }
 
+  #submit(arrival: Arrival, nowMs: number): void {
+    const spec = { ...arrival.spec, acceptedUnixMs: nowMs };
+    const decision = this.#admission?.decide(spec, this.#guarantees);
+    if (decision?.kind === "return") {
+      const { atMs } = decision;
+      this.#returning = [...this.#returning, { arrival, atMs }];
+    }
+    if (decision !== undefined && decision.kind !== "admit") return;
+    const live = LiveJob.create({
+      spec,
+      progress: JobProgress.create(spec),
+      rowVersion: ++this.#admittedJobs,
+      progressVersion: 0,
+    });
+    live.openDueUnits(nowMs, nowMs);
+    if (spec.priority === URGENT_PRIORITY) this.#urgentDemand.record(spec);
+    this.#jobs.set(spec.jobId, { arrival, live });
+    this.#isRoundDue = true;
+  }
+
   #cancelJobs(nowMs: number): void {
     for (const { arrival, live } of [...this.#jobs.values()]) {
       const { cancelAfterMs, atMs } = arrival;
@@ -186,16 +214,7 @@
     this.#isRoundDue = false;
     this.#nextRoundMs = nowMs + ROUND_PERIOD_MS;
     const startMs = performance.now();
-    const plan = this.#policy.decide({
-      jobs: [...this.#jobs.values()].map(({ live }) => live),
-      workers: this.#cell.createWorkerViews(),
-      guarantees: this.#guarantees,
-      nowMs,
-      nowUnixMs: nowMs,
-      urgentRatesPerS: this.#urgentDemand.computeRatesPerS(nowMs),
-      stopLimitMs: this.#deployment.stopDelayMs,
-      isBlocked: () => false,
-    });
+    const plan = this.#policy.decide(this.#createPlanOptions(nowMs));
     this.#decisionTimesMs.push(performance.now() - startMs);
     for (const { unit } of plan.evictions) {
       this.#evictions++;
@@ -207,6 +226,19 @@
     }
   }
 
+  #createPlanOptions(nowMs: number): PlanInputOptions {
+    return {
+      jobs: [...this.#jobs.values()].map(({ live }) => live),
+      workers: this.#cell.createWorkerViews(),
+      guarantees: this.#guarantees,
+      nowMs,
+      nowUnixMs: nowMs,
+      urgentRatesPerS: this.#urgentDemand.computeRatesPerS(nowMs),
+      stopLimitMs: this.#deployment.stopDelayMs,
+      isBlocked: () => false,
+    };
+  }
+
   #getActualRun(unit: Unit) {
     const { arrival } = this.#jobs.get(unit.job.jobId)!;
     const { step, index } = unit.address;
@@ -224,6 +256,7 @@
       this.#results.get(arrival.spec.jobId) ??
         { arrival, state: "open" as const, tookMs: Infinity }
     );
+    const refusedJobIds = this.#admission?.refusedJobIds ?? [];
     const sortedDecisionTimesMs = [...this.#decisionTimesMs].sort(
       (one, other) => one - other,
     );
@@ -231,6 +264,9 @@
       policy: this.#policy.name,
       ...scoreDay(results, this.#lostCoreSeconds),
       evictions: this.#evictions,
+      refusedJobs: refusedJobIds.length,
+      refusedJobIds,
+      onTimeJobIds: listOnTime(results),
       lostCoreSeconds: Math.round(this.#lostCoreSeconds),
       decisionP99Ms: sortedDecisionTimesMs[
         Math.floor(sortedDecisionTimesMs.length * 0.99)
--- a/scripts/bench_days/score.ts
+++ b/scripts/bench_days/score.ts
@@ -4,6 +4,7 @@
  */
 import {
   BASE_VALUE_SHARE,
+  type CellJobId,
   computeCriticalPathMs,
   LATE_LIMIT_FACTOR,
   MAXIMUM_VALUE_FACTOR,
@@ -114,6 +115,16 @@
     .sort((one, other) => one - other);
 }
 
+/** Jobs that ended as expected within their objective. */
+export function listOnTime(
+  results: readonly JobResult[],
+): readonly CellJobId[] {
+  return results.filter((result) => {
+    const { attainable, earned } = computeJobValue(result, 1);
+    return attainable > 0 && earned === attainable;
+  }).map(({ arrival }) => arrival.spec.jobId);
+}
+
 /** Scores all jobs of a day; `lostCoreSeconds` is the work lost to evictions and failures. */
 export function scoreDay(
   results: readonly JobResult[],
