--- a/scripts/mutations/mutations.ts
+++ b/scripts/mutations/mutations.ts
@@ -2,6 +2,7 @@
  * All mutations that `npm run mutations` injects, to show that the tests of the documented promises
  * fail when a promise is broken. This file lists those of jobs, calls, configuration and the table.
  */
+import { ADMISSION_MUTATIONS } from "./admission_mutations.ts";
 import { CELL_MUTATIONS } from "./cell_mutations.ts";
 import { CRASH_MUTATIONS } from "./crash_mutations.ts";
 import { DUPLICATE_RUN_MUTATIONS } from "./duplicate_run_mutations.ts";
@@ -231,5 +232,6 @@
   ...CELL_MUTATIONS,
   ...CRASH_MUTATIONS,
   ...DUPLICATE_RUN_MUTATIONS,
+  ...ADMISSION_MUTATIONS,
   ...WORKER_CONNECTION_MUTATIONS,
 ];
