--- a/packages/node/cell/callers/caller_filters_fuzz_test.ts
+++ b/packages/node/cell/callers/caller_filters_fuzz_test.ts
@@ -20,7 +20,10 @@
 const KEY = "key";
 const BODY_LIMIT_BYTES = 2_000;
 /** Every status that the interface documents; a failure inside the chain would be 500. */
-const STATUSES = [200, 400, 401, 404, 405, 410, 413, 503, 504];
+const STATUSES = [200, 400, 401, 404, 405, 410, 413, 429, 503, 504];
+/** Last digit of the ids of jobs that admission refuses. */
+const REFUSED_DIGIT = "5";
+const RETRY_AFTER_S = 7;
 
 const STATE: DeclaredState = {
   version: 1,
@@ -113,7 +116,18 @@
   const codec = createCallerCodec();
   const filters = createCallerFilters({
     codec,
-    admission: { check: () => Promise.resolve({ kind: "pass" }) },
+    admission: {
+      check: ({ jobId }) =>
+        Promise.resolve(
+          jobId.endsWith(REFUSED_DIGIT)
+            ? {
+              kind: "refused_now",
+              reason: "cannot end in time",
+              retryAfterS: RETRY_AFTER_S,
+            }
+            : { kind: "pass" },
+        ),
+    },
     jobRepository: JobRepository.create({
       store,
       follower: createFollower(store, clock),
@@ -156,10 +170,15 @@
             .that.is.not.empty;
         }
         if (answer!.status === 503) expect(answer!.retryAfterS).to.equal(1);
+        if (answer!.status === 429) {
+          expect(answer!.retryAfterS).to.equal(RETRY_AFTER_S);
+        }
       }),
       { numRuns: INPUTS, seed: SEED },
     );
-    expect([...seen]).to.include.members([200, 400, 401, 404, 405, 410, 413]);
+    expect([...seen]).to.include.members(
+      [200, 400, 401, 404, 405, 410, 413, 429],
+    );
     const path = `${PREFIX}00000000000000bb`;
     expect(await call({ ...VALID, path })).to.include({ status: 200 });
     expect(await call({ ...VALID, path, method: "GET" })).to.include({
--- a/packages/node/cell/meters/cell_meters.ts
+++ b/packages/node/cell/meters/cell_meters.ts
@@ -16,6 +16,8 @@
   "unit.closing",
   "task.gone",
   "task.start_refused",
+  "job.refused",
+  "job.admitted_by_floor",
 ]);
 /** Distinct reasons that get a time series of their own; there are about 30. */
 export const MAXIMUM_REASONS = 64;
--- a/packages/node/cell/meters/cell_meters_test.ts
+++ b/packages/node/cell/meters/cell_meters_test.ts
@@ -15,6 +15,7 @@
     log.info("unit.closing", { unit: "a", reason: "evicted" });
     log.info("unit.closing", { unit: "b", reason: "evicted" });
     log.warn("lease.lost", { reason: "taken by front-1" });
+    log.info("job.refused", { job: "a", reason: "cannot end in time" });
     meters.noteCall("submit", 503, 3);
     const store = createMeteredStore(createStoreFake(), { meters, clock });
     await store.read("state", {}, 100);
@@ -39,6 +40,7 @@
         'coltsfootpond_events_total{event="unit.closing"} 2',
         'coltsfootpond_event_reasons_total{event="unit.closing",reason="evicted"} 2',
         'coltsfootpond_events_total{event="lease.lost"} 1',
+        'coltsfootpond_event_reasons_total{event="job.refused",reason="cannot end in time"} 1',
         'coltsfootpond_call_seconds_count{method="submit",status="503"} 1',
         'coltsfootpond_store_call_seconds_count{kind="read",outcome="rows"} 1',
         "coltsfootpond_lease_epoch 4",
