--- a/packages/node/cell/callers/caller_filters.ts
+++ b/packages/node/cell/callers/caller_filters.ts
@@ -11,8 +11,9 @@
   RequestHead,
 } from "@coltsfootpond/ports";
 import { findOrganisation, findQueue } from "../declared_state_tracker.ts";
+import type { AdmissionGate } from "../admission/admission_gate.ts";
 import type { TooWideUnit } from "../quotas/quota_history.ts";
-import type { JobRepository } from "./job_repository.ts";
+import type { JobRepository, RefuseOutcome } from "./job_repository.ts";
 
 /** A caller's request and what the filters have found out about it so far. */
 export interface CallerRequest {
@@ -45,6 +46,7 @@
 export interface CallerFilterOptions {
   readonly codec: CallerCodec;
   readonly jobRepository: JobRepository;
+  readonly admission: Pick<AdmissionGate, "check">;
   readonly getDeclaredState: () => DeclaredState | undefined;
   /** The unit of the job that can never run under its organisation's quota. */
   readonly findTooWide: (spec: CellJobSpec) => TooWideUnit | undefined;
@@ -156,7 +158,7 @@
 
 async function submit(
   request: CallerRequest,
-  { codec, jobRepository, findTooWide }: CallerFilterOptions,
+  { codec, jobRepository, admission, findTooWide }: CallerFilterOptions,
   nowUnixMs: number,
 ): Promise<CallerAnswer> {
   const { queue, state, organisation } = request;
@@ -187,16 +189,29 @@
     allowanceMs: queue.allowanceMs,
     acceptedUnixMs: nowUnixMs,
   };
+  const deadlineMs = getDeadlineMs(request);
   const tooWide = jobRepository.isKnown(spec.jobId)
     ? undefined
     : findTooWide(spec);
-  if (tooWide !== undefined) return refuseTooWide(tooWide);
-  const outcome = await jobRepository.submit(spec, getDeadlineMs(request));
+  if (tooWide !== undefined) {
+    const { kind } = await jobRepository.refuse(spec.jobId, deadlineMs);
+    return answerTooWide(kind, tooWide);
+  }
+  const gate = await admission.check(spec, state.guarantees, deadlineMs);
+  const outcome = gate.kind === "pass"
+    ? await jobRepository.submit(spec, deadlineMs)
+    : gate;
   switch (outcome.kind) {
     case "accepted":
       return { status: STATUS.OK, body: "{}", reason: "accepted" };
     case "refused":
       return unavailable("the store refused the job");
+    case "refused_now": {
+      const { retryAfterS, reason } = outcome;
+      return { status: STATUS.TOO_MANY, retryAfterS, reason };
+    }
+    case "barred":
+      return unavailable("another try of the job was refused");
     case "unknown":
       return { status: STATUS.TIMEOUT, reason: "fate of the write unknown" };
   }
@@ -258,14 +273,27 @@
   return receivedMs + callerTimeoutMs * UNSETTLED_TIMEOUT_SHARE;
 }
 
-function refuseTooWide(unit: TooWideUnit): CallerAnswer {
+/** Refuses the job, unless an earlier try of it is stored or may be. */
+function answerTooWide(
+  refusal: RefuseOutcome["kind"],
+  unit: TooWideUnit,
+): CallerAnswer {
   const reason = "a unit is wider than the quota";
-  return {
-    status: STATUS.TOO_MANY,
-    body: JSON.stringify({ error: reason, ...unit }),
-    retryAfterS: TOO_WIDE_RETRY_AFTER_S,
-    reason,
-  };
+  switch (refusal) {
+    case "refused":
+      return {
+        status: STATUS.TOO_MANY,
+        body: JSON.stringify({ error: reason, ...unit }),
+        retryAfterS: TOO_WIDE_RETRY_AFTER_S,
+        reason,
+      };
+    case "accepted":
+      return { status: STATUS.OK, body: "{}", reason: "accepted" };
+    case "unavailable":
+      return unavailable("the store refused the job");
+    case "unknown":
+      return { status: STATUS.TIMEOUT, reason: "fate of the write unknown" };
+  }
 }
 
 function unavailable(reason: string): CallerAnswer {
