Compute the expected remaining time of a run

Cause: evictions, worker speeds and admission need the time at which a run is expected to end. So far only the caller's estimate was used, which is wrong by up to 90% on some queues.

Nothing uses it yet.

--- a/packages/policy/mod.ts
+++ b/packages/policy/mod.ts
@@ -10,6 +10,7 @@
 export * from "./cell/types.ts";
 export * from "./cell/eviction.ts";
 export * from "./cell/fit.ts";
+export * from "./cell/forecast/remaining_time.ts";
 export * from "./cell/crashes/crash_evidence.ts";
 export * from "./cell/crashes/isolation.ts";
 export * from "./cell/job_progress.ts";
