--- a/scripts/bench_days/replay.ts
+++ b/scripts/bench_days/replay.ts
@@ -25,7 +25,12 @@
   DEPLOYMENTS,
 } from "./deployments.ts";
 import type { DayPolicy } from "./policies.ts";
-import { type JobResult, type Score, scoreDay } from "./score.ts";
+import {
+  computeInTimeShare,
+  type JobResult,
+  type Score,
+  scoreDay,
+} from "./score.ts";
 
 /** Step of the simulated clock; small against the shortest runs of 0.5 s. */
 const STEP_MS = 10;
@@ -41,6 +46,10 @@
   readonly policy: string;
   readonly evictions: number;
   readonly lostCoreSeconds: number;
+  /** Shares of the jobs of each kind that ended in time, without cancelled ones. */
+  readonly urgentInTime: number;
+  readonly largeInTime: number;
+  readonly wideInTime: number;
   /** 99th percentile of the real time that a round takes to plan. */
   readonly decisionP99Ms: number;
 }
@@ -232,6 +241,9 @@
       ...scoreDay(results, this.#lostCoreSeconds),
       evictions: this.#evictions,
       lostCoreSeconds: Math.round(this.#lostCoreSeconds),
+      urgentInTime: computeInTimeShare(results, "urgent"),
+      largeInTime: computeInTimeShare(results, "large"),
+      wideInTime: computeInTimeShare(results, "wide"),
       decisionP99Ms: sortedDecisionTimesMs[
         Math.floor(sortedDecisionTimesMs.length * 0.99)
       ] ?? 0,
