Weigh evictions by lost work and lateness from expected ends

Cause: an eviction was priced by the estimated end of its victim, with constants for checkpoints and restores. Units were evicted again as soon as they ran, or just before their end.

Change: the cost counts the work since the last checkpoint, the restore, and the expected value lost by lateness from the expected end of the job; it grows with each earlier eviction of the unit. Runs that end before an eviction would free their capacity are waited for. A unit evicted lately is a victim for guaranteed work only. unit.evicted logs gain, cost, expected remaining time and earlier evictions. The price of a core-second is stated as the lost work that counts as much as one job of lowest value.

Tests of plans and log lines expect the new fields.

--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -59,6 +59,11 @@
   readonly onNewerHolder: (reason: string) => void;
 }
 
+/** Rounds a job value for the log. */
+function roundValue(value: number): number {
+  return Math.round(value * 1_000) / 1_000;
+}
+
 /** Schedules all jobs of the cell while this entry holds the lease. */
 export class CellScheduler {
   readonly #options: CellSchedulerOptions;
@@ -258,7 +263,7 @@
       nowMs,
       nowUnixMs: nowUnixMs(),
       urgentRatesPerS: this.#urgentDemand.computeRatesPerS(nowUnixMs()),
-      stopLimitMs: settings.bounds.stopLimitMs,
+      ...settings.bounds,
       isBlocked,
     });
     this.#urgentHeadroom = [...input.urgentHeadroom?.values() ?? []].reduce(
@@ -267,12 +272,19 @@
     );
     if (input.waiting.length === 0) return;
     const plan = planRound(input);
-    for (const { unit, forUnit, workers } of plan.evictions) {
+    for (const eviction of plan.evictions) {
+      const { unit, forUnit, workers, gain, cost, remainingMs } = eviction;
       log.info("unit.evicted", {
         unit: describeUnit(unit),
         forUnit: describeUnit(forUnit),
         workers,
+        gain: roundValue(gain),
+        cost: roundValue(cost),
+        remainingMs: remainingMs && Math.round(remainingMs),
+        earlierEvictions: unit.evictions,
       });
+      unit.evictions++;
+      unit.lastEvictedMs = nowMs;
       this.#runs.close(unit, "evicted");
     }
     for (const { unit, workers } of plan.placements) {
--- a/packages/node/cell/evictions/evictions_test.ts
+++ b/packages/node/cell/evictions/evictions_test.ts
@@ -39,6 +39,11 @@
       unit: `${ORDINARY_JOB}.0.0.0`,
       forUnit: `${URGENT_JOB}.0.0.0`,
       workers: ["a"],
+      gain: 2.8,
+      cost: 1.868,
+      // The run has outlasted its estimate and has reported no progress.
+      remainingMs: undefined,
+      earlierEvictions: 0,
     }]);
   });
 
--- a/packages/policy/cell/eviction.ts
+++ b/packages/policy/cell/eviction.ts
@@ -23,6 +23,19 @@
   readonly isEvictable: boolean;
   /** Cost of stopping it, in job value: lost work, and the value that the job loses by lateness. */
   readonly evictionCost: number;
+  /** Expected time until it ends; undefined where not known. */
+  readonly remainingMs?: number;
+  /** It was evicted lately, so only guaranteed units may evict it again; default false. */
+  readonly isGuarded?: boolean;
+}
+
+/** How a waiting unit may be placed, and which running units may be evicted for it. */
+export interface EvictionOptions {
+  readonly allowRemote: boolean;
+  /** Runs that end within this time are waited for instead of evicted; default none. */
+  readonly endsWithinMs?: number;
+  /** Whether units that were evicted lately may be evicted; default false. */
+  readonly mayEvictGuarded?: boolean;
 }
 
 /** Units to evict, the workers on which the waiting unit is to start, and the total cost. */
@@ -48,7 +61,7 @@
   capacities: readonly WorkerCapacity[],
   request: FitRequest,
   running: readonly RunningUnit<Unit>[],
-  options: { readonly allowRemote: boolean },
+  options: EvictionOptions,
 ): EvictionPlan<Unit> | undefined {
   const eligible = capacities.filter(({ view }) => isEligible(view, request));
   const { isGang, isRackBound, dataRack } = request.step;
@@ -58,9 +71,19 @@
   const groups = mustShareRack || mustUseDataRack
     ? groupByRack(eligible, mustUseDataRack ? dataRack : undefined)
     : [eligible];
-  const byWorker = indexByWorker(running);
+  const { endsWithinMs = Number.NEGATIVE_INFINITY, mayEvictGuarded = false } =
+    options;
+  const isEnding = ({ remainingMs }: RunningUnit<Unit>) =>
+    remainingMs !== undefined && remainingMs <= endsWithinMs;
+  const ending = running.filter(isEnding);
+  const byWorker = indexByWorker(
+    running.filter((unit) =>
+      unit.isEvictable && !isEnding(unit) &&
+      (mayEvictGuarded || unit.isGuarded !== true)
+    ),
+  );
   const plans = groups.flatMap((group) =>
-    planInGroup(group, request, byWorker) ?? []
+    planInGroup(group, request, ending, byWorker) ?? []
   );
   return plans.reduce<EvictionPlan<Unit> | undefined>(
     (best, plan) => best === undefined || plan.cost < best.cost ? plan : best,
@@ -84,6 +107,7 @@
 function planInGroup<Unit>(
   group: readonly WorkerCapacity[],
   request: FitRequest,
+  ending: readonly RunningUnit<Unit>[],
   byWorker: ReadonlyMap<WorkerName, readonly RunningUnit<Unit>[]>,
 ): EvictionPlan<Unit> | undefined {
   const search: EvictionSearch<Unit> = {
@@ -96,6 +120,7 @@
     workers: new Set(),
     cost: 0,
   };
+  ending.forEach((unit) => release(search, unit));
   for (let task = 0; task < request.count; task++) {
     const next = findCheapest(search, request, byWorker);
     if (next === undefined) return undefined;
@@ -121,7 +146,6 @@
 ): ReadonlyMap<WorkerName, readonly RunningUnit<Unit>[]> {
   const index = new Map<WorkerName, RunningUnit<Unit>[]>();
   for (const unit of running) {
-    if (!unit.isEvictable) continue;
     for (const worker of new Set(unit.workers)) {
       const units = index.get(worker);
       if (units === undefined) index.set(worker, [unit]);
@@ -201,6 +225,14 @@
   unit: RunningUnit<Unit>,
 ): void {
   search.victims.add(unit);
+  release(search, unit);
+}
+
+/** Adds what the unit uses to the free capacity of its workers. */
+function release<Unit>(
+  search: EvictionSearch<Unit>,
+  unit: RunningUnit<Unit>,
+): void {
   for (const worker of new Set(unit.workers)) {
     const capacity = search.capacities.get(worker);
     if (capacity !== undefined) {
--- a/packages/policy/cell/job_rank.ts
+++ b/packages/policy/cell/job_rank.ts
@@ -17,7 +17,7 @@
 /** A job later than this many times its objective has no value (the platform's rules). */
 export const LATE_LIMIT_FACTOR = 3;
 /** Share of its value that a late job keeps; close to that of the platform's data sheets. */
-const LATE_VALUE_SHARE = 0.3;
+export const LATE_VALUE_SHARE = 0.3;
 
 /** Share of a whole worker that one task needs, by its dominant resource. */
 export function computeWorkerShare(
--- a/packages/policy/cell/plan_round.ts
+++ b/packages/policy/cell/plan_round.ts
@@ -8,11 +8,8 @@
  */
 import type { ServiceName, WorkerName } from "@coltsfootpond/common";
 import { allowsStart, ISOLATION, type Isolation } from "./crashes/isolation.ts";
-import {
-  type EvictionPlan,
-  planEviction,
-  type RunningUnit,
-} from "./eviction.ts";
+import type { EvictionPlan, RunningUnit } from "./eviction.ts";
+import { planJustifiedEviction } from "./evictions/justified_eviction.ts";
 import {
   createWorkerCapacity,
   findFit,
@@ -37,6 +34,8 @@
   readonly evictionGain: number;
   /** Job value lost if another unit takes its workers in this round; undefined if none may. */
   readonly displacementCost: number | undefined;
+  /** Runs that end within this time are waited for instead of evicted; default none. */
+  readonly endsWithinMs?: number;
   /** Whether it may use the headroom for urgent jobs. */
   readonly mayUseHeadroom: boolean;
   /** Default none. */
@@ -63,6 +62,12 @@
   readonly unit: Unit;
   readonly forUnit: Unit;
   readonly workers: readonly WorkerName[];
+  /** Gain of the whole plan in job value, which guaranteed units do not need. */
+  readonly gain: number;
+  /** Cost of the whole plan. */
+  readonly cost: number;
+  /** Expected time until the evicted unit would have ended; undefined where not known. */
+  readonly remainingMs: number | undefined;
 }
 
 /** Units to start and units to evict. */
@@ -146,7 +151,7 @@
     if (isPlaced) return displaced;
     // Units of the step that are not isolated may fit all the same.
     if (!isIsolated(request)) this.#stepsWithoutFit.add(request.stepKey);
-    if (eviction !== undefined) this.#evict(request, victims, eviction.workers);
+    if (eviction !== undefined) this.#evict(request, victims, eviction);
     return displaced;
   }
 
@@ -198,7 +203,9 @@
   }
 
   /** The evictions that make the request fit, if there are any and they are justified. */
-  #planEviction(request: WaitingUnit<Unit>): EvictionPlan<Unit> | undefined {
+  #planEviction(
+    request: WaitingUnit<Unit>,
+  ): EvictionPlan<Unit> | undefined {
     const isGuaranteed = request.rank.tier === RANK_TIER.GUARANTEED;
     if (!isGuaranteed && request.evictionGain <= 0) return undefined;
     if (request.isolation === ISOLATION.EMPTY_WORKERS) return undefined;
@@ -208,15 +215,12 @@
       ...this.#input.running.filter((unit) => !this.#evicted.has(unit)),
       ...this.#placements.keys(),
     ];
-    const plan = planEviction(
+    return planJustifiedEviction(
       this.#listCapacities(request),
       request,
       candidates,
-      request,
+      isGuaranteed,
     );
-    const isJustified = isGuaranteed ||
-      plan !== undefined && plan.cost < request.evictionGain;
-    return isJustified ? plan : undefined;
   }
 
   /** Takes back the placements among the victims; the other victims are running. */
@@ -243,14 +247,21 @@
    * for, whose capacity may partly be free or being released already.
    */
   #evict(
-    { unit: forUnit }: WaitingUnit<Unit>,
+    { unit: forUnit, evictionGain: gain }: WaitingUnit<Unit>,
     victims: readonly RunningUnit<Unit>[],
-    workers: ReadonlySet<WorkerName>,
+    { workers, cost }: EvictionPlan<Unit>,
   ): void {
     for (const victim of victims) {
       this.#evicted.add(victim);
-      const { unit } = victim;
-      this.#evictions.push({ unit, forUnit, workers: [...workers] });
+      const { unit, remainingMs } = victim;
+      this.#evictions.push({
+        unit,
+        forUnit,
+        workers: [...workers],
+        gain,
+        cost,
+        remainingMs,
+      });
     }
     this.#capacities = this.#capacities.filter(({ view }) =>
       !workers.has(view.worker)
--- a/packages/policy/cell/plan_round_test.ts
+++ b/packages/policy/cell/plan_round_test.ts
@@ -248,7 +248,14 @@
     });
     expect(plan).to.deep.equal({
       placements: [],
-      evictions: [{ unit: "cheap", forUnit: "urgent", workers: ["a2"] }],
+      evictions: [{
+        unit: "cheap",
+        forUnit: "urgent",
+        workers: ["a2"],
+        gain: 0,
+        cost: 1,
+        remainingMs: undefined,
+      }],
     });
   });
 
@@ -261,7 +268,14 @@
       }).evictions;
     expect(evictions(1)).to.deep.equal([]);
     expect(evictions(3)).to.deep.equal([
-      { unit: "other", forUnit: "urgent", workers: ["a1"] },
+      {
+        unit: "other",
+        forUnit: "urgent",
+        workers: ["a1"],
+        gain: 3,
+        cost: 2,
+        remainingMs: undefined,
+      },
     ]);
   });
 
@@ -294,7 +308,14 @@
     });
     expect(plan).to.deep.equal({
       placements: [],
-      evictions: [{ unit: "gang", forUnit: "first", workers: ["a1", "a2"] }],
+      evictions: [{
+        unit: "gang",
+        forUnit: "first",
+        workers: ["a1", "a2"],
+        gain: 0,
+        cost: 1,
+        remainingMs: undefined,
+      }],
     });
   });
 
--- a/scripts/bench_days/cell_model.ts
+++ b/scripts/bench_days/cell_model.ts
@@ -19,7 +19,7 @@
   type Unit,
   type UnitRun,
 } from "../../packages/node/cell/live_job.ts";
-import { computeCoreSeconds } from "../../packages/node/cell/plan_input.ts";
+import { computeCoreSeconds } from "../../packages/node/cell/evictions/core_seconds.ts";
 import { computeAvailability } from "../../packages/node/cell/worker_availability.ts";
 import type { WorkerSession } from "../../packages/node/cell/worker_session.ts";
 import { DISTURBANCE, LOAD, type Load, SERVICE } from "./arrivals.ts";
--- a/scripts/bench_days/replay.ts
+++ b/scripts/bench_days/replay.ts
@@ -203,11 +203,14 @@
       nowUnixMs: nowMs,
       urgentRatesPerS: this.#urgentDemand.computeRatesPerS(nowMs),
       stopLimitMs: this.#deployment.stopDelayMs,
+      restoreMs: this.#deployment.restoreDelayMs,
       isBlocked: () => false,
     });
     this.#decisionTimesMs.push(performance.now() - startMs);
     for (const { unit } of plan.evictions) {
       this.#evictions++;
+      unit.evictions++;
+      unit.lastEvictedMs = nowMs;
       this.#cell.stop(unit, nowMs);
     }
     for (const { unit, workers } of plan.placements) {
