Evict no more units than a waiting unit needs

Cause: victims on one worker were added in the order of their costs until a task fitted, so two small units were evicted although one of less cost in total was enough; victims chosen for one worker stayed in the plan although a gang chosen for the next worker freed enough.

Change: the cheapest unit that frees enough alone is compared with several together, and victims whose capacity is not needed are spared.

The check "take one unit that frees enough" failed before the change.

--- a/packages/policy/cell/eviction.ts
+++ b/packages/policy/cell/eviction.ts
@@ -6,6 +6,7 @@
 import {
   addCellResources,
   countFitting,
+  coversNeed,
   type FitRequest,
   getCountedNeed,
   isEligible,
@@ -50,7 +51,6 @@
   readonly capacities: ReadonlyMap<WorkerName, WorkerCapacity>;
   readonly victims: Set<RunningUnit<Unit>>;
   readonly workers: Set<WorkerName>;
-  cost: number;
 }
 
 /**
@@ -118,14 +118,12 @@
     }])),
     victims: new Set(),
     workers: new Set(),
-    cost: 0,
   };
   ending.forEach((unit) => release(search, unit));
   for (let task = 0; task < request.count; task++) {
     const next = findCheapest(search, request, byWorker);
     if (next === undefined) return undefined;
     next.victims.forEach((victim) => evict(search, victim));
-    search.cost += next.cost;
     search.workers.add(next.capacity.view.worker);
     next.capacity.free = subtractCellResources(
       next.capacity.free,
@@ -134,13 +132,43 @@
     const tasks = next.capacity.tasksByStep.get(request.stepKey) ?? 0;
     next.capacity.tasksByStep.set(request.stepKey, tasks + 1);
   }
+  spareUnneeded(search);
   return {
     victims: [...search.victims],
     workers: search.workers,
-    cost: search.cost,
+    cost: [...search.victims].reduce(
+      (sum, { evictionCost }) => sum + evictionCost,
+      0,
+    ),
   };
 }
 
+/**
+ * Removes victims whose capacity is not needed, the most expensive first: a gang that was chosen for
+ * one worker may free enough on others, for which cheaper units were chosen before.
+ */
+function spareUnneeded<Unit>(search: EvictionSearch<Unit>): void {
+  const victims = [...search.victims].sort((left, right) =>
+    right.evictionCost - left.evictionCost
+  );
+  for (const victim of victims) {
+    const freed = [...new Set(victim.workers)].flatMap((worker) => {
+      const capacity = search.capacities.get(worker);
+      if (capacity === undefined) return [];
+      return [{ capacity, usage: sumUsageOn(victim, worker) }];
+    });
+    if (
+      !freed.every(({ capacity, usage }) => coversNeed(capacity.free, usage))
+    ) {
+      continue;
+    }
+    for (const { capacity, usage } of freed) {
+      capacity.free = subtractCellResources(capacity.free, usage);
+    }
+    search.victims.delete(victim);
+  }
+}
+
 function indexByWorker<Unit>(
   running: readonly RunningUnit<Unit>[],
 ): ReadonlyMap<WorkerName, readonly RunningUnit<Unit>[]> {
@@ -181,32 +209,40 @@
   return best;
 }
 
-/** Adds the cheapest victims of one worker until one more task fits there. */
+/**
+ * Chooses victims on one worker until one more task fits there: the cheapest unit that frees enough
+ * alone, or several units in the order of their costs if these cost less together.
+ */
 function chooseVictimsOn<Unit>(
   search: EvictionSearch<Unit>,
   capacity: WorkerCapacity,
   request: FitRequest,
   units: readonly RunningUnit<Unit>[],
 ): Candidate<Unit> | undefined {
+  if (countFitting(capacity, request) > 0) {
+    return { capacity, victims: [], cost: 0 };
+  }
   const trialCapacity: WorkerCapacity = { ...capacity };
   const victims: RunningUnit<Unit>[] = [];
   let cost = 0;
-  if (countFitting(trialCapacity, request) > 0) {
-    return { capacity, victims, cost };
-  }
+  let several: Candidate<Unit> | undefined;
   for (const unit of units) {
     if (search.victims.has(unit)) continue;
-    trialCapacity.free = addCellResources(
-      trialCapacity.free,
-      sumUsageOn(unit, capacity.view.worker),
-    );
+    if (several !== undefined && unit.evictionCost >= cost) break;
+    const usage = sumUsageOn(unit, capacity.view.worker);
+    const free = addCellResources(capacity.free, usage);
+    if (countFitting({ ...capacity, free }, request) > 0) {
+      return { capacity, victims: [unit], cost: unit.evictionCost };
+    }
+    if (several !== undefined) continue;
+    trialCapacity.free = addCellResources(trialCapacity.free, usage);
     victims.push(unit);
     cost += unit.evictionCost;
     if (countFitting(trialCapacity, request) > 0) {
-      return { capacity, victims, cost };
+      several = { capacity, victims, cost };
     }
   }
-  return undefined;
+  return several;
 }
 
 /** Resources that the tasks of a unit use on one worker. */
