Wait for no run that has outlasted its estimate unreported

Cause: such a run was expected to end within a tenth of its elapsed time, so an urgent unit waited for it again and again instead of evicting it. A reported percentage below the least that counts hid this case.

Change: whether enough progress is reported is decided in one place, in remaining_time.ts.

--- a/packages/node/cell/evictions/eviction_estimates.ts
+++ b/packages/node/cell/evictions/eviction_estimates.ts
@@ -10,6 +10,7 @@
   DEFAULT_RESTORE_MS,
   estimateValue,
   type EvictionBounds,
+  isProgressReported,
   type JobOutlook,
   type JobRankInput,
   type RunningUnit,
@@ -47,7 +48,7 @@
   /** Whole time of the run; a run from a checkpoint counts with its earlier runs. */
   readonly durationMs: number;
   readonly remainingMs: number;
-  /** Outlasted its estimate without reported progress, so that its end is not foreseeable. */
+  /** Has outlasted its estimate without enough reported progress, so that its end is not foreseeable. */
   readonly isOverdue: boolean;
 }
 
@@ -197,7 +198,7 @@
     slowest = {
       durationMs: (elapsedMs + remainingMs) * WHOLE_PERCENT / openPercent,
       remainingMs,
-      isOverdue: taskRun.percent <= startPercent && elapsedMs >= estimateMs,
+      isOverdue: !isProgressReported(progress) && elapsedMs >= estimateMs,
     };
   }
   return slowest;
--- a/packages/policy/cell/forecast/remaining_time.ts
+++ b/packages/policy/cell/forecast/remaining_time.ts
@@ -34,16 +34,21 @@
 const OVERDUE_SHARE = 0.1;
 const WHOLE_PERCENT = 100;
 
+/** Whether enough progress is reported that the remaining time does not follow the estimate only. */
+export function isProgressReported(
+  { percent, startPercent = 0 }: RunProgress,
+): boolean {
+  return percent - startPercent >= MINIMUM_PROGRESS_PERCENT;
+}
+
 /** Expected time until the run ends, in milliseconds; 0 at 100 percent, never negative. */
 export function computeRemainingMs(progress: RunProgress): number {
   const elapsedMs = Math.max(0, progress.elapsedMs);
   const percent = Math.min(WHOLE_PERCENT, Math.max(0, progress.percent));
   if (percent >= WHOLE_PERCENT) return 0;
   const fromEstimateMs = computeFromEstimate(progress, elapsedMs);
+  if (!isProgressReported(progress) || elapsedMs === 0) return fromEstimateMs;
   const donePercent = percent - (progress.startPercent ?? 0);
-  if (donePercent < MINIMUM_PROGRESS_PERCENT || elapsedMs === 0) {
-    return fromEstimateMs;
-  }
   const fromReportsMs = elapsedMs * (WHOLE_PERCENT - percent) / donePercent;
   const reportsError = ROUNDING_ERROR_PERCENT / donePercent +
     REPORT_LAG_MS / elapsedMs;
