--- a/packages/policy/cell/eviction.ts
+++ b/packages/policy/cell/eviction.ts
@@ -10,6 +10,7 @@
 import {
   addCellResources,
   countFitting,
+  coversNeed,
   type FitRequest,
   getCountedNeed,
   isEligible,
@@ -31,6 +32,19 @@
   readonly isClosing?: boolean;
   /** Cost of stopping it, in job value: lost work, and the value that the job loses by lateness. */
   readonly evictionCost: number;
+  /** Expected time until it ends; undefined where not known. */
+  readonly remainingMs?: number;
+  /** It was evicted lately, so only guaranteed units may evict it again; default false. */
+  readonly isGuarded?: boolean;
+}
+
+/** How a waiting unit may be placed, and which running units may be evicted for it. */
+export interface EvictionOptions {
+  readonly allowRemote: boolean;
+  /** Runs that end within this time are waited for instead of evicted; default none. */
+  readonly endsWithinMs?: number;
+  /** Whether units that were evicted lately may be evicted; default false. */
+  readonly mayEvictGuarded?: boolean;
 }
 
 /** Units to evict, the workers on which the waiting unit is to start, and the total cost. */
@@ -45,7 +59,6 @@
   readonly capacities: ReadonlyMap<WorkerName, WorkerCapacity>;
   readonly victims: Set<RunningUnit<Unit>>;
   readonly workers: Set<WorkerName>;
-  cost: number;
 }
 
 /**
@@ -56,7 +69,7 @@
   capacities: readonly WorkerCapacity[],
   request: FitRequest,
   running: readonly RunningUnit<Unit>[],
-  options: { readonly allowRemote: boolean },
+  options: EvictionOptions,
 ): EvictionPlan<Unit> | undefined {
   const eligible = capacities.filter(({ view }) => isEligible(view, request));
   const { isGang, isRackBound, dataRack } = request.step;
@@ -66,9 +79,19 @@
   const groups = mustShareRack || mustUseDataRack
     ? groupByRack(eligible, mustUseDataRack ? dataRack : undefined)
     : [eligible];
-  const byWorker = indexByWorker(running);
+  const { endsWithinMs = Number.NEGATIVE_INFINITY, mayEvictGuarded = false } =
+    options;
+  const isEnding = ({ remainingMs }: RunningUnit<Unit>) =>
+    remainingMs !== undefined && remainingMs <= endsWithinMs;
+  const ending = running.filter(isEnding);
+  const byWorker = indexByWorker(
+    running.filter((unit) =>
+      unit.isEvictable && !isEnding(unit) &&
+      (mayEvictGuarded || unit.isGuarded !== true)
+    ),
+  );
   const plans = groups.flatMap((group) =>
-    planInGroup(group, request, byWorker) ?? []
+    planInGroup(group, request, ending, byWorker) ?? []
   );
   return plans.reduce<EvictionPlan<Unit> | undefined>(
     (best, plan) => best === undefined || plan.cost < best.cost ? plan : best,
@@ -92,6 +115,7 @@
 function planInGroup<Unit>(
   group: readonly WorkerCapacity[],
   request: FitRequest,
+  ending: readonly RunningUnit<Unit>[],
   byWorker: ReadonlyMap<WorkerName, readonly RunningUnit<Unit>[]>,
 ): EvictionPlan<Unit> | undefined {
   const search: EvictionSearch<Unit> = {
@@ -102,13 +126,12 @@
     }])),
     victims: new Set(),
     workers: new Set(),
-    cost: 0,
   };
+  ending.forEach((unit) => release(search, unit));
   for (let task = 0; task < request.count; task++) {
     const next = findCheapest(search, request, byWorker);
     if (next === undefined) return undefined;
     next.victims.forEach((victim) => evict(search, victim));
-    search.cost += next.cost;
     search.workers.add(next.capacity.view.worker);
     next.capacity.free = subtractCellResources(
       next.capacity.free,
@@ -117,19 +140,48 @@
     const tasks = next.capacity.tasksByStep.get(request.stepKey) ?? 0;
     next.capacity.tasksByStep.set(request.stepKey, tasks + 1);
   }
+  spareUnneeded(search);
   return {
     victims: [...search.victims],
     workers: search.workers,
-    cost: search.cost,
+    cost: [...search.victims].reduce(
+      (sum, { evictionCost }) => sum + evictionCost,
+      0,
+    ),
   };
 }
 
+/**
+ * Removes victims whose capacity is not needed, the most expensive first: a gang that was chosen for
+ * one worker may free enough on others, for which cheaper units were chosen before.
+ */
+function spareUnneeded<Unit>(search: EvictionSearch<Unit>): void {
+  const victims = [...search.victims].sort((left, right) =>
+    right.evictionCost - left.evictionCost
+  );
+  for (const victim of victims) {
+    const freed = [...new Set(victim.workers)].flatMap((worker) => {
+      const capacity = search.capacities.get(worker);
+      if (capacity === undefined) return [];
+      return [{ capacity, usage: sumUsageOn(victim, worker) }];
+    });
+    if (
+      !freed.every(({ capacity, usage }) => coversNeed(capacity.free, usage))
+    ) {
+      continue;
+    }
+    for (const { capacity, usage } of freed) {
+      capacity.free = subtractCellResources(capacity.free, usage);
+    }
+    search.victims.delete(victim);
+  }
+}
+
 function indexByWorker<Unit>(
   running: readonly RunningUnit<Unit>[],
 ): ReadonlyMap<WorkerName, readonly RunningUnit<Unit>[]> {
   const index = new Map<WorkerName, RunningUnit<Unit>[]>();
   for (const unit of running) {
-    if (!unit.isEvictable) continue;
     for (const worker of new Set(unit.workers)) {
       const units = index.get(worker);
       if (units === undefined) index.set(worker, [unit]);
@@ -165,32 +217,40 @@
   return best;
 }
 
-/** Adds the cheapest victims of one worker until one more task fits there. */
+/**
+ * Chooses victims on one worker until one more task fits there: the cheapest unit that frees enough
+ * alone, or several units in the order of their costs if these cost less together.
+ */
 function chooseVictimsOn<Unit>(
   search: EvictionSearch<Unit>,
   capacity: WorkerCapacity,
   request: FitRequest,
   units: readonly RunningUnit<Unit>[],
 ): Candidate<Unit> | undefined {
+  if (countFitting(capacity, request) > 0) {
+    return { capacity, victims: [], cost: 0 };
+  }
   const trialCapacity: WorkerCapacity = { ...capacity };
   const victims: RunningUnit<Unit>[] = [];
   let cost = 0;
-  if (countFitting(trialCapacity, request) > 0) {
-    return { capacity, victims, cost };
-  }
+  let several: Candidate<Unit> | undefined;
   for (const unit of units) {
     if (search.victims.has(unit)) continue;
-    trialCapacity.free = addCellResources(
-      trialCapacity.free,
-      sumUsageOn(unit, capacity.view.worker),
-    );
+    if (several !== undefined && unit.evictionCost >= cost) break;
+    const usage = sumUsageOn(unit, capacity.view.worker);
+    const free = addCellResources(capacity.free, usage);
+    if (countFitting({ ...capacity, free }, request) > 0) {
+      return { capacity, victims: [unit], cost: unit.evictionCost };
+    }
+    if (several !== undefined) continue;
+    trialCapacity.free = addCellResources(trialCapacity.free, usage);
     victims.push(unit);
     cost += unit.evictionCost;
     if (countFitting(trialCapacity, request) > 0) {
-      return { capacity, victims, cost };
+      several = { capacity, victims, cost };
     }
   }
-  return undefined;
+  return several;
 }
 
 /** Resources that the tasks of a unit use on one worker. */
@@ -209,6 +269,14 @@
   unit: RunningUnit<Unit>,
 ): void {
   search.victims.add(unit);
+  release(search, unit);
+}
+
+/** Adds what the unit uses to the free capacity of its workers. */
+function release<Unit>(
+  search: EvictionSearch<Unit>,
+  unit: RunningUnit<Unit>,
+): void {
   for (const worker of new Set(unit.workers)) {
     const capacity = search.capacities.get(worker);
     if (capacity !== undefined) {
