Store workers' speeds for the next lease holder

Cause: a new lease holder took all workers as equally fast until it had samples of its own, and placed urgent gangs on slow workers meanwhile.

The next holder uses entries of the present incarnations that are at most 60 s old, as three samples. Nothing waits for the row: one that is missing, unreadable or refused leaves all workers at speed 1 until samples exist. Estimates of workers that are gone, or without samples for a minute, are dropped.

--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -23,6 +23,7 @@
 import type { CellLog } from "./log.ts";
 import { createPlanInput } from "./plan_input.ts";
 import { ProgressWriter } from "./progress_writer.ts";
+import { SPEEDS_KEY } from "./rows.ts";
 import { RunRegistry } from "./run_registry.ts";
 import { isIncomplete, isStalled } from "./run_checks.ts";
 import type { TableFollower } from "./table_follower.ts";
@@ -30,6 +31,7 @@
 import { WorkerFleet } from "./worker_fleet.ts";
 import { SessionEventHandler } from "./session_event_handler.ts";
 import { SpeedTracker } from "./speeds/speed_tracker.ts";
+import { SpeedsWriter } from "./speeds/speeds_writer.ts";
 import { QUARANTINE_MS } from "./worker_quarantine.ts";
 
 /** Changes within this time are handled in one round. */
@@ -71,6 +73,7 @@
   readonly #writer: ProgressWriter;
   readonly #crashes: CrashTracker;
   readonly #speeds: SpeedTracker;
+  readonly #speedsWriter: SpeedsWriter;
   readonly #endedJobs: EndedJobCollector;
   readonly #begunJobs: BegunJobsWriter;
   readonly #urgentDemand = UrgentDemand.create();
@@ -128,6 +131,7 @@
       ...options,
       getUnit: (taskRun) => this.#runs.getUnit(taskRun),
     });
+    this.#speedsWriter = SpeedsWriter.create(options);
     const events = SessionEventHandler.create({
       ...options,
       speeds: this.#speeds,
@@ -158,6 +162,7 @@
     const { follower, declared } = this.#options;
     await this.#awaitRows();
     if (this.#isStopped) return;
+    this.#speeds.readStored(follower.get(SPEEDS_KEY)?.value);
     this.#applyRows(follower.rows());
     this.#subscription = follower.changes.subscribe((rows) =>
       this.#applyRows(rows)
@@ -225,7 +230,7 @@
       clock.every(DIRECTORY_PERIOD_MS, () => void this.#fleet.read()),
       clock.every(BEGUN_PERIOD_MS, () => void this.#writeBegun()),
       clock.every(COLLECT_PERIOD_MS, () => void this.#collectEnded()),
-      clock.every(SPEEDS_PERIOD_MS, () => this.#updateSpeeds()),
+      clock.every(SPEEDS_PERIOD_MS, () => void this.#updateSpeeds()),
     );
     this.#requestRound();
   }
@@ -292,8 +297,12 @@
     }
   }
 
-  #updateSpeeds(): void {
-    if (this.#speeds.update()) this.#requestRound();
+  async #updateSpeeds(): Promise<void> {
+    const isKnown = (worker: WorkerName) =>
+      this.#fleet.get(worker) !== undefined;
+    if (this.#speeds.update(isKnown)) this.#requestRound();
+    if (!this.#options.canAct()) return;
+    await this.#speedsWriter.write(this.#speeds.listClassified());
   }
 
   async #writeBegun(): Promise<void> {
--- a/packages/node/cell/rows.ts
+++ b/packages/node/cell/rows.ts
@@ -81,6 +81,18 @@
   readonly jobIds: readonly CellJobId[];
 }
 
+/** Workers whose speed differs clearly from 1. */
+export interface SpeedsRow {
+  /** When the lease holder last confirmed the classes. */
+  readonly unixMs: number;
+  /** The lowest 16 bits of the incarnation's start, and the class of its speed. */
+  readonly workers: readonly (readonly [
+    worker: string,
+    incarnationTag: number,
+    speedClass: number,
+  ])[];
+}
+
 /** Address of an entry's peer server, and the entry's processor share. */
 export interface PeerRow {
   readonly host: string;
@@ -98,6 +110,7 @@
 export const LEASE_KEY = "lease/holder";
 export const ROSTER_KEY = "cell/roster";
 export const BEGUN_KEY = "cell/begun";
+export const SPEEDS_KEY = "cell/speeds";
 /** Job rows are spread over 16 groups by the first digit of the job's id. */
 const JOB_KEY_PATTERN = /^jobs-[0-9a-f]\/(.+)$/;
 
@@ -134,7 +147,14 @@
 
 /** Encodes the value of any row. */
 export function encodeRow(
-  row: JobRow | ProgressRow | LeaseRow | RosterRow | BegunJobsRow | PeerRow,
+  row:
+    | JobRow
+    | ProgressRow
+    | LeaseRow
+    | RosterRow
+    | BegunJobsRow
+    | SpeedsRow
+    | PeerRow,
 ): Uint8Array {
   return pack(row);
 }
--- a/packages/node/cell/speeds/speed_tracker.ts
+++ b/packages/node/cell/speeds/speed_tracker.ts
@@ -2,6 +2,7 @@
 import type { Clock, WorkerName } from "@coltsfootpond/common";
 import {
   classifySpeed,
+  computeClassLogSpeed,
   computeClassSpeed,
   type SpeedEstimate,
   SpeedEstimates,
@@ -13,18 +14,30 @@
 import type { TaskRun } from "../task_run.ts";
 import type { WorkerSession } from "../worker_session.ts";
 import { SpeedSampler } from "./speed_sampler.ts";
+import {
+  type ClassifiedWorker,
+  createIncarnationTag,
+  readSpeedsRow,
+} from "./speeds_row.ts";
+
+/** Of a worker whose samples are all too old. */
+const NO_ESTIMATE = { logSpeed: 0, weight: 0, standardError: 1 };
+/** Number of samples that an estimate of an earlier lease holder counts as. */
+const EARLIER_WEIGHT = 3;
 
 export interface SpeedTrackerOptions {
   readonly epoch: number;
   readonly clock: Clock;
   readonly log: CellLog;
+  readonly nowUnixMs: () => number;
   readonly getUnit: (taskRun: TaskRun) => Unit | undefined;
 }
 
-/** The class of one incarnation of a worker. */
-interface ClassifiedWorker {
-  readonly incarnationStartUnixMs: number;
+/** A class that an earlier lease holder stored; its worker has not reported yet. */
+interface StoredClass {
+  readonly incarnationTag: number;
   readonly speedClass: number;
+  readonly atMs: number;
 }
 
 /** Collects samples and classifies the workers. */
@@ -34,6 +47,7 @@
   readonly #sampler: SpeedSampler;
   /** Workers of other classes than the usual one. */
   readonly #classes = new Map<WorkerName, ClassifiedWorker>();
+  readonly #stored = new Map<string, StoredClass>();
   #hasNewSamples = false;
 
   private constructor(options: SpeedTrackerOptions) {
@@ -51,7 +65,21 @@
     return new SpeedTracker(options);
   }
 
+  /** Reads what an earlier lease holder stored; applied when the workers report. */
+  readStored(value: Uint8Array | undefined): void {
+    if (value === undefined) return;
+    const { clock, nowUnixMs, log } = this.#options;
+    const row = readSpeedsRow(value, nowUnixMs());
+    if (row === undefined) return log.warn("worker.speeds_unreadable");
+    const ageMs = Math.max(0, nowUnixMs() - row.unixMs);
+    for (const [worker, incarnationTag, speedClass] of row.workers) {
+      const atMs = clock.nowMs() - ageMs;
+      this.#stored.set(worker, { incarnationTag, speedClass, atMs });
+    }
+  }
+
   recordReport(session: WorkerSession): void {
+    this.#applyStored(session);
     this.#sampler.recordReport(session);
   }
 
@@ -66,18 +94,65 @@
     return computeClassSpeed(known.speedClass);
   }
 
-  /** Estimates the speeds anew and returns whether a worker's class has changed. */
-  update(): boolean {
+  /** Workers of other classes than the usual one. */
+  listClassified(): readonly ClassifiedWorker[] {
+    return [...this.#classes.values()];
+  }
+
+  /**
+   * Estimates the speeds of the workers for which `isKnown` holds anew and forgets the others.
+   * Returns whether a worker's class has changed.
+   */
+  update(isKnown: (worker: WorkerName) => boolean): boolean {
+    for (const worker of this.#classes.keys()) {
+      if (isKnown(worker)) continue;
+      this.#classes.delete(worker);
+      this.#estimates.delete(worker);
+    }
     if (!this.#hasNewSamples && this.#classes.size === 0) return false;
     this.#hasNewSamples = false;
     let isChanged = false;
     const estimates = this.#estimates.estimate(this.#options.clock.nowMs());
+    for (const [worker, { incarnationStartUnixMs }] of this.#classes) {
+      if (estimates.has(worker)) continue;
+      const estimate = { ...NO_ESTIMATE, incarnationStartUnixMs };
+      isChanged = this.#classify(worker, estimate) || isChanged;
+    }
     for (const [worker, estimate] of estimates) {
       isChanged = this.#classify(worker, estimate) || isChanged;
     }
     return isChanged;
   }
 
+  #applyStored(session: WorkerSession): void {
+    const { worker, incarnationStartUnixMs } = session;
+    const stored = this.#stored.get(worker);
+    if (stored === undefined || !session.hasReported) return;
+    this.#stored.delete(worker);
+    const { incarnationTag, speedClass, atMs } = stored;
+    if (createIncarnationTag(incarnationStartUnixMs) !== incarnationTag) return;
+    this.#estimates.addEarlier({
+      worker,
+      incarnationStartUnixMs,
+      logSpeed: computeClassLogSpeed(speedClass),
+      weight: EARLIER_WEIGHT,
+    }, atMs);
+    this.#setClass({ worker, incarnationStartUnixMs, speedClass });
+    this.#options.log.info("worker.speed_changed", {
+      worker,
+      incarnationStartUnixMs,
+      epoch: this.#options.epoch,
+      basis: "stored",
+      speed: round(computeClassSpeed(speedClass)),
+      previousSpeed: 1,
+      ageMs: Math.round(this.#options.clock.nowMs() - atMs),
+    });
+  }
+
+  #setClass(classified: ClassifiedWorker): void {
+    this.#classes.set(classified.worker, classified);
+  }
+
   #classify(worker: WorkerName, estimate: SpeedEstimate): boolean {
     const { incarnationStartUnixMs } = estimate;
     const known = this.#classes.get(worker);
@@ -86,13 +161,14 @@
       : USUAL_CLASS;
     const speedClass = classifySpeed(estimate, present);
     if (speedClass === USUAL_CLASS) this.#classes.delete(worker);
-    else this.#classes.set(worker, { incarnationStartUnixMs, speedClass });
+    else this.#setClass({ worker, incarnationStartUnixMs, speedClass });
     if (speedClass === present) return false;
     const { logSpeed, weight, standardError } = estimate;
     this.#options.log.info("worker.speed_changed", {
       worker,
       incarnationStartUnixMs,
       epoch: this.#options.epoch,
+      basis: "samples",
       speed: round(computeClassSpeed(speedClass)),
       previousSpeed: round(computeClassSpeed(present)),
       estimate: round(Math.exp(logSpeed)),
--- a/packages/policy/cell/speeds/speed_estimates.ts
+++ b/packages/policy/cell/speeds/speed_estimates.ts
@@ -206,12 +206,13 @@
       if (!isExcess && nowMs - atMs <= MAXIMUM_AGE_MS) break;
       this.#samples.delete(key);
     }
-    for (const state of this.#workers.values()) {
-      const { earlier } = state;
-      if (earlier === undefined || nowMs - earlier.atMs <= MAXIMUM_AGE_MS) {
-        continue;
-      }
-      state.earlier = undefined;
+    const sampled = new Set(
+      [...this.#samples.values()].map(({ sample }) => sample.worker),
+    );
+    for (const [worker, { earlier }] of this.#workers) {
+      const isUsed = sampled.has(worker) ||
+        earlier !== undefined && nowMs - earlier.atMs <= MAXIMUM_AGE_MS;
+      if (!isUsed) this.#workers.delete(worker);
     }
   }
 
@@ -234,6 +235,7 @@
     for (const step of steps.values()) this.#compareStep(step, nowMs, add);
     for (const [worker, { earlier, changedMs }] of this.#workers) {
       if (earlier === undefined || earlier.atMs < changedMs) continue;
+      if (nowMs - earlier.atMs > MAXIMUM_AGE_MS) continue;
       const { estimate: { logSpeed, weight }, atMs } = earlier;
       add(worker, {
         value: logSpeed,
