Measure the workers that gangs use, and use measured ones for urgent gangs

When the measured workers were mostly slow ones, the median moved and usual workers counted as fast.

- Where speeds are unequal, single tasks with slack first measure unmeasured workers, at most two of a step on each.
Units that need speed prefer measured workers.
- Classes have a ratio of 1.5, the stretch of urgent jobs: 1.25 divided workers of one speed.
They are left only against 2.5 standard errors of the noise that is measured from the residuals.
- The usual worker is the median of all remembered workers, not only of those with samples at present; samples decay with a half-life of 60 s.

--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -148,7 +148,10 @@
       heartbeatMs: settings.workerHeartbeatMs,
       isOut: (failureDomain) => declared.isOut(failureDomain),
       listener: events,
-      getSpeed: (session) => this.#speeds.getSpeed(session),
+      getSpeed: (session) => ({
+        speed: this.#speeds.getSpeed(session),
+        isSpeedMeasured: this.#speeds.isMeasured(session),
+      }),
       onChanged: () => this.#requestRound(),
     });
   }
--- a/packages/node/cell/speeds/speed_tracker.ts
+++ b/packages/node/cell/speeds/speed_tracker.ts
@@ -20,8 +20,8 @@
   readSpeedsRow,
 } from "./speeds_row.ts";
 
-/** Of a worker whose samples are all too old. */
-const NO_ESTIMATE = { logSpeed: 0, weight: 0, standardError: 1 };
+/** With this many samples, an estimate separates the classes. */
+const MEASURED_WEIGHT = 4;
 /** Number of samples that an estimate of an earlier lease holder counts as. */
 const EARLIER_WEIGHT = 3;
 
@@ -47,6 +47,8 @@
   readonly #sampler: SpeedSampler;
   /** Workers of other classes than the usual one. */
   readonly #classes = new Map<WorkerName, ClassifiedWorker>();
+  /** Incarnations of which there are enough samples. */
+  readonly #measured = new Map<WorkerName, number>();
   readonly #stored = new Map<string, StoredClass>();
   #hasNewSamples = false;
 
@@ -94,6 +96,11 @@
     return computeClassSpeed(known.speedClass);
   }
 
+  /** Whether there are enough samples of the worker's present incarnation. */
+  isMeasured({ worker, incarnationStartUnixMs }: WorkerSession): boolean {
+    return this.#measured.get(worker) === incarnationStartUnixMs;
+  }
+
   /** Workers of other classes than the usual one. */
   listClassified(): readonly ClassifiedWorker[] {
     return [...this.#classes.values()];
@@ -104,21 +111,19 @@
    * Returns whether a worker's class has changed.
    */
   update(isKnown: (worker: WorkerName) => boolean): boolean {
+    this.#estimates.retain(isKnown);
     for (const worker of this.#classes.keys()) {
-      if (isKnown(worker)) continue;
-      this.#classes.delete(worker);
-      this.#estimates.delete(worker);
+      if (!isKnown(worker)) this.#classes.delete(worker);
     }
     if (!this.#hasNewSamples && this.#classes.size === 0) return false;
     this.#hasNewSamples = false;
     let isChanged = false;
     const estimates = this.#estimates.estimate(this.#options.clock.nowMs());
-    for (const [worker, { incarnationStartUnixMs }] of this.#classes) {
-      if (estimates.has(worker)) continue;
-      const estimate = { ...NO_ESTIMATE, incarnationStartUnixMs };
-      isChanged = this.#classify(worker, estimate) || isChanged;
-    }
+    this.#measured.clear();
     for (const [worker, estimate] of estimates) {
+      if (estimate.weight >= MEASURED_WEIGHT) {
+        this.#measured.set(worker, estimate.incarnationStartUnixMs);
+      }
       isChanged = this.#classify(worker, estimate) || isChanged;
     }
     return isChanged;
--- a/packages/node/cell/speeds/speeds_row.ts
+++ b/packages/node/cell/speeds/speeds_row.ts
@@ -1,6 +1,10 @@
 /** The row of the workers' speeds: what a later lease holder starts from. */
 import type { WorkerName } from "@coltsfootpond/common";
-import { USUAL_CLASS } from "@coltsfootpond/policy";
+import {
+  HIGHEST_CLASS,
+  LOWEST_CLASS,
+  USUAL_CLASS,
+} from "@coltsfootpond/policy";
 import { z } from "zod";
 import { decodeRow, type SpeedsRow } from "../rows.ts";
 
@@ -26,7 +30,11 @@
 const SCHEMA = z.object({
   unixMs: z.number(),
   workers: z.array(
-    z.tuple([z.string(), z.number().int(), z.number().int().min(-10).max(10)]),
+    z.tuple([
+      z.string(),
+      z.number().int(),
+      z.number().int().min(LOWEST_CLASS).max(HIGHEST_CLASS),
+    ]),
   ),
 });
 
--- a/packages/node/cell/worker_fleet.ts
+++ b/packages/node/cell/worker_fleet.ts
@@ -48,8 +48,10 @@
   /** Whether the failure domain is out of service. */
   readonly isOut: (failureDomain: FailureDomainName) => boolean;
   readonly listener: SessionListener;
-  /** The speed of the worker's present incarnation; 1 where not known. */
-  readonly getSpeed: (session: WorkerSession) => number;
+  /** The speed of the worker's present incarnation. */
+  readonly getSpeed: (
+    session: WorkerSession,
+  ) => Pick<WorkerView, "speed" | "isSpeedMeasured">;
   /** Called when workers were added or removed, or became usable. */
   readonly onChanged: () => void;
 }
@@ -96,7 +98,10 @@
       if (record === undefined || !this.#isUsable(session, record)) {
         return [];
       }
-      return [createView(session, record, this.#options.getSpeed(session))];
+      return [{
+        ...createView(session, record),
+        ...this.#options.getSpeed(session),
+      }];
     });
   }
 
@@ -298,8 +303,7 @@
 function createView(
   session: WorkerSession,
   record: WorkerRecord,
-  speed: number,
-): WorkerView {
+): Omit<WorkerView, "speed"> {
   return {
     worker: record.worker,
     service: record.service,
@@ -309,6 +313,5 @@
     capacity: record.capacity,
     ...computeAvailability(record.capacity, session.taskRuns),
     slowness: record.warmUpRemainingMs > 0 ? WARM_UP_SLOWNESS : 1,
-    speed,
   };
 }
--- a/packages/policy/cell/speeds/speed_classes.ts
+++ b/packages/policy/cell/speeds/speed_classes.ts
@@ -5,21 +5,29 @@
 import type { SpeedEstimate } from "./speed_estimates.ts";
 
 /**
- * Ratio of the speeds of neighbouring classes. Tasks of one step differ by 15 to 30% in length, so a
- * smaller difference between workers does not decide which task ends first.
+ * Ratio of the speeds of neighbouring classes: the stretch of urgent jobs, which a worker slower by
+ * this factor uses up. Finer classes would divide workers of one speed by the noise of their
+ * estimates, of which the standard error is 13% after 5 samples.
  */
-const CLASS_RATIO = 1.25;
+const CLASS_RATIO = 1.5;
 const CLASS_WIDTH = Math.log(CLASS_RATIO);
 /**
  * A worker changes its class only when its speed is this far from the speed of the present one, in
  * widths of a class; half a width would let an estimate between two classes alternate.
  */
-const HYSTERESIS = 0.75;
-/** A worker leaves class 0 only if its speed differs from 1 by this many standard errors. */
-const LEAVE_STANDARD_ERRORS = 2;
-/** A worker that has stopped making progress counts as this slow: 0.8 to the power of 10. */
-const LOWEST_CLASS = -10;
-const HIGHEST_CLASS = 10;
+const HYSTERESIS = 0.65;
+/** The same for workers of class 0, as most workers are alike in most cells. */
+const USUAL_HYSTERESIS = 0.75;
+/**
+ * A worker leaves class 0 only if its speed differs from 1 by this many standard errors. The
+ * comparison is repeated with every sample, so that 2 would be exceeded by chance too often.
+ */
+const LEAVE_STANDARD_ERRORS = 2.5;
+/** It returns to class 0 if the difference is smaller than this many. */
+const RETURN_STANDARD_ERRORS = 2;
+/** A worker that has stopped making progress counts as this slow: a speed of 0.09. */
+export const LOWEST_CLASS = -6;
+export const HIGHEST_CLASS = 6;
 /** Class of the usual worker, and of workers whose speed is not known. */
 export const USUAL_CLASS = 0;
 
@@ -38,10 +46,14 @@
   { logSpeed, standardError }: SpeedEstimate,
   present: number,
 ): number {
-  const position = logSpeed / CLASS_WIDTH;
-  if (Math.abs(position - present) <= HYSTERESIS) return present;
-  const isUsual = Math.abs(logSpeed) <= LEAVE_STANDARD_ERRORS * standardError;
+  const standardErrors = present === USUAL_CLASS
+    ? LEAVE_STANDARD_ERRORS
+    : RETURN_STANDARD_ERRORS;
+  const isUsual = Math.abs(logSpeed) <= standardErrors * standardError;
   if (isUsual) return USUAL_CLASS;
+  const position = logSpeed / CLASS_WIDTH;
+  const hysteresis = present === USUAL_CLASS ? USUAL_HYSTERESIS : HYSTERESIS;
+  if (Math.abs(position - present) <= hysteresis) return present;
   return Math.max(
     LOWEST_CLASS,
     Math.min(HIGHEST_CLASS, Math.round(position) || USUAL_CLASS),
--- a/packages/policy/cell/speeds/speed_estimates.ts
+++ b/packages/policy/cell/speeds/speed_estimates.ts
@@ -5,7 +5,11 @@
  * and speeds are solved for alternately.
  */
 import type { WorkerName } from "@coltsfootpond/common";
-import { computeWeightedMean, computeWeightedMedian } from "./statistics.ts";
+import {
+  computeMedian,
+  computeWeightedMean,
+  computeWeightedMedian,
+} from "./statistics.ts";
 
 /** Progress of one task over one interval. */
 export interface SpeedSample {
@@ -42,18 +46,35 @@
 }
 
 /**
- * Standard deviation of the logarithm of the length of tasks of one step. Lengths differ by 15 to
- * 30%; a smaller value than the largest would take noise for differences of speed.
+ * Standard deviation of the logarithm of the length of tasks of one step, as long as it is not
+ * measured. Lengths differ by 15 to 30%; a smaller value than the largest would take noise for
+ * differences of speed.
  */
 const TASK_NOISE = 0.3;
+/** Bounds of the measured value. Rounded percentages alone cause about 0.1. */
+const MINIMUM_NOISE = 0.12;
+const MAXIMUM_NOISE = 0.4;
+/** Number of samples from which the noise is measured. */
+const NOISE_SAMPLES = 40;
+/** Samples of a worker from which its own mean can be told from their noise. */
+const NOISE_SAMPLES_OF_WORKER = 3;
+/**
+ * The levels of the steps have errors, too, which samples of one worker share and which do not show
+ * in the differences between them.
+ */
+const LEVEL_FACTOR = 1.2;
+/** Ratio of the standard deviation of normally distributed values to their median deviation. */
+const DEVIATION_FACTOR = 1.48;
 /** Standard deviation of the logarithm of workers' speeds, for shrinking; 0.6 to 1.6 has 0.4. */
 const SPEED_SPREAD = 0.4;
 /** Number of samples that the assumption of the usual speed counts as. */
 const PRIOR_WEIGHT = (TASK_NOISE / SPEED_SPREAD) ** 2;
 /** The weight of a sample halves in this time; a worker gets about one single task in 5 s. */
-const HALF_LIFE_MS = 30_000;
+const HALF_LIFE_MS = 60_000;
 /** Older samples are dropped. */
-const MAXIMUM_AGE_MS = 60_000;
+const MAXIMUM_AGE_MS = 120_000;
+/** Older estimates of an earlier lease holder are ignored. */
+const MAXIMUM_EARLIER_AGE_MS = 60_000;
 /** Samples within this time show a worker's present speed; reports come once a second. */
 const RECENT_MS = 1_500;
 /**
@@ -102,6 +123,8 @@
     | { readonly estimate: EarlierEstimate; readonly atMs: number }
     | undefined;
   logSpeed: number;
+  /** The last well-known logarithm of its speed, relative to the usual worker. */
+  knownLogSpeed: number | undefined;
 }
 
 /** Collects samples and estimates speeds from them. */
@@ -140,13 +163,14 @@
     };
   }
 
-  /** Forgets a worker that is gone. */
-  delete(worker: WorkerName): void {
-    this.#workers.delete(worker);
-    this.#dropSamples(({ sample }) => sample.worker === worker);
+  /** Forgets the workers that are gone. */
+  retain(isKnown: (worker: WorkerName) => boolean): void {
+    for (const worker of this.#workers.keys()) {
+      if (!isKnown(worker)) this.#delete(worker);
+    }
   }
 
-  /** The estimates of all workers that have samples or an earlier estimate. */
+  /** The estimates of all workers that have had samples or an earlier estimate. */
   estimate(nowMs: number): ReadonlyMap<WorkerName, SpeedEstimate> {
     this.#dropOld(nowMs);
     let residuals = this.#computeResiduals(nowMs);
@@ -164,39 +188,69 @@
       state,
       ...summarise(residuals.get(worker) ?? []),
     }));
-    const known = summaries.filter(({ weight }) => weight >= REFERENCE_WEIGHT);
-    const referenceLogSpeed = known.length < MINIMUM_REFERENCE_WORKERS
-      ? 0
-      : computeWeightedMedian(
-        known.map(({ mean }) => ({ value: mean, weight: 1 })),
-      );
+    const noise = measureNoise(residuals);
+    const referenceLogSpeed = this.#computeReference(summaries);
     return new Map(
       summaries.map(({ worker, state, mean, weight }) => [worker, {
         incarnationStartUnixMs: state.incarnationStartUnixMs,
         logSpeed: weight === 0 ? 0 : shrink(mean - referenceLogSpeed, weight),
         weight,
-        standardError: TASK_NOISE / Math.sqrt(weight + PRIOR_WEIGHT),
+        standardError: noise / Math.sqrt(weight + PRIOR_WEIGHT),
       }]),
     );
   }
 
+  /**
+   * The level of the present solution that corresponds to the usual worker. Rates show only ratios
+   * of speeds, and the workers with samples may be mostly slow or fast ones. So the solution is first
+   * fitted to what is remembered of its workers; the median of all remembered ones is the usual one.
+   */
+  #computeReference(
+    summaries: readonly {
+      readonly state: WorkerState;
+      readonly mean: number;
+      readonly weight: number;
+    }[],
+  ): number {
+    const known = summaries.filter(({ weight }) => weight >= REFERENCE_WEIGHT);
+    if (known.length < MINIMUM_REFERENCE_WORKERS) return 0;
+    const shift = computeMedian(
+      known.flatMap(({ state, mean }) =>
+        state.knownLogSpeed === undefined ? [] : [mean - state.knownLogSpeed]
+      ),
+    ) ?? 0;
+    for (const { state, mean } of known) state.knownLogSpeed = mean - shift;
+    const remembered = [...this.#workers.values()].flatMap((state) =>
+      state.knownLogSpeed === undefined ? [] : [state]
+    );
+    const usual = computeMedian(
+      remembered.map(({ knownLogSpeed = 0 }) => knownLogSpeed),
+    ) ?? 0;
+    for (const state of remembered) {
+      state.knownLogSpeed = (state.knownLogSpeed ?? 0) - usual;
+    }
+    return shift + usual;
+  }
+
   #openWorker(worker: WorkerName, incarnationStartUnixMs: number): WorkerState {
     const known = this.#workers.get(worker);
     if (known?.incarnationStartUnixMs === incarnationStartUnixMs) return known;
-    if (known !== undefined) this.delete(worker);
+    if (known !== undefined) this.#delete(worker);
     const state: WorkerState = {
       incarnationStartUnixMs,
       changedMs: Number.NEGATIVE_INFINITY,
       earlier: undefined,
       logSpeed: 0,
+      knownLogSpeed: undefined,
     };
     this.#workers.set(worker, state);
     return state;
   }
 
-  #dropSamples(isDropped: (stored: StoredSample) => boolean): void {
-    for (const [key, stored] of this.#samples) {
-      if (isDropped(stored)) this.#samples.delete(key);
+  #delete(worker: WorkerName): void {
+    this.#workers.delete(worker);
+    for (const [key, { sample }] of this.#samples) {
+      if (sample.worker === worker) this.#samples.delete(key);
     }
   }
 
@@ -206,14 +260,6 @@
       if (!isExcess && nowMs - atMs <= MAXIMUM_AGE_MS) break;
       this.#samples.delete(key);
     }
-    const sampled = new Set(
-      [...this.#samples.values()].map(({ sample }) => sample.worker),
-    );
-    for (const [worker, { earlier }] of this.#workers) {
-      const isUsed = sampled.has(worker) ||
-        earlier !== undefined && nowMs - earlier.atMs <= MAXIMUM_AGE_MS;
-      if (!isUsed) this.#workers.delete(worker);
-    }
   }
 
   /** Logarithms of the tasks' rates relative to their steps, by worker. */
@@ -235,7 +281,7 @@
     for (const step of steps.values()) this.#compareStep(step, nowMs, add);
     for (const [worker, { earlier, changedMs }] of this.#workers) {
       if (earlier === undefined || earlier.atMs < changedMs) continue;
-      if (nowMs - earlier.atMs > MAXIMUM_AGE_MS) continue;
+      if (nowMs - earlier.atMs > MAXIMUM_EARLIER_AGE_MS) continue;
       const { estimate: { logSpeed, weight }, atMs } = earlier;
       add(worker, {
         value: logSpeed,
@@ -300,6 +346,23 @@
   }
 }
 
+/** The noise of the tasks' lengths, from the differences between samples of the same worker. */
+function measureNoise(
+  byWorker: ReadonlyMap<WorkerName, readonly Residual[]>,
+): number {
+  const deviations = [...byWorker.values()].flatMap((residuals) => {
+    if (residuals.length < NOISE_SAMPLES_OF_WORKER) return [];
+    const { mean } = summarise(residuals);
+    // The mean of few samples is close to each of them.
+    const factor = Math.sqrt(residuals.length / (residuals.length - 1));
+    return residuals.map(({ value }) => factor * Math.abs(value - mean));
+  });
+  if (deviations.length < NOISE_SAMPLES) return TASK_NOISE;
+  const noise = LEVEL_FACTOR * DEVIATION_FACTOR *
+    (computeMedian(deviations) ?? TASK_NOISE);
+  return Math.min(MAXIMUM_NOISE, Math.max(MINIMUM_NOISE, noise));
+}
+
 /** Share of its weight that a sample of this age has left. */
 function computeDecay(ageMs: number): number {
   return 2 ** (-Math.max(0, ageMs) / HALF_LIFE_MS);
--- a/packages/policy/cell/speeds/speed_fit_test.ts
+++ b/packages/policy/cell/speeds/speed_fit_test.ts
@@ -153,6 +153,44 @@
     expect(place(workers, unit)).to.deep.equal({ gang: ["a", "b"] });
   });
 
+  // Guards against urgent gangs on workers that turn out slow as soon as they are measured.
+  it("run a gang that needs speed on measured ones first", () => {
+    const unmeasured = { isSpeedMeasured: false };
+    const workers = [
+      worker("a", 1, unmeasured),
+      worker("b", 1, unmeasured),
+      worker("c", 1.5),
+      worker("d", 1.5),
+      worker("e", 0.6),
+    ];
+    const unit = waiting("gang", GANG, { minimumSpeed: 0.8 });
+    expect(place(workers, unit)).to.deep.equal({ gang: ["c", "d"] });
+    const wide = waiting("gang", { ...GANG, count: 4 }, { minimumSpeed: 0.8 });
+    expect(place(workers, wide)).to.deep.equal({ gang: ["a", "b", "c", "d"] });
+  });
+
+  // Guards against workers whose speed stays unknown because no single task runs on them.
+  it("get at most two tasks of a step with slack each to measure them", () => {
+    const unmeasured = { isSpeedMeasured: false };
+    const workers = [
+      worker("a", 0.6),
+      worker("b", 1, unmeasured),
+      worker("c", 1),
+    ];
+    const units = Array.from(
+      { length: 4 },
+      (_, index) =>
+        waiting(`task ${index}`, {
+          need: { ...STEP.need, accelerators: 1 },
+        }, { stepKey: "step" }),
+    );
+    const placed = place(workers, ...units);
+    expect(Object.values(placed).flat()).to.deep.equal(["b", "b", "a", "a"]);
+    const alike = workers.map((view) => ({ ...view, speed: 1 }));
+    const names = Object.values(place(alike, ...units)).flat();
+    expect(new Set(names).size).to.equal(1);
+  });
+
   // Guards against a change of plans in deployments whose workers are alike.
   it("are placed on as without speeds if the speeds are equal", () => {
     const arbitraryWorkers = fc.array(
--- a/packages/policy/cell/speeds/statistics.ts
+++ b/packages/policy/cell/speeds/statistics.ts
@@ -32,3 +32,11 @@
   }
   return sorted.at(-1)?.value ?? Number.NaN;
 }
+
+/** Undefined without values. */
+export function computeMedian(values: readonly number[]): number | undefined {
+  if (values.length === 0) return undefined;
+  return computeWeightedMedian(
+    values.map((value) => ({ value, weight: 1 })),
+  );
+}
--- a/packages/policy/cell/types.ts
+++ b/packages/policy/cell/types.ts
@@ -92,6 +92,8 @@
   readonly slowness: number;
   /** Estimated speed relative to the usual worker, in few classes; 1 where not known. */
   readonly speed: number;
+  /** Whether enough samples support `speed`; undefined for all workers if it is given. */
+  readonly isSpeedMeasured?: boolean | undefined;
   /** Number of tasks on it by `{job}.{occurrence}.{step}`, for `maximumPerWorker`. */
   readonly tasksByStep: ReadonlyMap<string, number>;
 }
