Give runs on slow workers more time before they count as stalled

Cause: a task on a worker of speed 0.6 takes longer for each percent, so that a long task could count as stalled, and its worker be quarantined, for being slow.

--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -29,6 +29,7 @@
 import type { TableFollower } from "./table_follower.ts";
 import { DIRECTORY_PERIOD_MS } from "./worker_directory.ts";
 import { WorkerFleet } from "./worker_fleet.ts";
+import type { WorkerSession } from "./worker_session.ts";
 import { SessionEventHandler } from "./session_event_handler.ts";
 import { SpeedTracker } from "./speeds/speed_tracker.ts";
 import { SpeedsWriter } from "./speeds/speeds_writer.ts";
@@ -334,7 +335,8 @@
 
   /** Stops a run that makes no progress and quarantines its workers. */
   #closeIfStalled(unit: Unit): void {
-    if (!isStalled(unit)) return;
+    const getSpeed = (session: WorkerSession) => this.#speeds.getSpeed(session);
+    if (!isStalled(unit, getSpeed)) return;
     const sessions = [...unit.run?.taskRuns.values() ?? []];
     sessions.forEach((session) => session.pause(QUARANTINE_MS));
     this.#runs.close(unit, "no progress");
