--- a/scripts/bench_days/cell_model.ts
+++ b/scripts/bench_days/cell_model.ts
@@ -5,8 +5,11 @@
  */
 import {
   brandId,
+  type Clock,
   type FailureDomainName,
+  nextInteger,
   type RackName,
+  SeededRandom,
   type WorkerName,
 } from "@coltsfootpond/common";
 import type { CellResources, WorkerView } from "@coltsfootpond/policy";
@@ -19,6 +22,8 @@
   type Unit,
   type UnitRun,
 } from "../../packages/node/cell/live_job.ts";
+import { SILENT_LOG } from "../../packages/node/cell/log.ts";
+import { SpeedTracker } from "../../packages/node/cell/speeds/speed_tracker.ts";
 import { computeCoreSeconds } from "../../packages/node/cell/plan_input.ts";
 import { computeAvailability } from "../../packages/node/cell/worker_availability.ts";
 import type { WorkerSession } from "../../packages/node/cell/worker_session.ts";
@@ -38,9 +43,14 @@
 const REMOTE_SLOWDOWN_FACTOR = 3;
 const SLOW_WORKER_SHARE = 0.17;
 const WORKER_SLOWDOWN_FACTOR = 6.5;
+/** Of the drawing of the workers' speeds, which are the same on all days. */
+const SPEED_SEED = 1;
 /** Period of the progress reports, in simulated time. */
 const REPORT_PERIOD_MS = 1_000;
 
+/** Which speeds a policy sees: 1 for all workers, those estimated from reports, or the actual ones. */
+export type SpeedSource = "none" | "estimated" | "known";
+
 /** How a simulated run ended. */
 export type ModelRunEnd = "done" | "failed" | "stopped";
 
@@ -48,7 +58,10 @@
   readonly worker: WorkerName;
   readonly rack: RackName;
   readonly failureDomain: FailureDomainName;
+  readonly speed: number;
   readonly taskRuns: Set<TaskRun>;
+  /** What the estimates of speeds need of a session. */
+  readonly session: WorkerSession;
   isSlow: boolean;
   isOut: boolean;
 }
@@ -94,6 +107,9 @@
   readonly #workers = new Map<WorkerName, ModelWorker>();
   readonly #runs = new Map<Unit, ModelRun>();
   readonly #savedProgressMs = new Map<Unit, number>();
+  readonly #unitByTaskRun = new WeakMap<TaskRun, Unit>();
+  readonly #speeds: SpeedTracker;
+  #nowMs = 0;
   #nextRunNumber = 1;
   #nextReportMs = 0;
 
@@ -102,13 +118,34 @@
     this.#deployment = deployment;
     const { workers, workersPerRack, failureDomains } = deployment;
     const racks = listRacks(deployment);
+    const speeds = deployment.speeds.length;
+    const random = SeededRandom.create(SPEED_SEED);
+    this.#speeds = SpeedTracker.create({
+      epoch: 1,
+      clock: { nowMs: () => this.#nowMs } as Clock,
+      nowUnixMs: () => this.#nowMs,
+      log: SILENT_LOG,
+      getUnit: (taskRun) => this.#unitByTaskRun.get(taskRun),
+    });
     for (let number = 0; number < workers; number++) {
       const worker = brandId<WorkerName>(`worker-${number}`);
+      const rack = racks[Math.floor(number / workersPerRack)] ?? racks[0]!;
+      const taskRuns = new Set<TaskRun>();
       this.#workers.set(worker, {
         worker,
-        rack: racks[Math.floor(number / workersPerRack)] ?? racks[0]!,
+        rack,
         failureDomain: brandId(`domain-${number % failureDomains}`),
-        taskRuns: new Set(),
+        speed: deployment.speeds[nextInteger(random, speeds)] ?? 1,
+        taskRuns,
+        session: {
+          worker,
+          incarnationStartUnixMs: 1,
+          hasReported: true,
+          record: { rack },
+          get taskRuns() {
+            return [...taskRuns];
+          },
+        } as unknown as WorkerSession,
         isSlow: false,
         isOut: false,
       });
@@ -124,12 +161,28 @@
   }
 
   /** The workers that are in service, with their free capacity. */
-  createWorkerViews(): WorkerView[] {
+  createWorkerViews(speedSource: SpeedSource): WorkerView[] {
     return [...this.#workers.values()].filter(({ isOut }) => !isOut).map(
-      createWorkerView,
+      (worker) => ({
+        ...createWorkerView(worker, this.#getViewSpeed(worker, speedSource)),
+        isSpeedMeasured: speedSource === "estimated"
+          ? this.#speeds.isMeasured(worker.session)
+          : undefined,
+      }),
     );
   }
 
+  #getViewSpeed(worker: ModelWorker, source: SpeedSource): number {
+    switch (source) {
+      case "none":
+        return 1;
+      case "estimated":
+        return this.#speeds.getSpeed(worker.session);
+      case "known":
+        return getActualSpeed(worker);
+    }
+  }
+
   /** Starts a run of the unit on the named workers, one for each task. */
   start(
     unit: Unit,
@@ -148,7 +201,10 @@
     };
     for (const [index, worker] of workers.entries()) {
       const taskRun = createTaskRun(unit, index, run.run);
-      run.taskRuns.set(taskRun, { worker: worker.worker } as WorkerSession);
+      run.taskRuns.set(taskRun, worker.session);
+      this.#unitByTaskRun.set(taskRun, unit);
+      // As if a checkpoint were named otherwise, from which the run continues.
+      if (!this.#savedProgressMs.has(unit)) taskRun.startSentMs = nowMs;
       worker.taskRuns.add(taskRun);
     }
     unit.run = run;
@@ -187,6 +243,7 @@
 
   /** Advances all runs by `stepMs`; returns the runs that ended, in the order of their starts. */
   advance(nowMs: number, stepMs: number): readonly EndedRun[] {
+    this.#nowMs = nowMs;
     this.#applyDisturbance(nowMs);
     const ended: EndedRun[] = [];
     for (const running of this.#runs.values()) {
@@ -198,6 +255,10 @@
       for (const running of this.#runs.values()) {
         report(running, nowMs);
       }
+      for (const { session } of this.#workers.values()) {
+        this.#speeds.recordReport(session);
+      }
+      this.#speeds.update(() => true);
     }
     return ended;
   }
@@ -219,6 +280,16 @@
   #finish(running: ModelRun, end: ModelRunEnd): EndedRun {
     const { unit, run, workers, progressAtStartMs, progressMs } = running;
     this.#runs.delete(unit);
+    if (end === "done") {
+      for (const [taskRun, session] of run.taskRuns) {
+        const { task } = taskRun;
+        this.#speeds.recordEnd(
+          session,
+          { sequence: 0, task, run: run.run, end, checkpoint: "" },
+          taskRun,
+        );
+      }
+    }
     for (const worker of workers) {
       for (const taskRun of run.taskRuns.keys()) {
         worker.taskRuns.delete(taskRun);
@@ -242,7 +313,11 @@
   }
 }
 
-function createWorkerView(worker: ModelWorker): WorkerView {
+function getActualSpeed({ speed, isSlow }: ModelWorker): number {
+  return speed / (isSlow ? WORKER_SLOWDOWN_FACTOR : 1);
+}
+
+function createWorkerView(worker: ModelWorker, speed: number): WorkerView {
   return {
     worker: worker.worker,
     service: SERVICE,
@@ -252,7 +327,7 @@
     capacity: WORKER_CAPACITY,
     ...computeAvailability(WORKER_CAPACITY, worker.taskRuns),
     slowness: 1,
-    speed: 1,
+    speed,
   };
 }
 
@@ -266,11 +341,8 @@
     running.remainingDelayMs -= stepMs;
     return undefined;
   }
-  const workerSlowdownFactor = running.workers.some(({ isSlow }) => isSlow)
-    ? WORKER_SLOWDOWN_FACTOR
-    : 1;
-  running.progressMs += stepMs / workerSlowdownFactor /
-    running.remoteSlowdownFactor;
+  const slowestSpeed = Math.min(...running.workers.map(getActualSpeed));
+  running.progressMs += stepMs * slowestSpeed / running.remoteSlowdownFactor;
   if (running.progressMs >= running.failsAtProgressMs) return "failed";
   return running.progressMs >= running.requiredProgressMs ? "done" : undefined;
 }
--- a/scripts/bench_days/deployments.ts
+++ b/scripts/bench_days/deployments.ts
@@ -33,6 +33,8 @@
   readonly stopDelayMs: number;
   /** Delay of a start from saved progress, in addition to that of every start. */
   readonly restoreDelayMs: number;
+  /** The speeds of the workers, equally frequent; a worker of speed 1 has the reference speed. */
+  readonly speeds: readonly number[];
   readonly kinds: Readonly<Record<"large" | "urgent" | "wide", KindFigures>>;
 }
 
@@ -58,6 +60,7 @@
   startDelayMs: 20,
   stopDelayMs: 100,
   restoreDelayMs: 600,
+  speeds: [1],
   kinds: {
     large: {
       arrivalsPerS: 0.4,
@@ -96,6 +99,7 @@
   startDelayMs: 60,
   stopDelayMs: 700,
   restoreDelayMs: 100,
+  speeds: [1],
   kinds: {
     large: {
       arrivalsPerS: 3,
@@ -124,7 +128,26 @@
   },
 };
 
-export const DEPLOYMENTS = { small: SMALL, large: LARGE } as const;
+/** Workers of unequal speeds in every rack, with about the load that they can just serve. */
+const UNEVEN: Deployment = {
+  ...LARGE,
+  name: "uneven",
+  workers: 192,
+  guaranteedShare: 0.05,
+  organisations: LARGE.organisations.slice(0, 10),
+  speeds: [0.6, 1, 1.6],
+  kinds: {
+    large: { ...LARGE.kinds.large, arrivalsPerS: 1 },
+    urgent: { ...LARGE.kinds.urgent, arrivalsPerS: 4.5 },
+    wide: { ...LARGE.kinds.wide, arrivalsPerS: 0.9, runMs: 7_000 },
+  },
+};
+
+export const DEPLOYMENTS = {
+  small: SMALL,
+  large: LARGE,
+  uneven: UNEVEN,
+} as const;
 export type DeploymentName = keyof typeof DEPLOYMENTS;
 
 /** The racks of a deployment in the order of their workers; the last one may be smaller. */
--- a/scripts/bench_days/policies.ts
+++ b/scripts/bench_days/policies.ts
@@ -1,23 +1,30 @@
 /**
  * The policies that a day is replayed with: coltsfootpond's planner, the same planner without
- * headroom for urgent jobs, and baselines with another order of waiting units and without
- * evictions.
+ * headroom for urgent jobs, without speeds or with the actual speeds of the workers, and baselines
+ * with another order of waiting units and without evictions.
  */
 import {
+  countFitting,
+  createWorkerCapacity,
+  isEligible,
   planRound,
   RANK_TIER,
   type RoundPlan,
+  subtractFit,
   type WaitingUnit,
+  type WorkerCapacity,
 } from "@coltsfootpond/policy";
 import {
   createPlanInput,
   type PlanInputOptions,
 } from "../../packages/node/cell/plan_input.ts";
+import type { SpeedSource } from "./cell_model.ts";
 import type { Unit } from "../../packages/node/cell/live_job.ts";
 
 /** A named policy that plans one round from the same input as the lease holder's planner. */
 export interface DayPolicy {
   readonly name: string;
+  readonly speeds: SpeedSource;
   decide(options: PlanInputOptions): RoundPlan<Unit>;
 }
 
@@ -31,6 +38,7 @@
 ): DayPolicy {
   return {
     name,
+    speeds: "none",
     decide: (options) => {
       const input = createPlanInput(options);
       const waiting = input.waiting.map((unit) => ({
@@ -45,17 +53,53 @@
   };
 }
 
+function planAsPresent(options: PlanInputOptions): RoundPlan<Unit> {
+  return planRound(createPlanInput(options));
+}
+
+/** Places units in the order of their jobs on the first workers with room; evicts nothing. */
+function planFirstFit(options: PlanInputOptions): RoundPlan<Unit> {
+  const { waiting, workers } = createPlanInput(options);
+  const capacities = workers.map(createWorkerCapacity);
+  const placements = waiting.flatMap((request) => {
+    const { isGang, isRackBound, dataRack } = request.step;
+    const racks = isGang && isRackBound && !request.allowRemote
+      ? new Set(workers.map(({ rack }) => rack))
+      : [request.allowRemote ? undefined : dataRack];
+    for (const rack of racks) {
+      const chosen = capacities.filter(({ view }) =>
+        rack === undefined || view.rack === rack
+      ).flatMap((capacity) =>
+        isEligible(capacity.view, request)
+          ? Array<WorkerCapacity>(Math.max(0, countFitting(capacity, request)))
+            .fill(capacity)
+          : []
+      ).slice(0, request.count);
+      if (chosen.length < request.count) continue;
+      subtractFit({ capacities: chosen, isRemote: false }, request);
+      const names = chosen.map(({ view }) => view.worker);
+      return [{ unit: request.unit, workers: names }];
+    }
+    return [];
+  });
+  return { placements, evictions: [] };
+}
+
 /** The policies to compare; `present` is the planner as it runs in production. */
 export const POLICIES: readonly DayPolicy[] = [
-  { name: "present", decide: (options) => planRound(createPlanInput(options)) },
+  { name: "present", speeds: "estimated", decide: planAsPresent },
+  { name: "speed_oracle", speeds: "known", decide: planAsPresent },
+  { name: "no_speeds", speeds: "none", decide: planAsPresent },
   {
     name: "no_headroom",
+    speeds: "estimated",
     decide: (options) =>
       planRound({
         ...createPlanInput(options),
         urgentHeadroom: new Map(),
       }),
   },
+  { name: "first_fit", speeds: "none", decide: planFirstFit },
   createBaseline("first_come", ({ unit }) => unit.job.spec.acceptedUnixMs),
   createBaseline("shortest", ({ step }) => step.estimateMs),
   createBaseline(
--- a/scripts/bench_days/replay.ts
+++ b/scripts/bench_days/replay.ts
@@ -188,7 +188,7 @@
     const startMs = performance.now();
     const plan = this.#policy.decide({
       jobs: [...this.#jobs.values()].map(({ live }) => live),
-      workers: this.#cell.createWorkerViews(),
+      workers: this.#cell.createWorkerViews(this.#policy.speeds),
       guarantees: this.#guarantees,
       nowMs,
       nowUnixMs: nowMs,
--- a/scripts/bench_days/replay_test.ts
+++ b/scripts/bench_days/replay_test.ts
@@ -5,9 +5,8 @@
 import { replayDay } from "./replay.ts";
 import { type JobResult, scoreDay, scoreUnbounded } from "./score.ts";
 
-/** A quarter of the large deployment, with a quarter of its arrivals. */
-function createQuarter(): Deployment {
-  const { large } = DEPLOYMENTS;
+/** A quarter of a deployment, with a quarter of its arrivals. */
+function createQuarter(large: Deployment): Deployment {
   const quarter = <Kind extends { readonly arrivalsPerS: number }>(
     kind: Kind,
   ) => ({ ...kind, arrivalsPerS: kind.arrivalsPerS / 4 });
@@ -55,13 +54,31 @@
     expect(share(1, "failed")).to.equal(0);
   });
 
+  // Guards against speeds that are estimated but not used well, or used although they are wrong.
+  it("earns more with estimated speeds of workers than without, and less than with the actual ones", () => {
+    const [present, withoutSpeeds, oracle] = [
+      "present",
+      "no_speeds",
+      "speed_oracle",
+    ].map((name) =>
+      replayDay(
+        POLICIES.find((policy) => policy.name === name)!,
+        LOAD.STEADY,
+        1,
+        createQuarter(DEPLOYMENTS.uneven),
+      )
+    );
+    expect(present!.worth).to.be.greaterThan(withoutSpeeds!.worth);
+    expect(oracle!.worth).to.be.greaterThan(present!.worth);
+  });
+
   it("evicts less and earns more with headroom when urgent gangs arrive on a full cell whose tasks stop slowly", () => {
     const [present, withoutHeadroom] = ["present", "no_headroom"].map((name) =>
       replayDay(
         POLICIES.find((policy) => policy.name === name)!,
         LOAD.URGENT_BURST,
         1,
-        createQuarter(),
+        createQuarter(DEPLOYMENTS.large),
       )
     );
     expect(present!.evictions).to.be.lessThan(withoutHeadroom!.evictions / 2);
