--- a/packages/node/cell/cell_entry.ts
+++ b/packages/node/cell/cell_entry.ts
@@ -235,6 +235,9 @@
       workers: counts?.workers ?? 0,
       reachableWorkers: counts?.reachableWorkers ?? 0,
       urgentHeadroom: counts?.urgentHeadroom ?? 0,
+      slowWorkers: counts?.slowWorkers ?? 0,
+      fastWorkers: counts?.fastWorkers ?? 0,
+      measuredWorkers: counts?.measuredWorkers ?? 0,
     };
   }
 
--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -201,6 +201,7 @@
       reachableWorkers: sessions.filter(({ isReachable }) => isReachable)
         .length,
       urgentHeadroom: this.#urgentHeadroom,
+      ...this.#speeds.countWorkers(),
     };
   }
 
--- a/packages/node/cell/meters/cell_meters.ts
+++ b/packages/node/cell/meters/cell_meters.ts
@@ -35,6 +35,9 @@
   readonly workers: number;
   readonly reachableWorkers: number;
   readonly urgentHeadroom: number;
+  readonly slowWorkers: number;
+  readonly fastWorkers: number;
+  readonly measuredWorkers: number;
 }
 
 /** The metrics of one process. */
@@ -165,6 +168,18 @@
         "Accelerators that other work leaves to urgent jobs.",
         ({ urgentHeadroom }) => urgentHeadroom,
       ],
+      slow_workers: [
+        "Workers slower than usual.",
+        ({ slowWorkers }) => slowWorkers,
+      ],
+      fast_workers: [
+        "Workers faster than usual.",
+        ({ fastWorkers }) => fastWorkers,
+      ],
+      measured_workers: [
+        "Workers whose speed enough tasks have shown.",
+        ({ measuredWorkers }) => measuredWorkers,
+      ],
     };
     for (const [name, [help, read]] of Object.entries(gauges)) {
       const readGauges = () => this.#readGauges?.();
--- a/packages/node/cell/meters/cell_meters_test.ts
+++ b/packages/node/cell/meters/cell_meters_test.ts
@@ -31,6 +31,9 @@
       workers: 33,
       reachableWorkers: 32,
       urgentHeadroom: 12,
+      slowWorkers: 5,
+      fastWorkers: 6,
+      measuredWorkers: 20,
     }));
     waitingJobs = 7;
     const lines = (await meters.format()).split("\n");
@@ -45,6 +48,9 @@
         "coltsfootpond_state_age_seconds 1.5",
         "coltsfootpond_waiting_jobs 7",
         "coltsfootpond_urgent_headroom 12",
+        "coltsfootpond_slow_workers 5",
+        "coltsfootpond_fast_workers 6",
+        "coltsfootpond_measured_workers 20",
       ]
     ) expect(lines).to.include(line);
     expect(lines.some((line) => line.includes("front-1"))).to.equal(false);
--- a/packages/node/cell/speeds/speed_tracker.ts
+++ b/packages/node/cell/speeds/speed_tracker.ts
@@ -101,6 +101,18 @@
     return this.#measured.get(worker) === incarnationStartUnixMs;
   }
 
+  /** Counts the workers that are slower or faster than usual, and the measured ones. */
+  countWorkers() {
+    const classes = [...this.#classes.values()].map(({ speedClass }) =>
+      speedClass
+    );
+    return {
+      slowWorkers: classes.filter((value) => value < USUAL_CLASS).length,
+      fastWorkers: classes.filter((value) => value > USUAL_CLASS).length,
+      measuredWorkers: this.#measured.size,
+    };
+  }
+
   /** Workers of other classes than the usual one. */
   listClassified(): readonly ClassifiedWorker[] {
     return [...this.#classes.values()];
--- a/scripts/mutations/mutations.ts
+++ b/scripts/mutations/mutations.ts
@@ -5,6 +5,7 @@
 import { CELL_MUTATIONS } from "./cell_mutations.ts";
 import { CRASH_MUTATIONS } from "./crash_mutations.ts";
 import { DUPLICATE_RUN_MUTATIONS } from "./duplicate_run_mutations.ts";
+import { SPEED_MUTATIONS } from "./speed_mutations.ts";
 import { STATE_MUTATIONS } from "./state_mutations.ts";
 import type { Mutation } from "./types.ts";
 import { WORKER_CONNECTION_MUTATIONS } from "./worker_connection_mutations.ts";
@@ -230,6 +231,7 @@
   ...STATE_MUTATIONS,
   ...CELL_MUTATIONS,
   ...CRASH_MUTATIONS,
+  ...SPEED_MUTATIONS,
   ...DUPLICATE_RUN_MUTATIONS,
   ...WORKER_CONNECTION_MUTATIONS,
 ];
