Test the frequency of writes of speeds with several changes

Cause: with coarser classes, one worker changed its class only once in the test, so that a holder that writes at each change passed it.

Two workers stop at different times. The test failed without the least period and when an unchanged row was written again.

--- a/packages/node/cell/speeds/speeds_row_test.ts
+++ b/packages/node/cell/speeds/speeds_row_test.ts
@@ -91,8 +91,13 @@
     };
     simulation.startScheduler();
     await submitWideJob(simulation);
-    await simulation.clock.advance(29_000);
-    expect(writtenMs.length).to.be.within(1, 3);
+    await simulation.clock.advance(9_000);
+    for (const name of ["b", "c"]) {
+      simulation.get(name).stalledFromMs = simulation.clock.nowMs();
+      await simulation.clock.advance(2_000);
+    }
+    await simulation.clock.advance(16_000);
+    expect(writtenMs.length).to.be.within(2, 5);
     const periodsMs = writtenMs.slice(1).map((ms, index) =>
       ms - writtenMs[index]!
     );
