--- a/packages/node/cell/cell_entry.ts
+++ b/packages/node/cell/cell_entry.ts
@@ -255,6 +255,9 @@
       reachableWorkers: counts?.reachableWorkers ?? 0,
       urgentHeadroom: counts?.urgentHeadroom ?? 0,
       organisations: counts?.organisations ?? [],
+      slowWorkers: counts?.slowWorkers ?? 0,
+      fastWorkers: counts?.fastWorkers ?? 0,
+      measuredWorkers: counts?.measuredWorkers ?? 0,
     };
   }
 
--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -28,14 +28,16 @@
 import { QuotaWaitLog } from "./quotas/quota_wait_log.ts";
 import { findAccountOfEnded } from "./quotas/run_account.ts";
 import { ProgressWriter } from "./progress_writer.ts";
-import { LOAD_KEY } from "./rows.ts";
+import { LOAD_KEY, SPEEDS_KEY } from "./rows.ts";
 import { RunRegistry } from "./run_registry.ts";
 import { isIncomplete, isStalled } from "./run_checks.ts";
 import type { TableFollower } from "./table_follower.ts";
 import { DIRECTORY_PERIOD_MS } from "./worker_directory.ts";
 import { WorkerFleet } from "./worker_fleet.ts";
+import type { WorkerSession } from "./worker_session.ts";
 import { SessionEventHandler } from "./session_event_handler.ts";
 import { SpeedTracker } from "./speeds/speed_tracker.ts";
+import { SpeedsWriter } from "./speeds/speeds_writer.ts";
 import { QUARANTINE_MS } from "./worker_quarantine.ts";
 
 /** Changes within this time are handled in one round. */
@@ -84,6 +86,7 @@
   readonly #writer: ProgressWriter;
   readonly #crashes: CrashTracker;
   readonly #speeds: SpeedTracker;
+  readonly #speedsWriter: SpeedsWriter;
   readonly #endedJobs: EndedJobCollector;
   readonly #begunJobs: BegunJobsWriter;
   readonly #load: LoadPublisher;
@@ -146,6 +149,7 @@
       ...options,
       getUnit: (taskRun) => this.#runs.getUnit(taskRun),
     });
+    this.#speedsWriter = SpeedsWriter.create(options);
     const events = SessionEventHandler.create({
       ...options,
       speeds: this.#speeds,
@@ -162,7 +166,10 @@
       heartbeatMs: settings.workerHeartbeatMs,
       isOut: (failureDomain) => declared.isOut(failureDomain),
       listener: events,
-      getSpeed: (session) => this.#speeds.getSpeed(session),
+      getSpeed: (session) => ({
+        speed: this.#speeds.getSpeed(session),
+        isSpeedMeasured: this.#speeds.isMeasured(session),
+      }),
       onChanged: () => this.#requestRound(),
     });
     this.#quotaWaits = QuotaWaitLog.create(options.log);
@@ -186,6 +193,7 @@
     const { follower, declared } = this.#options;
     await this.#awaitRows();
     if (this.#isStopped) return;
+    this.#speeds.readStored(follower.get(SPEEDS_KEY)?.value);
     this.#applyRows(follower.rows());
     this.#quotas.recordEarlierPlacements();
     this.#subscription = follower.changes.subscribe((rows) => {
@@ -227,6 +235,7 @@
         this.#quotas.countUsage(),
         jobs,
       ),
+      ...this.#speeds.countWorkers(),
     };
   }
 
@@ -261,7 +270,7 @@
       clock.every(BEGUN_PERIOD_MS, () => void this.#writeBegun()),
       clock.every(LOAD_PERIOD_MS, () => void this.#publishLoad()),
       clock.every(COLLECT_PERIOD_MS, () => void this.#collectEnded()),
-      clock.every(SPEEDS_PERIOD_MS, () => this.#updateSpeeds()),
+      clock.every(SPEEDS_PERIOD_MS, () => void this.#updateSpeeds()),
     );
     this.#requestRound();
   }
@@ -343,8 +352,12 @@
     }
   }
 
-  #updateSpeeds(): void {
-    if (this.#speeds.update()) this.#requestRound();
+  async #updateSpeeds(): Promise<void> {
+    const isKnown = (worker: WorkerName) =>
+      this.#fleet.get(worker) !== undefined;
+    if (this.#speeds.update(isKnown)) this.#requestRound();
+    if (!this.#options.canAct()) return;
+    await this.#speedsWriter.write(this.#speeds.listClassified());
   }
 
   async #writeBegun(): Promise<void> {
@@ -377,7 +390,8 @@
 
   /** Stops a run that makes no progress and quarantines its workers. */
   #closeIfStalled(unit: Unit): void {
-    if (!isStalled(unit)) return;
+    const getSpeed = (session: WorkerSession) => this.#speeds.getSpeed(session);
+    if (!isStalled(unit, getSpeed)) return;
     const sessions = [...unit.run?.taskRuns.values() ?? []];
     sessions.forEach((session) => session.pause(QUARANTINE_MS));
     this.#runs.close(unit, "no progress");
--- a/packages/node/cell/meters/cell_meters_test.ts
+++ b/packages/node/cell/meters/cell_meters_test.ts
@@ -40,6 +40,9 @@
         guaranteedAccelerators: 48,
         waitingJobs: 3,
       }],
+      slowWorkers: 5,
+      fastWorkers: 6,
+      measuredWorkers: 20,
     }));
     waitingJobs = 7;
     const lines = (await meters.format()).split("\n");
@@ -60,6 +63,9 @@
         'coltsfootpond_organisation_weight{organisation="o"} 2.5',
         'coltsfootpond_organisation_guaranteed_accelerators{organisation="o"} 48',
         'coltsfootpond_organisation_waiting_jobs{organisation="o"} 3',
+        "coltsfootpond_slow_workers 5",
+        "coltsfootpond_fast_workers 6",
+        "coltsfootpond_measured_workers 20",
       ]
     ) expect(lines).to.include(line);
     expect(lines.some((line) => line.includes("front-1"))).to.equal(false);
--- a/scripts/bench_days/replay.ts
+++ b/scripts/bench_days/replay.ts
@@ -241,7 +241,7 @@
   #createPlanOptions(nowMs: number): PlanInputOptions {
     return {
       jobs: [...this.#jobs.values()].map(({ live }) => live),
-      workers: this.#cell.createWorkerViews(),
+      workers: this.#cell.createWorkerViews(this.#policy.speeds),
       guarantees: this.#guarantees,
       nowMs,
       nowUnixMs: nowMs,
--- a/scripts/mutations/mutations.ts
+++ b/scripts/mutations/mutations.ts
@@ -8,6 +8,7 @@
 import { DUPLICATE_RUN_MUTATIONS } from "./duplicate_run_mutations.ts";
 import { QUOTA_MUTATIONS } from "./quota_mutations.ts";
 import { EVICTION_MUTATIONS } from "./eviction_mutations.ts";
+import { SPEED_MUTATIONS } from "./speed_mutations.ts";
 import { STATE_MUTATIONS } from "./state_mutations.ts";
 import type { Mutation } from "./types.ts";
 import { WORKER_CONNECTION_MUTATIONS } from "./worker_connection_mutations.ts";
@@ -233,6 +234,7 @@
   ...STATE_MUTATIONS,
   ...CELL_MUTATIONS,
   ...CRASH_MUTATIONS,
+  ...SPEED_MUTATIONS,
   ...DUPLICATE_RUN_MUTATIONS,
   ...QUOTA_MUTATIONS,
   ...ADMISSION_MUTATIONS,
