Refuse a job of which a unit is wider than the quota

Cause: a gang or a task that needs more than the quota of its organisation can never start; it was accepted and waited for ever.

--- a/packages/node/cell/callers/caller_filters.ts
+++ b/packages/node/cell/callers/caller_filters.ts
@@ -11,6 +11,7 @@
   RequestHead,
 } from "@coltsfootpond/ports";
 import { findOrganisation, findQueue } from "../declared_state_tracker.ts";
+import type { TooWideUnit } from "../quotas/quota_history.ts";
 import type { JobRepository } from "./job_repository.ts";
 
 /** A caller's request and what the filters have found out about it so far. */
@@ -45,6 +46,8 @@
   readonly codec: CallerCodec;
   readonly jobRepository: JobRepository;
   readonly getDeclaredState: () => DeclaredState | undefined;
+  /** The unit of the job that can never run under its organisation's quota. */
+  readonly findTooWide: (spec: CellJobSpec) => TooWideUnit | undefined;
   readonly nowUnixMs: () => number;
 }
 
@@ -56,6 +59,7 @@
   METHOD_NOT_ALLOWED: 405,
   GONE: 410,
   TOO_LARGE: 413,
+  TOO_MANY: 429,
   UNAVAILABLE: 503,
   TIMEOUT: 504,
 } as const;
@@ -63,6 +67,8 @@
 const JOB_ID_PATTERN = /^[0-9a-f]{16}$/i;
 /** The smallest value of the header, as callers wait only a few seconds in total. */
 const RETRY_AFTER_S = 1;
+/** Only operators can change a quota, which takes longer than callers repeat a submission. */
+const TOO_WIDE_RETRY_AFTER_S = 30;
 /**
  * Share of the caller's time-out after which a request with an unsettled write (its answer was
  * lost, so its effect is not known) is answered. The rest lets the caller retry, which settles the
@@ -150,7 +156,7 @@
 
 async function submit(
   request: CallerRequest,
-  { codec, jobRepository }: CallerFilterOptions,
+  { codec, jobRepository, findTooWide }: CallerFilterOptions,
   nowUnixMs: number,
 ): Promise<CallerAnswer> {
   const { queue, state, organisation } = request;
@@ -181,6 +187,10 @@
     allowanceMs: queue.allowanceMs,
     acceptedUnixMs: nowUnixMs,
   };
+  const tooWide = jobRepository.isKnown(spec.jobId)
+    ? undefined
+    : findTooWide(spec);
+  if (tooWide !== undefined) return refuseTooWide(tooWide);
   const outcome = await jobRepository.submit(spec, getDeadlineMs(request));
   switch (outcome.kind) {
     case "accepted":
@@ -248,6 +258,16 @@
   return receivedMs + callerTimeoutMs * UNSETTLED_TIMEOUT_SHARE;
 }
 
+function refuseTooWide(unit: TooWideUnit): CallerAnswer {
+  const reason = "a unit is wider than the quota";
+  return {
+    status: STATUS.TOO_MANY,
+    body: JSON.stringify({ error: reason, ...unit }),
+    retryAfterS: TOO_WIDE_RETRY_AFTER_S,
+    reason,
+  };
+}
+
 function unavailable(reason: string): CallerAnswer {
   return { status: STATUS.UNAVAILABLE, retryAfterS: RETRY_AFTER_S, reason };
 }
--- a/packages/node/cell/callers/caller_filters_fuzz_test.ts
+++ b/packages/node/cell/callers/caller_filters_fuzz_test.ts
@@ -122,6 +122,7 @@
       nowUnixMs: () => 0,
     }),
     getDeclaredState: () => STATE,
+    findTooWide: () => undefined,
     nowUnixMs: () => 0,
   });
   return async (input: Input): Promise<CallerAnswer | undefined> => {
--- a/packages/node/cell/callers/job_repository.ts
+++ b/packages/node/cell/callers/job_repository.ts
@@ -102,6 +102,11 @@
     return new JobRepository(options);
   }
 
+  /** Whether this entry knows a row of the job: a submission would not store it again. */
+  isKnown(jobId: CellJobId): boolean {
+    return this.#options.follower.get(jobKey(jobId)) !== undefined;
+  }
+
   /**
    * Stores the job. A repeated id is the same job, also after its end. Retries until `deadlineMs`
    * on the process's clock.
--- a/packages/node/cell/cell_entry.ts
+++ b/packages/node/cell/cell_entry.ts
@@ -19,6 +19,7 @@
 import { computeFollowDelayMs } from "./lease/entry_count_delays.ts";
 import { type LeaseChange, SchedulerLease } from "./lease/scheduler_lease.ts";
 import type { CellLog } from "./log.ts";
+import { QuotaHistory } from "./quotas/quota_history.ts";
 import type { CellMeters, GaugeValues } from "./meters/cell_meters.ts";
 import { createMeteredStore } from "./meters/metered_store.ts";
 import { PeerRowsPoller } from "./peer_rows_poller.ts";
@@ -61,6 +62,7 @@
   readonly #stateFollower: TableFollower;
   readonly #operatorsFollower: TableFollower;
   readonly #declared: DeclaredStateTracker;
+  readonly #quotaHistory: QuotaHistory;
   readonly #lease: SchedulerLease;
   readonly #server: CallerServer;
   readonly #relay: StoreRelay;
@@ -127,6 +129,7 @@
       recordDecoder: options.recordDecoder,
       log,
     });
+    this.#quotaHistory = QuotaHistory.create(clock);
     this.#lease = SchedulerLease.create({
       entry: settings.entry,
       incarnation: createUniqueId(),
@@ -154,6 +157,7 @@
         codec: options.callerCodec,
         jobRepository,
         getDeclaredState: () => this.#declared.current,
+        findTooWide: (spec) => this.#quotaHistory.findTooWide(spec),
         nowUnixMs,
       }),
       clock,
@@ -175,6 +179,7 @@
   async start(): Promise<void> {
     this.#lease.changes.subscribe((change) => this.#applyLeaseChange(change));
     this.#declared.changes.subscribe(() => {
+      this.#quotaHistory.record(this.#declared.current);
       const limits = this.#declared.current?.limits;
       if (limits === undefined) return;
       this.#server.setTimeouts(limits.headerTimeoutMs, limits.keepAliveMs);
