Log and measure quotas for operators

Cause: nothing told why a unit waits below the capacity of the cell, nor how much of its quota an organisation uses.

Change: `unit.waits_for_quota` with usage, requirement, quota and version, once for each wait and whenever the reason or the quota changes; gauges of what runs and waits for each organisation, its quota, weight and guarantee, for at most 32 organisations.

--- a/packages/node/cell/cell_entry.ts
+++ b/packages/node/cell/cell_entry.ts
@@ -240,6 +240,7 @@
       workers: counts?.workers ?? 0,
       reachableWorkers: counts?.reachableWorkers ?? 0,
       urgentHeadroom: counts?.urgentHeadroom ?? 0,
+      organisations: counts?.organisations ?? [],
     };
   }
 
--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -22,7 +22,9 @@
 import { describeUnit, mayStillRunUnreported, type Unit } from "./live_job.ts";
 import type { CellLog } from "./log.ts";
 import { createPlanInput } from "./plan_input.ts";
+import { createOrganisationGauges } from "./quotas/organisation_gauges.ts";
 import { OrganisationQuotas } from "./quotas/organisation_quotas.ts";
+import { QuotaWaitLog } from "./quotas/quota_wait_log.ts";
 import { findAccountOfEnded } from "./quotas/run_account.ts";
 import { ProgressWriter } from "./progress_writer.ts";
 import { RunRegistry } from "./run_registry.ts";
@@ -68,6 +70,7 @@
   readonly #runs: RunRegistry;
   readonly #fleet: WorkerFleet;
   readonly #quotas: OrganisationQuotas;
+  readonly #quotaWaits: QuotaWaitLog;
   readonly #writer: ProgressWriter;
   readonly #crashes: CrashTracker;
   readonly #endedJobs: EndedJobCollector;
@@ -142,6 +145,7 @@
       listener: events,
       onChanged: () => this.#requestRound(),
     });
+    this.#quotaWaits = QuotaWaitLog.create(options.log);
     this.#quotas = OrganisationQuotas.create({
       getDeclaredState: () => declared.current,
       listJobs: () => this.#jobs.jobs,
@@ -194,6 +198,11 @@
       reachableWorkers: sessions.filter(({ isReachable }) => isReachable)
         .length,
       urgentHeadroom: this.#urgentHeadroom,
+      organisations: createOrganisationGauges(
+        this.#options.declared.current,
+        this.#quotas.countUsage(),
+        jobs,
+      ),
     };
   }
 
@@ -289,7 +298,12 @@
       });
       this.#runs.close(unit, "evicted");
     }
+    this.#quotaWaits.recordWaits(
+      plan.quotaWaits ?? [],
+      declared.current.version,
+    );
     for (const { unit, workers } of plan.placements) {
+      this.#quotaWaits.recordStart(unit);
       this.#runs.place(unit, workers);
       this.#writer.mark(unit.job, true);
     }
--- a/packages/node/cell/meters/cell_meters.ts
+++ b/packages/node/cell/meters/cell_meters.ts
@@ -7,6 +7,8 @@
 import type { Clock } from "@coltsfootpond/common";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { CellLog, LogFields } from "../log.ts";
+import type { OrganisationGauges } from "../quotas/organisation_gauges.ts";
+import { registerOrganisationGauges } from "./organisation_meters.ts";
 
 const MS_PER_SECOND = 1_000;
 /** From a store at its usual 4 ms to one that takes its whole time-out. */
@@ -35,6 +37,7 @@
   readonly workers: number;
   readonly reachableWorkers: number;
   readonly urgentHeadroom: number;
+  readonly organisations: readonly OrganisationGauges[];
 }
 
 /** The metrics of one process. */
@@ -178,6 +181,10 @@
         },
       });
     }
+    registerOrganisationGauges(
+      this.#registry,
+      () => this.#readGauges?.().organisations,
+    );
     this.#registerProcess();
   }
 
--- a/packages/node/cell/meters/cell_meters_test.ts
+++ b/packages/node/cell/meters/cell_meters_test.ts
@@ -31,6 +31,14 @@
       workers: 33,
       reachableWorkers: 32,
       urgentHeadroom: 12,
+      organisations: [{
+        organisation: "o",
+        running: { cpuMilli: 0, memoryMib: 0, accelerators: 298 },
+        quota: undefined,
+        weight: 2.5,
+        guaranteedAccelerators: 48,
+        waitingJobs: 3,
+      }],
     }));
     waitingJobs = 7;
     const lines = (await meters.format()).split("\n");
@@ -45,6 +53,11 @@
         "coltsfootpond_state_age_seconds 1.5",
         "coltsfootpond_waiting_jobs 7",
         "coltsfootpond_urgent_headroom 12",
+        'coltsfootpond_organisation_running{organisation="o",resource="accelerators"} 298',
+        'coltsfootpond_organisation_quota{organisation="o",resource="accelerators"} 0',
+        'coltsfootpond_organisation_weight{organisation="o"} 2.5',
+        'coltsfootpond_organisation_guaranteed_accelerators{organisation="o"} 48',
+        'coltsfootpond_organisation_waiting_jobs{organisation="o"} 3',
       ]
     ) expect(lines).to.include(line);
     expect(lines.some((line) => line.includes("front-1"))).to.equal(false);
--- a/packages/node/cell/quotas/organisation_quotas.ts
+++ b/packages/node/cell/quotas/organisation_quotas.ts
@@ -10,6 +10,7 @@
   NO_USAGE,
   type OrganisationLimits,
   type OrganisationShares,
+  type OrganisationUsage,
 } from "@coltsfootpond/policy";
 import type { DeclaredState } from "@coltsfootpond/ports";
 import type { LiveJob, Unit } from "../live_job.ts";
@@ -54,12 +55,18 @@
   createShares(): OrganisationShares | undefined {
     const limits = this.#listLimits();
     if (limits.size === 0) return undefined;
+    return { usage: this.countUsage(), limits };
+  }
+
+  /** What runs for each organisation, also for those without a quota. */
+  countUsage(): OrganisationUsage {
+    const limits = this.#listLimits();
     this.recordEarlierPlacements();
     const sessions = this.#options.listSessions();
     const capacities = sessions.flatMap(({ record }) =>
       record === undefined ? [] : [record]
     );
-    const usage = countUsage({
+    return countUsage({
       workers: sessions.map(({ record, taskRuns }) => ({
         capacity: record?.capacity,
         taskRuns,
@@ -68,7 +75,6 @@
       organisations: [...limits.keys()],
       largestCapacity: findLargestCapacity(capacities) ?? NO_USAGE,
     });
-    return { usage, limits };
   }
 
   /**
--- a/packages/node/cell/quotas/quota_simulation_test.ts
+++ b/packages/node/cell/quotas/quota_simulation_test.ts
@@ -4,6 +4,7 @@
 import { CellSimulation } from "../cell_simulation.ts";
 import type { LogFields } from "../log.ts";
 import { createSpec, createStep } from "../test_fixtures.ts";
+import { MAXIMUM_ORGANISATIONS } from "./organisation_gauges.ts";
 
 const A = "a" as OrganisationName;
 const JOB = "00000000000000aa";
@@ -220,6 +221,76 @@
     expect(simulation.history).to.have.length(5);
   });
 
+  // Guards against a wait of which the log says nothing, or says the same in every round.
+  it("is logged once for a unit that it holds back, and again when it changes", async () => {
+    const simulation = createCell(["a"], 4);
+    const waits: LogFields[] = [];
+    simulation.log = {
+      info: (event, fields = {}) => {
+        if (event === "unit.waits_for_quota") waits.push(fields);
+      },
+      warn: () => {},
+    };
+    simulation.startScheduler();
+    await simulation.submit(createTasks(JOB, 3));
+    await simulation.clock.advance(1_000);
+    const steps = [createStep({ count: 2, isGang: true })];
+    await simulation.submit(
+      createSpec(OTHER_JOB, { organisation: A, steps }),
+    );
+    await simulation.clock.advance(5_000);
+    const need = { cpuMilli: 1_000, memoryMib: 1_000, accelerators: 1 };
+    const scale = (factor: number) => ({
+      cpuMilli: factor * need.cpuMilli,
+      memoryMib: factor * need.memoryMib,
+      accelerators: factor,
+    });
+    expect(waits).to.deep.equal([{
+      unit: `${OTHER_JOB}.0.0.0`,
+      organisation: A,
+      reason: "the quota is used",
+      usage: scale(3),
+      requirement: scale(2),
+      quota: { cpuMilli: 0, memoryMib: 0, accelerators: 4 },
+      declaredVersion: 2,
+    }]);
+    declareQuota(simulation, 1);
+    await simulation.clock.advance(5_000);
+    expect(
+      waits.slice(1).map(({ reason, declaredVersion }) => [
+        reason,
+        declaredVersion,
+      ]),
+    ).to.deep.equal([["the unit is wider than the quota", 3]]);
+  });
+
+  // Guards against gauges that differ from what the quota is compared with.
+  it("is shown with what runs and what waits", async () => {
+    const simulation = createCell(["a"], 4);
+    const scheduler = simulation.startScheduler();
+    await simulation.submit(createTasks(JOB, 4));
+    await simulation.submit(createTasks(OTHER_JOB, 4));
+    await simulation.clock.advance(1_000);
+    expect(scheduler.countWork().organisations).to.deep.equal([{
+      organisation: A,
+      running: { cpuMilli: 4_000, memoryMib: 4_000, accelerators: 4 },
+      quota: { cpuMilli: 0, memoryMib: 0, accelerators: 4 },
+      weight: undefined,
+      guaranteedAccelerators: 0,
+      waitingJobs: 1,
+    }]);
+    simulation.declareShares(
+      Array.from({ length: 2 * MAXIMUM_ORGANISATIONS }, (_, number) => ({
+        organisation: `organisation-${number}` as OrganisationName,
+        weight: 1,
+        quota: undefined,
+      })),
+    );
+    expect(scheduler.countWork().organisations).to.have.length(
+      MAXIMUM_ORGANISATIONS,
+    );
+  });
+
   // Guards against a start that was planned under the quota before, and sent after it has fallen.
   it("that falls while a placement is being stored prevents its start", async () => {
     const simulation = createCell(["a"], 4);
--- a/packages/policy/cell/plan_round.ts
+++ b/packages/policy/cell/plan_round.ts
@@ -25,7 +25,7 @@
 import type { CellResources, WorkerView } from "./types.ts";
 import { type Rank, RANK_TIER } from "./job_rank.ts";
 import type { OrganisationShares } from "./quotas/organisation_usage.ts";
-import { QuotaLedger } from "./quotas/quota_ledger.ts";
+import { QuotaLedger, type QuotaWait } from "./quotas/quota_ledger.ts";
 import { planEvictionByShares, planReclaim } from "./quotas/share_evictions.ts";
 import { ShareQueue } from "./quotas/share_queue.ts";
 import { WeightedShares } from "./quotas/weighted_shares.ts";
@@ -80,6 +80,8 @@
 export interface RoundPlan<Unit> {
   readonly placements: readonly Placement<Unit>[];
   readonly evictions: readonly Eviction<Unit>[];
+  /** Units that quotas hold back; absent if there are none. */
+  readonly quotaWaits?: readonly QuotaWait<Unit>[];
 }
 
 /** Most units for which one round searches for victims; limits the duration of a round. */
@@ -112,6 +114,7 @@
   readonly #evicted = new Set<RunningUnit<Unit>>();
   readonly #stepsWithoutFit = new Set<string>();
   readonly #quotas: QuotaLedger;
+  readonly #quotaWaits: QuotaWait<Unit>[] = [];
   readonly #shares: WeightedShares | undefined;
   /** Workers on which units start in this round. */
   readonly #startedOn = new Set<WorkerName>();
@@ -148,13 +151,18 @@
         workers,
       })),
       evictions: this.#evictions,
+      ...(this.#quotaWaits.length > 0 ? { quotaWaits: this.#quotaWaits } : {}),
     };
   }
 
   /** Returns the units that the request displaces; they may fit elsewhere. */
   #planUnit(request: WaitingUnit<Unit>): readonly WaitingUnit<Unit>[] {
     if (this.#stepsWithoutFit.has(request.stepKey)) return [];
-    if (!this.#quotas.covers(request)) return [];
+    const wait = this.#quotas.findWait(request);
+    if (wait !== undefined) {
+      this.#quotaWaits.push(wait);
+      return [];
+    }
     const mayStart = this.#isWithinHeadroom(request);
     if (mayStart && this.#place(request)) return [];
     const eviction = mayStart
--- a/packages/policy/cell/quotas/quota_ledger.ts
+++ b/packages/policy/cell/quotas/quota_ledger.ts
@@ -19,6 +19,15 @@
   readonly count: number;
 }
 
+/** A unit that the quota of its organisation holds back, with what this follows from. */
+export interface QuotaWait<Unit> {
+  readonly unit: Unit;
+  readonly organisation: OrganisationName;
+  readonly usage: CellResources;
+  readonly requirement: CellResources;
+  readonly quota: CellResources;
+}
+
 /**
  * Starts from the usage of all runs, whatever their state. What a round places is added, and what it
  * takes back is subtracted; an evicted run counts until it is gone.
@@ -37,16 +46,19 @@
     return new QuotaLedger(shares);
   }
 
-  /** Whether a start of the unit leaves its organisation within its quota. */
-  covers(request: QuotaRequest): boolean {
-    const { organisation } = request;
-    if (organisation === undefined) return true;
+  /** Why a start would bring the unit's organisation above its quota; undefined if it would not. */
+  findWait<Unit>(
+    request: QuotaRequest & { readonly unit: Unit },
+  ): QuotaWait<Unit> | undefined {
+    const { unit, organisation } = request;
+    if (organisation === undefined) return undefined;
     const quota = this.#shares?.limits.get(organisation)?.quota;
-    const total = addCellResources(
-      this.getUsage(organisation),
-      computeRequirement(request),
-    );
-    return isWithinQuota(total, quota);
+    if (quota === undefined) return undefined;
+    const usage = this.getUsage(organisation);
+    const requirement = computeRequirement(request);
+    const total = addCellResources(usage, requirement);
+    if (isWithinQuota(total, quota)) return undefined;
+    return { unit, organisation, usage, requirement, quota };
   }
 
   getUsage(organisation: OrganisationName): CellResources {
--- a/scripts/mutations/quota_mutations.ts
+++ b/scripts/mutations/quota_mutations.ts
@@ -27,6 +27,8 @@
 const SHARE_EVICTIONS = `${POLICY_QUOTAS}/share_evictions.ts`;
 const SHARE_TEST = `${POLICY_QUOTAS}/share_test.ts`;
 const PROPERTIES_TEST = `${POLICY_QUOTAS}/quota_properties_test.ts`;
+const REFUSAL_TEST = `${NODE_QUOTAS}/quota_refusal_test.ts`;
+const REFUSAL_PROMISE = "quotas are told truthfully";
 const SHARES_PROMISE = "shares follow the weights";
 
 export const QUOTA_MUTATIONS: readonly Mutation[] = [
@@ -192,8 +194,8 @@
     name: "hold no unit back",
     promise: PROMISE,
     file: PLAN_ROUND,
-    find: `if (!this.#quotas.covers(request)) return [];`,
-    replace: ``,
+    find: `if (wait !== undefined) {`,
+    replace: `if (wait !== undefined && request.count < 0) {`,
     spec: ROUND_TEST,
     title: "without effect on other units",
   },
@@ -201,9 +203,9 @@
     name: "hold back only what would lift the usage above the quota",
     promise: PROMISE,
     file: `${POLICY_QUOTAS}/quota_ledger.ts`,
-    find: `return isWithinQuota(total, quota);`,
+    find: `if (isWithinQuota(total, quota)) return undefined;`,
     replace:
-      `return isWithinQuota(total, quota) || !isWithinQuota(this.getUsage(organisation), quota);`,
+      `if (isWithinQuota(total, quota) || !isWithinQuota(usage, quota)) return undefined;`,
     spec: ROUND_TEST,
     title: "lets nothing start above a quota",
   },
@@ -211,9 +213,9 @@
     name: "let units start again once the quota has fallen below the usage",
     promise: PROMISE,
     file: `${POLICY_QUOTAS}/quota_ledger.ts`,
-    find: `return isWithinQuota(total, quota);`,
+    find: `if (isWithinQuota(total, quota)) return undefined;`,
     replace:
-      `return isWithinQuota(total, quota) || !isWithinQuota(this.getUsage(organisation), quota);`,
+      `if (isWithinQuota(total, quota) || !isWithinQuota(usage, quota)) return undefined;`,
     furtherEdits: [{
       file: `${NODE}/run_registry.ts`,
       find: `if (excess !== undefined) {`,
@@ -378,4 +380,58 @@
     spec: SHARE_TEST,
     title: "reclaim nothing from an organisation that has only its share",
   },
+  {
+    name: "accept a job that can never run",
+    promise: REFUSAL_PROMISE,
+    file: `${NODE_QUOTAS}/quota_history.ts`,
+    find: `if (isWithinQuota(requirement, quota)) continue;`,
+    replace: `if (count > 0) continue;`,
+    spec: REFUSAL_TEST,
+    title: "is refused with the reason",
+  },
+  {
+    name: "refuse a job that has been accepted",
+    promise: REFUSAL_PROMISE,
+    file: `${NODE}/callers/caller_filters.ts`,
+    find: `const tooWide = jobRepository.isKnown(spec.jobId)`,
+    replace: `const tooWide = spec.jobId === ""`,
+    spec: REFUSAL_TEST,
+    title: "is the same job if it has been accepted before",
+  },
+  {
+    name: "refuse a job although an earlier submission may take effect",
+    promise: REFUSAL_PROMISE,
+    file: `${NODE_QUOTAS}/quota_history.ts`,
+    find: `const MEMORY_MS = 10_000;`,
+    replace: `const MEMORY_MS = 0;`,
+    spec: REFUSAL_TEST,
+    title: "is accepted shortly after the quota has fallen",
+  },
+  {
+    name: "refuse a wide step of single tasks",
+    promise: REFUSAL_PROMISE,
+    file: `${NODE_QUOTAS}/quota_history.ts`,
+    find: `const count = step.isGang ? step.count : 1;`,
+    replace: `const count = step.count;`,
+    spec: REFUSAL_TEST,
+    title: "is not refused if the tasks start one by one",
+  },
+  {
+    name: "log a wait in every round",
+    promise: REFUSAL_PROMISE,
+    file: `${NODE_QUOTAS}/quota_wait_log.ts`,
+    find: `if (this.#logged.get(unit) === text) continue;`,
+    replace: ``,
+    spec: CELL_TEST,
+    title: "is logged once for a unit that it holds back",
+  },
+  {
+    name: "count waiting jobs as running in the gauges",
+    promise: REFUSAL_PROMISE,
+    file: `${NODE_QUOTAS}/organisation_gauges.ts`,
+    find: `if (hasBegun) continue;`,
+    replace: ``,
+    spec: CELL_TEST,
+    title: "is shown with what runs and what waits",
+  },
 ];
