Check quotas under random faults

Cause: the model check under faults had no quotas, so that losses of answers, workers and lease holders were not combined with them.

Change: in half of the sequences two organisations have quotas and weights that change every 2 to 8 s. No start may bring what really runs for one above the highest quota of the last 5 s, as a start is carried out up to 4 s after it was sent. The draws are separate, so that the other faults of a seed stay.

--- a/packages/node/cell/cell_faults_test.ts
+++ b/packages/node/cell/cell_faults_test.ts
@@ -118,6 +118,7 @@
         checkStartsAfterDone(cell);
         checkCrashingJob(cell);
         expect(cell.capacityViolations, "capacity").to.deep.equal([]);
+        expect(cell.quotaViolations, "quota").to.deep.equal([]);
       }));
       incomplete.push(...describeFailure(seed, () => {
         checkCompleted(cell);
--- a/packages/node/cell/faults/faulty_cell.ts
+++ b/packages/node/cell/faults/faulty_cell.ts
@@ -13,6 +13,7 @@
 import type { RunHistory, WorkerFake } from "../workers_fake.ts";
 import { LeaseHolder } from "./lease_holder.ts";
 import { CapacityFaults } from "./capacity_faults.ts";
+import { QuotaFaults } from "./quota_faults.ts";
 import { addCrashingTasks, CRASH_DELAY_MS } from "../fakes/crashing_tasks.ts";
 import { GangMembers } from "./gang_members.ts";
 import {
@@ -37,6 +38,11 @@
 /** Share of the sequences in which capacities change, and their draws. */
 const CAPACITY_SHARE = 0.5;
 const CAPACITY_SEED_OFFSET = 2_000_000_011;
+/** Share of the sequences in which organisations have quotas that change, and their draws. */
+const QUOTA_SHARE = 0.5;
+const QUOTA_SEED_OFFSET = 3_000_000_019;
+/** Time after the last fault until the quotas are lifted. */
+const QUOTA_END_MS = 12_000;
 /** Time after the last fault until starts are checked, and until capacities stay. */
 const CAPACITY_CHECK_MS = 8_000;
 const CAPACITY_END_MS = 18_000;
@@ -69,10 +75,11 @@
 
 export class FaultyCell {
   readonly simulation = CellSimulation.create(WORKERS);
-  readonly #jobs: RandomJob[];
+  #jobs: RandomJob[];
   /** The job whose tasks crash their workers; undefined in most sequences. */
   readonly crashingJob: CellJobSpec | undefined;
   readonly #capacityFaults: CapacityFaults | undefined;
+  readonly #quotaFaults: QuotaFaults | undefined;
   readonly #random: SeededRandom;
   readonly #storeFaults: StoreFaults;
   #scheduler: CellScheduler | undefined;
@@ -109,6 +116,16 @@
         getNeed: (task) => this.#getNeed(task),
       });
     }
+    const quotaRandom = SeededRandom.create(seed + QUOTA_SEED_OFFSET);
+    if (quotaRandom.next() < QUOTA_SHARE) {
+      this.#quotaFaults = QuotaFaults.create({
+        simulation: this.simulation,
+        random: quotaRandom,
+        findJob: (task) =>
+          this.jobs.find(({ jobId }) => task.startsWith(`${jobId}.`)),
+      });
+      this.#jobs = this.#jobs.map((job) => this.#assign(job));
+    }
   }
 
   #addCrashingJob(random: SeededRandom): CellJobSpec | undefined {
@@ -139,6 +156,16 @@
     return this.#capacityFaults?.violations ?? [];
   }
 
+  /** Starts over the quota of an organisation. */
+  get quotaViolations(): readonly string[] {
+    return this.#quotaFaults?.violations ?? [];
+  }
+
+  /** The job as one of an organisation, if there are quotas. */
+  #assign({ spec, ...job }: RandomJob): RandomJob {
+    return { ...job, spec: this.#quotaFaults?.assign(spec) ?? spec };
+  }
+
   #getNeed(task: TaskName): CellResources {
     const [jobId, , step] = task.split(".");
     const jobs = [...this.jobs, ...this.crashingJob ? [this.crashingJob] : []];
@@ -171,6 +198,7 @@
     this.#replaceScheduler();
     for (let passedMs = 0; passedMs < RECOVERY_MS; passedMs += STEP_MS) {
       if (passedMs === CAPACITY_CHECK_MS) this.#capacityFaults?.beginChecks();
+      if (passedMs === QUOTA_END_MS) this.#quotaFaults?.end();
       if (passedMs === CAPACITY_END_MS) this.#capacityFaults?.end();
       this.#endTasks();
       await simulation.clock.advance(STEP_MS);
@@ -251,7 +279,9 @@
 
   async #submitUrgent(): Promise<void> {
     const nowUnixMs = this.simulation.clock.nowMs();
-    const job = createUrgentJob(this.#random, this.#jobs.length, nowUnixMs);
+    const job = this.#assign(
+      createUrgentJob(this.#random, this.#jobs.length, nowUnixMs),
+    );
     this.#jobs.push(job);
     await this.#submit(job.spec);
   }
--- a/scripts/mutations/quota_mutations.ts
+++ b/scripts/mutations/quota_mutations.ts
@@ -29,6 +29,8 @@
 const PROPERTIES_TEST = `${POLICY_QUOTAS}/quota_properties_test.ts`;
 const REFUSAL_TEST = `${NODE_QUOTAS}/quota_refusal_test.ts`;
 const REFUSAL_PROMISE = "quotas are told truthfully";
+const FAULTS_TEST = `${NODE}/cell_faults_test.ts`;
+const FAULTS_PROMISE = "quotas hold under faults";
 const SHARES_PROMISE = "shares follow the weights";
 
 export const QUOTA_MUTATIONS: readonly Mutation[] = [
@@ -434,4 +436,28 @@
     spec: CELL_TEST,
     title: "is shown with what runs and what waits",
   },
+  {
+    ...countOnly("!taskRun.isStopping"),
+    name: "do not count runs that are being stopped, under faults",
+    promise: FAULTS_PROMISE,
+    spec: FAULTS_TEST,
+    title: "keeps its invariants under",
+  },
+  {
+    ...countOnly("taskRun.lostContact === undefined"),
+    name: "do not count runs of a worker that does not answer, under faults",
+    promise: FAULTS_PROMISE,
+    spec: FAULTS_TEST,
+    title: "keeps its invariants under",
+  },
+  {
+    name: "do not count earlier placements, under faults",
+    promise: FAULTS_PROMISE,
+    file: `${NODE_QUOTAS}/organisation_quotas.ts`,
+    find:
+      `unreported: this.#earlierPlacements.list(this.#options.isUnreported),`,
+    replace: `unreported: [],`,
+    spec: FAULTS_TEST,
+    title: "keeps its invariants under",
+  },
 ];
