--- a/packages/policy/cell/quotas/quota_ledger.ts
+++ b/packages/policy/cell/quotas/quota_ledger.ts
@@ -30,6 +30,15 @@
   readonly quota: CellResources;
 }
 
+/** A unit that the quota of its organisation holds back, with what this follows from. */
+export interface QuotaWait<Unit> {
+  readonly unit: Unit;
+  readonly organisation: OrganisationName;
+  readonly usage: CellResources;
+  readonly requirement: CellResources;
+  readonly quota: CellResources;
+}
+
 /**
  * Starts from the usage of all runs, whatever their state. What a round places is added, and what it
  * takes back is subtracted; an evicted run counts until it is gone.
