--- a/packages/policy/cell/admission/load_forecast.ts
+++ b/packages/policy/cell/admission/load_forecast.ts
@@ -17,7 +17,10 @@
   StepSpec,
   WorkerView,
 } from "../types.ts";
-import { computeRemainingMs, type RunProgress } from "./remaining_time.ts";
+import {
+  computeRemainingMs,
+  type RunProgress,
+} from "../forecast/remaining_time.ts";
 
 /** Four levels to each doubling: jobs of neighbouring priorities differ by a factor of about 1.7. */
 const LEVELS_PER_DOUBLING = 4;
