Make two mutations of quotas apply again

Cause: the division by weights added a line in the text that they replace, so that `npm run mutations` reported "TEXT NOT FOUND ONCE".

Change: their texts.

--- a/scripts/mutations/quota_mutations.ts
+++ b/scripts/mutations/quota_mutations.ts
@@ -158,7 +158,8 @@
     name: "do not count the placements of a round",
     promise: PROMISE,
     file: PLAN_ROUND,
-    find: `    this.#quotas.reserve(request);\n    const { unit, organisation`,
+    find:
+      `    this.#quotas.reserve(request);\n    this.#shares?.add(request, 1);\n    const { unit, organisation`,
     replace: `    const { unit, organisation`,
     spec: ROUND_TEST,
     title: "counts each placement of the round",
@@ -177,7 +178,7 @@
     promise: PROMISE,
     file: PLAN_ROUND,
     find:
-      `    this.#quotas.reserve(request);\n    for (const victim of victims) {`,
+      `    this.#quotas.reserve(request);\n    this.#shares?.add(request, 1);\n    for (const victim of victims) {`,
     replace: `    for (const victim of victims) {`,
     spec: ROUND_TEST,
     title: "counts units for which others are evicted",
