--- a/packages/node/cell/evictions/eviction_estimates.ts
+++ b/packages/node/cell/evictions/eviction_estimates.ts
@@ -24,12 +24,6 @@
 const DEFAULT_RECLAIM_MS = 2_700;
 /** Core-seconds of lost work that count as much as one mean job of lowest priority. */
 const CORE_SECONDS_PER_JOB = 714;
-/**
- * A run that is expected to end within this share of the time that an eviction takes to stop it is
- * not evicted. Expected ends are wrong by the lag of the reports, about 0.5 s; with the whole time,
- * urgent jobs waited for runs that ended later than an eviction would have stopped them.
- */
-const END_SHARE = 0.3;
 /** Longest time between two rounds. */
 const ROUND_PERIOD_MS = 200;
 const WHOLE_PERCENT = 100;
@@ -107,13 +101,14 @@
   }
 
   /**
-   * Within which time runs must end not to be evicted for a unit that has waited for `waitedMs`.
-   * Undefined if an eviction after that wait could free capacity too late for guaranteed work.
+   * Within which time runs must end for a unit that has waited for `waitedMs` to wait for them: the
+   * time in which an eviction frees capacity. Undefined if an eviction after that wait could free
+   * capacity too late for guaranteed work.
    */
   getEndsWithinMs(waitedMs: number): number | undefined {
     const { stopLimitMs } = this.#bounds;
     const latestMs = waitedMs + 2 * (stopLimitMs + ROUND_PERIOD_MS);
-    return latestMs <= this.#reclaimMs ? END_SHARE * stopLimitMs : undefined;
+    return latestMs <= this.#reclaimMs ? stopLimitMs : undefined;
   }
 
   /** The outlook of a job of which units run. */
--- a/packages/node/cell/evictions/evictions_test.ts
+++ b/packages/node/cell/evictions/evictions_test.ts
@@ -124,18 +124,18 @@
     simulation.startScheduler();
     const { clock } = simulation;
     // The reported percentage is too small to count.
-    const steps = [createStep({ need: WHOLE_WORKER, estimateMs: 400 })];
+    const steps = [createStep({ need: WHOLE_WORKER, estimateMs: 1_000 })];
     await simulation.submit(createSpec(ORDINARY_JOB, { steps }));
-    await clock.advance(370);
+    await clock.advance(900);
     await simulation.submit(createSpec(URGENT_JOB, {
       steps: [createStep({ need: WHOLE_WORKER })],
       priority: 0,
       allowanceMs: 10_000,
       acceptedUnixMs: clock.nowMs(),
     }));
-    await clock.advance(20);
+    await clock.advance(60);
     expect(evictions, "before its estimated end").to.deep.equal([]);
-    await clock.advance(220);
+    await clock.advance(400);
     expect(evictions, "after its estimated end").to.have.length(1);
   });
 });
--- a/packages/policy/cell/eviction.ts
+++ b/packages/policy/cell/eviction.ts
@@ -33,7 +33,7 @@
 /** How a waiting unit may be placed, and which running units may be evicted for it. */
 export interface EvictionOptions {
   readonly allowRemote: boolean;
-  /** Runs that are expected to end within this time are not evicted; default none. */
+  /** Runs that end within this time are waited for instead of evicted; default none. */
   readonly endsWithinMs?: number;
   /** Whether units that were evicted lately may be evicted; default false. */
   readonly mayEvictGuarded?: boolean;
@@ -75,6 +75,7 @@
     options;
   const isEnding = ({ remainingMs }: RunningUnit<Unit>) =>
     remainingMs !== undefined && remainingMs <= endsWithinMs;
+  const ending = running.filter(isEnding);
   const byWorker = indexByWorker(
     running.filter((unit) =>
       unit.isEvictable && !isEnding(unit) &&
@@ -82,7 +83,7 @@
     ),
   );
   const plans = groups.flatMap((group) =>
-    planInGroup(group, request, byWorker) ?? []
+    planInGroup(group, request, ending, byWorker) ?? []
   );
   return plans.reduce<EvictionPlan<Unit> | undefined>(
     (best, plan) => best === undefined || plan.cost < best.cost ? plan : best,
@@ -106,6 +107,7 @@
 function planInGroup<Unit>(
   group: readonly WorkerCapacity[],
   request: FitRequest,
+  ending: readonly RunningUnit<Unit>[],
   byWorker: ReadonlyMap<WorkerName, readonly RunningUnit<Unit>[]>,
 ): EvictionPlan<Unit> | undefined {
   const search: EvictionSearch<Unit> = {
@@ -117,6 +119,7 @@
     victims: new Set(),
     workers: new Set(),
   };
+  ending.forEach((unit) => release(search, unit));
   for (let task = 0; task < request.count; task++) {
     const next = findCheapest(search, request, byWorker);
     if (next === undefined) return undefined;
@@ -258,6 +261,14 @@
   unit: RunningUnit<Unit>,
 ): void {
   search.victims.add(unit);
+  release(search, unit);
+}
+
+/** Adds what the unit uses to the free capacity of its workers. */
+function release<Unit>(
+  search: EvictionSearch<Unit>,
+  unit: RunningUnit<Unit>,
+): void {
   for (const worker of new Set(unit.workers)) {
     const capacity = search.capacities.get(worker);
     if (capacity !== undefined) {
--- a/packages/policy/cell/evictions/justified_eviction.ts
+++ b/packages/policy/cell/evictions/justified_eviction.ts
@@ -10,14 +10,14 @@
 export interface EvictionRequest extends FitRequest {
   readonly allowRemote: boolean;
   readonly evictionGain: number;
-  /** Runs that are expected to end within this time are not evicted; default none. */
+  /** Runs that end within this time are waited for instead of evicted; default none. */
   readonly endsWithinMs?: number;
 }
 
 /**
  * The cheapest evictions that make the request fit; undefined if there are none, or if they cost
- * more than the request gains and no guarantee covers it. A plan without victims only waits for
- * capacity that is being released.
+ * more than the request gains and no guarantee covers it. A plan without victims only waits, for
+ * capacity that is being released or for runs that are about to end.
  */
 export function planJustifiedEviction<Unit>(
   capacities: readonly WorkerCapacity[],
--- a/packages/policy/cell/plan_round.ts
+++ b/packages/policy/cell/plan_round.ts
@@ -34,7 +34,7 @@
   readonly evictionGain: number;
   /** Job value lost if another unit takes its workers in this round; undefined if none may. */
   readonly displacementCost: number | undefined;
-  /** Runs that are expected to end within this time are not evicted for it; default none. */
+  /** Runs that end within this time are waited for instead of evicted; default none. */
   readonly endsWithinMs?: number;
   /** Whether it may use the headroom for urgent jobs. */
   readonly mayUseHeadroom: boolean;
