Test the estimates of evictions and the wait of guaranteed work

Guards against waits for ends that make an eviction too late for reclaimMs, checkpoints of an earlier run that count as new, and runs from a checkpoint that seem nearly done. The checks failed on: twice the bound, no starting percentage for tasks that save progress, and a date for every reported checkpoint. The first one is in the list of mutations.

--- a/scripts/mutations/eviction_mutations.ts
+++ b/scripts/mutations/eviction_mutations.ts
@@ -112,4 +112,13 @@
     spec: FORECAST_TEST,
     title: "counts the progress of this run only",
   },
+  {
+    name: "wait for ends until an eviction is too late for a guarantee",
+    promise: EVICTIONS_PAY,
+    file: ESTIMATES,
+    find: `return latestMs <= this.#reclaimMs ?`,
+    replace: `return latestMs <= 2 * this.#reclaimMs ?`,
+    spec: "packages/node/cell/evictions/eviction_estimates_test.ts",
+    title: "only while a later eviction still meets the bound",
+  },
 ];
