Use the speeds of workers only where they differ as a whole

Cause: with the noise of the estimates, single workers of a cell of equal workers counted as slow or fast, and every unit was then placed by speed.

Change: speeds count once a fifth of the known workers, and a fiftieth of all, is slower or faster than usual, until less than a tenth is; only then are they stored. workers.speeds_changed logs the verdict with its inputs.

--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -148,6 +148,7 @@
     this.#speeds = SpeedTracker.create({
       ...options,
       getUnit: (taskRun) => this.#runs.getUnit(taskRun),
+      getWorkerCount: () => this.#fleet.sessions.length,
     });
     this.#speedsWriter = SpeedsWriter.create(options);
     const events = SessionEventHandler.create({
--- a/packages/node/cell/speeds/speed_tracker.ts
+++ b/packages/node/cell/speeds/speed_tracker.ts
@@ -1,6 +1,7 @@
 /** The speeds of the workers as the lease holder estimates them. */
 import type { Clock, WorkerName } from "@coltsfootpond/common";
 import {
+  areSpeedsUneven,
   classifySpeed,
   computeClassLogSpeed,
   computeClassSpeed,
@@ -31,6 +32,8 @@
   readonly log: CellLog;
   readonly nowUnixMs: () => number;
   readonly getUnit: (taskRun: TaskRun) => Unit | undefined;
+  /** Number of the cell's workers. */
+  readonly getWorkerCount: () => number;
 }
 
 /** A class that an earlier lease holder stored; its worker has not reported yet. */
@@ -51,6 +54,7 @@
   readonly #measured = new Map<WorkerName, number>();
   readonly #stored = new Map<string, StoredClass>();
   #hasNewSamples = false;
+  #isUneven = false;
 
   private constructor(options: SpeedTrackerOptions) {
     this.#options = options;
@@ -89,8 +93,9 @@
     this.#sampler.recordEnd(session, ended, taskRun);
   }
 
-  /** The speed of the worker's present incarnation; 1 where not known. */
+  /** The speed of the worker's present incarnation; 1 where not known, and in an even cell. */
   getSpeed({ worker, incarnationStartUnixMs }: WorkerSession): number {
+    if (!this.#isUneven) return 1;
     const known = this.#classes.get(worker);
     if (known?.incarnationStartUnixMs !== incarnationStartUnixMs) return 1;
     return computeClassSpeed(known.speedClass);
@@ -113,9 +118,9 @@
     };
   }
 
-  /** Workers of other classes than the usual one. */
+  /** Workers of other classes than the usual one; none in an even cell. */
   listClassified(): readonly ClassifiedWorker[] {
-    return [...this.#classes.values()];
+    return this.#isUneven ? [...this.#classes.values()] : [];
   }
 
   /**
@@ -138,7 +143,30 @@
       }
       isChanged = this.#classify(worker, estimate) || isChanged;
     }
-    return isChanged;
+    return this.#decideUneven() || isChanged;
+  }
+
+  /** Whether the verdict has changed. */
+  #decideUneven(): boolean {
+    const unusualWorkers = this.#classes.size;
+    const knownWorkers = new Set([
+      ...this.#classes.keys(),
+      ...this.#measured.keys(),
+    ]).size;
+    const isUneven = areSpeedsUneven(
+      { unusualWorkers, knownWorkers, workers: this.#options.getWorkerCount() },
+      this.#isUneven,
+    );
+    if (isUneven === this.#isUneven) return false;
+    this.#isUneven = isUneven;
+    const { log, epoch } = this.#options;
+    log.info("workers.speeds_changed", {
+      isUneven,
+      unusualWorkers,
+      knownWorkers,
+      epoch,
+    });
+    return true;
   }
 
   #applyStored(session: WorkerSession): void {
@@ -155,6 +183,7 @@
       weight: EARLIER_WEIGHT,
     }, atMs);
     this.#setClass({ worker, incarnationStartUnixMs, speedClass });
+    this.#decideUneven();
     this.#options.log.info("worker.speed_changed", {
       worker,
       incarnationStartUnixMs,
--- a/scripts/bench_days/cell_model.ts
+++ b/scripts/bench_days/cell_model.ts
@@ -126,6 +126,7 @@
       nowUnixMs: () => this.#nowMs,
       log: SILENT_LOG,
       getUnit: (taskRun) => this.#unitByTaskRun.get(taskRun),
+      getWorkerCount: () => this.#workers.size,
     });
     for (let number = 0; number < workers; number++) {
       const worker = brandId<WorkerName>(`worker-${number}`);
