--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -70,11 +70,6 @@
   readonly onNewerHolder: (reason: string) => void;
 }
 
-/** Rounds a job value for the log. */
-function roundValue(value: number): number {
-  return Math.round(value * 1_000) / 1_000;
-}
-
 /** Schedules all jobs of the cell while this entry holds the lease. */
 export class CellScheduler {
   readonly #options: CellSchedulerOptions;
@@ -317,7 +312,7 @@
       nowMs,
       nowUnixMs: nowUnixMs(),
       urgentRatesPerS: this.#urgentDemand.computeRatesPerS(nowUnixMs()),
-      ...settings.bounds,
+      stopLimitMs: settings.bounds.stopLimitMs,
       isBlocked,
     });
     this.#load.collector.observe(input);
@@ -327,19 +322,12 @@
     );
     if (input.waiting.length === 0) return;
     const plan = planRound(input);
-    for (const eviction of plan.evictions) {
-      const { unit, forUnit, workers, gain, cost, remainingMs } = eviction;
+    for (const { unit, forUnit, workers } of plan.evictions) {
       log.info("unit.evicted", {
         unit: describeUnit(unit),
         forUnit: describeUnit(forUnit),
         workers,
-        gain: roundValue(gain),
-        cost: roundValue(cost),
-        remainingMs: remainingMs && Math.round(remainingMs),
-        earlierEvictions: unit.evictions,
       });
-      unit.evictions++;
-      unit.lastEvictedMs = nowMs;
       this.#runs.close(unit, "evicted");
     }
     this.#quotaWaits.recordWaits(
--- a/packages/node/cell/live_job.ts
+++ b/packages/node/cell/live_job.ts
@@ -60,10 +60,6 @@
   /** Whether this lease holder placed the unit itself, which rules out earlier runs of it. */
   wasPlacedByThisHolder: boolean;
   readonly failedOn: Set<WorkerName>;
-  /** Evictions by this lease holder; a later holder does not know them. */
-  evictions: number;
-  /** When this lease holder last evicted it. */
-  lastEvictedMs: number | undefined;
 }
 
 /** A job with its progress and its units. */
@@ -234,8 +230,6 @@
       run: undefined,
       wasPlacedByThisHolder: false,
       failedOn: new Set(),
-      evictions: 0,
-      lastEvictedMs: undefined,
     });
   }
 }
@@ -334,8 +328,6 @@
     percent: 0,
     percentChangedClockMs: 0,
     percentReportedClockMs: 0,
-    checkpointChangedClockMs: undefined,
-    firstPercent: undefined,
     firstReportedClockMs: undefined,
     lostContact: undefined,
   };
--- a/packages/node/cell/plan_input.ts
+++ b/packages/node/cell/plan_input.ts
@@ -29,23 +29,31 @@
 } from "@coltsfootpond/policy";
 import type { OrganisationGuarantee } from "@coltsfootpond/ports";
 import { SuspectUnits } from "./crashes/suspect_units.ts";
-import {
-  type DeclaredEvictionBounds,
-  EvictionEstimates,
-} from "./evictions/eviction_estimates.ts";
 import type { LiveJob, Unit } from "./live_job.ts";
 
+/**
+ * Upper bound of the work lost when a task that saves its progress is stopped: one checkpoint
+ * period and a restore.
+ */
+const MAXIMUM_SAVED_LOSS_MS = 1_200;
+/** Estimated time until stopped work is placed again. */
+const RESTART_WAIT_MS = 2_000;
+/**
+ * Price of a wasted core-second, and the number of cores that an accelerator counts for (the
+ * platform's prices).
+ */
+export const WASTE_PRICE = 0.0014;
+const CORES_PER_ACCELERATOR = 8;
+const MILLI = 1_000;
 /**
  * How long a unit waits for a worker on which it has not failed; no other may be able to run it.
  */
 const AVOID_WAIT_MS = 2_000;
-/** Estimated time until a unit that is displaced in a round is placed. */
-const DISPLACED_WAIT_MS = 2_000;
 const NO_WORKERS: ReadonlySet<WorkerName> = new Set();
 /** How long guaranteed work waits for a placement within one rack. */
 const SAME_RACK_WAIT_MS = 1_200;
 
-export interface PlanInputOptions extends DeclaredEvictionBounds {
+export interface PlanInputOptions {
   readonly jobs: readonly LiveJob[];
   readonly workers: readonly WorkerView[];
   readonly guarantees: readonly OrganisationGuarantee[];
@@ -53,6 +61,8 @@
   readonly nowUnixMs: number;
   /** Accelerators that urgent jobs of each service ask for in a second. */
   readonly urgentRatesPerS: ReadonlyMap<ServiceName, number>;
+  /** Longest time that a task takes to stop. */
+  readonly stopLimitMs: number;
   readonly shares?: OrganisationShares;
   /** Whether the unit must not start yet, as an earlier run of it may still be running. */
   readonly isBlocked: (unit: Unit) => boolean;
@@ -67,7 +77,6 @@
   );
   const capacity = findLargestCapacity(options.workers);
   if (capacity === undefined) return { workers, waiting: [], running: [] };
-  const estimates = EvictionEstimates.create(options, nowMs);
   const guaranteed = findGuaranteedJobs(jobs, options.guarantees);
   const meanWorkByQueue = computeMeanWork(jobs, capacity);
   const speeds = listSpeeds(workers);
@@ -97,7 +106,7 @@
       : 0;
     for (const unit of job.units.values()) {
       if (unit.run !== undefined) {
-        running.push(createRunning(unit, rankInput, estimates));
+        running.push(createRunning(unit, rankInput, nowMs));
       } else if (!options.isBlocked(unit) && !suspects.isHeldBack(unit)) {
         const waitedMs = nowMs - unit.waitingSinceMs;
         const isGuaranteed = rank.tier === RANK_TIER.GUARANTEED;
@@ -108,10 +117,9 @@
           allowRemote: !canMeetObjective(rankInput) ||
             isGuaranteed && waitedMs > SAME_RACK_WAIT_MS,
           evictionGain,
-          endsWithinMs: estimates.getEndsWithinMs(waitedMs),
           displacementCost: spec.priority === URGENT_PRIORITY
             ? undefined
-            : computeLateLoss(rankInput, DISPLACED_WAIT_MS),
+            : computeLateLoss(rankInput, RESTART_WAIT_MS),
           mayUseHeadroom: mayUseHeadroom(spec, rank, unit.step),
           service: spec.service,
           step: unit.step,
@@ -151,9 +159,14 @@
 function createRunning(
   unit: Unit,
   rankInput: JobRankInput,
-  estimates: EvictionEstimates,
+  nowMs: number,
 ): RunningUnit<Unit> {
   const { run, step, job } = unit;
+  const elapsedMs = nowMs - (run?.startedMs ?? nowMs);
+  const lostMs = step.savesProgress
+    ? Math.min(elapsedMs, MAXIMUM_SAVED_LOSS_MS)
+    : elapsedMs;
+  const waste = computeCoreSeconds(step, lostMs) * unit.count * WASTE_PRICE;
   return {
     unit,
     organisation: job.spec.organisation,
@@ -163,10 +176,17 @@
     isEvictable: job.spec.priority > URGENT_PRIORITY &&
       run?.isClosing === false,
     isClosing: run?.isClosing,
-    ...estimates.estimateRunning(unit, rankInput),
+    evictionCost: waste + computeLateLoss(rankInput, lostMs + RESTART_WAIT_MS),
   };
 }
 
+/** Core-seconds of one task of the step, accelerators counted as cores. */
+export function computeCoreSeconds(step: StepSpec, durationMs: number): number {
+  const cores = step.need.cpuMilli / MILLI +
+    step.need.accelerators * CORES_PER_ACCELERATOR;
+  return cores * durationMs / MILLI;
+}
+
 /** The largest number of accelerators that the tasks of one step of the job use together. */
 function countAccelerators(job: LiveJob): number {
   return Math.max(
--- a/packages/node/cell/task_run.ts
+++ b/packages/node/cell/task_run.ts
@@ -30,11 +30,7 @@
   /** When the answer to the stop was received. */
   stopAnsweredMs: number | undefined;
   checkpoint: string;
-  /** Worker clock of the report that first had the checkpoint, if this run wrote it. */
-  checkpointChangedClockMs: number | undefined;
   percent: number;
-  /** Percentage in the first report of the run; undefined until there is one. */
-  firstPercent: number | undefined;
   /** Worker clock of the report that first had the present percentage. */
   percentChangedClockMs: number;
   /** Worker clock of the newest report of the run; 0 until there is one. */
@@ -124,11 +120,7 @@
   taskRun.isListed = true;
   taskRun.firstReportedClockMs ??= reportClockMs;
   taskRun.lostContact = undefined;
-  taskRun.firstPercent ??= running.percent;
-  if (running.checkpoint !== "" && running.checkpoint !== taskRun.checkpoint) {
-    taskRun.checkpoint = running.checkpoint;
-    taskRun.checkpointChangedClockMs = reportClockMs;
-  }
+  if (running.checkpoint !== "") taskRun.checkpoint = running.checkpoint;
   const isFirst = taskRun.percentReportedClockMs === 0;
   if (running.percent !== taskRun.percent || isFirst) {
     taskRun.percent = running.percent;
--- a/packages/node/cell/worker_task_runs.ts
+++ b/packages/node/cell/worker_task_runs.ts
@@ -105,8 +105,6 @@
       percent: running.percent,
       percentChangedClockMs: 0,
       percentReportedClockMs: 0,
-      checkpointChangedClockMs: undefined,
-      firstPercent: undefined,
       firstReportedClockMs: undefined,
       lostContact: undefined,
     };
--- a/packages/node/cell/worker_task_runs_test.ts
+++ b/packages/node/cell/worker_task_runs_test.ts
@@ -24,8 +24,6 @@
     percent: 0,
     percentChangedClockMs: 0,
     percentReportedClockMs: 0,
-    checkpointChangedClockMs: undefined,
-    firstPercent: undefined,
     firstReportedClockMs: undefined,
     lostContact: undefined,
     ...overrides,
--- a/packages/policy/cell/eviction.ts
+++ b/packages/policy/cell/eviction.ts
@@ -10,7 +10,6 @@
 import {
   addCellResources,
   countFitting,
-  coversNeed,
   type FitRequest,
   getCountedNeed,
   isEligible,
@@ -32,19 +31,6 @@
   readonly isClosing?: boolean;
   /** Cost of stopping it, in job value: lost work, and the value that the job loses by lateness. */
   readonly evictionCost: number;
-  /** Expected time until it ends; undefined where not known. */
-  readonly remainingMs?: number;
-  /** It was evicted lately, so only guaranteed units may evict it again; default false. */
-  readonly isGuarded?: boolean;
-}
-
-/** How a waiting unit may be placed, and which running units may be evicted for it. */
-export interface EvictionOptions {
-  readonly allowRemote: boolean;
-  /** Runs that end within this time are waited for instead of evicted; default none. */
-  readonly endsWithinMs?: number;
-  /** Whether units that were evicted lately may be evicted; default false. */
-  readonly mayEvictGuarded?: boolean;
 }
 
 /** Units to evict, the workers on which the waiting unit is to start, and the total cost. */
@@ -59,6 +45,7 @@
   readonly capacities: ReadonlyMap<WorkerName, WorkerCapacity>;
   readonly victims: Set<RunningUnit<Unit>>;
   readonly workers: Set<WorkerName>;
+  cost: number;
 }
 
 /**
@@ -69,7 +56,7 @@
   capacities: readonly WorkerCapacity[],
   request: FitRequest,
   running: readonly RunningUnit<Unit>[],
-  options: EvictionOptions,
+  options: { readonly allowRemote: boolean },
 ): EvictionPlan<Unit> | undefined {
   const eligible = capacities.filter(({ view }) => isEligible(view, request));
   const { isGang, isRackBound, dataRack } = request.step;
@@ -79,19 +66,9 @@
   const groups = mustShareRack || mustUseDataRack
     ? groupByRack(eligible, mustUseDataRack ? dataRack : undefined)
     : [eligible];
-  const { endsWithinMs = Number.NEGATIVE_INFINITY, mayEvictGuarded = false } =
-    options;
-  const isEnding = ({ remainingMs }: RunningUnit<Unit>) =>
-    remainingMs !== undefined && remainingMs <= endsWithinMs;
-  const ending = running.filter(isEnding);
-  const byWorker = indexByWorker(
-    running.filter((unit) =>
-      unit.isEvictable && !isEnding(unit) &&
-      (mayEvictGuarded || unit.isGuarded !== true)
-    ),
-  );
+  const byWorker = indexByWorker(running);
   const plans = groups.flatMap((group) =>
-    planInGroup(group, request, ending, byWorker) ?? []
+    planInGroup(group, request, byWorker) ?? []
   );
   return plans.reduce<EvictionPlan<Unit> | undefined>(
     (best, plan) => best === undefined || plan.cost < best.cost ? plan : best,
@@ -115,7 +92,6 @@
 function planInGroup<Unit>(
   group: readonly WorkerCapacity[],
   request: FitRequest,
-  ending: readonly RunningUnit<Unit>[],
   byWorker: ReadonlyMap<WorkerName, readonly RunningUnit<Unit>[]>,
 ): EvictionPlan<Unit> | undefined {
   const search: EvictionSearch<Unit> = {
@@ -126,12 +102,13 @@
     }])),
     victims: new Set(),
     workers: new Set(),
+    cost: 0,
   };
-  ending.forEach((unit) => release(search, unit));
   for (let task = 0; task < request.count; task++) {
     const next = findCheapest(search, request, byWorker);
     if (next === undefined) return undefined;
     next.victims.forEach((victim) => evict(search, victim));
+    search.cost += next.cost;
     search.workers.add(next.capacity.view.worker);
     next.capacity.free = subtractCellResources(
       next.capacity.free,
@@ -140,48 +117,19 @@
     const tasks = next.capacity.tasksByStep.get(request.stepKey) ?? 0;
     next.capacity.tasksByStep.set(request.stepKey, tasks + 1);
   }
-  spareUnneeded(search);
   return {
     victims: [...search.victims],
     workers: search.workers,
-    cost: [...search.victims].reduce(
-      (sum, { evictionCost }) => sum + evictionCost,
-      0,
-    ),
+    cost: search.cost,
   };
 }
 
-/**
- * Removes victims whose capacity is not needed, the most expensive first: a gang that was chosen for
- * one worker may free enough on others, for which cheaper units were chosen before.
- */
-function spareUnneeded<Unit>(search: EvictionSearch<Unit>): void {
-  const victims = [...search.victims].sort((left, right) =>
-    right.evictionCost - left.evictionCost
-  );
-  for (const victim of victims) {
-    const freed = [...new Set(victim.workers)].flatMap((worker) => {
-      const capacity = search.capacities.get(worker);
-      if (capacity === undefined) return [];
-      return [{ capacity, usage: sumUsageOn(victim, worker) }];
-    });
-    if (
-      !freed.every(({ capacity, usage }) => coversNeed(capacity.free, usage))
-    ) {
-      continue;
-    }
-    for (const { capacity, usage } of freed) {
-      capacity.free = subtractCellResources(capacity.free, usage);
-    }
-    search.victims.delete(victim);
-  }
-}
-
 function indexByWorker<Unit>(
   running: readonly RunningUnit<Unit>[],
 ): ReadonlyMap<WorkerName, readonly RunningUnit<Unit>[]> {
   const index = new Map<WorkerName, RunningUnit<Unit>[]>();
   for (const unit of running) {
+    if (!unit.isEvictable) continue;
     for (const worker of new Set(unit.workers)) {
       const units = index.get(worker);
       if (units === undefined) index.set(worker, [unit]);
@@ -217,40 +165,32 @@
   return best;
 }
 
-/**
- * Chooses victims on one worker until one more task fits there: the cheapest unit that frees enough
- * alone, or several units in the order of their costs if these cost less together.
- */
+/** Adds the cheapest victims of one worker until one more task fits there. */
 function chooseVictimsOn<Unit>(
   search: EvictionSearch<Unit>,
   capacity: WorkerCapacity,
   request: FitRequest,
   units: readonly RunningUnit<Unit>[],
 ): Candidate<Unit> | undefined {
-  if (countFitting(capacity, request) > 0) {
-    return { capacity, victims: [], cost: 0 };
-  }
   const trialCapacity: WorkerCapacity = { ...capacity };
   const victims: RunningUnit<Unit>[] = [];
   let cost = 0;
-  let several: Candidate<Unit> | undefined;
+  if (countFitting(trialCapacity, request) > 0) {
+    return { capacity, victims, cost };
+  }
   for (const unit of units) {
     if (search.victims.has(unit)) continue;
-    if (several !== undefined && unit.evictionCost >= cost) break;
-    const usage = sumUsageOn(unit, capacity.view.worker);
-    const free = addCellResources(capacity.free, usage);
-    if (countFitting({ ...capacity, free }, request) > 0) {
-      return { capacity, victims: [unit], cost: unit.evictionCost };
-    }
-    if (several !== undefined) continue;
-    trialCapacity.free = addCellResources(trialCapacity.free, usage);
+    trialCapacity.free = addCellResources(
+      trialCapacity.free,
+      sumUsageOn(unit, capacity.view.worker),
+    );
     victims.push(unit);
     cost += unit.evictionCost;
     if (countFitting(trialCapacity, request) > 0) {
-      several = { capacity, victims, cost };
+      return { capacity, victims, cost };
     }
   }
-  return several;
+  return undefined;
 }
 
 /** Resources that the tasks of a unit use on one worker. */
@@ -269,14 +209,6 @@
   unit: RunningUnit<Unit>,
 ): void {
   search.victims.add(unit);
-  release(search, unit);
-}
-
-/** Adds what the unit uses to the free capacity of its workers. */
-function release<Unit>(
-  search: EvictionSearch<Unit>,
-  unit: RunningUnit<Unit>,
-): void {
   for (const worker of new Set(unit.workers)) {
     const capacity = search.capacities.get(worker);
     if (capacity !== undefined) {
--- a/packages/policy/cell/plan_round.ts
+++ b/packages/policy/cell/plan_round.ts
@@ -13,7 +13,6 @@
 } from "@coltsfootpond/common";
 import { allowsStart, ISOLATION, type Isolation } from "./crashes/isolation.ts";
 import type { EvictionPlan, RunningUnit } from "./eviction.ts";
-import { planJustifiedEviction } from "./evictions/justified_eviction.ts";
 import {
   createWorkerCapacity,
   findFit,
@@ -46,8 +45,6 @@
   readonly evictionGain: number;
   /** Job value lost if another unit takes its workers in this round; undefined if none may. */
   readonly displacementCost: number | undefined;
-  /** Runs that end within this time are waited for instead of evicted; default none. */
-  readonly endsWithinMs?: number;
   /** Whether it may use the headroom for urgent jobs. */
   readonly mayUseHeadroom: boolean;
   /** Since it became due, or since its last run was over; default 0. */
@@ -78,12 +75,6 @@
   readonly unit: Unit;
   readonly forUnit: Unit;
   readonly workers: readonly WorkerName[];
-  /** Gain of the whole plan in job value, which guaranteed units do not need. */
-  readonly gain: number;
-  /** Cost of the whole plan. */
-  readonly cost: number;
-  /** Expected time until the evicted unit would have ended; undefined where not known. */
-  readonly remainingMs: number | undefined;
 }
 
 /** Units to start and units to evict. */
@@ -177,9 +168,7 @@
       return [...displaced, ...this.#planWithinQuota(request)];
     }
     this.#quotaWaits.push(wait);
-    if (reclaim !== undefined) {
-      this.#evict(request, victims, { ...reclaim, workers: NO_WORKERS });
-    }
+    if (reclaim !== undefined) this.#evict(request, victims, NO_WORKERS);
     return displaced;
   }
 
@@ -196,7 +185,7 @@
     if (isPlaced) return displaced;
     // Units of the step that are not isolated may fit all the same.
     if (!isIsolated(request)) this.#stepsWithoutFit.add(request.stepKey);
-    if (eviction !== undefined) this.#evict(request, victims, eviction);
+    if (eviction !== undefined) this.#evict(request, victims, eviction.workers);
     return displaced;
   }
 
@@ -258,20 +247,15 @@
     if (request.isolation === ISOLATION.EMPTY_WORKERS) return undefined;
     if (this.#evictionPlans >= MAXIMUM_EVICTION_PLANS) return undefined;
     this.#evictionPlans++;
-    return planJustifiedEviction(
+    const plan = planEvictionByShares(
       this.#listCapacities(request),
       request,
       this.#listCandidates(),
-      isGuaranteed,
-      (capacities, _, candidates, options) =>
-        planEvictionByShares(
-          capacities,
-          request,
-          candidates,
-          options,
-          this.#shares,
-        ),
+      this.#shares,
     );
+    const isJustified = isGuaranteed ||
+      plan !== undefined && plan.cost < request.evictionGain;
+    return isJustified ? plan : undefined;
   }
 
   /** Victims among the work of the unit's own organisation, without which it is within its quota. */
@@ -284,7 +268,6 @@
       units: [...this.#input.running, ...this.#placements.keys()],
       evicted: this.#evicted,
       ledger: this.#quotas,
-      mayEvictGuarded: isGuaranteed,
     });
     const isJustified = isGuaranteed ||
       reclaim !== undefined && reclaim.cost < request.evictionGain;
@@ -342,23 +325,16 @@
   #evict(
     request: WaitingUnit<Unit>,
     victims: readonly RunningUnit<Unit>[],
-    { workers, cost }: EvictionPlan<Unit>,
+    workers: ReadonlySet<WorkerName>,
   ): void {
-    const { unit: forUnit, evictionGain: gain } = request;
+    const { unit: forUnit } = request;
     this.#quotas.reserve(request);
     this.#shares?.add(request, 1);
     for (const victim of victims) {
       this.#evicted.add(victim);
       this.#shares?.addRunning(victim, -1);
-      const { unit, remainingMs } = victim;
-      this.#evictions.push({
-        unit,
-        forUnit,
-        workers: [...workers],
-        gain,
-        cost,
-        remainingMs,
-      });
+      const { unit } = victim;
+      this.#evictions.push({ unit, forUnit, workers: [...workers] });
     }
     this.#capacities = this.#capacities.filter(({ view }) =>
       !workers.has(view.worker)
--- a/packages/policy/cell/plan_round_test.ts
+++ b/packages/policy/cell/plan_round_test.ts
@@ -252,14 +252,7 @@
     });
     expect(plan).to.deep.equal({
       placements: [],
-      evictions: [{
-        unit: "cheap",
-        forUnit: "urgent",
-        workers: ["a2"],
-        gain: 0,
-        cost: 1,
-        remainingMs: undefined,
-      }],
+      evictions: [{ unit: "cheap", forUnit: "urgent", workers: ["a2"] }],
     });
   });
 
@@ -272,14 +265,7 @@
       }).evictions;
     expect(evictions(1)).to.deep.equal([]);
     expect(evictions(3)).to.deep.equal([
-      {
-        unit: "other",
-        forUnit: "urgent",
-        workers: ["a1"],
-        gain: 3,
-        cost: 2,
-        remainingMs: undefined,
-      },
+      { unit: "other", forUnit: "urgent", workers: ["a1"] },
     ]);
   });
 
@@ -312,14 +298,7 @@
     });
     expect(plan).to.deep.equal({
       placements: [],
-      evictions: [{
-        unit: "gang",
-        forUnit: "first",
-        workers: ["a1", "a2"],
-        gain: 0,
-        cost: 1,
-        remainingMs: undefined,
-      }],
+      evictions: [{ unit: "gang", forUnit: "first", workers: ["a1", "a2"] }],
     });
   });
 
--- a/packages/policy/cell/quotas/quota_reclaim.ts
+++ b/packages/policy/cell/quotas/quota_reclaim.ts
@@ -26,8 +26,6 @@
   /** Units that this round evicts; they count as running until they are gone. */
   readonly evicted: ReadonlySet<RunningUnit<Unit>>;
   readonly ledger: QuotaLedger;
-  /** Whether units that were evicted lately may be evicted. */
-  readonly mayEvictGuarded: boolean;
 }
 
 /**
@@ -36,7 +34,7 @@
  */
 export function planQuotaReclaim<Unit>(
   request: QuotaRequest,
-  { units, evicted, ledger, mayEvictGuarded }: QuotaReclaimInput<Unit>,
+  { units, evicted, ledger }: QuotaReclaimInput<Unit>,
 ): QuotaReclaim<Unit> | undefined {
   const { organisation } = request;
   if (organisation === undefined) return undefined;
@@ -54,8 +52,7 @@
     released,
   );
   const candidates = own.filter((unit) =>
-    unit.isEvictable && !isReleasing(unit) &&
-    (mayEvictGuarded || unit.isGuarded !== true)
+    unit.isEvictable && !isReleasing(unit)
   ).sort((left, right) => left.evictionCost - right.evictionCost);
   const victims: RunningUnit<Unit>[] = [];
   for (const unit of candidates) {
--- a/packages/policy/cell/quotas/quota_reclaim_test.ts
+++ b/packages/policy/cell/quotas/quota_reclaim_test.ts
@@ -83,7 +83,6 @@
       units: running,
       evicted: new Set<RunningUnit<string>>(),
       ledger: QuotaLedger.create(shares),
-      mayEvictGuarded: false,
     });
     expect(reclaim).to.equal(undefined);
   });
@@ -126,7 +125,6 @@
           units: running,
           evicted: new Set<RunningUnit<string>>(),
           ledger: QuotaLedger.create(shares),
-          mayEvictGuarded: false,
         });
         const isWithout = (evicted: readonly RunningUnit<string>[]) => {
           const stays = running.filter((unit) => !evicted.includes(unit));
--- a/packages/policy/cell/quotas/share_evictions.ts
+++ b/packages/policy/cell/quotas/share_evictions.ts
@@ -1,6 +1,5 @@
 /** Evictions where organisations have weighted shares. */
 import {
-  type EvictionOptions,
   type EvictionPlan,
   planEviction,
   type RunningUnit,
@@ -22,13 +21,12 @@
   capacities: readonly WorkerCapacity[],
   request: WaitingUnit<Unit>,
   candidates: readonly RunningUnit<Unit>[],
-  options: EvictionOptions,
   shares: WeightedShares | undefined,
 ): EvictionPlan<Unit> | undefined {
   const isAnyAbove = shares !== undefined &&
     candidates.some((candidate) => shares.isAbove(candidate));
   if (!isAnyAbove) {
-    return planEviction(capacities, request, candidates, options);
+    return planEviction(capacities, request, candidates, request);
   }
   const allowed = candidates.filter((victim) =>
     shares.mayEvict(request, victim)
@@ -46,7 +44,7 @@
     capacities,
     request,
     [...originals.keys()],
-    options,
+    request,
   );
   if (plan === undefined) return undefined;
   const victims = plan.victims.map((victim) => originals.get(victim)!);
--- a/packages/ports/cell/settings.ts
+++ b/packages/ports/cell/settings.ts
@@ -7,15 +7,6 @@
   readonly leaseMaximumMs: number;
   /** Longest time from a worker's acknowledgement of a stop to the end of the task. */
   readonly stopLimitMs: number;
-  /** Period in which tasks write checkpoints; undefined where the file has none. */
-  readonly checkpointPeriodMs?: number;
-  /** Time that a task takes to continue from a checkpoint; undefined where the file has none. */
-  readonly restoreMs?: number;
-  /**
-   * Longest wait of urgent work that a guarantee covers until all tasks of its first step run;
-   * undefined where the file has none.
-   */
-  readonly reclaimMs?: number;
   /** Time that a graceful stop of the entry may take. */
   readonly shutdownGraceMs: number;
   /** How long after its end callers must be able to query a job's state. */
--- a/scripts/bench_days/cell_model.ts
+++ b/scripts/bench_days/cell_model.ts
@@ -24,7 +24,7 @@
 } from "../../packages/node/cell/live_job.ts";
 import { SILENT_LOG } from "../../packages/node/cell/log.ts";
 import { SpeedTracker } from "../../packages/node/cell/speeds/speed_tracker.ts";
-import { computeCoreSeconds } from "../../packages/node/cell/evictions/core_seconds.ts";
+import { computeCoreSeconds } from "../../packages/node/cell/plan_input.ts";
 import { computeAvailability } from "../../packages/node/cell/worker_availability.ts";
 import type { WorkerSession } from "../../packages/node/cell/worker_session.ts";
 import { DISTURBANCE, LOAD, type Load, SERVICE } from "./arrivals.ts";
--- a/scripts/bench_days/replay.ts
+++ b/scripts/bench_days/replay.ts
@@ -27,13 +27,7 @@
 } from "./deployments.ts";
 import type { PlanInputOptions } from "../../packages/node/cell/plan_input.ts";
 import type { DayPolicy } from "./policies.ts";
-import {
-  computeInTimeShare,
-  type JobResult,
-  listOnTime,
-  type Score,
-  scoreDay,
-} from "./score.ts";
+import { type JobResult, listOnTime, type Score, scoreDay } from "./score.ts";
 
 /** Step of the simulated clock; small against the shortest runs of 0.5 s. */
 const STEP_MS = 10;
@@ -54,10 +48,6 @@
   /** Jobs that ended as expected within their objective. */
   readonly onTimeJobIds: readonly CellJobId[];
   readonly lostCoreSeconds: number;
-  /** Shares of the jobs of each kind that ended in time, without cancelled ones. */
-  readonly urgentInTime: number;
-  readonly largeInTime: number;
-  readonly wideInTime: number;
   /** 99th percentile of the real time that a round takes to plan. */
   readonly decisionP99Ms: number;
 }
@@ -228,8 +218,6 @@
     this.#decisionTimesMs.push(performance.now() - startMs);
     for (const { unit } of plan.evictions) {
       this.#evictions++;
-      unit.evictions++;
-      unit.lastEvictedMs = nowMs;
       this.#cell.stop(unit, nowMs);
     }
     for (const { unit, workers } of plan.placements) {
@@ -280,9 +268,6 @@
       refusedJobIds,
       onTimeJobIds: listOnTime(results),
       lostCoreSeconds: Math.round(this.#lostCoreSeconds),
-      urgentInTime: computeInTimeShare(results, "urgent"),
-      largeInTime: computeInTimeShare(results, "large"),
-      wideInTime: computeInTimeShare(results, "wide"),
       decisionP99Ms: sortedDecisionTimesMs[
         Math.floor(sortedDecisionTimesMs.length * 0.99)
       ] ?? 0,
--- a/scripts/bench_days/score.ts
+++ b/scripts/bench_days/score.ts
@@ -9,7 +9,8 @@
   LATE_LIMIT_FACTOR,
   MAXIMUM_VALUE_FACTOR,
 } from "@coltsfootpond/policy";
-import type { Arrival, JobKind } from "./arrivals.ts";
+import { WASTE_PRICE } from "../../packages/node/cell/plan_input.ts";
+import type { Arrival } from "./arrivals.ts";
 
 /** How a job of the replay ended; `open` if it had not ended when the replay stopped. */
 export interface JobResult {
@@ -34,8 +35,6 @@
 /** Length of the windows in the platform's reports. */
 const SCORE_WINDOW_MS = 2_000;
 const WORST_WINDOW_COUNT = 2;
-/** The platform's price of a core-second of lost work, in value of a mean job of lowest priority. */
-const WASTE_PRICE = 0.0014;
 /** Mean of the weights that the two sites give the shares. */
 const WEIGHT = { WHOLE: 0.68, WINDOWS: 0.2, ORGANISATION: 0.2, KIND: 0.12 };
 
@@ -126,24 +125,6 @@
   }).map(({ arrival }) => arrival.spec.jobId);
 }
 
-/** Whether the job ended as expected and met its objective by its actual run times. */
-function isInTime({ arrival, state, tookMs }: JobResult): boolean {
-  const { stretch, allowanceMs } = arrival.kind;
-  return state === (arrival.alwaysFails ? "failed" : "completed") &&
-    tookMs <= stretch * computeActualCriticalPathMs(arrival) + allowanceMs;
-}
-
-/** Share of the jobs of the kind, without cancelled ones, that ended in time. */
-export function computeInTimeShare(
-  results: readonly JobResult[],
-  kind: JobKind["name"],
-): number {
-  const jobs = results.filter(({ arrival, state }) =>
-    arrival.kind.name === kind && state !== "cancelled"
-  );
-  return jobs.filter(isInTime).length / Math.max(1, jobs.length);
-}
-
 /** Scores all jobs of a day; `lostCoreSeconds` is the work lost to evictions and failures. */
 export function scoreDay(
   results: readonly JobResult[],
--- a/scripts/mutations/mutations.ts
+++ b/scripts/mutations/mutations.ts
@@ -7,7 +7,6 @@
 import { CRASH_MUTATIONS } from "./crash_mutations.ts";
 import { DUPLICATE_RUN_MUTATIONS } from "./duplicate_run_mutations.ts";
 import { QUOTA_MUTATIONS } from "./quota_mutations.ts";
-import { EVICTION_MUTATIONS } from "./eviction_mutations.ts";
 import { SPEED_MUTATIONS } from "./speed_mutations.ts";
 import { STATE_MUTATIONS } from "./state_mutations.ts";
 import type { Mutation } from "./types.ts";
@@ -238,6 +237,5 @@
   ...DUPLICATE_RUN_MUTATIONS,
   ...QUOTA_MUTATIONS,
   ...ADMISSION_MUTATIONS,
-  ...EVICTION_MUTATIONS,
   ...WORKER_CONNECTION_MUTATIONS,
 ];
