Test that speeds are not used while few workers differ; add mutations

Four mutations: the verdict on even cells, and the evictions and the reserve within a quota, which had none.

--- a/packages/node/cell/speeds/speed_tracker_test.ts
+++ b/packages/node/cell/speeds/speed_tracker_test.ts
@@ -2,6 +2,7 @@
 import { expect } from "chai";
 import { CellSimulation } from "../cell_simulation.ts";
 import type { LogFields } from "../log.ts";
+import { SPEEDS_KEY } from "../rows.ts";
 import { createSpec, createStep } from "../test_fixtures.ts";
 
 const WIDE_JOB = "00000000000000aa";
@@ -73,6 +74,24 @@
     expect(slow).not.to.include.members(workers);
   });
 
+  // Guards against another choice of workers for all units because one worker seems slow.
+  it("do not decide where units run while few workers differ", async () => {
+    const simulation = createCell(["a"]);
+    const changes = recordChanges(simulation);
+    simulation.startScheduler();
+    await simulation.submit(createWideJob());
+    await simulation.clock.advance(60_000);
+    expect(changes.map(({ worker }) => worker)).to.deep.equal(["a"]);
+    expect(simulation.store.keys()).not.to.include(SPEEDS_KEY);
+    // All workers are free again, so that the first one is preferred.
+    await simulation.submit(createUrgentJob(simulation.clock.nowMs()));
+    await simulation.clock.advance(2_500);
+    const workers = simulation.history.filter(({ task }) =>
+      task.startsWith(URGENT_JOB)
+    ).map(({ worker }) => worker);
+    expect(workers).to.include("a");
+  });
+
   // Guards against decisions by noise where all workers are alike.
   it("stay the same where all workers are alike", async () => {
     const simulation = createCell([]);
--- a/scripts/mutations/quota_mutations.ts
+++ b/scripts/mutations/quota_mutations.ts
@@ -34,6 +34,35 @@
 const SHARES_PROMISE = "shares follow the weights";
 
 export const QUOTA_MUTATIONS: readonly Mutation[] = [
+  {
+    name: "evict nothing for a guaranteed job at the quota",
+    promise: "guaranteed jobs start in time",
+    file: PLAN_ROUND,
+    find:
+      `if (reclaim !== undefined) this.#evict(request, victims, NO_WORKERS);`,
+    replace: ``,
+    spec: `${POLICY_QUOTAS}/quota_reclaim_test.ts`,
+    title: "is evicted for a job that the organisation's guarantee covers",
+  },
+  {
+    name: "let ordinary work fill the whole quota",
+    promise: "guaranteed jobs start in time",
+    file: `${POLICY_QUOTAS}/quota_ledger.ts`,
+    find:
+      `(request.mayUseHeadroom || this.#leavesReserve(request, total, quota));`,
+    replace: `true;`,
+    spec: `${POLICY_QUOTAS}/urgent_reserve_test.ts`,
+    title: "is left free by other work",
+  },
+  {
+    name: "hold back a unit that could never start beside the reserve",
+    promise: "guaranteed jobs start in time",
+    file: `${POLICY_QUOTAS}/quota_ledger.ts`,
+    find: `return isWithin(total) || !isWithin(computeRequirement(request));`,
+    replace: `return isWithin(total);`,
+    spec: `${POLICY_QUOTAS}/urgent_reserve_test.ts`,
+    title: "may be used by a unit that could never start beside it",
+  },
   {
     ...countOnly("taskRun.startSentMs !== undefined"),
     name: "do not count runs that are reserved and not sent",
--- a/scripts/mutations/speed_mutations.ts
+++ b/scripts/mutations/speed_mutations.ts
@@ -12,6 +12,15 @@
 const STORED = "stored speeds are small, recent and of the present incarnation";
 
 export const SPEED_MUTATIONS: readonly Mutation[] = [
+  {
+    name: "use the speeds of a cell in which few workers differ",
+    promise: ON_TIME,
+    file: `${NODE}/speed_tracker.ts`,
+    find: `if (!this.#isUneven) return 1;`,
+    replace: ``,
+    spec: `${NODE}/speed_tracker_test.ts`,
+    title: "do not decide where units run while few workers differ",
+  },
   {
     name: "compare tasks with a step's level that ignores its workers' speeds",
     promise: ESTIMATED,
