--- a/packages/policy/cell/quotas/weighted_shares.ts
+++ b/packages/policy/cell/quotas/weighted_shares.ts
@@ -175,9 +175,9 @@
   /**
    * Whether the victims' organisations keep their shares. For a unit within the share of its own
    * organisation, they keep them up to the size of one victim. For a unit of an organisation of which
-   * nothing runs, they need only keep something, so that a unit wider than the share, or than
-   * any place that comes free, is not held up for ever. None of this goes back and forth: an organisation within its share loses nothing, and
-   * none is left with nothing.
+   * nothing runs, they need only keep something, so that a unit wider than the share, or than any
+   * place that comes free, does not wait for ever. None of this goes back and forth: an organisation
+   * within its share loses nothing, and none is left with nothing.
    */
   allowsReclaim(
     request: WaitingUnit<unknown>,
