--- a/packages/policy/cell/admission/admission_test.ts
+++ b/packages/policy/cell/admission/admission_test.ts
@@ -363,7 +363,10 @@
   it("is kept for every key, however the submissions of the keys are mixed", () => {
     fc.assert(
       fc.property(
-        fc.array(fc.constantFrom("a", "b", "c"), { maxLength: 400 }),
+        fc.array(fc.constantFrom("a", "b", "c"), {
+          minLength: 4 * FLOOR_PERIOD,
+          maxLength: 400,
+        }),
         fc.double({ min: 0, max: 0.999, noNaN: true }),
         (keys, phase) => {
           const floor = AdmissionFloor.create(() => phase);
