--- a/packages/node/cell/callers/refusals_test.ts
+++ b/packages/node/cell/callers/refusals_test.ts
@@ -3,7 +3,15 @@
 import type { CellJobId } from "@coltsfootpond/policy";
 import type { StateStore, TransactOutcome } from "@coltsfootpond/ports";
 import { expect } from "chai";
-import { decodeRow, encodeRow, jobKey, refusalKey } from "../rows.ts";
+import { EndedJobCollector } from "../ended_job_collector.ts";
+import { SILENT_LOG } from "../log.ts";
+import {
+  decodeRow,
+  encodeRow,
+  JOB_GROUPS,
+  jobKey,
+  refusalKey,
+} from "../rows.ts";
 import {
   createFollower,
   createSpec,
@@ -154,6 +162,28 @@
     });
   });
 
+  // Guards against a table that grows with each refusal.
+  it("is deleted with the rows of jobs that ended long ago", async () => {
+    const clock = ManualClock.create();
+    const store = createStoreFake();
+    await createEntry(store, clock).refuse(JOB, DEADLINE_MS);
+    const follower = createFollower(store, clock);
+    await follower.reload(0);
+    let nowUnixMs = 0;
+    const collector = EndedJobCollector.create({
+      store,
+      follower,
+      nowUnixMs: () => nowUnixMs,
+      log: SILENT_LOG,
+      retentionMs: 1_000,
+    });
+    for (const _ of JOB_GROUPS) await collector.collect();
+    expect(store.keys()).to.deep.equal([refusalKey(JOB)]);
+    nowUnixMs = 100_000;
+    for (const _ of JOB_GROUPS) await collector.collect();
+    expect(store.keys()).to.deep.equal([]);
+  });
+
   it("is known to precede a try if the entry has seen a newer version of the store", async () => {
     const clock = ManualClock.create();
     const store = createStoreFake();
