--- a/packages/node/cell/admission/load_publisher_test.ts
+++ b/packages/node/cell/admission/load_publisher_test.ts
@@ -41,7 +41,7 @@
 }
 
 describe("the load that the lease holder publishes", () => {
-  // Guards against the price of rows that tell nothing.
+  // Guards against store traffic for a load that has not changed.
   it("is not written by an idle cell, nor by one whose jobs find capacity", async () => {
     const simulation = CellSimulation.create(["a", "b", "c"]);
     const writes = recordWrites(simulation);
--- a/packages/node/cell/callers/refusals_test.ts
+++ b/packages/node/cell/callers/refusals_test.ts
@@ -60,7 +60,7 @@
 }
 
 describe("a refusal for lack of capacity", () => {
-  // Guards against a job that runs although its caller was told that it never does.
+  // Guards against a job that runs although it was answered with 429.
   it("bars the write of an earlier try at another entry that arrives later", async () => {
     const clock = ManualClock.create();
     const store = createStoreFake();
@@ -100,7 +100,7 @@
     expect(store.keys()).to.not.include(jobKey(JOB));
   });
 
-  // Guards against a stored job that its own caller's second try is told never runs.
+  // Guards against a 429 for a repeated submission of a stored job.
   it("is not made when another entry has stored the job, though the copy lags", async () => {
     const clock = ManualClock.create();
     const store = createStoreFake();
@@ -133,7 +133,7 @@
     expect(outcome.kind).to.equal("unavailable");
   });
 
-  // Guards against a caller that comes back and is told that its job is accepted, which never runs.
+  // Guards against a 200 for a job that never runs, as an earlier try of it was refused.
   it("does not keep a caller that returns from being accepted", async () => {
     const clock = ManualClock.create();
     const store = createStoreFake();
--- a/packages/node/cell/speeds/speeds_row_test.ts
+++ b/packages/node/cell/speeds/speeds_row_test.ts
@@ -78,7 +78,7 @@
     expect(listStored(lines)).to.deep.equal(["a"]);
   });
 
-  // Guards against writes that cost money and tell nothing new.
+  // Guards against store traffic for rows that have not changed.
   it("are written at most once in 5 s, and not again when nothing has changed", async () => {
     const simulation = CellSimulation.create(WORKERS);
     const writtenMs: number[] = [];
--- a/packages/policy/cell/speeds/residuals.ts
+++ b/packages/policy/cell/speeds/residuals.ts
@@ -17,7 +17,7 @@
 const MAXIMUM_NOISE = 0.4;
 /** Number of samples from which the noise is measured. */
 const NOISE_SAMPLES = 40;
-/** Samples of a worker from which its own mean can be told from their noise. */
+/** Samples of a worker with which its mean is distinguished from their noise. */
 const NOISE_SAMPLES_OF_WORKER = 3;
 /**
  * The levels of the steps have errors, too, which samples of one worker share and which do not show
