Stop runs on workers that leave before the runs end

Cause: workers that are taken away at short notice got no new tasks, but what ran there went on until they were gone. A removed worker does not tell that its run is over, so the next start waited for the end of its lease, about 5 s. Change: the least time until a worker leaves is taken from its record, and a run that is expected to take longer is stopped at once, a persistent one at the last moment; the next round starts it elsewhere (policy/cell/draining, node/cell/draining).

--- a/packages/node/cell/admission/load_collector.ts
+++ b/packages/node/cell/admission/load_collector.ts
@@ -59,6 +59,11 @@
     this.#ratios.record(job.spec.queue, actualMs, step.estimateMs);
   }
 
+  /** Actual over estimated duration of the queue's tasks; 1 where not known. */
+  getDurationRatio(queue: QueueName): number {
+    return this.#ratios.get(queue);
+  }
+
   /** The load now; called at regular times, as jobs count as arrived since the last call. */
   computeForecast(jobs: readonly LiveJob[]): LoadForecast {
     const input = this.#input;
--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -18,6 +18,10 @@
 import { LOAD_PERIOD_MS, LoadPublisher } from "./admission/load_publisher.ts";
 import { BegunJobsWriter } from "./begun_jobs_writer.ts";
 import { CrashTracker } from "./crashes/crash_tracker.ts";
+import {
+  findLeavingRun,
+  type LeavingRunOptions,
+} from "./draining/leaving_runs.ts";
 import { EndedJobCollector } from "./ended_job_collector.ts";
 import { JobRegistry } from "./job_registry.ts";
 import { describeUnit, mayStillRunUnreported, type Unit } from "./live_job.ts";
@@ -87,6 +91,7 @@
   readonly #load: LoadPublisher;
   readonly #urgentDemand = UrgentDemand.create();
   readonly #timers: { cancel(): void }[] = [];
+  readonly #leaving: LeavingRunOptions;
   readonly #isUnreported = (worker: WorkerName) =>
     this.#fleet.isUnreported(worker);
   #subscription: Subscription | undefined;
@@ -113,6 +118,12 @@
     });
     this.#begunJobs = BegunJobsWriter.create(options);
     this.#load = LoadPublisher.create(options);
+    this.#leaving = {
+      clock: options.clock,
+      stopLimitMs: settings.bounds.stopLimitMs,
+      periodMs: TICK_PERIOD_MS,
+      getDurationRatio: (queue) => this.#load.collector.getDurationRatio(queue),
+    };
     this.#endedJobs = EndedJobCollector.create({
       ...options,
       retentionMs: settings.bounds.endedJobRetentionMs,
@@ -371,7 +382,13 @@
     this.#crashes.clearSurvivors(this.#jobs.jobs);
     this.#jobs.openDueUnits();
     for (const job of this.#jobs.jobs) {
-      for (const unit of job.units.values()) this.#closeIfStalled(unit);
+      for (const unit of job.units.values()) {
+        this.#closeIfStalled(unit);
+        const leaving = findLeavingRun(unit, this.#leaving);
+        if (leaving !== undefined) {
+          this.#runs.close(unit, "a worker leaves", { ...leaving });
+        }
+      }
     }
     this.#closeIncompleteGangs();
     this.#requestRound();
--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -70,6 +70,8 @@
   #left: LeftWorker | undefined;
   /** The incarnation that its record last showed as draining. */
   #drainingStartUnixMs: number | undefined;
+  /** The earliest time at which the draining incarnation leaves, as first announced. */
+  #drainEndMs: number | undefined;
 
   private constructor(options: WorkerSessionOptions) {
     this.#options = options;
@@ -190,11 +192,24 @@
     return this.#drainingStartUnixMs === this.incarnationStartUnixMs;
   }
 
+  /**
+   * The earliest time at which its incarnation leaves, on the process's clock; undefined while it
+   * has announced none.
+   */
+  get leavesMs(): number | undefined {
+    return this.isDraining ? this.#drainEndMs : undefined;
+  }
+
   #applyDraining(record: WorkerRecord | undefined): void {
     if (record === undefined) return;
-    const { isDraining, incarnationStartUnixMs } = record;
-    if (isDraining) this.#drainingStartUnixMs = incarnationStartUnixMs;
-    else if (this.#drainingStartUnixMs === incarnationStartUnixMs) {
+    const { isDraining, incarnationStartUnixMs, drainRemainingMs } = record;
+    if (isDraining) {
+      const isNew = this.#drainingStartUnixMs !== incarnationStartUnixMs;
+      this.#drainingStartUnixMs = incarnationStartUnixMs;
+      if (isNew) this.#drainEndMs = undefined;
+      if (drainRemainingMs === undefined) return;
+      this.#drainEndMs ??= this.#options.clock.nowMs() + drainRemainingMs;
+    } else if (this.#drainingStartUnixMs === incarnationStartUnixMs) {
       this.#drainingStartUnixMs = undefined;
     }
   }
