--- a/packages/node/cell/lease/entry_count_delays.ts
+++ b/packages/node/cell/lease/entry_count_delays.ts
@@ -11,7 +11,7 @@
  */
 const FOLLOW_DELAY_PER_PEER_MS = 5;
 /** The time until a renewal is due and that of the poll itself are added to it. */
-const MAXIMUM_FOLLOW_DELAY_MS = SCHEDULER_LEASE_MS / 3;
+const MAXIMUM_FOLLOW_DELAY_MS = 0.4 * SCHEDULER_LEASE_MS;
 /**
  * Twice the delay of polls: entries poll, and so see a change of the lease row, at different times.
  */
