Spread a gang over racks after 2 s while most capacity is idle

Change: the decision is a pure function of its own; after a wait of 2 s it allows a spread if more than half of the service's capacity is free.

--- a/packages/node/cell/plan_input.ts
+++ b/packages/node/cell/plan_input.ts
@@ -5,9 +5,9 @@
   WorkerName,
 } from "@coltsfootpond/common";
 import {
-  canMeetObjective,
   type CellJobSpec,
   computeCriticalPathMs,
+  computeFreeShares,
   computeLateLoss,
   computeMinimumSpeed,
   computeUrgentHeadroom,
@@ -15,6 +15,7 @@
   findLargestCapacity,
   type JobRankInput,
   listSpeeds,
+  mayRunRemote,
   type OrganisationShares,
   type PlanInput,
   type QueueName,
@@ -50,8 +51,6 @@
  */
 const AVOID_WAIT_MS = 2_000;
 const NO_WORKERS: ReadonlySet<WorkerName> = new Set();
-/** How long guaranteed work waits for a placement within one rack. */
-const SAME_RACK_WAIT_MS = 1_200;
 
 export interface PlanInputOptions {
   readonly jobs: readonly LiveJob[];
@@ -80,6 +79,7 @@
   const guaranteed = findGuaranteedJobs(jobs, options.guarantees);
   const meanWorkByQueue = computeMeanWork(jobs, capacity);
   const speeds = listSpeeds(workers);
+  const freeShares = computeFreeShares(workers);
   const waiting: WaitingUnit<Unit>[] = [];
   const running: RunningUnit<Unit>[] = [];
   for (const job of jobs) {
@@ -114,8 +114,11 @@
           unit,
           organisation: spec.organisation,
           rank,
-          allowRemote: !canMeetObjective(rankInput) ||
-            isGuaranteed && waitedMs > SAME_RACK_WAIT_MS,
+          allowRemote: mayRunRemote({
+            job: rankInput,
+            waitedMs,
+            freeShare: freeShares.get(spec.service) ?? 0,
+          }),
           evictionGain,
           displacementCost: spec.priority === URGENT_PRIORITY
             ? undefined
--- a/packages/policy/mod.ts
+++ b/packages/policy/mod.ts
@@ -17,6 +17,7 @@
 export * from "./cell/job_progress.ts";
 export * from "./cell/plan_round.ts";
 export * from "./cell/job_rank.ts";
+export * from "./cell/remote_spread/remote_spread.ts";
 export * from "./cell/urgent_headroom.ts";
 export * from "./cell/admission/admission.ts";
 export * from "./cell/admission/admission_floor.ts";
