--- a/packages/node/cell/draining/leaving_runs.ts
+++ b/packages/node/cell/draining/leaving_runs.ts
@@ -2,7 +2,7 @@
 import type { Clock } from "@coltsfootpond/common";
 import {
   computeRemainingMs,
-  mustLeave,
+  mustStopLeavingRun,
   type QueueName,
 } from "@coltsfootpond/policy";
 import type { Unit } from "../live_job.ts";
@@ -31,11 +31,13 @@
   const { run, step, job } = unit;
   if (run === undefined || run.isClosing) return undefined;
   const nowMs = clock.nowMs();
-  const leavesMs = Math.min(
-    ...[...run.taskRuns.values()].map(({ leavesMs }) => leavesMs ?? Infinity),
+  const firstDepartureMs = Math.min(
+    ...[...run.taskRuns.values()].map(({ departureMs }) =>
+      departureMs ?? Infinity
+    ),
   );
-  if (leavesMs === Infinity) return undefined;
-  const timeLeftMs = leavesMs - nowMs;
+  if (firstDepartureMs === Infinity) return undefined;
+  const timeLeftMs = firstDepartureMs - nowMs;
   const percents = [...run.taskRuns.keys()].map(({ percent }) => percent);
   const remainingMs = computeRemainingMs({
     elapsedMs: nowMs - run.startedMs,
@@ -49,7 +51,7 @@
     remainingMs,
     isPersistent: step.isPersistent,
   };
-  return mustLeave(leavingRun, { stopLimitMs, periodMs })
+  return mustStopLeavingRun(leavingRun, { stopLimitMs, periodMs })
     ? {
       timeLeftMs: Math.round(timeLeftMs),
       remainingMs: Math.round(remainingMs),
--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -71,7 +71,7 @@
   /** The incarnation that its record last showed as draining. */
   #drainingStartUnixMs: number | undefined;
   /** The earliest time at which the draining incarnation leaves, as first announced. */
-  #drainEndMs: number | undefined;
+  #departureMs: number | undefined;
 
   private constructor(options: WorkerSessionOptions) {
     this.#options = options;
@@ -196,8 +196,8 @@
    * The earliest time at which its incarnation leaves, on the process's clock; undefined while it
    * has announced none.
    */
-  get leavesMs(): number | undefined {
-    return this.isDraining ? this.#drainEndMs : undefined;
+  get departureMs(): number | undefined {
+    return this.isDraining ? this.#departureMs : undefined;
   }
 
   #applyDraining(record: WorkerRecord | undefined): void {
@@ -206,9 +206,9 @@
     if (isDraining) {
       const isNew = this.#drainingStartUnixMs !== incarnationStartUnixMs;
       this.#drainingStartUnixMs = incarnationStartUnixMs;
-      if (isNew) this.#drainEndMs = undefined;
+      if (isNew) this.#departureMs = undefined;
       if (drainRemainingMs === undefined) return;
-      this.#drainEndMs ??= this.#options.clock.nowMs() + drainRemainingMs;
+      this.#departureMs ??= this.#options.clock.nowMs() + drainRemainingMs;
     } else if (this.#drainingStartUnixMs === incarnationStartUnixMs) {
       this.#drainingStartUnixMs = undefined;
     }
--- a/packages/policy/cell/draining/leaving_worker.ts
+++ b/packages/policy/cell/draining/leaving_worker.ts
@@ -26,7 +26,7 @@
 const ROUND_TRIP_MS = 100;
 
 /** Whether to stop the run now. */
-export function mustLeave(
+export function mustStopLeavingRun(
   { timeLeftMs, remainingMs, isPersistent }: LeavingRun,
   { stopLimitMs, periodMs }: LeavingRunLimits,
 ): boolean {
--- a/packages/policy/cell/draining/leaving_worker_test.ts
+++ b/packages/policy/cell/draining/leaving_worker_test.ts
@@ -1,11 +1,14 @@
 /** Tests which runs are stopped on workers that leave at short notice. */
 import { expect } from "chai";
-import { mustLeave } from "./leaving_worker.ts";
+import { mustStopLeavingRun } from "./leaving_worker.ts";
 
 const LIMITS = { stopLimitMs: 200, periodMs: 200 };
 
 function decide(timeLeftMs: number, remainingMs: number): boolean {
-  return mustLeave({ timeLeftMs, remainingMs, isPersistent: false }, LIMITS);
+  return mustStopLeavingRun(
+    { timeLeftMs, remainingMs, isPersistent: false },
+    LIMITS,
+  );
 }
 
 describe("a run on a worker that leaves at short notice", () => {
@@ -27,7 +30,7 @@
 
   it("is stopped late if it never ends by itself", () => {
     const decisions = [4_500, 1_000, 500, 100].map((timeLeftMs) =>
-      mustLeave(
+      mustStopLeavingRun(
         { timeLeftMs, remainingMs: Infinity, isPersistent: true },
         LIMITS,
       )
--- a/scripts/mutations/cell_mutations.ts
+++ b/scripts/mutations/cell_mutations.ts
@@ -8,6 +8,7 @@
 const NO_TASK_TWICE = "no task twice";
 const ONE_HOLDER = "one holder acts";
 const VERSIONS_IN_FORCE = "versions in force in time";
+const STARTS_IN_TIME = "urgent work starts in time";
 const ACCEPTED = "accepted jobs are kept, refused ones never run";
 
 export const CELL_MUTATIONS: readonly Mutation[] = [
@@ -233,4 +234,40 @@
     spec: `${CELL}/store_relay_test.ts`,
     title: "finds the one peer that reaches the store",
   },
+  {
+    name: "let runs go on until their worker has left",
+    promise: STARTS_IN_TIME,
+    file: `${CELL}/draining/leaving_runs.ts`,
+    find: `if (firstDepartureMs === Infinity) return undefined;`,
+    replace: `if (firstDepartureMs > 0) return undefined;`,
+    spec: `${CELL}/draining/leaving_runs_test.ts`,
+    title: "is stopped and started elsewhere before the worker leaves",
+  },
+  {
+    name: "stop all runs on a worker that leaves",
+    promise: STARTS_IN_TIME,
+    file: `${POLICY}/draining/leaving_worker.ts`,
+    find: `remainingMs > timeLeftMs;`,
+    replace: `remainingMs > 0;`,
+    spec: `${CELL}/draining/leaving_runs_test.ts`,
+    title: "goes on if it ends before",
+  },
+  {
+    name: "keep a gang in one rack while most of the capacity is idle",
+    promise: STARTS_IN_TIME,
+    file: `${POLICY}/remote_spread/remote_spread.ts`,
+    find: `return freeShare > IDLE_SHARE && waitedMs > IDLE_WAIT_MS;`,
+    replace: `return false;`,
+    spec: `${POLICY}/remote_spread/remote_spread_test.ts`,
+    title: "is spread over racks after a while",
+  },
+  {
+    name: "replace a lost holder after the earlier duration of the lease",
+    promise: STARTS_IN_TIME,
+    file: `${CELL}/lease/lease_times.ts`,
+    find: `SCHEDULER_LEASE_MS = 1_300`,
+    replace: `SCHEDULER_LEASE_MS = 1_800`,
+    spec: `${CELL}/lease/entry_count_delays_test.ts`,
+    title: "let a lost holder be replaced",
+  },
 ];
