Follow the state table from the version of a read

Cause: the groups of the state table are read one after another, and the copy went on from the newest row that was read instead of from the version at which the read began. A row written meanwhile to a group that had been read before was never received. The lease holder reads the whole table after a failed or empty poll, most often while the store is slow. What callers saw: accepted jobs that never ran (LOST). Ruled out: rows that were not stored (the callers' entries committed them), a change of the holder, admission. Change: only answers of the feed move the position by their rows. The new test fails without it: the copy asked for changes after 10 instead of after 5.

--- a/packages/node/cell/table_follower.ts
+++ b/packages/node/cell/table_follower.ts
@@ -200,8 +200,10 @@
     ).map(({ key }) => ({ key, version: outcome.version, value: undefined }));
     const wasLoaded = this.#isLoaded;
     this.#isLoaded = true;
+    // Groups are read one after another: between this version and that of the newest row there may
+    // be changes of groups that were read before.
     this.#cursor = Math.max(this.#cursor, outcome.version);
-    this.applyAnswer(outcome.version, [...outcome.rows, ...deletedRows]);
+    this.#applyAnswer(outcome.version, [...outcome.rows, ...deletedRows]);
     if (!wasLoaded) {
       log.info("store.table_read", {
         table,
@@ -234,7 +236,11 @@
         return true;
       case "rows":
         if (this.#isStale(outcome.version, newestBefore)) return false;
-        this.applyAnswer(outcome.version, outcome.rows);
+        this.#cursor = Math.max(
+          this.#cursor,
+          ...outcome.rows.map((row) => row.version),
+        );
+        this.#applyAnswer(outcome.version, outcome.rows);
         this.#needsRead = outcome.rows.length === 0 &&
           this.#options.expectsChanges === true;
         return true;
@@ -250,12 +256,8 @@
   }
 
   /** Applies the changed rows of an answer at `version`. */
-  applyAnswer(version: number, rows: readonly StateRow[]): void {
+  #applyAnswer(version: number, rows: readonly StateRow[]): void {
     this.#options.seen.update(version);
-    this.#cursor = Math.max(
-      this.#cursor,
-      ...rows.map((row) => row.version),
-    );
     this.#lastAnswerMs = this.#options.clock.nowMs();
     const changed = rows.filter((row) => this.#applyRow(row));
     this.#removeTombstones(rows);
--- a/packages/node/cell/table_follower_test.ts
+++ b/packages/node/cell/table_follower_test.ts
@@ -47,6 +47,42 @@
 }
 
 describe("table follower", () => {
+  // Guards against an accepted job that the lease holder never sees: its row was written to a group
+  // that had been read, before another group with a newer row was read.
+  it("follows from the version of a read, not from that of its newest row", async () => {
+    const clock = ManualClock.create();
+    const asked: number[] = [];
+    const follower = TableFollower.create({
+      table: "state",
+      store: {
+        ...createStoreFake(),
+        read: () =>
+          Promise.resolve({
+            kind: "rows",
+            rows: [row("read-later", 10)],
+            version: 5,
+          }),
+        follow: (_table, afterVersion) => {
+          asked.push(afterVersion);
+          return asked.length > 1 ? new Promise(() => {}) : Promise.resolve({
+            kind: "rows",
+            rows: [row("missed", 7), row("read-later", 10)],
+            version: 10,
+          });
+        },
+      },
+      clock,
+      random: SeededRandom.create(1),
+      seen: SeenVersion.create(),
+      log: SILENT_LOG,
+    });
+    void follower.run();
+    await clock.advance(100);
+    expect(asked).to.deep.equal([5, 10]);
+    expect(follower.get("missed")?.version).to.equal(7);
+    expect(follower.get("read-later")?.version).to.equal(10);
+  });
+
   it("does not miss a change that the feed never sent", async () => {
     // The feed never sends the change of version 5; the store then drops its history up to 6.
     const { follower, clock } = createFollower(
