Log from where each session with a worker was opened

The log could not tell whether a lease holder calls an address because a record names it now, or because an earlier holder stored it in the roster: the only line on a session, worker.first_report, comes after the first call, and that call ends the process.

worker.session_opened names the source, worker.record_removed when a record was last there.

--- a/packages/node/cell/worker_directory.ts
+++ b/packages/node/cell/worker_directory.ts
@@ -115,6 +115,7 @@
     const leftWorkers = this.#findLeft(
       new Set(outcome.rows.flatMap(({ key, value }) => value ? [key] : [])),
     );
+    this.#logRemoved(records);
     this.#updateKnown(records);
     this.#lastRead = started;
     return { records, leftWorkers };
@@ -157,6 +158,14 @@
       );
   }
 
+  #logRemoved(records: ReadonlyMap<WorkerName, WorkerRecord>): void {
+    for (const [worker, { record }] of this.#knownRecords) {
+      if (records.has(worker)) continue;
+      const { address } = record;
+      this.#options.log.info("worker.record_removed", { worker, address });
+    }
+  }
+
   #updateKnown(records: ReadonlyMap<WorkerName, WorkerRecord>): void {
     const next = new Map<WorkerName, KnownRecord>();
     for (const record of records.values()) {
--- a/packages/node/cell/worker_fleet.ts
+++ b/packages/node/cell/worker_fleet.ts
@@ -6,6 +6,7 @@
 import type {
   Clock,
   FailureDomainName,
+  ValueOf,
   WorkerName,
 } from "@coltsfootpond/common";
 import { coversNeed, type WorkerView } from "@coltsfootpond/policy";
@@ -26,6 +27,10 @@
 import { computeLongestLeaseMs } from "./worker_leases.ts";
 import { WorkerSession } from "./worker_session.ts";
 
+/** What named the worker with which a session is opened. */
+const SESSION_SOURCE = { RECORD: "record", ROSTER: "roster" } as const;
+type SessionSource = ValueOf<typeof SESSION_SOURCE>;
+
 /** How long a new lease holder waits for the workers' first reports before it starts tasks. */
 const FIRST_REPORT_TIMEOUT_MS = 700;
 const REPORT_CHECK_PERIOD_MS = 4;
@@ -177,7 +182,11 @@
     const snapshot = await this.#directory.read();
     if (snapshot === undefined || this.#isStopped) return;
     for (const record of snapshot.records.values()) {
-      const session = this.#openSession(record.worker, record.address);
+      const session = this.#openSession(
+        record.worker,
+        record.address,
+        SESSION_SOURCE.RECORD,
+      );
       session.setRecord(record);
     }
     for (const session of this.#sessions.values()) {
@@ -196,7 +205,11 @@
    * The session with the worker. A worker at a new address gets a new session once the known one
    * has no task runs.
    */
-  #openSession(worker: WorkerName, address: string): WorkerSession {
+  #openSession(
+    worker: WorkerName,
+    address: string,
+    source: SessionSource,
+  ): WorkerSession {
     const known = this.#sessions.get(worker);
     if (known !== undefined && known.target.address === address) return known;
     if (known !== undefined && !known.isIdle) return known;
@@ -214,6 +227,7 @@
       canAct,
     });
     this.#sessions.set(worker, session);
+    log.info("worker.session_opened", { worker, address, epoch, source });
     session.startPolling();
     return session;
   }
@@ -245,7 +259,7 @@
     if (row?.value === undefined) return;
     const { workers } = decodeRow<RosterRow>(row.value);
     for (const [worker, address] of workers) {
-      this.#openSession(worker as WorkerName, address);
+      this.#openSession(worker as WorkerName, address, SESSION_SOURCE.ROSTER);
     }
   }
 
