Refuse HTTP requests that cannot be made instead of throwing

Cause: node:http throws on a port out of range, a header value that cannot be sent, and the like. HttpClient.exchange called it inside a promise, whose rejection none of its callers expects: store, peers and workers are all told to get an outcome. A poll loop started with `void` dropped it, and uncaughtException ended the process.

Change: such a request is an outcome, `refused`: nothing was sent. The port is checked first, as node:http takes NaN and 0 for its default port and would call another address.

--- a/packages/ports/http/http_client.ts
+++ b/packages/ports/http/http_client.ts
@@ -1,9 +1,9 @@
 /** An HTTP client for the platform's services, with time-outs, size limits and keep-alive. */
 import type { Buffer } from "node:buffer";
-import { Agent, request } from "node:http";
+import { Agent, type ClientRequest, request } from "node:http";
 import type { Socket } from "node:net";
 import { Buffer as NodeBuffer } from "node:buffer";
-import type { JsonValue } from "@coltsfootpond/common";
+import { isPort, type JsonValue } from "@coltsfootpond/common";
 import { MAXIMUM_RESPONSE_BYTES } from "../constants.ts";
 import type { Unavailable, UnavailableEffect } from "../types.ts";
 import { refused, unavailable } from "../unavailable.ts";
@@ -102,7 +102,10 @@
     this.#agent.destroy();
   }
 
-  /** `refused`: status 503, or nothing was written. Every other failure is `lost`. */
+  /**
+   * `refused`: status 503, or nothing was written. Every other failure is `lost`. Never rejects: a
+   * request that cannot be made, such as one to a port out of range, is refused as well.
+   */
   exchange(clientRequest: HttpClientRequest): Promise<HttpOutcome> {
     const { connection, maySend } = clientRequest;
     // The pool would open another connection for the request.
@@ -111,20 +114,11 @@
     }
     if (maySend?.() === false) return Promise.resolve(refused(NOT_SENT));
     const body = clientRequest.body ?? new Uint8Array(0);
+    const outgoing = this.#open(clientRequest, body.byteLength);
+    if ("kind" in outgoing) return Promise.resolve(outgoing);
     this.#meter?.addSent(body.byteLength + HEADER_BYTES_ESTIMATE);
     return new Promise((resolve) => {
       let isWritten = false;
-      const outgoing = request({
-        ...this.#address,
-        agent: this.#agent,
-        method: clientRequest.method,
-        path: clientRequest.path,
-        headers: {
-          "content-length": body.byteLength,
-          "content-type": "application/json",
-          ...clientRequest.headers,
-        },
-      });
       const { timeoutMs, totalTimeoutMs } = clientRequest;
       let isTimedOut = false;
       const abort = () => {
@@ -204,6 +198,31 @@
     });
   }
 
+  /** `node:http` throws on a request that cannot be sent. */
+  #open(
+    { method, path, headers }: HttpClientRequest,
+    bodyBytes: number,
+  ): ClientRequest | Unavailable {
+    if (!isPort(this.#address.port)) {
+      return refused(`${this.#address.port} is not a port`);
+    }
+    try {
+      return request({
+        ...this.#address,
+        agent: this.#agent,
+        method,
+        path,
+        headers: {
+          "content-length": bodyBytes,
+          "content-type": "application/json",
+          ...headers,
+        },
+      });
+    } catch (error) {
+      return refused(`the request cannot be made: ${String(error)}`);
+    }
+  }
+
   #isIdle(connection: HttpConnection): boolean {
     return connection.writable &&
       Object.values(this.#agent.freeSockets).some((sockets) =>
