Decode what a worker's record names once, into what can be called

Cause: an address was any text and a name any key, so a record of another writer became a call target. The holder stored it in the roster, and each later holder opened a session from there before it read the records.

--- a/packages/common/ids.ts
+++ b/packages/common/ids.ts
@@ -12,6 +12,8 @@
 export type RegionName = Branded<"RegionName">;
 export type RackName = Branded<"RackName">;
 export type WorkerName = Branded<"WorkerName">;
+/** Address of a worker to which a connection can be opened, as `host:port`. */
+export type WorkerAddress = Branded<"WorkerAddress">;
 export type RunnerName = Branded<"RunnerName">;
 export type EntryName = Branded<"EntryName">;
 /** Identifies one process lifetime of an entry; every start creates a new one. */
--- a/packages/node/cell/admission/admission_gate_test.ts
+++ b/packages/node/cell/admission/admission_gate_test.ts
@@ -74,6 +74,7 @@
   organisationByApiKey: new Map([["key", ORGANISATION]]),
   guarantees: [],
   shares: [],
+  services: new Set(),
   capacityEnforcingServices: new Set(),
   limits: {
     headerBytes: 8_192,
--- a/packages/node/cell/callers/caller_filters_fuzz_test.ts
+++ b/packages/node/cell/callers/caller_filters_fuzz_test.ts
@@ -45,6 +45,7 @@
   ]]),
   guarantees: [],
   shares: [],
+  services: new Set(),
   capacityEnforcingServices: new Set(),
   limits: {
     headerBytes: 8_192,
--- a/packages/node/cell/cell_simulation.ts
+++ b/packages/node/cell/cell_simulation.ts
@@ -1,8 +1,11 @@
 /** A store, workers and schedulers on one manual clock, for the tests of the cell. */
 import {
+  brandId,
   ManualClock,
   SeededRandom,
+  type ServiceName,
   type Timer,
+  type WorkerAddress,
   type WorkerName,
 } from "@coltsfootpond/common";
 import type { CellJobSpec, TaskName } from "@coltsfootpond/policy";
@@ -43,12 +46,14 @@
 const WORKER_CHECK_PERIOD_MS = 10;
 
 const DECLARED_STATE_KEY = "declared";
+const SERVICE = brandId<ServiceName>("service");
 const NOTHING_DECLARED: DeclaredState = {
   version: 1,
   queues: [],
   organisationByApiKey: new Map(),
   guarantees: [],
   shares: [],
+  services: new Set([SERVICE]),
   capacityEnforcingServices: new Set(),
   limits: {
     headerBytes: 8_192,
@@ -314,8 +319,19 @@
   #createRecordDecoder(): RecordDecoder {
     return {
       decodeDeclaredState: () => this.#declared,
-      decodeWorker: (key, value) =>
-        this.get(key).isRecordUnreadable ? undefined : this.#records.get(value),
+      decodeWorker: (key, value) => {
+        const record = this.#records.get(value);
+        return record === undefined || this.get(key).isRecordUnreadable
+          ? { kind: "unusable", field: "value", expected: "a record" }
+          : { kind: "record", record };
+      },
+      decodeWorkerTarget: (name, address) =>
+        typeof name === "string" && typeof address === "string"
+          ? {
+            worker: brandId<WorkerName>(name),
+            address: brandId<WorkerAddress>(address),
+          }
+          : undefined,
       classifyOperatorRow: () => ({ kind: "declared_state" }),
     };
   }
--- a/packages/node/cell/duplicate_runs/late_start_answer_test.ts
+++ b/packages/node/cell/duplicate_runs/late_start_answer_test.ts
@@ -1,4 +1,8 @@
-import { ManualClock, type WorkerName } from "@coltsfootpond/common";
+import {
+  ManualClock,
+  type WorkerAddress,
+  type WorkerName,
+} from "@coltsfootpond/common";
 import type { TaskName } from "@coltsfootpond/policy";
 import type {
   StartCommand,
@@ -25,7 +29,7 @@
   };
   let answer: (outcome: StartOutcome) => void = () => {};
   const session = WorkerSession.create({
-    target: { worker: "a" as WorkerName, address: "a:1" },
+    target: { worker: "a" as WorkerName, address: "a:1" as WorkerAddress },
     epoch: 1,
     workerPort: {
       start: () => new Promise((resolve) => (answer = resolve)),
--- a/packages/node/cell/duplicate_runs/stopped_session_test.ts
+++ b/packages/node/cell/duplicate_runs/stopped_session_test.ts
@@ -1,4 +1,8 @@
-import { ManualClock, type WorkerName } from "@coltsfootpond/common";
+import {
+  ManualClock,
+  type WorkerAddress,
+  type WorkerName,
+} from "@coltsfootpond/common";
 import type { TaskName } from "@coltsfootpond/policy";
 import type { RenewCommand, WorkerPort } from "@coltsfootpond/ports";
 import { expect } from "chai";
@@ -44,7 +48,7 @@
       onEnded: () => {},
     };
     const session = WorkerSession.create({
-      target: { worker: "a" as WorkerName, address: "a:1" },
+      target: { worker: "a" as WorkerName, address: "a:1" as WorkerAddress },
       epoch: 1,
       workerPort: workerPort as WorkerPort,
       bounds: SIMULATION_BOUNDS,
--- a/packages/node/cell/duplicate_runs/worker_directory_test.ts
+++ b/packages/node/cell/duplicate_runs/worker_directory_test.ts
@@ -1,5 +1,5 @@
 import { ManualClock, type WorkerName } from "@coltsfootpond/common";
-import type { StateRow, StateStore, WorkerRecord } from "@coltsfootpond/ports";
+import type { StateRow, StateStore } from "@coltsfootpond/ports";
 import { expect } from "chai";
 import { SILENT_LOG } from "../log.ts";
 import { WorkerDirectory } from "../worker_directory.ts";
@@ -32,10 +32,19 @@
     recordDecoder: {
       decodeDeclaredState: () => undefined,
       classifyOperatorRow: () => ({ kind: "other" }),
-      decodeWorker: (_key, bytes): WorkerRecord | undefined =>
+      decodeWorkerTarget: () => undefined,
+      decodeWorker: (_key, bytes) =>
         bytes === UNREADABLE
-          ? undefined
-          : { ...record, heartbeat, isDraining, incarnationStartUnixMs },
+          ? { kind: "unusable", field: "value", expected: "a record" }
+          : {
+            kind: "record",
+            record: {
+              ...record,
+              heartbeat,
+              isDraining,
+              incarnationStartUnixMs,
+            },
+          },
     },
     clock,
     nowUnixMs: () => clock.nowMs() + suspendedMs,
--- a/packages/node/cell/fakes/worker_port_fake_test.ts
+++ b/packages/node/cell/fakes/worker_port_fake_test.ts
@@ -10,7 +10,10 @@
   const simulation = CellSimulation.create(["a"]);
   const { clock, workers } = simulation;
   const worker = simulation.get("a");
-  const target = { worker: worker.record.worker, address: "a:1" };
+  const target = {
+    worker: worker.record.worker,
+    address: worker.record.address,
+  };
   const port = createWorkerPortFake(workers, clock);
   const start = (incarnationStartUnixMs = FIRST_START) =>
     port.start(target, {
--- a/packages/node/cell/incarnations/removed_record_test.ts
+++ b/packages/node/cell/incarnations/removed_record_test.ts
@@ -1,4 +1,8 @@
-import { ManualClock, type WorkerName } from "@coltsfootpond/common";
+import {
+  ManualClock,
+  type WorkerAddress,
+  type WorkerName,
+} from "@coltsfootpond/common";
 import type { TaskName } from "@coltsfootpond/policy";
 import type {
   RunningTask,
@@ -47,7 +51,7 @@
     };
   };
   const session = WorkerSession.create({
-    target: { worker: WORKER, address: "a:1" },
+    target: { worker: WORKER, address: "a:1" as WorkerAddress },
     epoch: 1,
     workerPort: { renew } as WorkerPort,
     bounds: SIMULATION_BOUNDS,
--- a/packages/node/cell/incarnations/undecided_report_test.ts
+++ b/packages/node/cell/incarnations/undecided_report_test.ts
@@ -1,4 +1,8 @@
-import { ManualClock, type WorkerName } from "@coltsfootpond/common";
+import {
+  ManualClock,
+  type WorkerAddress,
+  type WorkerName,
+} from "@coltsfootpond/common";
 import type { WorkerPort } from "@coltsfootpond/ports";
 import { expect } from "chai";
 import { SIMULATION_BOUNDS } from "../cell_simulation.ts";
@@ -14,7 +18,7 @@
     const clock = ManualClock.create();
     let polls = 0;
     const session = WorkerSession.create({
-      target: { worker: "a" as WorkerName, address: "a:1" },
+      target: { worker: "a" as WorkerName, address: "a:1" as WorkerAddress },
       epoch: 1,
       workerPort: {
         renew: async () => {
--- a/packages/node/cell/odd_records/roster_test.ts
+++ b/packages/node/cell/odd_records/roster_test.ts
@@ -23,6 +23,7 @@
 const FOREIGN = "meter-archive" as ServiceName;
 /** The store's limit of a row (the platform's protocol). */
 const MAXIMUM_ROW_BYTES = 65_536;
+const ASCII = /^[!-~]+$/;
 const FOREIGN_RECORDS = 450;
 const REPORT: RenewOutcome = {
   kind: "report",
@@ -69,15 +70,25 @@
     } as unknown as WorkerPort,
     recordDecoder: {
       decodeWorker: (key: string) => ({
-        ...WorkerFake.create(key, clock, []).record,
-        service: records[key]!,
+        kind: "record",
+        record: {
+          ...WorkerFake.create(key, clock, []).record,
+          service: records[key]!,
+        },
       }),
+      decodeWorkerTarget: (worker: unknown, address: unknown) =>
+        typeof worker === "string" && ASCII.test(worker) &&
+          typeof address === "string" && address.endsWith(":1")
+          ? { worker, address }
+          : undefined,
     } as unknown as RecordDecoder,
     follower,
     clock,
     nowUnixMs: () => clock.nowMs(),
     log: SILENT_LOG,
     bounds: SIMULATION_BOUNDS,
+    rowLimitBytes: MAXIMUM_ROW_BYTES,
+    isDeclared: (service: ServiceName) => service === DECLARED,
     heartbeatMs: 1_500,
     canAct: () => true,
     isOut: () => false,
--- a/packages/node/cell/quotas/quota_refusal_test.ts
+++ b/packages/node/cell/quotas/quota_refusal_test.ts
@@ -42,6 +42,7 @@
     organisationByApiKey: new Map([["key", A]]),
     guarantees: [],
     shares: [{ organisation: A, weight: undefined, quota }],
+    services: new Set(),
     capacityEnforcingServices: new Set(),
     limits: {
       headerBytes: 1,
--- a/packages/node/cell/worker_connections/earlier_instance_test.ts
+++ b/packages/node/cell/worker_connections/earlier_instance_test.ts
@@ -1,4 +1,8 @@
-import { ManualClock, type WorkerName } from "@coltsfootpond/common";
+import {
+  ManualClock,
+  type WorkerAddress,
+  type WorkerName,
+} from "@coltsfootpond/common";
 import type { RenewOutcome, WorkerPort } from "@coltsfootpond/ports";
 import { expect } from "chai";
 import { SIMULATION_BOUNDS } from "../cell_simulation.ts";
@@ -23,7 +27,7 @@
     let polls = 0;
     const gone: string[] = [];
     const session = WorkerSession.create({
-      target: { worker: "a" as WorkerName, address: "a:1" },
+      target: { worker: "a" as WorkerName, address: "a:1" as WorkerAddress },
       epoch: 1,
       workerPort: {
         start: () => Promise.resolve({ kind: "started" }),
--- a/packages/node/cell/worker_connections/reused_address_test.ts
+++ b/packages/node/cell/worker_connections/reused_address_test.ts
@@ -51,8 +51,11 @@
     } as unknown as WorkerPort,
     recordDecoder: {
       decodeWorker: (key: string) => ({
-        ...WorkerFake.create(key, clock, []).record,
-        address: ADDRESS,
+        kind: "record",
+        record: {
+          ...WorkerFake.create(key, clock, []).record,
+          address: ADDRESS,
+        },
       }),
     } as unknown as RecordDecoder,
     follower: createFollower(store, clock),
--- a/packages/node/cell/worker_directory.ts
+++ b/packages/node/cell/worker_directory.ts
@@ -122,12 +122,18 @@
   }
 
   #decode(key: string, value: Uint8Array): WorkerRecord | undefined {
-    const record = this.#options.recordDecoder.decodeWorker(key, value);
-    if (record === undefined && !this.#unreadable.has(key)) {
+    const outcome = this.#options.recordDecoder.decodeWorker(key, value);
+    if (outcome.kind === "record") return outcome.record;
+    if (!this.#unreadable.has(key)) {
+      const { field, expected } = outcome;
       this.#unreadable.add(key);
-      this.#options.log.warn("worker.record_unreadable", { key });
+      this.#options.log.warn("worker.record_unreadable", {
+        key,
+        field,
+        expected,
+      });
     }
-    return record;
+    return undefined;
   }
 
   /** A row that cannot be decoded is no removal. */
--- a/packages/node/cell/worker_fleet.ts
+++ b/packages/node/cell/worker_fleet.ts
@@ -16,6 +16,7 @@
   StateStore,
   WorkerPort,
   WorkerRecord,
+  WorkerTarget,
 } from "@coltsfootpond/ports";
 import type { CellLog, LogFields } from "./log.ts";
 import { putRow } from "./state_rows/put_row.ts";
@@ -182,11 +183,7 @@
     const snapshot = await this.#directory.read();
     if (snapshot === undefined || this.#isStopped) return;
     for (const record of snapshot.records.values()) {
-      const session = this.#openSession(
-        record.worker,
-        record.address,
-        SESSION_SOURCE.RECORD,
-      );
+      const session = this.#openSession(record, SESSION_SOURCE.RECORD);
       session.setRecord(record);
     }
     for (const session of this.#sessions.values()) {
@@ -206,8 +203,7 @@
    * has no task runs.
    */
   #openSession(
-    worker: WorkerName,
-    address: string,
+    { worker, address }: WorkerTarget,
     source: SessionSource,
   ): WorkerSession {
     const known = this.#sessions.get(worker);
@@ -255,11 +251,15 @@
 
   /** Opens sessions with the workers that an earlier lease holder may have used. */
   openRosterSessions(): void {
-    const row = this.#options.follower.get(ROSTER_KEY);
+    const { follower, recordDecoder } = this.#options;
+    const row = follower.get(ROSTER_KEY);
     if (row?.value === undefined) return;
     const { workers } = decodeRow<RosterRow>(row.value);
     for (const [worker, address] of workers) {
-      this.#openSession(worker as WorkerName, address, SESSION_SOURCE.ROSTER);
+      const target = recordDecoder.decodeWorkerTarget(worker, address);
+      if (target !== undefined) {
+        this.#openSession(target, SESSION_SOURCE.ROSTER);
+      }
     }
   }
 
--- a/packages/node/cell/workers_fake.ts
+++ b/packages/node/cell/workers_fake.ts
@@ -10,6 +10,7 @@
   type ManualClock,
   type RackName,
   type ServiceName,
+  type WorkerAddress,
   type WorkerName,
 } from "@coltsfootpond/common";
 import type { RunEnd, TaskName } from "@coltsfootpond/policy";
@@ -134,7 +135,7 @@
     this.record = {
       worker: brandId<WorkerName>(name),
       service: brandId<ServiceName>("service"),
-      address,
+      address: brandId<WorkerAddress>(address),
       failureDomain: brandId<FailureDomainName>("domain"),
       rack: brandId<RackName>("rack"),
       // Each worker has its name as a label, so that tests can place tasks.
--- a/packages/ports/cell/codecs.ts
+++ b/packages/ports/cell/codecs.ts
@@ -10,7 +10,7 @@
   StepSpec,
 } from "@coltsfootpond/policy";
 import type { DeclaredState } from "./declared_state.ts";
-import type { WorkerRecord } from "./workers.ts";
+import type { WorkerRecord, WorkerTarget } from "./workers.ts";
 
 /** The decoded method, path and headers of a caller's request. */
 export interface RequestHead {
@@ -50,12 +50,23 @@
   encodeCount(waitingJobs: number): string;
 }
 
+/** `unusable`: the record names no worker to use; the field, and what it should be. */
+export type WorkerRecordOutcome =
+  | { readonly kind: "record"; readonly record: WorkerRecord }
+  | {
+    readonly kind: "unusable";
+    readonly field: string;
+    readonly expected: string;
+  };
+
 /** Decodes the rows that operators and workers write to the store. */
 export interface RecordDecoder {
   /** Undefined when the value is not a valid declared state. */
   decodeDeclaredState(value: Uint8Array): DeclaredState | undefined;
-  /** Undefined when the value is not a valid worker record; `key` is the worker's name. */
-  decodeWorker(key: string, value: Uint8Array): WorkerRecord | undefined;
+  /** `key` is the worker's name. */
+  decodeWorker(key: string, value: Uint8Array): WorkerRecordOutcome;
+  /** The same checks of a name and an address; undefined when no call could be made to them. */
+  decodeWorkerTarget(name: unknown, address: unknown): WorkerTarget | undefined;
   /** The kind of a row of the operators' table, by its key. */
   classifyOperatorRow(key: string): OperatorRowKind;
 }
--- a/packages/ports/cell/declared_state.ts
+++ b/packages/ports/cell/declared_state.ts
@@ -43,6 +43,8 @@
   readonly organisationByApiKey: ReadonlyMap<string, OrganisationName>;
   readonly guarantees: readonly OrganisationGuarantee[];
   readonly shares: readonly OrganisationShare[];
+  /** All services that the declared state names; a worker of any other is not used. */
+  readonly services: ReadonlySet<ServiceName>;
   /** Services whose workers refuse a start that exceeds their capacity. */
   readonly capacityEnforcingServices: ReadonlySet<ServiceName>;
   /** Limits of the HTTP server that callers use. */
--- a/packages/ports/cell/workers.ts
+++ b/packages/ports/cell/workers.ts
@@ -3,6 +3,7 @@
   FailureDomainName,
   RackName,
   ServiceName,
+  WorkerAddress,
   WorkerName,
 } from "@coltsfootpond/common";
 import type { CellResources, RunEnd, TaskName } from "@coltsfootpond/policy";
@@ -12,7 +13,7 @@
 export interface WorkerRecord {
   readonly worker: WorkerName;
   readonly service: ServiceName;
-  readonly address: string;
+  readonly address: WorkerAddress;
   readonly failureDomain: FailureDomainName;
   readonly rack: RackName;
   readonly labels: readonly string[];
@@ -31,7 +32,7 @@
 /** The worker to which a command is sent. */
 export interface WorkerTarget {
   readonly worker: WorkerName;
-  readonly address: string;
+  readonly address: WorkerAddress;
 }
 
 /** The incarnation and the clock of a worker that sent a report. */
