Use no worker of a service that is not declared

Cause: the holder opened a session with whatever a record named, called it, and listed it in the stored roster. Over the store's limit the row is refused and no worker counts as rostered.

Change: a record whose service the declared state does not name leads to no session, call or roster place, and no new holder waits for its report. Records are applied again when the declared state changes, so a service that is declared later is used at once; a session that has runs is followed to its end when its service is removed. A worker whose row is overwritten keeps its idle session until it writes again.

One line says when a record is first ignored, with key, field and what was expected, and one when it is usable again, at most 100 a minute; the set of logged keys, which grew with what others write, is bounded. The gauge ignored_worker_records counts them.

--- a/packages/node/cell/cell_entry.ts
+++ b/packages/node/cell/cell_entry.ts
@@ -252,6 +252,7 @@
       waitingJobs: counts?.waitingJobs ?? 0,
       begunJobs: counts?.begunJobs ?? 0,
       workers: counts?.workers ?? 0,
+      ignoredRecords: counts?.ignoredRecords ?? 0,
       reachableWorkers: counts?.reachableWorkers ?? 0,
       urgentHeadroom: counts?.urgentHeadroom ?? 0,
       organisations: counts?.organisations ?? [],
--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -171,6 +171,7 @@
       ...options,
       bounds: settings.bounds,
       heartbeatMs: settings.workerHeartbeatMs,
+      isDeclared: (service) => declared.current?.services.has(service),
       isOut: (failureDomain) => declared.isOut(failureDomain),
       listener: events,
       getSpeed: (session) => ({
@@ -208,7 +209,10 @@
       if (rows.some(({ key }) => key !== LOAD_KEY)) this.#applyRows(rows);
     });
     this.#subscription.add(
-      declared.changes.subscribe(() => this.#requestRound()),
+      declared.changes.subscribe(() => {
+        this.#fleet.applyRecords();
+        this.#requestRound();
+      }),
     );
     this.#fleet.openRosterSessions();
     await this.#fleet.read();
@@ -234,6 +238,7 @@
       waitingJobs: jobs.length - begunJobs,
       begunJobs,
       workers: sessions.length,
+      ignoredRecords: this.#fleet.ignoredRecords,
       reachableWorkers: sessions.filter(({ isReachable }) => isReachable)
         .length,
       urgentHeadroom: this.#urgentHeadroom,
--- a/packages/node/cell/meters/cell_meters.ts
+++ b/packages/node/cell/meters/cell_meters.ts
@@ -37,6 +37,7 @@
   readonly waitingJobs: number;
   readonly begunJobs: number;
   readonly workers: number;
+  readonly ignoredRecords: number;
   readonly reachableWorkers: number;
   readonly urgentHeadroom: number;
   readonly organisations: readonly OrganisationGauges[];
@@ -165,6 +166,10 @@
       waiting_jobs: ["Jobs not begun.", ({ waitingJobs }) => waitingJobs],
       begun_jobs: ["Jobs begun and not ended.", ({ begunJobs }) => begunJobs],
       workers: ["Workers the holder knows.", ({ workers }) => workers],
+      ignored_worker_records: [
+        "Rows of the workers' table that name no worker to use.",
+        ({ ignoredRecords }) => ignoredRecords,
+      ],
       reachable_workers: [
         "Workers that answer the holder.",
         ({ reachableWorkers }) => reachableWorkers,
--- a/packages/node/cell/meters/cell_meters_test.ts
+++ b/packages/node/cell/meters/cell_meters_test.ts
@@ -30,6 +30,7 @@
       waitingJobs,
       begunJobs: 2,
       workers: 33,
+      ignoredRecords: 2,
       reachableWorkers: 32,
       urgentHeadroom: 12,
       organisations: [{
--- a/packages/node/cell/worker_directory.ts
+++ b/packages/node/cell/worker_directory.ts
@@ -14,6 +14,7 @@
 } from "@coltsfootpond/ports";
 import { STORE_TIMEOUT_MS } from "./constants.ts";
 import type { CellLog } from "./log.ts";
+import type { RecordProblem } from "./worker_records/unusable_records.ts";
 
 /** Well below the time within which a draining worker must get no new tasks. */
 export const DIRECTORY_PERIOD_MS = 700;
@@ -49,6 +50,8 @@
 /** One read of all records. */
 export interface DirectorySnapshot {
   readonly records: ReadonlyMap<WorkerName, WorkerRecord>;
+  /** Why the other rows name no worker, by key. */
+  readonly problems: ReadonlyMap<string, RecordProblem>;
   /** Draining workers whose records were removed early. */
   readonly leftWorkers: readonly LeftWorker[];
 }
@@ -78,7 +81,6 @@
   #knownRecords = new Map<WorkerName, KnownRecord>();
   #lastRead: Moment | undefined;
   #version = 0;
-  readonly #unreadable = new Set<string>();
 
   private constructor(options: WorkerDirectoryOptions) {
     this.#options = options;
@@ -108,9 +110,14 @@
     }
     this.#version = outcome.version;
     const records = new Map<WorkerName, WorkerRecord>();
-    for (const row of outcome.rows) {
-      const record = row.value && this.#decode(row.key, row.value);
-      if (record !== undefined) records.set(record.worker, record);
+    const problems = new Map<string, RecordProblem>();
+    for (const { key, value } of outcome.rows) {
+      if (value === undefined) continue;
+      const decoded = this.#options.recordDecoder.decodeWorker(key, value);
+      if (decoded.kind === "unusable") {
+        const { field, expected } = decoded;
+        problems.set(key, { field, expected });
+      } else records.set(decoded.record.worker, decoded.record);
     }
     const leftWorkers = this.#findLeft(
       new Set(outcome.rows.flatMap(({ key, value }) => value ? [key] : [])),
@@ -118,22 +125,7 @@
     this.#logRemoved(records);
     this.#updateKnown(records);
     this.#lastRead = started;
-    return { records, leftWorkers };
-  }
-
-  #decode(key: string, value: Uint8Array): WorkerRecord | undefined {
-    const outcome = this.#options.recordDecoder.decodeWorker(key, value);
-    if (outcome.kind === "record") return outcome.record;
-    if (!this.#unreadable.has(key)) {
-      const { field, expected } = outcome;
-      this.#unreadable.add(key);
-      this.#options.log.warn("worker.record_unreadable", {
-        key,
-        field,
-        expected,
-      });
-    }
-    return undefined;
+    return { records, problems, leftWorkers };
   }
 
   /** A row that cannot be decoded is no removal. */
--- a/packages/node/cell/worker_fleet.ts
+++ b/packages/node/cell/worker_fleet.ts
@@ -6,6 +6,7 @@
 import type {
   Clock,
   FailureDomainName,
+  ServiceName,
   ValueOf,
   WorkerName,
 } from "@coltsfootpond/common";
@@ -22,7 +23,11 @@
 import { putRow } from "./state_rows/put_row.ts";
 import { decodeRow, encodeRow, ROSTER_KEY, type RosterRow } from "./rows.ts";
 import type { TableFollower } from "./table_follower.ts";
-import { WorkerDirectory } from "./worker_directory.ts";
+import { type DirectorySnapshot, WorkerDirectory } from "./worker_directory.ts";
+import {
+  type RecordProblem,
+  UnusableRecords,
+} from "./worker_records/unusable_records.ts";
 import type { SessionListener } from "./task_run.ts";
 import { computeAvailability, NO_RESOURCES } from "./worker_availability.ts";
 import { computeLongestLeaseMs } from "./worker_leases.ts";
@@ -35,6 +40,10 @@
 /** How long a new lease holder waits for the workers' first reports before it starts tasks. */
 const FIRST_REPORT_TIMEOUT_MS = 700;
 const REPORT_CHECK_PERIOD_MS = 4;
+const UNDECLARED_SERVICE: RecordProblem = {
+  field: "service",
+  expected: "a declared service",
+};
 /** A worker that is warming up is assumed to run at half its speed. */
 const WARM_UP_SLOWNESS = 2;
 
@@ -49,6 +58,8 @@
   readonly log: CellLog;
   readonly bounds: CellBounds;
   readonly heartbeatMs: number;
+  /** Whether the declared state names the service; undefined while the state is not known. */
+  readonly isDeclared: (service: ServiceName) => boolean | undefined;
   /** Whether this entry may send commands now: nobody else can have taken the lease yet. */
   readonly canAct: () => boolean;
   /** Whether the failure domain is out of service. */
@@ -69,7 +80,9 @@
   readonly #directory: WorkerDirectory;
   /** Workers of which it is known that they have reported in this epoch; not a complete list. */
   readonly #reportedWorkers = new Set<WorkerName>();
+  readonly #unusable: UnusableRecords;
   readonly #createdMs: number;
+  #snapshot: DirectorySnapshot | undefined;
   #writtenRoster = "";
   #isWritingRoster = false;
   #isStopped = false;
@@ -77,6 +90,7 @@
   private constructor(options: WorkerFleetOptions) {
     this.#options = options;
     this.#directory = WorkerDirectory.create(options);
+    this.#unusable = UnusableRecords.create(options);
     this.#createdMs = options.clock.nowMs();
   }
 
@@ -92,6 +106,11 @@
     return this.#sessions.get(worker);
   }
 
+  /** Number of rows of the workers' table that name no worker to use. */
+  get ignoredRecords(): number {
+    return this.#unusable.count;
+  }
+
   stop(): void {
     this.#isStopped = true;
     for (const session of this.#sessions.values()) session.stop();
@@ -182,17 +201,32 @@
   async read(): Promise<void> {
     const snapshot = await this.#directory.read();
     if (snapshot === undefined || this.#isStopped) return;
-    for (const record of snapshot.records.values()) {
-      const session = this.#openSession(record, SESSION_SOURCE.RECORD);
-      session.setRecord(record);
-    }
-    for (const session of this.#sessions.values()) {
-      if (!snapshot.records.has(session.worker)) session.setRecord(undefined);
-    }
+    this.#snapshot = snapshot;
+    this.applyRecords();
     for (const leftWorker of snapshot.leftWorkers) {
       this.#options.log.info("worker.left", { ...leftWorker });
       this.#sessions.get(leftWorker.worker)?.markLeft(leftWorker);
     }
+  }
+
+  /** Applies the records that were read last to the sessions, by the services declared now. */
+  applyRecords(): void {
+    if (this.#snapshot === undefined || this.#isStopped) return;
+    const { isDeclared } = this.#options;
+    const usable = new Map<WorkerName, WorkerRecord>();
+    const problems = new Map(this.#snapshot.problems);
+    for (const [worker, record] of this.#snapshot.records) {
+      const isServiceDeclared = isDeclared(record.service);
+      if (isServiceDeclared === true) usable.set(worker, record);
+      if (isServiceDeclared === false) problems.set(worker, UNDECLARED_SERVICE);
+    }
+    this.#unusable.update(problems, new Set<string>(usable.keys()));
+    for (const record of usable.values()) {
+      this.#openSession(record, SESSION_SOURCE.RECORD).setRecord(record);
+    }
+    for (const session of this.#sessions.values()) {
+      if (!usable.has(session.worker)) session.setRecord(undefined);
+    }
     this.#dropIdleSessions();
     void this.#writeRoster();
     this.#options.onChanged();
@@ -231,7 +265,10 @@
   #dropIdleSessions(): void {
     for (const session of [...this.#sessions.values()]) {
       const isUnused = session.record === undefined && session.isIdle &&
-        (session.hasReported || session.haveLeasesExpired());
+        (session.hasReported
+          // Its row may have been overwritten, until the worker writes it again.
+          ? !this.#unusable.has(session.worker)
+          : session.haveLeasesExpired());
       if (!isUnused) continue;
       this.#close(session);
       this.#sessions.delete(session.worker);
