Store the roster in rows of bounded size

Cause: all sessions were written into one row, also those with workers that never answered. A row over the limit is refused, the same write is tried again for ever, and no worker counts as rostered.

A worker stays in its row, so a change rewrites one row. It is listed once it has reported, which is needed before the first start there anyway; workers of the stored roster stay listed until they report or their leases have lapsed. A new holder still writes each stored row again, so that a late write of an earlier holder fails on its condition; a row whose write got no answer is written again too: comparing with the text that was last confirmed could take a worker as stored that the lost write removed. The first row keeps its key and form, so stored rosters are read, also one over the new bound.

--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -171,6 +171,7 @@
       ...options,
       bounds: settings.bounds,
       heartbeatMs: settings.workerHeartbeatMs,
+      rowLimitBytes: settings.rowLimitBytes,
       isDeclared: (service) => declared.current?.services.has(service),
       isOut: (failureDomain) => declared.isOut(failureDomain),
       listener: events,
--- a/packages/node/cell/cell_simulation.ts
+++ b/packages/node/cell/cell_simulation.ts
@@ -230,6 +230,7 @@
       ),
       settings: {
         workerHeartbeatMs: 1_500,
+        rowLimitBytes: 65_536,
         bounds: SIMULATION_BOUNDS,
       } as CellSettings,
       store,
--- a/packages/node/cell/worker_connections/reused_address_test.ts
+++ b/packages/node/cell/worker_connections/reused_address_test.ts
@@ -63,6 +63,7 @@
     nowUnixMs: () => clock.nowMs(),
     log: SILENT_LOG,
     bounds: SIMULATION_BOUNDS,
+    rowLimitBytes: 65_536,
     isDeclared: () => true,
     heartbeatMs: 1_500,
     canAct: () => true,
--- a/packages/node/cell/worker_fleet.ts
+++ b/packages/node/cell/worker_fleet.ts
@@ -21,7 +21,11 @@
 } from "@coltsfootpond/ports";
 import type { CellLog, LogFields } from "./log.ts";
 import { putRow } from "./state_rows/put_row.ts";
-import { decodeRow, encodeRow, ROSTER_KEY, type RosterRow } from "./rows.ts";
+import {
+  encodeRoster,
+  type RosterContents,
+  RosterRows,
+} from "./roster/roster_rows.ts";
 import type { TableFollower } from "./table_follower.ts";
 import { type DirectorySnapshot, WorkerDirectory } from "./worker_directory.ts";
 import {
@@ -40,6 +44,8 @@
 /** How long a new lease holder waits for the workers' first reports before it starts tasks. */
 const FIRST_REPORT_TIMEOUT_MS = 700;
 const REPORT_CHECK_PERIOD_MS = 4;
+/** Collects the first reports of several workers for one write of the roster. */
+const ROSTER_DELAY_MS = 4;
 const UNDECLARED_SERVICE: RecordProblem = {
   field: "service",
   expected: "a declared service",
@@ -58,6 +64,8 @@
   readonly log: CellLog;
   readonly bounds: CellBounds;
   readonly heartbeatMs: number;
+  /** The store's limit of the value of a row. */
+  readonly rowLimitBytes: number;
   /** Whether the declared state names the service; undefined while the state is not known. */
   readonly isDeclared: (service: ServiceName) => boolean | undefined;
   /** Whether this entry may send commands now: nobody else can have taken the lease yet. */
@@ -80,16 +88,25 @@
   readonly #directory: WorkerDirectory;
   /** Workers of which it is known that they have reported in this epoch; not a complete list. */
   readonly #reportedWorkers = new Set<WorkerName>();
+  /**
+   * Workers of the stored roster that have not reported in this epoch: tasks of earlier lease holders
+   * may run there.
+   */
+  readonly #carriedOver = new Set<WorkerName>();
+  readonly #roster: RosterRows;
   readonly #unusable: UnusableRecords;
   readonly #createdMs: number;
   #snapshot: DirectorySnapshot | undefined;
-  #writtenRoster = "";
+  #isRosterWriteDue = false;
   #isWritingRoster = false;
+  /** Whether the list may have changed since the write that is under way was begun. */
+  #isRosterOutdated = false;
   #isStopped = false;
 
   private constructor(options: WorkerFleetOptions) {
     this.#options = options;
     this.#directory = WorkerDirectory.create(options);
+    this.#roster = RosterRows.create(options.rowLimitBytes);
     this.#unusable = UnusableRecords.create(options);
     this.#createdMs = options.clock.nowMs();
   }
@@ -255,6 +272,7 @@
       log,
       listener,
       canAct,
+      onFirstReport: () => this.#applyFirstReport(worker),
     });
     this.#sessions.set(worker, session);
     log.info("worker.session_opened", { worker, address, epoch, source });
@@ -270,6 +288,7 @@
           ? !this.#unusable.has(session.worker)
           : session.haveLeasesExpired());
       if (!isUnused) continue;
+      this.#carriedOver.delete(session.worker);
       this.#close(session);
       this.#sessions.delete(session.worker);
       // Connections belong to the address, which another worker may have by now.
@@ -289,44 +308,72 @@
   /** Opens sessions with the workers that an earlier lease holder may have used. */
   openRosterSessions(): void {
     const { follower, recordDecoder } = this.#options;
-    const row = follower.get(ROSTER_KEY);
-    if (row?.value === undefined) return;
-    const { workers } = decodeRow<RosterRow>(row.value);
-    for (const [worker, address] of workers) {
-      const target = recordDecoder.decodeWorkerTarget(worker, address);
-      if (target !== undefined) {
-        this.#openSession(target, SESSION_SOURCE.ROSTER);
-      }
+    const targets = this.#roster.load(follower.rows(), recordDecoder);
+    for (const target of targets) {
+      this.#carriedOver.add(target.worker);
+      this.#openSession(target, SESSION_SOURCE.ROSTER);
     }
   }
 
+  #applyFirstReport(worker: WorkerName): void {
+    this.#carriedOver.delete(worker);
+    if (this.#isRosterWriteDue) return;
+    this.#isRosterWriteDue = true;
+    this.#options.clock.after(ROSTER_DELAY_MS, () => {
+      this.#isRosterWriteDue = false;
+      void this.#writeRoster();
+    });
+  }
+
   /** Stores the roster of all workers that may be used, before they are used. */
   async #writeRoster(): Promise<void> {
-    const sessions: WorkerSession[] = [];
-    for (const session of this.#sessions.values()) {
-      if (isUnused(session)) session.isRostered = false;
-      else sessions.push(session);
+    if (this.#isStopped) return;
+    this.#isRosterOutdated = this.#isWritingRoster;
+    if (this.#isWritingRoster) return;
+    const listed = this.sessions.filter((session) => this.#isListed(session));
+    this.#roster.replace(listed.map(({ target }) => target));
+    const { stored, changed } = this.#roster.compare();
+    this.#setRostered(stored);
+    if (changed.length === 0 || !this.#options.canAct()) return;
+    this.#isWritingRoster = true;
+    try {
+      await Promise.all(changed.map((row) => this.#writeRosterRow(row)));
+    } finally {
+      this.#isWritingRoster = false;
     }
-    const workers = sessions.map(({ target }) =>
-      [target.worker, target.address] as const
+    if (this.#isStopped) return;
+    this.#setRostered(this.#roster.compare().stored);
+    this.#options.onChanged();
+    if (this.#isRosterOutdated) await this.#writeRoster();
+  }
+
+  async #writeRosterRow(row: RosterContents): Promise<void> {
+    const isStored = await putRow(this.#options, row.key, encodeRoster(row));
+    this.#roster.recordWrite(row, isStored);
+  }
+
+  #setRostered(rows: readonly RosterContents[]): void {
+    const addresses = new Map(
+      rows.flatMap(({ workers }) =>
+        workers.map(({ worker, address }) => [worker, address] as const)
+      ),
     );
-    const text = JSON.stringify([...workers].sort());
-    if (text === this.#writtenRoster) {
-      sessions.forEach((session) => (session.isRostered = true));
-      return;
+    for (const session of this.#sessions.values()) {
+      const { worker, address } = session.target;
+      session.isRostered = this.#isListed(session) &&
+        addresses.get(worker) === address;
     }
-    if (this.#isWritingRoster || !this.#options.canAct()) return;
-    this.#isWritingRoster = true;
-    const isStored = await putRow(
-      this.#options,
-      ROSTER_KEY,
-      encodeRow({ workers }),
-    );
-    this.#isWritingRoster = false;
-    if (!isStored || this.#isStopped) return;
-    this.#writtenRoster = text;
-    sessions.forEach((session) => (session.isRostered = true));
-    this.#options.onChanged();
+  }
+
+  /**
+   * Whether a new lease holder has to collect the worker's report: tasks may run there, or may be
+   * started there once the roster is stored.
+   */
+  #isListed(session: WorkerSession): boolean {
+    if (!session.isIdle || this.#carriedOver.has(session.worker)) {
+      return true;
+    }
+    return session.hasReported && session.record?.isDraining === false;
   }
 
   /** Waits for each worker's first report, up to FIRST_REPORT_TIMEOUT_MS. */
@@ -342,15 +389,6 @@
   }
 }
 
-/**
- * Whether nothing runs on the worker or will be started there, so that a new lease holder need not
- * collect its report.
- */
-function isUnused(session: WorkerSession): boolean {
-  return session.hasReported && !session.hasTaskRuns &&
-    session.record?.isDraining !== false;
-}
-
 function createView(
   session: WorkerSession,
   record: WorkerRecord,
--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -41,6 +41,8 @@
   readonly log: CellLog;
   readonly listener: SessionListener;
   readonly canAct: () => boolean;
+  /** Called after the first report of each incarnation. */
+  readonly onFirstReport?: () => void;
 }
 
 /** Polls one worker and sends commands to it. */
@@ -410,8 +412,10 @@
     if (status === "new") {
       this.#beginIncarnation(earlierStartUnixMs, requestedAfterMs);
     }
+    const isFirst = !this.hasReported;
     this.#leases.applyClock(report.metadata);
     this.#taskRuns.applyReport(report, requestedMs);
+    if (isFirst) this.#options.onFirstReport?.();
   }
 
   /** Shows a run that the worker lists and that this lease holder neither adopts nor stops. */
--- a/packages/ports/cell/settings.ts
+++ b/packages/ports/cell/settings.ts
@@ -26,6 +26,8 @@
   /** Peer addresses that are used in addition to those announced in the store. */
   readonly seeds: readonly HostPort[];
   readonly storeAddress: HostPort;
+  /** The store's limit of the value of a row. */
+  readonly rowLimitBytes: number;
   /** Processor capacity of this entry, in cores of the reference speed. */
   readonly processorShare: number;
   /** Period of the workers' heartbeats, with which they update their records in the store. */
