Skip a worker's report whose clock cannot follow the earlier ones

A clock in the range of exact integers but far ahead of a worker's earlier ones was taken as its newest: all later reports of the incarnation counted as older, so that the runs in them were not followed any more (none was found to be stalled, missing or stray), and lease ends were computed from it.

A report is now compared with the newest sample of the clock: it may be ahead by the time that has passed, and a report that was requested after the sample arrived cannot be behind it. Otherwise it is not known which of the two is wrong. The report is skipped, the clock counts as unknown, and the next report, requested after the usual delay, counts as the first one, after which leases may hold for the maximum time. So a wrong clock neither makes leases expire early nor keeps them for ever. A false alarm costs one poll. The event worker.clock_rejected shows both clocks.

--- a/packages/node/cell/worker_leases.ts
+++ b/packages/node/cell/worker_leases.ts
@@ -9,6 +9,12 @@
 
 /** Lowest rate of a worker's clock (the platform's protocol). */
 const SLOWEST_CLOCK_RATE = 0.98;
+/**
+ * Bounds of what the worker's clock may show beyond the time that has passed: two clocks of this
+ * rate, and the delays of the process between reading its clock and using it.
+ */
+const FASTEST_CLOCK_RATE = 1.1;
+const CLOCK_TOLERANCE_MS = 1_000;
 /** Time for the worker to end runs whose lease has expired. */
 const EXPIRY_MARGIN_MS = 100;
 
@@ -17,6 +23,13 @@
   return leaseMaximumMs / SLOWEST_CLOCK_RATE + EXPIRY_MARGIN_MS;
 }
 
+/** The worker's clock in a report, and when this process requested and received it. */
+interface ClockSample {
+  readonly workerClockMs: number;
+  readonly requestedMs: number;
+  readonly receivedMs: number;
+}
+
 export interface WorkerLeasesOptions {
   readonly clock: Clock;
   readonly leaseMaximumMs: number;
@@ -30,9 +43,7 @@
    * then; used until there is a sample of the incarnation's clock.
    */
   #clockUnknownSinceMs: number;
-  #sample:
-    | { readonly workerClockMs: number; readonly receivedMs: number }
-    | undefined;
+  #sample: ClockSample | undefined;
   #latestLeaseEndMs = 0;
 
   private constructor(options: WorkerLeasesOptions) {
@@ -49,18 +60,34 @@
     return this.#sample !== undefined;
   }
 
-  /** Resets for a later incarnation, whose clock starts anew. */
-  beginIncarnation(): void {
+  /** Resets for a later incarnation, or if the newest sample of the clock may be wrong. */
+  forgetClock(): void {
     this.#sample = undefined;
     this.#clockUnknownSinceMs = this.#options.clock.nowMs();
   }
 
-  /** Applies the clock of a report of the present incarnation. */
-  applyClock({ workerClockMs }: ReportMetadata): void {
+  /**
+   * Whether a report of the present incarnation, requested at `requestedMs`, and the newest sample
+   * can be of one steady clock. If not, one of them is wrong, and leases that are judged by it seem
+   * to expire too early or never.
+   */
+  isPlausible({ workerClockMs }: ReportMetadata, requestedMs: number): boolean {
+    const sample = this.#sample;
+    if (sample === undefined) return true;
+    const elapsedMs = this.#options.clock.nowMs() - sample.requestedMs;
+    const changeMs = workerClockMs - sample.workerClockMs;
+    // A report that was requested before the sample arrived may be older than the sample.
+    const isLater = requestedMs > sample.receivedMs;
+    return changeMs <= elapsedMs * FASTEST_CLOCK_RATE + CLOCK_TOLERANCE_MS &&
+      (!isLater || changeMs >= -CLOCK_TOLERANCE_MS);
+  }
+
+  /** Applies the clock of a report of the present incarnation, requested at `requestedMs`. */
+  applyClock({ workerClockMs }: ReportMetadata, requestedMs: number): void {
     const isFirst = this.#sample === undefined;
     if (workerClockMs >= (this.#sample?.workerClockMs ?? 0)) {
       const receivedMs = this.#options.clock.nowMs();
-      this.#sample = { workerClockMs, receivedMs };
+      this.#sample = { workerClockMs, requestedMs, receivedMs };
     }
     // An earlier lease holder of the cell may already have granted this worker a lease of the
     // maximum length.
--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -406,6 +406,10 @@
       requestedMs,
     );
     if (status === "undecided") return this.#requestReport();
+    if (
+      status === "current" &&
+      !this.#leases.isPlausible(report.metadata, requestedMs)
+    ) return this.#rejectClock(report);
     this.#isReportDue = false;
     this.#left = undefined;
     if (!this.hasReported) this.#logFirstReport(report);
@@ -413,11 +417,27 @@
       this.#beginIncarnation(earlierStartUnixMs, requestedAfterMs);
     }
     const isFirst = !this.hasReported;
-    this.#leases.applyClock(report.metadata);
+    this.#leases.applyClock(report.metadata, requestedMs);
     this.#taskRuns.applyReport(report, requestedMs);
     if (isFirst) this.#options.onFirstReport?.();
   }
 
+  /**
+   * Skips a report whose clock cannot follow the earlier ones. It is not known which of them is
+   * wrong, so the next report counts as the first, after which leases may hold for the maximum time.
+   */
+  #rejectClock({ metadata }: Report): void {
+    this.#options.log.warn("worker.clock_rejected", {
+      worker: this.worker,
+      incarnationStartUnixMs: metadata.incarnationStartUnixMs,
+      reportedClockMs: metadata.workerClockMs,
+      ...this.#leases.describe(),
+    });
+    this.#leases.forgetClock();
+    this.#taskRuns.forgetClock();
+    this.#requestReport();
+  }
+
   /** Shows a run that the worker lists and that this lease holder neither adopts nor stops. */
   #logFirstReport({ metadata, running, ended }: Report): void {
     this.#options.log.info("worker.first_report", {
@@ -449,7 +469,7 @@
       ...inputs,
     });
     this.#ends.reset();
-    this.#leases.beginIncarnation();
+    this.#leases.forgetClock();
     this.#taskRuns.beginIncarnation(inputs);
     this.startPolling();
   }
--- a/packages/node/cell/worker_task_runs.ts
+++ b/packages/node/cell/worker_task_runs.ts
@@ -139,7 +139,7 @@
   beginIncarnation(inputs: LogFields = {}): void {
     this.#incarnationCount++;
     this.#processedSequence = 0;
-    this.#lastReportClockMs = Number.NEGATIVE_INFINITY;
+    this.forgetClock();
     this.dropListed("the worker began a new life", "ended", inputs);
     for (const taskRun of this.all) {
       taskRun.stopAnsweredMs = undefined;
@@ -149,6 +149,11 @@
     }
   }
 
+  /** Applies the next report whatever its clock, as an earlier one may have had a wrong clock. */
+  forgetClock(): void {
+    this.#lastReportClockMs = Number.NEGATIVE_INFINITY;
+  }
+
   /** A call to the worker was not answered; true if that is news of some run. */
   recordLostContact(contact: LostContact): boolean {
     const inContact = this.all.filter(({ lostContact }) =>
--- a/packages/node/cell/worker_task_runs_test.ts
+++ b/packages/node/cell/worker_task_runs_test.ts
@@ -120,7 +120,10 @@
   it("last as long as the slowest clock allows", async () => {
     const clock = ManualClock.create();
     const leases = WorkerLeases.create({ clock, leaseMaximumMs: LEASE_MS });
-    leases.applyClock({ workerClockMs: 0, incarnationStartUnixMs: 1 });
+    leases.applyClock(
+      { workerClockMs: 0, incarnationStartUnixMs: 1 },
+      clock.nowMs(),
+    );
     await clock.advance(LEASE_MS + 100);
     expect(leases.haveLeasesExpired()).to.equal(false);
     await clock.advance(LEASE_MS * 0.03);
@@ -131,7 +134,10 @@
   it("last up to the maximum after a start, whose deadline another incarnation may read", async () => {
     const clock = ManualClock.create();
     const leases = WorkerLeases.create({ clock, leaseMaximumMs: LEASE_MS });
-    leases.applyClock({ workerClockMs: 0, incarnationStartUnixMs: 1 });
+    leases.applyClock(
+      { workerClockMs: 0, incarnationStartUnixMs: 1 },
+      clock.nowMs(),
+    );
     await clock.advance(60_000);
     expect(leases.haveLeasesExpired()).to.equal(true);
     expect(leases.grantForStart(2_500)).to.equal(62_500);
@@ -145,8 +151,11 @@
   it("last from a grant to an incarnation whose clock is unknown", async () => {
     const clock = ManualClock.create();
     const leases = WorkerLeases.create({ clock, leaseMaximumMs: LEASE_MS });
-    leases.applyClock({ workerClockMs: 100_000, incarnationStartUnixMs: 1 });
-    leases.beginIncarnation();
+    leases.applyClock(
+      { workerClockMs: 100_000, incarnationStartUnixMs: 1 },
+      clock.nowMs(),
+    );
+    leases.forgetClock();
     await clock.advance(2_000);
     leases.grantForStart(2_500);
     await clock.advance(LEASE_MS);
@@ -158,10 +167,13 @@
   it("are unknown again when the worker begins a new incarnation", async () => {
     const clock = ManualClock.create();
     const leases = WorkerLeases.create({ clock, leaseMaximumMs: LEASE_MS });
-    leases.applyClock({ workerClockMs: 0, incarnationStartUnixMs: 1 });
+    leases.applyClock(
+      { workerClockMs: 0, incarnationStartUnixMs: 1 },
+      clock.nowMs(),
+    );
     await clock.advance(60_000);
     expect(leases.haveLeasesExpired()).to.equal(true);
-    leases.beginIncarnation();
+    leases.forgetClock();
     expect(leases.isClockKnown).to.equal(false);
     expect(leases.haveLeasesExpired()).to.equal(false);
     await clock.advance(LEASE_MS * 1.1);
