Ignore ends of tasks that a job does not have

A worker's end of a task that its job does not have (an index or an occurrence beyond the job's, or a number in another notation, such as "1e0" or "") was recorded in the job's progress. A step counts as done by the number of its tasks that are done, so that one such end completed a job while one of its tasks was still running; the run was stopped.

A task name is now read only as this system writes it, and names a task only within the counts of its job. Any other run that a worker reports is stopped as a stray run, as before.

--- a/packages/node/cell/job_registry.ts
+++ b/packages/node/cell/job_registry.ts
@@ -59,7 +59,7 @@
     return [...this.#jobs.values()];
   }
 
-  /** The job, step and unit of a task; undefined when the job is not live or has no such step. */
+  /** The job, step and unit of a task; undefined when no live job has the task. */
   locateTask(task: TaskName): TaskLocation | undefined {
     const name = parseTaskName(task);
     const job = name && this.#jobs.get(name.jobId);
@@ -67,6 +67,10 @@
     if (name === undefined || job === undefined || step === undefined) {
       return undefined;
     }
+    // The progress of a step counts its tasks that are done, whichever they are.
+    const isTask = name.occurrence < job.progress.occurrences &&
+      name.index < step.count;
+    if (!isTask) return undefined;
     return {
       job,
       step,
--- a/packages/node/cell/live_job.ts
+++ b/packages/node/cell/live_job.ts
@@ -299,10 +299,13 @@
   const parts = task.split(".");
   const [jobId, occurrence, step, index] = parts;
   if (parts.length !== 4 || jobId === undefined) return undefined;
-  const numbers = [occurrence, step, index].map(Number);
-  if (!numbers.every((number) => Number.isInteger(number) && number >= 0)) {
-    return undefined;
-  }
+  const texts = [occurrence, step, index];
+  const numbers = texts.map(Number);
+  const isCanonical = numbers.every((number, position) =>
+    Number.isSafeInteger(number) && number >= 0 &&
+    String(number) === texts[position]
+  );
+  if (!isCanonical) return undefined;
   return {
     jobId: jobId as CellJobId,
     occurrence: numbers[0]!,
