Apply the ends of a worker's report in the order of their numbers

An end whose number is below the highest processed one counts as processed. When a report listed an end after one with a higher number, it was skipped and then acknowledged, so that the worker deleted it and the task ran again. The protocol does not promise an order. The ends of a report are now sorted.

Before the change, the new test failed with: expected [ 7 ] to deeply equal [ 5, 6, 7 ].

--- a/packages/node/cell/worker_task_runs.ts
+++ b/packages/node/cell/worker_task_runs.ts
@@ -118,7 +118,9 @@
    */
   applyReport({ metadata, running, ended }: Report, requestedMs: number): void {
     const reportClockMs = metadata.workerClockMs;
-    ended.forEach((end) => this.#applyEnd(end));
+    // An end below the highest number that was processed counts as processed.
+    [...ended].sort((one, other) => one.sequence - other.sequence)
+      .forEach((end) => this.#applyEnd(end));
     if (reportClockMs < this.#lastReportClockMs) return;
     this.#lastReportClockMs = reportClockMs;
     running.forEach((task) => this.#applyRunning(task, reportClockMs));
--- a/packages/node/cell/worker_task_runs_test.ts
+++ b/packages/node/cell/worker_task_runs_test.ts
@@ -90,6 +90,19 @@
     expect(ended).to.deep.equal([1, 2, 3]);
   });
 
+  // Guards against skipping, and then acknowledging, an end that is listed after a later one.
+  it("apply the ends of a report in the order of their numbers", () => {
+    const { taskRuns, ended } = createTaskRuns();
+    const end = { task: TASK, run: 1, end: "done", checkpoint: "" } as const;
+    taskRuns.applyReport({
+      kind: "report",
+      metadata: { workerClockMs: 1, incarnationStartUnixMs: 1 },
+      running: [],
+      ended: [7, 5, 6].map((sequence) => ({ sequence, ...end })),
+    }, 1);
+    expect(ended).to.deep.equal([5, 6, 7]);
+  });
+
   it("do not count a stop of an earlier incarnation as proof in a new one", () => {
     const { taskRuns, goneReasons, report } = createTaskRuns();
     const unanswered = createTaskRun({ stopAnsweredMs: 9 });
