Follow tables of any number of rows

The versions of a feed's rows, and those of the copy of the operators' table, were spread into the arguments of one call. More rows than the stack holds as arguments (about 120,000) threw a RangeError: the table was not followed any more, or a peer not asked for its copy, as long as the process ran.

Before the change, the new tests failed with: expected +0 to equal 200000 and expected [] to deeply equal [ 200000 ].

--- a/packages/node/cell/peer_rows_poller.ts
+++ b/packages/node/cell/peer_rows_poller.ts
@@ -61,10 +61,10 @@
 
   async #poll(): Promise<void> {
     const { relay, follower, log } = this.#options;
-    const newest = Math.max(
-      0,
-      ...[...follower.rows()].map(({ version }) => version),
-    );
+    let newest = 0;
+    for (const { version } of follower.rows()) {
+      newest = Math.max(newest, version);
+    }
     const answer = await relay.fetchOperatorRows(newest, COPY_TIMEOUT_MS);
     if ("kind" in answer) {
       log.info("peer.copy_failed", { reason: answer.reason });
--- a/packages/node/cell/table_follower.ts
+++ b/packages/node/cell/table_follower.ts
@@ -236,10 +236,9 @@
         return true;
       case "rows":
         if (this.#isStale(outcome.version, newestBefore)) return false;
-        this.#cursor = Math.max(
-          this.#cursor,
-          ...outcome.rows.map((row) => row.version),
-        );
+        for (const { version } of outcome.rows) {
+          this.#cursor = Math.max(this.#cursor, version);
+        }
         this.#applyAnswer(outcome.version, outcome.rows);
         this.#needsRead = outcome.rows.length === 0 &&
           this.#options.expectsChanges === true;
