Check the rows of the state table when they are decoded

Callers would see jobs that are accepted and never start: one row of the state table that is not msgpack, or is of another shape, ends the process of each entry that reads it, as `decodeRow` throws in the subscribers of the copy of the table (rxjs throws such errors on a timer) and passes any shape to code that relies on its fields.

This adds a decoder for each kind of row that returns undefined for any other value, and a record of the rows that could not be decoded, which logs each version once (`row.unreadable`, at most 100 lines a minute) and counts them (`coltsfootpond_unreadable_rows`). The load and the speeds of workers use the same unpacking already.

Live jobs are bounded by their tasks, leases by epochs whose run numbers stay exact, and peers by addresses that can be sent and a share that is one. Fields that a later version adds are let through, and so is progress of odd task names, as records follow the names that workers list. The stored form does not change: the test decodes bytes that the version before encoded, of each kind.

Five of the nine tests of the decoders fail on decoders that pass any object.

--- a/packages/node/cell/admission/published_load.ts
+++ b/packages/node/cell/admission/published_load.ts
@@ -3,8 +3,8 @@
  * differ, so the age of the row is measured on this process's clock from when the row was received,
  * and by the renewals of the lease since it was written, for a row that was received late.
  */
-import type { Clock, ServiceName } from "@coltsfootpond/common";
-import type { LoadForecast, QueueName } from "@coltsfootpond/policy";
+import type { Clock } from "@coltsfootpond/common";
+import type { LoadForecast } from "@coltsfootpond/policy";
 import type { StateRow } from "@coltsfootpond/ports";
 import { RENEW_PERIOD_MS } from "../lease/lease_times.ts";
 import type { CellLog } from "../log.ts";
@@ -15,39 +15,8 @@
   LOAD_KEY,
   type LoadRow,
 } from "../rows.ts";
+import { decodeLoadRow } from "../state_rows/load_row.ts";
 import type { TableFollower } from "../table_follower.ts";
-import { z } from "zod";
-
-const isText = (value: unknown) => typeof value === "string";
-const RESOURCES = z.object({
-  cpuMilli: z.number(),
-  memoryMib: z.number(),
-  accelerators: z.number(),
-});
-const LEVEL_WORKS = z.array(z.tuple([z.number(), z.number()]));
-const LOAD_ROW = z.object({
-  epoch: z.number(),
-  beat: z.number(),
-  services: z.array(z.object({
-    service: z.custom<ServiceName>(isText),
-    reference: RESOURCES,
-    free: RESOURCES,
-    slots: z.array(z.number()),
-    headroomAccelerators: z.number(),
-    hasEvictableRuns: z.boolean(),
-    rate: z.number().positive(),
-    runningWorkMs: z.number(),
-    waiting: LEVEL_WORKS,
-    arriving: LEVEL_WORKS,
-    singleTaskRate: z.number().positive(),
-    waitingSingleTasks: LEVEL_WORKS,
-  })),
-  queues: z.array(z.object({
-    queue: z.custom<QueueName>(isText),
-    meanWorkMs: z.number(),
-    durationRatio: z.number(),
-  })),
-});
 
 /** An older row says too little about the present: most urgent tasks run for less than this. */
 export const MAXIMUM_LOAD_AGE_MS = 3_000;
@@ -117,19 +86,9 @@
   #decode({ value, version }: StateRow): ReceivedRow | undefined {
     if (value === undefined) return undefined;
     const receivedMs = this.#options.clock.nowMs();
-    const row = readLoadRow(value);
+    const row = decodeLoadRow(value);
     if (row !== undefined) return { row, version, receivedMs };
     this.#options.log.warn("load.unreadable", { version });
     return undefined;
   }
 }
-
-/** Undefined for a value that is not msgpack or that another version of this program wrote. */
-function readLoadRow(value: Uint8Array): LoadRow | undefined {
-  try {
-    const row = LOAD_ROW.safeParse(decodeRow<unknown>(value));
-    return row.success ? row.data : undefined;
-  } catch {
-    return undefined;
-  }
-}
--- a/packages/node/cell/cell_entry.ts
+++ b/packages/node/cell/cell_entry.ts
@@ -249,6 +249,7 @@
       stateAgeMs: nowMs - this.#stateFollower.lastAnswerMs,
       operatorsAgeMs: nowMs - this.#operatorsFollower.lastAnswerMs,
       storeDownMs: this.#relay.downForMs,
+      unreadableRows: this.#stateFollower.unreadable.count,
       waitingJobs: counts?.waitingJobs ?? 0,
       begunJobs: counts?.begunJobs ?? 0,
       workers: counts?.workers ?? 0,
--- a/packages/node/cell/constants.ts
+++ b/packages/node/cell/constants.ts
@@ -5,3 +5,9 @@
  * slowest seen on the platform's benchmark, answers in 385 ms.
  */
 export const STORE_TIMEOUT_MS = 900;
+
+/** Each epoch of the lease has its own block of run numbers, so that run numbers always increase. */
+export const RUNS_PER_EPOCH = 1_000_000;
+/** The run numbers of later epochs could not be counted on exactly. */
+export const MAXIMUM_EPOCH =
+  Math.floor(Number.MAX_SAFE_INTEGER / RUNS_PER_EPOCH) - 1;
--- a/packages/node/cell/meters/cell_meters.ts
+++ b/packages/node/cell/meters/cell_meters.ts
@@ -34,6 +34,7 @@
   readonly stateAgeMs: number;
   readonly operatorsAgeMs: number;
   readonly storeDownMs: number;
+  readonly unreadableRows: number;
   readonly waitingJobs: number;
   readonly begunJobs: number;
   readonly workers: number;
@@ -163,6 +164,10 @@
         "How long every path to the store has failed.",
         ({ storeDownMs }) => storeDownMs / MS_PER_SECOND,
       ],
+      unreadable_rows: [
+        "Rows of the state table that this entry cannot decode.",
+        ({ unreadableRows }) => unreadableRows,
+      ],
       waiting_jobs: ["Jobs not begun.", ({ waitingJobs }) => waitingJobs],
       begun_jobs: ["Jobs begun and not ended.", ({ begunJobs }) => begunJobs],
       workers: ["Workers the holder knows.", ({ workers }) => workers],
--- a/packages/node/cell/run_registry.ts
+++ b/packages/node/cell/run_registry.ts
@@ -6,6 +6,7 @@
 import type { Clock, WorkerName } from "@coltsfootpond/common";
 import { getCountedNeed, type TaskName } from "@coltsfootpond/policy";
 import type { RunningTask } from "@coltsfootpond/ports";
+import { RUNS_PER_EPOCH } from "./constants.ts";
 import {
   createTaskRun,
   describeUnit,
@@ -21,8 +22,6 @@
 import type { TaskRun } from "./task_run.ts";
 import type { WorkerSession } from "./worker_session.ts";
 
-/** Each epoch has its own block of run numbers, so that run numbers always increase. */
-const RUNS_PER_EPOCH = 1_000_000;
 const NO_RESOURCES = { cpuMilli: 0, memoryMib: 0, accelerators: 0 };
 
 export interface RunRegistryOptions {
--- a/packages/node/cell/speeds/speeds_row.ts
+++ b/packages/node/cell/speeds/speeds_row.ts
@@ -6,7 +6,8 @@
   USUAL_CLASS,
 } from "@coltsfootpond/policy";
 import { z } from "zod";
-import { decodeRow, type SpeedsRow } from "../rows.ts";
+import type { SpeedsRow } from "../rows.ts";
+import { unpackValue } from "../state_rows/value_checks.ts";
 
 /** A worker that is not of the usual class. */
 export interface ClassifiedWorker {
@@ -70,13 +71,7 @@
   value: Uint8Array,
   nowUnixMs: number,
 ): SpeedsRow | undefined {
-  let decoded: unknown;
-  try {
-    decoded = decodeRow(value);
-  } catch {
-    return undefined;
-  }
-  const { data: row } = SCHEMA.safeParse(decoded);
+  const { data: row } = SCHEMA.safeParse(unpackValue(value));
   if (row === undefined) return undefined;
   const isTooOld = Math.abs(nowUnixMs - row.unixMs) > MAXIMUM_AGE_MS;
   return isTooOld ? { ...row, workers: [] } : row;
--- a/packages/node/cell/table_follower.ts
+++ b/packages/node/cell/table_follower.ts
@@ -9,6 +9,7 @@
 import type { StateRow, StateStore, StoreTable } from "@coltsfootpond/ports";
 import { Subject } from "rxjs";
 import type { CellLog } from "./log.ts";
+import { UnreadableRows } from "./state_rows/unreadable_rows.ts";
 
 /** Wait of one long poll; bounds how long a silent connection stays undetected. */
 const LONG_POLL_MS = 900;
@@ -69,6 +70,8 @@
 export class TableFollower {
   /** Changed rows, deletions included, in the order of their versions. */
   readonly changes = new Subject<readonly StateRow[]>();
+  /** Rows of the copy that their readers could not decode. */
+  readonly unreadable: UnreadableRows;
   readonly #options: TableFollowerOptions;
   readonly #rows = new Map<string, StateRow>();
   /** All changes up to this version have been received. */
@@ -83,6 +86,7 @@
 
   private constructor(options: TableFollowerOptions) {
     this.#options = options;
+    this.unreadable = UnreadableRows.create(options);
   }
 
   static create(options: TableFollowerOptions): TableFollower {
@@ -272,6 +276,7 @@
     const known = this.#rows.get(row.key);
     if (known !== undefined && known.version >= row.version) return false;
     this.#rows.set(row.key, row);
+    this.unreadable.forget(row.key);
     return known?.value !== undefined || row.value !== undefined;
   }
 
