Answer callers and delete old rows beside rows of jobs that can't be decoded

One row of a job that is no msgpack ended the process of every entry, as JobRepository reads each changed row in a subscriber, whose error rxjs throws on a timer. A row of another shape was shown with a state that no job has, or as another organisation's (410 for an accepted job), and a cancel ran on undefined fields. The search for old rows threw before it deleted anything.

Each reader now decodes with the checked decoders. A job whose row cannot be decoded stays known: its state and its cancel are answered 503 ("the job's row cannot be read"; whose job it is cannot be told, so the row is not overwritten), a repeated submission 504, as neither "accepted" nor "never runs" is certain, and the row is never deleted as old. `cell/begun` that cannot be decoded leaves the previous list in force, as its deletion does.

Keys: `jobs-X/` with anything behind it counted as a job's row, among them the markers of refusals and an id in another one's group. Only the keys that `jobKey` returns for an id of 16 digits do now, and a live row counts only under its own id.

--- a/packages/node/cell/callers/caller_filters.ts
+++ b/packages/node/cell/callers/caller_filters.ts
@@ -237,6 +237,8 @@
       return { status: STATUS.GONE, reason: `no such job: ${outcome.reason}` };
     case "unknown":
       return unavailable("the store does not answer");
+    case "unreadable":
+      return unavailable("the job's row cannot be read");
   }
 }
 
@@ -257,6 +259,8 @@
       return { status: STATUS.GONE, reason: "no such job" };
     case "refused":
       return unavailable("the store is away");
+    case "unreadable":
+      return unavailable("the job's row cannot be read");
     case "unknown":
       return { status: STATUS.TIMEOUT, reason: "fate of the write unknown" };
   }
--- a/packages/node/cell/callers/job_repository.ts
+++ b/packages/node/cell/callers/job_repository.ts
@@ -21,14 +21,14 @@
 import { STORE_TIMEOUT_MS } from "../constants.ts";
 import {
   BEGUN_KEY,
-  type BegunJobsRow,
-  decodeRow,
   encodeRow,
   jobKey,
   type JobRow,
   parseJobKey,
   refusalKey,
 } from "../rows.ts";
+import { readBegunJobsRow, readJobRow } from "../state_rows/row_readers.ts";
+import type { UnreadableRow } from "../state_rows/unreadable_rows.ts";
 import type { TableFollower } from "../table_follower.ts";
 
 /** Delay between tries within the caller's time-out. */
@@ -46,27 +46,32 @@
 const STORE_DOWN_THRESHOLD_MS = 150;
 
 /**
- * `unknown`: the write may still take effect; `refused`: it certainly never does; `barred`: neither
- * does this one, as another try of the job was refused for lack of capacity meanwhile.
+ * `unknown`: the write may still take effect, or the job has a row that cannot be decoded;
+ * `refused`: it certainly never does; `barred`: neither does this one, as another try of the job was
+ * refused for lack of capacity meanwhile.
  */
 export type SubmitOutcome = {
   readonly kind: "accepted" | "unknown" | "refused" | "barred";
 };
 /**
  * `refused`: no earlier try of the job is stored or will be; `accepted`: one is stored; `unknown`:
- * the store has not settled this; `unavailable`: nothing was written.
+ * the store has not settled this, or the job has a row that cannot be decoded; `unavailable`: nothing
+ * was written.
  */
 export type RefuseOutcome = {
   readonly kind: "refused" | "accepted" | "unknown" | "unavailable";
 };
 /**
- * `absent`: there is no such job, or it belongs to another organisation. `unknown` and `refused`
- * mean the same as in SubmitOutcome.
+ * `absent`: there is no such job, or it belongs to another organisation. `unreadable`: the job's row
+ * cannot be decoded, and stays as it is. `unknown`: the write may still take effect; `refused`: it
+ * certainly never does.
  */
-export type CancelOutcome = {
-  readonly kind: "cancelled" | "ended" | "absent" | "unknown" | "refused";
-};
-/** `unknown`: the store gave no answer in time. */
+export type CancelOutcome =
+  | {
+    readonly kind: "cancelled" | "ended" | "absent" | "unknown" | "refused";
+  }
+  | UnreadableRow;
+/** `unknown`: the store gave no answer in time. `unreadable`: the job's row cannot be decoded. */
 export type StateOutcome =
   | {
     readonly kind: "state";
@@ -75,7 +80,8 @@
     readonly failureReason?: FailureReason;
   }
   | { readonly kind: "absent"; readonly reason: string }
-  | { readonly kind: "unknown" };
+  | { readonly kind: "unknown" }
+  | UnreadableRow;
 
 export interface JobRepositoryOptions {
   readonly store: StateStore;
@@ -124,9 +130,8 @@
    */
   async submit(spec: CellJobSpec, deadlineMs: number): Promise<SubmitOutcome> {
     const key = jobKey(spec.jobId);
-    if (this.#options.follower.get(key) !== undefined) {
-      return { kind: "accepted" };
-    }
+    const known = this.#findStored(spec.jobId);
+    if (known !== undefined) return known;
     // Sends nothing to a store that is down, so that the refusal is certain.
     if (this.#options.getStoreDownMs() > STORE_DOWN_THRESHOLD_MS) {
       return { kind: "refused" };
@@ -152,9 +157,8 @@
           return { kind: "accepted" };
         case "conflict": {
           this.#options.follower.apply(outcome.rows);
-          if (outcome.rows.some((row) => row.key === key)) {
-            return { kind: "accepted" };
-          }
+          const row = outcome.rows.find((other) => other.key === key);
+          if (row !== undefined) return this.#describeStored(spec.jobId, row);
           const found = findVersion(outcome.rows, markerKey);
           // A refusal that is not known to be older than this try may have been a later try's.
           if (found > newestAtStart) return { kind: "barred" };
@@ -164,9 +168,8 @@
         case "unavailable":
           mayBeWritten ||= outcome.effect === "lost";
       }
-      if (this.#options.follower.get(key) !== undefined) {
-        return { kind: "accepted" };
-      }
+      const stored = this.#findStored(spec.jobId);
+      if (stored !== undefined) return stored;
       if (!mayBeWritten) return { kind: "refused" };
       if (!await this.#pause(deadlineMs)) return { kind: "unknown" };
     }
@@ -185,7 +188,8 @@
     const value = encodeRow(row);
     let marker = follower.get(markerKey)?.version ?? 0;
     while (true) {
-      if (follower.get(key) !== undefined) return { kind: "accepted" };
+      const stored = this.#findStored(jobId);
+      if (stored !== undefined) return stored;
       if (this.#options.getStoreDownMs() > STORE_DOWN_THRESHOLD_MS) {
         return { kind: "unavailable" };
       }
@@ -224,7 +228,9 @@
     }
     let row = this.#options.follower.get(key);
     while (true) {
-      const job = row?.value && decodeRow<JobRow>(row.value);
+      const job = readJobRow(this.#options.follower, jobId, row);
+      // Whose job it is cannot be told.
+      if (job?.kind === "unreadable") return job;
       if (job !== undefined && !belongsTo(job, requester)) {
         return { kind: "absent" };
       }
@@ -272,8 +278,9 @@
       ? await this.#lookUp(jobId, deadlineMs)
       : await this.#refresh(jobId, known, deadlineMs);
     if (row === "unknown") return { kind: "unknown" };
-    if (row?.value === undefined) return absent("no row");
-    const job = decodeRow<JobRow>(row.value);
+    const job = readJobRow(this.#options.follower, jobId, row);
+    if (job === undefined) return absent("no row");
+    if (job.kind === "unreadable") return job;
     if (!belongsTo(job, requester)) return absent("of another organisation");
     switch (job.kind) {
       case "barred":
@@ -309,8 +316,7 @@
     deadlineMs: number,
   ): Promise<StateRow> {
     const { follower, clock, getStoreDownMs } = this.#options;
-    const isLive = known.value !== undefined &&
-      decodeRow<JobRow>(known.value).kind === "live";
+    const isLive = readJobRow(follower, jobId, known)?.kind === "live";
     const nowMs = clock.nowMs();
     const lastReadMs = this.#lastRefreshMs.get(jobId) ??
       Number.NEGATIVE_INFINITY;
@@ -367,6 +373,22 @@
     return "unknown";
   }
 
+  /** What a submission of the job finds; undefined when there is no row. */
+  #findStored(
+    jobId: CellJobId,
+  ): { readonly kind: "accepted" | "unknown" } | undefined {
+    const row = this.#options.follower.get(jobKey(jobId));
+    return row && this.#describeStored(jobId, row);
+  }
+
+  #describeStored(
+    jobId: CellJobId,
+    row: StateRow,
+  ): { readonly kind: "accepted" | "unknown" } {
+    const job = readJobRow(this.#options.follower, jobId, row);
+    return { kind: job?.kind === "unreadable" ? "unknown" : "accepted" };
+  }
+
   #transact(
     transaction: Parameters<StateStore["transact"]>[0],
     deadlineMs: number,
@@ -392,16 +414,20 @@
 
   #applyRows(rows: readonly StateRow[]): void {
     for (const row of rows) {
-      if (row.key === BEGUN_KEY && row.value !== undefined) {
-        this.#begun = new Set(decodeRow<BegunJobsRow>(row.value).jobIds);
-      }
+      if (row.key === BEGUN_KEY) this.#applyBegunRow(row);
       const jobId = parseJobKey(row.key);
       if (jobId !== undefined) this.#applyJobRow(jobId, row);
     }
   }
 
+  /** The lease holder writes the next list soon; until then the previous one is the best guess. */
+  #applyBegunRow(row: StateRow): void {
+    const begun = readBegunJobsRow(this.#options.follower, row);
+    if (begun !== undefined) this.#begun = new Set(begun.jobIds);
+  }
+
   #applyJobRow(jobId: CellJobId, row: StateRow): void {
-    const job = row.value && decodeRow<JobRow>(row.value);
+    const job = readJobRow(this.#options.follower, jobId, row);
     if (job?.kind === "live") {
       const { queue } = job.spec;
       const jobs = this.#liveByQueue.get(queue) ?? new Set();
--- a/packages/node/cell/ended_job_collector.ts
+++ b/packages/node/cell/ended_job_collector.ts
@@ -1,8 +1,9 @@
 /** Deletes the rows of jobs that ended so long ago that callers no longer ask for their state. */
-import type { StateStore } from "@coltsfootpond/ports";
+import type { StateRow, StateStore } from "@coltsfootpond/ports";
 import { STORE_TIMEOUT_MS } from "./constants.ts";
 import type { CellLog } from "./log.ts";
-import { decodeRow, JOB_GROUPS, jobGroup, type JobRow } from "./rows.ts";
+import { JOB_GROUPS, jobGroup, parseJobKey } from "./rows.ts";
+import { readJobRow, readRefusalRow } from "./state_rows/row_readers.ts";
 import type { TableFollower } from "./table_follower.ts";
 
 /** Added to the required retention, for clocks that differ and callers that ask late. */
@@ -40,7 +41,7 @@
     const group = JOB_GROUPS[this.#nextGroup % JOB_GROUPS.length] ?? "";
     this.#nextGroup++;
     const old = [...follower.rows()].filter((row) =>
-      jobGroup(row.key) === group && this.#isOld(decodeRow<JobRow>(row.value))
+      jobGroup(row.key) === group && this.#isOld(row)
     ).slice(0, ROWS_PER_TRANSACTION);
     if (old.length === 0) return;
     const outcome = await store.transact({
@@ -54,9 +55,27 @@
     follower.apply(old.map(({ key }) => ({ key, version, value: undefined })));
   }
 
-  #isOld(row: JobRow): boolean {
-    if (row.kind === "live") return false;
+  /** A row that cannot be decoded stays, so that its job is not submitted again. */
+  #isOld(row: StateRow): boolean {
+    const endedUnixMs = this.#findEndedUnixMs(row);
+    if (endedUnixMs === undefined) return false;
     const { retentionMs, nowUnixMs } = this.#options;
-    return nowUnixMs() - row.endedUnixMs > retentionMs + RETENTION_MARGIN_MS;
+    return nowUnixMs() - endedUnixMs > retentionMs + RETENTION_MARGIN_MS;
+  }
+
+  #findEndedUnixMs(row: StateRow): number | undefined {
+    const { follower } = this.#options;
+    const jobId = parseJobKey(row.key);
+    if (jobId === undefined) return readRefusalRow(follower, row)?.endedUnixMs;
+    const job = readJobRow(follower, jobId, row);
+    switch (job?.kind) {
+      case "ended":
+      case "barred":
+        return job.endedUnixMs;
+      case "live":
+      case "unreadable":
+      case undefined:
+        return undefined;
+    }
   }
 }
--- a/packages/node/cell/quotas/count_usage_test.ts
+++ b/packages/node/cell/quotas/count_usage_test.ts
@@ -1,5 +1,9 @@
 /** Tests of what counts as running for an organisation. */
-import type { OrganisationName, WorkerName } from "@coltsfootpond/common";
+import {
+  ManualClock,
+  type OrganisationName,
+  type WorkerName,
+} from "@coltsfootpond/common";
 import {
   type CellJobId,
   JobProgress,
@@ -7,8 +11,13 @@
 } from "@coltsfootpond/policy";
 import { expect } from "chai";
 import { LiveJob } from "../live_job.ts";
-import { encodeRow, type JobRow } from "../rows.ts";
-import { createSpec, createStep } from "../test_fixtures.ts";
+import { encodeRow, jobKey, type JobRow } from "../rows.ts";
+import {
+  createFollower,
+  createSpec,
+  createStep,
+  createStoreFake,
+} from "../test_fixtures.ts";
 import { countUsage } from "./count_usage.ts";
 import { EarlierPlacements } from "./earlier_placements.ts";
 import { findAccountOfEnded, type RunAccount } from "./run_account.ts";
@@ -92,10 +101,13 @@
 
   // Guards against a stray run that counts for the wrong organisation, or for none.
   it("takes the organisation of an ended job from its row", () => {
-    const find = (row: JobRow | undefined) =>
-      findAccountOfEnded(TASK, {
-        get: (key) => row && { key, version: 1, value: encodeRow(row) },
-      });
+    const find = (row: JobRow | undefined) => {
+      const follower = createFollower(createStoreFake(), ManualClock.create());
+      const key = jobKey(JOB as CellJobId);
+      const value = row && encodeRow(row);
+      follower.apply([{ key, version: 1, value }]);
+      return findAccountOfEnded(TASK, follower);
+    };
     const ended = {
       kind: "ended",
       state: "cancelled",
--- a/packages/node/cell/quotas/run_account.ts
+++ b/packages/node/cell/quotas/run_account.ts
@@ -2,13 +2,15 @@
 import type { OrganisationName } from "@coltsfootpond/common";
 import type { CellResources, TaskName } from "@coltsfootpond/policy";
 import { type LiveJob, parseTaskName } from "../live_job.ts";
-import { decodeRow, jobKey, type JobRow } from "../rows.ts";
+import { jobKey } from "../rows.ts";
+import { readJobRow } from "../state_rows/row_readers.ts";
 import type { TableFollower } from "../table_follower.ts";
 
 /**
  * `known`: the whole requirement of the task, counted against the job's organisation; undefined on
  * public queues. `unsized`: a stray run of a job that has ended, whose row no longer has the
- * requirement. `unknown`: a stray run of a job without a row, which may be any organisation's.
+ * requirement. `unknown`: a stray run of a job without a readable row, which may be any
+ * organisation's.
  */
 export type RunAccount =
   | {
@@ -33,11 +35,11 @@
 /** The account of a stray run whose job is not live. */
 export function findAccountOfEnded(
   task: TaskName,
-  follower: Pick<TableFollower, "get">,
+  follower: Pick<TableFollower, "get" | "unreadable">,
 ): RunAccount {
   const name = parseTaskName(task);
-  const stored = name && follower.get(jobKey(name.jobId))?.value;
-  const row = stored && decodeRow<JobRow>(stored);
+  const row = name &&
+    readJobRow(follower, name.jobId, follower.get(jobKey(name.jobId)));
   switch (row?.kind) {
     case "live": {
       const step = name && row.spec.steps[name.step];
@@ -47,6 +49,7 @@
     case "ended":
       return { kind: "unsized", organisation: row.organisation };
     case "barred":
+    case "unreadable":
     case undefined:
       return { kind: "unknown" };
   }
--- a/packages/node/cell/rows.ts
+++ b/packages/node/cell/rows.ts
@@ -131,7 +131,8 @@
 export const LOAD_KEY = "cell/load";
 export const SPEEDS_KEY = "cell/speeds";
 /** Job rows are spread over 16 groups by the first digit of the job's id. */
-const JOB_KEY_PATTERN = /^jobs-[0-9a-f]\/(.+)$/;
+const JOB_KEY_PATTERN = /^jobs-[0-9a-f]\/([0-9a-f]{16})(\.refused)?$/i;
+const REFUSAL_SUFFIX = ".refused";
 
 export function jobKey(jobId: CellJobId): string {
   return `jobs-${jobId.charAt(0).toLowerCase()}/${jobId}`;
@@ -139,7 +140,7 @@
 
 /** Key of the job's refusals, in the group of the job's row, so that one transaction covers both. */
 export function refusalKey(jobId: CellJobId): string {
-  return `${jobKey(jobId)}.refused`;
+  return `${jobKey(jobId)}${REFUSAL_SUFFIX}`;
 }
 
 /** All groups of job rows. */
@@ -147,9 +148,9 @@
   (digit) => `jobs-${digit}`,
 );
 
-/** The group of a job row; undefined for other rows. */
+/** The group of a job row or of a job's refusals; undefined for other rows. */
 export function jobGroup(key: string): string | undefined {
-  return parseJobKey(key) === undefined ? undefined : key.split("/", 1)[0];
+  return parseGroupKey(key) === undefined ? undefined : key.split("/", 1)[0];
 }
 
 export function progressKey(jobId: CellJobId): string {
@@ -162,7 +163,19 @@
 
 /** The id of the job of a job row; undefined for other rows. */
 export function parseJobKey(key: string): CellJobId | undefined {
-  return JOB_KEY_PATTERN.exec(key)?.[1] as CellJobId | undefined;
+  const jobId = parseGroupKey(key);
+  return jobId !== undefined && key === jobKey(jobId) ? jobId : undefined;
+}
+
+/**
+ * The id of the job of a job row or of its refusals. Undefined for keys that `jobKey` and
+ * `refusalKey` return for no job, among them an id in the group of another one.
+ */
+function parseGroupKey(key: string): CellJobId | undefined {
+  const jobId = JOB_KEY_PATTERN.exec(key)?.[1] as CellJobId | undefined;
+  const isCanonical = jobId !== undefined &&
+    (key === jobKey(jobId) || key === refusalKey(jobId));
+  return isCanonical ? jobId : undefined;
 }
 
 export function isPeerKey(key: string): boolean {
@@ -185,7 +198,10 @@
   return pack(row);
 }
 
-/** Decodes a value that this system wrote. Throws on bytes that are not msgpack. */
+/**
+ * Decodes a value that this process has just written. Throws on bytes that are not msgpack; what is
+ * read back from the store is checked by the decoders in `state_rows/`.
+ */
 export function decodeRow<Row>(value: Uint8Array): Row {
   return unpack(value) as Row;
 }
