Hold a job whose row can no longer be decoded

A row of a job that is no msgpack ended each lease holder's process, so that no job started any more. A row of another shape closed its job as if it had ended: the holder deleted the job's progress, and if the row could be decoded later, finished tasks ran again.

The registry now skips such a row. If its job runs, the job is held: its runs are stopped and nothing is started, as rows of live jobs change only when the job ends, so it may have been cancelled. Ends of its runs are still recorded, and its progress stays. It goes on once the row can be decoded as live, also when the row was first found as the conflict of the write of the job's end.

A lease holder that starts while the row cannot be decoded does not know the job's steps: it stops its runs as strays and takes note of their ends without recording them.

--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -322,7 +322,9 @@
       isBlocked,
     });
     const input = createPlanInput({
-      jobs: this.#jobs.jobs.filter((job) => job.ending === undefined),
+      jobs: this.#jobs.jobs.filter(({ ending, isHeld }) =>
+        ending === undefined && !isHeld
+      ),
       workers: this.#fleet.createUsableWorkerViews(),
       guarantees: declared.current.guarantees,
       shares: this.#quotas.createShares(),
--- a/packages/node/cell/job_registry.ts
+++ b/packages/node/cell/job_registry.ts
@@ -28,6 +28,7 @@
   progressKey,
   type ProgressRow,
 } from "./rows.ts";
+import { readJobRow } from "./state_rows/row_readers.ts";
 import type { TableFollower } from "./table_follower.ts";
 
 export interface JobRegistryOptions {
@@ -150,10 +151,15 @@
 
   #applyRow(jobId: CellJobId, row: StateRow): void {
     const known = this.#jobs.get(jobId);
-    const job = row.value && decodeRow<JobRow>(row.value);
-    if (job?.kind === "live") {
-      if (known === undefined) this.#open(job, row.version);
-      return;
+    const job = readJobRow(this.#options.follower, jobId, row);
+    switch (job?.kind) {
+      case "live":
+        if (known === undefined) this.#open(job, row.version);
+        else this.#release(known, row.version);
+        return;
+      case "unreadable":
+        if (known !== undefined) this.#hold(known);
+        return;
     }
     if (known === undefined) return;
     this.#options.log.info("job.closed", {
@@ -163,6 +169,31 @@
     this.close(known);
   }
 
+  /**
+   * Stops the runs of a job whose row can no longer be decoded: rows of live jobs change only when
+   * the job ends. The job stays, as a run that ends as done must not run again once the row can be
+   * decoded.
+   */
+  #hold(job: LiveJob): void {
+    if (job.isHeld) return;
+    job.isHeld = true;
+    job.ending = undefined;
+    this.#options.log.warn("job.held", { job: job.jobId });
+    for (const unit of job.units.values()) {
+      this.#options.closeRun(unit, "the job's row is unreadable");
+    }
+    this.#options.writer.mark(job, false);
+  }
+
+  /** The job's row can be decoded, and shows that the job has not ended. */
+  #release(job: LiveJob, rowVersion: number): void {
+    job.rowVersion = rowVersion;
+    if (!job.isHeld) return;
+    job.isHeld = false;
+    this.#options.log.info("job.released", { job: job.jobId });
+    this.#checkEnd(job);
+  }
+
   #open(
     { spec }: Extract<JobRow, { kind: "live" }>,
     rowVersion: number,
@@ -196,7 +227,7 @@
 
   /** Ends the job if it is complete or can't complete any more. */
   #checkEnd(job: LiveJob): void {
-    if (job.ending !== undefined) return;
+    if (job.ending !== undefined || job.isHeld) return;
     job.failure = job.progress.findFailure();
     if (job.progress.isComplete()) job.ending = JOB_STATE.COMPLETED;
     else if (job.failure !== undefined) job.ending = JOB_STATE.FAILED;
--- a/packages/node/cell/live_job.ts
+++ b/packages/node/cell/live_job.ts
@@ -79,6 +79,11 @@
   readonly earlierRuns: ReadonlyMap<string, EarlierRun>;
   /** Whether its progress row is stored, or this lease holder has placed or adopted a run of it. */
   hasBegun = false;
+  /**
+   * Its row has changed and cannot be decoded, so it may have ended: nothing is started and its end
+   * is not written, but the ends of its runs are still recorded.
+   */
+  isHeld = false;
   /** How the job ends, once that is certain; its row may not be written yet. */
   ending: EndedState | undefined;
   /** Why it ends as failed. */
--- a/packages/node/cell/progress_writer.ts
+++ b/packages/node/cell/progress_writer.ts
@@ -224,7 +224,8 @@
       case "conflict":
         // The job was cancelled, or this very end was stored and its answer was lost.
         follower.apply(outcome.rows);
-        onClosed(job);
+        // Unless its row can't be decoded: the job is then held, and its progress still needed.
+        if (!job.isHeld) onClosed(job);
         return true;
       case "unavailable":
         log.warn("progress.end_failed", { job: job.jobId, ...outcome });
