Skip a job whose progress cannot be decoded, and leave it to the operator

A progress row that is no msgpack ended the process of each lease holder that opened its job, so that no job started; one that names a step which the job does not have did the same. If another writer changed the row of a running job, the rejection of the writer's flush ended the process.

The registry now does not open such a job, and logs `job.skipped`. Opened as if nothing had been done, its finished tasks would run again (the platform forbids two runs of a task that has ended as done). The job is opened once the row can be decoded, with the progress that it has, or once an operator deletes the row, without any. Until then callers see it as running and may cancel it. A row of a running job that the holder cannot decode is the write of another holder, so it steps down as for any other; the next one skips the job.

What the workers still run of a skipped job is stopped as a stray run, and the ends are taken note of without being recorded, as holding one end back would hold back all later ends of its worker. So a version that changes the form of progress must not share the cell with one that cannot decode it: a task that ends as done under the earlier one would run again under the later one.

--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -370,8 +370,7 @@
 
   async #writeBegun(): Promise<void> {
     if (!this.#options.canAct()) return;
-    const begun = this.#jobs.jobs.filter(({ hasBegun }) => hasBegun);
-    await this.#begunJobs.write(begun.map(({ jobId }) => jobId));
+    await this.#begunJobs.write(this.#jobs.begunJobIds);
   }
 
   async #publishLoad(): Promise<void> {
--- a/packages/node/cell/job_registry.ts
+++ b/packages/node/cell/job_registry.ts
@@ -22,13 +22,13 @@
 import type { CellLog } from "./log.ts";
 import type { ProgressWriter } from "./progress_writer.ts";
 import {
-  decodeRow,
+  jobKey,
   type JobRow,
   parseJobKey,
+  parseProgressKey,
   progressKey,
-  type ProgressRow,
 } from "./rows.ts";
-import { readJobRow } from "./state_rows/row_readers.ts";
+import { readJobRow, readProgressRow } from "./state_rows/row_readers.ts";
 import type { TableFollower } from "./table_follower.ts";
 
 export interface JobRegistryOptions {
@@ -47,6 +47,8 @@
 export class JobRegistry {
   readonly #options: JobRegistryOptions;
   readonly #jobs = new Map<CellJobId, LiveJob>();
+  /** Live jobs that are not opened, as their progress cannot be decoded. */
+  readonly #skippedJobIds = new Set<CellJobId>();
 
   private constructor(options: JobRegistryOptions) {
     this.#options = options;
@@ -60,6 +62,12 @@
     return [...this.#jobs.values()];
   }
 
+  /** Live jobs of which at least one task has begun, also those that are not opened. */
+  get begunJobIds(): readonly CellJobId[] {
+    const begun = this.jobs.filter(({ hasBegun }) => hasBegun);
+    return [...begun.map(({ jobId }) => jobId), ...this.#skippedJobIds];
+  }
+
   /** The job, step and unit of a task; undefined when no live job has the task. */
   locateTask(task: TaskName): TaskLocation | undefined {
     const name = parseTaskName(task);
@@ -85,6 +93,7 @@
     for (const row of rows) {
       const jobId = parseJobKey(row.key);
       if (jobId !== undefined) this.#applyRow(jobId, row);
+      else if (this.#skippedJobIds.size > 0) this.#retrySkipped(row.key);
     }
   }
 
@@ -161,6 +170,7 @@
         if (known !== undefined) this.#hold(known);
         return;
     }
+    this.#skippedJobIds.delete(jobId);
     if (known === undefined) return;
     this.#options.log.info("job.closed", {
       job: jobId,
@@ -194,14 +204,30 @@
     this.#checkEnd(job);
   }
 
+  /** Opens a job that was skipped once its progress can be decoded or is deleted. */
+  #retrySkipped(key: string): void {
+    const jobId = parseProgressKey(key);
+    if (jobId === undefined || !this.#skippedJobIds.has(jobId)) return;
+    const row = this.#options.follower.get(jobKey(jobId));
+    if (row !== undefined) this.#applyRow(jobId, row);
+  }
+
   #open(
     { spec }: Extract<JobRow, { kind: "live" }>,
     rowVersion: number,
   ): void {
     const { follower, clock, nowUnixMs, log, urgentDemand } = this.#options;
-    if (spec.priority === URGENT_PRIORITY) urgentDemand.record(spec);
     const stored = follower.get(progressKey(spec.jobId));
-    const row = stored?.value && decodeRow<ProgressRow>(stored.value);
+    const reading = readProgressRow(follower, spec, stored);
+    if (reading.kind === "unreadable") {
+      // Without its progress, tasks that are done would run again.
+      this.#skippedJobIds.add(spec.jobId);
+      log.warn("job.skipped", { job: spec.jobId });
+      return;
+    }
+    this.#skippedJobIds.delete(spec.jobId);
+    if (spec.priority === URGENT_PRIORITY) urgentDemand.record(spec);
+    const row = reading.kind === "progress" ? reading.row : undefined;
     const job = LiveJob.create({
       spec,
       progress: JobProgress.create(spec, row?.record),
--- a/packages/node/cell/progress_writer.ts
+++ b/packages/node/cell/progress_writer.ts
@@ -10,14 +10,13 @@
 import type { LiveJob, OtherRuns, Unit, UnitRun } from "./live_job.ts";
 import type { CellLog } from "./log.ts";
 import {
-  decodeRow,
   encodeRow,
   type EndedState,
   jobKey,
   type JobRow,
   progressKey,
-  type ProgressRow,
 } from "./rows.ts";
+import { readProgressRow } from "./state_rows/row_readers.ts";
 import type { TableFollower } from "./table_follower.ts";
 
 /** Delay of other changes, so that several share a write. */
@@ -238,12 +237,16 @@
    * effect, or another holder wrote it.
    */
   #reconcile(job: LiveJob, rows: readonly StateRow[]): void {
-    const { onNewerHolder, log } = this.#options;
+    const { onNewerHolder, log, follower } = this.#options;
     const row = rows.find(({ key }) => key === progressKey(job.jobId));
-    const stored = row?.value && decodeRow<ProgressRow>(row.value);
+    // A row that can't be decoded is no write of this holder.
+    const reading = readProgressRow(follower, job.spec, row);
+    const writeId = reading.kind === "progress"
+      ? reading.row.writeId
+      : undefined;
     const version = row?.version ?? 0;
     if (version !== job.progressVersion) {
-      if (stored === undefined || !job.writeIds.has(stored.writeId)) {
+      if (writeId === undefined || !job.writeIds.has(writeId)) {
         log.warn("progress.overtaken", { job: job.jobId, version });
         onNewerHolder();
         return;
--- a/packages/node/cell/rows.ts
+++ b/packages/node/cell/rows.ts
@@ -157,6 +157,13 @@
   return `${PROGRESS_PREFIX}${jobId}`;
 }
 
+/** The id of the job of a progress row; undefined for other rows. */
+export function parseProgressKey(key: string): CellJobId | undefined {
+  return key.startsWith(PROGRESS_PREFIX)
+    ? key.slice(PROGRESS_PREFIX.length) as CellJobId
+    : undefined;
+}
+
 export function peerKey(entry: string): string {
   return `${PEER_PREFIX}${entry}`;
 }
