Acquire a lease whose row cannot be decoded, with a higher epoch

A row of the scheduler's lease that is no msgpack ended the processes of all entries, in a subscriber and in the regular check of the lease, and no entry ever replaced it. One of another shape gave epochs and beats that are no numbers, or left a holder that cannot renew the lease without losing it.

Such a row now counts as a lease that somebody holds: it is acquired by compare-and-set once it has not changed for the duration of the lease, and it takes the lease from the entry that held it. Another version that renews it in its own form keeps it.

Workers refuse lower epochs, and run numbers follow from them, so the next epoch has to be above all earlier ones although the row does not tell them. It is the version of the row plus one. Each acquisition is a write that raises the epoch by one and the store's only version counter by at least one, so no epoch of this system has ever exceeded the version of its row; and the write with the new epoch raises the version again, so that this stays so. Where another writer has put a readable epoch above the versions, the highest one that this entry has read counts.

--- a/packages/node/cell/lease/scheduler_lease.ts
+++ b/packages/node/cell/lease/scheduler_lease.ts
@@ -17,7 +17,8 @@
   type ProcessorShares,
 } from "./lease_priority.ts";
 import type { CellLog } from "../log.ts";
-import { decodeRow, encodeRow, LEASE_KEY, type LeaseRow } from "../rows.ts";
+import { encodeRow, LEASE_KEY, type LeaseRow } from "../rows.ts";
+import { readLeaseRow } from "../state_rows/row_readers.ts";
 import type { TableFollower } from "../table_follower.ts";
 
 /**
@@ -72,6 +73,8 @@
   readonly #options: SchedulerLeaseOptions;
   #observed: { readonly version: number; readonly sinceMs: number } | undefined;
   #held: HeldLease | undefined;
+  /** Highest epoch in any row that this entry has read. */
+  #newestEpoch = 0;
   #isWriting = false;
   #isLeaving = false;
   #acquireAtMs: number | undefined;
@@ -205,10 +208,10 @@
     if (nowMs < this.#backoffUntilMs) return false;
     const row = this.#options.follower.get(LEASE_KEY);
     if (row?.value === undefined) return true;
-    const lease = decodeRow<LeaseRow>(row.value);
-    if (lease.isReleased) return true;
+    const lease = readLeaseRow(this.#options.follower, row);
+    if (lease?.isReleased) return true;
     // An earlier process of this entry, which is gone, held it, or this one until it lost it.
-    if (lease.holder === this.#options.entry) return true;
+    if (lease?.holder === this.#options.entry) return true;
     const sinceMs = this.#observed?.version === row.version
       ? this.#observed.sinceMs
       : nowMs;
@@ -218,8 +221,8 @@
   async #acquire(): Promise<void> {
     const { store, follower, clock, nowUnixMs, log } = this.#options;
     const row = follower.get(LEASE_KEY);
-    const previous = row?.value && decodeRow<LeaseRow>(row.value);
-    const epoch = (previous?.epoch ?? 0) + 1;
+    const previous = readLeaseRow(follower, row);
+    const epoch = this.#findHighestEpoch(row, previous) + 1;
     const beat = (previous?.beat ?? 0) + 1;
     const sent = { renewedMs: clock.nowMs(), renewedUnixMs: nowUnixMs() };
     const next = {
@@ -249,6 +252,18 @@
     this.changes.next({ kind: "acquired", epoch, version });
   }
 
+  /**
+   * An epoch that no earlier one exceeds. Each acquisition is a write, so the epochs of this system
+   * have never exceeded the versions of the row; nor does the next one, as its write raises them.
+   */
+  #findHighestEpoch(
+    row: StateRow | undefined,
+    lease: LeaseRow | undefined,
+  ): number {
+    const epoch = lease === undefined ? row?.version ?? 0 : lease.epoch;
+    return Math.max(epoch, this.#newestEpoch);
+  }
+
   async #renew(): Promise<void> {
     const held = this.#held;
     if (held === undefined) return;
@@ -283,10 +298,13 @@
     if (row === undefined) return;
     const nowMs = this.#options.clock.nowMs();
     this.#observed = { version: row.version, sinceMs: nowMs };
+    const lease = readLeaseRow(this.#options.follower, row);
+    this.#newestEpoch = Math.max(this.#newestEpoch, lease?.epoch ?? 0);
     const held = this.#held;
     if (held === undefined || row.value === undefined) return;
-    const lease = decodeRow<LeaseRow>(row.value);
-    if (lease.incarnation !== this.#options.incarnation) {
+    if (lease === undefined) {
+      this.#lose("its row is unreadable");
+    } else if (lease.incarnation !== this.#options.incarnation) {
       this.#lose(`taken by ${lease.holder}`);
     } else if (row.version > held.version) {
       // A renewal whose response was lost has taken effect.
