Publish and read the load beside a lease row that cannot be decoded

Each entry's copy of the load decodes the lease row in a subscriber, whose error ended the process. The holder's publication read the beat from it: its rejection ended the process too, and left the publication marked as in progress.

An entry now decides by no load while the lease row cannot be decoded, and the holder writes 0 as the beat, so that entries take the load as old until it is written again, within a second. An epoch or a beat of the load that is no integer counts as unreadable.

--- a/packages/node/cell/admission/load_publisher.ts
+++ b/packages/node/cell/admission/load_publisher.ts
@@ -4,14 +4,9 @@
  */
 import type { Clock } from "@coltsfootpond/common";
 import type { LiveJob } from "../live_job.ts";
-import {
-  decodeRow,
-  encodeRow,
-  LEASE_KEY,
-  type LeaseRow,
-  LOAD_KEY,
-} from "../rows.ts";
+import { encodeRow, LEASE_KEY, LOAD_KEY } from "../rows.ts";
 import { putRow, type PutRowOptions } from "../state_rows/put_row.ts";
+import { readLeaseRow } from "../state_rows/row_readers.ts";
 import { LoadCollector } from "./load_collector.ts";
 
 /** Period of the publication: a wrong forecast is corrected within one. */
@@ -63,7 +58,7 @@
   }
 
   #readBeat(): number {
-    const row = this.#options.follower.get(LEASE_KEY);
-    return row?.value === undefined ? 0 : decodeRow<LeaseRow>(row.value).beat;
+    const { follower } = this.#options;
+    return readLeaseRow(follower, follower.get(LEASE_KEY))?.beat ?? 0;
   }
 }
--- a/packages/node/cell/admission/load_publisher_test.ts
+++ b/packages/node/cell/admission/load_publisher_test.ts
@@ -2,7 +2,8 @@
 import type { ServiceName } from "@coltsfootpond/common";
 import { expect } from "chai";
 import { CellSimulation } from "../cell_simulation.ts";
-import { decodeRow, LOAD_KEY, type LoadRow } from "../rows.ts";
+import { collectUnhandledErrors } from "../fakes/unhandled_errors.ts";
+import { decodeRow, LEASE_KEY, LOAD_KEY, type LoadRow } from "../rows.ts";
 import { createSpec, createStep } from "../test_fixtures.ts";
 
 const WHOLE_WORKER = { cpuMilli: 1_000, memoryMib: 1_000, accelerators: 8 };
@@ -77,6 +78,22 @@
     gapsMs.forEach((gapMs) => expect(gapMs).to.be.within(500, 1_000));
   });
 
+  // Guards against a rejection that ends the process, or that no later publication follows.
+  it("is written beside a row of the lease that cannot be decoded", async () => {
+    const simulation = CellSimulation.create(["a"]);
+    const value = new Uint8Array([0xc1, 1, 2]);
+    const puts = [{ key: LEASE_KEY, value }];
+    await simulation.store.transact({ conditions: [], puts, deletes: [] }, 1);
+    const errors = await collectUnhandledErrors(async () => {
+      simulation.startScheduler();
+      await simulation.clock.advance(1_000);
+      await submitMany(simulation, 6);
+      await simulation.clock.advance(4_000);
+    });
+    expect(errors).to.deep.equal([]);
+    expect(readRow(simulation)).to.include({ epoch: 1, beat: 0 });
+  });
+
   // Guards against forecasts by estimates that are wrong for a whole queue.
   it("has the learned ratio of real to estimated duration", async () => {
     const simulation = CellSimulation.create(["a", "b", "c", "d"]);
--- a/packages/node/cell/admission/published_load.ts
+++ b/packages/node/cell/admission/published_load.ts
@@ -8,14 +8,9 @@
 import type { StateRow } from "@coltsfootpond/ports";
 import { RENEW_PERIOD_MS } from "../lease/lease_times.ts";
 import type { CellLog } from "../log.ts";
-import {
-  decodeRow,
-  LEASE_KEY,
-  type LeaseRow,
-  LOAD_KEY,
-  type LoadRow,
-} from "../rows.ts";
+import { LEASE_KEY, type LeaseRow, LOAD_KEY, type LoadRow } from "../rows.ts";
 import { decodeLoadRow } from "../state_rows/load_row.ts";
+import { readLeaseRow } from "../state_rows/row_readers.ts";
 import type { TableFollower } from "../table_follower.ts";
 
 /** An older row says too little about the present: most urgent tasks run for less than this. */
@@ -78,7 +73,7 @@
     for (const row of rows) {
       if (row.key === LOAD_KEY) this.#received = this.#decode(row);
       if (row.key === LEASE_KEY) {
-        this.#lease = row.value && decodeRow<LeaseRow>(row.value);
+        this.#lease = readLeaseRow(this.#options.follower, row);
       }
     }
   }
--- a/packages/node/cell/admission/published_load_test.ts
+++ b/packages/node/cell/admission/published_load_test.ts
@@ -1,6 +1,7 @@
 /** Tests of when an entry may decide by the published load; otherwise every job is admitted. */
 import { ManualClock, type ServiceName } from "@coltsfootpond/common";
 import { expect } from "chai";
+import { collectUnhandledErrors } from "../fakes/unhandled_errors.ts";
 import { RENEW_PERIOD_MS } from "../lease/lease_times.ts";
 import { SILENT_LOG } from "../log.ts";
 import {
@@ -139,4 +140,30 @@
     putLoad();
     expect(load.usable).to.not.equal(undefined);
   });
+
+  // Guards against an error that ends the process, and against refusals by the load of a holder that
+  // is no longer known.
+  it("is not used while the row of the lease cannot be decoded", async () => {
+    const { load, putLoad, putLease, putBytes } = createEntry();
+    const errors = await collectUnhandledErrors(() => {
+      putLease();
+      putLoad();
+      for (const value of [new Uint8Array([0xc1, 1, 2]), encodeRow(LOAD)]) {
+        putBytes(LEASE_KEY, value);
+        expect(load.usable).to.equal(undefined);
+      }
+      putLease();
+      expect(load.usable).to.not.equal(undefined);
+    });
+    expect(errors).to.deep.equal([]);
+  });
+
+  it("is not used with an epoch or a beat that is no integer", () => {
+    const { load, putLoad, putLease, warnings } = createEntry();
+    putLease();
+    putLoad({ beat: 100.5 });
+    putLoad({ epoch: 2 ** 60 });
+    expect(load.usable).to.equal(undefined);
+    expect(warnings).to.deep.equal(Array(2).fill("load.unreadable"));
+  });
 });
