Skip announcements of entries that name no usable peer

One announcement that is no msgpack ended the process of every entry, in a subscriber and in the entry's own announcement. One of another shape was used as it was: a share that is missing or no number kept every entry from acquiring the lease (the delay of the acquisition became NaN), one that is too large makes each holder hand the lease over every 20 s, and a port that is none went to the HTTP client.

Each announcement is now decoded once, when its row changes, instead of all of them at each change; those that cannot be decoded are left out, and an entry replaces its own.

--- a/packages/node/cell/peer_registry.ts
+++ b/packages/node/cell/peer_registry.ts
@@ -12,13 +12,8 @@
 import { STORE_TIMEOUT_MS } from "./constants.ts";
 import type { ProcessorShares } from "./lease/lease_priority.ts";
 import type { CellLog } from "./log.ts";
-import {
-  decodeRow,
-  encodeRow,
-  isPeerKey,
-  peerKey,
-  type PeerRow,
-} from "./rows.ts";
+import { encodeRow, isPeerKey, peerKey, type PeerRow } from "./rows.ts";
+import { readPeerRow } from "./state_rows/row_readers.ts";
 import type { TableFollower } from "./table_follower.ts";
 
 /** Delay between tries to announce this entry. */
@@ -35,7 +30,8 @@
 /** Announces this entry and keeps the announcements of the others. */
 export class PeerRegistry {
   readonly #options: PeerRegistryOptions;
-  #announced: readonly PeerRow[] = [];
+  /** By key; rows that cannot be decoded are left out. */
+  readonly #announced = new Map<string, PeerRow>();
   #shares: ProcessorShares = { largest: 0, count: 0 };
   #addresses: readonly HostPort[];
   #isStopped = false;
@@ -72,8 +68,7 @@
       await clock.sleep(ANNOUNCE_DELAY_MS);
       if (!follower.isLoaded) continue;
       const key = peerKey(settings.entry);
-      const row = follower.get(key)?.value;
-      const known = row && decodeRow<PeerRow>(row);
+      const known = readPeerRow(follower, follower.get(key));
       const isKnown = known?.host === ownAddress.host &&
         known.port === ownAddress.port &&
         known.processorShare === processorShare;
@@ -89,16 +84,19 @@
   }
 
   #applyRows(rows: readonly StateRow[]): void {
-    if (!rows.some(({ key }) => isPeerKey(key))) return;
-    this.#announced = [...this.#options.follower.rows()].filter(({ key }) =>
-      isPeerKey(key)
-    ).map(({ value }) => decodeRow<PeerRow>(value));
+    const announcements = rows.filter(({ key }) => isPeerKey(key));
+    if (announcements.length === 0) return;
+    for (const row of announcements) {
+      const announced = readPeerRow(this.#options.follower, row);
+      if (announced === undefined) this.#announced.delete(row.key);
+      else this.#announced.set(row.key, announced);
+    }
     this.#shares = {
-      largest: Math.max(
+      largest: [...this.#announced.values()].reduce(
+        (largest, { processorShare }) => Math.max(largest, processorShare),
         0,
-        ...this.#announced.map(({ processorShare }) => processorShare),
       ),
-      count: this.#announced.length,
+      count: this.#announced.size,
     };
     this.#addresses = this.#listAddresses();
   }
@@ -106,7 +104,7 @@
   #listAddresses(): readonly HostPort[] {
     const { peerAddress: ownAddress, seeds } = this.#options.settings;
     const byName = new Map(
-      [...seeds, ...this.#announced].map(({ host, port }) => [
+      [...seeds, ...this.#announced.values()].map(({ host, port }) => [
         `${host}:${port}`,
         { host, port },
       ]),
