Go on with the epochs when the lease's row is deleted

An operator may delete a row of the lease, for example one that cannot be decoded. The next holder then began with epoch 1: workers refuse all lower epochs than they have seen, so each holder stepped down at once, and its run numbers were below those of earlier runs. Another entry acquired the lease at once, beside a holder that had not seen the deletion yet; with a single entry, the holder kept a lease that it could neither renew nor acquire again.

The epoch after a deletion is above the newest version of the store that this entry has seen, which the deletion and so all earlier epochs precede. The holder loses the lease with its row, and entries that have seen the deletion acquire the lease once its time is over. In a new deployment, the first epoch is no longer 1 but above the version of the store.

--- a/packages/node/cell/lease/scheduler_lease.ts
+++ b/packages/node/cell/lease/scheduler_lease.ts
@@ -206,15 +206,20 @@
 
   #mayAcquire(nowMs: number): boolean {
     if (nowMs < this.#backoffUntilMs) return false;
-    const row = this.#options.follower.get(LEASE_KEY);
-    if (row?.value === undefined) return true;
-    const lease = readLeaseRow(this.#options.follower, row);
+    const { follower, entry } = this.#options;
+    const row = follower.get(LEASE_KEY);
+    // The holder may not have seen yet that the row was deleted.
+    if (row === undefined) return this.#hasExpired(nowMs);
+    const lease = readLeaseRow(follower, row);
     if (lease?.isReleased) return true;
     // An earlier process of this entry, which is gone, held it, or this one until it lost it.
-    if (lease?.holder === this.#options.entry) return true;
-    const sinceMs = this.#observed?.version === row.version
-      ? this.#observed.sinceMs
-      : nowMs;
+    if (lease?.holder === entry) return true;
+    return this.#observed?.version === row.version && this.#hasExpired(nowMs);
+  }
+
+  /** Whether the last change of the row, its deletion included, is as long ago as a lease lasts. */
+  #hasExpired(nowMs: number): boolean {
+    const sinceMs = this.#observed?.sinceMs ?? Number.NEGATIVE_INFINITY;
     return nowMs - sinceMs >= SCHEDULER_LEASE_MS;
   }
 
@@ -254,13 +259,15 @@
 
   /**
    * An epoch that no earlier one exceeds. Each acquisition is a write, so the epochs of this system
-   * have never exceeded the versions of the row; nor does the next one, as its write raises them.
+   * have never exceeded the versions of the row; nor does the next one, as its write raises them. A
+   * row that is gone was deleted before the newest version that this entry has seen.
    */
   #findHighestEpoch(
     row: StateRow | undefined,
     lease: LeaseRow | undefined,
   ): number {
-    const epoch = lease === undefined ? row?.version ?? 0 : lease.epoch;
+    const { newestSeenVersion } = this.#options.follower;
+    const epoch = lease?.epoch ?? row?.version ?? newestSeenVersion;
     return Math.max(epoch, this.#newestEpoch);
   }
 
@@ -301,8 +308,10 @@
     const lease = readLeaseRow(this.#options.follower, row);
     this.#newestEpoch = Math.max(this.#newestEpoch, lease?.epoch ?? 0);
     const held = this.#held;
-    if (held === undefined || row.value === undefined) return;
-    if (lease === undefined) {
+    if (held === undefined) return;
+    if (row.value === undefined) {
+      this.#lose("its row is deleted");
+    } else if (lease === undefined) {
       this.#lose("its row is unreadable");
     } else if (lease.incarnation !== this.#options.incarnation) {
       this.#lose(`taken by ${lease.holder}`);
--- a/packages/node/cell/lease/unreadable_lease_test.ts
+++ b/packages/node/cell/lease/unreadable_lease_test.ts
@@ -136,4 +136,27 @@
     await clock.advance(SCHEDULER_LEASE_MS + 100);
     expect(lease.epoch).to.equal(1_002);
   });
+
+  // Guards against epochs that begin anew, which all workers refuse, once an operator has deleted the
+  // row, and against a holder that never notices.
+  it("may be deleted, and the epochs go on", async () => {
+    const clock = ManualClock.create();
+    const store = await createUsedStore(20);
+    const { lease } = createEntry("a", store, clock);
+    const deleteRow = async () => {
+      const deletes = [LEASE_KEY];
+      await store.transact({ conditions: [], puts: [], deletes }, 1);
+      await clock.advance(50);
+      // Another holder may not have seen the deletion yet.
+      expect(lease.canAct()).to.equal(false);
+      await clock.advance(SCHEDULER_LEASE_MS + 100);
+    };
+    await clock.advance(500);
+    await deleteRow();
+    const { epoch: first = 0 } = lease;
+    expect(first).to.be.greaterThan(20);
+    await deleteRow();
+    expect(lease.canAct()).to.equal(true);
+    expect(lease.epoch).to.be.greaterThan(first);
+  });
 });
