Leave room above the highest stored epoch and beat of the lease

A lease row with the highest epoch or beat that decodeLeaseRow took made the next holder write one that no entry can decode, so that it lost the lease to its own row.

Found by reading, with the bounds of a random test in mind; the test of the decoders checks that twice the limit has safe run numbers.

--- a/packages/node/cell/state_rows/cell_rows.ts
+++ b/packages/node/cell/state_rows/cell_rows.ts
@@ -1,6 +1,6 @@
 /** Decodes the single rows that all entries share, and the entries' announcements. */
 import { MAXIMUM_PORT } from "@coltsfootpond/common";
-import { MAXIMUM_EPOCH } from "../constants.ts";
+import { MAXIMUM_BEAT, MAXIMUM_EPOCH } from "../constants.ts";
 import type { BegunJobsRow, LeaseRow, PeerRow, RosterRow } from "../rows.ts";
 import {
   isAmount,
@@ -25,7 +25,8 @@
   const row = unpackFields(value);
   const isValid = row !== undefined && isText(row.holder) &&
     isText(row.incarnation) && isCount(row.epoch) &&
-    row.epoch <= MAXIMUM_EPOCH && isCount(row.beat) && isFlag(row.isReleased) &&
+    row.epoch <= MAXIMUM_EPOCH && isCount(row.beat) &&
+    row.beat <= MAXIMUM_BEAT && isFlag(row.isReleased) &&
     isNumber(row.handedOverUnixMs);
   return isValid ? row as unknown as LeaseRow : undefined;
 }
--- a/packages/node/cell/state_rows/row_decoders_test.ts
+++ b/packages/node/cell/state_rows/row_decoders_test.ts
@@ -2,7 +2,7 @@
 import type { CellJobId, CellJobSpec, StepSpec } from "@coltsfootpond/policy";
 import { expect } from "chai";
 import { pack } from "msgpackr";
-import { MAXIMUM_EPOCH, RUNS_PER_EPOCH } from "../constants.ts";
+import { MAXIMUM_BEAT, MAXIMUM_EPOCH, RUNS_PER_EPOCH } from "../constants.ts";
 import { encodeRow } from "../rows.ts";
 import { readSpeedsRow } from "../speeds/speeds_row.ts";
 import { createSpec, createStep } from "../test_fixtures.ts";
@@ -298,11 +298,11 @@
   });
 
   it("read no lease whose epoch or beat cannot be counted on", () => {
-    expect(Number.isSafeInteger((MAXIMUM_EPOCH + 1) * RUNS_PER_EPOCH)).to.equal(
-      true,
+    expect(2 * MAXIMUM_EPOCH * RUNS_PER_EPOCH).to.be.at.most(
+      Number.MAX_SAFE_INTEGER,
     );
-    expect(decodeLeaseRow(pack({ ...LEASE, epoch: MAXIMUM_EPOCH }))).to.not
-      .equal(undefined);
+    const highest = { ...LEASE, epoch: MAXIMUM_EPOCH, beat: MAXIMUM_BEAT };
+    expect(decodeLeaseRow(pack(highest))).to.deep.equal(highest);
     for (
       const overrides of [
         { epoch: MAXIMUM_EPOCH + 1 },
@@ -310,7 +310,7 @@
         { epoch: 1.5 },
         { epoch: Number.NaN },
         { epoch: "7" },
-        { beat: 2 ** 53 },
+        { beat: MAXIMUM_BEAT + 1 },
         { beat: undefined },
         { handedOverUnixMs: undefined },
         { isReleased: 1 },
