Give background work of the cell owners that report its failures

Work that no caller awaits (`void x()`, timers, rxjs subscribers, server handlers) has no owner: its first error reaches `uncaughtException` and ends the process, with the calls of all callers in progress.

`background/` has the owners: `runInBackground` and `guard` report an error that is thrown or with which a promise rejects, `subscribeGuarded` does so for subscribers, `keepRunning` restarts a loop after 50 ms to 5 s. A failure is the event `background.failed` with the activity (a bounded set of names) and at most 1,500 characters of the stack; `coltsfootpond_background_failures_total` counts all of them by activity, the log has at most 5 lines of one activity in 10 s.

--- a/packages/node/cell/cell_entry.ts
+++ b/packages/node/cell/cell_entry.ts
@@ -13,6 +13,7 @@
 } from "@coltsfootpond/ports";
 import { AdmissionGate } from "./admission/admission_gate.ts";
 import { PublishedLoad } from "./admission/published_load.ts";
+import { limitFailureLines } from "./background/failure_log_limit.ts";
 import { createCallerFilters } from "./callers/caller_filters.ts";
 import { CallerServer } from "./callers/caller_server.ts";
 import { CellScheduler } from "./cell_scheduler.ts";
@@ -76,7 +77,7 @@
 
   private constructor(options: CellEntryOptions) {
     const { clock, random, settings, nowUnixMs, meters } = options;
-    const log = meters.countEvents(options.log);
+    const log = meters.countEvents(limitFailureLines(options.log, clock));
     this.#options = { ...options, log };
     const direct = createMeteredStore(options.store, { meters, clock });
     this.#relay = StoreRelay.create({
--- a/packages/node/cell/meters/cell_meters.ts
+++ b/packages/node/cell/meters/cell_meters.ts
@@ -6,6 +6,8 @@
 import process from "node:process";
 import type { Clock } from "@coltsfootpond/common";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { BACKGROUND_ACTIVITY } from "../background/activities.ts";
+import { FAILURE_EVENT } from "../background/report_failure.ts";
 import type { CellLog, LogFields } from "../log.ts";
 import type { OrganisationGauges } from "../quotas/organisation_gauges.ts";
 import { registerOrganisationGauges } from "./organisation_meters.ts";
@@ -24,6 +26,9 @@
 /** Distinct reasons that get a time series of their own; there are about 30. */
 export const MAXIMUM_REASONS = 64;
 const OTHER_REASONS = "other";
+const ACTIVITIES: ReadonlySet<unknown> = new Set(
+  Object.values(BACKGROUND_ACTIVITY),
+);
 const MICROSECONDS_PER_SECOND = 1_000_000;
 
 /** Values of the gauges, read at each scrape. */
@@ -56,6 +61,11 @@
     "Logged events with the reason that they give.",
     ["event", "reason"],
   );
+  readonly #failures = this.#counter(
+    "background_failures",
+    "Errors of background activities.",
+    ["activity"],
+  );
   readonly #calls = this.#histogram(
     "call_seconds",
     "Time to answer callers, by method and status.",
@@ -130,6 +140,10 @@
 
   #countEvent(event: string, fields: LogFields | undefined): void {
     this.#events.inc({ event });
+    const activity = fields?.activity;
+    if (event === FAILURE_EVENT && ACTIVITIES.has(activity)) {
+      this.#failures.inc({ activity: String(activity) });
+    }
     const reason = fields?.reason;
     if (typeof reason !== "string" || !EVENTS_WITH_REASON.has(event)) return;
     if (this.#knownReasons.size < MAXIMUM_REASONS) {
