Count a call to a worker that throws as unanswered

Callers would see their jobs stop: a worker port whose call throws or rejects for one worker ended the lease holder's process (`void this.#pollLoop()` drops the rejection), and in the simulated cell, where no process ends, a start without outcome kept its unit, and with it the capacity, for ever, and a stop was never repeated.

The scheduler wraps its worker port, so that every call resolves with an outcome; one that throws is `lost`, which the sessions already handle: a poll counts as unanswered and is repeated after the usual delay, a start is followed by a report and a stop, a stop is repeated. A report that cannot be processed counts as no answer, so that nothing more starts there. All calls without an awaiting caller have an owner that reports their failures.

--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -14,6 +14,7 @@
   WorkerPort,
 } from "@coltsfootpond/ports";
 import type { Subscription } from "rxjs";
+import { guardWorkerPort } from "./background/guarded_ports.ts";
 import type { DeclaredStateTracker } from "./declared_state_tracker.ts";
 import { LOAD_PERIOD_MS, LoadPublisher } from "./admission/load_publisher.ts";
 import { BegunJobsWriter } from "./begun_jobs_writer.ts";
@@ -194,7 +195,8 @@
   }
 
   static create(options: CellSchedulerOptions): CellScheduler {
-    return new CellScheduler(options);
+    const workerPort = guardWorkerPort(options.workerPort, options.log);
+    return new CellScheduler({ ...options, workerPort });
   }
 
   /** Reads the state, collects the workers' reports, then schedules until stopped. */
--- a/packages/node/cell/cell_simulation.ts
+++ b/packages/node/cell/cell_simulation.ts
@@ -75,6 +75,8 @@
   isDirectoryUnavailable = false;
   /** Schedulers that are started from now on read no declared state until the next version. */
   isDeclaredStateUnknown = false;
+  /** Changes the calls to workers of the schedulers that are started from now on. */
+  wrapWorkerPort: (port: WorkerPort) => WorkerPort = (port) => port;
   /** Time until the answer to a read of the workers' records arrives. */
   directoryDelayMs = 0;
   /** Called after each start that a worker carries out. */
@@ -285,12 +287,12 @@
 
   #createWorkerPortOf(vm: VmFake): WorkerPort {
     const port = createWorkerPortFake(this.workers, this.clock);
-    return {
+    return this.wrapWorkerPort({
       start: (...call) => vm.receive(port.start(...call)),
       stop: (...call) => vm.receive(port.stop(...call)),
       renew: (...call) => vm.receive(port.renew(...call)),
       forget: (target) => port.forget(target),
-    };
+    });
   }
 
   async #refresh(follower: TableFollower, vm: VmFake): Promise<void> {
--- a/packages/node/cell/run_registry.ts
+++ b/packages/node/cell/run_registry.ts
@@ -7,6 +7,11 @@
 import { getCountedNeed, type TaskName } from "@coltsfootpond/policy";
 import type { RunningTask } from "@coltsfootpond/ports";
 import { RUNS_PER_EPOCH } from "./constants.ts";
+import {
+  BACKGROUND_ACTIVITY,
+  type BackgroundActivity,
+} from "./background/activities.ts";
+import { runInBackground } from "./background/run_in_background.ts";
 import {
   createTaskRun,
   describeUnit,
@@ -22,6 +27,7 @@
 import type { TaskRun } from "./task_run.ts";
 import type { WorkerSession } from "./worker_session.ts";
 
+const { START_TASK, STOP_TASK } = BACKGROUND_ACTIVITY;
 const NO_RESOURCES = { cpuMilli: 0, memoryMib: 0, accelerators: 0 };
 
 export interface RunRegistryOptions {
@@ -123,7 +129,12 @@
     }
     run.isPending = false;
     for (const [taskRun, session] of run.taskRuns) {
-      void session.start(taskRun, job.spec.payload);
+      this.#runInBackground(
+        START_TASK,
+        session,
+        taskRun,
+        () => session.start(taskRun, job.spec.payload),
+      );
     }
   }
 
@@ -207,7 +218,27 @@
       unitRun: unit?.run?.run,
       reason: this.#describeStray(unit, taskRun.run),
     });
-    void session.stopTaskRun(taskRun);
+    this.stopTaskRun(session, taskRun);
+  }
+
+  /** Stops a task run on its worker; the outcome is passed to the listener of the session. */
+  stopTaskRun(session: WorkerSession, taskRun: TaskRun): void {
+    this.#runInBackground(
+      STOP_TASK,
+      session,
+      taskRun,
+      () => session.stopTaskRun(taskRun),
+    );
+  }
+
+  #runInBackground(
+    activity: BackgroundActivity,
+    { target }: WorkerSession,
+    { task, run }: TaskRun,
+    work: () => Promise<void>,
+  ): void {
+    const fields = { ...target, task, run };
+    runInBackground(this.#options.log, activity, work, fields);
   }
 
   /** Workers of the job's stray runs, by unit key. */
@@ -253,7 +284,7 @@
         session.release(taskRun);
         this.drop(taskRun);
       } else {
-        void session.stopTaskRun(taskRun);
+        this.stopTaskRun(session, taskRun);
       }
     }
   }
--- a/packages/node/cell/session_event_handler.ts
+++ b/packages/node/cell/session_event_handler.ts
@@ -6,6 +6,8 @@
   RunningTask,
   StartRefusal,
 } from "@coltsfootpond/ports";
+import { BACKGROUND_ACTIVITY } from "./background/activities.ts";
+import { runInBackground } from "./background/run_in_background.ts";
 import type { CrashTracker } from "./crashes/crash_tracker.ts";
 import type { JobRegistry } from "./job_registry.ts";
 import { formatUnitKey, type Unit } from "./live_job.ts";
@@ -59,10 +61,14 @@
     taskRun: TaskRun,
     reason: StartRefusal | "wrong_life" | "restarted",
   ): void {
-    const { runs } = this.#options;
+    const { runs, log } = this.#options;
     this.#logTask("task.start_refused", session, taskRun, { reason });
     session.pause(REFUSED_BACKOFF_MS);
-    void session.pollNow();
+    runInBackground(
+      log,
+      BACKGROUND_ACTIVITY.POLL_WORKER,
+      () => session.pollNow(),
+    );
     const unit = runs.drop(taskRun);
     if (unit !== undefined) runs.close(unit, `start refused: ${reason}`);
   }
@@ -73,7 +79,7 @@
     session.pause(REFUSED_BACKOFF_MS);
     const unit = runs.getUnit(taskRun);
     if (unit !== undefined) runs.close(unit, "start unanswered");
-    else void session.stopTaskRun(taskRun);
+    else runs.stopTaskRun(session, taskRun);
   }
 
   onGone(
--- a/packages/node/cell/task_commands.ts
+++ b/packages/node/cell/task_commands.ts
@@ -9,6 +9,9 @@
   WorkerPort,
   WorkerTarget,
 } from "@coltsfootpond/ports";
+import { BACKGROUND_ACTIVITY } from "./background/activities.ts";
+import { reportFailure } from "./background/report_failure.ts";
+import type { CellLog } from "./log.ts";
 import type { TaskRun } from "./task_run.ts";
 import type { WorkerTaskRuns } from "./worker_task_runs.ts";
 import type { WorkerLeases } from "./worker_leases.ts";
@@ -34,6 +37,7 @@
   readonly workerPort: WorkerPort;
   readonly bounds: CellBounds;
   readonly clock: Clock;
+  readonly log: CellLog;
   readonly taskRuns: WorkerTaskRuns;
   readonly leases: WorkerLeases;
   readonly getIncarnationStartUnixMs: () => number;
@@ -125,7 +129,7 @@
     const { taskRuns, clock, bounds, canAct, isStopped } = this.#options;
     while (taskRuns.has(taskRun) && !isStopped()) {
       if (taskRun.stopAnsweredMs === undefined && canAct()) {
-        if (!await this.#sendStop(taskRun)) return;
+        if (!await this.#trySendStop(taskRun)) return;
       }
       const isAcknowledged = taskRun.stopAnsweredMs !== undefined;
       const isStartUnconfirmed = taskRun.startAnsweredMs === undefined;
@@ -141,6 +145,22 @@
     }
   }
 
+  /** As `#sendStop`; an outcome that cannot be processed is none. */
+  async #trySendStop(taskRun: TaskRun): Promise<boolean> {
+    try {
+      return await this.#sendStop(taskRun);
+    } catch (error) {
+      const { log, target } = this.#options;
+      const { task, run } = taskRun;
+      reportFailure(log, BACKGROUND_ACTIVITY.STOP_TASK, error, {
+        ...target,
+        task,
+        run,
+      });
+      return true;
+    }
+  }
+
   /** False when no further command is to be sent. */
   async #sendStop(taskRun: TaskRun): Promise<boolean> {
     const { workerPort, target, epoch, taskRuns } = this.#options;
--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -13,6 +13,9 @@
   WorkerRecord,
   WorkerTarget,
 } from "@coltsfootpond/ports";
+import { BACKGROUND_ACTIVITY } from "./background/activities.ts";
+import { reportFailure } from "./background/report_failure.ts";
+import { runInBackground } from "./background/run_in_background.ts";
 import type { CellLog } from "./log.ts";
 import type { AdoptedStep, SessionListener, TaskRun } from "./task_run.ts";
 import { type Report, WorkerTaskRuns } from "./worker_task_runs.ts";
@@ -218,7 +221,8 @@
 
   /** Starts polling if something is to be renewed, read or acknowledged, or it is unreachable. */
   startPolling(): void {
-    if (!this.#isPollLoopRunning) void this.#pollLoop();
+    if (this.#isPollLoopRunning) return;
+    this.#runInBackground(() => this.#pollLoop());
   }
 
   /** Requests one report at once, even while a long poll waits. */
@@ -280,7 +284,7 @@
   markLeft(left: LeftWorker): void {
     if (left.incarnationStartUnixMs !== this.incarnationStartUnixMs) return;
     this.#left = left;
-    void this.pollNow();
+    this.#runInBackground(() => this.pollNow());
   }
 
   /** The runs that no report of the incarnation has listed stay. */
@@ -323,8 +327,24 @@
     return this.hasTaskRuns || this.#ends.isAcknowledgementDue;
   }
 
-  /** True when the worker answered. */
+  #runInBackground(work: () => Promise<void>): void {
+    const { log, target } = this.#options;
+    runInBackground(log, BACKGROUND_ACTIVITY.POLL_WORKER, work, { ...target });
+  }
+
+  /** True when the worker answered. A report that cannot be processed is no answer. */
   async #poll(longPollMs: number): Promise<boolean> {
+    try {
+      return await this.#requestAndApply(longPollMs);
+    } catch (error) {
+      const { log, target } = this.#options;
+      reportFailure(log, BACKGROUND_ACTIVITY.POLL_WORKER, error, { ...target });
+      this.#reachability.recordFailure("its poll failed", this.#taskRuns.size);
+      return false;
+    }
+  }
+
+  async #requestAndApply(longPollMs: number): Promise<boolean> {
     const { workerPort, epoch, canAct, clock } = this.#options;
     // A lease is extended only while this entry certainly holds the scheduler's lease, and not for
     // a worker that did not answer, as an unanswered renewal may have taken effect.
@@ -368,8 +388,8 @@
     const { listener } = this.#options;
     switch (outcome.kind) {
       case "report":
-        this.#reachability.recordAnswer();
         this.#applyReport(outcome, requestedMs);
+        this.#reachability.recordAnswer();
         listener.onReport(this);
         return true;
       case "fenced":
@@ -491,6 +511,6 @@
     this.#isReportDue = true;
     this.startPolling();
     // A long poll may wait for an incarnation that has ended.
-    void this.pollNow();
+    this.#runInBackground(() => this.pollNow());
   }
 }
