Go on with every loop and subscriber of an entry after an error

An entry whose store call, peer call or row subscriber throws once would stop following a table, announcing itself, probing its direct path (`#isProbing` stays set) or polling its peers (`#isPolling` stays set): versions of the declared state would come into force too late, and submits be refused. Today the process ends instead, as nothing owns these promises, and rxjs throws a subscriber's error again on a timer.

The loops run under `keepRunning` and reset their flags in `finally`; followers' subscribers are added by `onChanged`, which reports their errors; a call of the store or of a peer that throws has the outcome `lost`. One row of the operators that cannot be applied does not keep the others from being applied. A scheduler whose stop throws is forgotten before its stop.

--- a/packages/node/cell/admission/published_load.ts
+++ b/packages/node/cell/admission/published_load.ts
@@ -7,6 +7,7 @@
 import type { LoadForecast } from "@coltsfootpond/policy";
 import type { StateRow } from "@coltsfootpond/ports";
 import { RENEW_PERIOD_MS } from "../lease/lease_times.ts";
+import { BACKGROUND_ACTIVITY } from "../background/activities.ts";
 import type { CellLog } from "../log.ts";
 import { LEASE_KEY, type LeaseRow, LOAD_KEY, type LoadRow } from "../rows.ts";
 import { decodeLoadRow } from "../state_rows/load_row.ts";
@@ -46,7 +47,10 @@
 
   private constructor(options: PublishedLoadOptions) {
     this.#options = options;
-    options.follower.changes.subscribe((rows) => this.#applyRows(rows));
+    options.follower.onChanged(
+      BACKGROUND_ACTIVITY.APPLY_LOAD_ROW,
+      (rows) => this.#applyRows(rows),
+    );
   }
 
   static create(options: PublishedLoadOptions): PublishedLoad {
--- a/packages/node/cell/callers/job_repository.ts
+++ b/packages/node/cell/callers/job_repository.ts
@@ -18,6 +18,7 @@
   STORE_TABLE,
   type TransactOutcome,
 } from "@coltsfootpond/ports";
+import { BACKGROUND_ACTIVITY } from "../background/activities.ts";
 import { STORE_TIMEOUT_MS } from "../constants.ts";
 import {
   BEGUN_KEY,
@@ -112,7 +113,10 @@
 
   private constructor(options: JobRepositoryOptions) {
     this.#options = options;
-    options.follower.changes.subscribe((rows) => this.#applyRows(rows));
+    options.follower.onChanged(
+      BACKGROUND_ACTIVITY.APPLY_JOB_ROWS,
+      (rows) => this.#applyRows(rows),
+    );
   }
 
   static create(options: JobRepositoryOptions): JobRepository {
--- a/packages/node/cell/cell_entry.ts
+++ b/packages/node/cell/cell_entry.ts
@@ -13,6 +13,12 @@
 } from "@coltsfootpond/ports";
 import { AdmissionGate } from "./admission/admission_gate.ts";
 import { PublishedLoad } from "./admission/published_load.ts";
+import { BACKGROUND_ACTIVITY } from "./background/activities.ts";
+import {
+  keepRunning,
+  runInBackground,
+  subscribeGuarded,
+} from "./background/run_in_background.ts";
 import { limitFailureLines } from "./background/failure_log_limit.ts";
 import { createCallerFilters } from "./callers/caller_filters.ts";
 import { CallerServer } from "./callers/caller_server.ts";
@@ -45,6 +51,14 @@
 const NOT_READY_DELAY_MS = 2_400;
 /** Part of the grace period that remains when requests in progress are dropped. */
 const SHUTDOWN_MARGIN_MS = 1_000;
+const {
+  ANNOUNCE_PEER,
+  APPLY_DECLARED_STATE,
+  APPLY_LEASE_CHANGE,
+  FOLLOW_TABLE,
+  START_SCHEDULER,
+  STOP_SCHEDULER,
+} = BACKGROUND_ACTIVITY;
 
 export interface CellEntryOptions {
   readonly settings: CellSettings;
@@ -192,19 +206,31 @@
    * be bound.
    */
   async start(): Promise<void> {
-    this.#lease.changes.subscribe((change) => this.#applyLeaseChange(change));
-    this.#declared.changes.subscribe(() => {
+    const { clock, log } = this.#options;
+    subscribeGuarded(
+      this.#lease.changes,
+      log,
+      APPLY_LEASE_CHANGE,
+      (change) => this.#applyLeaseChange(change),
+    );
+    subscribeGuarded(this.#declared.changes, log, APPLY_DECLARED_STATE, () => {
       this.#quotaHistory.record(this.#declared.current);
       const limits = this.#declared.current?.limits;
       if (limits === undefined) return;
       this.#server.setTimeouts(limits.headerTimeoutMs, limits.keepAliveMs);
     });
     await Promise.all([this.#server.listen(), this.#peerServer?.listen()]);
-    void this.#stateFollower.run();
-    void this.#operatorsFollower.run();
-    void this.#peerRegistry.announce();
+    runInBackground(log, FOLLOW_TABLE, () => this.#stateFollower.run());
+    runInBackground(log, FOLLOW_TABLE, () => this.#operatorsFollower.run());
+    const isStopped = () => this.#isLeaving;
+    const announcing = { clock, log, activity: ANNOUNCE_PEER, isStopped };
+    runInBackground(
+      log,
+      ANNOUNCE_PEER,
+      () => keepRunning(announcing, () => this.#peerRegistry.announce()),
+    );
     this.#lease.start();
-    this.#options.log.info("entry.started", {
+    log.info("entry.started", {
       entry: this.#options.settings.entry,
     });
   }
@@ -265,10 +291,11 @@
   }
 
   #applyLeaseChange(change: LeaseChange): void {
-    this.#scheduler?.stop();
+    const { settings, workerPort, clock, nowUnixMs, log } = this.#options;
+    const earlier = this.#scheduler;
     this.#scheduler = undefined;
+    runInBackground(log, STOP_SCHEDULER, () => earlier?.stop());
     if (change.kind === "lost") return;
-    const { settings, workerPort, clock, nowUnixMs, log } = this.#options;
     const scheduler = CellScheduler.create({
       epoch: change.epoch,
       acquiredVersion: change.version,
@@ -285,6 +312,6 @@
       onNewerHolder: (reason) => this.#lease.stepDown(reason),
     });
     this.#scheduler = scheduler;
-    void scheduler.start();
+    runInBackground(log, START_SCHEDULER, () => scheduler.start());
   }
 }
--- a/packages/node/cell/declared_state_tracker.ts
+++ b/packages/node/cell/declared_state_tracker.ts
@@ -13,6 +13,8 @@
   StateRow,
 } from "@coltsfootpond/ports";
 import { Subject } from "rxjs";
+import { BACKGROUND_ACTIVITY } from "./background/activities.ts";
+import { runInBackground } from "./background/run_in_background.ts";
 import type { CellLog } from "./log.ts";
 import type { TableFollower } from "./table_follower.ts";
 
@@ -32,7 +34,10 @@
 
   private constructor(options: DeclaredStateTrackerOptions) {
     this.#options = options;
-    options.follower.changes.subscribe((rows) => this.#applyRows(rows));
+    options.follower.onChanged(
+      BACKGROUND_ACTIVITY.APPLY_DECLARED_STATE,
+      (rows) => this.#applyRows(rows),
+    );
   }
 
   static create(options: DeclaredStateTrackerOptions): DeclaredStateTracker {
@@ -50,7 +55,15 @@
   }
 
   #applyRows(rows: readonly StateRow[]): void {
-    for (const row of rows) this.#applyRow(row);
+    for (const row of rows) {
+      const { log } = this.#options;
+      runInBackground(
+        log,
+        BACKGROUND_ACTIVITY.APPLY_DECLARED_STATE,
+        () => this.#applyRow(row),
+        { key: row.key },
+      );
+    }
     this.changes.next();
   }
 
--- a/packages/node/cell/direct_path.ts
+++ b/packages/node/cell/direct_path.ts
@@ -5,6 +5,13 @@
 import type { Clock } from "@coltsfootpond/common";
 import { lost, type StateStore, STORE_TABLE } from "@coltsfootpond/ports";
 import { Subject } from "rxjs";
+import { BACKGROUND_ACTIVITY } from "./background/activities.ts";
+import { guardStore } from "./background/guarded_ports.ts";
+import {
+  keepRunning,
+  runInBackground,
+  subscribeGuarded,
+} from "./background/run_in_background.ts";
 import type { CellLog } from "./log.ts";
 import {
   runStoreCall,
@@ -17,6 +24,7 @@
 export const DIRECT_PROBE_PERIOD_MS = 250;
 /** Enough for the slowest store, see `STORE_TIMEOUT_MS`. */
 const DIRECT_PROBE_TIMEOUT_MS = 500;
+const { PROBE_STORE } = BACKGROUND_ACTIVITY;
 
 export interface DirectPathOptions {
   readonly store: StateStore;
@@ -38,7 +46,8 @@
   }
 
   static create(options: DirectPathOptions): DirectPath {
-    return new DirectPath(options);
+    const store = guardStore(options.store, options.log);
+    return new DirectPath({ ...options, store });
   }
 
   /** Whether a call has failed and no call or probe has succeeded since. */
@@ -63,8 +72,12 @@
 
   #race(own: Promise<StoreOutcome>): Promise<StoreOutcome> {
     return new Promise((resolve, reject) => {
-      const losses = this.losses.subscribe(() =>
-        resolve(lost("the direct path to the store is down"))
+      const { log } = this.#options;
+      const losses = subscribeGuarded(
+        this.losses,
+        log,
+        PROBE_STORE,
+        () => resolve(lost("the direct path to the store is down")),
       );
       own.then(resolve, reject).finally(() => losses.unsubscribe());
     });
@@ -78,13 +91,27 @@
     );
     if (isUp) return;
     this.losses.next();
-    void this.#probe();
+    const { log } = this.#options;
+    runInBackground(log, PROBE_STORE, () => this.#probe());
   }
 
-  /** Reads the lease row until that succeeds. */
+  /** Probes the path until it is up; one probe runs at a time. */
   async #probe(): Promise<void> {
     if (this.#isProbing) return;
     this.#isProbing = true;
+    try {
+      await keepRunning({
+        ...this.#options,
+        activity: PROBE_STORE,
+        isStopped: () => !this.#isDown || this.#isClosed,
+      }, () => this.#readUntilUp());
+    } finally {
+      this.#isProbing = false;
+    }
+  }
+
+  /** Reads the lease row until that succeeds. */
+  async #readUntilUp(): Promise<void> {
     const { clock, store } = this.#options;
     while (this.#isDown && !this.#isClosed) {
       await clock.sleep(DIRECT_PROBE_PERIOD_MS);
@@ -95,6 +122,5 @@
       );
       if (outcome.kind === "rows") this.#recordResult(true);
     }
-    this.#isProbing = false;
   }
 }
--- a/packages/node/cell/lease/scheduler_lease.ts
+++ b/packages/node/cell/lease/scheduler_lease.ts
@@ -16,6 +16,8 @@
   isHandoverDue,
   type ProcessorShares,
 } from "./lease_priority.ts";
+import { BACKGROUND_ACTIVITY } from "../background/activities.ts";
+import { guard, runInBackground } from "../background/run_in_background.ts";
 import type { CellLog } from "../log.ts";
 import { encodeRow, LEASE_KEY, type LeaseRow } from "../rows.ts";
 import { readLeaseRow } from "../state_rows/row_readers.ts";
@@ -82,7 +84,10 @@
 
   private constructor(options: SchedulerLeaseOptions) {
     this.#options = options;
-    options.follower.changes.subscribe((rows) => this.#observe(rows));
+    options.follower.onChanged(
+      BACKGROUND_ACTIVITY.APPLY_LEASE_ROW,
+      (rows) => this.#observe(rows),
+    );
   }
 
   static create(options: SchedulerLeaseOptions): SchedulerLease {
@@ -91,7 +96,9 @@
 
   /** Starts competing for the lease. */
   start(): void {
-    this.#options.clock.every(TICK_PERIOD_MS, () => this.#tick());
+    const { clock, log } = this.#options;
+    const tick = guard(log, BACKGROUND_ACTIVITY.LEASE, () => this.#tick());
+    clock.every(TICK_PERIOD_MS, tick);
   }
 
   /** Epoch of the lease that this entry holds; undefined when it holds none. */
@@ -149,9 +156,9 @@
     const nowMs = this.#options.clock.nowMs();
     if (this.#held !== undefined) {
       if (this.#mayHandOver(this.#held, nowMs)) {
-        void this.#runExclusively(() => this.#handOver());
+        this.#runExclusively(() => this.#handOver());
       } else if (nowMs - this.#held.renewedMs >= RENEW_PERIOD_MS) {
-        void this.#runExclusively(() => this.#renew());
+        this.#runExclusively(() => this.#renew());
       }
       return;
     }
@@ -162,17 +169,19 @@
     this.#acquireAtMs ??= nowMs + this.#computeDelayMs();
     if (nowMs >= this.#acquireAtMs) {
       this.#acquireAtMs = undefined;
-      void this.#runExclusively(() => this.#acquire());
+      this.#runExclusively(() => this.#acquire());
     }
   }
 
-  async #runExclusively(step: () => Promise<void>): Promise<void> {
+  #runExclusively(step: () => Promise<void>): void {
     this.#isWriting = true;
-    try {
-      await step();
-    } finally {
-      this.#isWriting = false;
-    }
+    runInBackground(this.#options.log, BACKGROUND_ACTIVITY.LEASE, async () => {
+      try {
+        await step();
+      } finally {
+        this.#isWriting = false;
+      }
+    });
   }
 
   /**
--- a/packages/node/cell/peer_registry.ts
+++ b/packages/node/cell/peer_registry.ts
@@ -11,6 +11,7 @@
 } from "@coltsfootpond/ports";
 import { STORE_TIMEOUT_MS } from "./constants.ts";
 import type { ProcessorShares } from "./lease/lease_priority.ts";
+import { BACKGROUND_ACTIVITY } from "./background/activities.ts";
 import type { CellLog } from "./log.ts";
 import { encodeRow, isPeerKey, peerKey, type PeerRow } from "./rows.ts";
 import { readPeerRow } from "./state_rows/row_readers.ts";
@@ -39,7 +40,10 @@
   private constructor(options: PeerRegistryOptions) {
     this.#options = options;
     this.#addresses = this.#listAddresses();
-    options.follower.changes.subscribe((rows) => this.#applyRows(rows));
+    options.follower.onChanged(
+      BACKGROUND_ACTIVITY.APPLY_PEER_ROWS,
+      (rows) => this.#applyRows(rows),
+    );
   }
 
   static create(options: PeerRegistryOptions): PeerRegistry {
--- a/packages/node/cell/peer_rows_poller.ts
+++ b/packages/node/cell/peer_rows_poller.ts
@@ -5,6 +5,11 @@
  */
 import type { Clock } from "@coltsfootpond/common";
 import type { Subscription } from "rxjs";
+import { BACKGROUND_ACTIVITY } from "./background/activities.ts";
+import {
+  keepRunning,
+  subscribeGuarded,
+} from "./background/run_in_background.ts";
 import type { CellLog } from "./log.ts";
 import type { StoreRelay } from "./store_relay.ts";
 import type { TableFollower } from "./table_follower.ts";
@@ -16,6 +21,7 @@
 const COPY_PERIOD_MS = 500;
 /** Covers a busy link and a busy event loop of the peer, which answers from memory. */
 const COPY_TIMEOUT_MS = 900;
+const { COPY_PEER_ROWS } = BACKGROUND_ACTIVITY;
 
 export interface PeerRowsPollerOptions {
   readonly relay: Pick<
@@ -35,8 +41,12 @@
 
   private constructor(options: PeerRowsPollerOptions) {
     this.#options = options;
-    this.#losses = options.relay.directLosses.subscribe(() =>
-      void this.#pollWhileDown()
+    const { relay, log } = options;
+    this.#losses = subscribeGuarded(
+      relay.directLosses,
+      log,
+      COPY_PEER_ROWS,
+      () => this.#pollWhileDown(),
     );
   }
 
@@ -51,12 +61,27 @@
   async #pollWhileDown(): Promise<void> {
     if (this.#isPolling) return;
     this.#isPolling = true;
+    try {
+      await keepRunning({
+        ...this.#options,
+        activity: COPY_PEER_ROWS,
+        isStopped: () => !this.#isDue(),
+      }, () => this.#pollUntilUp());
+    } finally {
+      this.#isPolling = false;
+    }
+  }
+
+  #isDue(): boolean {
+    return this.#options.relay.isDirectDown && !this.#losses.closed;
+  }
+
+  async #pollUntilUp(): Promise<void> {
     const { clock, relay, follower } = this.#options;
-    while (relay.isDirectDown && !this.#losses.closed) {
+    while (this.#isDue()) {
       await clock.sleep(COPY_PERIOD_MS);
       if (relay.isDirectDown && follower.isLoaded) await this.#poll();
     }
-    this.#isPolling = false;
   }
 
   async #poll(): Promise<void> {
--- a/packages/node/cell/store_relay.ts
+++ b/packages/node/cell/store_relay.ts
@@ -15,6 +15,8 @@
   type Unavailable,
 } from "@coltsfootpond/ports";
 import type { Observable } from "rxjs";
+import { BACKGROUND_ACTIVITY } from "./background/activities.ts";
+import { settleCall } from "./background/guarded_ports.ts";
 import { STORE_TIMEOUT_MS } from "./constants.ts";
 import { DirectPath } from "./direct_path.ts";
 import type { CellLog } from "./log.ts";
@@ -55,12 +57,14 @@
 /** Relays store calls through peers while the direct path is down. */
 export class StoreRelay implements StateStore {
   readonly #clock: Clock;
+  readonly #log: CellLog;
   readonly #direct: DirectPath;
   readonly #peerClient: PeerClient;
   #downSinceMs: number | undefined;
 
   private constructor(options: StoreRelayOptions) {
     this.#clock = options.clock;
+    this.#log = options.log;
     this.#direct = DirectPath.create({ ...options, store: options.direct });
     this.#peerClient = PeerClient.create(options);
   }
@@ -99,11 +103,13 @@
     const [peer] = this.#peerClient.choosePeers(1);
     if (peer === undefined) return refused("no peer");
     const message = { afterVersion };
-    return await this.#peerClient.request(
-      peer,
-      OPERATOR_ROWS_PATH,
-      message,
-      timeoutMs,
+    return await this.#settle(() =>
+      this.#peerClient.request<OperatorRowsAnswer>(
+        peer,
+        OPERATOR_ROWS_PATH,
+        message,
+        timeoutMs,
+      )
     );
   }
 
@@ -134,6 +140,12 @@
     ) as FollowOutcome;
   }
 
+  #settle<Answer>(
+    call: () => Promise<Answer>,
+  ): Promise<Answer | Unavailable> {
+    return settleCall(this.#log, BACKGROUND_ACTIVITY.CALL_STORE, call);
+  }
+
   async #callStore(call: StoreCall, timeoutMs: number): Promise<StoreOutcome> {
     const outcome = await this.#tryAll(call, timeoutMs);
     if (outcome.kind !== "unavailable") this.#downSinceMs = undefined;
@@ -157,11 +169,13 @@
     for (const peer of this.#peerClient.choosePeers(PEERS_PER_CALL)) {
       const remainingMs = deadlineMs - this.#clock.nowMs();
       if (remainingMs < MINIMUM_TRY_MS) break;
-      const outcome = await this.#peerClient.request<StoreOutcome>(
-        peer,
-        STORE_CALL_PATH,
-        withTimeout(call, remainingMs - PEER_ROUND_TRIP_MS),
-        remainingMs,
+      const outcome = await this.#settle(() =>
+        this.#peerClient.request<StoreOutcome>(
+          peer,
+          STORE_CALL_PATH,
+          withTimeout(call, remainingMs - PEER_ROUND_TRIP_MS),
+          remainingMs,
+        )
       );
       if (outcome.kind !== "unavailable") return outcome;
       failure = combineFailures(failure, outcome);
--- a/packages/node/cell/table_follower.ts
+++ b/packages/node/cell/table_follower.ts
@@ -7,7 +7,15 @@
  */
 import type { Clock, Random } from "@coltsfootpond/common";
 import type { StateRow, StateStore, StoreTable } from "@coltsfootpond/ports";
-import { Subject } from "rxjs";
+import { Subject, type Subscription } from "rxjs";
+import {
+  BACKGROUND_ACTIVITY,
+  type BackgroundActivity,
+} from "./background/activities.ts";
+import {
+  keepRunning,
+  subscribeGuarded,
+} from "./background/run_in_background.ts";
 import type { CellLog } from "./log.ts";
 import { UnreadableRows } from "./state_rows/unreadable_rows.ts";
 
@@ -126,6 +134,14 @@
     }
   }
 
+  /** Calls `apply` with the rows of each change. Its errors are reported and stop nothing. */
+  onChanged(
+    activity: BackgroundActivity,
+    apply: (rows: readonly StateRow[]) => void,
+  ): Subscription {
+    return subscribeGuarded(this.changes, this.#options.log, activity, apply);
+  }
+
   /** Applies rows that this process has just written or read itself. */
   apply(rows: readonly StateRow[]): void {
     rows.forEach(({ version }) => this.#options.seen.update(version));
@@ -154,8 +170,16 @@
     return await this.#load() && this.#cursor >= version;
   }
 
-  /** Follows the table until stopped. */
-  async run(): Promise<void> {
+  /** Follows the table until stopped; goes on after an error. */
+  run(): Promise<void> {
+    return keepRunning({
+      ...this.#options,
+      activity: BACKGROUND_ACTIVITY.FOLLOW_TABLE,
+      isStopped: () => this.#isStopped,
+    }, () => this.#followUntilStopped());
+  }
+
+  async #followUntilStopped(): Promise<void> {
     while (!this.#isStopped) {
       const isProgress = this.#isLoaded && !this.#isReadDue()
         ? await this.#follow()
