Keep a failing job, worker or round from stopping the scheduler

Callers would see no job start: an error in a timer callback of the lease holder (a round, a tick, a read of the records) reached `uncaughtException`. One job that cannot be planned did so at every holder.

Evidence: the tests failed before. "Error: broken part" out of CellScheduler.#round (a job that cannot be planned, and a round that fails as a whole) and out of CellScheduler.#tick (an occurrence that cannot be opened); reads of the records: "expected undefined to be a number" (nobody reported).

Each timer, and within a tick each session, job and unit, has an owner, as has each row that is applied. A round that fails is planned again after 200 ms at the earliest. A unit whose placement fails waits again.

--- a/packages/node/cell/background/activities.ts
+++ b/packages/node/cell/background/activities.ts
@@ -19,6 +19,7 @@
   PROBE_STORE: "probe_store",
   PUBLISH_LOAD: "publish_load",
   READ_WORKERS: "read_workers",
+  RESOLVE_STRAY: "resolve_stray",
   SCHEDULE_ROUND: "schedule_round",
   SERVE_CALLER: "serve_caller",
   SERVE_METRICS: "serve_metrics",
--- a/packages/node/cell/background/failing_entry_test.ts
+++ b/packages/node/cell/background/failing_entry_test.ts
@@ -27,6 +27,7 @@
   peerAddress: ANY_PORT,
   seeds: [],
   storeAddress: ANY_PORT,
+  rowLimitBytes: 65_536,
   processorShare: 1,
   workerHeartbeatMs: 1_500,
   bounds: SIMULATION_BOUNDS,
--- a/packages/node/cell/background/run_in_background.ts
+++ b/packages/node/cell/background/run_in_background.ts
@@ -30,6 +30,19 @@
   }
 }
 
+/** Runs the work to its end; reports an error. */
+export async function settleWork(
+  log: CellLog,
+  activity: BackgroundActivity,
+  work: () => Promise<void>,
+): Promise<void> {
+  try {
+    await work();
+  } catch (error) {
+    reportFailure(log, activity, error);
+  }
+}
+
 /** The callback of a timer, a server or an emitter, with its errors reported. */
 export function guard<Arguments extends readonly unknown[]>(
   log: CellLog,
--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -4,7 +4,7 @@
  * epoch of the lease; a new one starts empty and collects the running tasks from the workers'
  * reports.
  */
-import type { Clock, WorkerName } from "@coltsfootpond/common";
+import type { Clock, Timer, WorkerName } from "@coltsfootpond/common";
 import { planRound, UrgentDemand } from "@coltsfootpond/policy";
 import type {
   CellSettings,
@@ -14,20 +14,40 @@
   WorkerPort,
 } from "@coltsfootpond/ports";
 import type { Subscription } from "rxjs";
+import {
+  BACKGROUND_ACTIVITY,
+  type BackgroundActivity,
+} from "./background/activities.ts";
 import { guardWorkerPort } from "./background/guarded_ports.ts";
+import { reportFailure } from "./background/report_failure.ts";
+import {
+  guard,
+  runInBackground,
+  settleWork,
+  subscribeGuarded,
+} from "./background/run_in_background.ts";
 import type { DeclaredStateTracker } from "./declared_state_tracker.ts";
 import { LOAD_PERIOD_MS, LoadPublisher } from "./admission/load_publisher.ts";
 import { BegunJobsWriter } from "./begun_jobs_writer.ts";
-import { CrashTracker } from "./crashes/crash_tracker.ts";
+import {
+  CrashTracker,
+  type EarlierRunChecks,
+} from "./crashes/crash_tracker.ts";
 import {
   findLeavingRun,
   type LeavingRunOptions,
 } from "./draining/leaving_runs.ts";
 import { EndedJobCollector } from "./ended_job_collector.ts";
 import { JobRegistry } from "./job_registry.ts";
-import { describeUnit, mayStillRunUnreported, type Unit } from "./live_job.ts";
-import type { CellLog } from "./log.ts";
+import {
+  describeUnit,
+  type LiveJob,
+  mayStillRunUnreported,
+  type Unit,
+} from "./live_job.ts";
+import type { CellLog, LogFields } from "./log.ts";
 import { createPlanInput } from "./plan_input.ts";
+import { IsolatedPlanner } from "./rounds/isolated_planner.ts";
 import { createOrganisationGauges } from "./quotas/organisation_gauges.ts";
 import { OrganisationQuotas } from "./quotas/organisation_quotas.ts";
 import { QuotaWaitLog } from "./quotas/quota_wait_log.ts";
@@ -57,6 +77,20 @@
 const SPEEDS_PERIOD_MS = 500;
 /** Each time, one of the 16 groups of job rows is searched for old jobs. */
 const COLLECT_PERIOD_MS = 1_000;
+/** Least delay of the next round after one that failed. */
+const FAILED_ROUND_DELAY_MS = 200;
+const MAXIMUM_LOGGED_JOBS = 5;
+const {
+  APPLY_JOB_ROWS,
+  COLLECT_ENDED_JOBS,
+  PUBLISH_LOAD,
+  READ_WORKERS,
+  SCHEDULE_ROUND,
+  START_SCHEDULER,
+  TICK,
+  UPDATE_SPEEDS,
+  WRITE_BEGUN_JOBS,
+} = BACKGROUND_ACTIVITY;
 
 export interface CellSchedulerOptions {
   readonly epoch: number;
@@ -90,6 +124,7 @@
   readonly #endedJobs: EndedJobCollector;
   readonly #begunJobs: BegunJobsWriter;
   readonly #load: LoadPublisher;
+  readonly #planner: IsolatedPlanner<LiveJob>;
   readonly #urgentDemand = UrgentDemand.create();
   readonly #timers: { cancel(): void }[] = [];
   readonly #leaving: LeavingRunOptions;
@@ -182,6 +217,14 @@
       }),
       onChanged: () => this.#requestRound(),
     });
+    this.#planner = IsolatedPlanner.create<LiveJob>({
+      clock: options.clock,
+      onExcluded: (jobs, error) =>
+        reportFailure(options.log, SCHEDULE_ROUND, error, {
+          jobs: jobs.map(({ jobId }) => jobId).slice(0, MAXIMUM_LOGGED_JOBS),
+          count: jobs.length,
+        }),
+    });
     this.#quotaWaits = QuotaWaitLog.create(options.log);
     this.#quotas = OrganisationQuotas.create({
       getDeclaredState: () => declared.current,
@@ -201,24 +244,28 @@
 
   /** Reads the state, collects the workers' reports, then schedules until stopped. */
   async start(): Promise<void> {
-    const { follower, declared } = this.#options;
+    const { follower, declared, log } = this.#options;
     await this.#awaitRows();
     if (this.#isStopped) return;
-    this.#speeds.readStored(follower.get(SPEEDS_KEY)?.value);
+    this.#guard(
+      START_SCHEDULER,
+      () => this.#speeds.readStored(follower.get(SPEEDS_KEY)?.value),
+    );
     this.#applyRows(follower.rows());
     this.#quotas.recordEarlierPlacements();
-    this.#subscription = follower.changes.subscribe((rows) => {
+    this.#subscription = follower.onChanged(APPLY_JOB_ROWS, (rows) => {
       // Planning does not read the published load.
       if (rows.some(({ key }) => key !== LOAD_KEY)) this.#applyRows(rows);
     });
     this.#subscription.add(
-      declared.changes.subscribe(() => {
+      subscribeGuarded(declared.changes, log, SCHEDULE_ROUND, () => {
         this.#fleet.applyRecords();
         this.#requestRound();
       }),
     );
-    this.#fleet.openRosterSessions();
-    await this.#fleet.read();
+    // Until their leases have lapsed, workers without a session count as running what was placed.
+    this.#guard(START_SCHEDULER, () => this.#fleet.openRosterSessions());
+    await settleWork(log, READ_WORKERS, () => this.#fleet.read());
     await this.#fleet.awaitReports();
     if (this.#isStopped) return;
     this.#startRounds();
@@ -263,7 +310,7 @@
   }
 
   #startRounds(): void {
-    const { clock, log, epoch } = this.#options;
+    const { log, epoch } = this.#options;
     this.#isReady = true;
     this.#runs.resolveStrays();
     log.info("scheduler.ready", {
@@ -280,16 +327,38 @@
     });
     this.#closeIncompleteGangs();
     this.#timers.push(
-      clock.every(TICK_PERIOD_MS, () => this.#tick()),
-      clock.every(DIRECTORY_PERIOD_MS, () => void this.#fleet.read()),
-      clock.every(BEGUN_PERIOD_MS, () => void this.#writeBegun()),
-      clock.every(LOAD_PERIOD_MS, () => void this.#publishLoad()),
-      clock.every(COLLECT_PERIOD_MS, () => void this.#collectEnded()),
-      clock.every(SPEEDS_PERIOD_MS, () => void this.#updateSpeeds()),
+      this.#every(TICK_PERIOD_MS, TICK, () => this.#tick()),
+      this.#every(DIRECTORY_PERIOD_MS, READ_WORKERS, () => this.#fleet.read()),
+      this.#every(BEGUN_PERIOD_MS, WRITE_BEGUN_JOBS, () => this.#writeBegun()),
+      this.#every(LOAD_PERIOD_MS, PUBLISH_LOAD, () => this.#publishLoad()),
+      this.#every(
+        COLLECT_PERIOD_MS,
+        COLLECT_ENDED_JOBS,
+        () => this.#collectEnded(),
+      ),
+      this.#every(SPEEDS_PERIOD_MS, UPDATE_SPEEDS, () => this.#updateSpeeds()),
     );
     this.#requestRound();
   }
 
+  #every(
+    periodMs: number,
+    activity: BackgroundActivity,
+    work: () => unknown,
+  ): Timer {
+    const { clock, log } = this.#options;
+    return clock.every(periodMs, guard(log, activity, work));
+  }
+
+  /** One job, worker or part that fails keeps no other from its turn. */
+  #guard(
+    activity: BackgroundActivity,
+    work: () => void,
+    fields?: LogFields,
+  ): void {
+    runInBackground(this.#options.log, activity, work, fields);
+  }
+
   #applyRows(rows: Iterable<StateRow>): void {
     this.#jobs.applyRows(rows);
     this.#requestRound();
@@ -305,11 +374,24 @@
       this.#isRoundDue = false;
       if (this.#isStopped) return;
       const startedMs = clock.nowMs();
-      this.#round();
-      this.#roundDurationMs = clock.nowMs() - startedMs;
+      const isDone = this.#tryRound();
+      const durationMs = clock.nowMs() - startedMs;
+      this.#roundDurationMs = isDone
+        ? durationMs
+        : Math.max(durationMs, FAILED_ROUND_DELAY_MS);
     });
   }
 
+  #tryRound(): boolean {
+    try {
+      this.#round();
+      return true;
+    } catch (error) {
+      reportFailure(this.#options.log, SCHEDULE_ROUND, error);
+      return false;
+    }
+  }
+
   #round(): void {
     const { clock, nowUnixMs, declared, canAct, log, settings } = this.#options;
     // Without the declared state, the quotas are not known.
@@ -319,14 +401,21 @@
     const isBlocked = (unit: Unit) =>
       strayUnits.has(describeUnit(unit)) ||
       mayStillRunUnreported(unit, this.#isUnreported);
-    this.#crashes.recordEarlierRuns(this.#jobs.jobs, {
+    const checks: EarlierRunChecks = {
       getSession: (worker) => this.#fleet.get(worker),
       isBlocked,
-    });
-    const input = createPlanInput({
-      jobs: this.#jobs.jobs.filter(({ ending, isHeld }) =>
-        ending === undefined && !isHeld
-      ),
+    };
+    for (const job of this.#jobs.jobs) {
+      this.#guard(
+        SCHEDULE_ROUND,
+        () => this.#crashes.recordEarlierRuns([job], checks),
+        { job: job.jobId },
+      );
+    }
+    const jobs = this.#jobs.jobs.filter(({ ending, isHeld }) =>
+      ending === undefined && !isHeld
+    );
+    const common = {
       workers: this.#fleet.createUsableWorkerViews(),
       guarantees: declared.current.guarantees,
       shares: this.#quotas.createShares(),
@@ -335,33 +424,59 @@
       urgentRatesPerS: this.#urgentDemand.computeRatesPerS(nowUnixMs()),
       stopLimitMs: settings.bounds.stopLimitMs,
       isBlocked,
+    };
+    const { input, plan } = this.#planner.plan(jobs, (included) => {
+      const input = createPlanInput({ ...common, jobs: included });
+      const isIdle = input.waiting.length === 0;
+      return { input, plan: isIdle ? undefined : planRound(input) };
     });
-    this.#load.collector.observe(input);
+    this.#guard(PUBLISH_LOAD, () => this.#load.collector.observe(input));
     this.#urgentHeadroom = [...input.urgentHeadroom?.values() ?? []].reduce(
       (sum, accelerators) => sum + accelerators,
       0,
     );
-    if (input.waiting.length === 0) return;
-    const plan = planRound(input);
+    if (plan === undefined) return;
     for (const { unit, forUnit, workers } of plan.evictions) {
       log.info("unit.evicted", {
         unit: describeUnit(unit),
         forUnit: describeUnit(forUnit),
         workers,
       });
-      this.#runs.close(unit, "evicted");
+      this.#guardUnit(
+        SCHEDULE_ROUND,
+        unit,
+        () => this.#runs.close(unit, "evicted"),
+      );
     }
     this.#quotaWaits.recordWaits(
       plan.quotaWaits ?? [],
       declared.current.version,
     );
     for (const { unit, workers } of plan.placements) {
-      this.#quotaWaits.recordStart(unit);
+      this.#guardUnit(SCHEDULE_ROUND, unit, () => this.#place(unit, workers));
+    }
+  }
+
+  #place(unit: Unit, workers: readonly WorkerName[]): void {
+    this.#quotaWaits.recordStart(unit);
+    try {
       this.#runs.place(unit, workers);
       this.#writer.mark(unit.job, true);
+    } catch (error) {
+      // Nothing was sent, and the unit has to wait again.
+      this.#runs.close(unit, "its placement failed");
+      throw error;
     }
   }
 
+  #guardUnit(
+    activity: BackgroundActivity,
+    { job, address }: Unit,
+    work: () => void,
+  ): void {
+    this.#guard(activity, work, { job: job.jobId, ...address });
+  }
+
   async #updateSpeeds(): Promise<void> {
     const isKnown = (worker: WorkerName) =>
       this.#fleet.get(worker) !== undefined;
@@ -385,24 +500,33 @@
 
   #tick(): void {
     for (const session of this.#fleet.sessions) {
-      session.dropIfExpired();
-      session.startPolling();
+      this.#guard(TICK, () => {
+        session.dropIfExpired();
+        session.startPolling();
+      }, { ...session.target });
+    }
+    for (const job of this.#jobs.jobs) {
+      this.#guard(TICK, () => this.#crashes.clearSurvivors([job]), {
+        job: job.jobId,
+      });
     }
-    this.#crashes.clearSurvivors(this.#jobs.jobs);
     this.#jobs.openDueUnits();
     for (const job of this.#jobs.jobs) {
       for (const unit of job.units.values()) {
-        this.#closeIfStalled(unit);
-        const leaving = findLeavingRun(unit, this.#leaving);
-        if (leaving !== undefined) {
-          this.#runs.close(unit, "a worker leaves", { ...leaving });
-        }
+        this.#guardUnit(TICK, unit, () => this.#checkRun(unit));
       }
     }
     this.#closeIncompleteGangs();
     this.#requestRound();
   }
 
+  #checkRun(unit: Unit): void {
+    this.#closeIfStalled(unit);
+    const leaving = findLeavingRun(unit, this.#leaving);
+    if (leaving === undefined) return;
+    this.#runs.close(unit, "a worker leaves", { ...leaving });
+  }
+
   /** Stops a run that makes no progress and quarantines its workers. */
   #closeIfStalled(unit: Unit): void {
     const getSpeed = (session: WorkerSession) => this.#speeds.getSpeed(session);
@@ -416,9 +540,10 @@
   #closeIncompleteGangs(): void {
     for (const job of this.#jobs.jobs) {
       for (const unit of job.units.values()) {
-        if (isIncomplete(unit, this.#isUnreported)) {
+        this.#guardUnit(TICK, unit, () => {
+          if (!isIncomplete(unit, this.#isUnreported)) return;
           this.#runs.close(unit, "members are missing");
-        }
+        });
       }
     }
   }
--- a/packages/node/cell/job_registry.ts
+++ b/packages/node/cell/job_registry.ts
@@ -11,6 +11,11 @@
   type UrgentDemand,
 } from "@coltsfootpond/policy";
 import type { EndedTask, StateRow } from "@coltsfootpond/ports";
+import {
+  BACKGROUND_ACTIVITY,
+  type BackgroundActivity,
+} from "./background/activities.ts";
+import { runInBackground } from "./background/run_in_background.ts";
 import {
   formatUnitKey,
   LiveJob,
@@ -31,6 +36,8 @@
 import { readJobRow, readProgressRow } from "./state_rows/row_readers.ts";
 import type { TableFollower } from "./table_follower.ts";
 
+const { APPLY_JOB_ROWS, TICK } = BACKGROUND_ACTIVITY;
+
 export interface JobRegistryOptions {
   readonly follower: TableFollower;
   readonly clock: Clock;
@@ -92,8 +99,16 @@
   applyRows(rows: Iterable<StateRow>): void {
     for (const row of rows) {
       const jobId = parseJobKey(row.key);
-      if (jobId !== undefined) this.#applyRow(jobId, row);
-      else if (this.#skippedJobIds.size > 0) this.#retrySkipped(row.key);
+      const changedId = jobId ?? this.#findSkipped(row.key);
+      if (changedId === undefined) continue;
+      this.#guard(
+        APPLY_JOB_ROWS,
+        changedId,
+        () =>
+          jobId === undefined
+            ? this.#retrySkipped(changedId)
+            : this.#applyRow(jobId, row),
+      );
     }
   }
 
@@ -119,10 +134,19 @@
     const { clock, nowUnixMs } = this.#options;
     for (const job of this.#jobs.values()) {
       if (job.spec.recurrence === undefined) continue;
-      job.openDueUnits(clock.nowMs(), nowUnixMs());
+      this.#guard(
+        TICK,
+        job.jobId,
+        () => job.openDueUnits(clock.nowMs(), nowUnixMs()),
+      );
     }
   }
 
+  /** One job that fails keeps no other from its turn. */
+  #guard(activity: BackgroundActivity, job: CellJobId, work: () => void): void {
+    runInBackground(this.#options.log, activity, work, { job });
+  }
+
   /** Records the end of a run. It counts also when the task's step does not seem due yet. */
   applyEnd({ job, address, step }: TaskLocation, ended: EndedTask): void {
     const { clock, nowUnixMs, closeRun, writer } = this.#options;
@@ -204,10 +228,17 @@
     this.#checkEnd(job);
   }
 
-  /** Opens a job that was skipped once its progress can be decoded or is deleted. */
-  #retrySkipped(key: string): void {
+  /** The skipped job of a progress row; undefined for other rows. */
+  #findSkipped(key: string): CellJobId | undefined {
+    if (this.#skippedJobIds.size === 0) return undefined;
     const jobId = parseProgressKey(key);
-    if (jobId === undefined || !this.#skippedJobIds.has(jobId)) return;
+    return jobId !== undefined && this.#skippedJobIds.has(jobId)
+      ? jobId
+      : undefined;
+  }
+
+  /** Opens a job that was skipped once its progress can be decoded or is deleted. */
+  #retrySkipped(jobId: CellJobId): void {
     const row = this.#options.follower.get(jobKey(jobId));
     if (row !== undefined) this.#applyRow(jobId, row);
   }
--- a/packages/node/cell/run_registry.ts
+++ b/packages/node/cell/run_registry.ts
@@ -27,7 +27,7 @@
 import type { TaskRun } from "./task_run.ts";
 import type { WorkerSession } from "./worker_session.ts";
 
-const { START_TASK, STOP_TASK } = BACKGROUND_ACTIVITY;
+const { RESOLVE_STRAY, START_TASK, STOP_TASK } = BACKGROUND_ACTIVITY;
 const NO_RESOURCES = { cpuMilli: 0, memoryMib: 0, accelerators: 0 };
 
 export interface RunRegistryOptions {
@@ -183,7 +183,14 @@
 
   /** Adopts or stops every stray run. */
   resolveStrays(): void {
-    for (const taskRun of [...this.#strays.keys()]) this.resolveStray(taskRun);
+    for (const [taskRun, session] of [...this.#strays]) {
+      this.#runInBackground(
+        RESOLVE_STRAY,
+        session,
+        taskRun,
+        () => this.resolveStray(taskRun),
+      );
+    }
   }
 
   /** Adopts or stops a stray run; until it is gone its unit starts nothing. */
@@ -235,7 +242,7 @@
     activity: BackgroundActivity,
     { target }: WorkerSession,
     { task, run }: TaskRun,
-    work: () => Promise<void>,
+    work: () => unknown,
   ): void {
     const fields = { ...target, task, run };
     runInBackground(this.#options.log, activity, work, fields);
