Store the progress of all jobs but the one that fails

Callers would see no job start or end: starts wait until their placement is stored, and one job whose row cannot be encoded, or one error in a confirmed write, left `#isRunning` set, so that nothing was written any more (where the rejection did not end the process).

A job that fails is left out of the transaction and tried again after the retry delay; each confirmation, reconciliation and end has an owner; a store that throws counts as `lost`. Until all are stored, no end is acknowledged to the workers, as before: which ends the failing row has to include is not known.

--- a/packages/node/cell/progress_writer.ts
+++ b/packages/node/cell/progress_writer.ts
@@ -6,6 +6,10 @@
 import { type Clock, createUniqueId, type Timer } from "@coltsfootpond/common";
 import type { CellJobId } from "@coltsfootpond/policy";
 import type { StateRow, StateStore } from "@coltsfootpond/ports";
+import { BACKGROUND_ACTIVITY } from "./background/activities.ts";
+import { guardStore } from "./background/guarded_ports.ts";
+import { reportFailure } from "./background/report_failure.ts";
+import { guard, runInBackground } from "./background/run_in_background.ts";
 import { STORE_TIMEOUT_MS } from "./constants.ts";
 import type { LiveJob, OtherRuns, Unit, UnitRun } from "./live_job.ts";
 import type { CellLog } from "./log.ts";
@@ -27,6 +31,7 @@
 const RETRY_DELAY_MS = 120;
 /** Each job takes up to three of the 100 entries of a transaction (the platform's protocol). */
 const JOBS_PER_TRANSACTION = 30;
+const { WRITE_PROGRESS } = BACKGROUND_ACTIVITY;
 
 export interface ProgressWriterOptions {
   readonly store: StateStore;
@@ -66,7 +71,8 @@
   }
 
   static create(options: ProgressWriterOptions): ProgressWriter {
-    return new ProgressWriter(options);
+    const store = guardStore(options.store, options.log);
+    return new ProgressWriter({ ...options, store });
   }
 
   stop(): void {
@@ -100,11 +106,11 @@
   /** Sets one timer for the next flush. A running flush calls this again when it ends. */
   #arm(): void {
     if (this.#isRunning || this.#isStopped || this.#dueMs === undefined) return;
-    const { clock } = this.#options;
+    const { clock, log } = this.#options;
     this.#timer?.cancel();
     this.#timer = clock.after(
       Math.max(0, this.#dueMs - clock.nowMs()),
-      () => void this.#run(),
+      guard(log, WRITE_PROGRESS, () => this.#run()),
     );
   }
 
@@ -112,12 +118,31 @@
     if (this.#isRunning || this.#isStopped) return;
     this.#isRunning = true;
     this.#dueMs = undefined;
-    const isStored = await this.#flush();
+    const isStored = await this.#attempt(() => this.#flush());
     this.#isRunning = false;
     if (!isStored) this.#schedule(RETRY_DELAY_MS);
     this.#arm();
   }
 
+  /** False when the write throws, as when it is not stored. */
+  async #attempt(
+    write: () => Promise<boolean>,
+    job?: LiveJob,
+  ): Promise<boolean> {
+    try {
+      return await write();
+    } catch (error) {
+      const { log } = this.#options;
+      reportFailure(log, WRITE_PROGRESS, error, { job: job?.jobId });
+      return false;
+    }
+  }
+
+  /** An error of one job does not keep the others of its transaction from being processed. */
+  #guard({ jobId }: LiveJob, work: () => void): void {
+    runInBackground(this.#options.log, WRITE_PROGRESS, work, { job: jobId });
+  }
+
   async #flush(): Promise<boolean> {
     const confirmEnds = this.#options.snapshotProcessedEnds();
     const jobs = [...this.#dirty];
@@ -125,7 +150,7 @@
     const open = jobs.filter((job) => job.ending === undefined);
     const results = await Promise.all([
       this.#storeProgress(open),
-      ...ending.map((job) => this.#storeEnd(job)),
+      ...ending.map((job) => this.#attempt(() => this.#storeEnd(job), job)),
     ]);
     if (!results.every((isStored) => isStored)) return false;
     confirmEnds();
@@ -144,13 +169,19 @@
   }
 
   async #storeBatch(
-    jobs: readonly LiveJob[],
+    candidates: readonly LiveJob[],
     deletes: readonly CellJobId[],
   ): Promise<boolean> {
     const { store, log, canAct } = this.#options;
     if (this.#isStopped || !canAct()) return false;
     const { findOtherRuns } = this.#options;
-    const writes = jobs.map((job) => createWrite(job, findOtherRuns(job)));
+    const writes: ProgressWrite[] = [];
+    for (const job of candidates) {
+      this.#guard(job, () => writes.push(createWrite(job, findOtherRuns(job))));
+    }
+    const isComplete = writes.length === candidates.length;
+    if (!isComplete && writes.length === 0) return false;
+    const jobs = writes.map(({ job }) => job);
     jobs.forEach((job) => this.#dirty.delete(job));
     const outcome = await store.transact({
       conditions: jobs.map((job) => ({
@@ -167,14 +198,19 @@
     switch (outcome.kind) {
       case "committed":
         deletes.forEach((jobId) => this.#endedJobIds.delete(jobId));
-        writes.forEach((write) => this.#confirm(write, outcome.version));
-        return true;
+        for (const write of writes) {
+          this.#guard(write.job, () => this.#confirm(write, outcome.version));
+        }
+        return isComplete;
       case "conflict":
         log.warn("progress.conflict", {
           jobs: jobs.map(({ jobId }) => jobId),
           found: outcome.rows.map(({ key, version }) => ({ key, version })),
         });
-        jobs.forEach((job) => this.#reconcile(job, outcome.rows));
+        for (const job of jobs) {
+          this.#dirty.add(job);
+          this.#guard(job, () => this.#reconcile(job, outcome.rows));
+        }
         return false;
       case "unavailable":
         log.warn("progress.write_failed", { jobs: jobs.length, ...outcome });
@@ -253,7 +289,6 @@
       }
       job.progressVersion = version;
     }
-    this.#dirty.add(job);
   }
 }
 
@@ -270,16 +305,13 @@
   otherRuns: OtherRuns,
 ): ProgressWrite {
   const writeId = createUniqueId();
+  const value = encodeRow({
+    writeId,
+    record: job.progress.toRecord(),
+    placements: job.listPlacements(otherRuns),
+  });
   job.writeIds.add(writeId);
-  return {
-    job,
-    pending: job.listPending(),
-    value: encodeRow({
-      writeId,
-      record: job.progress.toRecord(),
-      placements: job.listPlacements(otherRuns),
-    }),
-  };
+  return { job, pending: job.listPending(), value };
 }
 
 function createEndedRow(
