Answer a request whose handler fails with 500

A caller's or a peer's request whose handler threw outside its `try` (the decoding of the head, the writing of the answer) ended the process with the calls of all callers: `createServer(async ...)` and `void this.#serve()` drop the rejection, and an error of the readiness check is thrown out of the emitter.

`guardRequestListener` owns each request of the four servers: it reports the failure, answers 500 and closes the connection, as the rest of a body may be unread; once an answer has begun it only closes the connection.

--- a/packages/node/cell/callers/caller_server.ts
+++ b/packages/node/cell/callers/caller_server.ts
@@ -13,7 +13,12 @@
   CallerFilter,
   CallerRequest,
 } from "./caller_filters.ts";
-import { listenOn } from "../listen.ts";
+import { BACKGROUND_ACTIVITY } from "../background/activities.ts";
+import {
+  guardRequestListener,
+  type RequestListener,
+} from "../background/guarded_request_listener.ts";
+import { getBoundPort, listenOn } from "../listen.ts";
 import type { CellLog } from "../log.ts";
 import type { CellMeters } from "../meters/cell_meters.ts";
 
@@ -21,6 +26,7 @@
 const READY_STATUS = 200;
 const NOT_READY_STATUS = 503;
 const DRAIN_CHECK_PERIOD_MS = 20;
+const { SERVE_CALLER } = BACKGROUND_ACTIVITY;
 
 export interface CallerServerOptions {
   readonly address: HostPort;
@@ -43,10 +49,12 @@
 
   private constructor(options: CallerServerOptions) {
     this.#options = options;
-    this.#callerServer = createServer((incoming, response) =>
-      void this.#serve(incoming, response)
+    const guarded = (listener: RequestListener) =>
+      createServer(guardRequestListener(options.log, SERVE_CALLER, listener));
+    this.#callerServer = guarded((incoming, response) =>
+      this.#serve(incoming, response)
     );
-    this.#readinessServer = createServer((incoming, response) => {
+    this.#readinessServer = guarded((incoming, response) => {
       incoming.resume();
       response.writeHead(
         options.isReady() ? READY_STATUS : NOT_READY_STATUS,
@@ -68,6 +76,14 @@
     ]);
   }
 
+  /** The ports that the servers are bound to. */
+  get ports(): { readonly callers: number; readonly readiness: number } {
+    return {
+      callers: getBoundPort(this.#callerServer),
+      readiness: getBoundPort(this.#readinessServer),
+    };
+  }
+
   /** Sets the time-outs of the declared state, in milliseconds. */
   setTimeouts(headerTimeoutMs: number, keepAliveMs: number): void {
     this.#callerServer.headersTimeout = headerTimeoutMs;
--- a/packages/node/cell/meters/metrics_server.ts
+++ b/packages/node/cell/meters/metrics_server.ts
@@ -1,12 +1,18 @@
 /** HTTP server for the metrics in the Prometheus text format. */
 import { createServer, type Server } from "node:http";
 import type { HostPort } from "@coltsfootpond/ports";
+import { BACKGROUND_ACTIVITY } from "../background/activities.ts";
+import {
+  guardRequestListener,
+  type RequestListener,
+} from "../background/guarded_request_listener.ts";
 import { getBoundPort, listenOn } from "../listen.ts";
 import type { CellLog } from "../log.ts";
 import type { CellMeters } from "./cell_meters.ts";
 
 export const METRICS_PATH = "/metrics";
 const STATUS = { OK: 200, NOT_FOUND: 404, FAILED: 500 } as const;
+const { SERVE_METRICS } = BACKGROUND_ACTIVITY;
 
 export interface MetricsServerOptions {
   readonly meters: CellMeters;
@@ -18,7 +24,7 @@
   readonly #server: Server;
 
   private constructor({ meters, log }: MetricsServerOptions) {
-    this.#server = createServer(async (incoming, response) => {
+    const listener: RequestListener = async (incoming, response) => {
       incoming.resume();
       if (incoming.url !== METRICS_PATH) {
         response.writeHead(STATUS.NOT_FOUND).end();
@@ -32,7 +38,10 @@
         log.warn("metrics.failed", { error: String(error) });
         response.writeHead(STATUS.FAILED).end();
       }
-    });
+    };
+    this.#server = createServer(
+      guardRequestListener(log, SERVE_METRICS, listener),
+    );
     this.#server.unref();
   }
 
--- a/packages/node/cell/peer_server.ts
+++ b/packages/node/cell/peer_server.ts
@@ -3,13 +3,20 @@
  * returns this entry's copy of the operators' rows.
  */
 import { Buffer } from "node:buffer";
-import { createServer, type Server } from "node:http";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
 import {
   type HostPort,
   refused,
   type StateRow,
   type StateStore,
 } from "@coltsfootpond/ports";
+import { BACKGROUND_ACTIVITY } from "./background/activities.ts";
+import { guardRequestListener } from "./background/guarded_request_listener.ts";
 import { getBoundPort, listenOn } from "./listen.ts";
 import type { CellLog } from "./log.ts";
 import {
@@ -32,6 +39,7 @@
 };
 /** Limit of a transaction of the store (the platform's protocol); its msgpack form is smaller. */
 const MAXIMUM_BODY_BYTES = 1_048_576;
+const { SERVE_PEER } = BACKGROUND_ACTIVITY;
 
 export interface PeerServerOptions {
   readonly address: HostPort;
@@ -54,26 +62,13 @@
 
   private constructor(options: PeerServerOptions) {
     this.#options = options;
-    this.#server = createServer(async (incoming, response) => {
-      const chunks: Buffer[] = [];
-      let length = 0;
-      try {
-        for await (const chunk of incoming as AsyncIterable<Buffer>) {
-          length += chunk.byteLength;
-          if (length <= MAXIMUM_BODY_BYTES) chunks.push(chunk);
-        }
-      } catch {
-        // The peer closed the connection, so there is nobody to answer.
-        return;
-      }
-      const answer = length > MAXIMUM_BODY_BYTES
-        ? { status: STATUS.TOO_LARGE }
-        : await this.#answer(incoming.url ?? "", Buffer.concat(chunks));
-      response.writeHead(answer.status, {
-        "content-length": answer.body?.byteLength ?? 0,
-      });
-      response.end(answer.body);
-    });
+    const { log } = options;
+    const serve = guardRequestListener(
+      log,
+      SERVE_PEER,
+      (incoming, response) => this.#serve(incoming, response),
+    );
+    this.#server = createServer(serve);
   }
 
   static create(options: PeerServerOptions): PeerServer {
@@ -94,6 +89,30 @@
     this.#server.closeIdleConnections();
   }
 
+  async #serve(
+    incoming: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const chunks: Buffer[] = [];
+    let length = 0;
+    try {
+      for await (const chunk of incoming as AsyncIterable<Buffer>) {
+        length += chunk.byteLength;
+        if (length <= MAXIMUM_BODY_BYTES) chunks.push(chunk);
+      }
+    } catch {
+      // The peer closed the connection, so there is nobody to answer.
+      return;
+    }
+    const answer = length > MAXIMUM_BODY_BYTES
+      ? { status: STATUS.TOO_LARGE }
+      : await this.#answer(incoming.url ?? "", Buffer.concat(chunks));
+    response.writeHead(answer.status, {
+      "content-length": answer.body?.byteLength ?? 0,
+    });
+    response.end(answer.body);
+  }
+
   async #answer(
     path: string,
     body: Uint8Array,
