Put odd records among the workers' ones in the simulated cell

In half of the sequences of the model check another writer now puts, changes and removes rows: bytes that cannot be read, undeclared services, addresses that are closed, silent, of another worker or unusable, copies of live workers' records, other incarnations, planned stops and absurd numbers, under new names and under those of live workers, up to 200 at once, some for less than the period of the reads, some for good. A live worker replaces the row at its next heartbeat.

The fake port answers by the address of a call, not only by the name, and the simulation counts calls to targets that no usable record has named. A roster entry names a target only if a record has named it before.

--- a/packages/node/cell/cell_faults_test.ts
+++ b/packages/node/cell/cell_faults_test.ts
@@ -1,9 +1,10 @@
 /**
  * Random faults in a simulated cell: workers that are disconnected, cut off from the store, restart
- * or leave, calls and writes that are carried out late or whose answers are lost, and lease holders
- * that are replaced. The checks use the runs as the workers recorded them. CELL_FAULT_SEEDS and
- * CELL_FAULT_FIRST_SEED set other seeds;
- * CELL_FAULT_CARRIED_OVER=1 also lets the next process of a worker carry out late calls.
+ * or leave, calls and writes that are carried out late or whose answers are lost, odd records among
+ * the workers' ones, and lease holders that are replaced. The checks use the runs as the workers
+ * recorded them. CELL_FAULT_SEEDS and CELL_FAULT_FIRST_SEED set other seeds;
+ * CELL_FAULT_CARRIED_OVER=1 also lets the next process of a worker carry out late calls;
+ * CELL_FAULT_ODD_RECORDS=0 leaves out the odd records.
  */
 import { expect } from "chai";
 import type { CellJobSpec } from "@coltsfootpond/policy";
@@ -12,6 +13,7 @@
 const FIRST_SEED = Number(process.env.CELL_FAULT_FIRST_SEED ?? 1);
 /** Late calls are carried out by the next process under the same name. */
 const HAS_CALLS_CARRIED_OVER = process.env.CELL_FAULT_CARRIED_OVER === "1";
+const HAS_ODD_RECORDS = process.env.CELL_FAULT_ODD_RECORDS !== "0";
 const SEEDS = Number(process.env.CELL_FAULT_SEEDS ?? 120);
 /** Generous for one sequence, so that a slow machine does not end the check. */
 const COURSE_TIMEOUT_MS = 2_000;
@@ -104,12 +106,14 @@
 describe("cell under faults", () => {
   const unsafe: string[] = [];
   const incomplete: string[] = [];
+  const misdirected: string[] = [];
 
   before("runs the sequences", async function () {
     this.timeout(SEEDS * COURSE_TIMEOUT_MS);
     for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
       const cell = FaultyCell.create(seed, {
         hasCallsCarriedOver: HAS_CALLS_CARRIED_OVER,
+        hasOddRecords: HAS_ODD_RECORDS,
       });
       await cell.run();
       unsafe.push(...describeFailure(seed, () => {
@@ -124,6 +128,9 @@
         checkCompleted(cell);
         checkGivenUp(cell);
       }));
+      misdirected.push(...describeFailure(seed, () => {
+        expect(cell.simulation.unnamedCalls).to.deep.equal([]);
+      }));
     }
   });
 
@@ -134,4 +141,9 @@
   it(`keeps its invariants so that all jobs complete after ${SEEDS} of them`, () => {
     expect(incomplete).to.deep.equal([]);
   });
+
+  // Guards against calls to what only an unusable record names.
+  it(`keeps its invariants so that usable records name all call targets in ${SEEDS} of them`, () => {
+    expect(misdirected).to.deep.equal([]);
+  });
 });
--- a/packages/node/cell/cell_simulation.ts
+++ b/packages/node/cell/cell_simulation.ts
@@ -16,7 +16,7 @@
   StateRow,
   StateStore,
   WorkerPort,
-  WorkerRecord,
+  WorkerTarget,
 } from "@coltsfootpond/ports";
 import { CellScheduler } from "./cell_scheduler.ts";
 import { DeclaredStateTracker } from "./declared_state_tracker.ts";
@@ -31,7 +31,9 @@
 import { SeenVersion, TableFollower } from "./table_follower.ts";
 import { createStoreFake, type StoreFake } from "./test_fixtures.ts";
 import { VmFake } from "./fakes/vm_fake.ts";
+import { isUsableAddress } from "./fakes/worker_addresses.ts";
 import { createWorkerPortFake } from "./fakes/worker_port_fake.ts";
+import { WorkerTableFake } from "./fakes/worker_table_fake.ts";
 import { type RunHistory, WorkerFake } from "./workers_fake.ts";
 
 /** Bounds of the simulated deployment, in milliseconds. */
@@ -46,8 +48,9 @@
 const WORKER_CHECK_PERIOD_MS = 10;
 
 const DECLARED_STATE_KEY = "declared";
+/** The service of the simulated workers and of the jobs. */
 const SERVICE = brandId<ServiceName>("service");
-const NOTHING_DECLARED: DeclaredState = {
+const ONLY_SERVICE_DECLARED: DeclaredState = {
   version: 1,
   queues: [],
   organisationByApiKey: new Map(),
@@ -83,10 +86,17 @@
   readonly startListeners: ((worker: WorkerFake, task: TaskName) => void)[] =
     [];
   /** In force on all schedulers. */
-  #declared: DeclaredState = NOTHING_DECLARED;
+  #declared = ONLY_SERVICE_DECLARED;
   readonly #operatorFollowers = new Set<TableFollower>();
-  /** The record that the bytes of a row stand for. */
-  readonly #records = new WeakMap<Uint8Array, WorkerRecord>();
+  /** The rows of the workers' table. */
+  readonly workerTable = WorkerTableFake.create({
+    workers: this.workers,
+    isDeclared: (service) => this.#declared.services.has(service),
+  });
+  /** Calls to targets that no usable record has named before. */
+  readonly unnamedCalls: string[] = [];
+  /** Number of calls by target, as `{worker} {address}`. */
+  readonly callsByTarget = new Map<string, number>();
   readonly #refreshTimers = new Map<CellScheduler, Timer>();
   #epoch = 0;
 
@@ -109,8 +119,17 @@
 
   /** Declares a next version with these shares; all schedulers read it at once. */
   declareShares(shares: DeclaredState["shares"]): void {
+    this.#declare({ shares });
+  }
+
+  /** Declares a next version with these services; all schedulers read it at once. */
+  declareServices(...services: readonly string[]): void {
+    this.#declare({ services: new Set(services as ServiceName[]) });
+  }
+
+  #declare(changes: Partial<DeclaredState>): void {
     const version = this.#declared.version + 1;
-    this.#declared = { ...this.#declared, version, shares };
+    this.#declared = { ...this.#declared, ...changes, version };
     for (const follower of this.#operatorFollowers) {
       follower.apply([this.#createDeclaredRow()]);
     }
@@ -132,7 +151,10 @@
     );
     worker.onStarted = (task) =>
       this.startListeners.forEach((listener) => listener(worker, task));
-    this.workers.set(worker.record.worker, worker);
+    const { worker: workerName } = worker.record;
+    worker.onRecordWritten = () => this.workerTable.dropOddRow(workerName);
+    this.workers.set(workerName, worker);
+    this.workerTable.dropOddRow(workerName);
     return worker;
   }
 
@@ -288,13 +310,30 @@
   #createWorkerPortOf(vm: VmFake): WorkerPort {
     const port = createWorkerPortFake(this.workers, this.clock);
     return this.wrapWorkerPort({
-      start: (...call) => vm.receive(port.start(...call)),
-      stop: (...call) => vm.receive(port.stop(...call)),
-      renew: (...call) => vm.receive(port.renew(...call)),
+      start: (target, ...call) => {
+        this.#recordCall(target);
+        return vm.receive(port.start(target, ...call));
+      },
+      stop: (target, ...call) => {
+        this.#recordCall(target);
+        return vm.receive(port.stop(target, ...call));
+      },
+      renew: (target, ...call) => {
+        this.#recordCall(target);
+        return vm.receive(port.renew(target, ...call));
+      },
       forget: (target) => port.forget(target),
     });
   }
 
+  #recordCall(target: WorkerTarget): void {
+    const description = `${target.worker} ${target.address}`;
+    const calls = this.callsByTarget.get(description) ?? 0;
+    this.callsByTarget.set(description, calls + 1);
+    if (calls > 0 || this.workerTable.hasNamed(target)) return;
+    this.unnamedCalls.push(description);
+  }
+
   async #refresh(follower: TableFollower, vm: VmFake): Promise<void> {
     const outcome = await vm.receive(this.store.read("state", {}, 1));
     if (outcome.kind === "rows") follower.apply(outcome.rows);
@@ -304,12 +343,7 @@
     if (table !== "workers") {
       return await this.store.read(table, range, timeoutMs);
     }
-    const rows = [...this.workers].flatMap(([key, { storedRecord }]) => {
-      if (storedRecord === undefined) return [];
-      const value = new Uint8Array(0);
-      this.#records.set(value, storedRecord);
-      return [{ key, version: 1, value }];
-    });
+    const rows = this.workerTable.createRows();
     if (this.isDirectoryUnavailable) {
       return { kind: "unavailable", effect: "lost", reason: "test" } as const;
     }
@@ -323,13 +357,14 @@
     return {
       decodeDeclaredState: () => this.#declared,
       decodeWorker: (key, value) => {
-        const record = this.#records.get(value);
-        return record === undefined || this.get(key).isRecordUnreadable
-          ? { kind: "unusable", field: "value", expected: "a record" }
-          : { kind: "record", record };
+        const row = this.workerTable.decode(key, value);
+        return row.kind === "record"
+          ? row
+          : { kind: "unusable", field: "value", expected: "a record" };
       },
       decodeWorkerTarget: (name, address) =>
-        typeof name === "string" && typeof address === "string"
+        typeof name === "string" && typeof address === "string" &&
+          isUsableAddress(address)
           ? {
             worker: brandId<WorkerName>(name),
             address: brandId<WorkerAddress>(address),
--- a/packages/node/cell/fakes/worker_port_fake.ts
+++ b/packages/node/cell/fakes/worker_port_fake.ts
@@ -1,7 +1,8 @@
 /**
  * Sends one entry's commands to fake workers over connections. A connection ends with the process
  * to which it was opened. A command that names an incarnation is written only to a connection over
- * which that incarnation has reported.
+ * which that incarnation has reported. At an address that the named worker does not have, another
+ * worker, a closed port or nothing answers.
  */
 import type { ManualClock, WorkerName } from "@coltsfootpond/common";
 import type {
@@ -11,12 +12,14 @@
   StopOutcome,
   Unavailable,
   WorkerPort,
+  WorkerTarget,
 } from "@coltsfootpond/ports";
 import {
   CONNECTION_LOST,
   UNANSWERED,
   type WorkerFake,
 } from "../workers_fake.ts";
+import { findListener } from "./worker_addresses.ts";
 
 /** Least time until a call arrives. */
 const CALL_DURATION_MS = 2;
@@ -224,8 +227,30 @@
     return outcome;
   }
 
+  /** Undefined if the worker that the target names has the address. */
+  async function callOther(
+    target: WorkerTarget,
+    { maySend }: { readonly maySend: () => boolean },
+    timeoutMs: number,
+  ): Promise<{ readonly kind: "wrong_life" } | Unavailable | undefined> {
+    const listener = findListener(workers, target);
+    if (listener.kind === "named") return undefined;
+    if (listener.kind === "unusable" || !maySend()) return NOT_SENT;
+    const isSilent = listener.kind === "silent" ||
+      listener.kind === "other" && listener.worker.isDisconnected;
+    if (isSilent) {
+      await clock.sleep(timeoutMs);
+      return UNANSWERED;
+    }
+    await clock.sleep(CALL_DURATION_MS);
+    return listener.kind === "other" ? { kind: "wrong_life" } : CONNECTION_LOST;
+  }
+
   return {
-    start: async ({ worker }, command, timeoutMs): Promise<StartOutcome> => {
+    start: async (target, command, timeoutMs): Promise<StartOutcome> => {
+      const other = await callOther(target, command, timeoutMs);
+      if (other !== undefined) return other;
+      const { worker } = target;
       const fake = workers.get(worker)!;
       const outcome = await getConnections(worker, "commands").exchange({
         ...command,
@@ -237,7 +262,10 @@
         ? { kind: "refused", reason: "fenced" }
         : toUnsent(outcome.report);
     },
-    stop: async ({ worker }, command, timeoutMs): Promise<StopOutcome> => {
+    stop: async (target, command, timeoutMs): Promise<StopOutcome> => {
+      const other = await callOther(target, command, timeoutMs);
+      if (other !== undefined) return other;
+      const { worker } = target;
       const fake = workers.get(worker)!;
       const outcome = await getConnections(worker, "commands").exchange({
         ...command,
@@ -248,7 +276,10 @@
         ? { kind: "fenced" }
         : toUnsent(outcome.report);
     },
-    renew: async ({ worker }, command, timeoutMs): Promise<RenewOutcome> => {
+    renew: async (target, command, timeoutMs): Promise<RenewOutcome> => {
+      const other = await callOther(target, command, timeoutMs);
+      if (other !== undefined) return other;
+      const { worker } = target;
       const fake = workers.get(worker)!;
       const isForAny = command.leaseUntilMs === undefined &&
         command.acknowledgedSequence === 0;
--- a/packages/node/cell/faults/faulty_cell.ts
+++ b/packages/node/cell/faults/faulty_cell.ts
@@ -13,6 +13,7 @@
 import type { RunHistory, WorkerFake } from "../workers_fake.ts";
 import { LeaseHolder } from "./lease_holder.ts";
 import { CapacityFaults } from "./capacity_faults.ts";
+import { OddRecordFaults } from "./odd_record_faults.ts";
 import { QuotaFaults } from "./quota_faults.ts";
 import { addCrashingTasks, CRASH_DELAY_MS } from "../fakes/crashing_tasks.ts";
 import { GangMembers } from "./gang_members.ts";
@@ -41,6 +42,9 @@
 /** Share of the sequences in which organisations have quotas that change, and their draws. */
 const QUOTA_SHARE = 0.5;
 const QUOTA_SEED_OFFSET = 3_000_000_019;
+/** Share of the sequences in which another writer puts odd records, and their draws. */
+const ODD_RECORD_SHARE = 0.5;
+const ODD_RECORD_SEED_OFFSET = 4_000_000_007;
 /** Time after the last fault until the quotas are lifted. */
 const QUOTA_END_MS = 12_000;
 /** Time after the last fault until starts are checked, and until capacities stay. */
@@ -71,6 +75,8 @@
    * sends can rule out (docs/incidents/0005).
    */
   readonly hasCallsCarriedOver?: boolean;
+  /** False for the sequences without odd records; their other faults stay as they are. */
+  readonly hasOddRecords?: boolean;
 }
 
 export class FaultyCell {
@@ -80,6 +86,7 @@
   readonly crashingJob: CellJobSpec | undefined;
   readonly #capacityFaults: CapacityFaults | undefined;
   readonly #quotaFaults: QuotaFaults | undefined;
+  readonly #oddRecordFaults: OddRecordFaults | undefined;
   readonly #random: SeededRandom;
   readonly #storeFaults: StoreFaults;
   #scheduler: CellScheduler | undefined;
@@ -126,6 +133,14 @@
       });
       this.#jobs = this.#jobs.map((job) => this.#assign(job));
     }
+    const oddRecordRandom = SeededRandom.create(seed + ODD_RECORD_SEED_OFFSET);
+    const { hasOddRecords = true } = options;
+    if (hasOddRecords && oddRecordRandom.next() < ODD_RECORD_SHARE) {
+      this.#oddRecordFaults = OddRecordFaults.create({
+        simulation: this.simulation,
+        random: oddRecordRandom,
+      });
+    }
   }
 
   #addCrashingJob(random: SeededRandom): CellJobSpec | undefined {
@@ -195,6 +210,7 @@
     simulation.isDirectoryUnavailable = false;
     simulation.directoryDelayMs = 0;
     simulation.workers.forEach(endWorkerFaults);
+    this.#oddRecordFaults?.end();
     this.#replaceScheduler();
     for (let passedMs = 0; passedMs < RECOVERY_MS; passedMs += STEP_MS) {
       if (passedMs === CAPACITY_CHECK_MS) this.#capacityFaults?.beginChecks();
--- a/packages/node/cell/workers_fake.ts
+++ b/packages/node/cell/workers_fake.ts
@@ -119,6 +119,8 @@
   drawStopDurationMs: () => number = () => 0;
   /** Called after each start that the worker carries out. */
   onStarted: (task: TaskName) => void = () => {};
+  /** Called after each heartbeat that the worker has written to its record. */
+  onRecordWritten: () => void = () => {};
   /** Time that the next answer takes; another answer may overtake it. */
   drawAnswerDelayMs: () => number = () => 0;
 
@@ -179,6 +181,7 @@
     this.#storedRecord = { ...this.record, heartbeat, incarnationStartUnixMs };
     this.#lastHeartbeatMs = nowMs;
     this.#isRecordRemoved = false;
+    this.onRecordWritten();
   }
 
   /**
