Test a record at the address of a process that answers as fenced

A caller would see that no job starts. Any answer with status 409 to a poll counts as a sign of a newer lease holder (`decodeRejection`, `onFenced`), also from a process that has never reported as a worker. A record of another writer that names a server which answers so makes each lease holder give up its lease, one after another.

--- a/packages/node/cell/fakes/worker_addresses.ts
+++ b/packages/node/cell/fakes/worker_addresses.ts
@@ -11,6 +11,8 @@
 const SILENT_HOST = "silent";
 /** No process listens there; the machine refuses the connection. */
 const CLOSED_HOST = "closed";
+/** A process that is no worker answers every call with the status of a fenced command. */
+const FENCING_HOST = "fencing";
 const MAXIMUM_PORT = 65_535;
 
 export function createSilentAddress(number = 0): WorkerAddress {
@@ -21,6 +23,10 @@
   return brandId<WorkerAddress>(`${CLOSED_HOST}${number}:1`);
 }
 
+export function createFencingAddress(number = 0): WorkerAddress {
+  return brandId<WorkerAddress>(`${FENCING_HOST}${number}:1`);
+}
+
 export function isUsableAddress(address: string): boolean {
   const match = /^[!-~]+:([1-9][0-9]*)$/.exec(address);
   return match !== null && Number(match[1]) <= MAXIMUM_PORT;
@@ -30,6 +36,7 @@
 export type Listener =
   | { readonly kind: "named"; readonly worker: WorkerFake }
   | { readonly kind: "other"; readonly worker: WorkerFake }
+  | { readonly kind: "fencing" }
   | { readonly kind: "silent" }
   | { readonly kind: "closed" }
   | { readonly kind: "unusable" };
@@ -48,5 +55,6 @@
     record.address === address && !isReplaced && !hasLeft
   );
   if (other !== undefined) return { kind: "other", worker: other };
+  if (address.startsWith(FENCING_HOST)) return { kind: "fencing" };
   return { kind: address.startsWith(SILENT_HOST) ? "silent" : "closed" };
 }
--- a/packages/node/cell/fakes/worker_port_fake.ts
+++ b/packages/node/cell/fakes/worker_port_fake.ts
@@ -52,6 +52,12 @@
   readonly report: RenewOutcome;
 }
 
+/** The answer at an address that the named worker does not have. */
+type OtherAnswer =
+  | { readonly kind: "wrong_life" }
+  | { readonly kind: "fenced" }
+  | Unavailable;
+
 /** The connections of one entry to one worker. */
 class WorkerConnectionsFake {
   readonly #worker: WorkerFake;
@@ -232,23 +238,31 @@
     target: WorkerTarget,
     { maySend }: { readonly maySend: () => boolean },
     timeoutMs: number,
-  ): Promise<{ readonly kind: "wrong_life" } | Unavailable | undefined> {
+  ): Promise<OtherAnswer | undefined> {
     const listener = findListener(workers, target);
     if (listener.kind === "named") return undefined;
     if (listener.kind === "unusable" || !maySend()) return NOT_SENT;
     const isSilent = listener.kind === "silent" ||
       listener.kind === "other" && listener.worker.isDisconnected;
-    if (isSilent) {
-      await clock.sleep(timeoutMs);
-      return UNANSWERED;
+    await clock.sleep(isSilent ? timeoutMs : CALL_DURATION_MS);
+    switch (listener.kind) {
+      case "silent":
+        return UNANSWERED;
+      case "closed":
+        return CONNECTION_LOST;
+      case "fencing":
+        return { kind: "fenced" };
+      case "other":
+        return isSilent ? UNANSWERED : { kind: "wrong_life" };
     }
-    await clock.sleep(CALL_DURATION_MS);
-    return listener.kind === "other" ? { kind: "wrong_life" } : CONNECTION_LOST;
   }
 
   return {
     start: async (target, command, timeoutMs): Promise<StartOutcome> => {
       const other = await callOther(target, command, timeoutMs);
+      if (other?.kind === "fenced") {
+        return { kind: "refused", reason: "fenced" };
+      }
       if (other !== undefined) return other;
       const { worker } = target;
       const fake = workers.get(worker)!;
