Start no tasks at an address that the worker's record does not name

Callers would see tasks started by a record that another writer has put under a live worker's key: the session keeps its address while runs are there, and was usable with a record of any address.

A worker is usable only while its record names the session's address. Its runs go on, and it is used again once it has written its record.

--- a/packages/node/cell/worker_fleet.ts
+++ b/packages/node/cell/worker_fleet.ts
@@ -160,9 +160,11 @@
     session: WorkerSession,
     record: WorkerRecord,
   ): boolean {
-    // A later incarnation may be of another kind than the one that wrote the record.
+    // A later incarnation may be of another kind than the one that wrote the record, and another
+    // writer may have overwritten it.
     const isPresent =
-      record.incarnationStartUnixMs === session.incarnationStartUnixMs;
+      record.incarnationStartUnixMs === session.incarnationStartUnixMs &&
+      record.address === session.target.address;
     return isPresent && !record.isDraining && session.isReachable &&
       session.isRostered && !session.isPaused &&
       !this.#options.isOut(record.failureDomain);
