Follow the roster, not a changed record, to runs of an earlier holder

Callers would see a run lapse: a record of another writer names another address for a live worker while the lease moves. The new holder replaced the session from the stored roster at once, as no run was known there yet, and nobody renewed the lease of the run at the roster's address.

The session from the roster stays until the worker has reported or its leases have lapsed. A worker that has really moved while the lease moved is used at its new address that much later.

--- a/packages/node/cell/worker_fleet.ts
+++ b/packages/node/cell/worker_fleet.ts
@@ -252,8 +252,8 @@
   }
 
   /**
-   * The session with the worker. A worker at a new address gets a new session once the known one
-   * has no task runs.
+   * The session with the worker. A worker at a new address gets a new session once nothing can run at
+   * the known one.
    */
   #openSession(
     { worker, address }: WorkerTarget,
@@ -261,8 +261,9 @@
   ): WorkerSession {
     const known = this.#sessions.get(worker);
     if (known !== undefined && known.target.address === address) return known;
-    if (known !== undefined && !known.isIdle) return known;
+    if (known !== undefined && !this.#isReplaceable(known)) return known;
     if (known !== undefined) this.#close(known);
+    this.#carriedOver.delete(worker);
     const { epoch, workerPort, clock, log, canAct, bounds, listener } =
       this.#options;
     const session = WorkerSession.create({
@@ -282,6 +283,13 @@
     return session;
   }
 
+  /** Runs of an earlier lease holder may go on until the worker reports that there are none. */
+  #isReplaceable(session: WorkerSession): boolean {
+    const mayRunUnreported = this.#carriedOver.has(session.worker) &&
+      !session.haveLeasesExpired();
+    return session.isIdle && !mayRunUnreported;
+  }
+
   #dropIdleSessions(): void {
     for (const session of [...this.#sessions.values()]) {
       const isUnused = session.record === undefined && session.isIdle &&
@@ -312,8 +320,8 @@
     const { follower, recordDecoder } = this.#options;
     const targets = this.#roster.load(follower.rows(), recordDecoder);
     for (const target of targets) {
-      this.#carriedOver.add(target.worker);
       this.#openSession(target, SESSION_SOURCE.ROSTER);
+      this.#carriedOver.add(target.worker);
     }
   }
 
