Give up the lease only when a real worker fences a command

Callers would see jobs with nothing running: a record of a declared service names the address of a process that is no worker and answers with the status of a fenced command. Each holder gave up the lease upon the first such answer.

A worker that has reported in this epoch accepted it, so its refusal proves a later one. Before that, the answer counts as a failed poll. If all workers that answer refuse and none has reported, the holder gives up as before; a later holder's renewal takes the lease row in any case.

--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -499,6 +499,10 @@
   }
 
   #tick(): void {
+    if (this.#fleet.isFencedByAll) {
+      this.#options.onNewerHolder("orders fenced by all workers that answer");
+      return;
+    }
     for (const session of this.#fleet.sessions) {
       this.#guard(TICK, () => {
         session.dropIfExpired();
--- a/packages/node/cell/odd_records/fencing_listeners_test.ts
+++ b/packages/node/cell/odd_records/fencing_listeners_test.ts
@@ -23,3 +23,35 @@
     expect(simulation.get("a").running).to.have.length(1);
   });
 });
+
+describe("a lease holder whose commands are fenced", () => {
+  // Guards against a holder that goes on after a later one has taken over.
+  it("gives up the lease when a worker that has reported to it fences them", async () => {
+    const simulation = CellSimulation.create(["a", "b"]);
+    let stops = 0;
+    simulation.startScheduler(undefined, () => stops++);
+    await simulation.clock.advance(SETTLE_MS);
+    await submitFor(simulation, "a");
+    await simulation.clock.advance(START_MS);
+    simulation.startScheduler();
+    await simulation.clock.advance(SETTLE_MS);
+    expect(stops).to.equal(1);
+  });
+
+  it("gives up the lease when all workers that answer fence them", async () => {
+    const simulation = CellSimulation.create(["a", "b", "c"]);
+    simulation.get("c").isDisconnected = true;
+    const setConnected = (isConnected: boolean) =>
+      ["a", "b"].forEach((name) =>
+        simulation.get(name).isDisconnected = !isConnected
+      );
+    setConnected(false);
+    let stops = 0;
+    simulation.startScheduler(undefined, () => stops++);
+    await simulation.clock.advance(SETTLE_MS);
+    setConnected(true);
+    simulation.startScheduler();
+    await simulation.clock.advance(SETTLE_MS);
+    expect(stops).to.equal(1);
+  });
+});
--- a/packages/node/cell/session_event_handler.ts
+++ b/packages/node/cell/session_event_handler.ts
@@ -147,7 +147,12 @@
     this.#options.crashes.recordLostContact(session, contact);
   }
 
+  /**
+   * Only a worker that has reported in this epoch proves that it has received a command of a later
+   * one; any process may listen at the address of a record.
+   */
   onFenced(session: WorkerSession): void {
+    if (!session.hasReported) return;
     this.#options.onNewerHolder(`orders fenced by ${session.worker}`);
   }
 
--- a/packages/node/cell/worker_fleet.ts
+++ b/packages/node/cell/worker_fleet.ts
@@ -123,6 +123,15 @@
     return this.#sessions.get(worker);
   }
 
+  /**
+   * Whether all workers that have answered refuse commands of this epoch, so that there is a later
+   * one.
+   */
+  get isFencedByAll(): boolean {
+    return this.sessions.some(({ isFenced }) => isFenced) &&
+      this.sessions.every(({ hasReported }) => !hasReported);
+  }
+
   /** Number of rows of the workers' table that name no worker to use. */
   get ignoredRecords(): number {
     return this.#unusable.count;
--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -71,6 +71,7 @@
   /** Whether a report is needed to tell which incarnation of the worker is the present one. */
   #isReportDue = false;
   #isStopped = false;
+  #isFenced = false;
   /** The removal of the present incarnation's record, until the worker answers. */
   #left: LeftWorker | undefined;
   /** The incarnation that its record last showed as draining. */
@@ -132,6 +133,11 @@
     return this.hasReported && this.#reachability.isReachable;
   }
 
+  /** Whether it has refused a poll because of a later epoch, and has not reported since. */
+  get isFenced(): boolean {
+    return this.#isFenced;
+  }
+
   /** The scheduler has processed the ends up to this sequence number. */
   get processedSequence(): number {
     return this.#taskRuns.processedSequence;
@@ -393,7 +399,9 @@
         listener.onReport(this);
         return true;
       case "fenced":
+        this.#isFenced = true;
         listener.onFenced(this);
+        this.#reachability.recordFailure("fenced", this.#taskRuns.size);
         return false;
       case "wrong_life":
         this.#taskRuns.dropReplaced(requestedMs);
@@ -431,6 +439,7 @@
       !this.#leases.isPlausible(report.metadata, requestedMs)
     ) return this.#rejectClock(report);
     this.#isReportDue = false;
+    this.#isFenced = false;
     this.#left = undefined;
     if (!this.hasReported) this.#logFirstReport(report);
     if (status === "new") {
