Give each worker connections of its own, and close them with its session

Callers would see tasks that start late: connections belonged to an address, so a start waited behind the calls to every copy of the worker's record under another key. A session whose worker moved to another address left its connections behind.

Connections belong to a name at an address and are closed with the session. What listens at an address that changes hands is a new process, so no open connection is given up.

--- a/packages/node/cell/worker_fleet.ts
+++ b/packages/node/cell/worker_fleet.ts
@@ -310,18 +310,13 @@
       this.#carriedOver.delete(session.worker);
       this.#close(session);
       this.#sessions.delete(session.worker);
-      // Connections belong to the address, which another worker may have by now.
-      const { address } = session.target;
-      const isReused = this.sessions.some(({ target }) =>
-        target.address === address
-      );
-      if (!isReused) this.#options.workerPort.forget(session.target);
     }
   }
 
   #close(session: WorkerSession): void {
     if (session.hasReported) this.#reportedWorkers.add(session.worker);
     session.stop();
+    this.#options.workerPort.forget(session.target);
   }
 
   /** Opens sessions with the workers that an earlier lease holder may have used. */
