Call workers that have never answered less and less often

A record of a declared service that names an address where nobody or something else answers was called every 120 ms, with as many calls as there are such records, over connections that stayed open.

Until a worker's first report the delay doubles to 1 s, or to 10 ms for each such worker if that is more, so all of them together get at most 100 calls a second. Its connection is closed after each failed call. Workers of the stored roster are called as often as before: tasks of an earlier holder may run there.

--- a/packages/node/cell/odd_records/silent_workers_test.ts
+++ b/packages/node/cell/odd_records/silent_workers_test.ts
@@ -65,6 +65,19 @@
     });
   }
 
+  // Guards against calls whose rate grows with what others write.
+  it("are called at a bounded rate", async () => {
+    const simulation = CellSimulation.create(["a"]);
+    putSilent(simulation, MANY);
+    startHolder(simulation);
+    await simulation.clock.advance(LONG_MS);
+    const calls = [...simulation.callsByTarget].filter(([target]) =>
+      target !== "a a:1"
+    ).reduce((sum, [, count]) => sum + count, 0);
+    const firstCalls = 4 * MANY;
+    expect(calls).to.be.within(MANY, firstCalls + MANY * LONG_MS / 1_000);
+  });
+
   // Guards against a round that waits or a plan that counts on them.
   it("get no task", async () => {
     const simulation = CellSimulation.create(["a"]);
--- a/packages/node/cell/worker_fleet.ts
+++ b/packages/node/cell/worker_fleet.ts
@@ -44,6 +44,10 @@
 /** How long a new lease holder waits for the workers' first reports before it starts tasks. */
 const FIRST_REPORT_TIMEOUT_MS = 700;
 const REPORT_CHECK_PERIOD_MS = 4;
+/** Longest delay between polls of a worker that has not answered yet, while these are few. */
+const FIRST_CONTACT_DELAY_MS = 1_000;
+/** Least time for each poll of such a worker when there are many. */
+const MS_PER_FIRST_CONTACT = 10;
 /** Collects the first reports of several workers for one write of the roster. */
 const ROSTER_DELAY_MS = 4;
 const UNDECLARED_SERVICE: RecordProblem = {
@@ -285,6 +289,8 @@
       listener,
       canAct,
       onFirstReport: () => this.#applyFirstReport(worker),
+      getMaximumRetryDelayMs: () =>
+        this.#carriedOver.has(worker) ? 0 : this.#computeFirstContactDelayMs(),
     });
     this.#sessions.set(worker, session);
     log.info("worker.session_opened", { worker, address, epoch, source });
@@ -329,6 +335,15 @@
     }
   }
 
+  /** Bounds the rate of the calls to workers that never answer, however many are recorded. */
+  #computeFirstContactDelayMs(): number {
+    const unreported = this.sessions.filter(({ hasReported }) => !hasReported);
+    return Math.max(
+      FIRST_CONTACT_DELAY_MS,
+      unreported.length * MS_PER_FIRST_CONTACT,
+    );
+  }
+
   #applyFirstReport(worker: WorkerName): void {
     this.#carriedOver.delete(worker);
     if (this.#isRosterWriteDue) return;
--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -46,6 +46,8 @@
   readonly canAct: () => boolean;
   /** Called after the first report of each incarnation. */
   readonly onFirstReport?: () => void;
+  /** Longest delay of the next poll of a worker that has never reported. */
+  readonly getMaximumRetryDelayMs?: () => number;
 }
 
 /** Polls one worker and sends commands to it. */
@@ -72,6 +74,7 @@
   #isReportDue = false;
   #isStopped = false;
   #isFenced = false;
+  #firstContactDelayMs = RETRY_DELAY_MS / 2;
   /** The removal of the present incarnation's record, until the worker answers. */
   #left: LeftWorker | undefined;
   /** The incarnation that its record last showed as draining. */
@@ -318,7 +321,7 @@
         const isWaiting = this.hasTaskRuns && this.#reachability.isAnswering;
         const isAnswered = await this.#poll(isWaiting ? LONG_POLL_MS : 0);
         if (!isAnswered || this.#isReportDue) {
-          await this.#options.clock.sleep(RETRY_DELAY_MS);
+          await this.#options.clock.sleep(this.#computeRetryDelayMs());
         }
       }
     } finally {
@@ -326,6 +329,20 @@
     }
   }
 
+  /** Grows for a worker that has never reported, as its record may be another writer's. */
+  #computeRetryDelayMs(): number {
+    if (this.hasReported) return RETRY_DELAY_MS;
+    const { workerPort, getMaximumRetryDelayMs } = this.#options;
+    // Whatever listens there has a limited number of connections.
+    workerPort.forget(this.target);
+    const maximumMs = getMaximumRetryDelayMs?.() ?? RETRY_DELAY_MS;
+    this.#firstContactDelayMs = Math.min(
+      2 * this.#firstContactDelayMs,
+      Math.max(RETRY_DELAY_MS, maximumMs),
+    );
+    return this.#firstContactDelayMs;
+  }
+
   #needsPoll(): boolean {
     // Without task runs, only a poll can show that the worker answers again.
     const isAnswering = this.hasReported && this.#reachability.isAnswering;
