--- a/packages/common/port.ts
+++ b/packages/common/port.ts
@@ -7,8 +7,8 @@
   return Number.isInteger(port) && port > 0 && port <= MAXIMUM_PORT;
 }
 
-/** A port from 1 to 65,535; undefined for any other text. */
+/** A port from 1 to 65,535 in decimal digits; undefined for any other text. */
 export function parsePort(text: string): number | undefined {
   const port = Number(text);
-  return isPort(port) ? port : undefined;
+  return isPort(port) && String(port) === text ? port : undefined;
 }
