Reject jobs that are too large for a row of the store

A job may have 100 steps with labels of any length. A row beyond the store's limit is refused each time, but the refusal counted as a lost answer: the caller was told that the fate of the job was not known (504), tried again, and each try occupied a path to the store.

--- a/packages/node/cell/admission/admission_gate_test.ts
+++ b/packages/node/cell/admission/admission_gate_test.ts
@@ -124,6 +124,7 @@
     getDeclaredState: () => STATE,
     findTooWide: () => undefined,
     nowUnixMs: () => 0,
+    rowLimitBytes: 65_536,
   });
   const submit = async (jobId: string) => {
     const head = codec.decodeHead("POST", `/queue/${jobId}`, {
--- a/packages/node/cell/callers/caller_filters.ts
+++ b/packages/node/cell/callers/caller_filters.ts
@@ -13,6 +13,7 @@
 import { findOrganisation, findQueue } from "../declared_state_tracker.ts";
 import type { AdmissionGate } from "../admission/admission_gate.ts";
 import type { TooWideUnit } from "../quotas/quota_history.ts";
+import { encodeRow } from "../rows.ts";
 import type { JobRepository, RefuseOutcome } from "./job_repository.ts";
 
 /** A caller's request and what the filters have found out about it so far. */
@@ -51,6 +52,8 @@
   /** The unit of the job that can never run under its organisation's quota. */
   readonly findTooWide: (spec: CellJobSpec) => TooWideUnit | undefined;
   readonly nowUnixMs: () => number;
+  /** The store's limit of the value of a row. */
+  readonly rowLimitBytes: number;
 }
 
 const STATUS = {
@@ -158,9 +161,10 @@
 
 async function submit(
   request: CallerRequest,
-  { codec, jobRepository, admission, findTooWide }: CallerFilterOptions,
+  options: CallerFilterOptions,
   nowUnixMs: number,
 ): Promise<CallerAnswer> {
+  const { codec, jobRepository, admission, findTooWide } = options;
   const { queue, state, organisation } = request;
   if (queue === undefined || state === undefined) {
     return unavailable("no queue");
@@ -189,6 +193,10 @@
     allowanceMs: queue.allowanceMs,
     acceptedUnixMs: nowUnixMs,
   };
+  const { byteLength } = encodeRow({ kind: "live", spec });
+  if (byteLength > options.rowLimitBytes) {
+    return { status: STATUS.TOO_LARGE, reason: "job too large" };
+  }
   const deadlineMs = getDeadlineMs(request);
   const tooWide = jobRepository.isKnown(spec.jobId)
     ? undefined
--- a/packages/node/cell/callers/caller_filters_fuzz_test.ts
+++ b/packages/node/cell/callers/caller_filters_fuzz_test.ts
@@ -140,6 +140,7 @@
     getDeclaredState: () => STATE,
     findTooWide: () => undefined,
     nowUnixMs: () => 0,
+    rowLimitBytes: 65_536,
   });
   return async (input: Input): Promise<CallerAnswer | undefined> => {
     const { method, path, host, authorization, deadline, body } = input;
--- a/packages/node/cell/cell_entry.ts
+++ b/packages/node/cell/cell_entry.ts
@@ -188,6 +188,7 @@
         getDeclaredState: () => this.#declared.current,
         findTooWide: (spec) => this.#quotaHistory.findTooWide(spec),
         nowUnixMs,
+        rowLimitBytes: settings.rowLimitBytes,
       }),
       clock,
       log,
--- a/packages/node/cell/quotas/quota_refusal_test.ts
+++ b/packages/node/cell/quotas/quota_refusal_test.ts
@@ -79,6 +79,7 @@
     getDeclaredState: () => state,
     findTooWide: (spec) => history.findTooWide(spec),
     nowUnixMs: () => 0,
+    rowLimitBytes: 65_536,
   });
   const submit = async (jobId: string) => {
     const request = {
