Check the messages of peers before they are used

An answer of a peer was taken to have the expected shape. An answer that is no table threw a TypeError in the call of the store that had been relayed, and so ended the loop that made it (the copy of a table, the lease); an outcome of an unknown kind, a version that is not a number, or rows that are none, reached the callers. A call with other arguments reached the store's client, a time-out of NaN or 1e308 fired at once, and an unknown kind was answered with undefined. Something else at the address of an entry that has gone, or an entry of another version, was enough.

Answers are now checked against the kind of the call, and one of another shape counts as lost, as the call may have taken effect; the peer is skipped for a while. Calls of another shape are answered with 400 and reach nothing.

--- a/packages/node/cell/peer_client.ts
+++ b/packages/node/cell/peer_client.ts
@@ -65,11 +65,15 @@
     return available.slice(0, count).map(({ peer }) => peer);
   }
 
-  /** Sends one request. A peer that fails to answer it is skipped for PEER_BACKOFF_MS. */
+  /**
+   * Sends one request. A peer that fails to answer it is skipped for PEER_BACKOFF_MS; so is one with
+   * an answer for which `readAnswer` returns undefined.
+   */
   async request<Answer extends object>(
     peer: HostPort,
     path: string,
     message: PeerMessage,
+    readAnswer: (message: unknown) => Answer | Unavailable | undefined,
     timeoutMs: number,
   ): Promise<Answer | Unavailable> {
     const name = formatPeer(peer);
@@ -80,7 +84,7 @@
       timeoutMs,
       totalTimeoutMs: timeoutMs + LARGE_RESPONSE_EXTRA_MS,
     });
-    const answer = await decodeAnswer<Answer>(outcome);
+    const answer = await decodeAnswer(outcome, readAnswer);
     if ("kind" in answer && answer.kind === "unavailable") {
       const backoffUntilMs = this.#options.clock.nowMs() + PEER_BACKOFF_MS;
       this.#backoffUntilMs.set(name, backoffUntilMs);
@@ -103,13 +107,16 @@
   return `${host}:${port}`;
 }
 
+/** The call may have taken effect if its answer cannot be read. */
 async function decodeAnswer<Answer>(
   outcome: HttpOutcome,
+  readAnswer: (message: unknown) => Answer | Unavailable | undefined,
 ): Promise<Answer | Unavailable> {
   if (outcome.kind === "unavailable") return outcome;
   if (outcome.status !== STATUS_OK) return lost(`status ${outcome.status}`);
   try {
-    return await decodeMessage<Answer>(outcome.body);
+    const message = await decodeMessage(outcome.body);
+    return readAnswer(message) ?? lost("malformed answer");
   } catch (error) {
     return lost(`malformed answer: ${String(error)}`);
   }
--- a/packages/node/cell/peer_messages.ts
+++ b/packages/node/cell/peer_messages.ts
@@ -74,15 +74,13 @@
     : await compress(bytes, { level: constants.Z_BEST_SPEED });
 }
 
-/** Decodes a message. Rejects malformed bytes. */
-export async function decodeMessage<Message>(
-  bytes: Uint8Array,
-): Promise<Message> {
+/** Decodes a message of any shape. Rejects malformed bytes. */
+export async function decodeMessage(bytes: Uint8Array): Promise<unknown> {
   const isCompressed = GZIP_MAGIC.every((byte, index) => bytes[index] === byte);
   const decompressed = isCompressed
     ? await decompress(bytes, { maxOutputLength: MAXIMUM_RESPONSE_BYTES })
     : bytes;
-  return unpack(decompressed) as Message;
+  return unpack(decompressed);
 }
 
 export function runStoreCall(
--- a/packages/node/cell/peer_server.ts
+++ b/packages/node/cell/peer_server.ts
@@ -24,11 +24,11 @@
   encodeMessage,
   OPERATOR_ROWS_PATH,
   type OperatorRowsAnswer,
-  type OperatorRowsCall,
   runStoreCall,
   STORE_CALL_PATH,
-  type StoreCall,
+  type StoreOutcome,
 } from "./peer_messages.ts";
+import { readOperatorRowsCall, readStoreCall } from "./peers/message_checks.ts";
 
 const STATUS = {
   OK: 200,
@@ -120,19 +120,24 @@
     if (path !== STORE_CALL_PATH && path !== OPERATOR_ROWS_PATH) {
       return { status: STATUS.NOT_FOUND };
     }
-    let message: StoreCall | OperatorRowsCall;
+    let message: unknown;
     try {
       message = await decodeMessage(body);
     } catch (error) {
       this.#options.log.warn("peer.malformed", { error: String(error) });
       return { status: STATUS.MALFORMED };
     }
+    const run = path === STORE_CALL_PATH
+      ? this.#prepareStoreCall(message)
+      : this.#prepareListing(message);
+    if (run === undefined) {
+      this.#options.log.warn("peer.malformed", { error: `no call of ${path}` });
+      return { status: STATUS.MALFORMED };
+    }
     try {
       const answer = this.#options.isStoreDown()
         ? refused("the peer cannot reach the store")
-        : path === STORE_CALL_PATH
-        ? await runStoreCall(this.#options.store, message as StoreCall)
-        : this.#listRows(message as OperatorRowsCall);
+        : await run();
       return { status: STATUS.OK, body: await encodeMessage(answer) };
     } catch (error) {
       // The call may have taken effect, so the peer must treat it as lost.
@@ -141,7 +146,18 @@
     }
   }
 
-  #listRows({ afterVersion }: OperatorRowsCall): OperatorRowsAnswer {
-    return { rows: this.#options.listOperatorRows(afterVersion) };
+  /** Undefined for a message that is no call of the store. */
+  #prepareStoreCall(
+    message: unknown,
+  ): (() => Promise<StoreOutcome>) | undefined {
+    const call = readStoreCall(message);
+    return call && (() => runStoreCall(this.#options.store, call));
+  }
+
+  /** Undefined for a message that does not request rows. */
+  #prepareListing(message: unknown): (() => OperatorRowsAnswer) | undefined {
+    const call = readOperatorRowsCall(message);
+    return call &&
+      (() => ({ rows: this.#options.listOperatorRows(call.afterVersion) }));
   }
 }
--- a/packages/node/cell/store_relay.ts
+++ b/packages/node/cell/store_relay.ts
@@ -28,6 +28,10 @@
   type StoreOutcome,
 } from "./peer_messages.ts";
 import { PeerClient } from "./peer_client.ts";
+import {
+  readOperatorRowsAnswer,
+  readStoreOutcome,
+} from "./peers/message_checks.ts";
 
 /**
  * Most peers that one call tries within its time-out. Several, as peers that cannot reach the store
@@ -104,10 +108,11 @@
     if (peer === undefined) return refused("no peer");
     const message = { afterVersion };
     return await this.#settle(() =>
-      this.#peerClient.request<OperatorRowsAnswer>(
+      this.#peerClient.request(
         peer,
         OPERATOR_ROWS_PATH,
         message,
+        readOperatorRowsAnswer,
         timeoutMs,
       )
     );
@@ -174,6 +179,7 @@
           peer,
           STORE_CALL_PATH,
           withTimeout(call, remainingMs - PEER_ROUND_TRIP_MS),
+          (message) => readStoreOutcome(call.kind, message),
           remainingMs,
         )
       );
--- a/packages/node/cell/store_relay_test.ts
+++ b/packages/node/cell/store_relay_test.ts
@@ -131,7 +131,7 @@
     } as const;
     const bytes = await encodeMessage(outcome);
     expect(bytes.byteLength).to.be.lessThan(value.byteLength / 5);
-    const decoded = await decodeMessage<typeof outcome>(bytes);
+    const decoded = await decodeMessage(bytes) as typeof outcome;
     expect(Buffer.from(decoded.rows[0].value).equals(value)).to.equal(true);
     const truncated = await decodeMessage(bytes.subarray(0, 100)).catch(String);
     expect(truncated).to.be.a("string");
