--- a/packages/node/mesh/mesh_network.ts
+++ b/packages/node/mesh/mesh_network.ts
@@ -16,7 +16,7 @@
 import type { AddressInfo } from "node:net";
 import type { Duplex } from "node:stream";
 import { type Observable, Subject } from "rxjs";
-import { WebSocket, WebSocketServer } from "ws";
+import { type ClientOptions, WebSocket, WebSocketServer } from "ws";
 import {
   MAXIMUM_MESH_FRAME_BYTES,
   MESH_HEARTBEAT_PERIOD_MS,
@@ -61,6 +61,8 @@
   readonly #deliveries = new Subject<MeshDelivery>();
   readonly #links = new Map<EntryName, MeshLink>();
   readonly #dialling = new Set<EntryName>();
+  /** Peers with addresses to which no connection can be opened. */
+  readonly #undialable = new Set<EntryName>();
   readonly #server: Server = createServer((_request, response) =>
     response.writeHead(426).end()
   );
@@ -115,6 +117,7 @@
     this.#peers = peers.filter((peer) =>
       peer.entry !== this.#options.identity.entry
     );
+    this.#undialable.clear();
     const listed = new Set(this.#peers.map((peer) => peer.entry));
     for (const [entry, link] of [...this.#links]) {
       if (!listed.has(entry)) link.close("no longer a member");
@@ -138,7 +141,8 @@
 
   #dialMissing(): void {
     for (const peer of this.#peers) {
-      const dials = this.#options.identity.entry < peer.entry;
+      const dials = this.#options.identity.entry < peer.entry &&
+        !this.#undialable.has(peer.entry);
       if (
         dials && !this.#links.has(peer.entry) && !this.#dialling.has(peer.entry)
       ) this.#dial(peer);
@@ -152,7 +156,7 @@
       incarnation: identity.incarnation,
       to: peer.entry,
     };
-    const socket = new WebSocket(`ws://${peer.host}:${peer.port}${MESH_PATH}`, {
+    const socket = this.#open(peer, {
       handshakeTimeout: MESH_SILENCE_TIMEOUT_MS,
       maxPayload: MAXIMUM_MESH_FRAME_BYTES,
       perMessageDeflate: false,
@@ -163,6 +167,7 @@
         [HANDSHAKE_HEADER.PROOF]: createProof(handshake, secret),
       },
     });
+    if (socket === undefined) return;
     this.#dialling.add(peer.entry);
     let peerIncarnation: Incarnation | undefined;
     socket.on(
@@ -178,6 +183,21 @@
     socket.once("close", () => this.#dialling.delete(peer.entry));
   }
 
+  /** Undefined if the peer's row has an address to which no connection can be opened. */
+  #open(
+    { entry, host, port }: MeshPeerAddress,
+    options: ClientOptions,
+  ): WebSocket | undefined {
+    try {
+      return new WebSocket(`ws://${host}:${port}${MESH_PATH}`, options);
+    } catch (error) {
+      this.#undialable.add(entry);
+      const { events } = this.#options;
+      events.emit("mesh.undialable", { entry }, String(error));
+      return undefined;
+    }
+  }
+
   /** The incarnation of the answering peer, if the proof in its upgrade response is valid. */
   #checkReply(
     response: IncomingMessage,
--- a/packages/node/mesh/mesh_network_test.ts
+++ b/packages/node/mesh/mesh_network_test.ts
@@ -136,6 +136,34 @@
     for (const peer of peers.splice(0)) await peer.network.stop();
   });
 
+  // Guards against a member row whose address ends the processes of all other entries.
+  it("connects to the other peers when one has an address that cannot be dialled", async () => {
+    const [left, right] = [await createPeer("a"), await createPeer("z")];
+    const odd = [
+      { host: HOST, port: 99_999 },
+      { host: HOST, port: -1 },
+      { host: HOST, port: Number.NaN },
+      { host: "", port: 80 },
+      { host: "a b", port: 80 },
+      { host: "a#b", port: 80 },
+      { host: "\0", port: 80 },
+    ].map((address, number) => ({
+      entry: brandId<EntryName>(`m-${number}`),
+      ...address,
+    }));
+    left.network.setPeers([...odd, right.address]);
+    right.network.setPeers([left.address]);
+    await waitUntil(() => left.network.listConnected().length === 1);
+    const events = left.listEvents().filter((event) =>
+      event.startsWith("mesh.undialable")
+    );
+    expect(events).to.have.length(odd.length);
+    await left.clock.advance(5 * MESH_HEARTBEAT_PERIOD_MS);
+    expect(
+      left.listEvents().filter((event) => event.startsWith("mesh.undialable")),
+    ).to.deep.equal(events);
+  });
+
   it("carries messages both ways over one connection", async () => {
     const [left, right] = [await createPeer("a"), await createPeer("b")];
     await connect(left, right);
