--- a/packages/ports/http/http_platform.ts
+++ b/packages/ports/http/http_platform.ts
@@ -17,17 +17,37 @@
   TablePort,
   TableTransaction,
   TransactionOutcome,
+  Unavailable,
   VmListOptions,
   VmListOutcome,
   VmListPort,
 } from "../types.ts";
 import { lost } from "../unavailable.ts";
+import {
+  readCommandOutcome,
+  readFleetReportOutcome,
+  readReadOutcome,
+  readTransactionOutcome,
+  readVmListOutcome,
+} from "./answer_checks.ts";
 import {
   HttpClient,
   type ServiceAddress,
   type TrafficMeter,
 } from "./http_client.ts";
 
+/** Posts JSON; an answer for which `read` returns undefined is `lost`. */
+async function postChecked<Answer>(
+  client: HttpClient,
+  path: string,
+  content: object,
+  { timeoutMs }: CallOptions,
+  read: (answer: unknown) => Answer | undefined,
+): Promise<Answer | Unavailable> {
+  const answer = await client.postJson<unknown>(path, content, timeoutMs);
+  return read(answer) ?? lost("malformed answer");
+}
+
 class HttpTable implements TablePort {
   readonly #client: HttpClient;
 
@@ -43,26 +63,32 @@
     transaction: TableTransaction,
     options: CallOptions,
   ): Promise<TransactionOutcome> {
-    return this.#client.postJson<TransactionOutcome>(
+    return postChecked(
+      this.#client,
       "/table/transact",
       transaction,
-      options.timeoutMs,
+      options,
+      readTransactionOutcome,
     );
   }
 
   read(keys: readonly string[], options: CallOptions): Promise<ReadOutcome> {
-    return this.#client.postJson<ReadOutcome>(
+    return postChecked(
+      this.#client,
       "/table/read",
       { keys },
-      options.timeoutMs,
+      options,
+      readReadOutcome,
     );
   }
 
   scan(prefix: string, options: CallOptions): Promise<ReadOutcome> {
-    return this.#client.postJson<ReadOutcome>(
+    return postChecked(
+      this.#client,
       "/table/scan",
       { prefix },
-      options.timeoutMs,
+      options,
+      readReadOutcome,
     );
   }
 }
@@ -121,11 +147,13 @@
   }
 
   list(options: VmListOptions): Promise<VmListOutcome> {
-    const { knownRevision, timeoutMs } = options;
-    return this.#client.postJson<VmListOutcome>(
+    const { knownRevision } = options;
+    return postChecked(
+      this.#client,
       "/vms/list",
       { knownRevision },
-      timeoutMs,
+      options,
+      readVmListOutcome,
     );
   }
 }
@@ -142,10 +170,12 @@
   }
 
   command(batch: CommandBatch, options: CallOptions): Promise<CommandOutcome> {
-    return this.#client.postJson<CommandOutcome>(
+    return postChecked(
+      this.#client,
       "/fleet/command",
       batch,
-      options.timeoutMs,
+      options,
+      readCommandOutcome,
     );
   }
 
@@ -153,10 +183,12 @@
     request: FleetReportRequest,
     options: CallOptions,
   ): Promise<FleetReportOutcome> {
-    return this.#client.postJson<FleetReportOutcome>(
+    return postChecked(
+      this.#client,
       "/fleet/report",
       request,
-      options.timeoutMs,
+      options,
+      readFleetReportOutcome,
     );
   }
 }
