Move the lease on when its tenures end early

A process that ends right after each acquisition (a fault, or killed for its memory each time) got the lease back at once for ever: `#mayAcquire` trusts any process of the holder's machine, so the cell was without a scheduler although other machines could have held it. And a holder whose scheduler has failed had no way to give the lease back.

The row counts the holder's tenures of less than 240 renewals (a minute) that ended with its process. After one, as now, the restarted process takes the lease back at once; after two it waits for the time of the lease like any other entry, and the entry that gets it does not hand it over for 20 s. `giveUp` releases the lease for a new scheduler: at once the first time, after 2, 4 s and so on up to a minute (4 s if nothing was scheduled) when earlier tenures failed too. Rows of earlier versions have none of the fields and count as long, sound tenures.

--- a/packages/node/cell/lease/scheduler_lease.ts
+++ b/packages/node/cell/lease/scheduler_lease.ts
@@ -10,6 +10,14 @@
 import { Subject } from "rxjs";
 import { STORE_TIMEOUT_MS } from "../constants.ts";
 import { computeHandoverBackoffMs } from "./entry_count_delays.ts";
+import {
+  computeLeastTenureMs,
+  countShortTenures,
+  mayTakeBack,
+  readCount,
+  type SchedulerFailure,
+  SOUND_TENURE_MS,
+} from "./early_ends.ts";
 import { RENEW_PERIOD_MS, SCHEDULER_LEASE_MS } from "./lease_times.ts";
 import {
   computeAcquireDelayMs,
@@ -33,15 +41,15 @@
 /** Keeps entries with equal processor shares from acquiring the lease at the same moment. */
 const ACQUIRE_JITTER_MS = 20;
 
+export interface AcquiredLease {
+  readonly kind: "acquired";
+  readonly epoch: number;
+  /** Version of the store at which the lease was acquired. */
+  readonly version: number;
+}
+
 /** Emitted when this entry acquires or loses the lease. */
-export type LeaseChange =
-  | {
-    readonly kind: "acquired";
-    readonly epoch: number;
-    /** Version of the store at which the lease was acquired. */
-    readonly version: number;
-  }
-  | { readonly kind: "lost" };
+export type LeaseChange = AcquiredLease | { readonly kind: "lost" };
 
 export interface SchedulerLeaseOptions {
   readonly entry: string;
@@ -57,7 +65,11 @@
 }
 
 /** The fields of the row that change with each write. */
-type LeaseRenewal = Pick<LeaseRow, "epoch" | "beat" | "handedOverUnixMs">;
+type LeaseRenewal = Omit<LeaseRow, "holder" | "incarnation" | "isReleased">;
+
+type EarlierTenures = Required<
+  Pick<LeaseRow, "handedOverUnixMs" | "shortTenures" | "failures">
+>;
 
 interface HeldLease extends LeaseRenewal {
   version: number;
@@ -67,6 +79,7 @@
   renewedUnixMs: number;
   readonly acquiredMs: number;
   handedOverUnixMs: number;
+  failures: number;
 }
 
 /** Acquires, renews, observes and releases the lease. */
@@ -81,6 +94,8 @@
   #isLeaving = false;
   #acquireAtMs: number | undefined;
   #backoffUntilMs = Number.NEGATIVE_INFINITY;
+  /** When the lease is given up, as the scheduler has failed. */
+  #giveUpAtMs = Number.POSITIVE_INFINITY;
 
   private constructor(options: SchedulerLeaseOptions) {
     this.#options = options;
@@ -150,13 +165,29 @@
     if (this.#held !== undefined) this.#lose(reason);
   }
 
+  /**
+   * The scheduler of this epoch has failed. The lease is given up, so that a new one starts from
+   * the store, here or at another entry; at once unless others have failed shortly before.
+   */
+  giveUp(epoch: number, failure: SchedulerFailure): void {
+    const held = this.#held;
+    if (held?.epoch !== epoch) return;
+    const dueMs = held.acquiredMs +
+      computeLeastTenureMs(failure, held.failures);
+    this.#giveUpAtMs = Math.min(this.#giveUpAtMs, dueMs);
+  }
+
   #tick(): void {
     if (this.#isWriting || this.#isLeaving) return;
     if (!this.#options.follower.isLoaded) return;
     const nowMs = this.#options.clock.nowMs();
     if (this.#held !== undefined) {
-      if (this.#mayHandOver(this.#held, nowMs)) {
-        this.#runExclusively(() => this.#handOver());
+      if (nowMs >= this.#giveUpAtMs) {
+        this.#runExclusively(() => this.#releaseAfterFailure());
+      } else if (this.#mayHandOver(this.#held, nowMs)) {
+        this.#runExclusively(() =>
+          this.#handOver("a larger entry may hold it")
+        );
       } else if (nowMs - this.#held.renewedMs >= RENEW_PERIOD_MS) {
         this.#runExclusively(() => this.#renew());
       }
@@ -204,25 +235,33 @@
     });
   }
 
-  async #handOver(): Promise<void> {
+  async #releaseAfterFailure(): Promise<void> {
+    if (this.#held === undefined) return;
+    this.#held.failures++;
+    await this.#handOver("its scheduler has failed");
+  }
+
+  async #handOver(reason: string): Promise<void> {
     if (this.#held === undefined) return;
     const { clock, nowUnixMs, getProcessorShares } = this.#options;
     this.#held.handedOverUnixMs = nowUnixMs();
     this.#backoffUntilMs = clock.nowMs() +
       computeHandoverBackoffMs(getProcessorShares().count);
-    await this.#release("a larger entry may hold it");
+    await this.#release(reason);
   }
 
   #mayAcquire(nowMs: number): boolean {
     if (nowMs < this.#backoffUntilMs) return false;
-    const { follower, entry } = this.#options;
+    const { follower, entry, incarnation } = this.#options;
     const row = follower.get(LEASE_KEY);
     // The holder may not have seen yet that the row was deleted.
     if (row === undefined) return this.#hasExpired(nowMs);
     const lease = readLeaseRow(follower, row);
     if (lease?.isReleased) return true;
-    // An earlier process of this entry, which is gone, held it, or this one until it lost it.
-    if (lease?.holder === entry) return true;
+    // This process has lost it, or an earlier process of this entry, which is gone, held it.
+    const isOwn = lease?.incarnation === incarnation ||
+      lease?.holder === entry && mayTakeBack(lease);
+    if (isOwn) return true;
     return this.#observed?.version === row.version && this.#hasExpired(nowMs);
   }
 
@@ -239,11 +278,7 @@
     const epoch = this.#findHighestEpoch(row, previous) + 1;
     const beat = (previous?.beat ?? 0) + 1;
     const sent = { renewedMs: clock.nowMs(), renewedUnixMs: nowUnixMs() };
-    const next = {
-      epoch,
-      beat,
-      handedOverUnixMs: previous?.handedOverUnixMs ?? 0,
-    };
+    const next = { epoch, beat, acquiredBeat: beat, ...this.#judge(previous) };
     const value = this.#encode(next, false);
     const outcome = await store.transact({
       conditions: [{ key: LEASE_KEY, version: row?.version ?? 0 }],
@@ -261,11 +296,32 @@
     log.info("lease.acquired", {
       epoch,
       previous: previous?.holder,
+      shortTenures: next.shortTenures,
+      failures: next.failures,
       wasReleased: previous?.isReleased,
     });
     this.changes.next({ kind: "acquired", epoch, version });
   }
 
+  /** What the next row says about earlier tenures. */
+  #judge(previous: LeaseRow | undefined): EarlierTenures {
+    const { entry, incarnation, nowUnixMs } = this.#options;
+    const { handedOverUnixMs = 0 } = previous ?? {};
+    const failures = readCount(previous?.failures);
+    const kept = { handedOverUnixMs, failures, shortTenures: 0 };
+    if (previous === undefined || previous.isReleased) return kept;
+    if (previous.incarnation === incarnation) {
+      return { ...kept, shortTenures: readCount(previous.shortTenures) };
+    }
+    if (previous.holder === entry) {
+      return { ...kept, shortTenures: countShortTenures(previous) };
+    }
+    // Keeps the lease from a larger entry whose process ends again and again.
+    return mayTakeBack(previous)
+      ? kept
+      : { ...kept, handedOverUnixMs: nowUnixMs() };
+  }
+
   /**
    * An epoch that no earlier one exceeds. Each acquisition is a write, so the epochs of this system
    * have never exceeded the versions of the row; nor does the next one, as its write raises them. A
@@ -285,7 +341,9 @@
     if (held === undefined) return;
     const { store, follower, clock, nowUnixMs, log } = this.#options;
     const sent = { renewedMs: clock.nowMs(), renewedUnixMs: nowUnixMs() };
-    const next = { ...held, beat: held.beat + 1 };
+    const isSound = sent.renewedMs - held.acquiredMs >= SOUND_TENURE_MS;
+    const failures = isSound ? 0 : held.failures;
+    const next = { ...held, beat: held.beat + 1, failures };
     const value = this.#encode(next, false);
     const outcome = await store.transact({
       conditions: [{ key: LEASE_KEY, version: held.version }],
@@ -298,6 +356,7 @@
         Object.assign(held, sent, {
           version: outcome.version,
           beat: next.beat,
+          failures,
         });
         follower.apply([{ key: LEASE_KEY, version: outcome.version, value }]);
         return;
@@ -334,16 +393,28 @@
   #lose(reason: string): void {
     const epoch = this.#held?.epoch;
     this.#held = undefined;
+    this.#giveUpAtMs = Number.POSITIVE_INFINITY;
     this.#options.log.warn("lease.lost", { epoch, reason });
     this.changes.next({ kind: "lost" });
   }
 
   #encode(
-    { epoch, beat, handedOverUnixMs }: LeaseRenewal,
+    renewal: LeaseRenewal,
     isReleased: boolean,
   ): Uint8Array {
     const { entry: holder, incarnation } = this.#options;
-    const own = { holder, incarnation, isReleased };
-    return encodeRow({ ...own, epoch, beat, handedOverUnixMs });
+    const { epoch, beat, handedOverUnixMs } = renewal;
+    const { acquiredBeat, shortTenures, failures } = renewal;
+    return encodeRow({
+      holder,
+      incarnation,
+      isReleased,
+      epoch,
+      beat,
+      handedOverUnixMs,
+      acquiredBeat,
+      shortTenures,
+      failures,
+    });
   }
 }
--- a/packages/node/cell/lease/scheduler_lease_test.ts
+++ b/packages/node/cell/lease/scheduler_lease_test.ts
@@ -6,6 +6,7 @@
 } from "./lease_priority.ts";
 import { SchedulerLease } from "./scheduler_lease.ts";
 import { SILENT_LOG } from "../log.ts";
+import { decodeRow, encodeRow, LEASE_KEY, type LeaseRow } from "../rows.ts";
 import {
   createFollower,
   createStoreFake,
@@ -28,6 +29,7 @@
     own: 1,
     all: { largest: 1, count: 2 },
   },
+  incarnation = `${name}-1`,
 ) {
   const state = { isDisconnected: false };
   const unavailable = {
@@ -45,7 +47,7 @@
   const follower = createFollower(own, clock);
   const lease = SchedulerLease.create({
     entry: name,
-    incarnation: `${name}-1`,
+    incarnation,
     processorShare: shares.own,
     getProcessorShares: () => shares.all,
     store: own,
@@ -138,4 +140,132 @@
       computeAcquireDelayMs(0.7, all),
     );
   });
+
+  /**
+   * An entry whose process ends `tenureMs` after it has acquired the lease and starts again 200 ms
+   * later, for `ends` times; returns how long after each start it acquired the lease, undefined if
+   * another entry had it by then.
+   */
+  async function endRepeatedly(
+    clock: ManualClock,
+    store: StoreFake,
+    { tenureMs, ends, shares }: {
+      readonly tenureMs: number;
+      readonly ends: number;
+      readonly shares?: Parameters<typeof createEntry>[3];
+    },
+  ): Promise<readonly (number | undefined)[]> {
+    const delaysMs: (number | undefined)[] = [];
+    for (let process = 1; process <= ends; process++) {
+      const name = `a-${process}`;
+      const { lease, state } = createEntry("a", store, clock, shares, name);
+      const startedMs = clock.nowMs();
+      const isHeldByOther = () => {
+        const row = store.rows().get(LEASE_KEY)?.value;
+        return row !== undefined && decodeRow<LeaseRow>(row).holder !== "a";
+      };
+      while (lease.epoch === undefined && !isHeldByOther()) {
+        await clock.advance(STEP_MS);
+      }
+      const isHeld = lease.epoch !== undefined;
+      delaysMs.push(isHeld ? clock.nowMs() - startedMs : undefined);
+      if (!isHeld) break;
+      await clock.advance(tenureMs);
+      state.isDisconnected = true;
+      await clock.advance(200);
+    }
+    return delaysMs;
+  }
+
+  it("is taken back at once by a process that has restarted", async () => {
+    const clock = ManualClock.create();
+    const store = createStoreFake();
+    const [, delayMs] = await endRepeatedly(clock, store, {
+      tenureMs: 500,
+      ends: 2,
+    });
+    expect(delayMs).to.be.lessThan(150);
+  });
+
+  it("is taken back at once after each tenure that was long enough", async () => {
+    const clock = ManualClock.create();
+    const store = createStoreFake();
+    const options = { tenureMs: 70_000, ends: 5 };
+    const delaysMs = await endRepeatedly(clock, store, options);
+    delaysMs.forEach((delayMs) => expect(delayMs).to.be.lessThan(150));
+  });
+
+  // Guards against a lease that stays for ever with an entry whose process ends again and again, as
+  // one that is killed for its memory.
+  it("is left to another entry by a process that ends again and again", async () => {
+    const clock = ManualClock.create();
+    const store = createStoreFake();
+    const all = { largest: 1.4, count: 2 };
+    // The smaller entry acquires it only after the larger one has had the time to.
+    const other = createEntry("b", store, clock, { own: 0.3, all });
+    const delaysMs = await endRepeatedly(clock, store, {
+      tenureMs: 500,
+      ends: 10,
+      shares: { own: 1.4, all },
+    });
+    expect(delaysMs).to.have.lengthOf(3);
+    expect(delaysMs[1]).to.be.lessThan(150);
+    expect(delaysMs[2]).to.equal(undefined);
+    expect(other.lease.canAct()).to.equal(true);
+    // It is larger, but does not get the lease back soon.
+    await clock.advance(15_000);
+    expect(other.lease.canAct()).to.equal(true);
+  });
+
+  it("is taken again after its duration by such a process if no other wants it", async () => {
+    const clock = ManualClock.create();
+    const store = createStoreFake();
+    const options = { tenureMs: 500, ends: 5 };
+    const delaysMs = await endRepeatedly(clock, store, options);
+    expect(delaysMs).to.have.lengthOf(5);
+    for (const delayMs of delaysMs.slice(2)) {
+      expect(delayMs).to.be.within(1_300, 1_500);
+    }
+  });
+
+  it("is taken back at once if an earlier version's process held it", async () => {
+    const clock = ManualClock.create();
+    const store = createStoreFake();
+    const value = encodeRow({
+      holder: "a",
+      incarnation: "a-0",
+      epoch: 3,
+      beat: 7,
+      isReleased: false,
+      handedOverUnixMs: 0,
+    });
+    const puts = [{ key: LEASE_KEY, value }];
+    await store.transact({ conditions: [], puts, deletes: [] }, 1);
+    const { lease } = createEntry("a", store, clock);
+    await clock.advance(150);
+    expect(lease.epoch).to.equal(4);
+  });
+
+  it("is given up once its scheduler has failed, later after each time", async () => {
+    const clock = ManualClock.create();
+    const store = createStoreFake();
+    const { lease } = createEntry("a", store, clock);
+    const acquiredMs: number[] = [];
+    lease.changes.subscribe((change) => {
+      if (change.kind !== "acquired") return;
+      acquiredMs.push(clock.nowMs());
+      lease.giveUp(change.epoch, "round");
+      // One of an earlier epoch changes nothing.
+      lease.giveUp(change.epoch - 1, "start");
+    });
+    await clock.advance(400_000);
+    const delaysMs = acquiredMs.slice(1).map((atMs, index) =>
+      atMs - acquiredMs[index]!
+    );
+    // With the time for which the entry leaves the lease to others.
+    const tenuresMs = [0, 2, 4, 8, 16, 32, 60, 60, 60].map((s) => s * 1_000);
+    tenuresMs.forEach((tenureMs, index) =>
+      expect(delaysMs[index]).to.be.within(tenureMs, tenureMs + 1_500)
+    );
+  });
 });
--- a/packages/node/cell/rows.ts
+++ b/packages/node/cell/rows.ts
@@ -82,8 +82,17 @@
   readonly beat: number;
   /** Handed over: any entry may acquire the lease at once. */
   readonly isReleased: boolean;
-  /** When a holder last handed the lease over to a larger entry; 0 for never. */
+  /**
+   * When a holder last handed the lease over to a larger entry, or gave it up, or was replaced after
+   * its process had ended repeatedly; 0 for never.
+   */
   readonly handedOverUnixMs: number;
+  /** Renewal counter when the holder acquired it; rows of earlier versions have none. */
+  readonly acquiredBeat?: number;
+  /** Tenures of the holder before this one, in a row, that ended early with its process. */
+  readonly shortTenures?: number;
+  /** Tenures before this one, in a row and of any entry, in which the scheduler failed. */
+  readonly failures?: number;
 }
 
 /**
