Process a run's end again after an error in its processing

With the process going on after an error, an end whose listener throws would count as processed: the next poll acknowledges it, the worker deletes it, and the finished task runs a second time.

Evidence: with one error in `recordDone` the test failed with "expected [ { worker: 'a', …(5) }, …(1) ] to have a length of 1 but got 2" (two starts of a task that was done).

The sequence number counts as processed only after the listener has returned, and the run stays known until then, so that the next report lists and applies the end again. Nothing is acknowledged in between.

--- a/packages/node/cell/background/failing_parts_test.ts
+++ b/packages/node/cell/background/failing_parts_test.ts
@@ -83,6 +83,33 @@
     expect(failures.get("tick")).to.be.greaterThan(0);
   });
 
+  // Guards against an end that is acknowledged unread, so that finished work is done again.
+  it("processes an end again that could not be processed", async () => {
+    const { simulation, failures } = createCell();
+    const steps = [createStep(), createStep({ after: [0] })];
+    const spec = createSpec(SOUND_JOB, { steps });
+    await simulation.submit(spec);
+    simulation.startScheduler();
+    await simulation.clock.advance(1_000);
+    const { progress } = jobs.get(SOUND_JOB)!;
+    progress.recordDone = () => {
+      Reflect.deleteProperty(progress, "recordDone");
+      fail();
+    };
+    const endAll = () =>
+      simulation.workers.forEach((worker) =>
+        worker.running.forEach((task) => worker.end(task, "done"))
+      );
+    endAll();
+    await simulation.clock.advance(3_000);
+    expect(simulation.runsOf(`${SOUND_JOB}.0.0.0`)).to.have.length(1);
+    expect(simulation.runsOf(`${SOUND_JOB}.0.1.0`)).to.have.length(1);
+    endAll();
+    await simulation.clock.advance(1_000);
+    expect(simulation.readJob(spec)).to.include({ state: "completed" });
+    expect(failures.get("poll_worker")).to.equal(1);
+  });
+
   // Guards against a failed round after which no other is planned, or others without a pause.
   it("goes on with rounds and renewals after rounds that failed", async () => {
     const { simulation, failures } = createCell();
--- a/packages/node/cell/worker_task_runs.ts
+++ b/packages/node/cell/worker_task_runs.ts
@@ -211,11 +211,17 @@
 
   #applyEnd(ended: EndedTask): void {
     if (ended.sequence <= this.#processedSequence) return;
-    this.#processedSequence = ended.sequence;
     const key = taskRunKey(ended.task, ended.run);
     const taskRun = this.#taskRuns.get(key);
     this.#taskRuns.delete(key);
-    this.#options.onEnded(ended, taskRun);
+    try {
+      this.#options.onEnded(ended, taskRun);
+    } catch (error) {
+      // The next report lists the end again, as it is not acknowledged.
+      if (taskRun !== undefined) this.#taskRuns.set(key, taskRun);
+      throw error;
+    }
+    this.#processedSequence = ended.sequence;
   }
 
   #applyRunning(running: RunningTask, reportClockMs: number): void {
