Go on after errors that nothing catches, once an entry has started

Afterwards it is reported as `unowned`. Log lines beyond 1 MiB are dropped while the output takes none. Decision 0013 says what may end a process, and why.

--- a/apps/coltsfootpond_scheduler/main.ts
+++ b/apps/coltsfootpond_scheduler/main.ts
@@ -1,6 +1,6 @@
 /**
  * The daemon of the cell's scheduler: reads the platform's settings file, runs one entry and stops
- * gracefully on SIGTERM. `--metrics-port N` serves Prometheus metrics on the host on which callers
+ * gracefully on SIGTERM. Once it has started, errors do not end it (decision 0013). `--metrics-port N` serves Prometheus metrics on the host on which callers
  * are served. Exit codes: 0 stopped, 1 failed, 2 invalid settings or arguments.
  */
 import { readFileSync } from "node:fs";
@@ -28,10 +28,19 @@
 /** Log lines are buffered up to this size, and written at least every `LOG_FLUSH_MS`. */
 const LOG_BLOCK_BYTES = 4_096;
 const LOG_FLUSH_MS = 500;
+/** Lines beyond this are dropped while the output takes none, as on a full disk. */
+const LOG_BUFFER_BYTES = 1_048_576;
 /** Period of sampling the event loop's delay. */
 const LOOP_CHECK_MS = 500;
 
-const stream = destination({ fd: 1, sync: false, minLength: LOG_BLOCK_BYTES });
+const stream = destination({
+  fd: 1,
+  sync: false,
+  minLength: LOG_BLOCK_BYTES,
+  maxLength: LOG_BUFFER_BYTES,
+});
+// The entry serves callers also while its log cannot be written.
+stream.on("error", () => {});
 const logger = pino({ base: null }, stream);
 
 const log: CellLog = {
@@ -40,7 +49,11 @@
 };
 
 function exit(code: number): never {
-  stream.flushSync();
+  try {
+    stream.flushSync();
+  } catch {
+    // The last lines are lost.
+  }
   process.exit(code);
 }
 
@@ -116,8 +129,13 @@
   });
   // The settings that this program uses do not change while the process runs.
   process.on("SIGHUP", () => log.info("settings.unchanged"));
-  process.on("uncaughtException", fail);
+  let isStarted = false;
+  process.on("uncaughtException", (error, origin) => {
+    if (!isStarted) fail(error);
+    entry.reportUnownedError(error, origin);
+  });
   await entry.start();
+  isStarted = true;
   if (metricsPort === undefined) return;
   meters.watchEventLoop(clock, LOOP_CHECK_MS);
   await serveMetrics(meters, {
--- a/packages/node/cell/cell_entry.ts
+++ b/packages/node/cell/cell_entry.ts
@@ -19,6 +19,7 @@
   runInBackground,
   subscribeGuarded,
 } from "./background/run_in_background.ts";
+import { reportFailure } from "./background/report_failure.ts";
 import { limitFailureLines } from "./background/failure_log_limit.ts";
 import { createCallerFilters } from "./callers/caller_filters.ts";
 import { CallerServer } from "./callers/caller_server.ts";
@@ -240,6 +241,15 @@
     });
   }
 
+  /**
+   * Reports an error that reached the process, as no activity caught it. The scheduler goes on: all
+   * of its activities have owners, so the error is one of a connection or of a library.
+   */
+  reportUnownedError(error: unknown, origin: string): void {
+    const { log } = this.#options;
+    reportFailure(log, BACKGROUND_ACTIVITY.UNOWNED, error, { origin });
+  }
+
   /** Turns not ready, releases the lease, finishes requests in progress and closes everything. */
   async stop(): Promise<void> {
     if (this.#isLeaving) return;
