--- a/apps/coltsfootpond_scheduler/main.ts
+++ b/apps/coltsfootpond_scheduler/main.ts
@@ -137,7 +137,7 @@
   await entry.start();
   isStarted = true;
   if (metricsPort === undefined) return;
-  meters.watchEventLoop(clock, LOOP_CHECK_MS);
+  meters.watchEventLoop(clock, LOOP_CHECK_MS, log);
   await serveMetrics(meters, {
     host: settings.callerAddress.host,
     port: metricsPort,
--- a/packages/node/cell/background/activities.ts
+++ b/packages/node/cell/background/activities.ts
@@ -30,6 +30,7 @@
   STOP_TASK: "stop_task",
   TICK: "tick",
   UPDATE_SPEEDS: "update_speeds",
+  WATCH_EVENT_LOOP: "watch_event_loop",
   WRITE_BEGUN_JOBS: "write_begun_jobs",
   WRITE_PROGRESS: "write_progress",
   /** An error that none of the others has reported. */
--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -369,19 +369,22 @@
   #requestRound(): void {
     if (this.#isRoundDue || !this.#isReady || this.#isStopped) return;
     this.#isRoundDue = true;
-    const { clock } = this.#options;
+    const { clock, log } = this.#options;
     // Rounds take at most half of the processor time, so that calls and renewals are not late.
     const delayMs = Math.max(MINIMUM_ROUND_DELAY_MS, this.#roundDurationMs);
-    clock.after(delayMs, () => {
-      this.#isRoundDue = false;
-      if (this.#isStopped) return;
-      const startedMs = clock.nowMs();
-      const isDone = this.#tryRound();
-      const durationMs = clock.nowMs() - startedMs;
-      this.#roundDurationMs = isDone
-        ? durationMs
-        : Math.max(durationMs, FAILED_ROUND_DELAY_MS);
-    });
+    clock.after(delayMs, guard(log, SCHEDULE_ROUND, () => this.#runRound()));
+  }
+
+  #runRound(): void {
+    const { clock } = this.#options;
+    this.#isRoundDue = false;
+    if (this.#isStopped) return;
+    const startedMs = clock.nowMs();
+    const isDone = this.#tryRound();
+    const durationMs = clock.nowMs() - startedMs;
+    this.#roundDurationMs = isDone
+      ? durationMs
+      : Math.max(durationMs, FAILED_ROUND_DELAY_MS);
   }
 
   #tryRound(): boolean {
--- a/packages/node/cell/meters/cell_meters.ts
+++ b/packages/node/cell/meters/cell_meters.ts
@@ -7,6 +7,7 @@
 import type { Clock } from "@coltsfootpond/common";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import { BACKGROUND_ACTIVITY } from "../background/activities.ts";
+import { guard } from "../background/run_in_background.ts";
 import { FAILURE_EVENT } from "../background/report_failure.ts";
 import type { CellLog, LogFields } from "../log.ts";
 import type { OrganisationGauges } from "../quotas/organisation_gauges.ts";
@@ -115,13 +116,14 @@
   }
 
   /** Observes how late a timer of `periodMs` fires, until the process ends. */
-  watchEventLoop(clock: Clock, periodMs: number): void {
+  watchEventLoop(clock: Clock, periodMs: number, log: CellLog): void {
     let dueMs = clock.nowMs() + periodMs;
-    clock.every(periodMs, () => {
+    const observe = guard(log, BACKGROUND_ACTIVITY.WATCH_EVENT_LOOP, () => {
       const nowMs = clock.nowMs();
       this.#loopDelay.observe(Math.max(0, nowMs - dueMs) / MS_PER_SECOND);
       dueMs = nowMs + periodMs;
     });
+    clock.every(periodMs, observe);
   }
 
   /** Sets the function that returns the gauges' values at a scrape. */
