Play fault sequences with calls that throw

Whatever an implementation of the worker port throws, a start may have been carried out; to conclude otherwise runs a task twice.

--- a/packages/node/cell/cell_faults_test.ts
+++ b/packages/node/cell/cell_faults_test.ts
@@ -8,13 +8,15 @@
  */
 import { expect } from "chai";
 import type { CellJobSpec } from "@coltsfootpond/policy";
-import { FaultyCell } from "./faults/faulty_cell.ts";
+import { FaultyCell, type FaultyCellOptions } from "./faults/faulty_cell.ts";
 
 const FIRST_SEED = Number(process.env.CELL_FAULT_FIRST_SEED ?? 1);
 /** Late calls are carried out by the next process under the same name. */
 const HAS_CALLS_CARRIED_OVER = process.env.CELL_FAULT_CARRIED_OVER === "1";
 const HAS_ODD_RECORDS = process.env.CELL_FAULT_ODD_RECORDS !== "0";
 const SEEDS = Number(process.env.CELL_FAULT_SEEDS ?? 120);
+/** Share of the sequences that are also played with calls that throw. */
+const BREAKING_SHARE = 0.25;
 /** Generous for one sequence, so that a slow machine does not end the check. */
 const COURSE_TIMEOUT_MS = 2_000;
 
@@ -103,15 +105,24 @@
   }
 }
 
-describe("cell under faults", () => {
+function describeSequences(
+  title: string,
+  seeds: number,
+  options: FaultyCellOptions,
+): void {
+  describe(title, () => checkSequences(seeds, options));
+}
+
+function checkSequences(seeds: number, options: FaultyCellOptions): void {
   const unsafe: string[] = [];
   const incomplete: string[] = [];
   const misdirected: string[] = [];
 
   before("runs the sequences", async function () {
-    this.timeout(SEEDS * COURSE_TIMEOUT_MS);
-    for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
+    this.timeout(seeds * COURSE_TIMEOUT_MS);
+    for (let seed = FIRST_SEED; seed < FIRST_SEED + seeds; seed++) {
       const cell = FaultyCell.create(seed, {
+        ...options,
         hasCallsCarriedOver: HAS_CALLS_CARRIED_OVER,
         hasOddRecords: HAS_ODD_RECORDS,
       });
@@ -134,16 +145,24 @@
     }
   });
 
-  it(`keeps its invariants under ${SEEDS} random fault sequences`, () => {
+  it(`keeps its invariants under ${seeds} random fault sequences`, () => {
     expect(unsafe).to.deep.equal([]);
   });
 
-  it(`keeps its invariants so that all jobs complete after ${SEEDS} of them`, () => {
+  it(`keeps its invariants so that all jobs complete after ${seeds} of them`, () => {
     expect(incomplete).to.deep.equal([]);
   });
 
   // Guards against calls to what only an unusable record names.
-  it(`keeps its invariants so that usable records name all call targets in ${SEEDS} of them`, () => {
+  it(`keeps its invariants so that usable records name all call targets in ${seeds} of them`, () => {
     expect(misdirected).to.deep.equal([]);
   });
-});
+}
+
+describeSequences("cell under faults", SEEDS, {});
+// Guards against a conclusion from a call that threw, as it may have been carried out.
+describeSequences(
+  "cell under faults, some calls of which throw,",
+  Math.ceil(SEEDS * BREAKING_SHARE),
+  { hasBreakingCalls: true },
+);
--- a/packages/node/cell/faults/faulty_cell.ts
+++ b/packages/node/cell/faults/faulty_cell.ts
@@ -12,6 +12,7 @@
 import { CellSimulation, SIMULATION_BOUNDS } from "../cell_simulation.ts";
 import type { RunHistory, WorkerFake } from "../workers_fake.ts";
 import { LeaseHolder } from "./lease_holder.ts";
+import { breakCalls } from "./breaking_calls.ts";
 import { CapacityFaults } from "./capacity_faults.ts";
 import { OddRecordFaults } from "./odd_record_faults.ts";
 import { QuotaFaults } from "./quota_faults.ts";
@@ -45,6 +46,8 @@
 /** Share of the sequences in which another writer puts odd records, and their draws. */
 const ODD_RECORD_SHARE = 0.5;
 const ODD_RECORD_SEED_OFFSET = 4_000_000_007;
+/** The draws of calls that throw. */
+const BREAKING_SEED_OFFSET = 5_000_000_029;
 /** Time after the last fault until the quotas are lifted. */
 const QUOTA_END_MS = 12_000;
 /** Time after the last fault until starts are checked, and until capacities stay. */
@@ -77,6 +80,8 @@
   readonly hasCallsCarriedOver?: boolean;
   /** False for the sequences without odd records; their other faults stay as they are. */
   readonly hasOddRecords?: boolean;
+  /** Calls to workers throw or reject until the faults end, carried out or not. */
+  readonly hasBreakingCalls?: boolean;
 }
 
 export class FaultyCell {
@@ -115,6 +120,13 @@
     this.crashingJob = this.#addCrashingJob(
       SeededRandom.create(seed + CRASHING_SEED_OFFSET),
     );
+    if (options.hasBreakingCalls) {
+      const { clock } = this.simulation;
+      const breakingRandom = SeededRandom.create(seed + BREAKING_SEED_OFFSET);
+      const untilMs = FAULTY_STEPS * STEP_MS;
+      this.simulation.wrapWorkerPort = (port) =>
+        breakCalls(port, { clock, random: breakingRandom, untilMs });
+    }
     const capacityRandom = SeededRandom.create(seed + CAPACITY_SEED_OFFSET);
     if (capacityRandom.next() < CAPACITY_SHARE) {
       this.#capacityFaults = CapacityFaults.create({
