--- a/packages/node/cell/state_rows/cell_rows.ts
+++ b/packages/node/cell/state_rows/cell_rows.ts
@@ -24,7 +24,7 @@
 export function decodeLeaseRow(value: Uint8Array): LeaseRow | undefined {
   const row = unpackFields(value);
   const isValid = row !== undefined && isText(row.holder) &&
-    isText(row.incarnation) && isCount(row.epoch) &&
+    isText(row.incarnation) && isCount(row.epoch, 1) &&
     row.epoch <= MAXIMUM_EPOCH && isCount(row.beat) &&
     row.beat <= MAXIMUM_BEAT && isFlag(row.isReleased) &&
     isNumber(row.handedOverUnixMs);
--- a/packages/node/cell/state_rows/row_decoders_test.ts
+++ b/packages/node/cell/state_rows/row_decoders_test.ts
@@ -306,6 +306,7 @@
     for (
       const overrides of [
         { epoch: MAXIMUM_EPOCH + 1 },
+        { epoch: 0 },
         { epoch: -1 },
         { epoch: 1.5 },
         { epoch: Number.NaN },
