Remove a decoder of the roster that nothing uses

The rows of the roster are read worker by worker in roster_rows.ts, so that one that cannot be called leaves the others in use. The test that every stored row is read as before now takes its roster through that reader.

--- a/packages/node/cell/state_rows/cell_rows.ts
+++ b/packages/node/cell/state_rows/cell_rows.ts
@@ -1,7 +1,7 @@
 /** Decodes the single rows that all entries share, and the entries' announcements. */
 import { MAXIMUM_PORT } from "@coltsfootpond/common";
 import { MAXIMUM_BEAT, MAXIMUM_EPOCH } from "../constants.ts";
-import type { BegunJobsRow, LeaseRow, PeerRow, RosterRow } from "../rows.ts";
+import type { BegunJobsRow, LeaseRow, PeerRow } from "../rows.ts";
 import {
   isAmount,
   isCount,
@@ -48,15 +48,3 @@
   const isValid = row !== undefined && isListOf(row.jobIds, isText);
   return isValid ? row as unknown as BegunJobsRow : undefined;
 }
-
-/** Checks the shape only; whether an address can be called is for the reader to decide. */
-export function decodeRosterRow(value: Uint8Array): RosterRow | undefined {
-  const row = unpackFields(value);
-  const isValid = row !== undefined &&
-    isListOf(
-      row.workers,
-      (worker) =>
-        Array.isArray(worker) && isText(worker[0]) && isText(worker[1]),
-    );
-  return isValid ? row as unknown as RosterRow : undefined;
-}
--- a/packages/node/cell/state_rows/row_decoders_test.ts
+++ b/packages/node/cell/state_rows/row_decoders_test.ts
@@ -1,16 +1,17 @@
 /** Tests of which values count as rows of each kind. */
 import type { CellJobId, CellJobSpec, StepSpec } from "@coltsfootpond/policy";
+import type { WorkerTarget } from "@coltsfootpond/ports";
 import { expect } from "chai";
 import { pack } from "msgpackr";
 import { MAXIMUM_BEAT, MAXIMUM_EPOCH, RUNS_PER_EPOCH } from "../constants.ts";
-import { encodeRow } from "../rows.ts";
+import { RosterRows } from "../roster/roster_rows.ts";
+import { encodeRow, ROSTER_KEY } from "../rows.ts";
 import { readSpeedsRow } from "../speeds/speeds_row.ts";
 import { createSpec, createStep } from "../test_fixtures.ts";
 import {
   decodeBegunJobsRow,
   decodeLeaseRow,
   decodePeerRow,
-  decodeRosterRow,
 } from "./cell_rows.ts";
 import { decodeJobRow, decodeRefusalRow } from "./job_row.ts";
 import { decodeLoadRow } from "./load_row.ts";
@@ -106,6 +107,19 @@
 const decodeJob = (value: Uint8Array) => decodeJobRow(JOB, value);
 const decodeProgress = (value: Uint8Array) => decodeProgressRow(value, SPEC);
 const decodeSpeeds = (value: Uint8Array) => readSpeedsRow(value, UNIX_MS);
+
+/** The workers of a row of the roster; undefined when it names none. */
+function decodeRoster(value: Uint8Array): unknown {
+  const row = { key: ROSTER_KEY, version: 1, value };
+  const workers = RosterRows.create(value.length).load([row], {
+    decodeWorkerTarget: (worker, address) =>
+      typeof worker === "string" && typeof address === "string"
+        ? { worker, address } as WorkerTarget
+        : undefined,
+  }).map(({ worker, address }) => [worker, address]);
+  return workers.length === 0 ? undefined : { workers };
+}
+
 const DECODERS = [
   decodeJob,
   decodeRefusalRow,
@@ -113,7 +127,7 @@
   decodeLeaseRow,
   decodePeerRow,
   decodeBegunJobsRow,
-  decodeRosterRow,
+  decodeRoster,
   decodeLoadRow,
   decodeSpeeds,
 ];
@@ -180,7 +194,7 @@
     "3gABpmpvYklkc5GwNWMwZTdhMjFkOTRiMzZmOA==",
   ],
   [
-    decodeRosterRow,
+    decodeRoster,
     { workers: [["w1", "10.0.0.1:8001"]] },
     "3gABp3dvcmtlcnORkqJ3Ma0xMC4wLjAuMTo4MDAx",
   ],
--- a/packages/node/cell/state_rows/unreadable_rows.ts
+++ b/packages/node/cell/state_rows/unreadable_rows.ts
@@ -12,8 +12,7 @@
   | "lease"
   | "peer"
   | "progress"
-  | "refusal"
-  | "roster";
+  | "refusal";
 
 /** Returned by readers of rows in place of a row that cannot be decoded. */
 export interface UnreadableRow {
