Acquire a lease whose row has an odd count of tenures

An entry that finds its own name in the lease row subtracts `acquiredBeat`, which was not checked. With a value that msgpack decodes as a big integer, each check of the lease threw, and the entry never acquired it again. A value that is no count is now taken as missing.

Before the change, the new test failed with "expected false to equal true" (the lease is not acquired).

--- a/packages/node/cell/lease/early_ends.ts
+++ b/packages/node/cell/lease/early_ends.ts
@@ -53,8 +53,8 @@
 /** Short tenures in a row of the row's holder, if its process has ended. */
 export function countShortTenures(lease: LeaseRow): number {
   const { beat, acquiredBeat } = lease;
-  // The tenure of an earlier version's process counts as a long one.
-  if (acquiredBeat === undefined) return 0;
+  // The tenure of an earlier version's process, or of an unusable count, counts as a long one.
+  if (!isCount(acquiredBeat)) return 0;
   return beat - acquiredBeat < SHORT_TENURE_RENEWALS
     ? readCount(lease.shortTenures) + 1
     : 0;
--- a/packages/node/cell/lease/unreadable_lease_test.ts
+++ b/packages/node/cell/lease/unreadable_lease_test.ts
@@ -159,4 +159,25 @@
     expect(lease.canAct()).to.equal(true);
     expect(lease.epoch).to.be.greaterThan(first);
   });
+
+  // Guards against an error at each check of the lease, so that the entry never acquires it again.
+  it("may have counts of tenures that are none", async () => {
+    for (const count of [2n ** 63n, "4", Number.NaN, 1e308, {}]) {
+      const clock = ManualClock.create();
+      const store = createStoreFake();
+      const tenures = {
+        acquiredBeat: count,
+        shortTenures: count,
+        failures: count,
+      };
+      const row = { ...LEASE, holder: "a", isReleased: false, ...tenures };
+      await putLease(store, pack(row));
+      const { lease } = createEntry("a", store, clock);
+      const errors = await collectUnhandledErrors(async () => {
+        await clock.advance(SCHEDULER_LEASE_MS + 200);
+      });
+      expect(errors).to.deep.equal([]);
+      expect(lease.canAct()).to.equal(true);
+    }
+  });
 });
--- a/packages/node/cell/state_rows/odd_rows_test.ts
+++ b/packages/node/cell/state_rows/odd_rows_test.ts
@@ -119,7 +119,19 @@
       samples: [{ kind: "refused", endedUnixMs: 0 }],
     },
   ]),
-  { keys: [LEASE_KEY], samples: [LEASE] },
+  {
+    keys: [LEASE_KEY],
+    samples: [
+      LEASE,
+      {
+        ...LEASE,
+        holder: "own",
+        acquiredBeat: 2,
+        shortTenures: 1,
+        failures: 1,
+      },
+    ],
+  },
   {
     keys: [peerKey("odd"), peerKey("")],
     samples: [{ host: "odd", port: 1, processorShare: 0.5 }],
