Change the declared services in the model check

In the sequences with odd records the service of some of them, and that of the workers, is now declared only for a part of the time. A record that was read before its service was declared counts as usable from then on.

--- a/packages/node/cell/cell_simulation.ts
+++ b/packages/node/cell/cell_simulation.ts
@@ -49,14 +49,14 @@
 
 const DECLARED_STATE_KEY = "declared";
 /** The service of the simulated workers and of the jobs. */
-const SERVICE = brandId<ServiceName>("service");
+export const SIMULATED_SERVICE = brandId<ServiceName>("service");
 const ONLY_SERVICE_DECLARED: DeclaredState = {
   version: 1,
   queues: [],
   organisationByApiKey: new Map(),
   guarantees: [],
   shares: [],
-  services: new Set([SERVICE]),
+  services: new Set([SIMULATED_SERVICE]),
   capacityEnforcingServices: new Set(),
   limits: {
     headerBytes: 8_192,
@@ -123,13 +123,14 @@
   }
 
   /** Declares a next version with these services; all schedulers read it at once. */
-  declareServices(...services: readonly string[]): void {
-    this.#declare({ services: new Set(services as ServiceName[]) });
+  declareServices(services: readonly ServiceName[]): void {
+    this.#declare({ services: new Set(services) });
   }
 
   #declare(changes: Partial<DeclaredState>): void {
     const version = this.#declared.version + 1;
     this.#declared = { ...this.#declared, ...changes, version };
+    this.workerTable.applyDeclaredServices();
     for (const follower of this.#operatorFollowers) {
       follower.apply([this.#createDeclaredRow()]);
     }
--- a/packages/node/cell/fakes/worker_table_fake.ts
+++ b/packages/node/cell/fakes/worker_table_fake.ts
@@ -30,6 +30,8 @@
   /** What the bytes of a row stand for. */
   readonly #meanings = new WeakMap<Uint8Array, OddRow>();
   readonly #usableTargets = new Set<string>();
+  /** Targets of records that were read, by their service, until it is declared. */
+  readonly #undeclaredTargets = new Map<ServiceName, Set<string>>();
 
   private constructor(options: WorkerTableFakeOptions) {
     this.#options = options;
@@ -90,12 +92,22 @@
       isUsableAddress(meaning.record.address);
     if (!isUsable) return UNREADABLE;
     const { address, service } = meaning.record;
-    if (this.#options.isDeclared(service)) {
-      this.#usableTargets.add(describeTarget({ worker: key, address }));
-    }
+    const targets = this.#undeclaredTargets.get(service) ?? new Set();
+    targets.add(describeTarget({ worker: key, address }));
+    this.#undeclaredTargets.set(service, targets);
+    this.applyDeclaredServices();
     return { kind: "record", record: meaning.record };
   }
 
+  /** Records that were read before their service was declared are usable from then on. */
+  applyDeclaredServices(): void {
+    for (const [service, targets] of this.#undeclaredTargets) {
+      if (!this.#options.isDeclared(service)) continue;
+      targets.forEach((target) => this.#usableTargets.add(target));
+      this.#undeclaredTargets.delete(service);
+    }
+  }
+
   /** Whether a usable record has named the target. */
   hasNamed(target: WorkerTarget): boolean {
     return this.#usableTargets.has(describeTarget(target));
--- a/packages/node/cell/faults/odd_record_faults.ts
+++ b/packages/node/cell/faults/odd_record_faults.ts
@@ -1,7 +1,8 @@
 /**
  * Odd rows in the workers' table, which another writer puts, changes and removes: bytes that cannot
  * be read, records of services that are not declared, of workers that never answer, copies of live
- * workers' records, and other records under the names of live workers.
+ * workers' records, and other records under the names of live workers. The declared services change
+ * meanwhile.
  */
 import {
   brandId,
@@ -11,7 +12,7 @@
   type WorkerAddress,
 } from "@coltsfootpond/common";
 import type { WorkerRecord } from "@coltsfootpond/ports";
-import type { CellSimulation } from "../cell_simulation.ts";
+import { type CellSimulation, SIMULATED_SERVICE } from "../cell_simulation.ts";
 import {
   createClosedAddress,
   createSilentAddress,
@@ -20,7 +21,8 @@
 import type { WorkerFake } from "../workers_fake.ts";
 
 export const UNREADABLE_ROW: OddRow = { kind: "unreadable" };
-const UNDECLARED_SERVICE = "undeclared" as ServiceName;
+/** Declared for a part of the time only. */
+const OTHER_SERVICE = "other" as ServiceName;
 const MAXIMUM_PERIOD_MS = 1_000;
 /** Rows that come and go between two reads of the table, and rows that last. */
 const BRIEF_MS = 600;
@@ -28,6 +30,14 @@
 const MAXIMUM_ROWS = 4;
 const MANY_ROWS = 200;
 const MANY_SHARE = 0.01;
+/** Share of the changes with which the declared services change too. */
+const SERVICES_SHARE = 0.1;
+const DECLARED_SERVICES = [
+  [SIMULATED_SERVICE],
+  [SIMULATED_SERVICE],
+  [SIMULATED_SERVICE, OTHER_SERVICE],
+  [OTHER_SERVICE],
+] as const;
 /** Share of the rows that become odd under the name of a live worker. */
 const LIVE_SHARE = 0.4;
 /** Share of the rows of other names that stay for good. */
@@ -91,10 +101,10 @@
 /** How a record differs from that of a live worker. */
 const DIFFERENCES: readonly DrawRecord[] = [
   () => ({}),
-  () => ({ service: UNDECLARED_SERVICE }),
+  () => ({ service: OTHER_SERVICE }),
   (options) => ({ address: drawAddress(options) }),
   (options) => ({
-    service: UNDECLARED_SERVICE,
+    service: OTHER_SERVICE,
     address: drawAddress(options),
   }),
   ({ random }) => ({ incarnationStartUnixMs: pick(random, NUMBERS) }),
@@ -144,7 +154,9 @@
   /** Ends the changes. Some rows under names of no worker stay for good. */
   end(): void {
     this.#hasEnded = true;
-    const { simulation: { workers, workerTable }, random } = this.#options;
+    const { simulation, random } = this.#options;
+    const { workers, workerTable } = simulation;
+    simulation.declareServices([SIMULATED_SERVICE]);
     const names = new Set<string>(workers.keys());
     for (const key of workerTable.oddKeys) {
       const mayStay = !names.has(key);
@@ -163,6 +175,9 @@
       for (let row = 0; row < rows; row++) {
         this.#put(isMany ? `many${row}` : this.#drawKey());
       }
+      if (random.next() < SERVICES_SHARE) {
+        simulation.declareServices(pick(random, DECLARED_SERVICES));
+      }
       this.#changeLater();
     });
   }
--- a/packages/node/cell/odd_records/undeclared_services_test.ts
+++ b/packages/node/cell/odd_records/undeclared_services_test.ts
@@ -1,6 +1,6 @@
 /** Records of services that the declared state does not name. */
 import { expect } from "chai";
-import { CellSimulation } from "../cell_simulation.ts";
+import { CellSimulation, SIMULATED_SERVICE } from "../cell_simulation.ts";
 import {
   createClosedAddress,
   createSilentAddress,
@@ -18,7 +18,6 @@
   UNDECLARED,
 } from "./cell_fixtures.ts";
 
-const SERVICE = "service";
 const LONG_MS = 10_000;
 /** Time from which the placement of a task is late; the reports of the workers take some ms. */
 const PROMPT_MS = 100;
@@ -95,7 +94,7 @@
     }));
     await simulation.clock.advance(SETTLE_MS);
     expect(simulation.history).to.deep.equal([]);
-    simulation.declareServices(SERVICE, UNDECLARED);
+    simulation.declareServices([SIMULATED_SERVICE, UNDECLARED]);
     await simulation.clock.advance(SETTLE_MS);
     expect(simulation.history.map(({ worker }) => worker)).to.deep.equal(["b"]);
     expect(simulation.unnamedCalls).to.deep.equal([]);
@@ -104,7 +103,7 @@
   // Guards against runs whose leases expire as nobody follows them any more.
   it("that is removed has its runs followed to their ends", async () => {
     const simulation = await startRun();
-    simulation.declareServices("other");
+    simulation.declareServices([UNDECLARED]);
     await simulation.clock.advance(LONG_MS);
     const [run] = simulation.history;
     expect(simulation.get("a").running).to.have.length(1);
@@ -119,7 +118,7 @@
   // The same after the lease has passed to another holder.
   it("that is removed has its runs followed by a new holder", async () => {
     const simulation = await startRun();
-    simulation.declareServices("other");
+    simulation.declareServices([UNDECLARED]);
     await simulation.clock.advance(SETTLE_MS);
     startHolder(simulation);
     await simulation.clock.advance(LONG_MS);
