Let no task of the model check fail in its last 17 s

The trace shows no fault of the scheduler: a gang of four whole workers could start only when the capacities were back, 19 s after the last fault; the model then let its run fail four times in a row and both tasks of the next step once, and the 45 s were over while their next runs went on. Each task fails by chance with 20%, until the end. From 28 s after the last fault on they don't any more, so that a job that is not completed shows a fault. The check itself stays as it is: all jobs complete.

--- a/packages/node/cell/faults/faulty_cell.ts
+++ b/packages/node/cell/faults/faulty_cell.ts
@@ -53,6 +53,8 @@
 /** Time after the last fault until starts are checked, and until capacities stay. */
 const CAPACITY_CHECK_MS = 8_000;
 const CAPACITY_END_MS = 18_000;
+/** Time after the last fault until tasks fail no more, so that no job runs out of time by chance. */
+const FAILURE_END_MS = 28_000;
 const WORKERS = ["a", "b", "c", "d"] as const;
 const JOBS = 5;
 const FAULTY_STEPS = 24;
@@ -97,6 +99,7 @@
   #scheduler: CellScheduler | undefined;
   #holder: LeaseHolder | undefined;
   #isRecovering = false;
+  #mayTasksFail = true;
 
   private constructor(seed: number, options: FaultyCellOptions) {
     const random = SeededRandom.create(seed);
@@ -228,6 +231,7 @@
       if (passedMs === CAPACITY_CHECK_MS) this.#capacityFaults?.beginChecks();
       if (passedMs === QUOTA_END_MS) this.#quotaFaults?.end();
       if (passedMs === CAPACITY_END_MS) this.#capacityFaults?.end();
+      if (passedMs === FAILURE_END_MS) this.#mayTasksFail = false;
       this.#endTasks();
       await simulation.clock.advance(STEP_MS);
     }
@@ -339,7 +343,8 @@
 
   /** A task of a gang that fails ends alone; the others end `broken` later. */
   #end(running: readonly RunHistory[], isGang: boolean): void {
-    const end = this.#random.next() < 0.8 ? "done" : "failed";
+    const isFailing = this.#random.next() >= 0.8 && this.#mayTasksFail;
+    const end = isFailing ? "failed" : "done";
     const ending = isGang && end === "failed" ? running.slice(0, 1) : running;
     for (const { worker, task } of ending) {
       this.simulation.get(worker).end(task, end);
