Keep the connections of a worker whose clock was rejected

After a report with a wrong clock, a session has no usable report until the next one. It was then treated like a worker that has never reported: its connections were closed, also under commands in progress, and it was polled less and less often. Only a worker of which no report is known at all is now treated so.

--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -331,7 +331,8 @@
 
   /** Grows for a worker that has never reported, as its record may be another writer's. */
   #computeRetryDelayMs(): number {
-    if (this.hasReported) return RETRY_DELAY_MS;
+    // A worker whose clock was rejected has reported, and its connections may be in use.
+    if (this.#incarnation.startUnixMs !== undefined) return RETRY_DELAY_MS;
     const { workerPort, getMaximumRetryDelayMs } = this.#options;
     // Whatever listens there has a limited number of connections.
     workerPort.forget(this.target);
