review: stand-ins for many odd rows, and gangs on one runner

Two tasks of a gang on one runner were counted as one member, so that the gang waited for the others without end and each run ended `alone`. Members are now runs.

The store's reads sorted all rows of all tables and its feed searched the whole history for each write, too slow for 10,000 rows of another writer. The order of a part is kept until a row comes or goes, the feed reads only the newer part of the history, and ranges compare bytes, as the order does.

New for the test: `putText` (values that aren't base64), a process that exits with 0 after SIGTERM has not ended by itself, SIGKILL `graceS` after SIGTERM, requesters that keep connections, the machines' network, logs in files, and the types of what is used.

--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -4,7 +4,7 @@
  * the command of the deploy file. Everything listens on loopback addresses.
  */
 import { spawn } from "node:child_process";
-import { createWriteStream, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { appendFileSync, createWriteStream, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { createServer } from "node:net";
 import { request, Agent } from "node:http";
 import { tmpdir } from "node:os";
@@ -68,8 +68,8 @@
   endsByItself = 0;
   #isStopped = false;
   #child;
-  constructor({ name, host, zone, ports, settings, record, folder }) {
-    Object.assign(this, { name, host, zone, ports, record });
+  constructor({ name, host, zone, ports, settings, record, folder, logFolder }) {
+    Object.assign(this, { name, host, zone, ports, record, logFolder });
     this.settingsFile = join(folder, `${name}.toml`);
     writeFileSync(this.settingsFile, settings);
   }
@@ -84,11 +84,15 @@
     this.pid = this.#child.pid;
     const child = this.#child;
     let tail = "";
+    if (this.logFolder !== undefined) {
+      child.stdout.on("data", (chunk) => appendFileSync(join(this.logFolder, `${this.name}.log`), chunk));
+    }
     child.stdout.on("data", (chunk) => this.#scan(tail += chunk, (rest) => (tail = rest)));
     child.stderr.resume();
     child.once("exit", (code, signal) => {
       if (this.#isStopped) return;
-      const byItself = signal === null;
+      clearTimeout(this.#killTimer);
+      const byItself = signal === null && !(code === 0 && this.#leaving === child);
       if (byItself) this.endsByItself++;
       this.record("process ends", { machine: this.name, code, signal, byItself });
       this.#timer = setTimeout(() => this.start(), RESTART_DELAY_MS);
@@ -113,13 +117,22 @@
     return answer.status === 200;
   }
 
+  /** The platform sends SIGKILL `graceS` after SIGTERM. */
   signal(name) {
-    process.kill(this.pid, name);
+    const child = this.#child;
+    if (name === "SIGTERM") {
+      this.#leaving = child;
+      this.#killTimer = setTimeout(() => child.kill("SIGKILL"), 1_000 * BOUNDS.graceS);
+    }
+    child.kill(name);
   }
+  #leaving;
+  #killTimer;
 
   stop() {
     this.#isStopped = true;
     clearTimeout(this.#timer);
+    clearTimeout(this.#killTimer);
     try {
       this.#child?.kill("SIGKILL");
     } catch {
@@ -133,9 +146,9 @@
   return /^run = "(.*)"$/m.exec(text)[1].split(" ");
 }
 
-const agent = new Agent({ keepAlive: false });
+const singleUse = new Agent({ keepAlive: false });
 
-export function call({ host, port, method, path, headers = {}, body, timeoutMs }) {
+export function call({ host, port, method, path, headers = {}, body, timeoutMs, agent = singleUse }) {
   return new Promise((done) => {
     const text = body === undefined ? "" : JSON.stringify(body);
     const outgoing = request({ host, port, method, path, agent, headers: {
@@ -204,8 +217,15 @@
     this.record = record;
   }
 
-  /** `hasProxies`: each machine reaches the store through a proxy of its own (`storeProxies`). */
-  async start({ fronts = 6, runners = 8, enforcesCapacity = true, hasProxies = false } = {}) {
+  /**
+   * `hasProxies`: each machine reaches the store through a proxy of its own (`storeProxies`). `network`:
+   * the machines' addresses without the last number. `keepsConnections`: requesters use connections again.
+   * `logFolder`: where the logs of the processes are written, if anywhere.
+   */
+  async start({
+    fronts = 6, runners = 8, enforcesCapacity = true, hasProxies = false, network = "127.0.1", keepsConnections = false, logFolder,
+  } = {}) {
+    if (keepsConnections) this.#agent = new Agent({ keepAlive: true });
     this.store = new Store({ rowBytes: 65_536 });
     await this.store.listen("127.0.0.1");
     this.store.onRefused = (problem) => this.record.write("the store answers 400", { problem });
@@ -223,7 +243,7 @@
     }
     const machines = [];
     for (let index = 0; index < fronts; index++) {
-      const host = `127.0.1.${index + 1}`;
+      const host = `${network}.${index + 1}`;
       const ports = { front: await findPort(host), readiness: await findPort(host), control: await findPort(host) };
       const zone = ZONES[index % ZONES.length];
       machines.push({ name: `front-${zone}-${Math.floor(index / ZONES.length) + 1}`, host, zone, ports });
@@ -238,7 +258,7 @@
     }
     const seeds = machines.slice(0, 3).map(({ host, ports }) => `${host}:${ports.control}`);
     this.fronts = machines.map((machine) => new Front({
-      ...machine, record: this.record.write, folder: this.#folder, settings: formatSettings({ ...machine, seeds, store: this.store }),
+      ...machine, record: this.record.write, folder: this.#folder, logFolder, settings: formatSettings({ ...machine, seeds, store: this.store }),
     }));
     this.fronts.forEach((front) => front.start());
     return await this.awaitReady(20_000);
@@ -259,6 +279,7 @@
     this.record.write("the desired state is confirmed", { version, routes: queues.map(({ pathPrefix }) => pathPrefix) });
   }
   #enforcesCapacity;
+  #agent;
 
   async awaitReady(timeoutMs) {
     const deadlineMs = this.record.nowMs + timeoutMs;
@@ -275,14 +296,14 @@
     this.runners.forEach((runner) => runner.close());
     this.storeProxies.forEach((proxy) => proxy.close());
     this.store?.close();
+    this.#agent?.destroy();
     rmSync(this.#folder, { recursive: true, force: true });
   }
 
-  async #send(method, path, body) {
-    const front = this.fronts[this.#nextFront++ % this.fronts.length];
+  async #send(method, path, body, front = this.fronts[this.#nextFront++ % this.fronts.length]) {
     const { host, ports } = front;
     const answer = await call({
-      host, port: ports.front, method, path, body, timeoutMs: 3_000,
+      host, port: ports.front, method, path, body, timeoutMs: 3_000, agent: this.#agent,
       headers: { host: HOST, authorization: `Token ${KEY}`, "deadline-ms": "3000" },
     });
     return { ...answer, machine: front.name };
@@ -316,6 +337,18 @@
     return { status: 0 };
   }
 
+  /** The state that each machine gives, asked twice more if there is no answer. */
+  async getStates(queue, id) {
+    return await Promise.all(this.fronts.map(async (front) => {
+      let answer;
+      for (let attempt = 0; attempt < 3; attempt++) {
+        answer = await this.#send("GET", queue.pathPrefix + id, undefined, front);
+        if (answer.status !== 0 && answer.status < 500) break;
+      }
+      return { machine: front.name, state: answer.fields?.state, status: answer.status };
+    }));
+  }
+
   async cancel(queue, id) {
     const answer = await this.#send("DELETE", queue.pathPrefix + id);
     this.record.write("cancel", { job: id, machine: answer.machine, status: answer.status });
--- a/review/lib/runner.mjs
+++ b/review/lib/runner.mjs
@@ -14,13 +14,13 @@
   #present = new Map();
   /** Gangs of which a member has ended `done`, so that all members do. */
   done = new Set();
-  join(key, runner) {
+  join(key, run) {
     const members = this.#present.get(key) ?? new Set();
-    members.add(runner);
+    members.add(run);
     this.#present.set(key, members);
   }
-  leave(key, runner) {
-    this.#present.get(key)?.delete(runner);
+  leave(key, run) {
+    this.#present.get(key)?.delete(run);
   }
   count(key) {
     return this.#present.get(key)?.size ?? 0;
@@ -95,7 +95,7 @@
   #end() {
     this.isUp = false;
     this.#timers.forEach(clearInterval);
-    for (const run of this.#running.values()) if (run.gangKey) this.gangs.leave(run.gangKey, this);
+    for (const run of this.#running.values()) if (run.gangKey) this.gangs.leave(run.gangKey, run);
     this.#running.clear();
     this.#finished = [];
     this.#closed.clear();
@@ -148,7 +148,7 @@
     if (run.gangKey !== undefined) {
       const key = run.gangKey;
       run.gangKey = undefined;
-      this.gangs.leave(key, this);
+      this.gangs.leave(key, run);
     }
     for (const waiter of [...this.#waiters]) waiter();
   }
@@ -238,12 +238,13 @@
     this.#extend(deadlineMs);
     const gangKey = work.gang ? `${jobId}.${occurrence}.${step}#${runId}` : undefined;
     const nowMs = this.clockMs;
-    this.#running.set(task, {
+    const run = {
       task, runId, workMs: work.workMs, startMs: nowMs, workingMs: gangKey === undefined ? nowMs : undefined,
       isPersistent: work.persistent === true, failAfterMs: work.failAfterMs,
       cpu: work.cpu ?? 0, memMb: work.memMb ?? 0, gpu: work.gpu ?? 0, gangKey, gangCount: work.gang ? work.count : 1,
-    });
-    if (gangKey !== undefined) this.gangs.join(gangKey, this);
+    };
+    this.#running.set(task, run);
+    if (gangKey !== undefined) this.gangs.join(gangKey, run);
     this.record("run starts", { task, runId, runner: this.id });
     this.onStarted?.(task, runId);
     answer(200, {});
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -13,7 +13,11 @@
 
 export class Store {
   #rows = new Map();
+  /** The ids and keys of a part's rows in the order of their keys, until a row is added or removed. */
+  #sortedIds = new Map();
   #history = [];
+  /** The version of the newest change of each table. */
+  #newest = new Map();
   #version = 1;
   #waiters = new Set();
   #server;
@@ -55,6 +59,13 @@
     return this.#version;
   }
 
+  /** Like `put`, with the text that the store returns as the value, which need not be base64. */
+  putText(table, key, text) {
+    this.#version++;
+    this.#write({ table, part: "", key }, text);
+    this.#notify();
+  }
+
   list(table) {
     return [...this.#rows.values()].filter((row) => row.table === table);
   }
@@ -65,6 +76,8 @@
 
   #write({ table, part = "", key }, value) {
     const row = { table, part, key, ver: this.#version };
+    this.#newest.set(table, this.#version);
+    if (value === undefined || !this.#rows.has(this.#id(row))) this.#sortedIds.delete(JSON.stringify([table, part]));
     if (value === undefined) {
       this.#rows.delete(this.#id(row));
       this.#history.push({ ...row, deleted: true });
@@ -147,12 +160,9 @@
 
   #get(query, answer) {
     const limit = Math.min(MAXIMUM_ROWS, Number(query.get("limit") ?? MAXIMUM_ROWS));
-    const from = query.get("from") ?? "";
-    const to = query.get("to");
-    const matching = [...this.#rows.values()].filter((row) =>
-      row.table === query.get("table") && row.part === (query.get("part") ?? "") &&
-      row.key >= from && (to === null || row.key < to)
-    ).sort((left, right) => Buffer.compare(Buffer.from(left.key), Buffer.from(right.key)));
+    const from = Buffer.from(query.get("from") ?? "");
+    const to = query.has("to") ? Buffer.from(query.get("to")) : undefined;
+    const matching = this.#listPart(query.get("table"), query.get("part") ?? "", from, to);
     const rows = [];
     let bytes = 0;
     for (const row of matching) {
@@ -163,6 +173,19 @@
     answer(200, { rows, hasMore: rows.length < matching.length });
   }
 
+  #listPart(table, part, from, to) {
+    const place = JSON.stringify([table, part]);
+    if (!this.#sortedIds.has(place)) {
+      const rows = [...this.#rows.values()].filter((row) => row.table === table && row.part === part)
+        .map((row) => ({ id: this.#id(row), bytes: Buffer.from(row.key) }))
+        .sort((left, right) => Buffer.compare(left.bytes, right.bytes));
+      this.#sortedIds.set(place, rows);
+    }
+    return this.#sortedIds.get(place)
+      .filter(({ bytes }) => Buffer.compare(bytes, from) >= 0 && (to === undefined || Buffer.compare(bytes, to) < 0))
+      .map(({ id }) => this.#rows.get(id));
+  }
+
   #parts(query, answer) {
     const after = query.get("after") ?? "";
     const parts = [...new Set(this.list(query.get("table")).map(({ part }) => part))]
@@ -175,8 +198,9 @@
     const table = query.get("table");
     const find = () => {
       const newest = new Map();
-      for (const row of this.#history) {
-        if (row.table === table && row.ver > after) newest.set(this.#id(row), row);
+      for (let index = this.#history.length - 1; index >= 0 && this.#history[index].ver > after; index--) {
+        const row = this.#history[index];
+        if (row.table === table && !newest.has(this.#id(row))) newest.set(this.#id(row), row);
       }
       return [...newest.values()].sort((left, right) => left.ver - right.ver);
     };
@@ -189,7 +213,7 @@
       answer(200, { rows: find() });
     };
     const waiter = () => {
-      if (!isAnswered && find().length > 0) finish();
+      if (!isAnswered && (this.#newest.get(table) ?? 0) > after) finish();
     };
     const timer = setTimeout(finish, Math.min(30_000, Number(query.get("waitMs") ?? 0)) + 1);
     this.#waiters.add(waiter);
