--- a/packages/node/cell/background/failing_writes_test.ts
+++ b/packages/node/cell/background/failing_writes_test.ts
@@ -116,6 +116,18 @@
     expect(fake.keys()).to.deep.equal([`progress/${SOUND}`]);
   });
 
+  it("goes on after an error outside single jobs", async () => {
+    let isBroken = true;
+    const { writer, clock, store } = createWriter({
+      snapshotProcessedEnds: () => isBroken ? fail() : () => {},
+    });
+    writer.mark(createJob(SOUND), true);
+    await clock.advance(1_000);
+    isBroken = false;
+    await clock.advance(1_000);
+    expect(store.keys()).to.deep.equal([`progress/${SOUND}`]);
+  });
+
   // Guards against an end that cannot be stored, after which no other is.
   it("stores the ends of the others", async () => {
     const { writer, clock, store, closed } = createWriter();
--- a/scripts/mutations/mutations.ts
+++ b/scripts/mutations/mutations.ts
@@ -3,6 +3,7 @@
  * fail when a promise is broken. This file lists those of jobs, calls, configuration and the table.
  */
 import { ADMISSION_MUTATIONS } from "./admission_mutations.ts";
+import { BACKGROUND_MUTATIONS } from "./background_mutations.ts";
 import { CELL_MUTATIONS } from "./cell_mutations.ts";
 import { CRASH_MUTATIONS } from "./crash_mutations.ts";
 import { DUPLICATE_RUN_MUTATIONS } from "./duplicate_run_mutations.ts";
@@ -238,4 +239,5 @@
   ...QUOTA_MUTATIONS,
   ...ADMISSION_MUTATIONS,
   ...WORKER_CONNECTION_MUTATIONS,
+  ...BACKGROUND_MUTATIONS,
 ];
