Limit and count the failures of the metrics server

It logged to the program's own log, past the limit of repeated failures and the counters by activity; a scraper could fill the log. The entry hands out its log. Found by reading; types and lint only, no test of its own.

--- a/apps/coltsfootpond_scheduler/main.ts
+++ b/apps/coltsfootpond_scheduler/main.ts
@@ -97,10 +97,11 @@
 /** Logs a failure to listen instead of throwing: the entry serves callers even without metrics. */
 async function serveMetrics(
   meters: CellMeters,
+  entryLog: CellLog,
   address: HostPort,
 ): Promise<void> {
   try {
-    await MetricsServer.create({ meters, log }).listen(address);
+    await MetricsServer.create({ meters, log: entryLog }).listen(address);
   } catch (error) {
     log.warn("metrics.unavailable", { ...address, detail: String(error) });
   }
@@ -137,8 +138,8 @@
   await entry.start();
   isStarted = true;
   if (metricsPort === undefined) return;
-  meters.watchEventLoop(clock, LOOP_CHECK_MS, log);
-  await serveMetrics(meters, {
+  meters.watchEventLoop(clock, LOOP_CHECK_MS, entry.log);
+  await serveMetrics(meters, entry.log, {
     host: settings.callerAddress.host,
     port: metricsPort,
   });
--- a/packages/node/cell/cell_entry.ts
+++ b/packages/node/cell/cell_entry.ts
@@ -207,6 +207,11 @@
     return new CellEntry(options);
   }
 
+  /** The log of this entry: its events are counted, and repeated failures are limited. */
+  get log(): CellLog {
+    return this.#options.log;
+  }
+
   /**
    * Opens the servers, follows the store and competes for the lease. Rejects when an address cannot
    * be bound.
