Ask a moved worker at its new address once the earlier one is closed

Since a new holder kept the session from the stored roster until the worker reported or its leases had lapsed. A worker that really moved while the lease moved was asked that much later, and its run was started again that much later.

Two polls in a row at which the connection is refused show that no process listens at the roster's address; then the record is followed.

The tests of odd records under a live worker's key pass.

--- a/packages/node/cell/worker_fleet.ts
+++ b/packages/node/cell/worker_fleet.ts
@@ -301,7 +301,7 @@
   /** Runs of an earlier lease holder may go on until the worker reports that there are none. */
   #isReplaceable(session: WorkerSession): boolean {
     const mayRunUnreported = this.#carriedOver.has(session.worker) &&
-      !session.haveLeasesExpired();
+      !session.isClosed && !session.haveLeasesExpired();
     return session.isIdle && !mayRunUnreported;
   }
 
--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -32,6 +32,8 @@
 
 /** Longest wait of a long poll; below the lease of a start, which the next poll extends. */
 const LONG_POLL_MS = 1_000;
+/** One connection may be reset although a process listens. */
+const REFUSED_POLLS_TO_CLOSED = 2;
 /** Delay before each poll of a worker without task runs. */
 const ACKNOWLEDGE_DELAY_MS = 800;
 
@@ -74,6 +76,8 @@
   #isReportDue = false;
   #isStopped = false;
   #isFenced = false;
+  /** Consecutive polls at which the connection was refused or closed. */
+  #refusedPolls = 0;
   #firstContactDelayMs = RETRY_DELAY_MS / 2;
   /** The removal of the present incarnation's record, until the worker answers. */
   #left: LeftWorker | undefined;
@@ -136,6 +140,11 @@
     return this.hasReported && this.#reachability.isReachable;
   }
 
+  /** Whether no process seems to listen at the address. */
+  get isClosed(): boolean {
+    return this.#refusedPolls >= REFUSED_POLLS_TO_CLOSED;
+  }
+
   /** Whether it has refused a poll because of a later epoch, and has not reported since. */
   get isFenced(): boolean {
     return this.#isFenced;
@@ -410,6 +419,9 @@
 
   #applyOutcome(outcome: RenewOutcome, requestedMs: number): boolean {
     const { listener } = this.#options;
+    const isRefused = outcome.kind === "unavailable" &&
+      outcome.isConnectionLost === true;
+    this.#refusedPolls = isRefused ? this.#refusedPolls + 1 : 0;
     switch (outcome.kind) {
       case "report":
         this.#applyReport(outcome, requestedMs);
