Give the writes of the roster an owner

The fleet's roster writes were the last dropped promises of the cell: an error there would have been reported as unowned, and a row whose write threw would have counted as stored as before.

Evidence: scripts/background_work_test.ts had an exception for worker_fleet.ts, which is removed.

--- a/packages/node/cell/background/activities.ts
+++ b/packages/node/cell/background/activities.ts
@@ -33,6 +33,7 @@
   WATCH_EVENT_LOOP: "watch_event_loop",
   WRITE_BEGUN_JOBS: "write_begun_jobs",
   WRITE_PROGRESS: "write_progress",
+  WRITE_ROSTER: "write_roster",
   /** An error that none of the others has reported. */
   UNOWNED: "unowned",
 } as const;
--- a/packages/node/cell/worker_fleet.ts
+++ b/packages/node/cell/worker_fleet.ts
@@ -19,6 +19,8 @@
   WorkerRecord,
   WorkerTarget,
 } from "@coltsfootpond/ports";
+import { BACKGROUND_ACTIVITY } from "./background/activities.ts";
+import { guard, runInBackground } from "./background/run_in_background.ts";
 import type { CellLog, LogFields } from "./log.ts";
 import { putRow } from "./state_rows/put_row.ts";
 import {
@@ -50,6 +52,7 @@
 const MS_PER_FIRST_CONTACT = 10;
 /** Collects the first reports of several workers for one write of the roster. */
 const ROSTER_DELAY_MS = 4;
+const { WRITE_ROSTER } = BACKGROUND_ACTIVITY;
 const UNDECLARED_SERVICE: RecordProblem = {
   field: "service",
   expected: "a declared service",
@@ -260,10 +263,15 @@
       if (!usable.has(session.worker)) session.setRecord(undefined);
     }
     this.#dropIdleSessions();
-    void this.#writeRoster();
+    this.#requestRosterWrite();
     this.#options.onChanged();
   }
 
+  #requestRosterWrite(): void {
+    const { log } = this.#options;
+    runInBackground(log, WRITE_ROSTER, () => this.#writeRoster());
+  }
+
   /**
    * The session with the worker. A worker at a new address gets a new session once nothing can run at
    * the known one.
@@ -348,10 +356,12 @@
     this.#carriedOver.delete(worker);
     if (this.#isRosterWriteDue) return;
     this.#isRosterWriteDue = true;
-    this.#options.clock.after(ROSTER_DELAY_MS, () => {
+    const { clock, log } = this.#options;
+    const write = () => {
       this.#isRosterWriteDue = false;
-      void this.#writeRoster();
-    });
+      return this.#writeRoster();
+    };
+    clock.after(ROSTER_DELAY_MS, guard(log, WRITE_ROSTER, write));
   }
 
   /** Stores the roster of all workers that may be used, before they are used. */
@@ -377,8 +387,12 @@
   }
 
   async #writeRosterRow(row: RosterContents): Promise<void> {
-    const isStored = await putRow(this.#options, row.key, encodeRoster(row));
-    this.#roster.recordWrite(row, isStored);
+    let isStored = false;
+    try {
+      isStored = await putRow(this.#options, row.key, encodeRoster(row));
+    } finally {
+      this.#roster.recordWrite(row, isStored);
+    }
   }
 
   #setRostered(rows: readonly RosterContents[]): void {
--- a/scripts/background_work_test.ts
+++ b/scripts/background_work_test.ts
@@ -11,11 +11,6 @@
 const OTHER_SOURCES =
   /_test\.ts$|\/(?:background|fakes|faults)\/|cell_simulation\.ts$|workers_fake\.ts$|test_fixtures\.ts$/;
 
-/** Sources whose work has no owner yet. */
-const PENDING: ReadonlySet<string> = new Set([
-  "packages/node/cell/worker_fleet.ts",
-]);
-
 /** What has to be written with one of the functions of `background/`, and what to use. */
 const PATTERNS: Readonly<Record<string, RegExp>> = {
   "a promise that is dropped; use runInBackground":
@@ -50,9 +45,7 @@
   return SOURCE_FOLDERS.flatMap((folder) =>
     readdirSync(folder, { recursive: true, encoding: "utf8" })
       .map((name) => join(folder, name))
-      .filter((file) =>
-        file.endsWith(".ts") && !OTHER_SOURCES.test(file) && !PENDING.has(file)
-      )
+      .filter((file) => file.endsWith(".ts") && !OTHER_SOURCES.test(file))
   );
 }
 
