Take another worker's answer at the roster's address as a closed one

A worker that moved while the lease moved was asked at its new address only when its leases had lapsed, if another worker had taken its earlier address: that one answers for another life, which did not count as a refused connection.

--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -76,7 +76,7 @@
   #isReportDue = false;
   #isStopped = false;
   #isFenced = false;
-  /** Consecutive polls at which the connection was refused or closed. */
+  /** Consecutive polls at which the connection was refused or closed, or another worker answered. */
   #refusedPolls = 0;
   #firstContactDelayMs = RETRY_DELAY_MS / 2;
   /** The removal of the present incarnation's record, until the worker answers. */
@@ -140,7 +140,7 @@
     return this.hasReported && this.#reachability.isReachable;
   }
 
-  /** Whether no process seems to listen at the address. */
+  /** Whether the worker does not seem to be at the address any more. */
   get isClosed(): boolean {
     return this.#refusedPolls >= REFUSED_POLLS_TO_CLOSED;
   }
@@ -419,8 +419,8 @@
 
   #applyOutcome(outcome: RenewOutcome, requestedMs: number): boolean {
     const { listener } = this.#options;
-    const isRefused = outcome.kind === "unavailable" &&
-      outcome.isConnectionLost === true;
+    const isRefused = outcome.kind === "wrong_life" ||
+      outcome.kind === "unavailable" && outcome.isConnectionLost === true;
     this.#refusedPolls = isRefused ? this.#refusedPolls + 1 : 0;
     switch (outcome.kind) {
       case "report":
