Give transactions that the store rejects an outcome of their own

Callers would see no job start any more, and reads end again and again, after one row over the store's limit: the store answers 400 with nothing done, and `StoreClient` took that for a lost answer. The transaction was then repeated unchanged, and `DirectPath` took the path to the store as down, which ends all reads and long polls in progress.

A transaction that is answered with 400 or 413 now has the outcome `rejected`: it certainly has no effect and never succeeds unchanged. A submission that the store rejects is answered with 413, unless an earlier try got no answer (504 then).

--- a/packages/node/cell/callers/caller_filters.ts
+++ b/packages/node/cell/callers/caller_filters.ts
@@ -214,6 +214,8 @@
       return { status: STATUS.OK, body: "{}", reason: "accepted" };
     case "refused":
       return unavailable("the store refused the job");
+    case "rejected":
+      return { status: STATUS.TOO_LARGE, reason: "the store rejected the job" };
     case "refused_now": {
       const { retryAfterS, reason } = outcome;
       return { status: STATUS.TOO_MANY, retryAfterS, reason };
--- a/packages/node/cell/callers/job_repository.ts
+++ b/packages/node/cell/callers/job_repository.ts
@@ -48,11 +48,12 @@
 
 /**
  * `unknown`: the write may still take effect, or the job has a row that cannot be decoded;
- * `refused`: it certainly never does; `barred`: neither does this one, as another try of the job was
+ * `refused`: it certainly never does; `rejected`: neither does this one, nor any repetition, as the
+ * store can't take the job's row; `barred`: neither does this one, as another try of the job was
  * refused for lack of capacity meanwhile.
  */
 export type SubmitOutcome = {
-  readonly kind: "accepted" | "unknown" | "refused" | "barred";
+  readonly kind: "accepted" | "unknown" | "refused" | "rejected" | "barred";
 };
 /**
  * `refused`: no earlier try of the job is stored or will be; `accepted`: one is stored; `unknown`:
@@ -169,6 +170,8 @@
           marker = found;
           continue;
         }
+        case "rejected":
+          return { kind: mayBeWritten ? "unknown" : "rejected" };
         case "unavailable":
           mayBeWritten ||= outcome.effect === "lost";
       }
@@ -210,6 +213,8 @@
           follower.apply(outcome.rows);
           marker = findVersion(outcome.rows, markerKey);
           continue;
+        case "rejected":
+          return { kind: "unavailable" };
         case "unavailable":
           if (outcome.effect === "refused") return { kind: "unavailable" };
       }
@@ -263,6 +268,7 @@
         this.#options.follower.apply(outcome.rows);
         continue;
       }
+      if (outcome.kind === "rejected") return { kind: "refused" };
       if (!await this.#pause(deadlineMs)) return { kind: "unknown" };
       row = this.#options.follower.get(key) ?? row;
     }
--- a/packages/node/cell/callers/job_repository_test.ts
+++ b/packages/node/cell/callers/job_repository_test.ts
@@ -88,6 +88,39 @@
     expect(outcome.kind).to.equal("unknown");
   });
 
+  // Guards against a job that can't be stored and that is tried again until its caller's time-out.
+  it("submits and cancels nothing twice that the store rejects", async () => {
+    const clock = ManualClock.create();
+    let tries = 0;
+    const { jobRepository } = createRepository(clock, () => () => {
+      tries++;
+      return Promise.resolve({ kind: "rejected", reason: "status 413" });
+    });
+    const submitted = jobRepository.submit(SPEC, 1_000);
+    expect((await advanceAndAwait(clock, submitted)).kind).to.equal("rejected");
+    const cancelled = jobRepository.cancel(
+      JOB,
+      REQUESTER,
+      clock.nowMs() + 1_000,
+    );
+    expect((await advanceAndAwait(clock, cancelled)).kind).to.equal("refused");
+    expect(tries).to.equal(2);
+  });
+
+  it("does not call a submission rejected after an unanswered write", async () => {
+    const clock = ManualClock.create();
+    let tries = 0;
+    const { jobRepository } = createRepository(clock, () => () => {
+      tries++;
+      return Promise.resolve(
+        tries === 1 ? LOST : { kind: "rejected", reason: "status 413" },
+      );
+    });
+    const submitted = jobRepository.submit(SPEC, 1_000);
+    expect((await advanceAndAwait(clock, submitted)).kind).to.equal("unknown");
+    expect(tries).to.equal(2);
+  });
+
   it("refuses at once, and sends nothing, while the store is down", async () => {
     const clock = ManualClock.create();
     const { jobRepository, store } = createRepository(clock, undefined, 1_000);
--- a/packages/node/cell/lease/scheduler_lease.ts
+++ b/packages/node/cell/lease/scheduler_lease.ts
@@ -363,6 +363,7 @@
       case "conflict":
         follower.apply(outcome.rows);
         return;
+      case "rejected":
       case "unavailable":
         log.warn("lease.renewal_failed", { epoch: held.epoch, ...outcome });
     }
--- a/packages/node/cell/peers/message_checks.ts
+++ b/packages/node/cell/peers/message_checks.ts
@@ -84,6 +84,10 @@
       return callKind === "transact" && isRows(rows)
         ? { kind, rows }
         : undefined;
+    case "rejected":
+      return callKind === "transact" && isText(message.reason)
+        ? { kind, reason: message.reason }
+        : undefined;
     case "rows":
       return callKind !== "transact" && isRows(rows) && isCount(version)
         ? { kind, rows, version }
--- a/packages/node/cell/peers/odd_messages_test.ts
+++ b/packages/node/cell/peers/odd_messages_test.ts
@@ -132,12 +132,15 @@
         ...NO_ROWS.map((rows) => ({ kind: "conflict", rows })),
         { kind: "rows", rows: [], version: 1 },
         { kind: "history_lost" },
+        { kind: "rejected" },
+        { kind: "rejected", reason: 7 },
       ],
       read: [
         ...versioned.map((fields) => ({ kind: "rows", rows: [], ...fields })),
         ...NO_ROWS.map((rows) => ({ kind: "rows", rows, version: 1 })),
         { kind: "committed", version: 1 },
         { kind: "history_lost" },
+        { kind: "rejected", reason: "status 400" },
       ],
       follow: [
         ...NO_ROWS.map((rows) => ({ kind: "rows", rows, version: 1 })),
@@ -180,6 +183,7 @@
       const [kind, message] of [
         ["transact", { kind: "committed", version: 3 }],
         ["transact", conflict],
+        ["transact", { kind: "rejected", reason: "status 400" }],
         ["read", rows],
         ["follow", rows],
         ["follow", lost],
--- a/packages/node/cell/progress_writer.ts
+++ b/packages/node/cell/progress_writer.ts
@@ -212,6 +212,7 @@
           this.#guard(job, () => this.#reconcile(job, outcome.rows));
         }
         return false;
+      case "rejected":
       case "unavailable":
         log.warn("progress.write_failed", { jobs: jobs.length, ...outcome });
         jobs.forEach((job) => this.#dirty.add(job));
@@ -262,6 +263,7 @@
         // Unless its row can't be decoded: the job is then held, and its progress still needed.
         if (!job.isHeld) onClosed(job);
         return true;
+      case "rejected":
       case "unavailable":
         log.warn("progress.end_failed", { job: job.jobId, ...outcome });
         return false;
--- a/packages/node/cell/store_relay_test.ts
+++ b/packages/node/cell/store_relay_test.ts
@@ -115,6 +115,36 @@
     ]);
   });
 
+  // Guards against one transaction that the store rejects and that ends all reads in progress, as the
+  // direct path counted as down.
+  it("keeps using the direct path after a transaction that the store rejects", async () => {
+    const rejected = { kind: "rejected", reason: "status 400" } as const;
+    const relay = createRelay({
+      ...store,
+      transact: () => Promise.resolve(rejected),
+    }, []);
+    expect(await relay.transact(TRANSACTION, 500)).to.deep.equal(rejected);
+    expect(relay.isDirectDown).to.equal(false);
+    expect(relay.downForMs).to.equal(0);
+  });
+
+  // Guards against a transaction that a peer has seen rejected and that is tried at each other peer.
+  it("passes on that the store has rejected a peer's transaction", async () => {
+    const rejected = { kind: "rejected", reason: "status 413" } as const;
+    let calls = 0;
+    const rejecting: StateStore = {
+      ...store,
+      transact: () => {
+        calls++;
+        return Promise.resolve(rejected);
+      },
+    };
+    peers = [await createPeer(rejecting), await createPeer(rejecting)];
+    const relay = createRelay(createFailingStore("refused"), peers);
+    expect(await relay.transact(TRANSACTION, 500)).to.deep.equal(rejected);
+    expect(calls).to.equal(1);
+  });
+
   it("compresses a large table to a fraction of its size", async () => {
     const value = Buffer.from(
       Array.from(
--- a/packages/ports/cell/store.ts
+++ b/packages/ports/cell/store.ts
@@ -39,11 +39,21 @@
   readonly deletes: readonly string[];
 }
 
+/**
+ * The store has answered that the transaction is malformed or too large. It certainly has no effect,
+ * and the same transaction never succeeds, so it must not be repeated unchanged.
+ */
+export interface RejectedTransaction {
+  readonly kind: "rejected";
+  readonly reason: string;
+}
+
 /** An `Unavailable` whose `effect` is `lost`: the transaction may still have been committed. */
 export type TransactOutcome =
   | { readonly kind: "committed"; readonly version: number }
   /** `rows` are the current rows of the conditions' keys; a key that has no row is left out. */
   | { readonly kind: "conflict"; readonly rows: readonly StateRow[] }
+  | RejectedTransaction
   | Unavailable;
 
 /** Rows of a table. */
