Keep a job whose progress can't be stored from stopping the others

Callers would see no job start any more: up to 30 jobs share a transaction, and one row over the store's limit made the store reject all of it, each time.

The writer now counts the size of a row before sending it, fills a transaction to 900 kB of base64 at most (the platform allows 1 MB), and sends the halves of a rejected transaction until the row that the store can't take is alone. That job is not written again before its contents change. Its placements that are not stored hold no workers: their runs are closed, and half as many units of the job are placed at once from then on. While a job can't be stored, no ends are acknowledged to workers, as its ends may be among them; they are kept there until it can be.

--- a/packages/node/cell/background/failing_writes_test.ts
+++ b/packages/node/cell/background/failing_writes_test.ts
@@ -32,6 +32,8 @@
     clock,
     nowUnixMs: () => 0,
     log: SILENT_LOG,
+    rowLimitBytes: 65_536,
+    onRejected: () => {},
     canAct: () => true,
     findOtherRuns: () => NO_OTHER_RUNS,
     snapshotProcessedEnds: () => () => {},
--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -145,6 +145,7 @@
     const { settings, declared } = options;
     this.#writer = ProgressWriter.create({
       ...options,
+      rowLimitBytes: settings.rowLimitBytes,
       findOtherRuns: (job) => ({
         isUnreported: this.#isUnreported,
         strayWorkers: this.#runs.listStrayWorkers(job),
@@ -152,6 +153,12 @@
       snapshotProcessedEnds: () => this.#fleet.snapshotProcessedEnds(),
       onClosed: (job) => this.#jobs.close(job),
       onPlaced: (unit) => this.#runs.sendStarts(unit),
+      onRejected: (job) => {
+        job.halveMaximumRuns();
+        job.listPending().forEach(([unit]) =>
+          this.#runs.close(unit, "its placement can't be stored")
+        );
+      },
       onNewerHolder: () => options.onNewerHolder("progress of a later holder"),
     });
     this.#begunJobs = BegunJobsWriter.create(options);
--- a/packages/node/cell/duplicate_runs/replaced_placement_test.ts
+++ b/packages/node/cell/duplicate_runs/replaced_placement_test.ts
@@ -49,6 +49,8 @@
       clock,
       nowUnixMs: () => 0,
       log: SILENT_LOG,
+      rowLimitBytes: 65_536,
+      onRejected: () => {},
       canAct: () => true,
       findOtherRuns: () => NO_OTHER_RUNS,
       snapshotProcessedEnds: () => () => {},
--- a/packages/node/cell/live_job.ts
+++ b/packages/node/cell/live_job.ts
@@ -84,6 +84,8 @@
    * is not written, but the ends of its runs are still recorded.
    */
   isHeld = false;
+  /** How many units may run at once; limited once the store can't take their placements. */
+  #maximumRuns = Number.POSITIVE_INFINITY;
   /** How the job ends, once that is certain; its row may not be written yet. */
   ending: EndedState | undefined;
   /** Why it ends as failed. */
@@ -182,6 +184,23 @@
     );
   }
 
+  /** Halves the number of units that may run at once, as the store can't take so many placements. */
+  halveMaximumRuns(): void {
+    this.#maximumRuns = Math.floor(this.#countRuns() / 2);
+  }
+
+  /** How many more of its units may run at once. */
+  countStartable(): number {
+    return this.#maximumRuns === Number.POSITIVE_INFINITY
+      ? this.#maximumRuns
+      : Math.max(0, this.#maximumRuns - this.#countRuns());
+  }
+
+  #countRuns(): number {
+    return [...this.units.values()].filter(({ run }) => run !== undefined)
+      .length;
+  }
+
   get jobId(): CellJobId {
     return this.spec.jobId;
   }
--- a/packages/node/cell/plan_input.ts
+++ b/packages/node/cell/plan_input.ts
@@ -104,10 +104,14 @@
     const evictionGain = spec.priority === URGENT_PRIORITY
       ? computeLateLoss(rankInput, Number.POSITIVE_INFINITY)
       : 0;
+    let startable = job.countStartable();
     for (const unit of job.units.values()) {
       if (unit.run !== undefined) {
         running.push(createRunning(unit, rankInput, nowMs));
-      } else if (!options.isBlocked(unit) && !suspects.isHeldBack(unit)) {
+      } else if (
+        startable > 0 && !options.isBlocked(unit) && !suspects.isHeldBack(unit)
+      ) {
+        startable--;
         const waitedMs = nowMs - unit.waitingSinceMs;
         const isGuaranteed = rank.tier === RANK_TIER.GUARANTEED;
         waiting.push({
--- a/packages/node/cell/progress_writer.ts
+++ b/packages/node/cell/progress_writer.ts
@@ -1,8 +1,10 @@
 /**
  * Stores the progress of jobs in batches. Every write is conditional on the row versions that this
  * lease holder has read, so that a holder that has lost the lease changes nothing. Run ends are
- * acknowledged to workers only after they are stored.
+ * acknowledged to workers only after they are stored. A job whose progress the store can't take
+ * keeps no other job from being stored, and is not written unchanged again.
  */
+import { Buffer } from "node:buffer";
 import { type Clock, createUniqueId, type Timer } from "@coltsfootpond/common";
 import type { CellJobId } from "@coltsfootpond/policy";
 import type { StateRow, StateStore } from "@coltsfootpond/ports";
@@ -31,6 +33,12 @@
 const RETRY_DELAY_MS = 120;
 /** Each job takes up to three of the 100 entries of a transaction (the platform's protocol). */
 const JOBS_PER_TRANSACTION = 30;
+/** The protocol allows 1 MB; the rest is for the transaction's other fields. */
+const MAXIMUM_TRANSACTION_BYTES = 900_000;
+/** Bytes of a row in a transaction besides its value: its key, in the condition and in the write. */
+const ROW_OVERHEAD_BYTES = 300;
+/** Values are sent in base64. */
+const ENCODED_BYTES_PER_BYTE = 4 / 3;
 const { WRITE_PROGRESS } = BACKGROUND_ACTIVITY;
 
 export interface ProgressWriterOptions {
@@ -40,6 +48,8 @@
   readonly nowUnixMs: () => number;
   readonly log: CellLog;
   readonly canAct: () => boolean;
+  /** The store's limit of the value of a row. */
+  readonly rowLimitBytes: number;
   /** Runs of the job that its units do not show, but that a later holder must know of. */
   readonly findOtherRuns: (job: LiveJob) => OtherRuns;
   /**
@@ -51,6 +61,11 @@
   readonly onClosed: (job: LiveJob) => void;
   /** The unit's placement is stored, so its starts may be sent. */
   readonly onPlaced: (unit: Unit) => void;
+  /**
+   * The store can't take the job's progress, so the placements that it stores for the first time
+   * are not stored.
+   */
+  readonly onRejected: (job: LiveJob) => void;
   /** Another lease holder has written the progress row. */
   readonly onNewerHolder: () => void;
 }
@@ -61,6 +76,8 @@
   readonly #dirty = new Set<LiveJob>();
   /** Ended jobs whose progress rows are still to be deleted. */
   readonly #endedJobIds = new Set<CellJobId>();
+  /** Jobs that the store can't take as they are, with the contents that it can't take. */
+  readonly #rejected = new Map<LiveJob, Uint8Array>();
   #dueMs: number | undefined;
   #timer: Timer | undefined;
   #isRunning = false;
@@ -93,6 +110,7 @@
   /** Drops the job after its end; the next write deletes its progress row. */
   forget(job: LiveJob): void {
     this.#dirty.delete(job);
+    this.#rejected.delete(job);
     if (job.progressVersion !== 0) this.#endedJobIds.add(job.jobId);
   }
 
@@ -153,36 +171,106 @@
       ...ending.map((job) => this.#attempt(() => this.#storeEnd(job), job)),
     ]);
     if (!results.every((isStored) => isStored)) return false;
-    confirmEnds();
+    // The ends of a job that can't be stored may be among those of any worker.
+    if (this.#rejected.size === 0) confirmEnds();
     return true;
   }
 
   /** All progress rows are in one group, so that one transaction can store those of many jobs. */
   async #storeProgress(jobs: readonly LiveJob[]): Promise<boolean> {
     let isStored = true;
-    for (let first = 0; first < jobs.length; first += JOBS_PER_TRANSACTION) {
-      const batch = jobs.slice(first, first + JOBS_PER_TRANSACTION);
+    let rest = jobs;
+    while (rest.length > 0 && !this.#isStopped) {
+      if (!this.#options.canAct()) return false;
+      const { writes, taken, isComplete } = this.#takeBatch(rest);
+      rest = rest.slice(taken);
+      isStored = isComplete && isStored;
+      if (writes.length === 0) continue;
       const deletes = [...this.#endedJobIds].slice(0, JOBS_PER_TRANSACTION);
-      isStored = await this.#storeBatch(batch, deletes) && isStored;
+      isStored = await this.#storeBatch(writes, deletes) && isStored;
     }
     return isStored;
   }
 
+  /** Writes of the first jobs, as many as one transaction holds; at least one job is taken. */
+  #takeBatch(jobs: readonly LiveJob[]): {
+    readonly writes: readonly ProgressWrite[];
+    readonly taken: number;
+    /** False when the progress of a job could not be encoded. */
+    readonly isComplete: boolean;
+  } {
+    const writes: ProgressWrite[] = [];
+    let bytes = 0;
+    let taken = 0;
+    let failed = 0;
+    for (const job of jobs) {
+      if (writes.length === JOBS_PER_TRANSACTION) break;
+      let write: ProgressWrite | undefined;
+      this.#guard(job, () => {
+        write = createWrite(job, this.#options.findOtherRuns(job));
+      });
+      if (write === undefined) {
+        failed++;
+      } else if (this.#isRejected(write)) {
+        this.#dirty.delete(job);
+      } else {
+        const added = countTransactionBytes(write);
+        const isFull = bytes + added > MAXIMUM_TRANSACTION_BYTES;
+        if (isFull && writes.length > 0) break;
+        bytes += added;
+        writes.push(write);
+      }
+      taken++;
+    }
+    for (const { job, writeId } of writes) {
+      this.#dirty.delete(job);
+      job.writeIds.add(writeId);
+    }
+    return { writes, taken, isComplete: failed === 0 };
+  }
+
+  /** Whether the store certainly can't take the write, by its size or as it has rejected it. */
+  #isRejected(write: ProgressWrite): boolean {
+    const { job, value } = write;
+    if (value.byteLength > this.#options.rowLimitBytes) {
+      this.#reject(write, `a row of ${value.byteLength} bytes`);
+      return true;
+    }
+    const rejected = this.#rejected.get(job);
+    return rejected !== undefined && isEqualBytes(rejected, write.contents());
+  }
+
+  #reject(write: ProgressWrite, reason: string): void {
+    const { log, onRejected } = this.#options;
+    const { job, value } = write;
+    const contents = write.contents();
+    const known = this.#rejected.get(job);
+    this.#rejected.set(job, contents);
+    if (known !== undefined && isEqualBytes(known, contents)) return;
+    if (known === undefined) {
+      const { byteLength: bytes } = value;
+      log.warn("progress.rejected", { job: job.jobId, reason, bytes });
+    }
+    if (write.pending.length === 0) return;
+    this.#guard(job, () => onRejected(job));
+    // Without these placements the store may take the rest.
+    this.mark(job, false);
+  }
+
+  /**
+   * Stores the writes in one transaction, and in two with half of them each when the store rejects
+   * it, until the one that it can't take is alone.
+   */
   async #storeBatch(
-    candidates: readonly LiveJob[],
+    writes: readonly ProgressWrite[],
     deletes: readonly CellJobId[],
   ): Promise<boolean> {
     const { store, log, canAct } = this.#options;
-    if (this.#isStopped || !canAct()) return false;
-    const { findOtherRuns } = this.#options;
-    const writes: ProgressWrite[] = [];
-    for (const job of candidates) {
-      this.#guard(job, () => writes.push(createWrite(job, findOtherRuns(job))));
-    }
-    const isComplete = writes.length === candidates.length;
-    if (!isComplete && writes.length === 0) return false;
     const jobs = writes.map(({ job }) => job);
-    jobs.forEach((job) => this.#dirty.delete(job));
+    if (this.#isStopped || !canAct()) {
+      jobs.forEach((job) => this.#dirty.add(job));
+      return false;
+    }
     const outcome = await store.transact({
       conditions: jobs.map((job) => ({
         key: progressKey(job.jobId),
@@ -201,7 +289,7 @@
         for (const write of writes) {
           this.#guard(write.job, () => this.#confirm(write, outcome.version));
         }
-        return isComplete;
+        return true;
       case "conflict":
         log.warn("progress.conflict", {
           jobs: jobs.map(({ jobId }) => jobId),
@@ -212,7 +300,21 @@
           this.#guard(job, () => this.#reconcile(job, outcome.rows));
         }
         return false;
-      case "rejected":
+      case "rejected": {
+        const [first] = writes;
+        if (first === undefined) return true;
+        if (writes.length === 1) {
+          this.#reject(first, outcome.reason);
+          return true;
+        }
+        const middle = Math.ceil(writes.length / 2);
+        const halves = [writes.slice(0, middle), writes.slice(middle)];
+        let isStored = true;
+        for (const half of halves) {
+          isStored = await this.#storeBatch(half, []) && isStored;
+        }
+        return isStored;
+      }
       case "unavailable":
         log.warn("progress.write_failed", { jobs: jobs.length, ...outcome });
         jobs.forEach((job) => this.#dirty.add(job));
@@ -223,6 +325,7 @@
   #confirm({ job, pending, value }: ProgressWrite, version: number): void {
     job.progressVersion = version;
     job.writeIds.clear();
+    this.#rejected.delete(job);
     this.#options.follower.apply([{
       key: progressKey(job.jobId),
       version,
@@ -297,9 +400,12 @@
 /** One write of a job's progress. */
 interface ProgressWrite {
   readonly job: LiveJob;
+  readonly writeId: string;
   /** Runs whose placement is stored by this write for the first time, with their units. */
   readonly pending: readonly (readonly [Unit, UnitRun])[];
   readonly value: Uint8Array;
+  /** What it stores, without the id of the write. */
+  readonly contents: () => Uint8Array;
 }
 
 function createWrite(
@@ -307,13 +413,23 @@
   otherRuns: OtherRuns,
 ): ProgressWrite {
   const writeId = createUniqueId();
-  const value = encodeRow({
+  const record = job.progress.toRecord();
+  const placements = job.listPlacements(otherRuns);
+  return {
+    job,
     writeId,
-    record: job.progress.toRecord(),
-    placements: job.listPlacements(otherRuns),
-  });
-  job.writeIds.add(writeId);
-  return { job, pending: job.listPending(), value };
+    pending: job.listPending(),
+    value: encodeRow({ writeId, record, placements }),
+    contents: () => encodeRow({ writeId: "", record, placements }),
+  };
+}
+
+function countTransactionBytes({ value }: ProgressWrite): number {
+  return value.byteLength * ENCODED_BYTES_PER_BYTE + ROW_OVERHEAD_BYTES;
+}
+
+function isEqualBytes(first: Uint8Array, second: Uint8Array): boolean {
+  return Buffer.compare(first, second) === 0;
 }
 
 function createEndedRow(
--- a/packages/node/cell/progress_writer_test.ts
+++ b/packages/node/cell/progress_writer_test.ts
@@ -37,10 +37,12 @@
       nowUnixMs: () => 0,
       log: SILENT_LOG,
       canAct: () => true,
+      rowLimitBytes: 65_536,
       findOtherRuns: () => NO_OTHER_RUNS,
       snapshotProcessedEnds: () => () => confirmed++,
       onClosed: () => {},
       onPlaced: () => {},
+      onRejected: () => {},
       onNewerHolder: () => {},
     });
     writer.mark(job, true);
@@ -78,10 +80,12 @@
       nowUnixMs: () => 0,
       log: SILENT_LOG,
       canAct: () => true,
+      rowLimitBytes: 65_536,
       findOtherRuns: () => NO_OTHER_RUNS,
       snapshotProcessedEnds: () => () => {},
       onClosed: (ended) => writer.forget(ended),
       onPlaced: () => {},
+      onRejected: () => {},
       onNewerHolder: () => {},
     });
     writer.mark(job, true);
