Record no failures of persistent steps

A job of tasks that last could not be stored any more after some thousand failures: its record lists each failed run, and persistent steps, which have no limit of attempts, fail any number of times. Nothing reads these failures, so they are no longer recorded; those of earlier records are dropped. The other steps' failures are bounded by the queue's limit of attempts.

Before the change: records no failures of persistent steps, also from an earlier record: expected [ [ +0, 1 ], [ 1, 2 ], …(997) ] to deeply equal []

--- a/packages/policy/cell/job_progress.ts
+++ b/packages/policy/cell/job_progress.ts
@@ -11,7 +11,7 @@
 export interface StepRecord {
   /** Indexes of the units that are done. */
   readonly done: readonly number[];
-  /** Unit index and run number of each failed run. */
+  /** Unit index and run number of each failed run that counts towards the limit of attempts. */
   readonly failures: readonly (readonly [index: number, run: number])[];
   /** Unit index and the text of its newest checkpoint, as the worker reported it. */
   readonly checkpoints: readonly (readonly [index: number, text: string])[];
@@ -78,6 +78,7 @@
       step.checkpoints.forEach(([index, text]) =>
         stepProgress.checkpoints.set(index, text)
       );
+      if (progress.#isPersistent(key)) continue;
       step.failures.forEach(([index, run]) =>
         addFailure(stepProgress.failedRuns, index, run)
       );
@@ -129,7 +130,10 @@
     return true;
   }
 
-  /** Number of failed runs of the unit; a run that is reported twice counts once. */
+  /**
+   * Number of failed runs of the unit; a run that is reported twice counts once. Those of persistent
+   * steps, which have no limit of attempts, are not counted.
+   */
   countFailures({ occurrence, step, index }: UnitAddress): number {
     const stepProgress = this.#steps.get(formatStepKey(occurrence, step));
     return stepProgress?.failedRuns.get(index)?.size ?? 0;
@@ -143,7 +147,7 @@
   /** Why the job can't complete any more; undefined while it can. */
   findFailure(): JobFailure | undefined {
     for (const [key, step] of this.#steps) {
-      const index = this.#findFailedUnit(key, step);
+      const index = this.#findFailedUnit(step);
       if (index !== undefined) {
         const unit = { ...parseStepKey(key), index };
         return { reason: FAILURE_REASON.ATTEMPTS, unit };
@@ -160,13 +164,10 @@
   }
 
   /**
-   * A unit that has failed `maximumAttempts` times, the limit of the job's queue; persistent steps
-   * have no limit.
+   * A unit that has failed `maximumAttempts` times, the limit of the job's queue; failures of
+   * persistent steps are not recorded.
    */
-  #findFailedUnit(key: string, step: StepProgress): number | undefined {
-    if (this.#getStepSpec(parseStepKey(key).step).isPersistent) {
-      return undefined;
-    }
+  #findFailedUnit(step: StepProgress): number | undefined {
     const limit = this.#spec.maximumAttempts;
     return [...step.failedRuns].find(([index, runs]) =>
       runs.size >= limit && !step.done.has(index)
@@ -207,6 +208,8 @@
     { occurrence, step, index }: UnitAddress,
     run: number,
   ): void {
+    // Persistent steps fail any number of times, so the record would grow without a bound.
+    if (this.#getStepSpec(step).isPersistent) return;
     const stepProgress = this.#getOrCreateStep(formatStepKey(occurrence, step));
     addFailure(stepProgress.failedRuns, index, run);
   }
@@ -247,6 +250,10 @@
     );
   }
 
+  #isPersistent(key: string): boolean {
+    return this.#spec.steps[parseStepKey(key).step]?.isPersistent ?? false;
+  }
+
   #getStepSpec(step: number): StepSpec {
     const spec = this.#spec.steps[step];
     if (spec === undefined) {
--- a/packages/policy/cell/job_progress_test.ts
+++ b/packages/policy/cell/job_progress_test.ts
@@ -109,6 +109,18 @@
     expect(progress.isComplete()).to.equal(false);
   });
 
+  // Guards against a record that grows with each failure until the store can't take it.
+  it("records no failures of persistent steps, also from an earlier record", () => {
+    const persistent = spec({ steps: [step({ isPersistent: true })] });
+    const progress = JobProgress.create(persistent, {
+      "0.0": { done: [], failures: [[0, 1]], checkpoints: [] },
+    });
+    for (let run = 2; run < 1_000; run++) {
+      progress.recordFailure(unitAt(0, 0, 1), run);
+    }
+    expect(progress.toRecord()["0.0"]?.failures).to.deep.equal([]);
+  });
+
   it("makes no occurrence due before its time and lets occurrences overlap", () => {
     const recurrence = { times: 2, firstRunUnixMs: 1_000, intervalMs: 500 };
     const progress = JobProgress.create(spec({ recurrence }));
