Store the progress of long scheduled jobs in a compact form

A scheduled job stopped after some hundred or thousand occurrences: its record has an entry for each occurrence that has run, until the store can't take it.

Progress over half the store's limit of a row is stored with complete occurrences, and the units of a step that are done, as ranges of numbers. Smaller progress keeps the plain form, so that an earlier version that takes over during an upgrade reads all that it could have stored itself; it can't decode the compact form and skips that job (`job.skipped`) rather than run its finished tasks again. The plain form is read as before.

20,000 occurrences of 3 units in 2 steps: 1,637,805 bytes before, under 400 now. Before the change, as the new test shows with the plain form alone: keeps its size however many occurrences are complete: expected 1637805 to be below 400

--- a/packages/node/cell/progress_writer.ts
+++ b/packages/node/cell/progress_writer.ts
@@ -22,6 +22,7 @@
   type JobRow,
   progressKey,
 } from "./rows.ts";
+import { encodeProgressRow } from "./state_rows/progress_row.ts";
 import { readProgressRow } from "./state_rows/row_readers.ts";
 import type { TableFollower } from "./table_follower.ts";
 
@@ -207,7 +208,7 @@
       if (writes.length === JOBS_PER_TRANSACTION) break;
       let write: ProgressWrite | undefined;
       this.#guard(job, () => {
-        write = createWrite(job, this.#options.findOtherRuns(job));
+        write = createWrite(job, this.#options);
       });
       if (write === undefined) {
         failed++;
@@ -410,17 +411,23 @@
 
 function createWrite(
   job: LiveJob,
-  otherRuns: OtherRuns,
+  { findOtherRuns, rowLimitBytes }: ProgressWriterOptions,
 ): ProgressWrite {
   const writeId = createUniqueId();
   const record = job.progress.toRecord();
-  const placements = job.listPlacements(otherRuns);
+  const placements = job.listPlacements(findOtherRuns(job));
+  const encode = (id: string) =>
+    encodeProgressRow(
+      { writeId: id, record, placements },
+      job.spec,
+      rowLimitBytes,
+    );
   return {
     job,
     writeId,
     pending: job.listPending(),
-    value: encodeRow({ writeId, record, placements }),
-    contents: () => encodeRow({ writeId: "", record, placements }),
+    value: encode(writeId),
+    contents: () => encode(""),
   };
 }
 
--- a/packages/node/cell/rows.ts
+++ b/packages/node/cell/rows.ts
@@ -10,6 +10,7 @@
   QueueName,
 } from "@coltsfootpond/policy";
 import { pack, unpack } from "msgpackr";
+import type { CompactProgress } from "./state_rows/compact_progress.ts";
 
 export type EndedState = Extract<
   JobState,
@@ -57,6 +58,11 @@
   readonly placements: readonly PlacementRecord[];
 }
 
+/** The same of a job whose progress is too large as a `ProgressRow`. */
+export interface CompactProgressRow extends Omit<ProgressRow, "record"> {
+  readonly compact: CompactProgress;
+}
+
 /**
  * A unit as `{occurrence}.{step}.{index}`, the number of its run, and the worker of each of its
  * tasks.
@@ -204,6 +210,7 @@
     | JobRow
     | RefusalRow
     | ProgressRow
+    | CompactProgressRow
     | LeaseRow
     | RosterRow
     | BegunJobsRow
