Store the list of jobs that have begun in rows of bounded size

With some thousand jobs begun, the store rejected `cell/begun` for ever, and entries showed callers all jobs that had begun since as waiting.

The list is now in rows of at most half the store's limit each, like the roster: `cell/begun`, `cell/begun-1` and so on. A job stays in its row, so a change rewrites one row. Rows of an earlier holder that are not used are emptied. A short list is stored as before; an entry of an earlier version reads the first row only, and counts the other rows' jobs as waiting.

--- a/packages/node/cell/callers/job_repository.ts
+++ b/packages/node/cell/callers/job_repository.ts
@@ -21,10 +21,10 @@
 import { BACKGROUND_ACTIVITY } from "../background/activities.ts";
 import { STORE_TIMEOUT_MS } from "../constants.ts";
 import {
-  BEGUN_KEY,
   encodeRow,
   jobKey,
   type JobRow,
+  parseBegunKey,
   parseJobKey,
   refusalKey,
 } from "../rows.ts";
@@ -107,7 +107,8 @@
   /** Ids of live jobs by queue, for the count of waiting jobs. */
   readonly #liveByQueue = new Map<QueueName, Set<CellJobId>>();
   readonly #queueByJob = new Map<CellJobId, QueueName>();
-  #begun: ReadonlySet<CellJobId> = new Set();
+  /** Ids of jobs that have begun, by the key of the row that lists them. */
+  readonly #begunByKey = new Map<string, ReadonlySet<CellJobId>>();
   /** When the row of a live job was last read for a caller, on the process's clock. */
   readonly #lastRefreshMs = new Map<CellJobId, number>();
   #refreshesInProgress = 0;
@@ -304,7 +305,7 @@
       case "live":
         return {
           kind: "state",
-          state: this.#begun.has(jobId) ? JOB_STATE.RUNNING : JOB_STATE.QUEUED,
+          state: this.#hasBegun(jobId) ? JOB_STATE.RUNNING : JOB_STATE.QUEUED,
         };
     }
   }
@@ -313,7 +314,14 @@
   countWaiting(queue: QueueName): number {
     const jobs = this.#liveByQueue.get(queue);
     if (jobs === undefined) return 0;
-    return [...jobs].filter((jobId) => !this.#begun.has(jobId)).length;
+    return [...jobs].filter((jobId) => !this.#hasBegun(jobId)).length;
+  }
+
+  #hasBegun(jobId: CellJobId): boolean {
+    for (const jobIds of this.#begunByKey.values()) {
+      if (jobIds.has(jobId)) return true;
+    }
+    return false;
   }
 
   /**
@@ -424,7 +432,7 @@
 
   #applyRows(rows: readonly StateRow[]): void {
     for (const row of rows) {
-      if (row.key === BEGUN_KEY) this.#applyBegunRow(row);
+      if (parseBegunKey(row.key) !== undefined) this.#applyBegunRow(row);
       const jobId = parseJobKey(row.key);
       if (jobId !== undefined) this.#applyJobRow(jobId, row);
     }
@@ -433,7 +441,11 @@
   /** The lease holder writes the next list soon; until then the previous one is the best guess. */
   #applyBegunRow(row: StateRow): void {
     const begun = readBegunJobsRow(this.#options.follower, row);
-    if (begun !== undefined) this.#begun = new Set(begun.jobIds);
+    if (begun !== undefined) {
+      this.#begunByKey.set(row.key, new Set(begun.jobIds));
+    } else if (row.value === undefined) {
+      this.#begunByKey.delete(row.key);
+    }
   }
 
   #applyJobRow(jobId: CellJobId, row: StateRow): void {
--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -161,7 +161,10 @@
       },
       onNewerHolder: () => options.onNewerHolder("progress of a later holder"),
     });
-    this.#begunJobs = BegunJobsWriter.create(options);
+    this.#begunJobs = BegunJobsWriter.create({
+      ...options,
+      rowLimitBytes: settings.rowLimitBytes,
+    });
     this.#load = LoadPublisher.create(options);
     this.#leaving = {
       clock: options.clock,
--- a/packages/node/cell/rows.ts
+++ b/packages/node/cell/rows.ts
@@ -145,10 +145,27 @@
 export const BEGUN_KEY = "cell/begun";
 export const LOAD_KEY = "cell/load";
 export const SPEEDS_KEY = "cell/speeds";
+/** Separates the number of a row after the first from the key. */
+const BEGUN_NUMBER_SEPARATOR = "-";
 /** Job rows are spread over 16 groups by the first digit of the job's id. */
 const JOB_KEY_PATTERN = /^jobs-[0-9a-f]\/([0-9a-f]{16})(\.refused)?$/i;
 const REFUSAL_SUFFIX = ".refused";
 
+/** Key of one of the rows that list the jobs that have begun, counted from 0. */
+export function formatBegunKey(number: number): string {
+  return number === 0
+    ? BEGUN_KEY
+    : `${BEGUN_KEY}${BEGUN_NUMBER_SEPARATOR}${number}`;
+}
+
+/** The number of a row that lists jobs that have begun; undefined for other rows. */
+export function parseBegunKey(key: string): number | undefined {
+  if (!key.startsWith(BEGUN_KEY)) return undefined;
+  const text = key.slice(BEGUN_KEY.length + BEGUN_NUMBER_SEPARATOR.length);
+  const number = Number(text);
+  return formatBegunKey(number) === key ? number : undefined;
+}
+
 export function jobKey(jobId: CellJobId): string {
   return `jobs-${jobId.charAt(0).toLowerCase()}/${jobId}`;
 }
