Write no row unchanged again that the store has rejected

The lease holder repeated `cell/begun` each 100 ms or so, `cell/load` each 500 ms and `cell/speeds` each 5 s for ever once one was over the store's limit, and spent the store's rate of writes on it.

`putRow` now tells a rejected row from a failed write, and the three writers wait until the contents have changed.

--- a/packages/node/cell/admission/load_publisher.ts
+++ b/packages/node/cell/admission/load_publisher.ts
@@ -29,6 +29,8 @@
   #written = JSON.stringify({ services: [], queues: [] });
   #writtenMs = Number.NEGATIVE_INFINITY;
   #isWriting = false;
+  /** What the store can't take; it is not written unchanged again. */
+  #rejected: string | undefined;
 
   private constructor(options: LoadPublisherOptions) {
     this.#options = options;
@@ -47,10 +49,13 @@
     const isDue = forecast.services.length > 0 &&
       nowMs - this.#writtenMs >= REFRESH_MS;
     if (this.#isWriting || text === this.#written && !isDue) return;
+    if (text === this.#rejected) return;
     this.#isWriting = true;
     const { epoch } = this.#options;
     const row = { ...forecast, epoch, beat: this.#readBeat() };
-    if (await putRow(this.#options, LOAD_KEY, encodeRow(row))) {
+    const outcome = await putRow(this.#options, LOAD_KEY, encodeRow(row));
+    if (outcome === "rejected") this.#rejected = text;
+    if (outcome === "stored") {
       this.#written = text;
       this.#writtenMs = nowMs;
     }
--- a/packages/node/cell/begun_jobs_writer.ts
+++ b/packages/node/cell/begun_jobs_writer.ts
@@ -25,7 +25,7 @@
   readonly #rowByJob = new Map<CellJobId, number>();
   /** Number of jobs in each row. */
   readonly #counts = new Map<number, number>();
-  /** Lists by key, as they were last stored. */
+  /** Lists by key, as they were last stored or rejected. */
   readonly #written = new Map<string, string>();
 
   private constructor(options: BegunJobsWriterOptions) {
@@ -60,9 +60,8 @@
     const isFirst = !this.#written.has(key);
     const isUnknown = this.#options.follower.get(key) === undefined;
     if (isFirst && isUnknown && jobIds.length === 0) return;
-    if (await putRow(this.#options, key, encodeRow({ jobIds }))) {
-      this.#written.set(key, text);
-    }
+    const outcome = await putRow(this.#options, key, encodeRow({ jobIds }));
+    if (outcome !== "failed") this.#written.set(key, text);
   }
 
   /** Puts new jobs into the first rows with room; the others stay. */
--- a/packages/node/cell/speeds/speeds_writer.ts
+++ b/packages/node/cell/speeds/speeds_writer.ts
@@ -21,6 +21,8 @@
 export class SpeedsWriter {
   readonly #options: SpeedsWriterOptions;
   #written = "[]";
+  /** What the store can't take; it is not written unchanged again. */
+  #rejected: string | undefined;
   #triedMs = Number.NEGATIVE_INFINITY;
   #writtenMs = Number.NEGATIVE_INFINITY;
 
@@ -43,7 +45,10 @@
       nowMs - this.#writtenMs < REFRESH_PERIOD_MS;
     if (text === this.#written && isFresh) return;
     this.#triedMs = nowMs;
-    if (!await putRow(this.#options, SPEEDS_KEY, encodeRow(row))) return;
+    if (text === this.#rejected) return;
+    const outcome = await putRow(this.#options, SPEEDS_KEY, encodeRow(row));
+    if (outcome === "rejected") this.#rejected = text;
+    if (outcome !== "stored") return;
     this.#written = text;
     this.#writtenMs = nowMs;
   }
--- a/packages/node/cell/state_rows/put_row.ts
+++ b/packages/node/cell/state_rows/put_row.ts
@@ -10,8 +10,11 @@
   readonly log: CellLog;
 }
 
+/** `failed`: it may not have been stored. `rejected`: the store can never take this value. */
+export type PutOutcome = "stored" | "failed" | "rejected";
+
 /**
- * Replaces the version of the row that this entry knows; false when it may not have been stored.
+ * Replaces the version of the row that this entry knows.
  * Without the condition, a write whose answer was lost could take effect after a later one and undo
  * it.
  */
@@ -19,7 +22,7 @@
   { store, follower, log }: PutRowOptions,
   key: string,
   value: Uint8Array,
-): Promise<boolean> {
+): Promise<PutOutcome> {
   const known = follower.get(key)?.version ?? 0;
   const outcome = await store.transact({
     conditions: [{ key, version: known }],
@@ -28,9 +31,9 @@
   }, STORE_TIMEOUT_MS);
   if (outcome.kind === "committed") {
     follower.apply([{ key, version: outcome.version, value }]);
-    return true;
+    return "stored";
   }
   log.warn("row.write_failed", { key, known, kind: outcome.kind });
   if (outcome.kind === "conflict") follower.apply(outcome.rows);
-  return false;
+  return outcome.kind === "rejected" ? "rejected" : "failed";
 }
--- a/packages/node/cell/worker_fleet.ts
+++ b/packages/node/cell/worker_fleet.ts
@@ -389,7 +389,8 @@
   async #writeRosterRow(row: RosterContents): Promise<void> {
     let isStored = false;
     try {
-      isStored = await putRow(this.#options, row.key, encodeRoster(row));
+      const outcome = await putRow(this.#options, row.key, encodeRoster(row));
+      isStored = outcome === "stored";
     } finally {
       this.#roster.recordWrite(row, isStored);
     }
