Store large progress in several rows of one transaction

A job of more than some 1,800 tasks could not run whole: its placements, about 36 bytes a task, don't fit into one row, so the store rejected them and the job's tasks were placed in smaller groups at most.

Progress over three quarters of the store's limit of a row (the limit, if it counts base64) is cut into the row `progress/ID`, which says how many rows follow, and `progress/ID.1` and so on. One transaction writes all of them, on the condition of the first row's version, and deletes those that an earlier write may have left, so that they are always of one write. A reader joins them only if all have its id; otherwise the job is skipped until the other rows arrive, like any whose progress can't be decoded, and so does an earlier version, which finds no record in the first row. A write whose answer was lost is recognised by the id in the first row. A job's progress may take 70 entries and 900 kB of a transaction; beyond that it is set aside as before.

The compact form is now used from three quarters on too, not from half: an earlier version stored plain rows of that size.

--- a/packages/node/cell/job_registry.ts
+++ b/packages/node/cell/job_registry.ts
@@ -33,6 +33,7 @@
   parseProgressKey,
   progressKey,
 } from "./rows.ts";
+import { countParts } from "./state_rows/progress_row.ts";
 import { readJobRow, readProgressRow } from "./state_rows/row_readers.ts";
 import type { TableFollower } from "./table_follower.ts";
 
@@ -267,6 +268,7 @@
       placements: row?.placements,
     });
     job.hasBegun = stored !== undefined;
+    job.progressParts = stored?.value ? countParts(stored.value) : 0;
     this.#jobs.set(spec.jobId, job);
     job.openDueUnits(clock.nowMs(), nowUnixMs());
     log.info("job.opened", {
--- a/packages/node/cell/live_job.ts
+++ b/packages/node/cell/live_job.ts
@@ -71,6 +71,8 @@
   rowVersion: number;
   /** Version of its progress row; 0 when there is none. */
   progressVersion: number;
+  /** Number of further rows of its progress that may be stored, at most. */
+  progressParts = 0;
   /** Ids of writes of the progress row that may have taken effect. */
   readonly writeIds = new Set<string>();
   /** Workers on which an earlier lease holder may have started units, by unit key. */
--- a/packages/node/cell/progress_writer.ts
+++ b/packages/node/cell/progress_writer.ts
@@ -21,9 +21,9 @@
   jobKey,
   type JobRow,
   progressKey,
+  progressPartKey,
 } from "./rows.ts";
-import { encodeProgressRow } from "./state_rows/progress_row.ts";
-import { readProgressRow } from "./state_rows/row_readers.ts";
+import { decodeWriteId, encodeProgress } from "./state_rows/progress_row.ts";
 import type { TableFollower } from "./table_follower.ts";
 
 /** Delay of other changes, so that several share a write. */
@@ -32,7 +32,10 @@
 const URGENT_DELAY_MS = 4;
 /** Delay before a failed write is retried. */
 const RETRY_DELAY_MS = 120;
-/** Each job takes up to three of the 100 entries of a transaction (the platform's protocol). */
+/** Of a transaction (the platform's protocol): conditions, writes and deletions. */
+const MAXIMUM_ENTRIES = 100;
+/** Entries that store progress; the others delete the rows of ended jobs. */
+const MAXIMUM_WRITE_ENTRIES = 70;
 const JOBS_PER_TRANSACTION = 30;
 /** The protocol allows 1 MB; the rest is for the transaction's other fields. */
 const MAXIMUM_TRANSACTION_BYTES = 900_000;
@@ -76,7 +79,7 @@
   readonly #options: ProgressWriterOptions;
   readonly #dirty = new Set<LiveJob>();
   /** Ended jobs whose progress rows are still to be deleted. */
-  readonly #endedJobIds = new Set<CellJobId>();
+  readonly #endedJobs = new Map<CellJobId, readonly string[]>();
   /** Jobs that the store can't take as they are, with the contents that it can't take. */
   readonly #rejected = new Map<LiveJob, Uint8Array>();
   #dueMs: number | undefined;
@@ -112,7 +115,9 @@
   forget(job: LiveJob): void {
     this.#dirty.delete(job);
     this.#rejected.delete(job);
-    if (job.progressVersion !== 0) this.#endedJobIds.add(job.jobId);
+    if (job.progressVersion !== 0) {
+      this.#endedJobs.set(job.jobId, listKeys(job, 0, job.progressParts));
+    }
   }
 
   #schedule(delayMs: number): void {
@@ -187,12 +192,24 @@
       rest = rest.slice(taken);
       isStored = isComplete && isStored;
       if (writes.length === 0) continue;
-      const deletes = [...this.#endedJobIds].slice(0, JOBS_PER_TRANSACTION);
-      isStored = await this.#storeBatch(writes, deletes) && isStored;
+      const deletions = this.#takeDeletions(writes);
+      isStored = await this.#storeBatch(writes, deletions) && isStored;
     }
     return isStored;
   }
 
+  /** Keys of the rows of ended jobs for which the transaction has room, by job. */
+  #takeDeletions(writes: readonly ProgressWrite[]): Deletions {
+    const deletions = new Map<CellJobId, readonly string[]>();
+    let entries = writes.reduce((sum, write) => sum + countEntries(write), 0);
+    for (const [jobId, keys] of this.#endedJobs) {
+      if (entries + keys.length > MAXIMUM_ENTRIES) continue;
+      entries += keys.length;
+      deletions.set(jobId, keys);
+    }
+    return deletions;
+  }
+
   /** Writes of the first jobs, as many as one transaction holds; at least one job is taken. */
   #takeBatch(jobs: readonly LiveJob[]): {
     readonly writes: readonly ProgressWrite[];
@@ -202,6 +219,7 @@
   } {
     const writes: ProgressWrite[] = [];
     let bytes = 0;
+    let entries = 0;
     let taken = 0;
     let failed = 0;
     for (const job of jobs) {
@@ -215,26 +233,31 @@
       } else if (this.#isRejected(write)) {
         this.#dirty.delete(job);
       } else {
-        const added = countTransactionBytes(write);
-        const isFull = bytes + added > MAXIMUM_TRANSACTION_BYTES;
+        bytes += countBytes(write);
+        entries += countEntries(write);
+        const isFull = bytes > MAXIMUM_TRANSACTION_BYTES ||
+          entries > MAXIMUM_WRITE_ENTRIES;
         if (isFull && writes.length > 0) break;
-        bytes += added;
         writes.push(write);
       }
       taken++;
     }
-    for (const { job, writeId } of writes) {
+    for (const { job, writeId, values } of writes) {
       this.#dirty.delete(job);
       job.writeIds.add(writeId);
+      job.progressParts = Math.max(job.progressParts, values.length - 1);
     }
     return { writes, taken, isComplete: failed === 0 };
   }
 
   /** Whether the store certainly can't take the write, by its size or as it has rejected it. */
   #isRejected(write: ProgressWrite): boolean {
-    const { job, value } = write;
-    if (value.byteLength > this.#options.rowLimitBytes) {
-      this.#reject(write, `a row of ${value.byteLength} bytes`);
+    const { job } = write;
+    const bytes = countBytes(write);
+    const isTooLarge = bytes > MAXIMUM_TRANSACTION_BYTES ||
+      countEntries(write) > MAXIMUM_WRITE_ENTRIES;
+    if (isTooLarge) {
+      this.#reject(write, "larger than a transaction");
       return true;
     }
     const rejected = this.#rejected.get(job);
@@ -243,13 +266,13 @@
 
   #reject(write: ProgressWrite, reason: string): void {
     const { log, onRejected } = this.#options;
-    const { job, value } = write;
+    const { job } = write;
     const contents = write.contents();
     const known = this.#rejected.get(job);
     this.#rejected.set(job, contents);
     if (known !== undefined && isEqualBytes(known, contents)) return;
     if (known === undefined) {
-      const { byteLength: bytes } = value;
+      const bytes = Math.ceil(countBytes(write));
       log.warn("progress.rejected", { job: job.jobId, reason, bytes });
     }
     if (write.pending.length === 0) return;
@@ -264,7 +287,7 @@
    */
   async #storeBatch(
     writes: readonly ProgressWrite[],
-    deletes: readonly CellJobId[],
+    deletions: Deletions,
   ): Promise<boolean> {
     const { store, log, canAct } = this.#options;
     const jobs = writes.map(({ job }) => job);
@@ -277,16 +300,13 @@
         key: progressKey(job.jobId),
         version: job.progressVersion,
       })),
-      puts: writes.map(({ job, value }) => ({
-        key: progressKey(job.jobId),
-        value,
-      })),
-      deletes: deletes.map(progressKey),
+      puts: writes.flatMap(listPuts),
+      deletes: [...writes.flatMap(listObsolete), ...deletions.values()].flat(),
     }, STORE_TIMEOUT_MS);
     if (this.#isStopped) return false;
     switch (outcome.kind) {
       case "committed":
-        deletes.forEach((jobId) => this.#endedJobIds.delete(jobId));
+        for (const jobId of deletions.keys()) this.#endedJobs.delete(jobId);
         for (const write of writes) {
           this.#guard(write.job, () => this.#confirm(write, outcome.version));
         }
@@ -312,7 +332,7 @@
         const halves = [writes.slice(0, middle), writes.slice(middle)];
         let isStored = true;
         for (const half of halves) {
-          isStored = await this.#storeBatch(half, []) && isStored;
+          isStored = await this.#storeBatch(half, new Map()) && isStored;
         }
         return isStored;
       }
@@ -323,15 +343,17 @@
     }
   }
 
-  #confirm({ job, pending, value }: ProgressWrite, version: number): void {
+  #confirm(write: ProgressWrite, version: number): void {
+    const { job, pending, values } = write;
+    const obsolete = listObsolete(write);
     job.progressVersion = version;
     job.writeIds.clear();
     this.#rejected.delete(job);
-    this.#options.follower.apply([{
-      key: progressKey(job.jobId),
-      version,
-      value,
-    }]);
+    job.progressParts = values.length - 1;
+    this.#options.follower.apply([
+      ...listPuts(write).map((put) => ({ ...put, version })),
+      ...obsolete.map((key) => ({ key, version, value: undefined })),
+    ]);
     for (const [unit, run] of pending) {
       // Another run may have replaced it meanwhile; the next write stores that one's placement.
       if (unit.run === run) this.#options.onPlaced(unit);
@@ -379,13 +401,9 @@
    * effect, or another holder wrote it.
    */
   #reconcile(job: LiveJob, rows: readonly StateRow[]): void {
-    const { onNewerHolder, log, follower } = this.#options;
+    const { onNewerHolder, log } = this.#options;
     const row = rows.find(({ key }) => key === progressKey(job.jobId));
-    // A row that can't be decoded is no write of this holder.
-    const reading = readProgressRow(follower, job.spec, row);
-    const writeId = reading.kind === "progress"
-      ? reading.row.writeId
-      : undefined;
+    const writeId = row?.value && decodeWriteId(row.value);
     const version = row?.version ?? 0;
     if (version !== job.progressVersion) {
       if (writeId === undefined || !job.writeIds.has(writeId)) {
@@ -404,11 +422,15 @@
   readonly writeId: string;
   /** Runs whose placement is stored by this write for the first time, with their units. */
   readonly pending: readonly (readonly [Unit, UnitRun])[];
-  readonly value: Uint8Array;
+  /** Of the first row and of the further ones. */
+  readonly values: readonly Uint8Array[];
   /** What it stores, without the id of the write. */
   readonly contents: () => Uint8Array;
 }
 
+/** Keys of the rows of ended jobs. */
+type Deletions = ReadonlyMap<CellJobId, readonly string[]>;
+
 function createWrite(
   job: LiveJob,
   { findOtherRuns, rowLimitBytes }: ProgressWriterOptions,
@@ -417,7 +439,7 @@
   const record = job.progress.toRecord();
   const placements = job.listPlacements(findOtherRuns(job));
   const encode = (id: string) =>
-    encodeProgressRow(
+    encodeProgress(
       { writeId: id, record, placements },
       job.spec,
       rowLimitBytes,
@@ -426,13 +448,45 @@
     job,
     writeId,
     pending: job.listPending(),
-    value: encode(writeId),
-    contents: () => encode(""),
+    values: encode(writeId),
+    contents: () => Buffer.concat(encode("")),
   };
 }
 
-function countTransactionBytes({ value }: ProgressWrite): number {
-  return value.byteLength * ENCODED_BYTES_PER_BYTE + ROW_OVERHEAD_BYTES;
+/** Keys of the rows of the job's progress from one to another; 0 is the first row. */
+function listKeys(
+  { jobId }: LiveJob,
+  first: number,
+  last: number,
+): readonly string[] {
+  return Array.from({ length: Math.max(0, last - first + 1) }, (_, offset) => {
+    const part = first + offset;
+    return part === 0 ? progressKey(jobId) : progressPartKey(jobId, part);
+  });
+}
+
+function listPuts({ job, values }: ProgressWrite) {
+  const keys = listKeys(job, 0, values.length - 1);
+  return values.map((value, part) => ({ key: keys[part]!, value }));
+}
+
+/** Keys of the rows that an earlier write may have stored and that this one does not use. */
+function listObsolete({ job, values }: ProgressWrite): readonly string[] {
+  return listKeys(job, values.length, job.progressParts);
+}
+
+/** Its share of the bytes of a transaction. */
+function countBytes({ values }: ProgressWrite): number {
+  return values.reduce(
+    (sum, { byteLength }) =>
+      sum + byteLength * ENCODED_BYTES_PER_BYTE + ROW_OVERHEAD_BYTES,
+    0,
+  );
+}
+
+/** Its condition, its rows and the rows that it deletes. */
+function countEntries(write: ProgressWrite): number {
+  return 1 + write.values.length + listObsolete(write).length;
 }
 
 function isEqualBytes(first: Uint8Array, second: Uint8Array): boolean {
--- a/packages/node/cell/rows.ts
+++ b/packages/node/cell/rows.ts
@@ -63,6 +63,24 @@
   readonly compact: CompactProgress;
 }
 
+/** The first of several rows, of progress that is too large for one. */
+export interface ProgressHeadRow {
+  readonly writeId: string;
+  /** Number of further rows. */
+  readonly parts: number;
+  /** The beginning of the encoded `ProgressRow` or `CompactProgressRow`. */
+  readonly chunk: Uint8Array;
+}
+
+/** A further row. */
+export interface ProgressPartRow {
+  /** As in the first row. */
+  readonly writeId: string;
+  /** Counted from 1. */
+  readonly part: number;
+  readonly chunk: Uint8Array;
+}
+
 /**
  * A unit as `{occurrence}.{step}.{index}`, the number of its run, and the worker of each of its
  * tasks.
@@ -139,6 +157,8 @@
  * another, those on different groups in parallel.
  */
 const PROGRESS_PREFIX = "progress/";
+/** Separates the number of a further row from the job's id. */
+const PART_SEPARATOR = ".";
 const PEER_PREFIX = "peers/";
 export const LEASE_KEY = "lease/holder";
 export const ROSTER_KEY = "cell/roster";
@@ -189,10 +209,15 @@
   return `${PROGRESS_PREFIX}${jobId}`;
 }
 
-/** The id of the job of a progress row; undefined for other rows. */
+/** Key of a further row of the job's progress, counted from 1. */
+export function progressPartKey(jobId: CellJobId, part: number): string {
+  return `${progressKey(jobId)}${PART_SEPARATOR}${part}`;
+}
+
+/** The id of the job of a progress row, of the first or a further one; undefined for other rows. */
 export function parseProgressKey(key: string): CellJobId | undefined {
   return key.startsWith(PROGRESS_PREFIX)
-    ? key.slice(PROGRESS_PREFIX.length) as CellJobId
+    ? key.slice(PROGRESS_PREFIX.length).split(PART_SEPARATOR, 1)[0] as CellJobId
     : undefined;
 }
 
@@ -228,6 +253,8 @@
     | RefusalRow
     | ProgressRow
     | CompactProgressRow
+    | ProgressHeadRow
+    | ProgressPartRow
     | LeaseRow
     | RosterRow
     | BegunJobsRow
--- a/packages/node/cell/state_rows/progress_row.ts
+++ b/packages/node/cell/state_rows/progress_row.ts
@@ -1,4 +1,5 @@
 /** Decodes the rows of the progress of jobs. */
+import { Buffer } from "node:buffer";
 import { encodeRow, type ProgressRow } from "../rows.ts";
 import {
   compactRecord,
@@ -6,6 +7,7 @@
   type ProgressSpec,
 } from "./compact_progress.ts";
 import {
+  isCount,
   isFields,
   isIndex,
   isListOf,
@@ -14,19 +16,81 @@
   unpackFields,
 } from "./value_checks.ts";
 
-/** Larger rows have the compact form, if they have one; the store may count the base64 form. */
-const PLAIN_SHARE = 0.5;
+/** Share of the store's limit that is used, as the limit may count the base64 form. */
+const USED_SHARE = 0.75;
+/** Bytes of one of several rows besides its chunk, rounded up. */
+const PART_OVERHEAD_BYTES = 128;
+/** Far above what one transaction holds. */
+const MAXIMUM_PARTS = 1_000;
 /** The names of the fields of a step's record alone; saves the encoding of records over the limit. */
 const LEAST_STEP_BYTES = 26;
 
-/** `rowLimitBytes`: the store's limit of the value of a row. */
-export function encodeProgressRow(
+/**
+ * The values of the first row and of the further ones. `rowLimitBytes`: the store's limit of the
+ * value of a row.
+ */
+export function encodeProgress(
   row: ProgressRow,
   spec: ProgressSpec,
   rowLimitBytes: number,
+): readonly Uint8Array[] {
+  const maximumBytes = rowLimitBytes * USED_SHARE;
+  const whole = encodeProgressRow(row, spec, maximumBytes);
+  if (whole.byteLength <= maximumBytes) return [whole];
+  const { writeId } = row;
+  const chunkBytes = Math.max(
+    1,
+    Math.floor(maximumBytes) - PART_OVERHEAD_BYTES,
+  );
+  const parts = Math.ceil(whole.byteLength / chunkBytes) - 1;
+  return Array.from({ length: parts + 1 }, (_, part) => {
+    const chunk = whole.subarray(part * chunkBytes, (part + 1) * chunkBytes);
+    return encodeRow(
+      part === 0 ? { writeId, parts, chunk } : { writeId, part, chunk },
+    );
+  });
+}
+
+/** The id of the write of a progress row in any form; undefined for a value without one. */
+export function decodeWriteId(value: Uint8Array): string | undefined {
+  const writeId = unpackFields(value)?.writeId;
+  return isText(writeId) ? writeId : undefined;
+}
+
+/** Number of further rows that a value of the first one names. */
+export function countParts(value: Uint8Array): number {
+  const parts = unpackFields(value)?.parts;
+  return isCount(parts, 1) && parts <= MAXIMUM_PARTS ? parts : 0;
+}
+
+/**
+ * The value of the whole progress row. Undefined when a further row is missing or of another write,
+ * as while the copy of the table has only a part of a transaction.
+ */
+export function joinProgress(
+  first: Uint8Array,
+  getPart: (part: number) => Uint8Array | undefined,
+): Uint8Array | undefined {
+  const parts = countParts(first);
+  if (parts === 0) return first;
+  const head = unpackFields(first);
+  const chunks = [head?.chunk];
+  for (let part = 1; part <= parts; part++) {
+    const value = getPart(part);
+    const row = value === undefined ? undefined : unpackFields(value);
+    if (row?.writeId !== head?.writeId || row?.part !== part) return undefined;
+    chunks.push(row.chunk);
+  }
+  const isWhole = chunks.every((chunk) => chunk instanceof Uint8Array);
+  return isWhole ? Buffer.concat(chunks as Uint8Array[]) : undefined;
+}
+
+function encodeProgressRow(
+  row: ProgressRow,
+  spec: ProgressSpec,
+  maximumBytes: number,
 ): Uint8Array {
   const { writeId, record, placements } = row;
-  const maximumBytes = rowLimitBytes * PLAIN_SHARE;
   const leastBytes = Object.keys(record).length * LEAST_STEP_BYTES;
   if (leastBytes <= maximumBytes) {
     const plain = encodeRow(row);
--- a/packages/node/cell/state_rows/row_readers.ts
+++ b/packages/node/cell/state_rows/row_readers.ts
@@ -1,13 +1,14 @@
 /** Decodes rows of the copy of the state table; reports those that cannot be decoded. */
 import type { CellJobId, CellJobSpec } from "@coltsfootpond/policy";
 import type { StateRow } from "@coltsfootpond/ports";
-import type {
-  BegunJobsRow,
-  JobRow,
-  LeaseRow,
-  PeerRow,
-  ProgressRow,
-  RefusalRow,
+import {
+  type BegunJobsRow,
+  type JobRow,
+  type LeaseRow,
+  type PeerRow,
+  progressPartKey,
+  type ProgressRow,
+  type RefusalRow,
 } from "../rows.ts";
 import {
   decodeBegunJobsRow,
@@ -15,7 +16,7 @@
   decodePeerRow,
 } from "./cell_rows.ts";
 import { decodeJobRow, decodeRefusalRow } from "./job_row.ts";
-import { decodeProgressRow } from "./progress_row.ts";
+import { decodeProgressRow, joinProgress } from "./progress_row.ts";
 import type {
   StateRowKind,
   UnreadableRow,
@@ -48,15 +49,24 @@
   | { readonly kind: "none" }
   | UnreadableRow;
 
+/** The copy, in which the further rows are looked up. */
+export interface ProgressSource extends RowSource {
+  readonly get: (key: string) => StateRow | undefined;
+}
+
 export function readProgressRow(
-  { unreadable }: RowSource,
+  source: ProgressSource,
   spec: CellJobSpec,
   stored: StateRow | undefined,
 ): ProgressReading {
   if (stored?.value === undefined) return { kind: "none" };
-  const row = decodeProgressRow(stored.value, spec);
+  const value = joinProgress(
+    stored.value,
+    (part) => source.get(progressPartKey(spec.jobId, part))?.value,
+  );
+  const row = value && decodeProgressRow(value, spec);
   if (row !== undefined) return { kind: "progress", row };
-  unreadable.report("progress", stored);
+  source.unreadable.report("progress", stored);
   return UNREADABLE;
 }
 
