Compare the list of begun jobs as a whole before its rows

With the list in several rows, an unchanged list of 40,000 jobs took 51.6 ms of processor time every 500 ms on the lease holder (6,700 jobs: 7.6 ms), as each job was looked up in its row. The whole list is now compared first, and its rows only after a change: 3.5 ms and 0.3 ms.

--- a/packages/node/cell/begun_jobs_writer.ts
+++ b/packages/node/cell/begun_jobs_writer.ts
@@ -28,6 +28,9 @@
   /** Lists by key, as they were last stored or rejected. */
   readonly #written = new Map<string, string>();
 
+  /** The whole list, once all its rows are stored or rejected. */
+  #settled: string | undefined;
+
   private constructor(options: BegunJobsWriterOptions) {
     this.#options = options;
     const bytes = options.rowLimitBytes * USED_SHARE - ROW_BYTES;
@@ -40,6 +43,8 @@
 
   /** A failed write is retried at the next call. */
   async write(jobIds: readonly CellJobId[]): Promise<void> {
+    const text = jobIds.join();
+    if (text === this.#settled) return;
     this.#assign(jobIds);
     const lists = new Map<string, CellJobId[]>();
     for (const key of this.#listStoredKeys()) lists.set(key, []);
@@ -49,19 +54,26 @@
       list.push(jobId);
       lists.set(key, list);
     }
-    await Promise.all(
+    const outcomes = await Promise.all(
       [...lists].map(([key, list]) => this.#writeRow(key, list)),
     );
+    if (outcomes.every((isSettled) => isSettled)) this.#settled = text;
   }
 
-  async #writeRow(key: string, jobIds: readonly CellJobId[]): Promise<void> {
+  /** False when the row has to be written again. */
+  async #writeRow(
+    key: string,
+    jobIds: readonly CellJobId[],
+  ): Promise<boolean> {
     const text = jobIds.join();
-    if (text === this.#written.get(key)) return;
+    if (text === this.#written.get(key)) return true;
     const isFirst = !this.#written.has(key);
     const isUnknown = this.#options.follower.get(key) === undefined;
-    if (isFirst && isUnknown && jobIds.length === 0) return;
+    if (isFirst && isUnknown && jobIds.length === 0) return true;
     const outcome = await putRow(this.#options, key, encodeRow({ jobIds }));
-    if (outcome !== "failed") this.#written.set(key, text);
+    if (outcome === "failed") return false;
+    this.#written.set(key, text);
+    return true;
   }
 
   /** Puts new jobs into the first rows with room; the others stay. */
