Store a job without the placements that the store could not take

A job whose new placements made its progress too large was not written again until its next change, so ends that it had recorded stayed unstored, and no worker could drop its ends: the mark for the second write was removed together with the first one's.

Before the change: is stored without the placements that are too large: expected [] to deeply equal [ 'progress/' ]

--- a/packages/node/cell/progress_writer.ts
+++ b/packages/node/cell/progress_writer.ts
@@ -224,26 +224,31 @@
     let failed = 0;
     for (const job of jobs) {
       if (writes.length === JOBS_PER_TRANSACTION) break;
+      taken++;
       let write: ProgressWrite | undefined;
       this.#guard(job, () => {
         write = createWrite(job, this.#options);
       });
       if (write === undefined) {
         failed++;
-      } else if (this.#isRejected(write)) {
-        this.#dirty.delete(job);
-      } else {
+        continue;
+      }
+      // Before the checks, as a job that is rejected may be marked again.
+      this.#dirty.delete(job);
+      if (!this.#isRejected(write)) {
         bytes += countBytes(write);
         entries += countEntries(write);
         const isFull = bytes > MAXIMUM_TRANSACTION_BYTES ||
           entries > MAXIMUM_WRITE_ENTRIES;
-        if (isFull && writes.length > 0) break;
+        if (isFull && writes.length > 0) {
+          this.#dirty.add(job);
+          taken--;
+          break;
+        }
         writes.push(write);
       }
-      taken++;
     }
     for (const { job, writeId, values } of writes) {
-      this.#dirty.delete(job);
       job.writeIds.add(writeId);
       job.progressParts = Math.max(job.progressParts, values.length - 1);
     }
--- a/packages/node/cell/state_rows/rejected_progress_test.ts
+++ b/packages/node/cell/state_rows/rejected_progress_test.ts
@@ -6,6 +6,7 @@
 import { SILENT_LOG } from "../log.ts";
 import { ProgressWriter } from "../progress_writer.ts";
 import { progressKey } from "../rows.ts";
+import type { TaskRun } from "../task_run.ts";
 import {
   createFollower,
   createJob,
@@ -13,6 +14,7 @@
   createStoreFake,
   NO_OTHER_RUNS,
 } from "../test_fixtures.ts";
+import type { WorkerSession } from "../worker_session.ts";
 
 const ROW_LIMIT_BYTES = 40_000;
 const MAXIMUM_TRANSACTION_BYTES = 1_000_000;
@@ -106,6 +108,20 @@
     expect(state.confirmed).to.equal(0);
   });
 
+  // Guards against ends of a job that are not stored as its new placements can't be.
+  it("is stored without the placements that are too large", async () => {
+    const { clock, store, rejected, state, writer } = createWriter();
+    const job = createPlacedJob(formatJobId(1), 1);
+    const [unit] = job.units.values();
+    const worker = "w".repeat(MAXIMUM_TRANSACTION_BYTES) as WorkerName;
+    unit!.run!.taskRuns.set({} as TaskRun, { worker } as WorkerSession);
+    writer.mark(job, true);
+    await clock.advance(2_000);
+    expect(rejected).to.deep.equal([job]);
+    expect(store.keys()).to.deep.equal([progressKey(job.jobId)]);
+    expect(state.confirmed).to.be.greaterThan(0);
+  });
+
   // Guards against one row that the store rejects for another reason than its size.
   it("is sent once, and again only after it has changed", async () => {
     const odd = createJob(formatJobId(0));
