Give a call an outcome when its answer is an upgrade

A call that was answered with status 101 never had an outcome: without a listener for `upgrade`, node:http closes the connection and emits neither `error` nor `response`, and the time-out destroys a request that is already destroyed. The loop that awaits the call waits for ever, as does the connection that it holds. Any process may listen at the address of a worker's record.

Before: AssertionError: expected { kind: 'none' } to have property 'kind' of 'unavailable', but got 'none'

The upgrade is now a lost call, and its connection is closed.

--- a/packages/ports/http/http_client.ts
+++ b/packages/ports/http/http_client.ts
@@ -161,6 +161,11 @@
         "error",
         (error) => fail(isWritten ? "lost" : "refused", error),
       );
+      // Without a listener, the connection is closed and no other event follows.
+      outgoing.on("upgrade", (_, socket) => {
+        socket.destroy();
+        fail("lost", new Error("the connection was upgraded"));
+      });
       outgoing.on("response", (incoming) => {
         const { socket } = incoming;
         const chunks: Buffer[] = [];
