Keep workers usable while the roster is written without another one

Each write of a roster row made all of its workers unusable until it was stored: `compare` lists only rows whose stored contents are the wanted ones. One worker that joins, drains, or whose record is overwritten, so kept all others of its row from getting tasks for the duration of the write, and closed the placements that were stored meanwhile ("has changed since the placement"); for longer when the write was not answered.

A row now knows which workers it lists whichever of its unsettled writes have taken effect: those of the last stored contents that each write since has listed at the same address.

--- a/packages/node/cell/roster/roster_rows.ts
+++ b/packages/node/cell/roster/roster_rows.ts
@@ -29,6 +29,8 @@
   bytes: number;
   /** Contents as last stored in this epoch; undefined when it has not been. */
   stored: string | undefined;
+  /** Workers that the row lists in the store, whichever of the unsettled writes have taken effect. */
+  listed: ReadonlyMap<WorkerName, WorkerTarget>;
 }
 
 function computeBytes({ worker, address }: WorkerTarget): number {
@@ -154,11 +156,34 @@
     return { stored, changed };
   }
 
+  /** The workers that the stored rows list for certain. */
+  listStored(): ReadonlyMap<WorkerName, WorkerTarget> {
+    return new Map(
+      [...this.#rows.values()].flatMap(({ listed }) => [...listed]),
+    );
+  }
+
+  /** Takes note of a write that is about to be sent. It may take effect even if it fails. */
+  beginWrite({ key, workers }: RosterContents): void {
+    const row = this.#rows.get(parseKey(key) ?? 0);
+    if (row === undefined) return;
+    row.stored = undefined;
+    row.listed = new Map(
+      workers.flatMap((target) =>
+        row.listed.get(target.worker)?.address === target.address
+          ? [[target.worker, target] as const]
+          : []
+      ),
+    );
+  }
+
   /** Takes note of a write. One that failed may still take effect, so the row is unknown then. */
   recordWrite({ key, workers }: RosterContents, isStored: boolean): void {
     const row = this.#rows.get(parseKey(key) ?? 0);
-    if (row !== undefined) {
-      row.stored = isStored ? describe(workers) : undefined;
+    if (row === undefined) return;
+    row.stored = isStored ? describe(workers) : undefined;
+    if (isStored) {
+      row.listed = new Map(workers.map((target) => [target.worker, target]));
     }
   }
 
@@ -169,6 +194,7 @@
       workers: new Map(),
       bytes: ROW_OVERHEAD_BYTES,
       stored: undefined,
+      listed: new Map(),
     };
     this.#rows.set(number, row);
     return row;
--- a/packages/node/cell/worker_fleet.ts
+++ b/packages/node/cell/worker_fleet.ts
@@ -371,8 +371,8 @@
     if (this.#isWritingRoster) return;
     const listed = this.sessions.filter((session) => this.#isListed(session));
     this.#roster.replace(listed.map(({ target }) => target));
-    const { stored, changed } = this.#roster.compare();
-    this.#setRostered(stored);
+    const { changed } = this.#roster.compare();
+    this.#setRostered();
     if (changed.length === 0 || !this.#options.canAct()) return;
     this.#isWritingRoster = true;
     try {
@@ -381,13 +381,14 @@
       this.#isWritingRoster = false;
     }
     if (this.#isStopped) return;
-    this.#setRostered(this.#roster.compare().stored);
+    this.#setRostered();
     this.#options.onChanged();
     if (this.#isRosterOutdated) await this.#writeRoster();
   }
 
   async #writeRosterRow(row: RosterContents): Promise<void> {
     let isStored = false;
+    this.#roster.beginWrite(row);
     try {
       const outcome = await putRow(this.#options, row.key, encodeRoster(row));
       isStored = outcome === "stored";
@@ -396,16 +397,12 @@
     }
   }
 
-  #setRostered(rows: readonly RosterContents[]): void {
-    const addresses = new Map(
-      rows.flatMap(({ workers }) =>
-        workers.map(({ worker, address }) => [worker, address] as const)
-      ),
-    );
+  #setRostered(): void {
+    const stored = this.#roster.listStored();
     for (const session of this.#sessions.values()) {
       const { worker, address } = session.target;
       session.isRostered = this.#isListed(session) &&
-        addresses.get(worker) === address;
+        stored.get(worker)?.address === address;
     }
   }
 
