Count the workers that have not reported once per read

After each unanswered call to a worker that has never reported, the delay of the next one was computed from a count over all sessions.

Before: AssertionError: expected 5552754 to be below 1000000 (1,000 workers, 5 s; with the bound that the test has now, 300,000)

The count is now taken when the records are applied.

--- a/packages/node/cell/odd_records/silent_workers_test.ts
+++ b/packages/node/cell/odd_records/silent_workers_test.ts
@@ -1,6 +1,7 @@
 /** Records of the declared service at addresses where no worker answers. */
 import { expect } from "chai";
 import { CellSimulation } from "../cell_simulation.ts";
+import { WorkerSession } from "../worker_session.ts";
 import {
   createClosedAddress,
   createSilentAddress,
@@ -17,6 +18,9 @@
 /** FIRST_REPORT_TIMEOUT_MS of the fleet, and some time to start a task. */
 const FIRST_START_MS = 700 + 100;
 const MANY = 100;
+const LARGE = 1_000;
+/** One for each check of 4 ms while a holder waits for reports, and for each later timer within 5 s. */
+const LOOKS_PER_WORKER = 300;
 const LONG_MS = 20_000;
 
 function putSilent(simulation: CellSimulation, count: number): void {
@@ -78,6 +82,32 @@
     expect(calls).to.be.within(MANY, firstCalls + MANY * LONG_MS / 1_000);
   });
 
+  // Guards against work for each call that grows with their number, which keeps the process from
+  // renewing the scheduler's lease.
+  it("are called without a look at all of them for each call", async () => {
+    const { get } = Object.getOwnPropertyDescriptor(
+      WorkerSession.prototype,
+      "hasReported",
+    )!;
+    let looks = 0;
+    Object.defineProperty(WorkerSession.prototype, "hasReported", {
+      configurable: true,
+      get(this: WorkerSession) {
+        looks++;
+        return get!.call(this) as boolean;
+      },
+    });
+    try {
+      const simulation = CellSimulation.create(["a"]);
+      putSilent(simulation, LARGE);
+      startHolder(simulation);
+      await simulation.clock.advance(5_000);
+    } finally {
+      Object.defineProperty(WorkerSession.prototype, "hasReported", { get });
+    }
+    expect(looks).to.be.below(LARGE * LOOKS_PER_WORKER);
+  });
+
   // Guards against a round that waits or a plan that counts on them.
   it("get no task", async () => {
     const simulation = CellSimulation.create(["a"]);
--- a/packages/node/cell/worker_fleet.ts
+++ b/packages/node/cell/worker_fleet.ts
@@ -103,6 +103,8 @@
   readonly #roster: RosterRows;
   readonly #unusable: UnusableRecords;
   readonly #createdMs: number;
+  /** Workers that had not reported when the records were applied last. */
+  #unreportedWorkers = 0;
   #snapshot: DirectorySnapshot | undefined;
   #isRosterWriteDue = false;
   #isWritingRoster = false;
@@ -263,6 +265,7 @@
       if (!usable.has(session.worker)) session.setRecord(undefined);
     }
     this.#dropIdleSessions();
+    this.#countUnreported();
     this.#requestRosterWrite();
     this.#options.onChanged();
   }
@@ -343,12 +346,18 @@
     }
   }
 
+  #countUnreported(): void {
+    this.#unreportedWorkers = 0;
+    for (const { hasReported } of this.#sessions.values()) {
+      if (!hasReported) this.#unreportedWorkers++;
+    }
+  }
+
   /** Bounds the rate of the calls to workers that never answer, however many are recorded. */
   #computeFirstContactDelayMs(): number {
-    const unreported = this.sessions.filter(({ hasReported }) => !hasReported);
     return Math.max(
       FIRST_CONTACT_DELAY_MS,
-      unreported.length * MS_PER_FIRST_CONTACT,
+      this.#unreportedWorkers * MS_PER_FIRST_CONTACT,
     );
   }
 
