Count no crash of a worker whose record was overwritten

A run of an earlier holder counts as crashed when its worker's record is gone or names another incarnation and the worker has not reported. A row that cannot be used, or that names an undeclared service, was taken for no record: a worker that this holder does not reach then counts as crashed, and after enough of these its job is shown as failed.

Nothing is concluded from a row that names no worker to use.

--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -420,6 +420,7 @@
       mayStillRunUnreported(unit, this.#isUnreported);
     const checks: EarlierRunChecks = {
       getSession: (worker) => this.#fleet.get(worker),
+      hasUnusableRecord: (worker) => this.#fleet.hasUnusableRecord(worker),
       isBlocked,
     };
     for (const job of this.#jobs.jobs) {
--- a/packages/node/cell/crashes/crash_tracker.ts
+++ b/packages/node/cell/crashes/crash_tracker.ts
@@ -37,6 +37,8 @@
 
 export interface EarlierRunChecks {
   readonly getSession: GetSession;
+  /** Whether a row stands under the worker's name that names no worker to use. */
+  readonly hasUnusableRecord: (worker: WorkerName) => boolean;
   /** Whether the unit may have a run that no report has shown yet. */
   readonly isBlocked: (unit: Unit) => boolean;
 }
@@ -118,7 +120,11 @@
   #checkEarlierRun(unit: Unit, checks: EarlierRunChecks): void {
     if (this.#checkedUnits.has(unit) || checks.isBlocked(unit)) return;
     this.#checkedUnits.add(unit);
-    const lost = findCrashedEarlierRun(unit, checks.getSession);
+    const lost = findCrashedEarlierRun(
+      unit,
+      checks.getSession,
+      checks.hasUnusableRecord,
+    );
     if (lost !== undefined) this.#recordEarlier(unit, lost);
   }
 
--- a/packages/node/cell/crashes/earlier_runs.ts
+++ b/packages/node/cell/crashes/earlier_runs.ts
@@ -12,17 +12,19 @@
 export function findCrashedEarlierRun(
   unit: Unit,
   getSession: GetSession,
+  hasUnusableRecord: (worker: WorkerName) => boolean,
 ): { readonly run: number; readonly worker: WorkerName } | undefined {
   const earlier = unit.job.earlierRuns.get(formatUnitKey(unit.address));
   const isWaiting = unit.run === undefined && !unit.wasPlacedByThisHolder;
   if (earlier === undefined || !isWaiting) return undefined;
-  const worker = findEndedWorker(earlier, getSession);
+  const worker = findEndedWorker(earlier, getSession, hasUnusableRecord);
   return worker === undefined ? undefined : { run: earlier.run, worker };
 }
 
 function findEndedWorker(
   { incarnations }: EarlierRun,
   getSession: GetSession,
+  hasUnusableRecord: (worker: WorkerName) => boolean,
 ): WorkerName | undefined {
   return [...incarnations].find(([worker, startUnixMs]) => {
     if (startUnixMs === 0) return false;
@@ -31,6 +33,8 @@
     const present = session?.hasReported
       ? session.incarnationStartUnixMs
       : session?.record?.incarnationStartUnixMs;
+    // Another writer may have overwritten the record.
+    if (present === undefined && hasUnusableRecord(worker)) return false;
     return present !== startUnixMs;
   })?.[0];
 }
--- a/packages/node/cell/worker_fleet.ts
+++ b/packages/node/cell/worker_fleet.ts
@@ -146,6 +146,11 @@
     return this.#unusable.count;
   }
 
+  /** Whether a row stands under the worker's name that names no worker to use. */
+  hasUnusableRecord(worker: WorkerName): boolean {
+    return this.#unusable.has(worker);
+  }
+
   stop(): void {
     this.#isStopped = true;
     for (const session of this.#sessions.values()) session.stop();
