--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -85,7 +85,10 @@
     const child = this.#child;
     let tail = "";
     if (this.logFolder !== undefined) {
-      child.stdout.on("data", (chunk) => appendFileSync(join(this.logFolder, `${this.name}.log`), chunk));
+      child.stdout.on("data", (chunk) => {
+        // The folder may be removed once the deployment is stopped.
+        if (!this.#isStopped) appendFileSync(join(this.logFolder, `${this.name}.log`), chunk);
+      });
     }
     child.stdout.on("data", (chunk) => this.#scan(tail += chunk, (rest) => (tail = rest)));
     child.stderr.resume();
