--- a/apps/coltsfootpond_scheduler/main.ts
+++ b/apps/coltsfootpond_scheduler/main.ts
@@ -1,7 +1,8 @@
 /**
  * The daemon of the cell's scheduler: reads the platform's settings file, runs one entry and stops
- * gracefully on SIGTERM. Once it has started, errors do not end it (decision 0013). `--metrics-port N` serves Prometheus metrics on the host on which callers
- * are served. Exit codes: 0 stopped, 1 failed, 2 invalid settings or arguments.
+ * gracefully on SIGTERM. Once it has started, errors do not end it (decision 0013).
+ * `--metrics-port N` serves Prometheus metrics on the host on which callers are served. Exit codes:
+ * 0 stopped, 1 failed, 2 invalid settings or arguments.
  */
 import { readFileSync } from "node:fs";
 import process from "node:process";
