review: give the processes of one machine three different ports

Its record: front-schwabmuenchen-1 ends each time with EADDRINUSE 127.207.2.3:45793, an address that only it uses.

Cause: the stand-in asked for three free ports one after another and released each before the next, so the same one was given out twice. They are held until all three are known.

--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -183,12 +183,13 @@
   });
 }
 
-async function findPort(host) {
-  const server = createServer();
-  await new Promise((done) => server.listen(0, host, done));
-  const { port } = server.address();
-  await new Promise((done) => server.close(done));
-  return port;
+/** Free ports; all are held until each is known, as one that was released may be given out again. */
+async function findPorts(host, count) {
+  const servers = Array.from({ length: count }, () => createServer());
+  await Promise.all(servers.map((server) => new Promise((done) => server.listen(0, host, done))));
+  const ports = servers.map((server) => server.address().port);
+  await Promise.all(servers.map((server) => new Promise((done) => server.close(done))));
+  return ports;
 }
 
 function formatSettings({ name, host, zone, ports, seeds, store, storeAddress }) {
@@ -247,7 +248,8 @@
     const machines = [];
     for (let index = 0; index < fronts; index++) {
       const host = `${network}.${index + 1}`;
-      const ports = { front: await findPort(host), readiness: await findPort(host), control: await findPort(host) };
+      const [front, readiness, control] = await findPorts(host, 3);
+      const ports = { front, readiness, control };
       const zone = ZONES[index % ZONES.length];
       machines.push({ name: `front-${zone}-${Math.floor(index / ZONES.length) + 1}`, host, zone, ports });
     }
