Bound the calls to workers that have never reported

Cause: WorkerFleet opens a session for each record and each session makes its first call at once. Each call takes a connection with its buffers, so that their number, and the memory of the process, grow with what others write. Change: until a worker has reported, its calls wait for one of 512 slots; first calls go before repeated ones, of which every fourth has its turn, so that a new worker does not wait behind addresses that were silent before. Workers of the stored roster, which may run tasks, do not wait. Each address is still called about 7 times a minute.

--- a/packages/node/cell/worker_fleet.ts
+++ b/packages/node/cell/worker_fleet.ts
@@ -22,6 +22,7 @@
 import { BACKGROUND_ACTIVITY } from "./background/activities.ts";
 import { guard, runInBackground } from "./background/run_in_background.ts";
 import type { CellLog, LogFields } from "./log.ts";
+import { FirstContacts } from "./first_contacts/first_contacts.ts";
 import { putRow } from "./state_rows/put_row.ts";
 import {
   encodeRoster,
@@ -102,6 +103,7 @@
   readonly #carriedOver = new Set<WorkerName>();
   readonly #roster: RosterRows;
   readonly #unusable: UnusableRecords;
+  readonly #firstContacts = FirstContacts.create();
   readonly #createdMs: number;
   /** Workers that had not reported when the records were applied last. */
   #unreportedWorkers = 0;
@@ -307,6 +309,8 @@
       onFirstReport: () => this.#applyFirstReport(worker),
       getMaximumRetryDelayMs: () =>
         this.#carriedOver.has(worker) ? 0 : this.#computeFirstContactDelayMs(),
+      getFirstContacts: () =>
+        this.#carriedOver.has(worker) ? undefined : this.#firstContacts,
     });
     this.#sessions.set(worker, session);
     log.info("worker.session_opened", { worker, address, epoch, source });
--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -26,6 +26,7 @@
   RETRY_DELAY_MS,
   TaskCommands,
 } from "./task_commands.ts";
+import type { FirstContacts } from "./first_contacts/first_contacts.ts";
 import type { LeftWorker } from "./worker_directory.ts";
 import { WorkerLeases } from "./worker_leases.ts";
 import { WorkerIncarnation } from "./incarnations/worker_incarnation.ts";
@@ -50,6 +51,8 @@
   readonly onFirstReport?: () => void;
   /** Longest delay of the next poll of a worker that has never reported. */
   readonly getMaximumRetryDelayMs?: () => number;
+  /** Where calls to the worker wait until it has reported; undefined when they don't. */
+  readonly getFirstContacts?: () => FirstContacts | undefined;
 }
 
 /** Polls one worker and sends commands to it. */
@@ -71,6 +74,8 @@
   readonly #commands: TaskCommands;
   #pausedUntilMs = 0;
   #isPollLoopRunning = false;
+  /** Whether it has been called before its first report. */
+  #wasCalled = false;
   #isImmediatePollRunning = false;
   /** Whether a report is needed to tell which incarnation of the worker is the present one. */
   #isReportDue = false;
@@ -396,16 +401,21 @@
       await clock.sleep(RETRY_DELAY_MS);
       return true;
     }
-    const requestedMs = clock.nowMs();
-    const outcome = await workerPort.renew(this.target, {
-      incarnationStartUnixMs,
-      maySend: () => !this.#isStopped && (canAct() || !this.hasReported),
-      epoch,
-      leaseUntilMs,
-      acknowledgedSequence,
-      longPollMs,
-    }, longPollMs + COMMAND_TIMEOUT_MS);
-    if (this.#isStopped) return true;
+    let requestedMs = clock.nowMs();
+    const request = async (): Promise<RenewOutcome | undefined> => {
+      if (this.#isStopped) return undefined;
+      requestedMs = clock.nowMs();
+      return await workerPort.renew(this.target, {
+        incarnationStartUnixMs,
+        maySend: () => !this.#isStopped && (canAct() || !this.hasReported),
+        epoch,
+        leaseUntilMs,
+        acknowledgedSequence,
+        longPollMs,
+      }, longPollMs + COMMAND_TIMEOUT_MS);
+    };
+    const outcome = await this.#awaitTurn(request);
+    if (outcome === undefined || this.#isStopped) return true;
     // The answer of an earlier incarnation may arrive after a later one has reported.
     if (
       outcome.kind === "report" &&
@@ -417,6 +427,17 @@
     return this.#applyOutcome(outcome, requestedMs);
   }
 
+  /** Until the worker has reported, its calls wait for their turn among those to others like it. */
+  #awaitTurn<Result>(request: () => Promise<Result>): Promise<Result> {
+    const firstContacts = this.#incarnation.startUnixMs === undefined
+      ? this.#options.getFirstContacts?.()
+      : undefined;
+    if (firstContacts === undefined) return request();
+    const isRepeated = this.#wasCalled;
+    this.#wasCalled = true;
+    return firstContacts.run(isRepeated, request);
+  }
+
   #applyOutcome(outcome: RenewOutcome, requestedMs: number): boolean {
     const { listener } = this.#options;
     const isRefused = outcome.kind === "wrong_life" ||
