Count a job as begun only once a worker has started a task of it

Cause: `hasBegun` was set in RunRegistry.#open, at the placement and before any start was sent, and nothing took it back. The next lease holder set it for each job with a progress row, which is stored before the starts. The same flag decides the state that callers are shown, the stored list of begun jobs and the gauges of waiting jobs, also those of each organisation. Change: the evidence is an accepted start, a report that lists the run (also a stray one, or one whose start was not answered), or a listed end. A new holder takes over the jobs that the stored list names and those whose stored progress has a unit that is done, has failed or has a checkpoint, so that a job never goes back to waiting. The rows keep their form; those of an earlier version count as they are. A job whose progress cannot be decoded still counts as begun. Why this works: all readers use the one flag or the stored list, and nothing sets the flag without evidence; begun_list.ts checks both directions in the cell under faults.

--- a/packages/node/cell/cell_faults_test.ts
+++ b/packages/node/cell/cell_faults_test.ts
@@ -134,6 +134,7 @@
         checkCrashingJob(cell);
         expect(cell.capacityViolations, "capacity").to.deep.equal([]);
         expect(cell.quotaViolations, "quota").to.deep.equal([]);
+        expect(cell.begunListViolations, "begun jobs").to.deep.equal([]);
       }));
       incomplete.push(...describeFailure(seed, () => {
         checkCompleted(cell);
--- a/packages/node/cell/cell_simulation.ts
+++ b/packages/node/cell/cell_simulation.ts
@@ -201,7 +201,7 @@
   }
 
   /** The job's row in the store. */
-  readJob(spec: CellJobSpec): JobRow | undefined {
+  readJob(spec: Pick<CellJobSpec, "jobId">): JobRow | undefined {
     const row = this.store.rows().get(jobKey(spec.jobId));
     return row?.value && decodeRow<JobRow>(row.value);
   }
--- a/packages/node/cell/faults/faulty_cell.ts
+++ b/packages/node/cell/faults/faulty_cell.ts
@@ -11,6 +11,7 @@
 import type { CellScheduler } from "../cell_scheduler.ts";
 import { CellSimulation, SIMULATION_BOUNDS } from "../cell_simulation.ts";
 import type { RunHistory, WorkerFake } from "../workers_fake.ts";
+import { BegunList } from "./begun_list.ts";
 import { LeaseHolder } from "./lease_holder.ts";
 import { breakCalls } from "./breaking_calls.ts";
 import { CapacityFaults } from "./capacity_faults.ts";
@@ -96,6 +97,7 @@
   readonly #oddRecordFaults: OddRecordFaults | undefined;
   readonly #random: SeededRandom;
   readonly #storeFaults: StoreFaults;
+  readonly #begunList = BegunList.create(this.simulation);
   #scheduler: CellScheduler | undefined;
   #holder: LeaseHolder | undefined;
   #isRecovering = false;
@@ -191,6 +193,11 @@
     return this.#quotaFaults?.violations ?? [];
   }
 
+  /** Jobs that were listed as begun too early, or not any more. */
+  get begunListViolations(): readonly string[] {
+    return this.#begunList.violations;
+  }
+
   /** The job as one of an organisation, if there are quotas. */
   #assign({ spec, ...job }: RandomJob): RandomJob {
     return { ...job, spec: this.#quotaFaults?.assign(spec) ?? spec };
@@ -210,6 +217,7 @@
       for (let fault = 0; fault < faults; fault++) await this.#injectFault();
       this.#endTasks();
       await this.simulation.clock.advance(STEP_MS);
+      this.#begunList.check();
     }
     await this.#recover();
   }
@@ -234,6 +242,7 @@
       if (passedMs === FAILURE_END_MS) this.#mayTasksFail = false;
       this.#endTasks();
       await simulation.clock.advance(STEP_MS);
+      this.#begunList.check();
     }
   }
 
--- a/packages/node/cell/job_registry.ts
+++ b/packages/node/cell/job_registry.ts
@@ -29,12 +29,17 @@
 import {
   jobKey,
   type JobRow,
+  parseBegunKey,
   parseJobKey,
   parseProgressKey,
   progressKey,
 } from "./rows.ts";
 import { countParts } from "./state_rows/progress_row.ts";
-import { readJobRow, readProgressRow } from "./state_rows/row_readers.ts";
+import {
+  readBegunJobsRow,
+  readJobRow,
+  readProgressRow,
+} from "./state_rows/row_readers.ts";
 import type { TableFollower } from "./table_follower.ts";
 
 const { APPLY_JOB_ROWS, TICK } = BACKGROUND_ACTIVITY;
@@ -57,6 +62,8 @@
   readonly #jobs = new Map<CellJobId, LiveJob>();
   /** Live jobs that are not opened, as their progress cannot be decoded. */
   readonly #skippedJobIds = new Set<CellJobId>();
+  /** Jobs that an earlier lease holder has listed as begun; undefined until it is needed. */
+  #begunBefore: ReadonlySet<CellJobId> | undefined;
 
   private constructor(options: JobRegistryOptions) {
     this.#options = options;
@@ -70,7 +77,10 @@
     return [...this.#jobs.values()];
   }
 
-  /** Live jobs of which at least one task has begun, also those that are not opened. */
+  /**
+   * Live jobs of which at least one task has begun. Those that are not opened are included, as their
+   * progress may hold ends.
+   */
   get begunJobIds(): readonly CellJobId[] {
     const begun = this.jobs.filter(({ hasBegun }) => hasBegun);
     return [...begun.map(({ jobId }) => jobId), ...this.#skippedJobIds];
@@ -148,11 +158,18 @@
     runInBackground(this.#options.log, activity, work, { job });
   }
 
+  /** Records that a worker has started the task. */
+  recordStart(task: TaskName): void {
+    const location = this.locateTask(task);
+    if (location !== undefined) location.job.hasBegun = true;
+  }
+
   /** Records the end of a run. It counts also when the task's step does not seem due yet. */
   applyEnd({ job, address, step }: TaskLocation, ended: EndedTask): void {
     const { clock, nowUnixMs, closeRun, writer } = this.#options;
     const key = formatUnitKey(address);
     const unit = job.units.get(key);
+    job.hasBegun = true;
     switch (ended.end) {
       case RUN_END.DONE:
         if (step.isPersistent || job.progress.isUnitDone(address)) return;
@@ -257,7 +274,7 @@
       log.warn("job.skipped", { job: spec.jobId });
       return;
     }
-    this.#skippedJobIds.delete(spec.jobId);
+    const wasSkipped = this.#skippedJobIds.delete(spec.jobId);
     if (spec.priority === URGENT_PRIORITY) urgentDemand.record(spec);
     const row = reading.kind === "progress" ? reading.row : undefined;
     const job = LiveJob.create({
@@ -267,7 +284,8 @@
       progressVersion: stored?.version ?? 0,
       placements: row?.placements,
     });
-    job.hasBegun = stored !== undefined;
+    job.hasBegun = wasSkipped || job.progress.hasRun ||
+      stored !== undefined && this.#wasListedAsBegun(spec.jobId);
     job.progressParts = stored?.value ? countParts(stored.value) : 0;
     this.#jobs.set(spec.jobId, job);
     job.openDueUnits(clock.nowMs(), nowUnixMs());
@@ -284,6 +302,22 @@
     this.#checkEnd(job);
   }
 
+  /** A job counts as begun from then on, even if its worker is gone when the lease changes hands. */
+  #wasListedAsBegun(jobId: CellJobId): boolean {
+    this.#begunBefore ??= this.#readBegunJobs();
+    return this.#begunBefore.has(jobId);
+  }
+
+  #readBegunJobs(): ReadonlySet<CellJobId> {
+    const { follower } = this.#options;
+    const jobIds = new Set<CellJobId>();
+    for (const row of follower.rows()) {
+      if (parseBegunKey(row.key) === undefined) continue;
+      readBegunJobsRow(follower, row)?.jobIds.forEach((id) => jobIds.add(id));
+    }
+    return jobIds;
+  }
+
   /** Ends the job if it is complete or can't complete any more. */
   #checkEnd(job: LiveJob): void {
     if (job.ending !== undefined || job.isHeld) return;
--- a/packages/node/cell/live_job.ts
+++ b/packages/node/cell/live_job.ts
@@ -79,7 +79,10 @@
   readonly earlierPlacements: ReadonlyMap<string, readonly WorkerName[]>;
   /** The same placements with run numbers and incarnations; empty for rows of earlier versions. */
   readonly earlierRuns: ReadonlyMap<string, EarlierRun>;
-  /** Whether its progress row is stored, or this lease holder has placed or adopted a run of it. */
+  /**
+   * Whether a worker has started a task of it: it accepted the start, listed the run, or listed its
+   * end. A placement, a refused start and one without an answer show nothing.
+   */
   hasBegun = false;
   /**
    * Its row has changed and cannot be decoded, so it may have ended: nothing is started and its end
--- a/packages/node/cell/run_registry.ts
+++ b/packages/node/cell/run_registry.ts
@@ -281,7 +281,6 @@
       isClosing: false,
     };
     unit.run = run;
-    unit.job.hasBegun = true;
     return run;
   }
 
--- a/packages/node/cell/session_event_handler.ts
+++ b/packages/node/cell/session_event_handler.ts
@@ -73,6 +73,10 @@
     if (unit !== undefined) runs.close(unit, `start refused: ${reason}`);
   }
 
+  onStarted({ task }: TaskRun): void {
+    this.#options.jobs.recordStart(task);
+  }
+
   onStartUnanswered(session: WorkerSession, taskRun: TaskRun): void {
     const { runs } = this.#options;
     this.#logTask("task.start_unanswered", session, taskRun);
@@ -132,6 +136,7 @@
   onStray(session: WorkerSession, running: RunningTask): void {
     const { jobs, runs, writer, isReady } = this.#options;
     const taskRun = runs.addStray(session, running);
+    jobs.recordStart(running.task);
     const job = jobs.locateTask(running.task)?.job;
     if (job !== undefined) writer.mark(job, false);
     // Before all workers have reported, the end that makes the task's step due may be missing.
--- a/packages/node/cell/task_commands.ts
+++ b/packages/node/cell/task_commands.ts
@@ -51,6 +51,8 @@
     taskRun: TaskRun,
     reason: StartRefusal | "wrong_life" | "restarted",
   ) => void;
+  /** A start was accepted, and no report has listed the run yet. */
+  readonly onStarted: (taskRun: TaskRun) => void;
   /** A start was answered after its run was taken as over. */
   readonly onStartedLate: (taskRun: TaskRun) => void;
   /** A start was not answered and the worker does not list the run. */
@@ -91,8 +93,9 @@
     switch (outcome.kind) {
       case "started":
         if (!taskRuns.has(taskRun)) return this.#options.onStartedLate(taskRun);
-        taskRun.startAnsweredMs ??= this.#options.clock.nowMs();
-        return;
+        if (taskRun.startAnsweredMs !== undefined) return;
+        taskRun.startAnsweredMs = this.#options.clock.nowMs();
+        return this.#options.onStarted(taskRun);
       case "refused":
         if (!taskRuns.remove(taskRun)) return;
         if (outcome.reason === "fenced") this.#options.onFenced();
--- a/packages/node/cell/task_run.ts
+++ b/packages/node/cell/task_run.ts
@@ -59,6 +59,8 @@
     taskRun: TaskRun,
     reason: StartRefusal | "wrong_life" | "restarted",
   ): void;
+  /** The worker has started the task: it accepted the start, or a report lists the run. */
+  onStarted(taskRun: TaskRun): void;
   /** A start was not answered and the worker does not list the run. */
   onStartUnanswered(session: WorkerSession, taskRun: TaskRun): void;
   /** The run ended and the worker listed its end. */
--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -104,6 +104,7 @@
       clock: options.clock,
       onEnded: (ended, taskRun) => listener.onEnded(this, ended, taskRun),
       onGone: (taskRun, evidence) => listener.onGone(this, taskRun, evidence),
+      onStarted: (taskRun) => listener.onStarted(taskRun),
       onStray: (running) => listener.onStray(this, running),
     });
     this.#ends = EndAcknowledgements.create(options.clock);
@@ -120,6 +121,7 @@
       requestReport: () => this.pollNow(),
       onSent: () => this.startPolling(),
       onRefused: (taskRun, reason) => listener.onRefused(this, taskRun, reason),
+      onStarted: (taskRun) => listener.onStarted(taskRun),
       onStartedLate: (taskRun) => this.#reportStartedLate(taskRun),
       onStartUnanswered: (taskRun) => listener.onStartUnanswered(this, taskRun),
       onUnanswered: (outcome) => this.#recordLostContact(outcome),
--- a/packages/node/cell/worker_task_runs.ts
+++ b/packages/node/cell/worker_task_runs.ts
@@ -33,6 +33,8 @@
   readonly onEnded: (ended: EndedTask, taskRun: TaskRun | undefined) => void;
   /** A task run is gone without a listed end. */
   readonly onGone: (taskRun: TaskRun, evidence: GoneEvidence) => void;
+  /** A report lists a run whose start has not been answered. */
+  readonly onStarted: (taskRun: TaskRun) => void;
   /** The worker reports a run that is not registered; the listener may adopt it. */
   readonly onStray: (running: RunningTask) => void;
 }
@@ -229,8 +231,10 @@
     if (!this.#taskRuns.has(key)) this.#options.onStray(running);
     const taskRun = this.#taskRuns.get(key);
     if (taskRun === undefined) return;
+    const isStartNews = taskRun.startAnsweredMs === undefined;
     const receivedMs = this.#options.clock.nowMs();
     updateFromReport(taskRun, running, reportClockMs, receivedMs);
+    if (isStartNews) this.#options.onStarted(taskRun);
   }
 
   /**
--- a/packages/node/cell/worker_task_runs_test.ts
+++ b/packages/node/cell/worker_task_runs_test.ts
@@ -37,6 +37,7 @@
     clock: ManualClock.create(),
     onEnded: ({ sequence }) => ended.push(sequence),
     onGone: (_taskRun, { reason }) => goneReasons.push(reason),
+    onStarted: () => {},
     onStray: () => {},
   });
   /** A report without runs; its clock and the time of its request differ by a fixed amount. */
--- a/packages/policy/cell/job_progress.ts
+++ b/packages/policy/cell/job_progress.ts
@@ -174,6 +174,13 @@
     )?.[0];
   }
 
+  /** Whether it shows that a task has run: a unit is done, has failed or has a checkpoint. */
+  get hasRun(): boolean {
+    return [...this.#steps.values()].some(({ done, failedRuns, checkpoints }) =>
+      done.size > 0 || failedRuns.size > 0 || checkpoints.size > 0
+    );
+  }
+
   /** Whether any unit has crashes. */
   get hasCrashes(): boolean {
     return [...this.#steps.values()].some(({ crashes }) => !crashes.isEmpty);
