Replace all connections to a service once one of them has gone silent

Cause: a time-out closed only the connection that it was on. The others of the pool (up to 12 to the store, 6 to a peer) were as old and as silent, and while the path counts as down only a probe of 500 ms uses it, once in 250 ms. So the path was regained after all old connections had been tried, at all machines at the same time, so that no peer could relay. Change: a request that times out replaces the pool of its HttpClient. Idle connections are closed, requests in progress may still be answered and their connections are closed afterwards, and later requests open new ones with the whole limit. A pool that has carried no answer is not replaced, so a service that is away or too slow costs no more connections than requests. No request is repeated. Why this works: the first time-out (630 ms for a call, 1,350 ms for a long poll) ends the use of all connections of its age, within contactMs of 3,000 ms.

--- a/packages/ports/http/http_client.ts
+++ b/packages/ports/http/http_client.ts
@@ -1,4 +1,8 @@
-/** An HTTP client for the platform's services, with time-outs, size limits and keep-alive. */
+/**
+ * An HTTP client for the platform's services, with time-outs, size limits and keep-alive. Open
+ * connections may go silent without a reset while new ones work, and all of them at the same time.
+ * So a request that times out replaces the whole pool, not only the connection that it was on.
+ */
 import type { Buffer } from "node:buffer";
 import { Agent, type ClientRequest, request } from "node:http";
 import type { Socket } from "node:net";
@@ -74,11 +78,31 @@
   return typeof code === "string" && CONNECTION_LOSS_CODES.has(code);
 }
 
+/** The connections that were opened since the pool was last replaced. */
+interface Pool {
+  readonly agent: Agent;
+  /**
+   * Whether one of them has carried an answer. A pool without one is not replaced, so that a service
+   * that is away costs no more connections than requests.
+   */
+  hasAnswered: boolean;
+}
+
+function createPool(maxSockets: number): Pool {
+  return {
+    agent: new Agent({ keepAlive: true, maxSockets }),
+    hasAnswered: false,
+  };
+}
+
 /** A client of one service, with a pool of connections. */
 export class HttpClient {
   readonly #address: ServiceAddress;
   readonly #meter: TrafficMeter | undefined;
-  readonly #agent: Agent;
+  readonly #maxSockets: number;
+  #pool: Pool;
+  /** Replaced pools with requests in progress. */
+  #replaced: readonly Pool[] = [];
 
   private constructor(
     address: ServiceAddress,
@@ -87,7 +111,8 @@
   ) {
     this.#address = address;
     this.#meter = meter;
-    this.#agent = new Agent({ keepAlive: true, maxSockets });
+    this.#maxSockets = maxSockets;
+    this.#pool = createPool(maxSockets);
   }
 
   static create(
@@ -99,7 +124,8 @@
   }
 
   close(): void {
-    this.#agent.destroy();
+    for (const { agent } of [this.#pool, ...this.#replaced]) agent.destroy();
+    this.#replaced = [];
   }
 
   /**
@@ -114,18 +140,27 @@
     }
     if (maySend?.() === false) return Promise.resolve(refused(NOT_SENT));
     const body = clientRequest.body ?? new Uint8Array(0);
+    const pool = this.#pool;
     const outgoing = this.#open(clientRequest, body.byteLength);
     if ("kind" in outgoing) return Promise.resolve(outgoing);
     this.#meter?.addSent(body.byteLength + HEADER_BYTES_ESTIMATE);
     return new Promise((resolve) => {
       let isWritten = false;
+      let hasResponse = false;
       const { timeoutMs, totalTimeoutMs } = clientRequest;
       let isTimedOut = false;
+      let isSilent = false;
       const abort = () => {
         isTimedOut = true;
         outgoing.destroy(new Error("timeout"));
       };
-      const idleTimer = setTimeout(abort, timeoutMs);
+      const abortIdle = () => {
+        const isIdle = !hasResponse || totalTimeoutMs !== undefined;
+        isSilent = isWritten && isIdle && pool.hasAnswered;
+        if (isSilent) this.#replace(pool);
+        abort();
+      };
+      const idleTimer = setTimeout(abortIdle, timeoutMs);
       const totalTimer = totalTimeoutMs === undefined
         ? undefined
         : setTimeout(abort, Math.max(timeoutMs, totalTimeoutMs));
@@ -156,6 +191,7 @@
           ...(!isTimedOut && isConnectionLoss(error)
             ? { isConnectionLost: true }
             : {}),
+          ...(isSilent ? { isSilent: true } : {}),
         });
       outgoing.on(
         "error",
@@ -168,6 +204,8 @@
       });
       outgoing.on("response", (incoming) => {
         const { socket } = incoming;
+        hasResponse = true;
+        pool.hasAnswered = true;
         const chunks: Buffer[] = [];
         let length = 0;
         incoming.on("data", (chunk: Buffer) => {
@@ -185,6 +223,7 @@
             finish({
               ...unavailable("lost", "response aborted"),
               ...(isTimedOut ? {} : { isConnectionLost: true }),
+              ...(isSilent ? { isSilent: true } : {}),
             }),
         );
         incoming.on("end", () => {
@@ -214,7 +253,7 @@
     try {
       return request({
         ...this.#address,
-        agent: this.#agent,
+        agent: this.#pool.agent,
         method,
         path,
         headers: {
@@ -228,9 +267,26 @@
     }
   }
 
+  /**
+   * Later requests open new connections. Those that wait for answers may still get them; their
+   * connections are closed afterwards, so that they take no place in the new pool.
+   */
+  #replace(pool: Pool): void {
+    if (pool !== this.#pool) return;
+    this.#pool = createPool(this.#maxSockets);
+    const { agent } = pool;
+    agent.maxFreeSockets = 0;
+    for (const sockets of Object.values(agent.freeSockets)) {
+      for (const socket of [...sockets ?? []]) socket.destroy();
+    }
+    this.#replaced = [...this.#replaced, pool].filter((known) =>
+      Object.keys(known.agent.sockets).length > 0
+    );
+  }
+
   #isIdle(connection: HttpConnection): boolean {
     return connection.writable &&
-      Object.values(this.#agent.freeSockets).some((sockets) =>
+      Object.values(this.#pool.agent.freeSockets).some((sockets) =>
         sockets?.some((socket) => socket === connection)
       );
   }
--- a/packages/ports/types.ts
+++ b/packages/ports/types.ts
@@ -35,6 +35,11 @@
   readonly reason: string;
   /** The other end has closed or refused the connection, as when its process ends. */
   readonly isConnectionLost?: true;
+  /**
+   * Nothing arrived in time over connections that had carried answers before. They may have gone
+   * silent, so the client has replaced them: the next call opens a new one.
+   */
+  readonly isSilent?: true;
 }
 
 /** One row of the table service. The version rises by one with every write to the row. */
