Ignore failures of calls from before the direct path was regained

Callers saw: after connections to the store went silent, an entry could relay or refuse again although it had reached the store meanwhile. Cause: DirectPath recorded each failure when it came. Calls that were sent at different times over silent connections run into their time-outs one after the other, so that a transaction from before the probe turned the path down again. Change: a call that fails counts only if the path has not been regained since it was sent. A success counts always. Evidence: "stays up when calls from before it was regained get no answer" fails without the change; a later call that gets no answer still turns the path down.

--- a/packages/node/cell/direct_path.ts
+++ b/packages/node/cell/direct_path.ts
@@ -38,6 +38,8 @@
   /** Emits when the path turns down. */
   readonly losses = new Subject<void>();
   #isDown = false;
+  /** How often the path has turned up again. */
+  #regains = 0;
   #isProbing = false;
   #isClosed = false;
 
@@ -62,11 +64,14 @@
 
   /** Calls the store. Reads and long polls end as soon as another call finds the path down. */
   async call(call: StoreCall): Promise<StoreOutcome> {
+    const regainsBefore = this.#regains;
     const own = runStoreCall(this.#options.store, call);
     const outcome = call.kind === "transact"
       ? await own
       : await this.#race(own);
-    this.#recordResult(outcome.kind !== "unavailable");
+    const isUp = outcome.kind !== "unavailable";
+    // Calls from before the path was regained may still wait on connections that have gone silent.
+    if (isUp || regainsBefore === this.#regains) this.#recordResult(isUp);
     return outcome;
   }
 
@@ -89,7 +94,10 @@
     this.#options.log.info(
       isUp ? "store.direct_regained" : "store.direct_lost",
     );
-    if (isUp) return;
+    if (isUp) {
+      this.#regains++;
+      return;
+    }
     this.losses.next();
     const { log } = this.#options;
     runInBackground(log, PROBE_STORE, () => this.#probe());
