Ask a peer again at once after its connections have gone silent

Callers saw: with the connections between machines silent as well, an entry that cannot reach the store skips all peers. Cause: PeerClient skips a peer for 1.5 s after one failure, and the next request took the next of six silent connections. A failure over old connections says nothing of the peer. Change: a peer is not skipped after `isSilent`; the next request opens a new connection, and if that gets no answer the peer is skipped as before. Others are asked first meanwhile. A peer that is gone costs one more request of those that know old connections to it.

--- a/packages/node/cell/peer_client.ts
+++ b/packages/node/cell/peer_client.ts
@@ -67,7 +67,8 @@
 
   /**
    * Sends one request. A peer that fails to answer it is skipped for PEER_BACKOFF_MS; so is one with
-   * an answer for which `readAnswer` returns undefined.
+   * an answer for which `readAnswer` returns undefined. One whose connections have gone silent is
+   * not: the next request shows over a new connection whether the peer answers.
    */
   async request<Answer extends object>(
     peer: HostPort,
@@ -86,6 +87,11 @@
     });
     const answer = await decodeAnswer(outcome, readAnswer);
     if ("kind" in answer && answer.kind === "unavailable") {
+      if (answer.isSilent) {
+        // Another peer may answer sooner.
+        if (this.#lastAnswering === name) this.#lastAnswering = undefined;
+        return answer;
+      }
       const backoffUntilMs = this.#options.clock.nowMs() + PEER_BACKOFF_MS;
       this.#backoffUntilMs.set(name, backoffUntilMs);
     } else {
