Bound how often calls to workers that have never reported are repeated

Cause: the delay of a repeated call starts at 120 ms and doubles up to 100 s for 10,000 records, so that each address is called seven times in the first minute. Change: repeated calls of all such workers together are at least 5 ms apart. The mutation without the delay fails "are repeated at a bounded rate".

--- a/packages/node/cell/first_contacts/first_contacts.ts
+++ b/packages/node/cell/first_contacts/first_contacts.ts
@@ -1,26 +1,36 @@
 /**
- * Bounds how many calls to workers that have never reported are under way at once, however many
- * records name such workers. Each call takes a connection, and any address may be silent.
+ * Bounds how many calls to workers that have never reported are under way at once, and how often
+ * they are repeated, however many records name such workers. Each call takes a connection, and any
+ * address may be silent.
  */
+import type { Clock } from "@coltsfootpond/common";
 
 /** A silent address takes its slot for 0.5 s, so that 10,000 of them delay a new worker by 10 s. */
 export const MAXIMUM_FIRST_CONTACTS = 512;
 /** Of this many calls in a row, one is a repeated one while any waits. */
 const CALLS_PER_REPEATED = 4;
 
+/** Repeated calls take about a tenth of a processor. */
+export const REPEATED_CALL_PERIOD_MS = 5;
+
 type Start = () => void;
 
 /** Calls wait in the order of their arrival; first ones go before repeated ones. */
 export class FirstContacts {
   readonly #first = new Set<Start>();
   readonly #repeated = new Set<Start>();
+  readonly #clock: Clock;
   #underWay = 0;
   #callsSinceRepeated = 0;
+  /** When the next repeated call may be made. */
+  #repeatMs = 0;
 
-  private constructor() {}
+  private constructor(clock: Clock) {
+    this.#clock = clock;
+  }
 
-  static create(): FirstContacts {
-    return new FirstContacts();
+  static create(clock: Clock): FirstContacts {
+    return new FirstContacts(clock);
   }
 
   /** Makes the call once it is its turn; rejects as the call does. */
@@ -28,6 +38,7 @@
     isRepeated: boolean,
     call: () => Promise<Result>,
   ): Promise<Result> {
+    if (isRepeated) await this.#awaitRepeat();
     if (this.#underWay >= MAXIMUM_FIRST_CONTACTS) {
       const waiting = isRepeated ? this.#repeated : this.#first;
       await new Promise<void>((start) => waiting.add(start));
@@ -41,6 +52,13 @@
     }
   }
 
+  async #awaitRepeat(): Promise<void> {
+    const nowMs = this.#clock.nowMs();
+    const dueMs = Math.max(nowMs, this.#repeatMs);
+    this.#repeatMs = dueMs + REPEATED_CALL_PERIOD_MS;
+    if (dueMs > nowMs) await this.#clock.sleep(dueMs - nowMs);
+  }
+
   /** The slot of the call that has ended passes to the next one. */
   #startNext(): void {
     const waiting = this.#chooseQueue();
--- a/packages/node/cell/worker_fleet.ts
+++ b/packages/node/cell/worker_fleet.ts
@@ -103,7 +103,7 @@
   readonly #carriedOver = new Set<WorkerName>();
   readonly #roster: RosterRows;
   readonly #unusable: UnusableRecords;
-  readonly #firstContacts = FirstContacts.create();
+  readonly #firstContacts: FirstContacts;
   readonly #createdMs: number;
   /** Workers that had not reported when the records were applied last. */
   #unreportedWorkers = 0;
@@ -119,6 +119,7 @@
     this.#directory = WorkerDirectory.create(options);
     this.#roster = RosterRows.create(options.rowLimitBytes);
     this.#unusable = UnusableRecords.create(options);
+    this.#firstContacts = FirstContacts.create(options.clock);
     this.#createdMs = options.clock.nowMs();
   }
 
