Conclude no silence from a time-out that is too short for an answer

Found by reading the change of the pools: a submission that is retried close to its deadline calls the store with what is left of it, at least 1 ms. Such a call times out although the store is sound, and would have closed all idle connections each time. Change: below 100 ms a time-out replaces no pool. Evidence: "are kept after a time-out that is too short for an answer" fails without the bound.

--- a/packages/ports/http/http_client.ts
+++ b/packages/ports/http/http_client.ts
@@ -64,6 +64,8 @@
 const MAXIMUM_SOCKETS = 32;
 /** Estimated bytes of the request line and headers; bodies are counted exactly. */
 const HEADER_BYTES_ESTIMATE = 180;
+/** A call with less time left than this may time out although the service is sound. */
+export const LEAST_SILENCE_MS = 100;
 const CONNECTION_CLOSED = "connection closed";
 const NOT_SENT = "not to be sent any more";
 /** Errors by which the other end shows that no process serves the connection. */
@@ -156,7 +158,8 @@
       };
       const abortIdle = () => {
         const isIdle = !hasResponse || totalTimeoutMs !== undefined;
-        isSilent = isWritten && isIdle && pool.hasAnswered;
+        isSilent = isWritten && isIdle && pool.hasAnswered &&
+          timeoutMs >= LEAST_SILENCE_MS;
         if (isSilent) this.#replace(pool);
         abort();
       };
