Log why the direct path to the store was lost

`store.direct_lost` did not say which call had failed nor how, so that a store that refuses, one that is slow and connections that have gone silent looked the same. It now has `call`, `effect`, `reason` and `isSilent`.

--- a/packages/node/cell/direct_path.ts
+++ b/packages/node/cell/direct_path.ts
@@ -3,7 +3,12 @@
  * probe succeeds. Reads and long polls in progress then end at once.
  */
 import type { Clock } from "@coltsfootpond/common";
-import { lost, type StateStore, STORE_TABLE } from "@coltsfootpond/ports";
+import {
+  lost,
+  type StateStore,
+  STORE_TABLE,
+  type Unavailable,
+} from "@coltsfootpond/ports";
 import { Subject } from "rxjs";
 import { BACKGROUND_ACTIVITY } from "./background/activities.ts";
 import { guardStore } from "./background/guarded_ports.ts";
@@ -69,9 +74,9 @@
     const outcome = call.kind === "transact"
       ? await own
       : await this.#race(own);
-    const isUp = outcome.kind !== "unavailable";
+    if (outcome.kind !== "unavailable") this.#recordAnswer();
     // Calls from before the path was regained may still wait on connections that have gone silent.
-    if (isUp || regainsBefore === this.#regains) this.#recordResult(isUp);
+    else if (regainsBefore === this.#regains) this.#recordLoss(call, outcome);
     return outcome;
   }
 
@@ -88,18 +93,20 @@
     });
   }
 
-  #recordResult(isUp: boolean): void {
-    if (this.#isDown !== isUp) return;
-    this.#isDown = !isUp;
-    this.#options.log.info(
-      isUp ? "store.direct_regained" : "store.direct_lost",
-    );
-    if (isUp) {
-      this.#regains++;
-      return;
-    }
-    this.losses.next();
+  #recordAnswer(): void {
+    if (!this.#isDown) return;
+    this.#isDown = false;
+    this.#regains++;
+    this.#options.log.info("store.direct_regained");
+  }
+
+  #recordLoss({ kind }: StoreCall, failure: Unavailable): void {
+    if (this.#isDown) return;
+    this.#isDown = true;
     const { log } = this.#options;
+    const { effect, reason, isSilent } = failure;
+    log.info("store.direct_lost", { call: kind, effect, reason, isSilent });
+    this.losses.next();
     runInBackground(log, PROBE_STORE, () => this.#probe());
   }
 
@@ -128,7 +135,7 @@
         { fromKey: LEASE_KEY, toKey: `${LEASE_KEY}~` },
         DIRECT_PROBE_TIMEOUT_MS,
       );
-      if (outcome.kind === "rows") this.#recordResult(true);
+      if (outcome.kind === "rows") this.#recordAnswer();
     }
   }
 }
