Keep a job begun that an earlier holder's write lists later

Callers could see a job as running and then as queued. Cause: a new lease holder read the stored list of begun jobs once. A write of the earlier holder that took effect after that, as one whose answer was lost, listed a job as begun, and the new holder's next write took it off the list. Change: each change of the list marks its jobs as begun, also on the holder.

--- a/packages/node/cell/job_registry.ts
+++ b/packages/node/cell/job_registry.ts
@@ -62,8 +62,8 @@
   readonly #jobs = new Map<CellJobId, LiveJob>();
   /** Live jobs that are not opened, as their progress cannot be decoded. */
   readonly #skippedJobIds = new Set<CellJobId>();
-  /** Jobs that an earlier lease holder has listed as begun; undefined until it is needed. */
-  #begunBefore: ReadonlySet<CellJobId> | undefined;
+  /** Jobs that the store lists as begun, by the key of the row. */
+  readonly #listedAsBegun = new Map<string, ReadonlySet<CellJobId>>();
 
   private constructor(options: JobRegistryOptions) {
     this.#options = options;
@@ -109,6 +109,7 @@
   /** Applies changed rows of the state table. */
   applyRows(rows: Iterable<StateRow>): void {
     for (const row of rows) {
+      if (parseBegunKey(row.key) !== undefined) this.#applyBegunRow(row);
       const jobId = parseJobKey(row.key);
       const changedId = jobId ?? this.#findSkipped(row.key);
       if (changedId === undefined) continue;
@@ -285,7 +286,7 @@
       placements: row?.placements,
     });
     job.hasBegun = wasSkipped || job.progress.hasRun ||
-      stored !== undefined && this.#wasListedAsBegun(spec.jobId);
+      this.#isListedAsBegun(spec.jobId);
     job.progressParts = stored?.value ? countParts(stored.value) : 0;
     this.#jobs.set(spec.jobId, job);
     job.openDueUnits(clock.nowMs(), nowUnixMs());
@@ -302,20 +303,24 @@
     this.#checkEnd(job);
   }
 
-  /** A job counts as begun from then on, even if its worker is gone when the lease changes hands. */
-  #wasListedAsBegun(jobId: CellJobId): boolean {
-    this.#begunBefore ??= this.#readBegunJobs();
-    return this.#begunBefore.has(jobId);
+  /**
+   * A job that the store has listed as begun stays so, even if its worker is gone. An earlier holder's
+   * write may take effect after this one has started.
+   */
+  #applyBegunRow(row: StateRow): void {
+    const listed = readBegunJobsRow(this.#options.follower, row);
+    if (listed === undefined) return;
+    this.#listedAsBegun.set(row.key, new Set(listed.jobIds));
+    for (const jobId of listed.jobIds) {
+      const job = this.#jobs.get(jobId);
+      if (job !== undefined) job.hasBegun = true;
+    }
   }
 
-  #readBegunJobs(): ReadonlySet<CellJobId> {
-    const { follower } = this.#options;
-    const jobIds = new Set<CellJobId>();
-    for (const row of follower.rows()) {
-      if (parseBegunKey(row.key) === undefined) continue;
-      readBegunJobsRow(follower, row)?.jobIds.forEach((id) => jobIds.add(id));
-    }
-    return jobIds;
+  #isListedAsBegun(jobId: CellJobId): boolean {
+    return [...this.#listedAsBegun.values()].some((jobIds) =>
+      jobIds.has(jobId)
+    );
   }
 
   /** Ends the job if it is complete or can't complete any more. */
--- a/packages/node/cell/run_evidence/begun_jobs_test.ts
+++ b/packages/node/cell/run_evidence/begun_jobs_test.ts
@@ -13,6 +13,7 @@
 import { createSpec, createStep } from "../test_fixtures.ts";
 
 const JOB = "00000000000000cc" as CellJobId;
+const OTHER = "0000000000000aaa" as CellJobId;
 /** Longer than the period at which the list is written. */
 const LIST_MS = 1_500;
 /** Every lease has lapsed. */
@@ -48,6 +49,18 @@
   return { simulation, scheduler };
 }
 
+async function putList(
+  { store }: CellSimulation,
+  jobIds: readonly CellJobId[],
+): Promise<void> {
+  const value = encodeRow({ jobIds });
+  await store.transact({
+    conditions: [],
+    puts: [{ key: BEGUN_KEY, value }],
+    deletes: [],
+  }, 1);
+}
+
 async function deleteList({ store }: CellSimulation): Promise<void> {
   await store.transact({ conditions: [], puts: [], deletes: [BEGUN_KEY] }, 1);
 }
@@ -134,6 +147,19 @@
     expect(listBegun(simulation)).to.deep.equal([JOB]);
   });
 
+  // Guards against a job that waits again once the next holder overwrites a late write of this one.
+  it("keeps a job that an earlier holder's write lists later", async () => {
+    const { simulation, scheduler } = await startCell("a", "b");
+    refuseStarts(simulation, "a");
+    await submit(simulation, createStep({ requiredLabel: "a" }));
+    await replaceScheduler(simulation, scheduler);
+    await putList(simulation, [JOB]);
+    const steps = [createStep({ requiredLabel: "b" })];
+    await simulation.submit(createSpec(OTHER, { steps }));
+    await simulation.clock.advance(LIST_MS);
+    expect(listBegun(simulation)).to.have.members([JOB, OTHER]);
+  });
+
   it("has a job whose run the next holder adopts", async () => {
     const { simulation, scheduler } = await startCell("a");
     await submit(simulation);
@@ -163,11 +189,7 @@
     refuseStarts(simulation, "a");
     await submit(simulation);
     await simulation.clock.advance(LIST_MS);
-    await simulation.store.transact({
-      conditions: [],
-      puts: [{ key: BEGUN_KEY, value: encodeRow({ jobIds: [JOB] }) }],
-      deletes: [],
-    }, 1);
+    await putList(simulation, [JOB]);
     await replaceScheduler(simulation, scheduler);
     expect(listBegun(simulation)).to.deep.equal([JOB]);
   });
