Silence open connections in the cell under faults

Half of the sequences now have connections that go silent for good: those to the store, to some of the workers, or both, every 5 s at most. A call over a silent connection to a worker is not carried out, or its answer is lost; calls to the store run into their time-outs until the first one has, after which the client opens new connections.

--- a/packages/node/cell/fakes/worker_port_fake.ts
+++ b/packages/node/cell/fakes/worker_port_fake.ts
@@ -33,6 +33,8 @@
 
 interface Connection {
   readonly processNumber: number;
+  /** The worker's count when it was opened. */
+  readonly silenceCount: number;
   /** The incarnation that has reported over it. */
   incarnationStartUnixMs: number | undefined;
 }
@@ -142,6 +144,7 @@
     await this.#clock.sleep(CALL_DURATION_MS);
     return this.#connection = {
       processNumber: this.#worker.processNumber,
+      silenceCount: this.#worker.silenceCount,
       incarnationStartUnixMs: undefined,
     };
   }
@@ -155,6 +158,7 @@
     const worker = this.#worker;
     const travelMs = worker.drawTravelMs() + (isWritten ? 0 : CALL_DURATION_MS);
     if (travelMs > 0) await this.#clock.sleep(travelMs);
+    if (this.#isSilent(connection)) return await neverSettle();
     if (connection.processNumber !== worker.processNumber) {
       return await this.#fail(connection);
     }
@@ -162,6 +166,7 @@
     if (outcome.kind === "unavailable") return await this.#fail(connection);
     const answerDelayMs = worker.drawAnswerDelayMs();
     if (answerDelayMs > 0) await this.#clock.sleep(answerDelayMs);
+    if (this.#isSilent(connection)) return await neverSettle();
     if (isReport(outcome)) {
       connection.incarnationStartUnixMs =
         outcome.metadata.incarnationStartUnixMs;
@@ -169,6 +174,11 @@
     return outcome;
   }
 
+  /** Nothing passes over the connection any more, and neither end is told. */
+  #isSilent({ silenceCount }: Connection): boolean {
+    return silenceCount !== this.#worker.silenceCount;
+  }
+
   /** The machine shows that the process has ended, unless it is disconnected. */
   async #fail({ processNumber }: Connection): Promise<Unavailable> {
     const worker = this.#worker;
--- a/packages/node/cell/faults/faulty_cell.ts
+++ b/packages/node/cell/faults/faulty_cell.ts
@@ -25,6 +25,7 @@
   createUrgentJob,
   type RandomJob,
 } from "./random_jobs.ts";
+import { SilentConnectionFaults } from "./silent_connection_faults.ts";
 import { type StoreFault, StoreFaults } from "./store_faults.ts";
 import {
   drawClockRate,
@@ -49,6 +50,9 @@
 const ODD_RECORD_SEED_OFFSET = 4_000_000_007;
 /** The draws of calls that throw. */
 const BREAKING_SEED_OFFSET = 5_000_000_029;
+/** Share of the sequences in which open connections go silent, and their draws. */
+const SILENCE_SHARE = 0.5;
+const SILENCE_SEED_OFFSET = 6_000_000_011;
 /** Time after the last fault until the quotas are lifted. */
 const QUOTA_END_MS = 12_000;
 /** Time after the last fault until starts are checked, and until capacities stay. */
@@ -62,6 +66,11 @@
 const STEP_MS = 500;
 /** Enough for every lease to expire and all work to finish once the faults are over. */
 const RECOVERY_MS = 45_000;
+/**
+ * Further time for the job that crashes workers, while it has not ended: five crashes of up to 5 s
+ * each until they are counted, after other jobs have taken all workers.
+ */
+const CRASHES_MS = 25_000;
 const MAXIMUM_FAULTS_PER_STEP = 3;
 /** Time until an entry acquires the lease that another has given up. */
 const ACQUISITION_MS = 300;
@@ -95,6 +104,7 @@
   readonly #capacityFaults: CapacityFaults | undefined;
   readonly #quotaFaults: QuotaFaults | undefined;
   readonly #oddRecordFaults: OddRecordFaults | undefined;
+  readonly #silenceFaults: SilentConnectionFaults | undefined;
   readonly #random: SeededRandom;
   readonly #storeFaults: StoreFaults;
   readonly #begunList = BegunList.create(this.simulation);
@@ -150,6 +160,13 @@
       });
       this.#jobs = this.#jobs.map((job) => this.#assign(job));
     }
+    const silenceRandom = SeededRandom.create(seed + SILENCE_SEED_OFFSET);
+    if (silenceRandom.next() < SILENCE_SHARE) {
+      this.#silenceFaults = SilentConnectionFaults.create({
+        simulation: this.simulation,
+        random: silenceRandom,
+      });
+    }
     const oddRecordRandom = SeededRandom.create(seed + ODD_RECORD_SEED_OFFSET);
     const { hasOddRecords = true } = options;
     if (hasOddRecords && oddRecordRandom.next() < ODD_RECORD_SHARE) {
@@ -223,7 +240,11 @@
   }
 
   async #submit(spec: CellJobSpec): Promise<void> {
-    await this.#storeFaults.suspend(() => this.simulation.submit(spec));
+    const submit = () => this.simulation.submit(spec);
+    const silenceFaults = this.#silenceFaults;
+    await this.#storeFaults.suspend(() =>
+      silenceFaults?.suspend(submit) ?? submit()
+    );
   }
 
   async #recover(): Promise<void> {
@@ -234,8 +255,14 @@
     simulation.directoryDelayMs = 0;
     simulation.workers.forEach(endWorkerFaults);
     this.#oddRecordFaults?.end();
+    this.#silenceFaults?.end();
     this.#replaceScheduler();
-    for (let passedMs = 0; passedMs < RECOVERY_MS; passedMs += STEP_MS) {
+    for (
+      let passedMs = 0;
+      passedMs < RECOVERY_MS ||
+      this.#isCrashingJobLive() && passedMs < RECOVERY_MS + CRASHES_MS;
+      passedMs += STEP_MS
+    ) {
       if (passedMs === CAPACITY_CHECK_MS) this.#capacityFaults?.beginChecks();
       if (passedMs === QUOTA_END_MS) this.#quotaFaults?.end();
       if (passedMs === CAPACITY_END_MS) this.#capacityFaults?.end();
@@ -246,6 +273,12 @@
     }
   }
 
+  #isCrashingJobLive(): boolean {
+    const { crashingJob, simulation } = this;
+    return crashingJob !== undefined &&
+      simulation.readJob(crashingJob)?.kind === "live";
+  }
+
   /** Starts a new lease holder. The previous one stops or runs on without the right to act. */
   #replaceScheduler(): void {
     this.#holder?.release();
--- a/packages/node/cell/workers_fake.ts
+++ b/packages/node/cell/workers_fake.ts
@@ -87,6 +87,8 @@
   #hasLeft = false;
   /** Calls get no answer and are not carried out. */
   isDisconnected = false;
+  /** Raised when all open connections go silent, while new ones work. */
+  silenceCount = 0;
   /** Calls are carried out, but their answers are lost. */
   losesAnswers = false;
   /** The worker writes no heartbeats to its record. */
