--- a/packages/node/cell/first_contacts/first_contacts.ts
+++ b/packages/node/cell/first_contacts/first_contacts.ts
@@ -9,8 +9,7 @@
 export const MAXIMUM_FIRST_CONTACTS = 512;
 /** Of this many calls in a row, one is a repeated one while any waits. */
 const CALLS_PER_REPEATED = 4;
-
-/** Repeated calls take about a tenth of a processor. */
+/** At most 200 repeated calls a second, whatever other writers record. */
 export const REPEATED_CALL_PERIOD_MS = 5;
 
 type Start = () => void;
