--- a/packages/node/cell/duplicate_runs/late_start_answer_test.ts
+++ b/packages/node/cell/duplicate_runs/late_start_answer_test.ts
@@ -23,7 +23,8 @@
 function createSession() {
   const clock = ManualClock.create();
   const strays: TaskName[] = [];
-  const listener: Pick<SessionListener, "onGone" | "onStray"> = {
+  const listener: Pick<SessionListener, "onGone" | "onStarted" | "onStray"> = {
+    onStarted: () => {},
     onGone: () => {},
     onStray: (_session, { task }) => void strays.push(task),
   };
--- a/packages/node/cell/duplicate_runs/stopped_session_test.ts
+++ b/packages/node/cell/duplicate_runs/stopped_session_test.ts
@@ -45,6 +45,7 @@
     };
     const listener: Partial<SessionListener> = {
       onReport: () => {},
+      onStarted: () => {},
       onEnded: () => {},
     };
     const session = WorkerSession.create({
--- a/packages/node/cell/incarnations/removed_record_test.ts
+++ b/packages/node/cell/incarnations/removed_record_test.ts
@@ -32,6 +32,7 @@
   const listener: Partial<SessionListener> = {
     onGone: (_session, _taskRun, { reason }) => void gone.push(reason),
     onReport: () => {},
+    onStarted: () => {},
     onContactLost: () => {},
     onStray: (session, running) =>
       void session.adopt(running, {
--- a/packages/node/cell/worker_connections/earlier_instance_test.ts
+++ b/packages/node/cell/worker_connections/earlier_instance_test.ts
@@ -43,6 +43,7 @@
       listener: {
         onGone: (_session, _taskRun, { reason }) => void gone.push(reason),
         onReport: () => {},
+        onStarted: () => {},
       } as Partial<SessionListener> as SessionListener,
       canAct: () => true,
     });
--- a/packages/node/cell/worker_connections/reused_address_test.ts
+++ b/packages/node/cell/worker_connections/reused_address_test.ts
@@ -69,7 +69,10 @@
     canAct: () => true,
     isOut: () => false,
     getSpeed: () => ({ speed: 1 }),
-    listener: { onReport: () => {} } as unknown as SessionListener,
+    listener: {
+      onReport: () => {},
+      onStarted: () => {},
+    } as unknown as SessionListener,
     onChanged: () => {},
   });
   const readRecords = async (...workers: readonly string[]) => {
--- a/packages/node/cell/worker_reports/unusable_report_polls_test.ts
+++ b/packages/node/cell/worker_reports/unusable_report_polls_test.ts
@@ -42,6 +42,7 @@
     log: SILENT_LOG,
     listener: {
       onReport: () => {},
+      onStarted: () => {},
       onContactLost: () => {},
     } as Partial<SessionListener> as SessionListener,
     canAct: () => true,
