Rejected starts of one queue keep no worker from the others

With all accelerators busy, all running tasks were stopped for units that no runner starts.

Cause: each rejected or unanswered start counted against the worker alone, which was paused for 400 ms, whatever the reason. Nothing was remembered of the step or its queue, so the same units were planned first again, with all rights of their rank, and paused the next workers.

Change: a circuit breaker for the starts of each step and each queue that has had a rejection. While it is open only single trials start, with growing delays, on workers that have not rejected the work lately. They reserve nothing and evict on each worker at most once. Withheld jobs count for no headroom, urgent reserve, arrivals of the load, or guarantee. The worker is still paused unless other evidence shows that the work is the cause. Log events and gauges show each change, and why a job waits.

Ruled out: the missing ticket as the only reason. All reasons of a rejection starve the other queue, and so do unanswered starts.

--- a/packages/node/cell/admission/load_collector.ts
+++ b/packages/node/cell/admission/load_collector.ts
@@ -26,24 +26,33 @@
 const SIGNIFICANT_DIGITS = 2;
 
 interface Arrival extends WorkItem {
+  readonly queue: QueueName;
   readonly seenMs: number;
 }
 
+export interface LoadCollectorOptions {
+  readonly clock: Pick<Clock, "nowMs">;
+  /** Whether jobs of the queue can start now; default all can. */
+  readonly isCounted?: (queue: QueueName) => boolean;
+}
+
 /** Observes rounds, ends and arrivals of one lease holder. */
 export class LoadCollector {
   readonly #clock: Pick<Clock, "nowMs">;
+  readonly #isCounted: (queue: QueueName) => boolean;
   readonly #ratios = DurationRatios.create();
   #input: PlanInput<Unit> | undefined;
   /** Jobs that were live at the last forecast; undefined before the first. */
   #knownJobs: ReadonlySet<CellJobId> | undefined;
   #arrivals: readonly Arrival[] = [];
 
-  private constructor(clock: Pick<Clock, "nowMs">) {
+  private constructor({ clock, isCounted }: LoadCollectorOptions) {
     this.#clock = clock;
+    this.#isCounted = isCounted ?? (() => true);
   }
 
-  static create(clock: Pick<Clock, "nowMs">): LoadCollector {
-    return new LoadCollector(clock);
+  static create(options: LoadCollectorOptions): LoadCollector {
+    return new LoadCollector(options);
   }
 
   /** Keeps the input of the last planning round, from which the load is computed. */
@@ -78,7 +87,7 @@
       urgentHeadroom: input.urgentHeadroom ?? new Map<ServiceName, number>(),
       waiting: this.#listWaiting(input, reference),
       running: this.#listRunning(input),
-      arrivals: this.#arrivals,
+      arrivals: this.#arrivals.filter(({ queue }) => this.#isCounted(queue)),
       arrivalWindowMs: ARRIVAL_WINDOW_MS,
     });
     const queues = [...meanWork].map(([queue, meanWorkMs]): QueueLoad => ({
@@ -141,6 +150,7 @@
       ? []
       : jobs.filter(({ jobId }) => !known.has(jobId)).map((job) => ({
         ...this.#createArrival(job, reference, meanWork),
+        queue: job.spec.queue,
         seenMs: nowMs,
       }));
     this.#knownJobs = new Set(jobs.map(({ jobId }) => jobId));
--- a/packages/node/cell/admission/load_publisher.ts
+++ b/packages/node/cell/admission/load_publisher.ts
@@ -7,7 +7,7 @@
 import { encodeRow, LEASE_KEY, LOAD_KEY } from "../rows.ts";
 import { putRow, type PutRowOptions } from "../state_rows/put_row.ts";
 import { readLeaseRow } from "../state_rows/row_readers.ts";
-import { LoadCollector } from "./load_collector.ts";
+import { LoadCollector, type LoadCollectorOptions } from "./load_collector.ts";
 
 /** Period of the publication: a wrong forecast is corrected within one. */
 export const LOAD_PERIOD_MS = 500;
@@ -17,7 +17,8 @@
  */
 const REFRESH_MS = 1_000;
 
-export interface LoadPublisherOptions extends PutRowOptions {
+export interface LoadPublisherOptions
+  extends PutRowOptions, LoadCollectorOptions {
   readonly epoch: number;
   readonly clock: Clock;
 }
@@ -34,7 +35,7 @@
 
   private constructor(options: LoadPublisherOptions) {
     this.#options = options;
-    this.collector = LoadCollector.create(options.clock);
+    this.collector = LoadCollector.create(options);
   }
 
   static create(options: LoadPublisherOptions): LoadPublisher {
--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -63,6 +63,7 @@
 import { SessionEventHandler } from "./session_event_handler.ts";
 import { SpeedTracker } from "./speeds/speed_tracker.ts";
 import { SpeedsWriter } from "./speeds/speeds_writer.ts";
+import { StartCircuits } from "./start_circuits/start_circuits.ts";
 import { QUARANTINE_MS } from "./worker_quarantine.ts";
 
 /** Changes within this time are handled in one round. */
@@ -127,7 +128,10 @@
   readonly #begunJobs: BegunJobsWriter;
   readonly #load: LoadPublisher;
   readonly #planner: IsolatedPlanner<LiveJob>;
-  readonly #urgentDemand = UrgentDemand.create();
+  readonly #urgentDemand = UrgentDemand.create((queue) =>
+    !this.#circuits.isQueueOpen(queue)
+  );
+  readonly #circuits: StartCircuits;
   readonly #timers: { cancel(): void }[] = [];
   readonly #leaving: LeavingRunOptions;
   readonly #isUnreported = (worker: WorkerName) =>
@@ -165,7 +169,10 @@
       ...options,
       rowLimitBytes: settings.rowLimitBytes,
     });
-    this.#load = LoadPublisher.create(options);
+    this.#load = LoadPublisher.create({
+      ...options,
+      isCounted: (queue) => !this.#circuits.isQueueOpen(queue),
+    });
     this.#leaving = {
       clock: options.clock,
       stopLimitMs: settings.bounds.stopLimitMs,
@@ -205,6 +212,16 @@
       getWorkerCount: () => this.#fleet.sessions.length,
     });
     this.#speedsWriter = SpeedsWriter.create(options);
+    this.#circuits = StartCircuits.create({
+      ...options,
+      getDeclaredState: () => declared.current,
+      getSession: (worker) => this.#fleet.get(worker),
+      requestRound: guard(
+        options.log,
+        SCHEDULE_ROUND,
+        () => this.#requestRound(),
+      ),
+    });
     const events = SessionEventHandler.create({
       ...options,
       speeds: this.#speeds,
@@ -212,6 +229,7 @@
       runs: this.#runs,
       writer: this.#writer,
       crashes: this.#crashes,
+      circuits: this.#circuits,
       isReady: () => this.#isReady,
       requestRound: () => this.#requestRound(),
     });
@@ -310,6 +328,7 @@
         jobs,
       ),
       ...this.#speeds.countWorkers(),
+      ...this.#circuits.count(),
     };
   }
 
@@ -415,13 +434,13 @@
     if (!canAct() || declared.current === undefined) return;
     const nowMs = clock.nowMs();
     const strayUnits = this.#runs.listStrayUnits();
-    const isBlocked = (unit: Unit) =>
+    const mayStillRun = (unit: Unit) =>
       strayUnits.has(describeUnit(unit)) ||
       mayStillRunUnreported(unit, this.#isUnreported);
     const checks: EarlierRunChecks = {
       getSession: (worker) => this.#fleet.get(worker),
       hasUnusableRecord: (worker) => this.#fleet.hasUnusableRecord(worker),
-      isBlocked,
+      isBlocked: mayStillRun,
     };
     for (const job of this.#jobs.jobs) {
       this.#guard(
@@ -433,6 +452,7 @@
     const jobs = this.#jobs.jobs.filter(({ ending, isHeld }) =>
       ending === undefined && !isHeld
     );
+    this.#circuits.beginRound(jobs, mayStillRun);
     const common = {
       workers: this.#fleet.createUsableWorkerViews(),
       guarantees: declared.current.guarantees,
@@ -441,7 +461,9 @@
       nowUnixMs: nowUnixMs(),
       urgentRatesPerS: this.#urgentDemand.computeRatesPerS(nowUnixMs()),
       stopLimitMs: settings.bounds.stopLimitMs,
-      isBlocked,
+      isBlocked: (unit: Unit) =>
+        this.#circuits.isWithheld(unit) || mayStillRun(unit),
+      circuits: this.#circuits,
     };
     const { input, plan } = this.#planner.plan(jobs, (included) => {
       const input = createPlanInput({ ...common, jobs: included });
@@ -477,6 +499,7 @@
 
   #place(unit: Unit, workers: readonly WorkerName[]): void {
     this.#quotaWaits.recordStart(unit);
+    this.#circuits.recordPlacement(unit);
     try {
       this.#runs.place(unit, workers);
       this.#writer.mark(unit.job, true);
--- a/packages/node/cell/cell_simulation.ts
+++ b/packages/node/cell/cell_simulation.ts
@@ -127,6 +127,11 @@
     this.#declare({ services: new Set(services) });
   }
 
+  /** Declares a next version with these queues; all schedulers read it at once. */
+  declareQueues(queues: DeclaredState["queues"]): void {
+    this.#declare({ queues });
+  }
+
   #declare(changes: Partial<DeclaredState>): void {
     const version = this.#declared.version + 1;
     this.#declared = { ...this.#declared, ...changes, version };
--- a/packages/node/cell/meters/cell_meters.ts
+++ b/packages/node/cell/meters/cell_meters.ts
@@ -47,6 +47,9 @@
   readonly ignoredRecords: number;
   readonly reachableWorkers: number;
   readonly urgentHeadroom: number;
+  readonly openQueueCircuits: number;
+  readonly openStepCircuits: number;
+  readonly rejectedStarts: number;
   readonly organisations: readonly OrganisationGauges[];
   readonly slowWorkers: number;
   readonly fastWorkers: number;
@@ -199,6 +202,18 @@
         "Accelerators that other work leaves to urgent jobs.",
         ({ urgentHeadroom }) => urgentHeadroom,
       ],
+      open_queue_circuits: [
+        "Queues of which only trials start, as workers reject their starts.",
+        ({ openQueueCircuits }) => openQueueCircuits,
+      ],
+      open_step_circuits: [
+        "Steps of which only trials start, as workers reject their starts.",
+        ({ openStepCircuits }) => openStepCircuits,
+      ],
+      rejected_starts: [
+        "Starts that workers have rejected since the lease was acquired.",
+        ({ rejectedStarts }) => rejectedStarts,
+      ],
       slow_workers: [
         "Workers slower than usual.",
         ({ slowWorkers }) => slowWorkers,
--- a/packages/node/cell/plan_input.ts
+++ b/packages/node/cell/plan_input.ts
@@ -31,6 +31,10 @@
 import type { OrganisationGuarantee } from "@coltsfootpond/ports";
 import { SuspectUnits } from "./crashes/suspect_units.ts";
 import type { LiveJob, Unit } from "./live_job.ts";
+import type {
+  StartCircuits,
+  StartLimits,
+} from "./start_circuits/start_circuits.ts";
 
 /**
  * Upper bound of the work lost when a task that saves its progress is stopped: one checkpoint
@@ -65,6 +69,8 @@
   readonly shares?: OrganisationShares;
   /** Whether the unit must not start yet, as an earlier run of it may still be running. */
   readonly isBlocked: (unit: Unit) => boolean;
+  /** What rejected starts limit; default nothing. */
+  readonly circuits?: Pick<StartCircuits, "getLimits" | "isJobWithheld">;
 }
 
 /** Collects the waiting and the running units, each with the data that the planner needs. */
@@ -76,7 +82,7 @@
   );
   const capacity = findLargestCapacity(options.workers);
   if (capacity === undefined) return { workers, waiting: [], running: [] };
-  const guaranteed = findGuaranteedJobs(jobs, options.guarantees);
+  const guaranteed = findGuaranteedJobs(options);
   const meanWorkByQueue = computeMeanWork(jobs, capacity);
   const speeds = listSpeeds(workers);
   const freeShares = computeFreeShares(workers);
@@ -114,6 +120,7 @@
         startable--;
         const waitedMs = nowMs - unit.waitingSinceMs;
         const isGuaranteed = rank.tier === RANK_TIER.GUARANTEED;
+        const limits = options.circuits?.getLimits(unit, waitedMs);
         waiting.push({
           unit,
           organisation: spec.organisation,
@@ -133,7 +140,8 @@
           stepKey: unit.stepKey,
           count: unit.count,
           minimumSpeed,
-          avoid: waitedMs < AVOID_WAIT_MS ? unit.failedOn : NO_WORKERS,
+          avoid: listAvoided(unit, waitedMs, limits),
+          evictionLimit: limits?.evictionLimit,
           waitedMs,
           isolation: suspects.getIsolation(unit, waitedMs, isGuaranteed),
         });
@@ -163,6 +171,17 @@
     step.need.accelerators === 0;
 }
 
+function listAvoided(
+  { failedOn }: Unit,
+  waitedMs: number,
+  limits: StartLimits | undefined,
+): ReadonlySet<WorkerName> {
+  const failing = waitedMs < AVOID_WAIT_MS ? failedOn : NO_WORKERS;
+  return limits === undefined
+    ? failing
+    : new Set([...failing, ...limits.avoid]);
+}
+
 function createRunning(
   unit: Unit,
   rankInput: JobRankInput,
@@ -201,10 +220,12 @@
   );
 }
 
-/** Urgent jobs that their organisation's guarantee covers, the oldest first. */
+/**
+ * Urgent jobs that their organisation's guarantee covers, the oldest first. Jobs that cannot start
+ * get what the others leave.
+ */
 function findGuaranteedJobs(
-  jobs: readonly LiveJob[],
-  guarantees: readonly OrganisationGuarantee[],
+  { jobs, guarantees, circuits }: PlanInputOptions,
 ): ReadonlySet<LiveJob> {
   const remainingByOrganisation = new Map<OrganisationName, number>(
     guarantees.map(({ organisation, accelerators }) => [
@@ -215,7 +236,14 @@
   const guaranteed = new Set<LiveJob>();
   const urgent = jobs.filter(({ spec }) => spec.priority === URGENT_PRIORITY)
     .sort((one, other) => one.rowVersion - other.rowVersion);
-  for (const job of urgent) {
+  const withheld = new Set(
+    urgent.filter((job) => circuits?.isJobWithheld(job) === true),
+  );
+  const ordered = [
+    ...urgent.filter((job) => !withheld.has(job)),
+    ...withheld,
+  ];
+  for (const job of ordered) {
     const { organisation } = job.spec;
     if (organisation === undefined) continue;
     const remaining = remainingByOrganisation.get(organisation) ?? 0;
--- a/packages/node/cell/session_event_handler.ts
+++ b/packages/node/cell/session_event_handler.ts
@@ -21,10 +21,11 @@
 import type { ProgressWriter } from "./progress_writer.ts";
 import type { RunRegistry } from "./run_registry.ts";
 import type { SpeedTracker } from "./speeds/speed_tracker.ts";
+import type { StartCircuits } from "./start_circuits/start_circuits.ts";
 import { WorkerQuarantine } from "./worker_quarantine.ts";
 import type { WorkerSession } from "./worker_session.ts";
 
-/** A worker that refused a start gets no new tasks for this long. */
+/** A worker that is suspected after a refused or unanswered start gets no new tasks for this long. */
 const REFUSED_BACKOFF_MS = 400;
 
 export interface SessionEventHandlerOptions {
@@ -34,6 +35,7 @@
   readonly writer: ProgressWriter;
   readonly crashes: CrashTracker;
   readonly speeds: SpeedTracker;
+  readonly circuits: StartCircuits;
   readonly clock: Clock;
   readonly log: CellLog;
   /** Whether the workers' reports have been collected; stray runs are resolved only then. */
@@ -61,26 +63,48 @@
     taskRun: TaskRun,
     reason: StartRefusal | "wrong_life" | "restarted",
   ): void {
-    const { runs, log } = this.#options;
-    this.#logTask("task.start_refused", session, taskRun, { reason });
-    session.pause(REFUSED_BACKOFF_MS);
-    runInBackground(
-      log,
-      BACKGROUND_ACTIVITY.POLL_WORKER,
-      () => session.pollNow(),
+    const { runs, log, circuits, jobs } = this.#options;
+    const verdict = circuits.recordProblem(
+      session,
+      taskRun,
+      jobs.locateTask(taskRun.task),
+      reason,
     );
+    // A summary is logged once a circuit opens and once it closes.
+    if (verdict.isNews) {
+      this.#logTask("task.start_refused", session, taskRun, { reason });
+    }
+    if (verdict.isWorkerSuspected) session.pause(REFUSED_BACKOFF_MS);
+    if (verdict.isReportDue) {
+      runInBackground(
+        log,
+        BACKGROUND_ACTIVITY.POLL_WORKER,
+        () => session.pollNow(),
+      );
+    }
     const unit = runs.drop(taskRun);
     if (unit !== undefined) runs.close(unit, `start refused: ${reason}`);
   }
 
-  onStarted({ task }: TaskRun): void {
-    this.#options.jobs.recordStart(task);
+  onStarted(session: WorkerSession, taskRun: TaskRun): void {
+    const { jobs, runs, circuits } = this.#options;
+    jobs.recordStart(taskRun.task);
+    const unit = runs.getUnit(taskRun);
+    if (unit !== undefined) circuits.recordAcceptance(session, unit);
   }
 
   onStartUnanswered(session: WorkerSession, taskRun: TaskRun): void {
-    const { runs } = this.#options;
-    this.#logTask("task.start_unanswered", session, taskRun);
-    session.pause(REFUSED_BACKOFF_MS);
+    const { runs, circuits, jobs } = this.#options;
+    const verdict = circuits.recordProblem(
+      session,
+      taskRun,
+      jobs.locateTask(taskRun.task),
+      "unanswered",
+    );
+    if (verdict.isNews) {
+      this.#logTask("task.start_unanswered", session, taskRun);
+    }
+    if (verdict.isWorkerSuspected) session.pause(REFUSED_BACKOFF_MS);
     const unit = runs.getUnit(taskRun);
     if (unit !== undefined) runs.close(unit, "start unanswered");
     else runs.stopTaskRun(session, taskRun);
--- a/packages/node/cell/task_run.ts
+++ b/packages/node/cell/task_run.ts
@@ -60,7 +60,7 @@
     reason: StartRefusal | "wrong_life" | "restarted",
   ): void;
   /** The worker has started the task: it accepted the start, or a report lists the run. */
-  onStarted(taskRun: TaskRun): void;
+  onStarted(session: WorkerSession, taskRun: TaskRun): void;
   /** A start was not answered and the worker does not list the run. */
   onStartUnanswered(session: WorkerSession, taskRun: TaskRun): void;
   /** The run ended and the worker listed its end. */
--- a/packages/node/cell/worker_session.ts
+++ b/packages/node/cell/worker_session.ts
@@ -104,7 +104,7 @@
       clock: options.clock,
       onEnded: (ended, taskRun) => listener.onEnded(this, ended, taskRun),
       onGone: (taskRun, evidence) => listener.onGone(this, taskRun, evidence),
-      onStarted: (taskRun) => listener.onStarted(taskRun),
+      onStarted: (taskRun) => listener.onStarted(this, taskRun),
       onStray: (running) => listener.onStray(this, running),
     });
     this.#ends = EndAcknowledgements.create(options.clock);
@@ -121,7 +121,7 @@
       requestReport: () => this.pollNow(),
       onSent: () => this.startPolling(),
       onRefused: (taskRun, reason) => listener.onRefused(this, taskRun, reason),
-      onStarted: (taskRun) => listener.onStarted(taskRun),
+      onStarted: (taskRun) => listener.onStarted(this, taskRun),
       onStartedLate: (taskRun) => this.#reportStartedLate(taskRun),
       onStartUnanswered: (taskRun) => listener.onStartUnanswered(this, taskRun),
       onUnanswered: (outcome) => this.#recordLostContact(outcome),
--- a/packages/node/cell/workers_fake.ts
+++ b/packages/node/cell/workers_fake.ts
@@ -20,6 +20,7 @@
   RenewOutcome,
   StartCommand,
   StartOutcome,
+  StartRefusal,
   StopCommand,
   StopOutcome,
   Unavailable,
@@ -119,6 +120,10 @@
   stopDelayMs: number | undefined;
   /** Time that a task takes to stop. */
   drawStopDurationMs: () => number = () => 0;
+  /** Why the worker rejects a start of the task; undefined if it accepts it. */
+  findRejection: (task: TaskName) => StartRefusal | undefined = () => undefined;
+  /** Whether a start of the task gets no answer and is not carried out. */
+  isSilentTo: (task: TaskName) => boolean = () => false;
   /** Called after each start that the worker carries out. */
   onStarted: (task: TaskName) => void = () => {};
   /** Called after each heartbeat that the worker has written to its record. */
@@ -294,7 +299,7 @@
   start(command: StartCommand): StartOutcome {
     if (this.isDisconnected) return UNANSWERED;
     if (this.isReplaced) return { kind: "wrong_life" };
-    if (this.#hasLeft) return UNANSWERED;
+    if (this.#hasLeft || this.isSilentTo(command.task)) return UNANSWERED;
     if (this.startDelayMs !== undefined) {
       return this.#callLate(this.startDelayMs, () => this.#runTask(command));
     }
@@ -403,7 +408,7 @@
   }
 
   #runTask(command: StartCommand): StartOutcome {
-    const refuse = (reason: "fenced" | "superseded" | "expired") =>
+    const refuse = (reason: StartRefusal) =>
       ({ kind: "refused", reason }) as const;
     if (command.epoch < this.#epoch) return refuse("fenced");
     this.#epoch = command.epoch;
@@ -411,6 +416,8 @@
     if ((this.#stoppedRuns.get(command.task) ?? 0) >= command.run) {
       return refuse("superseded");
     }
+    const rejection = this.findRejection(command.task);
+    if (rejection !== undefined) return refuse(rejection);
     this.#extendLease(command.leaseUntilMs);
     const startedMs = this.#clock.nowMs();
     const { task, run } = command;
--- a/packages/policy/cell/plan_round.ts
+++ b/packages/policy/cell/plan_round.ts
@@ -22,6 +22,7 @@
   subtractFit,
   type WorkerCapacity,
 } from "./fit.ts";
+import type { EvictionLimit } from "./start_circuits/start_circuit.ts";
 import type { CellResources, WorkerView } from "./types.ts";
 import { type Rank, RANK_TIER } from "./job_rank.ts";
 import type { OrganisationShares } from "./quotas/organisation_usage.ts";
@@ -51,6 +52,8 @@
   readonly waitedMs?: number;
   /** Default none. */
   readonly isolation?: Isolation;
+  /** Where other units may be evicted for it, or displaced; undefined for everywhere. */
+  readonly evictionLimit?: EvictionLimit | undefined;
 }
 
 /** Workers and units at the time of the round; `Unit` is the caller's own type. */
@@ -230,6 +233,23 @@
       );
   }
 
+  /** The workers on which others may be evicted for the unit. */
+  #listEvictionCapacities(
+    request: WaitingUnit<Unit>,
+  ): readonly WorkerCapacity[] {
+    const { evictionLimit } = request;
+    const capacities = this.#listCapacities(request);
+    if (evictionLimit === undefined) return capacities;
+    switch (evictionLimit.kind) {
+      case "nowhere":
+        return [];
+      case "except":
+        return capacities.filter(({ view }) =>
+          !evictionLimit.workers.has(view.worker)
+        );
+    }
+  }
+
   /** Nothing else starts on the workers of an isolated unit. */
   #recordStart(request: WaitingUnit<Unit>, { capacities }: Fit): void {
     capacities.forEach(({ view }) => this.#startedOn.add(view.worker));
@@ -245,10 +265,11 @@
     const isGuaranteed = request.rank.tier === RANK_TIER.GUARANTEED;
     if (!isGuaranteed && request.evictionGain <= 0) return undefined;
     if (request.isolation === ISOLATION.EMPTY_WORKERS) return undefined;
+    if (request.evictionLimit?.kind === "nowhere") return undefined;
     if (this.#evictionPlans >= MAXIMUM_EVICTION_PLANS) return undefined;
     this.#evictionPlans++;
     const plan = planEvictionByShares(
-      this.#listCapacities(request),
+      this.#listEvictionCapacities(request),
       request,
       this.#listCandidates(),
       this.#shares,
@@ -264,6 +285,7 @@
   ): QuotaReclaim<Unit> | undefined {
     const isGuaranteed = request.rank.tier === RANK_TIER.GUARANTEED;
     if (!isGuaranteed && request.evictionGain <= 0) return undefined;
+    if (request.evictionLimit?.kind === "nowhere") return undefined;
     const reclaim = planQuotaReclaim(request, {
       units: [...this.#input.running, ...this.#placements.keys()],
       evicted: this.#evicted,
@@ -281,7 +303,7 @@
     if (this.#reclaimPlans >= MAXIMUM_RECLAIM_PLANS) return undefined;
     this.#reclaimPlans++;
     return planReclaim(
-      this.#listCapacities(request),
+      this.#listEvictionCapacities(request),
       request,
       this.#listCandidates(),
       this.#shares,
--- a/packages/policy/cell/plan_round_test.ts
+++ b/packages/policy/cell/plan_round_test.ts
@@ -256,6 +256,28 @@
     });
   });
 
+  // Guards against work that is stopped on workers that reject the starts of the urgent unit.
+  it("evicts only where the unit's limit allows it", () => {
+    const evict = (evictionLimit: WaitingUnit<string>["evictionLimit"]) =>
+      planRound({
+        workers: [worker("a1", "a", 0), worker("a2", "a", 0)],
+        waiting: [waiting("urgent", step(8), {
+          rank: { tier: RANK_TIER.GUARANTEED, density: 1 },
+          evictionLimit,
+        })],
+        running: [
+          running("cheap", ["a1"], 8, 1),
+          running("dear", ["a2"], 8, 2),
+        ],
+      }).evictions.map(({ unit }) => unit);
+    const except = (...names: readonly string[]) =>
+      ({ kind: "except", workers: new Set(names as WorkerName[]) }) as const;
+    expect(evict(undefined)).to.deep.equal(["cheap"]);
+    expect(evict(except("a1"))).to.deep.equal(["dear"]);
+    expect(evict(except("a1", "a2"))).to.deep.equal([]);
+    expect(evict({ kind: "nowhere" })).to.deep.equal([]);
+  });
+
   it("evicts nothing for other work if the eviction costs more than it gains", () => {
     const evictions = (evictionGain: number) =>
       planRound({
--- a/packages/policy/cell/urgent_headroom.ts
+++ b/packages/policy/cell/urgent_headroom.ts
@@ -6,7 +6,12 @@
 import type { OrganisationName, ServiceName } from "@coltsfootpond/common";
 import { addUsage, multiplyResources } from "./quotas/organisation_usage.ts";
 import type { UrgentRates } from "./quotas/urgent_reserve.ts";
-import type { CellJobSpec, CellResources, WorkerView } from "./types.ts";
+import type {
+  CellJobSpec,
+  CellResources,
+  QueueName,
+  WorkerView,
+} from "./types.ts";
 
 /**
  * Urgent jobs accepted within this time count towards the rate: several jobs also in a small
@@ -26,6 +31,7 @@
 const MS_PER_SECOND = 1_000;
 
 interface UrgentArrival {
+  readonly queue: QueueName;
   readonly service: ServiceName;
   readonly acceptedUnixMs: number;
   readonly organisation: OrganisationName | undefined;
@@ -36,27 +42,44 @@
 /** Measures how many accelerators urgent jobs ask for in a second. */
 export class UrgentDemand {
   #arrivals: UrgentArrival[] = [];
+  readonly #isCounted: (queue: QueueName) => boolean;
 
-  private constructor() {}
+  private constructor(isCounted: (queue: QueueName) => boolean) {
+    this.#isCounted = isCounted;
+  }
 
-  static create(): UrgentDemand {
-    return new UrgentDemand();
+  /** `isCounted`: whether urgent jobs of the queue can start now; by default those of all can. */
+  static create(
+    isCounted: (queue: QueueName) => boolean = () => true,
+  ): UrgentDemand {
+    return new UrgentDemand(isCounted);
   }
 
   /** Takes note of an urgent job. Jobs may be recorded in any order, and long after acceptance. */
-  record({ service, acceptedUnixMs, organisation, steps }: CellJobSpec): void {
+  record(
+    { queue, service, acceptedUnixMs, organisation, steps }: CellJobSpec,
+  ): void {
     const [requirement] = steps.map(({ count, need }) =>
       multiplyResources(need, count)
     ).sort((left, right) => right.accelerators - left.accelerators);
     if (requirement === undefined) return;
-    this.#arrivals.push({ service, acceptedUnixMs, organisation, requirement });
+    this.#arrivals.push({
+      queue,
+      service,
+      acceptedUnixMs,
+      organisation,
+      requirement,
+    });
   }
 
   /** Mean over the last RATE_WINDOW_MS, in accelerators a second. */
   computeRatesPerS(nowUnixMs: number): ReadonlyMap<ServiceName, number> {
-    this.#dropOld(nowUnixMs);
     const rates = new Map<ServiceName, number>();
-    for (const { service, requirement: { accelerators } } of this.#arrivals) {
+    for (
+      const { service, requirement: { accelerators } } of this.#listCounted(
+        nowUnixMs,
+      )
+    ) {
       const rate = accelerators * MS_PER_SECOND / RATE_WINDOW_MS;
       rates.set(service, (rates.get(service) ?? 0) + rate);
     }
@@ -65,9 +88,8 @@
 
   /** The same for each organisation, in all resources. */
   computeOrganisationRatesPerS(nowUnixMs: number): UrgentRates {
-    this.#dropOld(nowUnixMs);
     const rates = new Map<OrganisationName, CellResources>();
-    for (const { organisation, requirement } of this.#arrivals) {
+    for (const { organisation, requirement } of this.#listCounted(nowUnixMs)) {
       if (organisation === undefined) continue;
       const rate = multiplyResources(
         requirement,
@@ -78,10 +100,11 @@
     return rates;
   }
 
-  #dropOld(nowUnixMs: number): void {
+  #listCounted(nowUnixMs: number): readonly UrgentArrival[] {
     this.#arrivals = this.#arrivals.filter(({ acceptedUnixMs }) =>
       Math.abs(nowUnixMs - acceptedUnixMs) < RATE_WINDOW_MS
     );
+    return this.#arrivals.filter(({ queue }) => this.#isCounted(queue));
   }
 }
 
--- a/packages/policy/mod.ts
+++ b/packages/policy/mod.ts
@@ -30,3 +30,4 @@
 export * from "./cell/speeds/speed_estimates.ts";
 export * from "./cell/speeds/speed_need.ts";
 export * from "./cell/speeds/uneven_speeds.ts";
+export * from "./cell/start_circuits/start_circuit.ts";
--- a/scripts/bench_days/admission_model.ts
+++ b/scripts/bench_days/admission_model.ts
@@ -38,7 +38,9 @@
   #load: LoadForecast = { services: [], queues: [] };
 
   private constructor() {
-    this.#collector = LoadCollector.create({ nowMs: () => this.#nowMs });
+    this.#collector = LoadCollector.create({
+      clock: { nowMs: () => this.#nowMs },
+    });
   }
 
   static create(): AdmissionModel {
