Cell under faults: workers that reject the starts of a job or a step

Half of the sequences have workers, all of them or some, that reject the starts of a job or of one of its steps for a while, for one of the reasons or without an answer, beside the other faults and for 12 s after them. The jobs must complete as before, and no more than two starts a second may be rejected.

--- a/packages/node/cell/cell_faults_test.ts
+++ b/packages/node/cell/cell_faults_test.ts
@@ -1,10 +1,10 @@
 /**
  * Random faults in a simulated cell: workers that are disconnected, cut off from the store, restart
  * or leave, calls and writes that are carried out late or whose answers are lost, odd records among
- * the workers' ones, and lease holders that are replaced. The checks use the runs as the workers
- * recorded them. CELL_FAULT_SEEDS and CELL_FAULT_FIRST_SEED set other seeds;
- * CELL_FAULT_CARRIED_OVER=1 also lets the next process of a worker carry out late calls;
- * CELL_FAULT_ODD_RECORDS=0 leaves out the odd records.
+ * the workers' ones, workers that reject the starts of one job, and lease holders that are replaced.
+ * The checks use the runs as the workers recorded them. CELL_FAULT_SEEDS and CELL_FAULT_FIRST_SEED
+ * set other seeds; CELL_FAULT_CARRIED_OVER=1 also lets the next process of a worker carry out late
+ * calls; CELL_FAULT_ODD_RECORDS=0 leaves out the odd records.
  */
 import { expect } from "chai";
 import type { CellJobSpec } from "@coltsfootpond/policy";
@@ -22,6 +22,8 @@
 
 /** Two more starts after the third crash (the platform's rules). */
 const MOST_CRASHING_STARTS = 5;
+/** Two a second for as long as workers reject starts: 24 steps of 0.5 s and 12 s after them. */
+const MOST_REJECTED_STARTS = 48;
 /** The platform's rules allow to give a task up after two. */
 const LEAST_CRASHES_OF_GIVEN_UP = 3;
 
@@ -135,6 +137,9 @@
         expect(cell.capacityViolations, "capacity").to.deep.equal([]);
         expect(cell.quotaViolations, "quota").to.deep.equal([]);
         expect(cell.begunListViolations, "begun jobs").to.deep.equal([]);
+        expect(cell.rejectedStarts, "rejected starts").to.be.at.most(
+          MOST_REJECTED_STARTS,
+        );
       }));
       incomplete.push(...describeFailure(seed, () => {
         checkCompleted(cell);
--- a/packages/node/cell/faults/faulty_cell.ts
+++ b/packages/node/cell/faults/faulty_cell.ts
@@ -26,6 +26,7 @@
   type RandomJob,
 } from "./random_jobs.ts";
 import { SilentConnectionFaults } from "./silent_connection_faults.ts";
+import { StartRejectionFaults } from "./start_rejection_faults.ts";
 import { type StoreFault, StoreFaults } from "./store_faults.ts";
 import {
   drawClockRate,
@@ -53,6 +54,11 @@
 /** Share of the sequences in which open connections go silent, and their draws. */
 const SILENCE_SHARE = 0.5;
 const SILENCE_SEED_OFFSET = 6_000_000_011;
+/** Share of the sequences in which workers reject the starts of some job, and their draws. */
+const REJECTION_SHARE = 0.5;
+const REJECTION_SEED_OFFSET = 7_000_000_003;
+/** Time after the last other fault until all starts are accepted. */
+const REJECTION_END_MS = 12_000;
 /** Time after the last fault until the quotas are lifted. */
 const QUOTA_END_MS = 12_000;
 /** Time after the last fault until starts are checked, and until capacities stay. */
@@ -105,6 +111,7 @@
   readonly #quotaFaults: QuotaFaults | undefined;
   readonly #oddRecordFaults: OddRecordFaults | undefined;
   readonly #silenceFaults: SilentConnectionFaults | undefined;
+  readonly #rejectionFaults: StartRejectionFaults | undefined;
   readonly #random: SeededRandom;
   readonly #storeFaults: StoreFaults;
   readonly #begunList = BegunList.create(this.simulation);
@@ -167,6 +174,14 @@
         random: silenceRandom,
       });
     }
+    const rejectionRandom = SeededRandom.create(seed + REJECTION_SEED_OFFSET);
+    if (rejectionRandom.next() < REJECTION_SHARE) {
+      this.#rejectionFaults = StartRejectionFaults.create({
+        simulation: this.simulation,
+        random: rejectionRandom,
+        listJobs: () => this.jobs,
+      });
+    }
     const oddRecordRandom = SeededRandom.create(seed + ODD_RECORD_SEED_OFFSET);
     const { hasOddRecords = true } = options;
     if (hasOddRecords && oddRecordRandom.next() < ODD_RECORD_SHARE) {
@@ -210,6 +225,11 @@
     return this.#quotaFaults?.violations ?? [];
   }
 
+  /** Number of starts that workers have rejected, or not answered, as one of a job. */
+  get rejectedStarts(): number {
+    return this.#rejectionFaults?.rejections ?? 0;
+  }
+
   /** Jobs that were listed as begun too early, or not any more. */
   get begunListViolations(): readonly string[] {
     return this.#begunList.violations;
@@ -265,6 +285,7 @@
     ) {
       if (passedMs === CAPACITY_CHECK_MS) this.#capacityFaults?.beginChecks();
       if (passedMs === QUOTA_END_MS) this.#quotaFaults?.end();
+      if (passedMs === REJECTION_END_MS) this.#rejectionFaults?.end();
       if (passedMs === CAPACITY_END_MS) this.#capacityFaults?.end();
       if (passedMs === FAILURE_END_MS) this.#mayTasksFail = false;
       this.#endTasks();
