Whether a queue requires tickets is part of its declaration

What is known of rejected starts is forgotten once a queue is declared otherwise, but the field that most often decides it, whether starts need a ticket, was not decoded, so a version that changed only this left the starts withheld until the next trial. It is decoded and shown in `start_circuit.opened` and `job.starts_withheld`. The tests of changed declarations now change this field.

--- a/packages/node/cell/admission/admission_gate_test.ts
+++ b/packages/node/cell/admission/admission_gate_test.ts
@@ -65,6 +65,7 @@
     host: "queue.example",
     pathPrefix: "/queue/",
     isPublic: false,
+    requiresTicket: false,
     priority: 1,
     maximumAttempts: 3,
     stretch: 3,
--- a/packages/node/cell/callers/caller_filters_fuzz_test.ts
+++ b/packages/node/cell/callers/caller_filters_fuzz_test.ts
@@ -33,6 +33,7 @@
     host: HOST,
     pathPrefix: PREFIX,
     isPublic: false,
+    requiresTicket: false,
     priority: 1,
     maximumAttempts: 3,
     stretch: 2,
--- a/packages/node/cell/quotas/quota_refusal_test.ts
+++ b/packages/node/cell/quotas/quota_refusal_test.ts
@@ -33,6 +33,7 @@
       host: "",
       pathPrefix: "/",
       isPublic: false,
+      requiresTicket: false,
       priority: 1,
       maximumAttempts: 3,
       stretch: 2,
--- a/packages/node/cell/start_circuits/circuit_log.ts
+++ b/packages/node/cell/start_circuits/circuit_log.ts
@@ -69,6 +69,8 @@
   #describe({ circuit, queue, step }: TrackedCircuit): LogFields {
     const { clock, epoch, getDeclaredState } = this.#options;
     const { rejections, reasons, workers, sinceMs } = circuit.summarise();
+    const state = getDeclaredState();
+    const declaration = state?.queues.find((other) => other.queue === queue);
     return {
       queue,
       ...(step === undefined ? {} : { step: step.key }),
@@ -77,7 +79,8 @@
       workers: workers.slice(0, MAXIMUM_LOGGED_WORKERS),
       workerCount: workers.length,
       sinceAgoMs: Math.round(clock.nowMs() - sinceMs),
-      declaredVersion: getDeclaredState()?.version,
+      requiresTicket: declaration?.requiresTicket,
+      declaredVersion: state?.version,
       epoch,
     };
   }
--- a/packages/node/cell/start_circuits/rejected_starts_test.ts
+++ b/packages/node/cell/start_circuits/rejected_starts_test.ts
@@ -170,11 +170,11 @@
   // Guards against jobs that wait although their queue has been declared anew.
   it("are tried again once the queue is declared otherwise", async () => {
     const cell = await createCell({ workers: 2, reason: "no_ticket" });
-    cell.declareRejectedQueue({ timeoutMs: 1_000 });
+    cell.declareRejectedQueue({ requiresTicket: true });
     const job = await cell.submitRejected({ count: 2 });
     await cell.simulation.clock.advance(30_000);
     cell.isRejecting = false;
-    cell.declareRejectedQueue({ timeoutMs: 2_000 });
+    cell.declareRejectedQueue({ requiresTicket: false });
     await cell.simulation.clock.advance(100);
     expect(cell.listStarted(job)).to.have.length(2);
     expect(cell.linesOf("start_circuit.forgotten")).to.have.length(2);
@@ -183,12 +183,12 @@
   // Guards against what was learnt being lost with each version of the declared state.
   it("are not tried again once other queues are declared otherwise", async () => {
     const cell = await createCell({ workers: 2, reason: "no_ticket" });
-    cell.declareRejectedQueue({ timeoutMs: 1_000 });
+    cell.declareRejectedQueue({ requiresTicket: true });
     await cell.submitRejected({ count: 2 });
     await cell.simulation.clock.advance(30_000);
     cell.rejections = 0;
     for (let version = 0; version < 20; version++) {
-      cell.declareRejectedQueue({ timeoutMs: 1_000 });
+      cell.declareRejectedQueue({ requiresTicket: true });
       await cell.simulation.clock.advance(20);
     }
     expect(cell.rejections).to.be.at.most(1);
--- a/packages/node/cell/start_circuits/rejecting_cell.ts
+++ b/packages/node/cell/start_circuits/rejecting_cell.ts
@@ -82,8 +82,13 @@
   }
 
   /** Declares the rejected queue, beside another one that differs in each version. */
-  declareRejectedQueue(changes: { readonly timeoutMs: number }): void {
-    const declare = (queue: QueueName, timeoutMs: number) => ({
+  declareRejectedQueue(changes: { readonly requiresTicket: boolean }): void {
+    const declare = (
+      queue: QueueName,
+      requiresTicket: boolean,
+      timeoutMs: number,
+    ) => ({
+      requiresTicket,
       queue,
       service: SIMULATED_SERVICE,
       host: "host",
@@ -96,8 +101,8 @@
       timeoutMs,
     });
     this.simulation.declareQueues([
-      declare(REJECTED_QUEUE, changes.timeoutMs),
-      declare(ORDINARY_QUEUE, ++this.#declarations),
+      declare(REJECTED_QUEUE, changes.requiresTicket, 1_000),
+      declare(ORDINARY_QUEUE, false, ++this.#declarations),
     ]);
   }
 
--- a/packages/ports/cell/declared_state.ts
+++ b/packages/ports/cell/declared_state.ts
@@ -12,6 +12,8 @@
   readonly pathPrefix: string;
   /** Whether requests without an API key are accepted. */
   readonly isPublic: boolean;
+  /** Whether workers accept a start of its jobs only with a ticket of an authorization service. */
+  readonly requiresTicket: boolean;
   readonly priority: number;
   readonly maximumAttempts: number;
   /** A job's objective is `stretch` times its critical path, plus `allowanceMs`. */
