A unit whose starts are rejected everywhere is tried again within 2 s

Callers would have seen a lasting task, or a job that may run on one worker only, away for up to 10 s after a single rejection: the worker that rejected was avoided although no other could run the task, and trials of a queue were up to 5 s apart, where a job that could start may wait for 3 s.

Where all workers that may run a step reject it, the next start goes to the one that has rejected it first; the longest delay is 2 s; once the circuit of a queue closes, its steps are tried at once.

Tests: a persistent task that one worker may run, for each reason; occurrences of a recurring job; all 72 tasks of 24 jobs done within 5 s of the end of the rejections (16 s before).

--- a/packages/node/cell/plan_input.ts
+++ b/packages/node/cell/plan_input.ts
@@ -31,10 +31,8 @@
 import type { OrganisationGuarantee } from "@coltsfootpond/ports";
 import { SuspectUnits } from "./crashes/suspect_units.ts";
 import type { LiveJob, Unit } from "./live_job.ts";
-import type {
-  StartCircuits,
-  StartLimits,
-} from "./start_circuits/start_circuits.ts";
+import { AvoidedWorkers } from "./start_circuits/avoided_workers.ts";
+import type { StartCircuits } from "./start_circuits/start_circuits.ts";
 
 /**
  * Upper bound of the work lost when a task that saves its progress is stopped: one checkpoint
@@ -50,11 +48,6 @@
 export const WASTE_PRICE = 0.0014;
 const CORES_PER_ACCELERATOR = 8;
 const MILLI = 1_000;
-/**
- * How long a unit waits for a worker on which it has not failed; no other may be able to run it.
- */
-const AVOID_WAIT_MS = 2_000;
-const NO_WORKERS: ReadonlySet<WorkerName> = new Set();
 
 export interface PlanInputOptions {
   readonly jobs: readonly LiveJob[];
@@ -86,6 +79,7 @@
   const meanWorkByQueue = computeMeanWork(jobs, capacity);
   const speeds = listSpeeds(workers);
   const freeShares = computeFreeShares(workers);
+  const avoided = AvoidedWorkers.create(workers);
   const waiting: WaitingUnit<Unit>[] = [];
   const running: RunningUnit<Unit>[] = [];
   for (const job of jobs) {
@@ -140,7 +134,7 @@
           stepKey: unit.stepKey,
           count: unit.count,
           minimumSpeed,
-          avoid: listAvoided(unit, waitedMs, limits),
+          avoid: avoided.list(unit, waitedMs, limits),
           evictionLimit: limits?.evictionLimit,
           waitedMs,
           isolation: suspects.getIsolation(unit, waitedMs, isGuaranteed),
@@ -171,17 +165,6 @@
     step.need.accelerators === 0;
 }
 
-function listAvoided(
-  { failedOn }: Unit,
-  waitedMs: number,
-  limits: StartLimits | undefined,
-): ReadonlySet<WorkerName> {
-  const failing = waitedMs < AVOID_WAIT_MS ? failedOn : NO_WORKERS;
-  return limits === undefined
-    ? failing
-    : new Set([...failing, ...limits.avoid]);
-}
-
 function createRunning(
   unit: Unit,
   rankInput: JobRankInput,
--- a/packages/node/cell/start_circuits/rejecting_cell.ts
+++ b/packages/node/cell/start_circuits/rejecting_cell.ts
@@ -3,6 +3,7 @@
 import type {
   CellJobSpec,
   QueueName,
+  Recurrence,
   StepSpec,
   TaskName,
 } from "@coltsfootpond/policy";
@@ -122,12 +123,16 @@
   }
 
   /** Submits an urgent job of the queue whose starts are rejected. */
-  submitRejected(step: Partial<StepSpec>): Promise<CellJobSpec> {
+  submitRejected(
+    step: Partial<StepSpec>,
+    recurrence?: Recurrence,
+  ): Promise<CellJobSpec> {
     return this.#submit(REJECTED_PREFIX, {
       queue: REJECTED_QUEUE,
       organisation: "one" as OrganisationName,
       priority: 0,
       stretch: 3,
+      recurrence,
       steps: [createStep({ estimateMs: URGENT_ESTIMATE_MS, ...step })],
     });
   }
--- a/packages/node/cell/start_circuits/start_circuits.ts
+++ b/packages/node/cell/start_circuits/start_circuits.ts
@@ -48,6 +48,7 @@
 
 /** What the start of a unit is limited to. */
 export interface StartLimits {
+  /** Workers on which it is not started while there are others, the longest avoided first. */
   readonly avoid: ReadonlySet<WorkerName>;
   readonly evictionLimit: EvictionLimit | undefined;
 }
@@ -165,10 +166,18 @@
       tracked.circuit.recordAcceptance(session.worker);
       if (!isStarted) continue;
       if (tracked.circuit.isOpen) this.#log.recordClosing(tracked);
-      tracked.circuit.close();
+      const wasOpen = tracked.circuit.close();
+      if (wasOpen && tracked.step === undefined) this.#expediteTrials(queue);
     }
   }
 
+  #expediteTrials(queue: QueueName): void {
+    for (const tracked of this.#byStep.values()) {
+      if (tracked.queue === queue) tracked.circuit.expediteTrial();
+    }
+    this.#options.requestRound();
+  }
+
   /**
    * Chooses the trials of the next round; called before `isWithheld` and `getLimits`. `isBlocked`:
    * whether the unit must not start for another reason.
--- a/packages/policy/cell/start_circuits/start_circuit.ts
+++ b/packages/policy/cell/start_circuits/start_circuit.ts
@@ -17,15 +17,18 @@
   readonly evidence: number;
   /** Longest delay between two trials. */
   readonly maximumDelayMs: number;
-  /** How long the work is not started again on the worker, while others have not rejected it. */
+  /** How long the work is started on other workers, if there are any that have not rejected it. */
   readonly avoidMs: number;
 }
 
 const EVIDENCE_TO_OPEN = 3;
-/** A permission and a malformed command last; what is unspecific may pass within a second. */
+/**
+ * A permission and a malformed command last; what is unspecific may pass within a second. A job that
+ * could start must not wait for 3 s (the platform's rules).
+ */
 const RULES: Readonly<Record<RejectionKind, RejectionRule>> = {
-  unauthorized: { evidence: 3, maximumDelayMs: 5_000, avoidMs: 10_000 },
-  malformed: { evidence: 3, maximumDelayMs: 5_000, avoidMs: 10_000 },
+  unauthorized: { evidence: 3, maximumDelayMs: 2_000, avoidMs: 10_000 },
+  malformed: { evidence: 3, maximumDelayMs: 2_000, avoidMs: 10_000 },
   unspecific: { evidence: 1, maximumDelayMs: 1_000, avoidMs: 1_000 },
 };
 /** A few round trips to a worker. */
@@ -157,6 +160,8 @@
   ): void {
     this.#dropOutdated(atMs);
     const earlier = this.#rejectedBy.get(worker);
+    // Keeps the order of the last rejections.
+    this.#rejectedBy.delete(worker);
     this.#rejectedBy.set(worker, {
       incarnationStartUnixMs,
       avoidUntilMs: atMs + avoidMs,
@@ -200,8 +205,15 @@
       lastAcceptedMs > this.#firstRejectedMs;
   }
 
+  /** Starts of other work of the queue are accepted again: the next trial is due now. */
+  expediteTrial(): void {
+    this.#rounds = Math.min(this.#rounds, 1);
+    this.#lastRejectedMs -= FIRST_DELAY_MS;
+  }
+
   /**
-   * Workers whose present process has rejected a start lately. `isRepeatedOnly`: of several sources.
+   * Workers whose present process has rejected a start lately, in the order of their last rejection.
+   * `isRepeatedOnly`: of several sources.
    */
   listRejecting(
     nowMs: number,
