A task that one worker alone may run: the test accepts while the worker is still avoided

With the acceptance 4 s after the first rejection the test fails without for a missing ticket and a malformed command; with 10 s it held there by chance, as the worker was no longer avoided.

--- a/packages/node/cell/start_circuits/rejected_starts_test.ts
+++ b/packages/node/cell/start_circuits/rejected_starts_test.ts
@@ -277,14 +277,14 @@
 
 describe("a worker that alone may run a task", () => {
   for (const reason of REASONS) {
-    // Guards against a task that waits for others workers although there are none for it.
+    // Guards against a task that waits for other workers although none may run it.
     it(`gets it again soon after it has rejected it: ${reason}`, async () => {
       const cell = await createCell({ workers: 4, reason });
       const job = await cell.submitRejected({
         isPersistent: true,
         requiredLabel: "w2",
       });
-      await cell.simulation.clock.advance(10_000);
+      await cell.simulation.clock.advance(4_000);
       cell.isRejecting = false;
       // A task that could start must not wait for 3 s (the platform's rules).
       await cell.simulation.clock.advance(3_000);
