A gang that no worker starts does not empty a full cell every few seconds

A trial may evict again once no trial has found room for four of the longest delays. For a gang these are all its members, so with a full cell of long tasks other work would have been stopped every 8 s for a start that is rejected. The time doubles with each such trial.

The steps of a queue whose circuit closes are tried at once by a flag, so that the time of their last rejection stays what it is; a unit of a job without rejections is looked up without formatting its step's key.

--- a/packages/node/cell/start_circuits/rejected_starts_test.ts
+++ b/packages/node/cell/start_circuits/rejected_starts_test.ts
@@ -1,6 +1,6 @@
 /** Tests of a cell whose workers reject the starts of one queue, whatever room they have. */
 import { expect } from "chai";
-import type { CellJobSpec } from "@coltsfootpond/policy";
+import type { CellJobSpec, QueueName } from "@coltsfootpond/policy";
 import { RejectingCell, type RejectionReason } from "./rejecting_cell.ts";
 
 const REASONS: readonly RejectionReason[] = [
@@ -29,6 +29,12 @@
     Math.floor(URGENT_JOBS * URGENT_PERIOD_MS / (isSpecific ? 8_000 : 4_000));
 }
 
+/**
+ * Starts of a gang of half of the workers for which others may be stopped in a minute: three until
+ * the rejections are understood, one on the other workers, four as the evidence is outdated.
+ */
+const GANG_STARTS_ALLOWED = 8;
+
 /** Submits urgent jobs of the rejected queue at a steady rate. */
 async function submitUrgentJobs(
   cell: RejectingCell,
@@ -84,6 +90,20 @@
       expect(cell.countStopped()).to.be.at.most(countEvictionsAllowed(reason));
     });
 
+    // Guards against a full cell that is emptied again and again for a gang that no worker starts.
+    it(`stops hardly any running work for a gang: ${reason}`, async () => {
+      const cell = await createCell({ workers: 8, reason });
+      // Their percentage rises every 2 s, so that they do not count as stalled.
+      cell.setTaskDuration(200_000);
+      await cell.submitOrdinary({ count: 64 });
+      await cell.simulation.clock.advance(ROUND_MS);
+      await cell.submitRejected({ count: 32, isGang: true });
+      await cell.simulation.clock.advance(60_000);
+      expect(cell.countStopped()).to.be.at.most(
+        32 * GANG_STARTS_ALLOWED,
+      );
+    });
+
     // Guards against about a hundred rejected starts a second.
     it(`tries them at a low rate: ${reason}`, async () => {
       const cell = await createCell({ workers: 8, reason });
@@ -169,6 +189,25 @@
   }
 });
 
+describe("the rejected starts of many queues", () => {
+  // Guards against a rate of rejected starts that grows with the number of jobs and queues.
+  it("are tried at a bounded rate, and leave the workers to the others", async () => {
+    const cell = await createCell({ workers: 16, reason: "no_ticket" });
+    for (let job = 0; job < 600; job++) {
+      const queue = `rejected ${job % 200}` as QueueName;
+      await cell.submitRejected({ count: 2 }, { queue });
+      if (job % 20 === 0) await cell.simulation.clock.advance(100);
+    }
+    await cell.simulation.clock.advance(3_000);
+    cell.rejections = 0;
+    const ordinary = await cell.submitOrdinary({ count: 64 });
+    await cell.simulation.clock.advance(4_000);
+    expect(cell.isCompleted(ordinary)).to.equal(true);
+    // One each 20 ms, however many circuits are open.
+    expect(cell.rejections).to.be.at.most(4_000 / 20);
+  });
+});
+
 describe("rejected starts", () => {
   // Guards against jobs that wait although their queue has been declared anew.
   it("are tried again once the queue is declared otherwise", async () => {
@@ -298,9 +337,11 @@
   it("is tried at a low rate, and starts all occurrences once it is accepted", async () => {
     const cell = await createCell({ workers: 4, reason: "no_ticket" });
     const job = await cell.submitRejected({}, {
-      times: 20,
-      firstRunUnixMs: cell.simulation.clock.nowMs() + 1_000,
-      intervalMs: 500,
+      recurrence: {
+        times: 20,
+        firstRunUnixMs: cell.simulation.clock.nowMs() + 1_000,
+        intervalMs: 500,
+      },
     });
     await cell.simulation.clock.advance(12_000);
     expect(cell.rejections).to.be.at.most(24);
--- a/packages/node/cell/start_circuits/rejecting_cell.ts
+++ b/packages/node/cell/start_circuits/rejecting_cell.ts
@@ -3,7 +3,6 @@
 import type {
   CellJobSpec,
   QueueName,
-  Recurrence,
   StepSpec,
   TaskName,
 } from "@coltsfootpond/policy";
@@ -125,14 +124,14 @@
   /** Submits an urgent job of the queue whose starts are rejected. */
   submitRejected(
     step: Partial<StepSpec>,
-    recurrence?: Recurrence,
+    overrides: Partial<Pick<CellJobSpec, "queue" | "recurrence">> = {},
   ): Promise<CellJobSpec> {
     return this.#submit(REJECTED_PREFIX, {
       queue: REJECTED_QUEUE,
       organisation: "one" as OrganisationName,
       priority: 0,
       stretch: 3,
-      recurrence,
+      ...overrides,
       steps: [createStep({ estimateMs: URGENT_ESTIMATE_MS, ...step })],
     });
   }
--- a/packages/node/cell/start_circuits/start_circuits.ts
+++ b/packages/node/cell/start_circuits/start_circuits.ts
@@ -66,6 +66,8 @@
   readonly #options: StartCircuitsOptions;
   readonly #byStep = new Map<string, TrackedCircuit>();
   readonly #byQueue = new Map<QueueName, TrackedCircuit>();
+  /** Jobs that may have circuits of steps. */
+  readonly #jobsWithCircuits = new WeakSet<LiveJob>();
   /** Queues of which a unit has started since they were declared as they are. */
   readonly #provenQueues = new Set<QueueName>();
   readonly #changedQueues = ChangedQueues.create();
@@ -107,6 +109,7 @@
     const { job } = unit;
     const { queue } = job.spec;
     const key = formatStep(unit);
+    this.#jobsWithCircuits.add(job);
     const ofStep = track(this.#byStep, key, queue, { job, key });
     const ofQueue = track(this.#byQueue, queue, queue);
     const wasOpen = ofStep.circuit.isOpen || ofQueue.circuit.isOpen;
@@ -157,11 +160,7 @@
     const { queue } = unit.job.spec;
     const isStarted = hasStarted(unit);
     if (isStarted) this.#provenQueues.add(queue);
-    const circuits = [
-      this.#byStep.get(formatStep(unit)),
-      this.#byQueue.get(queue),
-    ];
-    for (const tracked of circuits) {
+    for (const tracked of [this.#findStep(unit), this.#byQueue.get(queue)]) {
       if (tracked === undefined) continue;
       tracked.circuit.recordAcceptance(session.worker);
       if (!isStarted) continue;
@@ -226,7 +225,7 @@
 
   /** Undefined where the unit's start is not limited. */
   getLimits(unit: Unit, waitedMs: number): StartLimits | undefined {
-    const step = this.#byStep.get(formatStep(unit))?.circuit;
+    const step = this.#findStep(unit)?.circuit;
     const queue = this.#byQueue.get(unit.job.spec.queue)?.circuit;
     if (step === undefined && queue === undefined) return undefined;
     const nowMs = this.#options.clock.nowMs();
@@ -276,13 +275,18 @@
 
   /** The open circuit on which the unit depends; the queue's comes before the step's. */
   #findOpen(unit: Unit): TrackedCircuit | undefined {
-    if (this.#byQueue.size === 0 && this.#byStep.size === 0) return undefined;
     const queue = this.#byQueue.get(unit.job.spec.queue);
     if (queue?.circuit.isOpen) return queue;
-    const step = this.#byStep.get(formatStep(unit));
+    const step = this.#findStep(unit);
     return step?.circuit.isOpen ? step : undefined;
   }
 
+  #findStep(unit: Unit): TrackedCircuit | undefined {
+    return this.#jobsWithCircuits.has(unit.job)
+      ? this.#byStep.get(formatStep(unit))
+      : undefined;
+  }
+
   /** A queue that is declared otherwise may have its starts accepted now. */
   #forgetChangedQueues(): void {
     const state = this.#options.getDeclaredState();
--- a/packages/policy/cell/start_circuits/start_circuit.ts
+++ b/packages/policy/cell/start_circuits/start_circuit.ts
@@ -36,10 +36,11 @@
 /** All of eight workers are tried within a second. */
 const DELAY_GROWTH = 1.5;
 /**
- * Where no trial fits for this many longest delays, the evidence is outdated, and the next start
- * may evict other work.
+ * Where no trial fits for this many longest delays, the evidence is outdated, and the next trial
+ * may evict other work. The time doubles with each such trial that is rejected, up to the maximum.
  */
 const EVIDENCE_LIFETIME_DELAYS = 4;
+const MAXIMUM_LIFETIME_DOUBLINGS = 5;
 /** Distinct sources are counted up to this number. */
 const MAXIMUM_SOURCES = 2;
 
@@ -96,6 +97,9 @@
   #firstRejectedMs = Number.POSITIVE_INFINITY;
   #lastRejectedMs = Number.NEGATIVE_INFINITY;
   #maximumDelayMs = 0;
+  /** Rejected trials that were allowed to evict as the evidence was outdated. */
+  #outdatedTrials = 0;
+  #isTrialExpedited = false;
   #isOpen = false;
 
   private constructor() {}
@@ -111,6 +115,7 @@
 
   /** The earliest time of the next trial. */
   get nextTrialMs(): number {
+    if (this.#isTrialExpedited) return Number.NEGATIVE_INFINITY;
     return this.#lastRejectedMs +
       Math.min(this.#computeDelayMs(), this.#maximumDelayMs);
   }
@@ -136,6 +141,8 @@
       this.#evidence += rule.evidence;
       this.#rounds++;
     }
+    if (this.#isOpen && this.isOutdated(sentMs)) this.#outdatedTrials++;
+    this.#isTrialExpedited = false;
     this.#rejections++;
     this.#reasons.set(reason, (this.#reasons.get(reason) ?? 0) + 1);
     this.#firstRejectedMs = Math.min(this.#firstRejectedMs, atMs);
@@ -193,6 +200,8 @@
     this.#sources.clear();
     this.#firstRejectedMs = Number.POSITIVE_INFINITY;
     this.#triedWorkers.clear();
+    this.#outdatedTrials = 0;
+    this.#isTrialExpedited = false;
     return wasOpen;
   }
 
@@ -207,8 +216,7 @@
 
   /** Starts of other work of the queue are accepted again: the next trial is due now. */
   expediteTrial(): void {
-    this.#rounds = Math.min(this.#rounds, 1);
-    this.#lastRejectedMs -= FIRST_DELAY_MS;
+    this.#isTrialExpedited = true;
   }
 
   /**
@@ -240,7 +248,12 @@
 
   /** Whether the last rejection is too old to tell what the next start meets. */
   isOutdated(nowMs: number): boolean {
-    const lifetimeMs = EVIDENCE_LIFETIME_DELAYS * this.#maximumDelayMs;
+    const doublings = Math.min(
+      this.#outdatedTrials,
+      MAXIMUM_LIFETIME_DOUBLINGS,
+    );
+    const lifetimeMs = EVIDENCE_LIFETIME_DELAYS * this.#maximumDelayMs *
+      2 ** doublings;
     return nowMs - this.#lastRejectedMs > lifetimeMs;
   }
 
--- a/packages/policy/cell/start_circuits/start_circuit_test.ts
+++ b/packages/policy/cell/start_circuits/start_circuit_test.ts
@@ -135,6 +135,19 @@
     expect(many.getEvictionLimit(lastMs + 8_001)).to.equal(undefined);
   });
 
+  // Guards against a gang for which a full cell is emptied every few seconds.
+  it("lets a trial evict after twice the time each time that it is rejected", () => {
+    const circuit = StartCircuit.create();
+    let nowMs = rejectInTurn(circuit, "unauthorized", 15).at(-1)!;
+    for (const lifetimeMs of [8_000, 16_000, 32_000]) {
+      expect(circuit.isOutdated(nowMs + lifetimeMs)).to.equal(false);
+      const sentMs = nowMs + lifetimeMs + 1;
+      expect(circuit.isOutdated(sentMs)).to.equal(true);
+      nowMs = sentMs + 5;
+      circuit.recordRejection(createRejection({ sentMs, atMs: nowMs }), 1);
+    }
+  });
+
   // Guards against memory that grows with the number of workers and rejections.
   it("keeps the workers that are avoided only for as long as they are", () => {
     const circuit = StartCircuit.create();
