A gang's trial waits for as long as so many single trials

The first delay is now 20 ms for each start that is sent together; the longest stays.

Test: the delays of gangs of 1, 4 and 256.

--- a/packages/node/cell/start_circuits/start_circuits.ts
+++ b/packages/node/cell/start_circuits/start_circuits.ts
@@ -11,7 +11,7 @@
   StartRejection,
 } from "@coltsfootpond/policy";
 import type { DeclaredState } from "@coltsfootpond/ports";
-import type { LiveJob, Unit } from "../live_job.ts";
+import type { LiveJob, Unit, UnitOfJob } from "../live_job.ts";
 import type { CellLog } from "../log.ts";
 import type { TaskRun } from "../task_run.ts";
 import type { WorkerSession } from "../worker_session.ts";
@@ -99,15 +99,16 @@
   recordProblem(
     session: WorkerSession,
     { startSentMs }: TaskRun,
-    unit: Pick<Unit, "job" | "address"> | undefined,
+    unit: UnitOfJob | undefined,
     problem: StartProblem,
   ): ProblemVerdict {
     const kind = classifyProblem(problem);
     if (problem !== "unanswered") this.#rejectedStarts++;
     if (kind === undefined || unit === undefined) return UNRELATED_TO_WORK;
     const nowMs = this.#options.clock.nowMs();
-    const { job } = unit;
-    const { queue } = job.spec;
+    const { job, address } = unit;
+    const { queue, steps } = job.spec;
+    const { isGang, count } = steps[address.step]!;
     const key = formatStep(unit);
     this.#jobsWithCircuits.add(job);
     const ofStep = track(this.#byStep, key, queue, { job, key });
@@ -119,6 +120,7 @@
       source: key,
       worker: session.worker,
       incarnationStartUnixMs: session.incarnationStartUnixMs,
+      startCount: isGang ? count : 1,
       sentMs: startSentMs ?? nowMs,
       atMs: nowMs,
     };
--- a/packages/node/cell/start_circuits/tracked_circuit.ts
+++ b/packages/node/cell/start_circuits/tracked_circuit.ts
@@ -1,6 +1,6 @@
 /** The circuit of one step or queue, with what the choice of trials and the log need. */
 import { type QueueName, StartCircuit } from "@coltsfootpond/policy";
-import type { LiveJob, Unit } from "../live_job.ts";
+import type { LiveJob, Unit, UnitOfJob } from "../live_job.ts";
 
 export interface TrackedCircuit {
   readonly circuit: StartCircuit;
@@ -37,7 +37,7 @@
 
 /** Key of the unit's step, `{job}.{step}`; the occurrences of a job run the same steps. */
 export function formatStep(
-  { job, address }: Pick<Unit, "job" | "address">,
+  { job, address }: UnitOfJob,
 ): string {
   return `${job.jobId}.${address.step}`;
 }
--- a/packages/policy/cell/start_circuits/start_circuit.ts
+++ b/packages/policy/cell/start_circuits/start_circuit.ts
@@ -31,7 +31,7 @@
   malformed: { evidence: 3, maximumDelayMs: 2_000, avoidMs: 10_000 },
   unspecific: { evidence: 1, maximumDelayMs: 1_000, avoidMs: 1_000 },
 };
-/** A few round trips to a worker. */
+/** For each start of the trial; a few round trips to a worker. */
 const FIRST_DELAY_MS = 20;
 /** All of eight workers are tried within a second. */
 const DELAY_GROWTH = 1.5;
@@ -53,6 +53,8 @@
   readonly worker: WorkerName;
   /** Identifies the worker's process. */
   readonly incarnationStartUnixMs: number;
+  /** Number of starts that are sent together: of the tasks of a gang, or 1. */
+  readonly startCount: number;
   readonly sentMs: number;
   readonly atMs: number;
 }
@@ -96,6 +98,7 @@
   #rejections = 0;
   #firstRejectedMs = Number.POSITIVE_INFINITY;
   #lastRejectedMs = Number.NEGATIVE_INFINITY;
+  #firstDelayMs = 0;
   #maximumDelayMs = 0;
   /** Rejected trials that were allowed to evict as the evidence was outdated. */
   #outdatedTrials = 0;
@@ -125,7 +128,7 @@
   }
 
   #computeDelayMs(): number {
-    return FIRST_DELAY_MS * DELAY_GROWTH ** (this.#rounds - 1);
+    return this.#firstDelayMs * DELAY_GROWTH ** (this.#rounds - 1);
   }
 
   /**
@@ -147,6 +150,7 @@
     this.#reasons.set(reason, (this.#reasons.get(reason) ?? 0) + 1);
     this.#firstRejectedMs = Math.min(this.#firstRejectedMs, atMs);
     this.#lastRejectedMs = atMs;
+    this.#firstDelayMs = FIRST_DELAY_MS * rejection.startCount;
     this.#maximumDelayMs = rule.maximumDelayMs;
     if (this.#triedWorkers.size < 2 || this.#isEvictingTrials) {
       this.#triedWorkers.add(worker);
--- a/packages/policy/cell/start_circuits/start_circuit_test.ts
+++ b/packages/policy/cell/start_circuits/start_circuit_test.ts
@@ -16,6 +16,7 @@
     source: "job.0",
     worker: by as WorkerName,
     incarnationStartUnixMs: 1,
+    startCount: 1,
     sentMs: 0,
     atMs: 5,
     ...fields,
@@ -93,6 +94,16 @@
     expect(times[29]! - times[28]!).to.be.within(2_000, 2_010);
   });
 
+  // Guards against gangs of which each trial is a burst of rejected starts.
+  it("waits the longer the more starts a trial consists of", () => {
+    const computeDelayMs = (startCount: number) => {
+      const circuit = StartCircuit.create();
+      circuit.recordRejection(createRejection({ startCount, atMs: 5 }), 1);
+      return circuit.nextTrialMs - 5;
+    };
+    expect([1, 4, 256].map(computeDelayMs)).to.deep.equal([20, 80, 2_000]);
+  });
+
   it("closes once a unit has started, and still avoids the workers that rejected", () => {
     const circuit = StartCircuit.create();
     rejectInTurn(circuit, "unauthorized", 2);
