Tests of rejected starts share one stand-in of the rejections

The reasons and the way a simulated worker rejects a start, or leaves it unanswered, were written twice, for the tests and for the cell under faults.

--- a/packages/node/cell/faults/start_rejection_faults.ts
+++ b/packages/node/cell/faults/start_rejection_faults.ts
@@ -3,20 +3,16 @@
  * one reason, whatever room they have.
  */
 import { nextInteger, type Random } from "@coltsfootpond/common";
-import type { CellJobSpec, TaskName } from "@coltsfootpond/policy";
-import type { StartRefusal } from "@coltsfootpond/ports";
+import type { CellJobSpec } from "@coltsfootpond/policy";
 import type { CellSimulation } from "../cell_simulation.ts";
+import {
+  acceptStarts,
+  REJECTION_REASONS,
+  type RejectionReason,
+  rejectStarts,
+} from "../fakes/start_rejections.ts";
 import type { WorkerFake } from "../workers_fake.ts";
 
-const REASONS: readonly (StartRefusal | "unanswered")[] = [
-  "no_ticket",
-  "invalid",
-  "no_room",
-  "unhealthy",
-  "superseded",
-  "expired",
-  "unanswered",
-];
 const MAXIMUM_PAUSE_MS = 2_000;
 const MAXIMUM_DURATION_MS = 8_000;
 /** Shares of the faults that concern the whole job, and all workers. */
@@ -74,7 +70,8 @@
     const prefix = random.next() < JOB_SHARE
       ? `${jobId}.`
       : `${jobId}.0.${step}.`;
-    const reason = REASONS[nextInteger(random, REASONS.length)]!;
+    const reason =
+      REJECTION_REASONS[nextInteger(random, REJECTION_REASONS.length)]!;
     const isEverywhere = random.next() < ALL_WORKERS_SHARE;
     for (const worker of simulation.workers.values()) {
       if (!isEverywhere && random.next() < 0.5) continue;
@@ -94,24 +91,16 @@
   #rejectOn(
     worker: WorkerFake,
     prefix: string,
-    reason: StartRefusal | "unanswered",
+    reason: RejectionReason,
   ): void {
-    const isRejected = (task: TaskName) => {
+    rejectStarts(worker, reason, (task) => {
       if (!task.startsWith(prefix)) return false;
       this.rejections++;
       return true;
-    };
-    if (reason === "unanswered") {
-      worker.isSilentTo = isRejected;
-    } else {
-      worker.findRejection = (task) => isRejected(task) ? reason : undefined;
-    }
+    });
   }
 
   #acceptAll(): void {
-    for (const worker of this.#options.simulation.workers.values()) {
-      worker.isSilentTo = () => false;
-      worker.findRejection = () => undefined;
-    }
+    this.#options.simulation.workers.forEach(acceptStarts);
   }
 }
--- a/packages/node/cell/start_circuits/rejected_starts_test.ts
+++ b/packages/node/cell/start_circuits/rejected_starts_test.ts
@@ -1,17 +1,12 @@
 /** Tests of a cell whose workers reject the starts of one queue, whatever room they have. */
 import { expect } from "chai";
 import type { CellJobSpec, QueueName } from "@coltsfootpond/policy";
-import { RejectingCell, type RejectionReason } from "./rejecting_cell.ts";
+import {
+  REJECTION_REASONS,
+  type RejectionReason,
+} from "../fakes/start_rejections.ts";
+import { RejectingCell } from "./rejecting_cell.ts";
 
-const REASONS: readonly RejectionReason[] = [
-  "no_ticket",
-  "invalid",
-  "no_room",
-  "unhealthy",
-  "superseded",
-  "expired",
-  "unanswered",
-];
 const URGENT_PERIOD_MS = 735;
 const URGENT_JOBS = 24;
 /** Long enough for a round that starts, and stops, whatever it can. */
@@ -59,7 +54,7 @@
 }
 
 describe("a queue whose starts all workers reject", () => {
-  for (const reason of REASONS) {
+  for (const reason of REJECTION_REASONS) {
     // Guards against urgent jobs whose starts are rejected, over and over, on workers that are kept
     // from all other jobs meanwhile (review/8).
     it(`leaves the workers to other queues: ${reason}`, async () => {
@@ -136,7 +131,7 @@
 });
 
 describe("a queue whose starts some workers reject", () => {
-  for (const reason of REASONS) {
+  for (const reason of REJECTION_REASONS) {
     for (const accepting of [1, 4, 7]) {
       // Guards against units that do not reach the workers that accept them.
       it(`runs on the ${accepting} others of eight: ${reason}`, async () => {
@@ -171,7 +166,7 @@
   });
 
   // Guards against a unit that never reaches a worker that accepts it, as all workers are busy.
-  for (const reason of REASONS) {
+  for (const reason of REJECTION_REASONS) {
     it(`evicts others on a full cell to get there: ${reason}`, async () => {
       const cell = await createCell({
         workers: 4,
@@ -315,7 +310,7 @@
 });
 
 describe("a worker that alone may run a task", () => {
-  for (const reason of REASONS) {
+  for (const reason of REJECTION_REASONS) {
     // Guards against a task that waits for other workers although none may run it.
     it(`gets it again soon after it has rejected it: ${reason}`, async () => {
       const cell = await createCell({ workers: 4, reason });
--- a/packages/node/cell/start_circuits/rejecting_cell.ts
+++ b/packages/node/cell/start_circuits/rejecting_cell.ts
@@ -6,9 +6,12 @@
   StepSpec,
   TaskName,
 } from "@coltsfootpond/policy";
-import type { StartRefusal } from "@coltsfootpond/ports";
 import type { CellScheduler } from "../cell_scheduler.ts";
 import { CellSimulation, SIMULATED_SERVICE } from "../cell_simulation.ts";
+import {
+  type RejectionReason,
+  rejectStarts,
+} from "../fakes/start_rejections.ts";
 import type { LogFields } from "../log.ts";
 import { createSpec, createStep } from "../test_fixtures.ts";
 
@@ -17,9 +20,6 @@
   readonly fields: LogFields;
 }
 
-/** How the workers answer; `unanswered`: not at all. */
-export type RejectionReason = StartRefusal | "unanswered";
-
 export interface RejectingCellOptions {
   readonly workers: number;
   readonly reason: RejectionReason;
@@ -67,18 +67,12 @@
     number: number,
     { reason, isRejecting = () => true }: RejectingCellOptions,
   ): void {
-    const isRejected = (task: TaskName) => {
-      const isRejectedHere = this.isRejecting && isRejecting(number) &&
+    rejectStarts(this.simulation.get(name), reason, (task) => {
+      const isRejected = this.isRejecting && isRejecting(number) &&
         task.startsWith(this.#rejectedPrefix);
-      if (isRejectedHere) this.rejections++;
-      return isRejectedHere;
-    };
-    const worker = this.simulation.get(name);
-    if (reason === "unanswered") {
-      worker.isSilentTo = isRejected;
-    } else {
-      worker.findRejection = (task) => isRejected(task) ? reason : undefined;
-    }
+      if (isRejected) this.rejections++;
+      return isRejected;
+    });
   }
 
   /** Declares the rejected queue, beside another one that differs in each version. */
