--- a/packages/node/cell/plan_input.ts
+++ b/packages/node/cell/plan_input.ts
@@ -1,9 +1,5 @@
 /** Builds the input of one planning round from the lease holder's jobs and workers. */
-import type {
-  OrganisationName,
-  ServiceName,
-  WorkerName,
-} from "@coltsfootpond/common";
+import type { OrganisationName, ServiceName } from "@coltsfootpond/common";
 import {
   type CellJobSpec,
   computeCriticalPathMs,
