--- a/packages/policy/cell/start_circuits/start_circuit.ts
+++ b/packages/policy/cell/start_circuits/start_circuit.ts
@@ -33,7 +33,7 @@
 };
 /** For each start of the trial; a few round trips to a worker. */
 const FIRST_DELAY_MS = 20;
-/** All of eight workers are tried within a second. */
+/** Slow enough that several workers are tried before the delays are longest. */
 const DELAY_GROWTH = 1.5;
 /**
  * Where no trial fits for this many longest delays, the evidence is outdated, and the next trial
