--- a/stand_ins/mod.ts
+++ b/stand_ins/mod.ts
@@ -6,3 +6,4 @@
 export * from "./runner/runner_ledger.ts";
 export * from "./runner/runner_stand_in.ts";
 export * from "./platform/mod.ts";
+export * from "./crowd/client_kinds.ts";
