Each connection of a caller has one request in progress, and connections take turns

What callers saw: a client that sends requests ahead ended the process (V8 heap), or the process did not answer others for a minute.

Cause: Node's parser turns all the requests of one read (64 KiB, up to 3,600 requests) into objects and calls the listener for each before the first is answered, and goes on reading while answers wait for the store. Nothing bounds the requests of one connection, and a read's worth of them keeps the event loop from everybody else.

Change: `packages/node/connections`. Connections are accepted by a server of sockets and passed to Node's HTTP server as streams, which give the parser at most one head or one body at a time, and the next one once the request is answered. Connections with received bytes take turns; after 5 ms of turns the event loop serves its other work. What was read and waits for its turn is bounded over all connections by a share of memoryMb, which the settings now decode; beyond that, what a client has sent ahead is dropped and its connection closed after the answer in progress. After its last answer a connection is read from, up to a limit, until the client closes it, so that no reset overtakes the answer. The times of the declared state are checked once a second on the process's clock; Node looked at them every 30 s.

A request without a Host is still answered 400.

--- a/packages/node/cell/background/failing_entry_test.ts
+++ b/packages/node/cell/background/failing_entry_test.ts
@@ -30,6 +30,7 @@
   seeds: [],
   storeAddress: ANY_PORT,
   rowLimitBytes: 65_536,
+  memoryBytes: 350_000_000,
   processorShare: 1,
   workerHeartbeatMs: 1_500,
   bounds: SIMULATION_BOUNDS,
--- a/packages/node/cell/callers/caller_server.ts
+++ b/packages/node/cell/callers/caller_server.ts
@@ -1,11 +1,6 @@
 /** HTTP servers for callers and for the load balancer's readiness check. */
 import { Buffer } from "node:buffer";
-import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Clock } from "@coltsfootpond/common";
 import type { CallerCodec, HostPort } from "@coltsfootpond/ports";
 import type {
@@ -18,6 +13,8 @@
   guardRequestListener,
   type RequestListener,
 } from "../background/guarded_request_listener.ts";
+import { BoundedServer } from "../../connections/bounded_server.ts";
+import type { ConnectionLimits } from "../../connections/connection_limits.ts";
 import { getBoundPort, listenOn } from "../listen.ts";
 import type { CellLog } from "../log.ts";
 import type { CellMeters } from "../meters/cell_meters.ts";
@@ -25,12 +22,19 @@
 const INTERNAL_STATUS = 500;
 const READY_STATUS = 200;
 const NOT_READY_STATUS = 503;
+const MALFORMED_STATUS = 400;
 const DRAIN_CHECK_PERIOD_MS = 20;
+/** Until a declared state gives others. */
+const INITIAL_TIMEOUTS = { headMs: 3_000, bodyMs: 15_000, idleMs: 15_000 };
+/** The balancer needs a connection or two; its checks have no body. */
+const READINESS_LIMITS: ConnectionLimits = { unparsedBytes: 1_048_576 };
 const { SERVE_CALLER } = BACKGROUND_ACTIVITY;
 
 export interface CallerServerOptions {
   readonly address: HostPort;
   readonly readiness: HostPort;
+  /** Of the connections of callers. */
+  readonly limits: ConnectionLimits;
   readonly codec: CallerCodec;
   readonly filters: readonly CallerFilter[];
   readonly clock: Clock;
@@ -42,26 +46,38 @@
 /** Passes callers' requests through the filters and sends the answers, until closed. */
 export class CallerServer {
   readonly #options: CallerServerOptions;
-  readonly #callerServer: Server;
-  readonly #readinessServer: Server;
-  #inProgress = 0;
+  readonly #callerServer: BoundedServer;
+  readonly #readinessServer: BoundedServer;
   #isClosing = false;
 
   private constructor(options: CallerServerOptions) {
     this.#options = options;
-    const guarded = (listener: RequestListener) =>
-      createServer(guardRequestListener(options.log, SERVE_CALLER, listener));
-    this.#callerServer = guarded((incoming, response) =>
-      this.#serve(incoming, response)
+    const { clock, log } = options;
+    const createGuarded = (
+      limits: ConnectionLimits,
+      listener: RequestListener,
+    ) =>
+      BoundedServer.create({
+        limits,
+        timeouts: INITIAL_TIMEOUTS,
+        clock,
+        listener: guardRequestListener(log, SERVE_CALLER, listener),
+      });
+    this.#callerServer = createGuarded(
+      options.limits,
+      (incoming, response) => this.#serve(incoming, response),
+    );
+    this.#readinessServer = createGuarded(
+      READINESS_LIMITS,
+      (incoming, response) => {
+        incoming.resume();
+        response.writeHead(
+          options.isReady() ? READY_STATUS : NOT_READY_STATUS,
+          { "content-length": 0 },
+        );
+        response.end();
+      },
     );
-    this.#readinessServer = guarded((incoming, response) => {
-      incoming.resume();
-      response.writeHead(
-        options.isReady() ? READY_STATUS : NOT_READY_STATUS,
-        { "content-length": 0 },
-      );
-      response.end();
-    });
   }
 
   static create(options: CallerServerOptions): CallerServer {
@@ -71,25 +87,27 @@
   async listen(): Promise<void> {
     const { address, readiness } = this.#options;
     await Promise.all([
-      listenOn(this.#callerServer, address),
-      listenOn(this.#readinessServer, readiness),
+      listenOn(this.#callerServer.listening, address),
+      listenOn(this.#readinessServer.listening, readiness),
     ]);
   }
 
   /** The ports that the servers are bound to. */
   get ports(): { readonly callers: number; readonly readiness: number } {
     return {
-      callers: getBoundPort(this.#callerServer),
-      readiness: getBoundPort(this.#readinessServer),
+      callers: getBoundPort(this.#callerServer.listening),
+      readiness: getBoundPort(this.#readinessServer.listening),
     };
   }
 
   /** Sets the time-outs of the declared state, in milliseconds. */
   setTimeouts(headerTimeoutMs: number, keepAliveMs: number): void {
-    this.#callerServer.headersTimeout = headerTimeoutMs;
-    this.#callerServer.keepAliveTimeout = keepAliveMs;
-    // A request whose body does not arrive is dropped after the same time as an idle connection.
-    this.#callerServer.requestTimeout = keepAliveMs;
+    this.#callerServer.setTimeouts({
+      headMs: headerTimeoutMs,
+      // A request whose body does not arrive is dropped after the same time as an idle connection.
+      bodyMs: keepAliveMs,
+      idleMs: keepAliveMs,
+    });
   }
 
   /** Closes each connection after its next answer from now on. */
@@ -102,20 +120,28 @@
     const { clock } = this.#options;
     this.#isClosing = true;
     this.#callerServer.close();
-    this.#callerServer.closeIdleConnections();
     const deadlineMs = clock.nowMs() + timeoutMs;
-    while (this.#inProgress > 0 && clock.nowMs() < deadlineMs) {
+    while (this.#hasRequests && clock.nowMs() < deadlineMs) {
       await clock.sleep(DRAIN_CHECK_PERIOD_MS);
     }
     this.#readinessServer.close();
   }
 
+  /** Whether a request is in progress, or may be among the bytes that wait for their turn. */
+  get #hasRequests(): boolean {
+    const { requestsInProgress, unparsedBytes } = this.#callerServer.usage;
+    return requestsInProgress > 0 || unparsedBytes > 0;
+  }
+
   async #serve(
     incoming: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    this.#inProgress++;
-    response.once("close", () => this.#inProgress--);
+    if (incoming.headers.host === undefined && incoming.httpVersion === "1.1") {
+      const headers = { "connection": "close", "content-length": 0 };
+      response.writeHead(MALFORMED_STATUS, headers).end();
+      return;
+    }
     const { codec, clock, log, meters } = this.#options;
     const request: CallerRequest = {
       head: codec.decodeHead(
@@ -169,7 +195,7 @@
       headers["retry-after"] = answer.retryAfterS;
     }
     if (this.#isClosing) headers["connection"] = "close";
-    // Reads and drops the rest of an unread body, so that the connection is not reset.
+    // Reads and drops the rest of an unread body.
     incoming.resume();
     response.writeHead(answer.status, headers);
     response.end(body);
--- a/packages/node/cell/listen.ts
+++ b/packages/node/cell/listen.ts
@@ -1,6 +1,5 @@
-/** Helpers to bind HTTP servers. */
-import type { Server } from "node:http";
-import type { AddressInfo } from "node:net";
+/** Helpers to bind servers. */
+import type { AddressInfo, Server } from "node:net";
 import type { HostPort } from "@coltsfootpond/ports";
 
 /** Resolves when the server listens; rejects when the address cannot be bound. */
--- /dev/null
+++ b/packages/node/connections/connection_pool.ts
@@ -0,0 +1,211 @@
+/**
+ * The open connections of one server: their turns, how long they may wait for their clients, and the
+ * limit of what was read from them and waits for its turn.
+ */
+import type { Clock, Timer, ValueOf } from "@coltsfootpond/common";
+import {
+  type BoundedConnection,
+  CONNECTION_PHASE,
+  type ConnectionOwner,
+} from "./bounded_connection.ts";
+import type { ConnectionLimits } from "./connection_limits.ts";
+import { TurnQueue } from "./turn_queue.ts";
+
+const SWEEP_PERIOD_MS = 1_000;
+/** After the last answer, for the client to close the connection. */
+const LINGER_MS = 2_000;
+/** Reads of this size and more are those of clients that send much at a time. */
+const LARGE_READ_BYTES = 16_384;
+
+/** Why a connection was closed although its client might have gone on. */
+export const CLOSE_REASON = {
+  UNPARSED_LIMIT: "unparsed_limit",
+  IDLE: "idle",
+  HEAD_TIMEOUT: "head_timeout",
+  BODY_TIMEOUT: "body_timeout",
+  UNREAD_ANSWER: "unread_answer",
+} as const;
+export type CloseReason = ValueOf<typeof CLOSE_REASON>;
+
+/** How long a connection may wait for its client. */
+export interface ConnectionTimeouts {
+  readonly headMs: number;
+  /** For a body, or for an answer to be read. */
+  readonly bodyMs: number;
+  readonly idleMs: number;
+}
+
+export interface ConnectionPoolOptions {
+  readonly limits: ConnectionLimits;
+  readonly clock: Clock;
+  readonly onClosed: (reason: CloseReason) => void;
+}
+
+export interface ConnectionUsage {
+  readonly connections: number;
+  readonly requestsInProgress: number;
+  readonly unparsedBytes: number;
+}
+
+interface ConnectionState {
+  /** Start of the phase. */
+  sinceMs: number;
+  hasRequest: boolean;
+}
+
+export class ConnectionPool implements ConnectionOwner {
+  readonly #options: ConnectionPoolOptions;
+  readonly #turns: TurnQueue;
+  /** In the order of the starts of their phases. */
+  readonly #states = new Map<BoundedConnection, ConnectionState>();
+  /** Connections with large reads that wait for their turn, the oldest first. */
+  readonly #largeReads = new Set<BoundedConnection>();
+  #timeouts: ConnectionTimeouts;
+  #requestsInProgress = 0;
+  #unparsedBytes = 0;
+  #sweep: Timer | undefined;
+
+  private constructor(
+    options: ConnectionPoolOptions,
+    timeouts: ConnectionTimeouts,
+  ) {
+    this.#options = options;
+    this.#timeouts = timeouts;
+    this.#turns = TurnQueue.create(options.clock);
+  }
+
+  static create(
+    options: ConnectionPoolOptions,
+    timeouts: ConnectionTimeouts,
+  ): ConnectionPool {
+    return new ConnectionPool(options, timeouts);
+  }
+
+  get usage(): ConnectionUsage {
+    return {
+      connections: this.#states.size,
+      requestsInProgress: this.#requestsInProgress,
+      unparsedBytes: this.#unparsedBytes,
+    };
+  }
+
+  setTimeouts(timeouts: ConnectionTimeouts): void {
+    this.#timeouts = timeouts;
+  }
+
+  add(connection: BoundedConnection): void {
+    this.#states.set(connection, {
+      sinceMs: this.#options.clock.nowMs(),
+      hasRequest: false,
+    });
+    this.#sweep ??= this.#options.clock.every(
+      SWEEP_PERIOD_MS,
+      () => this.#closeOverdue(),
+    );
+  }
+
+  /** The request's head was read. */
+  beginRequest(connection: BoundedConnection): void {
+    const state = this.#states.get(connection);
+    if (state === undefined || state.hasRequest) return;
+    state.hasRequest = true;
+    this.#requestsInProgress++;
+  }
+
+  /** Closes the connections that have no request, also a partly read one. */
+  closeIdle(): void {
+    for (const connection of this.#states.keys()) {
+      const isIdle = connection.phase === CONNECTION_PHASE.IDLE &&
+        connection.unparsedBytes === 0;
+      if (isIdle) connection.destroy();
+    }
+  }
+
+  closeAll(): void {
+    for (const connection of this.#states.keys()) connection.destroy();
+  }
+
+  requestTurn(connection: BoundedConnection): void {
+    this.#turns.add(connection);
+  }
+
+  notePhase(connection: BoundedConnection): void {
+    const state = this.#states.get(connection);
+    if (state === undefined) return;
+    state.sinceMs = this.#options.clock.nowMs();
+    this.#states.delete(connection);
+    this.#states.set(connection, state);
+  }
+
+  noteUnparsed(connection: BoundedConnection, changeBytes: number): void {
+    this.#unparsedBytes += changeBytes;
+    if (connection.unparsedBytes >= LARGE_READ_BYTES) {
+      this.#largeReads.add(connection);
+    } else {
+      this.#largeReads.delete(connection);
+    }
+    if (changeBytes < 0) return;
+    for (const victim of this.#largeReads) {
+      if (this.#unparsedBytes <= this.#options.limits.unparsedBytes) return;
+      if (victim.phase === CONNECTION_PHASE.SERVING) victim.dropUnparsed();
+      else this.#close(victim, CLOSE_REASON.UNPARSED_LIMIT);
+    }
+  }
+
+  noteRequestEnded(connection: BoundedConnection): void {
+    const state = this.#states.get(connection);
+    if (state === undefined || !state.hasRequest) return;
+    state.hasRequest = false;
+    this.#requestsInProgress--;
+  }
+
+  noteClosed(connection: BoundedConnection): void {
+    this.#turns.delete(connection);
+    this.#states.delete(connection);
+    if (this.#states.size > 0) return;
+    this.#sweep?.cancel();
+    this.#sweep = undefined;
+  }
+
+  #close(connection: BoundedConnection, reason: CloseReason): void {
+    this.#options.onClosed(reason);
+    connection.destroy();
+  }
+
+  #closeOverdue(): void {
+    const nowMs = this.#options.clock.nowMs();
+    for (const [connection, { sinceMs }] of this.#states) {
+      // The client has sent what it waits for.
+      if (this.#turns.has(connection)) continue;
+      this.#closeIfOverdue(connection, nowMs - sinceMs);
+    }
+  }
+
+  #closeIfOverdue(connection: BoundedConnection, waitedMs: number): void {
+    const { headMs, bodyMs, idleMs } = this.#timeouts;
+    switch (connection.phase) {
+      case CONNECTION_PHASE.IDLE:
+        if (waitedMs > idleMs) this.#close(connection, CLOSE_REASON.IDLE);
+        return;
+      case CONNECTION_PHASE.HEAD:
+        if (waitedMs > headMs) {
+          this.#close(connection, CLOSE_REASON.HEAD_TIMEOUT);
+        }
+        return;
+      case CONNECTION_PHASE.BODY:
+        if (waitedMs > bodyMs) {
+          this.#close(connection, CLOSE_REASON.BODY_TIMEOUT);
+        }
+        return;
+      case CONNECTION_PHASE.SERVING:
+        return;
+      case CONNECTION_PHASE.ANSWERED:
+        if (waitedMs > bodyMs) {
+          this.#close(connection, CLOSE_REASON.UNREAD_ANSWER);
+        }
+        return;
+      case CONNECTION_PHASE.LINGERING:
+        if (waitedMs > LINGER_MS) connection.destroy();
+    }
+  }
+}
