A body takes no more memory than its bytes, and all bodies together stay within a share

What callers saw: twenty connections whose bodies arrive in chunks of one byte and stop short of their end ended the process; 1,500 with chunks of 64 KiB took 396 MB where the machine has 350.

Cause: each chunk was kept as an object of its own, some hundred bytes for one; nothing bounded the bodies of all connections together, nor the time of one until Node's check every 30 s; the rest of a body beyond its limit was read without an end.

Change: a body is copied into one buffer that grows with it (`body_reader.ts`). A body beyond its limit is answered 413 at once; what follows is read and dropped, up to a limit, so that the answer arrives. Connections are read from during a request as well, so that a reset by the client frees them.

The unit tests of the server cover each framing, the order in which connections are closed and the early 413.

--- a/packages/node/cell/callers/caller_server.ts
+++ b/packages/node/cell/callers/caller_server.ts
@@ -27,7 +27,10 @@
 /** Until a declared state gives others. */
 const INITIAL_TIMEOUTS = { headMs: 3_000, bodyMs: 15_000, idleMs: 15_000 };
 /** The balancer needs a connection or two; its checks have no body. */
-const READINESS_LIMITS: ConnectionLimits = { unparsedBytes: 1_048_576 };
+const READINESS_LIMITS: ConnectionLimits = {
+  unparsedBytes: 1_048_576,
+  bodyBytes: 0,
+};
 const { SERVE_CALLER } = BACKGROUND_ACTIVITY;
 
 export interface CallerServerOptions {
@@ -150,9 +153,11 @@
         incoming.headers,
       ),
       receivedMs: clock.nowMs(),
-      readBody: (limitBytes) => readBody(incoming, limitBytes),
+      readBody: (limitBytes) => this.#readBody(incoming, limitBytes),
     };
     const answer = await this.#answer(request);
+    // Its body was cut off, or its caller has left.
+    if (response.destroyed || incoming.socket.destroyed) return;
     const tookMs = clock.nowMs() - request.receivedMs;
     meters.noteCall(request.head.method, answer.status, tookMs);
     const isRoutine = request.head.method === "state" && answer.status === 200;
@@ -181,6 +186,22 @@
     }
   }
 
+  /** The whole body; undefined when it is longer than the limit. */
+  async #readBody(
+    incoming: IncomingMessage,
+    limitBytes: number,
+  ): Promise<Uint8Array | undefined> {
+    const outcome = await this.#callerServer.readBody(incoming, limitBytes);
+    switch (outcome.kind) {
+      case "whole":
+        return outcome.body;
+      case "too_long":
+        return undefined;
+      case "cut_off":
+        throw new Error("the connection was closed before the body's end");
+    }
+  }
+
   #send(
     incoming: IncomingMessage,
     response: ServerResponse,
@@ -201,17 +222,3 @@
     response.end(body);
   }
 }
-
-/** Reads the whole body; undefined when it is longer than the limit. */
-async function readBody(
-  incoming: IncomingMessage,
-  limitBytes: number,
-): Promise<Uint8Array | undefined> {
-  const chunks: Buffer[] = [];
-  let length = 0;
-  for await (const chunk of incoming as AsyncIterable<Buffer>) {
-    length += chunk.byteLength;
-    if (length <= limitBytes) chunks.push(chunk);
-  }
-  return length <= limitBytes ? Buffer.concat(chunks) : undefined;
-}
--- a/packages/node/connections/bounded_connection.ts
+++ b/packages/node/connections/bounded_connection.ts
@@ -257,12 +257,12 @@
     else this.#readMore();
   }
 
-  /** Reads from the socket, unless there is something to do first. */
+  /** Reads from the socket, also during a request, so that a reset by the client is noticed. */
   #readMore(): void {
-    if (this.#unparsed !== undefined || this.#isServing) return;
+    if (this.#unparsed !== undefined) return;
     if (!this.#hasEnded) {
       this.#socket.read(0);
-    } else if (!this.#isEndPassedOn) {
+    } else if (!this.#isEndPassedOn && !this.#isServing) {
       this.#isEndPassedOn = true;
       this.push(null);
     }
--- a/packages/node/connections/bounded_server.ts
+++ b/packages/node/connections/bounded_server.ts
@@ -1,6 +1,6 @@
 /**
- * An HTTP/1.1 server whose connections take turns and have one request in progress each, however many
- * a client sends ahead.
+ * An HTTP/1.1 server whose connections take turns, have one request in progress each, and stay within
+ * limits of what they hold.
  */
 import {
   createServer as createParser,
@@ -11,6 +11,7 @@
 } from "node:http";
 import { createServer, type Server, type Socket } from "node:net";
 import type { Clock } from "@coltsfootpond/common";
+import { type BodyOutcome, collectBody } from "./body_reader.ts";
 import { BoundedConnection } from "./bounded_connection.ts";
 import type { ConnectionLimits } from "./connection_limits.ts";
 import {
@@ -86,6 +87,21 @@
     this.#setKeepAlive(timeouts);
   }
 
+  /** The body of a request within the limits; the connection is closed if it is too long. */
+  async readBody(
+    incoming: IncomingMessage,
+    limitBytes: number,
+  ): Promise<BodyOutcome> {
+    const connection = getConnection(incoming);
+    const outcome = await collectBody(
+      incoming,
+      limitBytes,
+      (bytes) => this.#pool.reserveBody(connection, bytes),
+    );
+    if (outcome.kind === "too_long") connection.closeAfterAnswer();
+    return outcome;
+  }
+
   /** Accepts no new connections and closes those without a request. */
   close(): void {
     this.#server.close();
--- a/packages/node/connections/bounded_server_test.ts
+++ b/packages/node/connections/bounded_server_test.ts
@@ -6,7 +6,11 @@
 import type { ConnectionLimits } from "./connection_limits.ts";
 import type { CloseReason } from "./connection_pool.ts";
 
-const LIMITS: ConnectionLimits = { unparsedBytes: 1_048_576 };
+const BODY_LIMIT_BYTES = 10_000;
+const LIMITS: ConnectionLimits = {
+  unparsedBytes: 1_048_576,
+  bodyBytes: 1_048_576,
+};
 const TIMEOUTS = { headMs: 3_000, bodyMs: 5_000, idleMs: 10_000 };
 
 interface Served {
@@ -33,17 +37,18 @@
     incoming: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    const outcome = await server.readBody(incoming, BODY_LIMIT_BYTES);
+    if (outcome.kind === "cut_off") return;
     const path = incoming.url ?? "";
-    let body = "";
-    try {
-      for await (const chunk of incoming) body += String(chunk);
-    } catch {
-      return;
-    }
     const answer = () => {
-      response.writeHead(200, { "content-length": path.length });
+      response.writeHead(outcome.kind === "whole" ? 200 : 413, {
+        "content-length": path.length,
+      });
       response.end(path);
     };
+    const body = outcome.kind === "whole"
+      ? new TextDecoder().decode(outcome.body)
+      : "";
     served.push({ path, body, answer });
     if (!holds) answer();
   }
@@ -114,6 +119,26 @@
     ]);
   });
 
+  // Guards against a body that is read without an end.
+  it("answers a body that is too long before its end, and closes", async () => {
+    await start();
+    for (
+      const header of [
+        "content-length: 999999999",
+        "transfer-encoding: chunked",
+      ]
+    ) {
+      const client = await open();
+      client.send(postHead("/long", header));
+      const chunk = `4000\r\n${" ".repeat(0x4000)}\r\n`;
+      while (!client.isClosed) {
+        client.send(chunk);
+        await new Promise((resolve) => setTimeout(resolve, 1));
+      }
+      expect(client.statuses).to.deep.equal([413]);
+    }
+  });
+
   it("answers a client that has closed its side", async () => {
     await start();
     holds = true;
@@ -125,6 +150,31 @@
     expect(client.statuses).to.deep.equal([200]);
   });
 
+  // Guards against bodies that stop short of their end and stay in memory.
+  it("closes the connection whose body has arrived for longest", async () => {
+    await start({ bodyBytes: 20_000 });
+    const header = "content-length: 9000";
+    const stalled: RawClient[] = [];
+    for (let index = 0; index < 4; index++) {
+      const client = await open();
+      client.send(postHead("/stalled", header) + "x".repeat(8_999));
+      await until(() => server.usage.bodyBytes >= 9_000 * Math.min(2, index));
+      stalled.push(client);
+      await until(() =>
+        stalled.filter(({ isClosed }) => !isClosed).length <= 2
+      );
+    }
+    expect(server.usage.bodyBytes).to.be.at.most(20_000);
+    expect(stalled.map(({ isClosed }) => isClosed)).to.deep.equal(
+      [true, true, false, false],
+    );
+    stalled[3]!.send("x");
+    await until(() => served.length === 1);
+    expect(served[0]!.body.length).to.equal(9_000);
+    await until(() => server.usage.requestsInProgress === 1);
+    expect(server.usage.bodyBytes).to.be.at.most(9_000);
+  });
+
   // Guards against what clients send ahead while their requests are in progress.
   it("drops what was sent ahead once it holds too much", async () => {
     await start({ unparsedBytes: 200_000 });
@@ -150,7 +200,7 @@
     const [idle, head, body] = [await open(), await open(), await open()];
     head.send("GET /");
     body.send(postHead("/", "content-length: 5") + "1");
-    await until(() => server.usage.requestsInProgress > 0);
+    await until(() => server.usage.bodyBytes > 0);
     clock.advance(2_900);
     // A byte now and then does not make the time longer.
     head.send("x");
@@ -168,6 +218,7 @@
       connections: 0,
       requestsInProgress: 0,
       unparsedBytes: 0,
+      bodyBytes: 0,
     });
   });
 
--- a/packages/node/connections/connection_pool.ts
+++ b/packages/node/connections/connection_pool.ts
@@ -1,6 +1,6 @@
 /**
  * The open connections of one server: their turns, how long they may wait for their clients, and the
- * limit of what was read from them and waits for its turn.
+ * limits of what they hold.
  */
 import type { Clock, Timer, ValueOf } from "@coltsfootpond/common";
 import {
@@ -20,6 +20,7 @@
 /** Why a connection was closed although its client might have gone on. */
 export const CLOSE_REASON = {
   UNPARSED_LIMIT: "unparsed_limit",
+  BODY_LIMIT: "body_limit",
   IDLE: "idle",
   HEAD_TIMEOUT: "head_timeout",
   BODY_TIMEOUT: "body_timeout",
@@ -45,11 +46,14 @@
   readonly connections: number;
   readonly requestsInProgress: number;
   readonly unparsedBytes: number;
+  readonly bodyBytes: number;
 }
 
 interface ConnectionState {
   /** Start of the phase. */
   sinceMs: number;
+  /** Reserved for the body of the request. */
+  bodyBytes: number;
   hasRequest: boolean;
 }
 
@@ -63,6 +67,7 @@
   #timeouts: ConnectionTimeouts;
   #requestsInProgress = 0;
   #unparsedBytes = 0;
+  #bodyBytes = 0;
   #sweep: Timer | undefined;
 
   private constructor(
@@ -86,6 +91,7 @@
       connections: this.#states.size,
       requestsInProgress: this.#requestsInProgress,
       unparsedBytes: this.#unparsedBytes,
+      bodyBytes: this.#bodyBytes,
     };
   }
 
@@ -96,6 +102,7 @@
   add(connection: BoundedConnection): void {
     this.#states.set(connection, {
       sinceMs: this.#options.clock.nowMs(),
+      bodyBytes: 0,
       hasRequest: false,
     });
     this.#sweep ??= this.#options.clock.every(
@@ -112,6 +119,24 @@
     this.#requestsInProgress++;
   }
 
+  /**
+   * Reserves memory for the body of the connection's request until the request ends. Closes
+   * connections whose bodies have arrived for longest if there is too little; false if this one
+   * was closed.
+   */
+  reserveBody(connection: BoundedConnection, bytes: number): boolean {
+    const state = this.#states.get(connection);
+    if (state === undefined) return false;
+    state.bodyBytes += bytes;
+    this.#bodyBytes += bytes;
+    while (this.#bodyBytes > this.#options.limits.bodyBytes) {
+      const victim = this.#findOldestBody() ?? connection;
+      this.#close(victim, CLOSE_REASON.BODY_LIMIT);
+      if (victim === connection) return false;
+    }
+    return true;
+  }
+
   /** Closes the connections that have no request, also a partly read one. */
   closeIdle(): void {
     for (const connection of this.#states.keys()) {
@@ -157,6 +182,8 @@
     if (state === undefined || !state.hasRequest) return;
     state.hasRequest = false;
     this.#requestsInProgress--;
+    this.#bodyBytes -= state.bodyBytes;
+    state.bodyBytes = 0;
   }
 
   noteClosed(connection: BoundedConnection): void {
@@ -172,6 +199,15 @@
     connection.destroy();
   }
 
+  #findOldestBody(): BoundedConnection | undefined {
+    for (const [connection, { bodyBytes }] of this.#states) {
+      if (bodyBytes > 0 && connection.phase === CONNECTION_PHASE.BODY) {
+        return connection;
+      }
+    }
+    return undefined;
+  }
+
   #closeOverdue(): void {
     const nowMs = this.#options.clock.nowMs();
     for (const [connection, { sinceMs }] of this.#states) {
