A crowd of open connections uses up neither descriptors nor memory of an entry

What callers saw: 1,500 connections, a third of them silent, took 1,372 descriptors where the settings allow 700; workers, peers and the store then get none.

A further connection is accepted, and the one is closed that has waited longest for its client: silent, idle, with part of a request, or with an answer that the client does not read. One with a whole request never is, and one that waits for its turn only after all others; only if all of them are of these kinds the new one is closed.

--- a/packages/node/cell/background/failing_entry_test.ts
+++ b/packages/node/cell/background/failing_entry_test.ts
@@ -31,6 +31,7 @@
   storeAddress: ANY_PORT,
   rowLimitBytes: 65_536,
   memoryBytes: 350_000_000,
+  descriptors: 4_100,
   processorShare: 1,
   workerHeartbeatMs: 1_500,
   bounds: SIMULATION_BOUNDS,
--- a/packages/node/cell/background/failing_servers_test.ts
+++ b/packages/node/cell/background/failing_servers_test.ts
@@ -56,7 +56,11 @@
     const server = CallerServer.create({
       address: ANY_PORT,
       readiness: ANY_PORT,
-      limits: { unparsedBytes: 1_048_576, bodyBytes: 1_048_576 },
+      limits: {
+        connections: 100,
+        unparsedBytes: 1_048_576,
+        bodyBytes: 1_048_576,
+      },
       codec: {
         decodeHead: () => isBroken ? fail() : head,
       } as unknown as CallerCodec,
--- a/packages/node/cell/callers/caller_server.ts
+++ b/packages/node/cell/callers/caller_server.ts
@@ -28,6 +28,7 @@
 const INITIAL_TIMEOUTS = { headMs: 3_000, bodyMs: 15_000, idleMs: 15_000 };
 /** The balancer needs a connection or two; its checks have no body. */
 const READINESS_LIMITS: ConnectionLimits = {
+  connections: 64,
   unparsedBytes: 1_048_576,
   bodyBytes: 0,
 };
--- a/packages/node/cell/callers/odd_requests_test.ts
+++ b/packages/node/cell/callers/odd_requests_test.ts
@@ -80,7 +80,11 @@
     server = CallerServer.create({
       address: { host: HOST, port },
       readiness: { host: HOST, port: await findPort() },
-      limits: { unparsedBytes: 1_048_576, bodyBytes: 1_048_576 },
+      limits: {
+        connections: 100,
+        unparsedBytes: 1_048_576,
+        bodyBytes: 1_048_576,
+      },
       codec,
       filters: createCallerFilters({
         codec,
--- a/packages/node/cell/cell_entry.ts
+++ b/packages/node/cell/cell_entry.ts
@@ -21,7 +21,10 @@
 } from "./background/run_in_background.ts";
 import { reportFailure } from "./background/report_failure.ts";
 import { limitFailureLines } from "./background/failure_log_limit.ts";
-import { deriveCallerLimits } from "../connections/connection_limits.ts";
+import {
+  CALLER_SHARES,
+  deriveConnectionLimits,
+} from "../connections/connection_limits.ts";
 import { createCallerFilters } from "./callers/caller_filters.ts";
 import { CallerServer } from "./callers/caller_server.ts";
 import { CellScheduler } from "./cell_scheduler.ts";
@@ -186,7 +189,7 @@
     this.#server = CallerServer.create({
       address: settings.callerAddress,
       readiness: settings.readiness,
-      limits: deriveCallerLimits(settings),
+      limits: deriveConnectionLimits(settings, CALLER_SHARES),
       codec: options.callerCodec,
       filters: createCallerFilters({
         codec: options.callerCodec,
--- a/packages/node/connections/bounded_server.ts
+++ b/packages/node/connections/bounded_server.ts
@@ -1,6 +1,6 @@
 /**
- * An HTTP/1.1 server whose connections take turns, have one request in progress each, and stay within
- * limits of what they hold.
+ * An HTTP/1.1 server whose connections stay within their limits: how many there are, what they hold
+ * at each stage of a request, and how long they wait for their clients.
  */
 import {
   createServer as createParser,
@@ -119,7 +119,7 @@
   #accept(socket: Socket): void {
     const connection = BoundedConnection.create(socket, this.#pool);
     this.#pool.add(connection);
-    this.#parser.emit("connection", connection);
+    if (!connection.destroyed) this.#parser.emit("connection", connection);
   }
 
   /** Announced in the answers. */
--- a/packages/node/connections/bounded_server_test.ts
+++ b/packages/node/connections/bounded_server_test.ts
@@ -8,6 +8,7 @@
 
 const BODY_LIMIT_BYTES = 10_000;
 const LIMITS: ConnectionLimits = {
+  connections: 100,
   unparsedBytes: 1_048_576,
   bodyBytes: 1_048_576,
 };
@@ -150,6 +151,35 @@
     expect(client.statuses).to.deep.equal([200]);
   });
 
+  // Guards against a crowd of open connections that shuts others out.
+  it("closes the connection that has waited longest for its client", async () => {
+    await start({ connections: 3 });
+    holds = true;
+    const silent = await open();
+    const busy = await open();
+    busy.send(get("/busy"));
+    await until(() => served.length === 1);
+    const partial = await open();
+    partial.send(postHead("/part", "content-length: 2") + "x");
+    await until(() => server.usage.bodyBytes > 0);
+    const first = await open();
+    await until(() => silent.isClosed);
+    const second = await open();
+    await until(() => partial.isClosed);
+    second.send(get("/second"));
+    await until(() => served.length === 2);
+    first.send(get("/first"));
+    await until(() => served.length === 3);
+    // All wait for their answers, so none of them goes.
+    const third = await open();
+    await until(() => third.isClosed);
+    served.forEach(({ answer }) => answer());
+    await until(() => second.statuses.length === 1);
+    expect(busy.statuses).to.deep.equal([200]);
+    expect(first.statuses).to.deep.equal([200]);
+    expect(closed).to.deep.equal(Array(3).fill("connection_limit"));
+  });
+
   // Guards against bodies that stop short of their end and stay in memory.
   it("closes the connection whose body has arrived for longest", async () => {
     await start({ bodyBytes: 20_000 });
--- a/packages/node/connections/connection_pool.ts
+++ b/packages/node/connections/connection_pool.ts
@@ -1,6 +1,6 @@
 /**
- * The open connections of one server: their turns, how long they may wait for their clients, and the
- * limits of what they hold.
+ * The open connections of one server within their limits. Where room is short, the connection is
+ * closed that has waited longest for its client; one with a whole request never is.
  */
 import type { Clock, Timer, ValueOf } from "@coltsfootpond/common";
 import {
@@ -19,6 +19,7 @@
 
 /** Why a connection was closed although its client might have gone on. */
 export const CLOSE_REASON = {
+  CONNECTION_LIMIT: "connection_limit",
   UNPARSED_LIMIT: "unparsed_limit",
   BODY_LIMIT: "body_limit",
   IDLE: "idle",
@@ -99,6 +100,7 @@
     this.#timeouts = timeouts;
   }
 
+  /** Closes another connection if there are too many; the new one if all others are being served. */
   add(connection: BoundedConnection): void {
     this.#states.set(connection, {
       sinceMs: this.#options.clock.nowMs(),
@@ -109,6 +111,9 @@
       SWEEP_PERIOD_MS,
       () => this.#closeOverdue(),
     );
+    if (this.#states.size <= this.#options.limits.connections) return;
+    const victim = this.#findReplaceable() ?? connection;
+    this.#close(victim, CLOSE_REASON.CONNECTION_LIMIT);
   }
 
   /** The request's head was read. */
@@ -199,6 +204,22 @@
     connection.destroy();
   }
 
+  /**
+   * The connection that has waited longest for its client. Those that wait for their turn may have a
+   * whole request among their bytes, so only those with more than that go, after all others.
+   */
+  #findReplaceable(): BoundedConnection | undefined {
+    for (const connection of this.#states.keys()) {
+      const isWaiting = this.#turns.has(connection);
+      const isServing = connection.phase === CONNECTION_PHASE.SERVING;
+      if (!isWaiting && !isServing) return connection;
+    }
+    for (const connection of this.#largeReads) {
+      if (connection.phase !== CONNECTION_PHASE.SERVING) return connection;
+    }
+    return undefined;
+  }
+
   #findOldestBody(): BoundedConnection | undefined {
     for (const [connection, { bodyBytes }] of this.#states) {
       if (bodyBytes > 0 && connection.phase === CONNECTION_PHASE.BODY) {
--- a/packages/ports/cell/settings.ts
+++ b/packages/ports/cell/settings.ts
@@ -28,8 +28,9 @@
   readonly storeAddress: HostPort;
   /** The store's limit of the value of a row. */
   readonly rowLimitBytes: number;
-  /** Memory that this entry's process may use. */
+  /** Memory and descriptors that this entry's process may use. */
   readonly memoryBytes: number;
+  readonly descriptors: number;
   /** Processor capacity of this entry, in cores of the reference speed. */
   readonly processorShare: number;
   /** Period of the workers' heartbeats, with which they update their records in the store. */
