--- a/packages/node/cell/background/failing_servers_test.ts
+++ b/packages/node/cell/background/failing_servers_test.ts
@@ -71,7 +71,7 @@
       clock: SystemClock.create(),
       log,
       isReady: () => isBroken ? fail() : true,
-      meters: { noteCall: () => {} },
+      meters: { noteCall: () => {}, noteClosedConnection: () => {} },
     });
     await server.listen();
     const { callers, readiness } = server.ports;
--- a/packages/node/cell/callers/caller_server.ts
+++ b/packages/node/cell/callers/caller_server.ts
@@ -14,9 +14,14 @@
   type RequestListener,
 } from "../background/guarded_request_listener.ts";
 import { BoundedServer } from "../../connections/bounded_server.ts";
+import {
+  type CloseReport,
+  CloseReports,
+} from "../../connections/close_reports.ts";
 import type { ConnectionLimits } from "../../connections/connection_limits.ts";
+import type { ConnectionUsage } from "../../connections/connection_pool.ts";
 import { getBoundPort, listenOn } from "../listen.ts";
-import type { CellLog } from "../log.ts";
+import type { CellLog, LogFields } from "../log.ts";
 import type { CellMeters } from "../meters/cell_meters.ts";
 
 const INTERNAL_STATUS = 500;
@@ -44,7 +49,7 @@
   readonly clock: Clock;
   readonly log: CellLog;
   readonly isReady: () => boolean;
-  readonly meters: Pick<CellMeters, "noteCall">;
+  readonly meters: Pick<CellMeters, "noteCall" | "noteClosedConnection">;
 }
 
 /** Passes callers' requests through the filters and sends the answers, until closed. */
@@ -56,7 +61,15 @@
 
   private constructor(options: CallerServerOptions) {
     this.#options = options;
-    const { clock, log } = options;
+    const { clock, log, meters } = options;
+    const closed = CloseReports.create({
+      clock,
+      count: (reason) => meters.noteClosedConnection(reason),
+      onMet: (report) =>
+        log.warn("connections.limit_met", this.#describe(report)),
+      onOver: (report) =>
+        log.info("connections.limit_over", this.#describe(report)),
+    });
     const createGuarded = (
       limits: ConnectionLimits,
       listener: RequestListener,
@@ -66,6 +79,7 @@
         timeouts: INITIAL_TIMEOUTS,
         clock,
         listener: guardRequestListener(log, SERVE_CALLER, listener),
+        onClosed: (reason) => closed.note(reason),
       });
     this.#callerServer = createGuarded(
       options.limits,
@@ -104,6 +118,11 @@
     };
   }
 
+  /** What callers' connections use at the moment. */
+  get usage(): ConnectionUsage {
+    return this.#callerServer.usage;
+  }
+
   /** Sets the time-outs of the declared state, in milliseconds. */
   setTimeouts(headerTimeoutMs: number, keepAliveMs: number): void {
     this.#callerServer.setTimeouts({
@@ -131,6 +150,10 @@
     this.#readinessServer.close();
   }
 
+  #describe(report: CloseReport): LogFields {
+    return { ...report, ...this.usage, limits: this.#options.limits };
+  }
+
   /** Whether a request is in progress, or may be among the bytes that wait for their turn. */
   get #hasRequests(): boolean {
     const { requestsInProgress, unparsedBytes } = this.#callerServer.usage;
--- a/packages/node/cell/callers/odd_requests_test.ts
+++ b/packages/node/cell/callers/odd_requests_test.ts
@@ -104,7 +104,7 @@
       clock: SystemClock.create(),
       log: SILENT_LOG,
       isReady: () => true,
-      meters: { noteCall: () => {} },
+      meters: { noteCall: () => {}, noteClosedConnection: () => {} },
     });
     await server.listen();
     const { headerTimeoutMs, keepAliveMs } = STATE!.limits;
--- a/packages/node/cell/cell_entry.ts
+++ b/packages/node/cell/cell_entry.ts
@@ -23,6 +23,7 @@
 import { limitFailureLines } from "./background/failure_log_limit.ts";
 import {
   CALLER_SHARES,
+  type ConnectionLimits,
   deriveConnectionLimits,
 } from "../connections/connection_limits.ts";
 import { createCallerFilters } from "./callers/caller_filters.ts";
@@ -90,6 +91,7 @@
   readonly #declared: DeclaredStateTracker;
   readonly #quotaHistory: QuotaHistory;
   readonly #lease: SchedulerLease;
+  readonly #callerLimits: ConnectionLimits;
   readonly #server: CallerServer;
   readonly #relay: StoreRelay;
   readonly #peerServer: PeerServer | undefined;
@@ -186,10 +188,11 @@
       jobRepository,
       log,
     });
+    this.#callerLimits = deriveConnectionLimits(settings, CALLER_SHARES);
     this.#server = CallerServer.create({
       address: settings.callerAddress,
       readiness: settings.readiness,
-      limits: deriveConnectionLimits(settings, CALLER_SHARES),
+      limits: this.#callerLimits,
       codec: options.callerCodec,
       filters: createCallerFilters({
         codec: options.callerCodec,
@@ -295,6 +298,8 @@
     const nowMs = this.#options.clock.nowMs();
     const counts = this.#scheduler?.countWork();
     return {
+      callerConnections: this.#server.usage,
+      callerLimits: this.#callerLimits,
       isLeaseHolder: this.#lease.epoch !== undefined,
       epoch: this.#lease.epoch ?? 0,
       declaredVersion: this.#declared.current?.version ?? 0,
--- a/packages/node/cell/meters/cell_meters.ts
+++ b/packages/node/cell/meters/cell_meters.ts
@@ -11,6 +11,9 @@
 import { FAILURE_EVENT } from "../background/report_failure.ts";
 import type { CellLog, LogFields } from "../log.ts";
 import type { OrganisationGauges } from "../quotas/organisation_gauges.ts";
+import type { CloseReason } from "../../connections/close_reasons.ts";
+import type { ConnectionLimits } from "../../connections/connection_limits.ts";
+import type { ConnectionUsage } from "../../connections/connection_pool.ts";
 import { registerOrganisationGauges } from "./organisation_meters.ts";
 
 const MS_PER_SECOND = 1_000;
@@ -34,6 +37,8 @@
 
 /** Values of the gauges, read at each scrape. */
 export interface GaugeValues {
+  readonly callerConnections: ConnectionUsage;
+  readonly callerLimits: ConnectionLimits;
   readonly isLeaseHolder: boolean;
   readonly epoch: number;
   readonly declaredVersion: number;
@@ -75,6 +80,11 @@
     "Time to answer callers, by method and status.",
     ["method", "status"],
   );
+  readonly #closedConnections = this.#counter(
+    "closed_connections",
+    "Connections that were closed although their clients might have gone on.",
+    ["reason"],
+  );
   readonly #storeCalls = this.#histogram(
     "store_call_seconds",
     "Time of calls of the store, by kind and outcome.",
@@ -114,6 +124,11 @@
     this.#calls.observe({ method, status }, tookMs / MS_PER_SECOND);
   }
 
+  /** The reasons are a fixed set. */
+  noteClosedConnection(reason: CloseReason): void {
+    this.#closedConnections.inc({ reason });
+  }
+
   noteStoreCall(kind: string, outcome: string, tookMs: number): void {
     this.#storeCalls.observe({ kind, outcome }, tookMs / MS_PER_SECOND);
   }
@@ -171,6 +186,34 @@
         "Version of the declared state in force.",
         ({ declaredVersion }) => declaredVersion,
       ],
+      caller_connections: [
+        "Open connections of callers.",
+        ({ callerConnections }) => callerConnections.connections,
+      ],
+      caller_connections_limit: [
+        "Most connections of callers.",
+        ({ callerLimits }) => callerLimits.connections,
+      ],
+      caller_requests_in_progress: [
+        "Requests of callers whose heads were read and that are not answered.",
+        ({ callerConnections }) => callerConnections.requestsInProgress,
+      ],
+      caller_unparsed_bytes: [
+        "Memory of what callers have sent and waits for its turn.",
+        ({ callerConnections }) => callerConnections.unparsedBytes,
+      ],
+      caller_unparsed_limit_bytes: [
+        "Most of it.",
+        ({ callerLimits }) => callerLimits.unparsedBytes,
+      ],
+      caller_body_bytes: [
+        "Memory of the bodies of callers' requests in progress.",
+        ({ callerConnections }) => callerConnections.bodyBytes,
+      ],
+      caller_body_limit_bytes: [
+        "Most of it.",
+        ({ callerLimits }) => callerLimits.bodyBytes,
+      ],
       state_age_seconds: [
         "Since the store last told of the state table.",
         ({ stateAgeMs }) => stateAgeMs / MS_PER_SECOND,
--- a/packages/node/cell/meters/cell_meters_test.ts
+++ b/packages/node/cell/meters/cell_meters_test.ts
@@ -17,10 +17,22 @@
     log.warn("lease.lost", { reason: "taken by front-1" });
     log.info("job.refused", { job: "a", reason: "cannot end in time" });
     meters.noteCall("submit", 503, 3);
+    meters.noteClosedConnection("body_limit");
     const store = createMeteredStore(createStoreFake(), { meters, clock });
     await store.read("state", {}, 100);
     let waitingJobs = 0;
     meters.setGaugeSource(() => ({
+      callerConnections: {
+        connections: 31,
+        requestsInProgress: 3,
+        unparsedBytes: 70,
+        bodyBytes: 900,
+      },
+      callerLimits: {
+        connections: 667,
+        unparsedBytes: 1_000,
+        bodyBytes: 2_000,
+      },
       isLeaseHolder: true,
       epoch: 4,
       declaredVersion: 12,
@@ -59,6 +71,14 @@
         'coltsfootpond_event_reasons_total{event="job.refused",reason="cannot end in time"} 1',
         'coltsfootpond_call_seconds_count{method="submit",status="503"} 1',
         'coltsfootpond_store_call_seconds_count{kind="read",outcome="rows"} 1',
+        'coltsfootpond_closed_connections_total{reason="body_limit"} 1',
+        "coltsfootpond_caller_connections 31",
+        "coltsfootpond_caller_connections_limit 667",
+        "coltsfootpond_caller_requests_in_progress 3",
+        "coltsfootpond_caller_unparsed_bytes 70",
+        "coltsfootpond_caller_unparsed_limit_bytes 1000",
+        "coltsfootpond_caller_body_bytes 900",
+        "coltsfootpond_caller_body_limit_bytes 2000",
         "coltsfootpond_lease_epoch 4",
         "coltsfootpond_state_age_seconds 1.5",
         "coltsfootpond_unreadable_rows 2",
--- a/packages/node/connections/bounded_server.ts
+++ b/packages/node/connections/bounded_server.ts
@@ -14,8 +14,8 @@
 import { type BodyOutcome, collectBody } from "./body_reader.ts";
 import { BoundedConnection } from "./bounded_connection.ts";
 import type { ConnectionLimits } from "./connection_limits.ts";
+import type { CloseReason } from "./close_reasons.ts";
 import {
-  type CloseReason,
   ConnectionPool,
   type ConnectionTimeouts,
   type ConnectionUsage,
@@ -78,6 +78,7 @@
     return this.#server;
   }
 
+  /** What its connections use at the moment. */
   get usage(): ConnectionUsage {
     return this.#pool.usage;
   }
--- a/packages/node/connections/bounded_server_test.ts
+++ b/packages/node/connections/bounded_server_test.ts
@@ -4,7 +4,7 @@
 import { BoundedServer } from "./bounded_server.ts";
 import { listen, RawClient, until } from "./client_fixture_test.ts";
 import type { ConnectionLimits } from "./connection_limits.ts";
-import type { CloseReason } from "./connection_pool.ts";
+import type { CloseReason } from "./close_reasons.ts";
 
 const BODY_LIMIT_BYTES = 10_000;
 const LIMITS: ConnectionLimits = {
@@ -231,17 +231,17 @@
     head.send("GET /");
     body.send(postHead("/", "content-length: 5") + "1");
     await until(() => server.usage.bodyBytes > 0);
-    clock.advance(2_900);
+    await clock.advance(2_900);
     // A byte now and then does not make the time longer.
     head.send("x");
     await new Promise((resolve) => setTimeout(resolve, 20));
-    clock.advance(2_000);
+    await clock.advance(2_000);
     await until(() => head.isClosed);
     expect(closed).to.deep.equal(["head_timeout"]);
-    clock.advance(2_000);
+    await clock.advance(2_000);
     await until(() => body.isClosed);
     expect(closed).to.deep.equal(["head_timeout", "body_timeout"]);
-    clock.advance(5_000);
+    await clock.advance(5_000);
     await until(() => idle.isClosed);
     expect(closed.at(-1)).to.equal("idle");
     expect(server.usage).to.deep.equal({
--- a/packages/node/connections/connection_pool.ts
+++ b/packages/node/connections/connection_pool.ts
@@ -2,12 +2,13 @@
  * The open connections of one server within their limits. Where room is short, the connection is
  * closed that has waited longest for its client; one with a whole request never is.
  */
-import type { Clock, Timer, ValueOf } from "@coltsfootpond/common";
+import type { Clock, Timer } from "@coltsfootpond/common";
 import {
   type BoundedConnection,
   CONNECTION_PHASE,
   type ConnectionOwner,
 } from "./bounded_connection.ts";
+import { CLOSE_REASON, type CloseReason } from "./close_reasons.ts";
 import type { ConnectionLimits } from "./connection_limits.ts";
 import { TurnQueue } from "./turn_queue.ts";
 
@@ -17,18 +18,6 @@
 /** Reads of this size and more are those of clients that send much at a time. */
 const LARGE_READ_BYTES = 16_384;
 
-/** Why a connection was closed although its client might have gone on. */
-export const CLOSE_REASON = {
-  CONNECTION_LIMIT: "connection_limit",
-  UNPARSED_LIMIT: "unparsed_limit",
-  BODY_LIMIT: "body_limit",
-  IDLE: "idle",
-  HEAD_TIMEOUT: "head_timeout",
-  BODY_TIMEOUT: "body_timeout",
-  UNREAD_ANSWER: "unread_answer",
-} as const;
-export type CloseReason = ValueOf<typeof CLOSE_REASON>;
-
 /** How long a connection may wait for its client. */
 export interface ConnectionTimeouts {
   readonly headMs: number;
