Servers for peers, checks and scrapes are bounded as that for callers

What callers saw: the same crowds against the addresses for peers and for the balancer's check ended the process or used up its descriptors.

Cause: each of these servers kept all chunks of a body and any number of connections.

Change: they are `BoundedServer`s: peers within an eighth of the descriptors and a sixteenth of the memory for bodies, checks and scrapes within 64 connections. Bodies of peers are collected as those of callers.

--- a/apps/coltsfootpond_scheduler/main.ts
+++ b/apps/coltsfootpond_scheduler/main.ts
@@ -7,7 +7,12 @@
 import { readFileSync } from "node:fs";
 import process from "node:process";
 import { parseArgs } from "node:util";
-import { parsePort, SYSTEM_RANDOM, SystemClock } from "@coltsfootpond/common";
+import {
+  type Clock,
+  parsePort,
+  SYSTEM_RANDOM,
+  SystemClock,
+} from "@coltsfootpond/common";
 import {
   CellEntry,
   type CellLog,
@@ -98,11 +103,13 @@
 /** Logs a failure to listen instead of throwing: the entry serves callers even without metrics. */
 async function serveMetrics(
   meters: CellMeters,
+  clock: Clock,
   entryLog: CellLog,
   address: HostPort,
 ): Promise<void> {
   try {
-    await MetricsServer.create({ meters, log: entryLog }).listen(address);
+    await MetricsServer.create({ meters, clock, log: entryLog })
+      .listen(address);
   } catch (error) {
     log.warn("metrics.unavailable", { ...address, detail: String(error) });
   }
@@ -140,7 +147,7 @@
   isStarted = true;
   if (metricsPort === undefined) return;
   meters.watchEventLoop(clock, LOOP_CHECK_MS, entry.log);
-  await serveMetrics(meters, entry.log, {
+  await serveMetrics(meters, clock, entry.log, {
     host: settings.callerAddress.host,
     port: metricsPort,
   });
--- a/packages/node/cell/background/failing_servers_test.ts
+++ b/packages/node/cell/background/failing_servers_test.ts
@@ -11,6 +11,11 @@
 
 const ANY_PORT = { host: "127.0.0.1", port: 0 };
 
+const LIMITS = {
+  connections: 100,
+  unparsedBytes: 1_048_576,
+  bodyBytes: 1_048_576,
+};
 /** Bytes that cannot be decoded. */
 const BODY = Uint8Array.of(0xda);
 
@@ -56,11 +61,7 @@
     const server = CallerServer.create({
       address: ANY_PORT,
       readiness: ANY_PORT,
-      limits: {
-        connections: 100,
-        unparsedBytes: 1_048_576,
-        bodyBytes: 1_048_576,
-      },
+      limits: LIMITS,
       codec: {
         decodeHead: () => isBroken ? fail() : head,
       } as unknown as CallerCodec,
@@ -89,6 +90,8 @@
     let isBroken = true;
     const server = PeerServer.create({
       address: ANY_PORT,
+      limits: LIMITS,
+      clock: SystemClock.create(),
       store: createStoreFake(),
       isStoreDown: () => false,
       listOperatorRows: () => [],
@@ -114,7 +117,11 @@
     const meters = CellMeters.create();
     // An answer that cannot be written, after its head was.
     meters.format = () => Promise.resolve(17 as unknown as string);
-    const server = MetricsServer.create({ meters, log });
+    const server = MetricsServer.create({
+      meters,
+      clock: SystemClock.create(),
+      log,
+    });
     await server.listen(ANY_PORT);
     expect(await request(server.port, METRICS_PATH)).to.equal(undefined);
     expect(failed).to.deep.equal(["serve_metrics"]);
--- a/packages/node/cell/callers/caller_server.ts
+++ b/packages/node/cell/callers/caller_server.ts
@@ -14,12 +14,20 @@
   type RequestListener,
 } from "../background/guarded_request_listener.ts";
 import { BoundedServer } from "../../connections/bounded_server.ts";
+import type { CloseReason } from "../../connections/close_reasons.ts";
 import {
   type CloseReport,
   CloseReports,
 } from "../../connections/close_reports.ts";
-import type { ConnectionLimits } from "../../connections/connection_limits.ts";
-import type { ConnectionUsage } from "../../connections/connection_pool.ts";
+import {
+  CHECK_LIMITS,
+  type ConnectionLimits,
+} from "../../connections/connection_limits.ts";
+import {
+  type ConnectionTimeouts,
+  type ConnectionUsage,
+  INTERNAL_TIMEOUTS,
+} from "../../connections/connection_pool.ts";
 import { getBoundPort, listenOn } from "../listen.ts";
 import type { CellLog, LogFields } from "../log.ts";
 import type { CellMeters } from "../meters/cell_meters.ts";
@@ -31,12 +39,6 @@
 const DRAIN_CHECK_PERIOD_MS = 20;
 /** Until a declared state gives others. */
 const INITIAL_TIMEOUTS = { headMs: 3_000, bodyMs: 15_000, idleMs: 15_000 };
-/** The balancer needs a connection or two; its checks have no body. */
-const READINESS_LIMITS: ConnectionLimits = {
-  connections: 64,
-  unparsedBytes: 1_048_576,
-  bodyBytes: 0,
-};
 const { SERVE_CALLER } = BACKGROUND_ACTIVITY;
 
 export interface CallerServerOptions {
@@ -72,21 +74,26 @@
     });
     const createGuarded = (
       limits: ConnectionLimits,
+      timeouts: ConnectionTimeouts,
       listener: RequestListener,
+      onClosed?: (reason: CloseReason) => void,
     ) =>
       BoundedServer.create({
         limits,
-        timeouts: INITIAL_TIMEOUTS,
+        timeouts,
         clock,
         listener: guardRequestListener(log, SERVE_CALLER, listener),
-        onClosed: (reason) => closed.note(reason),
+        onClosed,
       });
     this.#callerServer = createGuarded(
       options.limits,
+      INITIAL_TIMEOUTS,
       (incoming, response) => this.#serve(incoming, response),
+      (reason) => closed.note(reason),
     );
     this.#readinessServer = createGuarded(
-      READINESS_LIMITS,
+      CHECK_LIMITS,
+      INTERNAL_TIMEOUTS,
       (incoming, response) => {
         incoming.resume();
         response.writeHead(
--- a/packages/node/cell/cell_entry.ts
+++ b/packages/node/cell/cell_entry.ts
@@ -22,9 +22,9 @@
 import { reportFailure } from "./background/report_failure.ts";
 import { limitFailureLines } from "./background/failure_log_limit.ts";
 import {
-  CALLER_SHARES,
   type ConnectionLimits,
-  deriveConnectionLimits,
+  deriveCallerLimits,
+  derivePeerLimits,
 } from "../connections/connection_limits.ts";
 import { createCallerFilters } from "./callers/caller_filters.ts";
 import { CallerServer } from "./callers/caller_server.ts";
@@ -115,6 +115,8 @@
     this.#peerServer = settings.peerAddress && PeerServer.create({
       address: settings.peerAddress,
       store: direct,
+      limits: derivePeerLimits(settings),
+      clock,
       isStoreDown: () => this.#relay.isDirectDown,
       listOperatorRows: (afterVersion) =>
         [...this.#operatorsFollower.rows()].filter(({ version }) =>
@@ -188,7 +190,7 @@
       jobRepository,
       log,
     });
-    this.#callerLimits = deriveConnectionLimits(settings, CALLER_SHARES);
+    this.#callerLimits = deriveCallerLimits(settings);
     this.#server = CallerServer.create({
       address: settings.callerAddress,
       readiness: settings.readiness,
--- a/packages/node/cell/meters/cell_meters_test.ts
+++ b/packages/node/cell/meters/cell_meters_test.ts
@@ -1,4 +1,4 @@
-import { ManualClock } from "@coltsfootpond/common";
+import { ManualClock, SystemClock } from "@coltsfootpond/common";
 import { expect } from "chai";
 import { readFileSync } from "node:fs";
 import { SILENT_LOG } from "../log.ts";
@@ -131,7 +131,11 @@
     meters.setGaugeSource(() => {
       throw new Error("not now");
     });
-    const server = MetricsServer.create({ meters, log: SILENT_LOG });
+    const server = MetricsServer.create({
+      meters,
+      clock: SystemClock.create(),
+      log: SILENT_LOG,
+    });
     await server.listen({ host: "127.0.0.1", port: 0 });
     const answer = await fetch(
       `http://127.0.0.1:${server.port}${METRICS_PATH}`,
@@ -143,6 +147,7 @@
   it("are served as text", async () => {
     const server = MetricsServer.create({
       meters: CellMeters.create(),
+      clock: SystemClock.create(),
       log: SILENT_LOG,
     });
     await server.listen({ host: "127.0.0.1", port: 0 });
--- a/packages/node/cell/meters/metrics_server.ts
+++ b/packages/node/cell/meters/metrics_server.ts
@@ -1,6 +1,9 @@
 /** HTTP server for the metrics in the Prometheus text format. */
-import { createServer, type Server } from "node:http";
+import type { Clock } from "@coltsfootpond/common";
 import type { HostPort } from "@coltsfootpond/ports";
+import { BoundedServer } from "../../connections/bounded_server.ts";
+import { CHECK_LIMITS } from "../../connections/connection_limits.ts";
+import { INTERNAL_TIMEOUTS } from "../../connections/connection_pool.ts";
 import { BACKGROUND_ACTIVITY } from "../background/activities.ts";
 import {
   guardRequestListener,
@@ -16,14 +19,15 @@
 
 export interface MetricsServerOptions {
   readonly meters: CellMeters;
+  readonly clock: Clock;
   readonly log: CellLog;
 }
 
 /** Answers scrapes until closed; never keeps the process alive by itself. */
 export class MetricsServer {
-  readonly #server: Server;
+  readonly #server: BoundedServer;
 
-  private constructor({ meters, log }: MetricsServerOptions) {
+  private constructor({ meters, clock, log }: MetricsServerOptions) {
     const listener: RequestListener = async (incoming, response) => {
       incoming.resume();
       if (incoming.url !== METRICS_PATH) {
@@ -39,10 +43,13 @@
         response.writeHead(STATUS.FAILED).end();
       }
     };
-    this.#server = createServer(
-      guardRequestListener(log, SERVE_METRICS, listener),
-    );
-    this.#server.unref();
+    this.#server = BoundedServer.create({
+      limits: CHECK_LIMITS,
+      timeouts: INTERNAL_TIMEOUTS,
+      clock,
+      listener: guardRequestListener(log, SERVE_METRICS, listener),
+    });
+    this.#server.listening.unref();
   }
 
   static create(options: MetricsServerOptions): MetricsServer {
@@ -51,16 +58,16 @@
 
   /** Rejects when the address cannot be bound. */
   listen(address: HostPort): Promise<void> {
-    return listenOn(this.#server, address);
+    return listenOn(this.#server.listening, address);
   }
 
   /** The port that the server is bound to. */
   get port(): number {
-    return getBoundPort(this.#server);
+    return getBoundPort(this.#server.listening);
   }
 
   close(): void {
     this.#server.close();
-    this.#server.closeAllConnections();
+    this.#server.closeAll();
   }
 }
--- a/packages/node/cell/peer_server.ts
+++ b/packages/node/cell/peer_server.ts
@@ -2,19 +2,17 @@
  * Serves the interface between entries: runs calls of the store for peers that cannot reach it, and
  * returns this entry's copy of the operators' rows.
  */
-import { Buffer } from "node:buffer";
-import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Clock } from "@coltsfootpond/common";
 import {
   type HostPort,
   refused,
   type StateRow,
   type StateStore,
 } from "@coltsfootpond/ports";
+import { BoundedServer } from "../connections/bounded_server.ts";
+import type { ConnectionLimits } from "../connections/connection_limits.ts";
+import { INTERNAL_TIMEOUTS } from "../connections/connection_pool.ts";
 import { BACKGROUND_ACTIVITY } from "./background/activities.ts";
 import { guardRequestListener } from "./background/guarded_request_listener.ts";
 import { getBoundPort, listenOn } from "./listen.ts";
@@ -43,6 +41,9 @@
 
 export interface PeerServerOptions {
   readonly address: HostPort;
+  /** Of the connections of peers. */
+  readonly limits: ConnectionLimits;
+  readonly clock: Clock;
   /** The store over this entry's direct path, so that a call is relayed at most once. */
   readonly store: StateStore;
   /**
@@ -58,17 +59,21 @@
 /** Answers peers until closed. */
 export class PeerServer {
   readonly #options: PeerServerOptions;
-  readonly #server: Server;
+  readonly #server: BoundedServer;
 
   private constructor(options: PeerServerOptions) {
     this.#options = options;
-    const { log } = options;
-    const serve = guardRequestListener(
-      log,
-      SERVE_PEER,
-      (incoming, response) => this.#serve(incoming, response),
-    );
-    this.#server = createServer(serve);
+    const { log, limits, clock } = options;
+    this.#server = BoundedServer.create({
+      limits,
+      timeouts: INTERNAL_TIMEOUTS,
+      clock,
+      listener: guardRequestListener(
+        log,
+        SERVE_PEER,
+        (incoming, response) => this.#serve(incoming, response),
+      ),
+    });
   }
 
   static create(options: PeerServerOptions): PeerServer {
@@ -76,37 +81,28 @@
   }
 
   listen(): Promise<void> {
-    return listenOn(this.#server, this.#options.address);
+    return listenOn(this.#server.listening, this.#options.address);
   }
 
   /** The port that the server is bound to. */
   get port(): number {
-    return getBoundPort(this.#server);
+    return getBoundPort(this.#server.listening);
   }
 
   close(): void {
     this.#server.close();
-    this.#server.closeIdleConnections();
   }
 
   async #serve(
     incoming: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const chunks: Buffer[] = [];
-    let length = 0;
-    try {
-      for await (const chunk of incoming as AsyncIterable<Buffer>) {
-        length += chunk.byteLength;
-        if (length <= MAXIMUM_BODY_BYTES) chunks.push(chunk);
-      }
-    } catch {
-      // The peer closed the connection, so there is nobody to answer.
-      return;
-    }
-    const answer = length > MAXIMUM_BODY_BYTES
+    const outcome = await this.#server.readBody(incoming, MAXIMUM_BODY_BYTES);
+    // The connection is closed, so there is nobody to answer.
+    if (outcome.kind === "cut_off") return;
+    const answer = outcome.kind === "too_long"
       ? { status: STATUS.TOO_LARGE }
-      : await this.#answer(incoming.url ?? "", Buffer.concat(chunks));
+      : await this.#answer(incoming.url ?? "", outcome.body);
     response.writeHead(answer.status, {
       "content-length": answer.body?.byteLength ?? 0,
     });
--- a/packages/node/cell/peers/odd_messages_test.ts
+++ b/packages/node/cell/peers/odd_messages_test.ts
@@ -207,6 +207,12 @@
       return Promise.resolve(REFUSED);
     };
     const peer = PeerServer.create({
+      limits: {
+        connections: 100,
+        unparsedBytes: 1_048_576,
+        bodyBytes: 4_194_304,
+      },
+      clock: SystemClock.create(),
       address: { host: HOST, port: 0 },
       store: { transact: count, read: count, follow: count },
       isStoreDown: () => false,
--- a/packages/node/cell/store_relay_test.ts
+++ b/packages/node/cell/store_relay_test.ts
@@ -59,6 +59,12 @@
   isStoreDown = false,
 ): Promise<PeerServer> {
   const server = PeerServer.create({
+    limits: {
+      connections: 100,
+      unparsedBytes: 1_048_576,
+      bodyBytes: 4_194_304,
+    },
+    clock: SystemClock.create(),
     address: { host: HOST, port: 0 },
     store,
     isStoreDown: () => isStoreDown,
--- a/packages/node/connections/body_reader.ts
+++ b/packages/node/connections/body_reader.ts
@@ -10,7 +10,8 @@
  */
 export type BodyOutcome =
   | { readonly kind: "whole"; readonly body: Uint8Array }
-  | { readonly kind: "too_long" | "cut_off" };
+  | { readonly kind: "too_long" }
+  | { readonly kind: "cut_off" };
 
 /** `reserve` is called before memory is taken; when it returns false the body is cut off. */
 export function collectBody(
--- a/packages/node/connections/connection_limits.ts
+++ b/packages/node/connections/connection_limits.ts
@@ -23,38 +23,48 @@
  */
 const CONNECTION_BYTES = 131_072;
 
-/** Shares of a machine that the connections of one server may use. */
-export interface ConnectionShares {
-  readonly memory: number;
-  readonly descriptors: number;
-}
+/** Shares that the connections of callers may use. */
+const CALLER_SHARE = {
+  DESCRIPTORS: 1 / 2,
+  CONNECTION_MEMORY: 1 / 4,
+  UNPARSED_MEMORY: 1 / 24,
+  BODY_MEMORY: 1 / 12,
+} as const;
+/** Shares that those of peers may use, which wait for their own answers. */
+const PEER_SHARE = {
+  DESCRIPTORS: 1 / 8,
+  UNPARSED_MEMORY: 1 / 48,
+  BODY_MEMORY: 1 / 16,
+} as const;
 
-/** Shares of callers. A quarter of the memory is for connections, an eighth for bodies. */
-export const CALLER_SHARES: ConnectionShares = {
-  memory: 0.375,
-  descriptors: 0.5,
-};
-/** Shares of peers, which send up to 1 MiB at a time over a few connections each. */
-export const PEER_SHARES: ConnectionShares = {
-  memory: 0.09375,
-  descriptors: 0.125,
-};
+export function deriveCallerLimits(
+  { memoryBytes, descriptors }: MachineLimits,
+): ConnectionLimits {
+  const connections = Math.min(
+    descriptors * CALLER_SHARE.DESCRIPTORS,
+    memoryBytes * CALLER_SHARE.CONNECTION_MEMORY / CONNECTION_BYTES,
+  );
+  return {
+    connections: Math.max(1, Math.floor(connections)),
+    unparsedBytes: Math.floor(memoryBytes * CALLER_SHARE.UNPARSED_MEMORY),
+    bodyBytes: Math.floor(memoryBytes * CALLER_SHARE.BODY_MEMORY),
+  };
+}
 
-/** Two thirds of the memory share are for connections, a third for bodies and unparsed bytes. */
-export function deriveConnectionLimits(
+export function derivePeerLimits(
   { memoryBytes, descriptors }: MachineLimits,
-  shares: ConnectionShares,
 ): ConnectionLimits {
-  const shareBytes = memoryBytes * shares.memory;
+  const connections = descriptors * PEER_SHARE.DESCRIPTORS;
   return {
-    connections: Math.max(
-      1,
-      Math.floor(Math.min(
-        descriptors * shares.descriptors,
-        shareBytes * 2 / 3 / CONNECTION_BYTES,
-      )),
-    ),
-    unparsedBytes: Math.floor(shareBytes / 9),
-    bodyBytes: Math.floor(shareBytes * 2 / 9),
+    connections: Math.max(1, Math.floor(connections)),
+    unparsedBytes: Math.floor(memoryBytes * PEER_SHARE.UNPARSED_MEMORY),
+    bodyBytes: Math.floor(memoryBytes * PEER_SHARE.BODY_MEMORY),
   };
 }
+
+/** Of a server for checks and scrapes: few connections, and requests without bodies. */
+export const CHECK_LIMITS: ConnectionLimits = {
+  connections: 64,
+  unparsedBytes: 1_048_576,
+  bodyBytes: 0,
+};
--- a/packages/node/connections/connection_pool.ts
+++ b/packages/node/connections/connection_pool.ts
@@ -26,6 +26,13 @@
   readonly idleMs: number;
 }
 
+/** Of servers for peers, checks and scrapes. */
+export const INTERNAL_TIMEOUTS: ConnectionTimeouts = {
+  headMs: 3_000,
+  bodyMs: 5_000,
+  idleMs: 5_000,
+};
+
 export interface ConnectionPoolOptions {
   readonly limits: ConnectionLimits;
   readonly clock: Clock;
@@ -231,7 +238,9 @@
     const { headMs, bodyMs, idleMs } = this.#timeouts;
     switch (connection.phase) {
       case CONNECTION_PHASE.IDLE:
-        if (waitedMs > idleMs) this.#close(connection, CLOSE_REASON.IDLE);
+        if (waitedMs > idleMs) {
+          this.#close(connection, CLOSE_REASON.IDLE);
+        }
         return;
       case CONNECTION_PHASE.HEAD:
         if (waitedMs > headMs) {
