A request that does not arrive in time is answered 408, and idle connections outlast the announced time

What callers saw: nothing yet; since the connections are bounded, a head or body that is late led to a closed connection without the 408 that Node's server sends, and an idle connection was closed at the time that its answers announce, when the next request may be on its way.

Change: 408 before the close; a second more for idle connections, as Node's server gives them.

Evidence: the test of clients that do not go on expects both and failed before.

--- a/packages/node/connections/connection_pool.ts
+++ b/packages/node/connections/connection_pool.ts
@@ -13,6 +13,8 @@
 import { TurnQueue } from "./turn_queue.ts";
 
 const SWEEP_PERIOD_MS = 1_000;
+/** Longer than the time announced to clients, so that their next requests find it open. */
+const IDLE_MARGIN_MS = 1_000;
 /** After the last answer, for the client to close the connection. */
 const LINGER_MS = 2_000;
 /** Reads of this size and more are those of clients that send much at a time. */
@@ -26,6 +28,7 @@
   readonly idleMs: number;
 }
 
+const TIMEOUT_STATUS = "408 Request Timeout";
 /** Of servers for peers, checks and scrapes. */
 export const INTERNAL_TIMEOUTS: ConnectionTimeouts = {
   headMs: 3_000,
@@ -200,6 +203,11 @@
     connection.destroy();
   }
 
+  #timeOut(connection: BoundedConnection, reason: CloseReason): void {
+    this.#options.onClosed(reason);
+    connection.reject(TIMEOUT_STATUS);
+  }
+
   /**
    * The connection that has waited longest for its client. Those that wait for their turn may have a
    * whole request among their bytes, so only those with more than that go, after all others.
@@ -238,18 +246,18 @@
     const { headMs, bodyMs, idleMs } = this.#timeouts;
     switch (connection.phase) {
       case CONNECTION_PHASE.IDLE:
-        if (waitedMs > idleMs) {
+        if (waitedMs > idleMs + IDLE_MARGIN_MS) {
           this.#close(connection, CLOSE_REASON.IDLE);
         }
         return;
       case CONNECTION_PHASE.HEAD:
         if (waitedMs > headMs) {
-          this.#close(connection, CLOSE_REASON.HEAD_TIMEOUT);
+          this.#timeOut(connection, CLOSE_REASON.HEAD_TIMEOUT);
         }
         return;
       case CONNECTION_PHASE.BODY:
         if (waitedMs > bodyMs) {
-          this.#close(connection, CLOSE_REASON.BODY_TIMEOUT);
+          this.#timeOut(connection, CLOSE_REASON.BODY_TIMEOUT);
         }
         return;
       case CONNECTION_PHASE.SERVING:
