One turn in each iteration of the event loop, so that new connections do not wait

What callers saw: beside 1,000 connections that send sound requests ahead, 6 of 11 ordinary requests were answered within 3 s.

Cause: Node accepts one connection in each iteration of the event loop. With 5 ms of turns in each, a new caller waited for seconds in the kernel's queue behind clients that connect again and again.

Change: one turn in each iteration; the time limit is gone.

--- a/packages/node/connections/connection_pool.ts
+++ b/packages/node/connections/connection_pool.ts
@@ -59,7 +59,7 @@
 
 export class ConnectionPool implements ConnectionOwner {
   readonly #options: ConnectionPoolOptions;
-  readonly #turns: TurnQueue;
+  readonly #turns = TurnQueue.create();
   /** In the order of the starts of their phases. */
   readonly #states = new Map<BoundedConnection, ConnectionState>();
   /** Connections with large reads that wait for their turn, the oldest first. */
@@ -76,7 +76,6 @@
   ) {
     this.#options = options;
     this.#timeouts = timeouts;
-    this.#turns = TurnQueue.create(options.clock);
   }
 
   static create(
--- a/packages/node/connections/turn_queue.ts
+++ b/packages/node/connections/turn_queue.ts
@@ -3,27 +3,24 @@
  * request does not wait behind all the requests that another has sent ahead.
  */
 import { setImmediate } from "node:timers";
-import type { Clock } from "@coltsfootpond/common";
-
-/** Time after which the event loop serves other work between two turns. */
-const TURNS_MS = 5;
 
 export interface TurnTaker {
   /** Does a bounded amount of work; returns whether it waits for a further turn. */
   takeTurn(): boolean;
 }
 
+/**
+ * One turn in each iteration of the event loop, which accepts one connection in each: with more
+ * turns, new connections would wait while others are served.
+ */
 export class TurnQueue {
-  readonly #clock: Clock;
   readonly #waiting = new Set<TurnTaker>();
   #isScheduled = false;
 
-  private constructor(clock: Clock) {
-    this.#clock = clock;
-  }
+  private constructor() {}
 
-  static create(clock: Clock): TurnQueue {
-    return new TurnQueue(clock);
+  static create(): TurnQueue {
+    return new TurnQueue();
   }
 
   has(taker: TurnTaker): boolean {
@@ -44,19 +41,15 @@
     this.#isScheduled = true;
     setImmediate(() => {
       this.#isScheduled = false;
-      this.#giveTurns();
+      this.#giveTurn();
       this.#schedule();
     });
   }
 
-  #giveTurns(): void {
-    const endMs = this.#clock.nowMs() + TURNS_MS;
-    // Those that are added meanwhile have their turns after the event loop's other work.
-    let left = this.#waiting.size;
-    for (const taker of this.#waiting) {
-      this.#waiting.delete(taker);
-      if (taker.takeTurn()) this.#waiting.add(taker);
-      if (--left <= 0 || this.#clock.nowMs() >= endMs) return;
-    }
+  #giveTurn(): void {
+    const [next] = this.#waiting;
+    if (next === undefined) return;
+    this.#waiting.delete(next);
+    if (next.takeTurn()) this.#waiting.add(next);
   }
 }
