State queries of callers read the store within the entry's share of its rate

Cause: a query for a job that the entry's copy does not have reads the store, and nothing bounded these reads but the number of connections.

Without a token a known job is answered from the copy; an unknown one waits for a token or for the copy to get its row, and is answered 503 with Retry-After at its deadline.

A job whose row arrives meanwhile is still shown.

--- a/packages/node/cell/background/failing_entry_test.ts
+++ b/packages/node/cell/background/failing_entry_test.ts
@@ -30,6 +30,7 @@
   seeds: [],
   storeAddress: ANY_PORT,
   rowLimitBytes: 65_536,
+  storeReadsPerSecond: 2_000,
   memoryBytes: 350_000_000,
   descriptors: 4_100,
   processorShare: 1,
--- a/packages/node/cell/callers/job_repository.ts
+++ b/packages/node/cell/callers/job_repository.ts
@@ -31,6 +31,7 @@
 import { readBegunJobsRow, readJobRow } from "../state_rows/row_readers.ts";
 import type { UnreadableRow } from "../state_rows/unreadable_rows.ts";
 import type { TableFollower } from "../table_follower.ts";
+import type { StoreReadBudget } from "./store_read_budget.ts";
 
 /** Delay between tries within the caller's time-out. */
 const RETRY_DELAY_MS = 60;
@@ -91,6 +92,8 @@
   readonly clock: Clock;
   /** How long the store has been down; 0 while it answers. */
   readonly getStoreDownMs: () => number;
+  /** Of the reads for state queries; unlimited if left out. */
+  readonly readBudget?: Pick<StoreReadBudget, "take">;
   /** Wall-clock time in Unix milliseconds. */
   readonly nowUnixMs: () => number;
 }
@@ -341,7 +344,8 @@
     if (
       !isLive || getStoreDownMs() > 0 ||
       this.#refreshesInProgress >= MAXIMUM_CONCURRENT_REFRESHES ||
-      nowMs - lastReadMs < MINIMUM_REFRESH_INTERVAL_MS
+      nowMs - lastReadMs < MINIMUM_REFRESH_INTERVAL_MS ||
+      !this.#mayRead()
     ) return known;
     this.#lastRefreshMs.set(jobId, nowMs);
     const waitMs = Math.min(REFRESH_WAIT_MS, deadlineMs - nowMs);
@@ -371,6 +375,10 @@
     const { store, follower } = this.#options;
     const key = jobKey(jobId);
     do {
+      // The copy may have got the row while other reads went first.
+      const copied = follower.get(key);
+      if (copied !== undefined) return copied;
+      if (!this.#mayRead()) continue;
       const outcome = await store.read(
         STORE_TABLE.STATE,
         { fromKey: key, toKey: `${key}~` },
@@ -391,6 +399,10 @@
     return "unknown";
   }
 
+  #mayRead(): boolean {
+    return this.#options.readBudget?.take() ?? true;
+  }
+
   /** What a submission of the job finds; undefined when there is no row. */
   #findStored(
     jobId: CellJobId,
--- a/packages/node/cell/cell_entry.ts
+++ b/packages/node/cell/cell_entry.ts
@@ -29,6 +29,7 @@
 import { createCallerFilters } from "./callers/caller_filters.ts";
 import { CallerServer } from "./callers/caller_server.ts";
 import { CellScheduler } from "./cell_scheduler.ts";
+import { StoreReadBudget } from "./callers/store_read_budget.ts";
 import { DeclaredStateTracker } from "./declared_state_tracker.ts";
 import { JobRepository } from "./callers/job_repository.ts";
 import { computeFollowDelayMs } from "./lease/entry_count_delays.ts";
@@ -178,6 +179,11 @@
       clock,
       getStoreDownMs: () => this.#relay.downForMs,
       nowUnixMs,
+      readBudget: StoreReadBudget.create({
+        clock,
+        readsPerSecond: settings.storeReadsPerSecond,
+        countEntries: () => 1 + this.#peerRegistry.addresses.length,
+      }),
     });
     const getStoreDownMs = () => this.#relay.downForMs;
     const follower = this.#stateFollower;
--- a/packages/ports/cell/settings.ts
+++ b/packages/ports/cell/settings.ts
@@ -28,6 +28,8 @@
   readonly storeAddress: HostPort;
   /** The store's limit of the value of a row. */
   readonly rowLimitBytes: number;
+  /** The store's limit of reads, for all entries together. */
+  readonly storeReadsPerSecond: number;
   /** Memory and descriptors that this entry's process may use. */
   readonly memoryBytes: number;
   readonly descriptors: number;
