A turn that fails keeps no connection from its turn, and an answer is one write

Change: the next turn is scheduled also if one throws; the empty chunk with which Node ends an answer is not written.

--- a/packages/node/connections/bounded_connection.ts
+++ b/packages/node/connections/bounded_connection.ts
@@ -189,11 +189,18 @@
     chunks: { chunk: Buffer | string; encoding: BufferEncoding }[],
     callback: (error?: Error | null) => void,
   ): void {
+    // Node ends an answer with an empty chunk.
+    const parts = chunks.filter(({ chunk }) => chunk.length > 0);
+    const last = parts.pop();
+    if (last === undefined) {
+      callback();
+      return;
+    }
     this.#socket.cork();
-    chunks.forEach(({ chunk, encoding }, index) => {
-      const isLast = index === chunks.length - 1;
-      this.#socket.write(chunk, encoding, isLast ? callback : undefined);
-    });
+    for (const { chunk, encoding } of parts) {
+      this.#socket.write(chunk, encoding);
+    }
+    this.#socket.write(last.chunk, last.encoding, callback);
     this.#socket.uncork();
   }
 
--- a/packages/node/connections/turn_queue.ts
+++ b/packages/node/connections/turn_queue.ts
@@ -41,8 +41,11 @@
     this.#isScheduled = true;
     setImmediate(() => {
       this.#isScheduled = false;
-      this.#giveTurn();
-      this.#schedule();
+      try {
+        this.#giveTurn();
+      } finally {
+        this.#schedule();
+      }
     });
   }
 
