review: choose the ports of the scripts apart from those of other scripts

Four scripts at once in a fresh clone: 11 with TROUBLE=0 exited once with 2, as the entries weren't ready in time; a port that another script had taken is suspected. Ports now come from below the range that the system gives to outgoing connections.

--- a/review/lib-3/cell.mjs
+++ b/review/lib-3/cell.mjs
@@ -11,13 +11,24 @@
 export const ROOT = resolve(dirname(fileURLToPath(import.meta.url)), "../..");
 export const TROUBLE = process.env.TROUBLE !== "0";
 
-/** A port that was free a moment ago. */
+const given = new Set();
+
+/** A port that was free a moment ago, below those that the system gives to outgoing connections. */
 export async function freePort() {
-  const server = createServer();
-  await new Promise((done) => server.listen(0, "127.0.0.1", done));
-  const { port } = server.address();
-  await new Promise((done) => server.close(done));
-  return port;
+  for (let attempt = 0; attempt < 200; attempt++) {
+    const port = 12_000 + Math.floor(Math.random() * 20_000);
+    if (given.has(port)) continue;
+    given.add(port);
+    const server = createServer();
+    const isFree = await new Promise((done) => {
+      server.once("error", () => done(false));
+      server.listen(port, "127.0.0.1", () => done(true));
+    });
+    if (!isFree) continue;
+    await new Promise((done) => server.close(done));
+    return port;
+  }
+  throw new Error("no free port");
 }
 
 export class Test {
