A job is reached through its queue whenever that queue is public

The other way round, a job that was accepted without a key is answered 410 to everyone once its queue asks for one.

Cause: a caller was checked in two places by two rules. The filter lets anyone call a public queue; the repository then compared the organisation stored with the job with that of the key, on a public queue too, where a call has none. The removal in between is not needed.

Change: both questions are answered by one module of pure functions (callers/access/job_access.ts) from the declared state, the queue of the call, the key, and what is stored with the job. A public queue grants access to its own jobs only; without a key, no job of another queue is reached. A 410 logs both queues, both organisations and whether the queue is public.

The expected outcome of a cancellation in job_repository_test.ts now also has its reason.

--- a/packages/node/cell/callers/caller_filters.ts
+++ b/packages/node/cell/callers/caller_filters.ts
@@ -10,11 +10,17 @@
   QueueDeclaration,
   RequestHead,
 } from "@coltsfootpond/ports";
-import { findOrganisation, findQueue } from "../declared_state_tracker.ts";
+import { findQueue } from "../declared_state_tracker.ts";
 import type { AdmissionGate } from "../admission/admission_gate.ts";
 import type { TooWideUnit } from "../quotas/quota_history.ts";
+import type { LogFields } from "../log.ts";
 import { encodeRow } from "../rows.ts";
-import type { JobRepository, RefuseOutcome } from "./job_repository.ts";
+import { decideCallAccess, type QueueCall } from "./access/job_access.ts";
+import type {
+  AbsentOutcome,
+  JobRepository,
+  RefuseOutcome,
+} from "./job_repository.ts";
 
 /** A caller's request and what the filters have found out about it so far. */
 export interface CallerRequest {
@@ -35,6 +41,8 @@
   readonly retryAfterS?: number;
   /** Reason for the answer; written to the log. */
   readonly reason: string;
+  /** What the answer was decided by; written to the log. */
+  readonly inputs?: LogFields;
 }
 
 /** One step of the chain. */
@@ -113,13 +121,16 @@
       return undefined;
     }),
     filter("authenticate", (request) => {
-      const { state, queue, head } = request;
-      const organisation = state && findOrganisation(state, head.key);
-      if (organisation === undefined && queue?.isPublic !== true) {
-        return { status: STATUS.UNAUTHENTICATED, reason: "unknown key" };
+      const call = getQueueCall(request);
+      if (call === undefined) return unavailable("no queue");
+      const access = decideCallAccess(call);
+      switch (access.kind) {
+        case "unauthenticated":
+          return { status: STATUS.UNAUTHENTICATED, reason: "unknown key" };
+        case "admitted":
+          request.organisation = access.organisation;
+          return undefined;
       }
-      request.organisation = organisation;
-      return undefined;
     }),
     filter(
       "method",
@@ -231,9 +242,11 @@
   request: CallerRequest,
   { codec, jobRepository }: CallerFilterOptions,
 ): Promise<CallerAnswer> {
+  const call = getQueueCall(request);
+  if (call === undefined) return unavailable("no queue");
   const outcome = await jobRepository.getState(
     getJobId(request),
-    { organisation: request.organisation },
+    call,
     getDeadlineMs(request),
   );
   switch (outcome.kind) {
@@ -244,7 +257,7 @@
         reason: outcome.state,
       };
     case "absent":
-      return { status: STATUS.GONE, reason: `no such job: ${outcome.reason}` };
+      return answerAbsent(request, outcome);
     case "unknown":
       return unavailable("the store does not answer");
     case "unreadable":
@@ -256,9 +269,11 @@
   request: CallerRequest,
   { jobRepository }: CallerFilterOptions,
 ): Promise<CallerAnswer> {
+  const call = getQueueCall(request);
+  if (call === undefined) return unavailable("no queue");
   const outcome = await jobRepository.cancel(
     getJobId(request),
-    { organisation: request.organisation },
+    call,
     getDeadlineMs(request),
   );
   switch (outcome.kind) {
@@ -266,7 +281,7 @@
     case "ended":
       return { status: STATUS.OK, body: "{}", reason: outcome.kind };
     case "absent":
-      return { status: STATUS.GONE, reason: "no such job" };
+      return answerAbsent(request, outcome);
     case "refused":
       return unavailable("the store is away");
     case "unreadable":
@@ -276,6 +291,31 @@
   }
 }
 
+/** Undefined before the filters have found the declared state and the queue. */
+function getQueueCall(
+  { state, queue, head }: CallerRequest,
+): QueueCall | undefined {
+  return state && queue && { state, queue, key: head.key };
+}
+
+/** This answer is final for a caller, so its inputs are logged. */
+function answerAbsent(
+  { queue, organisation }: CallerRequest,
+  { reason, origin }: AbsentOutcome,
+): CallerAnswer {
+  return {
+    status: STATUS.GONE,
+    reason: `no such job: ${reason}`,
+    inputs: {
+      queue: queue?.queue,
+      isPublic: queue?.isPublic,
+      organisation,
+      jobQueue: origin?.queue,
+      jobOrganisation: origin?.organisation,
+    },
+  };
+}
+
 function getJobId({ subpath }: CallerRequest): CellJobId {
   return (subpath ?? "") as CellJobId;
 }
--- a/packages/node/cell/callers/caller_server.ts
+++ b/packages/node/cell/callers/caller_server.ts
@@ -198,6 +198,7 @@
         path: request.head.path,
         status: answer.status,
         reason: answer.reason,
+        ...answer.inputs,
         version: request.state?.version,
         tookMs: Math.round(tookMs),
       });
--- a/packages/node/cell/callers/job_repository.ts
+++ b/packages/node/cell/callers/job_repository.ts
@@ -3,7 +3,7 @@
  * answer for any job. A job is accepted once its row is stored. An unsettled write, whose answer
  * was lost, is settled by sending the same conditional write again.
  */
-import type { Clock, OrganisationName } from "@coltsfootpond/common";
+import type { Clock } from "@coltsfootpond/common";
 import {
   type CellJobId,
   type CellJobSpec,
@@ -31,6 +31,11 @@
 import { readBegunJobsRow, readJobRow } from "../state_rows/row_readers.ts";
 import type { UnreadableRow } from "../state_rows/unreadable_rows.ts";
 import type { TableFollower } from "../table_follower.ts";
+import {
+  decideJobAccess,
+  type JobOrigin,
+  type QueueCall,
+} from "./access/job_access.ts";
 import type { StoreReadBudget } from "./store_read_budget.ts";
 
 /** Delay between tries within the caller's time-out. */
@@ -64,15 +69,20 @@
 export type RefuseOutcome = {
   readonly kind: "refused" | "accepted" | "unknown" | "unavailable";
 };
+/** There is no such job, or none that this call may read and cancel. */
+export interface AbsentOutcome {
+  readonly kind: "absent";
+  readonly reason: string;
+  /** Of the job that the call may not read and cancel. */
+  readonly origin?: JobOrigin;
+}
 /**
- * `absent`: there is no such job, or it belongs to another organisation. `unreadable`: the job's row
- * cannot be decoded, and stays as it is. `unknown`: the write may still take effect; `refused`: it
- * certainly never does.
+ * `unreadable`: the job's row cannot be decoded, and stays as it is. `unknown`: the write may still
+ * take effect; `refused`: it certainly never does.
  */
 export type CancelOutcome =
-  | {
-    readonly kind: "cancelled" | "ended" | "absent" | "unknown" | "refused";
-  }
+  | { readonly kind: "cancelled" | "ended" | "unknown" | "refused" }
+  | AbsentOutcome
   | UnreadableRow;
 /** `unknown`: the store gave no answer in time. `unreadable`: the job's row cannot be decoded. */
 export type StateOutcome =
@@ -82,7 +92,7 @@
     /** Why a failed job has ended; undefined in rows of earlier versions. */
     readonly failureReason?: FailureReason;
   }
-  | { readonly kind: "absent"; readonly reason: string }
+  | AbsentOutcome
   | { readonly kind: "unknown" }
   | UnreadableRow;
 
@@ -98,12 +108,6 @@
   readonly nowUnixMs: () => number;
 }
 
-/** The caller who asks for a job. */
-export interface JobRequester {
-  /** Undefined for a caller without a known API key, as public queues admit. */
-  readonly organisation: OrganisationName | undefined;
-}
-
 /** Reads and writes the rows of jobs for callers. */
 export class JobRepository {
   readonly #options: JobRepositoryOptions;
@@ -232,7 +236,7 @@
    */
   async cancel(
     jobId: CellJobId,
-    requester: JobRequester,
+    call: QueueCall,
     deadlineMs: number,
   ): Promise<CancelOutcome> {
     const key = jobKey(jobId);
@@ -244,10 +248,9 @@
       const job = readJobRow(this.#options.follower, jobId, row);
       // Whose job it is cannot be told.
       if (job?.kind === "unreadable") return job;
-      if (job !== undefined && !belongsTo(job, requester)) {
-        return { kind: "absent" };
-      }
-      if (job?.kind === "barred") return { kind: "absent" };
+      if (job?.kind === "barred") return absent("cancelled before");
+      const denial = job && findDenial(call, job);
+      if (denial !== undefined) return denial;
       if (job?.kind === "ended") {
         return {
           kind: job.state === JOB_STATE.CANCELLED ? "cancelled" : "ended",
@@ -265,7 +268,7 @@
           version: outcome.version,
           value,
         }]);
-        return { kind: job === undefined ? "absent" : "cancelled" };
+        return job === undefined ? absent("no row") : { kind: "cancelled" };
       }
       if (outcome.kind === "conflict") {
         row = outcome.rows.find((other) => other.key === key);
@@ -284,7 +287,7 @@
    */
   async getState(
     jobId: CellJobId,
-    requester: JobRequester,
+    call: QueueCall,
     deadlineMs: number,
   ): Promise<StateOutcome> {
     const known = this.#options.follower.get(jobKey(jobId));
@@ -295,10 +298,10 @@
     const job = readJobRow(this.#options.follower, jobId, row);
     if (job === undefined) return absent("no row");
     if (job.kind === "unreadable") return job;
-    if (!belongsTo(job, requester)) return absent("of another organisation");
+    if (job.kind === "barred") return absent("cancelled before");
+    const denial = findDenial(call, job);
+    if (denial !== undefined) return denial;
     switch (job.kind) {
-      case "barred":
-        return absent("cancelled before it was submitted");
       case "ended":
         return {
           kind: "state",
@@ -483,18 +486,32 @@
   return rows.find((row) => row.key === key)?.version ?? 0;
 }
 
-function absent(reason: string): StateOutcome {
+function absent(reason: string): AbsentOutcome {
   return { kind: "absent", reason };
 }
 
-function belongsTo(job: JobRow, { organisation }: JobRequester): boolean {
+/** Undefined if the call may read and cancel the job. */
+function findDenial(
+  call: QueueCall,
+  job: Exclude<JobRow, { kind: "barred" }>,
+): AbsentOutcome | undefined {
+  const { queue, organisation } = getOrigin(job);
+  const origin = { queue, organisation };
+  const { kind, ground } = decideJobAccess(call, origin);
+  switch (kind) {
+    case "granted":
+      return undefined;
+    case "denied":
+      return { kind: "absent", reason: ground, origin };
+  }
+}
+
+function getOrigin(job: Exclude<JobRow, { kind: "barred" }>): JobOrigin {
   switch (job.kind) {
     case "live":
-      return job.spec.organisation === organisation;
+      return job.spec;
     case "ended":
-      return job.organisation === organisation;
-    case "barred":
-      return true;
+      return job;
   }
 }
 
--- a/packages/node/cell/callers/job_repository_test.ts
+++ b/packages/node/cell/callers/job_repository_test.ts
@@ -7,14 +7,16 @@
 import { encodeRow, jobKey, type JobRow } from "../rows.ts";
 import {
   createFollower,
+  createQueueCall,
   createSpec,
   createStoreFake,
   type StoreFake,
 } from "../test_fixtures.ts";
 
 const JOB = "00000000000000dd" as CellJobId;
-const REQUESTER = { organisation: "owner" as OrganisationName };
-const SPEC = createSpec(JOB, REQUESTER);
+const OWNER = { organisation: "owner" as OrganisationName };
+const REQUESTER = createQueueCall("owner");
+const SPEC = createSpec(JOB, OWNER);
 
 type Transact = StateStore["transact"];
 
@@ -135,6 +137,7 @@
     const { jobRepository } = createRepository(clock);
     expect(await jobRepository.cancel(JOB, REQUESTER, 1_000)).to.deep.equal({
       kind: "absent",
+      reason: "no row",
     });
     expect(await jobRepository.submit(SPEC, 1_000)).to.deep.equal({
       kind: "accepted",
@@ -149,7 +152,7 @@
     const clock = ManualClock.create();
     const { jobRepository } = createRepository(clock);
     await jobRepository.submit(SPEC, 1_000);
-    const other = { organisation: "other" as OrganisationName };
+    const other = createQueueCall("other");
     expect((await jobRepository.getState(JOB, other, 1_000)).kind).to.equal(
       "absent",
     );
--- a/packages/node/cell/callers/store_read_budget_test.ts
+++ b/packages/node/cell/callers/store_read_budget_test.ts
@@ -4,13 +4,15 @@
 import { encodeRow, jobKey } from "../rows.ts";
 import {
   createFollower,
+  createQueueCall,
   createSpec,
   createStoreFake,
 } from "../test_fixtures.ts";
 import { JobRepository } from "./job_repository.ts";
 import { StoreReadBudget } from "./store_read_budget.ts";
 
-const REQUESTER = { organisation: "owner" as OrganisationName };
+const OWNER = { organisation: "owner" as OrganisationName };
+const REQUESTER = createQueueCall("owner");
 const READS_PER_SECOND = 100;
 const ENTRIES = 5;
 const QUERIES = 1_000;
@@ -75,7 +77,7 @@
     const jobId = createJobId(QUERIES);
     const answer = jobRepository.getState(jobId, REQUESTER, 3_000);
     await clock.advance(200);
-    const spec = createSpec(jobId, REQUESTER);
+    const spec = createSpec(jobId, OWNER);
     const value = encodeRow({ kind: "live", spec });
     follower.apply([{ key: jobKey(jobId), version: 9, value }]);
     await clock.advance(100);
--- a/packages/node/cell/state_rows/job_rows_test.ts
+++ b/packages/node/cell/state_rows/job_rows_test.ts
@@ -11,6 +11,7 @@
 import { encodeRow, jobKey, parseJobKey, refusalKey } from "../rows.ts";
 import {
   createFollower,
+  createQueueCall,
   createSpec,
   createStoreFake,
   type StoreFake,
@@ -18,7 +19,8 @@
 
 const BAD = "00000000000000bb" as CellJobId;
 const GOOD = "00000000000000cc" as CellJobId;
-const REQUESTER = { organisation: "owner" as OrganisationName };
+const OWNER = { organisation: "owner" as OrganisationName };
+const REQUESTER = createQueueCall("owner");
 const NOT_MSGPACK = new Uint8Array([0xc1, 1, 2]);
 const LATER_STATE = pack({ kind: "suspended", sinceUnixMs: 0 });
 const OTHER_SHAPE = pack([1, 2]);
@@ -57,7 +59,7 @@
   it("do not keep an entry from reading the others", async () => {
     for (const value of BAD_VALUES) {
       const { store, follower, jobRepository } = createRepository();
-      const spec = createSpec(GOOD, REQUESTER);
+      const spec = createSpec(GOOD, OWNER);
       await put(
         store,
         [jobKey(BAD), value],
@@ -81,7 +83,7 @@
         expect(await jobRepository.getState(BAD, REQUESTER, 1_000)).to.deep
           .equal({ kind: "unreadable" });
       }
-      const spec = createSpec(BAD, REQUESTER);
+      const spec = createSpec(BAD, OWNER);
       const outcomes = [
         await jobRepository.cancel(BAD, REQUESTER, 1_000),
         await jobRepository.submit(spec, 1_000),
--- a/packages/node/cell/state_rows/odd_rows_test.ts
+++ b/packages/node/cell/state_rows/odd_rows_test.ts
@@ -34,6 +34,7 @@
 } from "../rows.ts";
 import {
   createFollower,
+  createQueueCall,
   createSpec,
   createStep,
   createStoreFake,
@@ -46,10 +47,11 @@
 
 const GOOD = "a0000000000000cc" as CellJobId;
 const ODD_JOBS = ["a0000000000000bb", "b0000000000000bb"] as CellJobId[];
-const REQUESTER = { organisation: "owner" as OrganisationName };
-const OTHER_REQUESTER = { organisation: "other" as OrganisationName };
+const OWNER = { organisation: "owner" as OrganisationName };
+const REQUESTER = createQueueCall("owner");
+const OTHER_REQUESTER = createQueueCall("other");
 const GOOD_SPEC = createSpec(GOOD, {
-  ...REQUESTER,
+  ...OWNER,
   queue: "good" as ReturnType<typeof createSpec>["queue"],
   steps: [createStep({ count: 2 })],
 });
@@ -360,7 +362,7 @@
       expect(store.rows().get(key)).to.equal(before);
     }
     await call(
-      repository.submit(createSpec(jobId, REQUESTER), clock.nowMs() + 400),
+      repository.submit(createSpec(jobId, OWNER), clock.nowMs() + 400),
     );
     await call(repository.refuse(jobId, clock.nowMs() + 400));
     findAccountOfEnded(`${jobId}.0.0.0` as never, follower);
--- a/packages/node/cell/test_fixtures.ts
+++ b/packages/node/cell/test_fixtures.ts
@@ -1,5 +1,9 @@
 /** Small jobs and a store in memory for the tests of the cell. */
-import type { ManualClock, ServiceName } from "@coltsfootpond/common";
+import type {
+  ManualClock,
+  OrganisationName,
+  ServiceName,
+} from "@coltsfootpond/common";
 import {
   type CellJobId,
   type CellJobSpec,
@@ -8,11 +12,14 @@
   type StepSpec,
 } from "@coltsfootpond/policy";
 import type {
+  DeclaredState,
+  QueueDeclaration,
   StateRow,
   StateStore,
   StateTransaction,
   TransactOutcome,
 } from "@coltsfootpond/ports";
+import type { QueueCall } from "./callers/access/job_access.ts";
 import { LiveJob, type OtherRuns } from "./live_job.ts";
 import { SILENT_LOG } from "./log.ts";
 import { SeenVersion, TableFollower } from "./table_follower.ts";
@@ -58,6 +65,69 @@
   };
 }
 
+/** A queue that asks for a key. */
+export function createQueue(
+  overrides: Partial<QueueDeclaration> = {},
+): QueueDeclaration {
+  return {
+    queue: "queue" as QueueName,
+    service: "service" as ServiceName,
+    host: "queue.example",
+    pathPrefix: "/queue/",
+    isPublic: false,
+    requiresTicket: false,
+    priority: 1,
+    maximumAttempts: 3,
+    stretch: 2,
+    allowanceMs: 1_000,
+    timeoutMs: 3_000,
+    ...overrides,
+  };
+}
+
+/** A declared state with these queues and the API keys of each organisation. */
+export function createDeclaredState(
+  queues: readonly QueueDeclaration[],
+  keys: Readonly<Record<string, readonly string[]>>,
+  version = 1,
+): DeclaredState {
+  const organisations = Object.keys(keys) as OrganisationName[];
+  return {
+    version,
+    queues,
+    organisationByApiKey: new Map(
+      organisations.flatMap((organisation) =>
+        keys[organisation]!.map((key) => [key, organisation] as const)
+      ),
+    ),
+    guarantees: organisations.map((organisation) => ({
+      organisation,
+      accelerators: 0,
+    })),
+    shares: organisations.map((organisation) => ({
+      organisation,
+      weight: undefined,
+      quota: undefined,
+    })),
+    services: new Set(queues.map(({ service }) => service)),
+    capacityEnforcingServices: new Set(),
+    limits: {
+      headerBytes: 8_192,
+      bodyBytes: 65_536,
+      headerTimeoutMs: 5_000,
+      keepAliveMs: 5_000,
+    },
+  };
+}
+
+/** A call of the queue that asks for a key, with the key of this organisation. */
+export function createQueueCall(organisation: string): QueueCall {
+  const queue = createQueue();
+  const key = `key of ${organisation}`;
+  const state = createDeclaredState([queue], { [organisation]: [key] });
+  return { state, queue, key };
+}
+
 /** A live job of which no row is stored. */
 export function createJob(
   jobId: string,
