A job is reached with its key when its organisation has another name

Callers saw: an organisation gets another name and keeps its keys. GET for its running jobs is answered 410, and so is DELETE, which leaves their tasks running. The same with a key that has moved to another organisation.

Cause: the name of the organisation is stored with the job and compared with the name that the declared state in force gives for the call's key. The row says nothing else about who submitted the job.

Change: the rows of live and ended jobs also hold a digest of the API key of the submission (keyTag, 64 bits). As long as that key is declared it gives access to the job; if the stored name is declared no more, the organisation that holds the key now is the owner, with all of its keys. Where neither is declared, also in rows of earlier versions, the owner can't be told: the answer is 503 with Retry-After, not 410, which callers take as final and, to a DELETE, as an acknowledgement. Another organisation's key gains nothing.

--- a/packages/node/cell/callers/caller_filters.ts
+++ b/packages/node/cell/callers/caller_filters.ts
@@ -3,7 +3,7 @@
  * it to the next one.
  */
 import type { OrganisationName } from "@coltsfootpond/common";
-import type { CellJobId, CellJobSpec } from "@coltsfootpond/policy";
+import type { CellJobId, CellJobSpec, JobOrigin } from "@coltsfootpond/policy";
 import type {
   CallerCodec,
   DeclaredState,
@@ -15,11 +15,16 @@
 import type { TooWideUnit } from "../quotas/quota_history.ts";
 import type { LogFields } from "../log.ts";
 import { encodeRow } from "../rows.ts";
-import { decideCallAccess, type QueueCall } from "./access/job_access.ts";
+import {
+  createOrigin,
+  decideCallAccess,
+  type QueueCall,
+} from "./access/job_access.ts";
 import type {
   AbsentOutcome,
   JobRepository,
   RefuseOutcome,
+  UndecidedOutcome,
 } from "./job_repository.ts";
 
 /** A caller's request and what the filters have found out about it so far. */
@@ -176,10 +181,9 @@
   nowUnixMs: number,
 ): Promise<CallerAnswer> {
   const { codec, jobRepository, admission, findTooWide } = options;
-  const { queue, state, organisation } = request;
-  if (queue === undefined || state === undefined) {
-    return unavailable("no queue");
-  }
+  const call = getQueueCall(request);
+  if (call === undefined) return unavailable("no queue");
+  const { queue, state } = call;
   const body = await request.readBody(state.limits.bodyBytes);
   if (body === undefined) {
     return { status: STATUS.TOO_LARGE, reason: "body too large" };
@@ -195,9 +199,8 @@
   const spec: CellJobSpec = {
     ...decoded.job,
     jobId: getJobId(request),
-    queue: queue.queue,
     service: queue.service,
-    organisation,
+    ...createOrigin(call),
     priority: queue.priority,
     maximumAttempts: queue.maximumAttempts,
     stretch: queue.stretch,
@@ -258,6 +261,8 @@
       };
     case "absent":
       return answerAbsent(request, outcome);
+    case "undecided":
+      return answerUndecided(request, outcome);
     case "unknown":
       return unavailable("the store does not answer");
     case "unreadable":
@@ -282,6 +287,8 @@
       return { status: STATUS.OK, body: "{}", reason: outcome.kind };
     case "absent":
       return answerAbsent(request, outcome);
+    case "undecided":
+      return answerUndecided(request, outcome);
     case "refused":
       return unavailable("the store is away");
     case "unreadable":
@@ -300,19 +307,37 @@
 
 /** This answer is final for a caller, so its inputs are logged. */
 function answerAbsent(
-  { queue, organisation }: CallerRequest,
+  request: CallerRequest,
   { reason, origin }: AbsentOutcome,
 ): CallerAnswer {
   return {
     status: STATUS.GONE,
     reason: `no such job: ${reason}`,
-    inputs: {
-      queue: queue?.queue,
-      isPublic: queue?.isPublic,
-      organisation,
-      jobQueue: origin?.queue,
-      jobOrganisation: origin?.organisation,
-    },
+    inputs: listAccessInputs(request, origin),
+  };
+}
+
+function answerUndecided(
+  request: CallerRequest,
+  { reason, origin }: UndecidedOutcome,
+): CallerAnswer {
+  return {
+    ...unavailable(`whose job it is cannot be told: ${reason}`),
+    inputs: listAccessInputs(request, origin),
+  };
+}
+
+/** What decides whether the call may read and cancel the job. */
+function listAccessInputs(
+  { queue, organisation }: CallerRequest,
+  origin: JobOrigin | undefined,
+): LogFields {
+  return {
+    queue: queue?.queue,
+    isPublic: queue?.isPublic,
+    organisation,
+    jobQueue: origin?.queue,
+    jobOrganisation: origin?.organisation,
   };
 }
 
--- a/packages/node/cell/callers/job_repository.ts
+++ b/packages/node/cell/callers/job_repository.ts
@@ -9,6 +9,7 @@
   type CellJobSpec,
   type FailureReason,
   JOB_STATE,
+  type JobOrigin,
   type JobState,
   type QueueName,
 } from "@coltsfootpond/policy";
@@ -22,6 +23,7 @@
 import { STORE_TIMEOUT_MS } from "../constants.ts";
 import {
   encodeRow,
+  getOrigin,
   jobKey,
   type JobRow,
   parseBegunKey,
@@ -31,11 +33,7 @@
 import { readBegunJobsRow, readJobRow } from "../state_rows/row_readers.ts";
 import type { UnreadableRow } from "../state_rows/unreadable_rows.ts";
 import type { TableFollower } from "../table_follower.ts";
-import {
-  decideJobAccess,
-  type JobOrigin,
-  type QueueCall,
-} from "./access/job_access.ts";
+import { decideJobAccess, type QueueCall } from "./access/job_access.ts";
 import type { StoreReadBudget } from "./store_read_budget.ts";
 
 /** Delay between tries within the caller's time-out. */
@@ -76,6 +74,12 @@
   /** Of the job that the call may not read and cancel. */
   readonly origin?: JobOrigin;
 }
+/** There is such a job, and whether this call may read and cancel it cannot be told. */
+export interface UndecidedOutcome {
+  readonly kind: "undecided";
+  readonly reason: string;
+  readonly origin: JobOrigin;
+}
 /**
  * `unreadable`: the job's row cannot be decoded, and stays as it is. `unknown`: the write may still
  * take effect; `refused`: it certainly never does.
@@ -83,6 +87,7 @@
 export type CancelOutcome =
   | { readonly kind: "cancelled" | "ended" | "unknown" | "refused" }
   | AbsentOutcome
+  | UndecidedOutcome
   | UnreadableRow;
 /** `unknown`: the store gave no answer in time. `unreadable`: the job's row cannot be decoded. */
 export type StateOutcome =
@@ -93,6 +98,7 @@
     readonly failureReason?: FailureReason;
   }
   | AbsentOutcome
+  | UndecidedOutcome
   | { readonly kind: "unknown" }
   | UnreadableRow;
 
@@ -494,24 +500,16 @@
 function findDenial(
   call: QueueCall,
   job: Exclude<JobRow, { kind: "barred" }>,
-): AbsentOutcome | undefined {
-  const { queue, organisation } = getOrigin(job);
-  const origin = { queue, organisation };
+): AbsentOutcome | UndecidedOutcome | undefined {
+  const origin = getOrigin(job);
   const { kind, ground } = decideJobAccess(call, origin);
   switch (kind) {
     case "granted":
       return undefined;
     case "denied":
       return { kind: "absent", reason: ground, origin };
-  }
-}
-
-function getOrigin(job: Exclude<JobRow, { kind: "barred" }>): JobOrigin {
-  switch (job.kind) {
-    case "live":
-      return job.spec;
-    case "ended":
-      return job;
+    case "undecided":
+      return { kind: "undecided", reason: ground, origin };
   }
 }
 
@@ -520,12 +518,10 @@
   endedUnixMs: number,
 ): JobRow {
   if (job === undefined) return { kind: "barred", endedUnixMs };
-  const { queue, organisation } = job.spec;
   return {
+    ...getOrigin(job),
     kind: "ended",
     state: JOB_STATE.CANCELLED,
-    queue,
-    organisation,
     endedUnixMs,
   };
 }
--- a/packages/node/cell/cell_simulation.ts
+++ b/packages/node/cell/cell_simulation.ts
@@ -24,6 +24,7 @@
 import {
   decodeRow,
   encodeRow,
+  getOrigin,
   jobKey,
   type JobRow,
   progressKey,
@@ -181,12 +182,12 @@
   }
 
   /** Stores the end of the job, as an entry does for a caller who cancels it. */
-  async cancel({ jobId, queue, organisation }: CellJobSpec): Promise<void> {
+  async cancel(spec: CellJobSpec): Promise<void> {
+    const { jobId } = spec;
     const value = encodeRow({
+      ...getOrigin({ kind: "live", spec }),
       kind: "ended",
       state: "cancelled",
-      queue,
-      organisation,
       endedUnixMs: this.clock.nowMs(),
     });
     await this.store.transact({
--- a/packages/node/cell/progress_writer.ts
+++ b/packages/node/cell/progress_writer.ts
@@ -18,6 +18,7 @@
 import {
   encodeRow,
   type EndedState,
+  getOrigin,
   jobKey,
   type JobRow,
   progressKey,
@@ -503,13 +504,11 @@
   state: EndedState,
   { nowUnixMs }: ProgressWriterOptions,
 ): JobRow {
-  const { queue, organisation } = job.spec;
   return {
+    ...getOrigin({ kind: "live", spec: job.spec }),
     kind: "ended",
     state,
     ...(job.failure === undefined ? {} : { reason: job.failure.reason }),
-    queue,
-    organisation,
     endedUnixMs: nowUnixMs(),
   };
 }
--- a/packages/node/cell/rows.ts
+++ b/packages/node/cell/rows.ts
@@ -1,13 +1,13 @@
 /** Rows of the cell's state table: keys, values and their encoding (msgpack). */
-import type { OrganisationName, WorkerName } from "@coltsfootpond/common";
+import type { WorkerName } from "@coltsfootpond/common";
 import type {
   CellJobId,
   CellJobSpec,
   FailureReason,
+  JobOrigin,
   JobState,
   LoadForecast,
   ProgressRecord,
-  QueueName,
 } from "@coltsfootpond/policy";
 import { pack, unpack } from "msgpackr";
 import type { CompactProgress } from "./state_rows/compact_progress.ts";
@@ -17,18 +17,18 @@
   "completed" | "failed" | "cancelled"
 >;
 
+export interface EndedJobRow extends JobOrigin {
+  readonly kind: "ended";
+  readonly state: EndedState;
+  /** Of a failed job; rows of earlier versions have none. */
+  readonly reason?: FailureReason;
+  readonly endedUnixMs: number;
+}
+
 /** A job's row. It stays after the job's end as long as callers may ask for its state. */
 export type JobRow =
   | { readonly kind: "live"; readonly spec: CellJobSpec }
-  | {
-    readonly kind: "ended";
-    readonly state: EndedState;
-    /** Of a failed job; rows of earlier versions have none. */
-    readonly reason?: FailureReason;
-    readonly queue: QueueName;
-    readonly organisation: OrganisationName | undefined;
-    readonly endedUnixMs: number;
-  }
+  | EndedJobRow
   /** Cancelled before it was submitted: a later submit does not run it. */
   | { readonly kind: "barred"; readonly endedUnixMs: number };
 
@@ -246,6 +246,16 @@
   return key.startsWith(PEER_PREFIX);
 }
 
+/** What of a job's row says by what call it was submitted. */
+export function getOrigin(row: Exclude<JobRow, { kind: "barred" }>): JobOrigin {
+  const { queue, organisation, keyTag } = row.kind === "live" ? row.spec : row;
+  return {
+    queue,
+    organisation,
+    ...(keyTag === undefined ? {} : { keyTag }),
+  };
+}
+
 /** Encodes the value of any row. */
 export function encodeRow(
   row:
--- a/packages/node/cell/state_rows/job_row.ts
+++ b/packages/node/cell/state_rows/job_row.ts
@@ -63,8 +63,8 @@
 
 /** A later version may know more reasons; the state counts without them. */
 function readEnded(row: RowFields): JobRow | undefined {
-  const isValid = ENDED_STATES.has(row.state) && isText(row.queue) &&
-    isOptionalText(row.organisation) && isNumber(row.endedUnixMs);
+  const isValid = ENDED_STATES.has(row.state) && isOrigin(row) &&
+    isNumber(row.endedUnixMs);
   if (!isValid) return undefined;
   if (row.reason === undefined || FAILURE_REASONS.has(row.reason)) {
     return row as unknown as JobRow;
@@ -74,8 +74,8 @@
 }
 
 function isSpec(value: unknown): value is CellJobSpec {
-  return isFields(value) && isText(value.jobId) && isText(value.queue) &&
-    isText(value.service) && isOptionalText(value.organisation) &&
+  return isFields(value) && isText(value.jobId) && isOrigin(value) &&
+    isText(value.service) &&
     isNumber(value.priority) && isNumber(value.maximumAttempts) &&
     isNumber(value.stretch) && isNumber(value.allowanceMs) &&
     isNumber(value.acceptedUnixMs) && isText(value.payload) &&
@@ -84,6 +84,11 @@
     countTasks(value as unknown as CellJobSpec) <= MAXIMUM_JOB_TASKS;
 }
 
+function isOrigin(fields: RowFields): boolean {
+  return isText(fields.queue) && isOptionalText(fields.organisation) &&
+    isOptionalText(fields.keyTag);
+}
+
 function isStep(value: unknown, position: number): boolean {
   return isFields(value) && isCount(value.count, 1) &&
     isResources(value.need) && isAmount(value.estimateMs) &&
--- a/packages/node/cell/state_rows/row_decoders_test.ts
+++ b/packages/node/cell/state_rows/row_decoders_test.ts
@@ -245,6 +245,7 @@
         { jobId: "00000000000000aa" },
         { queue: 1 },
         { organisation: null },
+        { keyTag: 1 },
         { priority: Number.NaN },
         { stretch: "2" },
         { allowanceMs: Infinity },
@@ -266,6 +267,7 @@
       const row of [
         { ...ENDED, state: "paused" },
         { ...ENDED, state: "queued" },
+        { ...ENDED, state: "completed", keyTag: null },
         { ...ENDED, state: "completed", endedUnixMs: undefined },
         { kind: "barred" },
         { kind: "suspended" },
--- a/packages/node/cell/test_fixtures.ts
+++ b/packages/node/cell/test_fixtures.ts
@@ -120,12 +120,12 @@
   };
 }
 
-/** A call of the queue that asks for a key, with the key of this organisation. */
-export function createQueueCall(organisation: string): QueueCall {
+/** A call of the queue that asks for a key, with the key of one of two organisations. */
+export function createQueueCall(organisation: "owner" | "other"): QueueCall {
   const queue = createQueue();
-  const key = `key of ${organisation}`;
-  const state = createDeclaredState([queue], { [organisation]: [key] });
-  return { state, queue, key };
+  const keys = { owner: ["key of owner"], other: ["key of other"] };
+  const state = createDeclaredState([queue], keys);
+  return { state, queue, key: keys[organisation][0] };
 }
 
 /** A live job of which no row is stored. */
--- a/packages/policy/cell/types.ts
+++ b/packages/policy/cell/types.ts
@@ -57,13 +57,19 @@
   readonly intervalMs: number;
 }
 
+/** By what call a job was submitted; kept in its row also after its end. */
+export interface JobOrigin {
+  readonly queue: QueueName;
+  /** Undefined if the call had no known API key, as public queues admit. */
+  readonly organisation: OrganisationName | undefined;
+  /** Digest of its known API key; missing in rows of earlier versions. */
+  readonly keyTag?: string;
+}
+
 /** A job as accepted from the caller; stored in this form. */
-export interface CellJobSpec {
+export interface CellJobSpec extends JobOrigin {
   readonly jobId: CellJobId;
-  readonly queue: QueueName;
   readonly service: ServiceName;
-  /** Undefined on public queues. */
-  readonly organisation: OrganisationName | undefined;
   readonly priority: number;
   /** Failed runs of one unit after which the job fails. */
   readonly maximumAttempts: number;
