A job stays with its queue when that gets another name or address

Callers saw: a queue gets another name and keeps its host and prefix. The number of waiting jobs is 0 although all of them still wait, and once the queue is public, its jobs are answered 410 without a key.

Cause: jobs are matched with queues by name only, while callers use the address: a job is asked for at the prefix where it was submitted.

Change: the rows of jobs also hold a digest of the address (addressTag). A queue is the job's if it has the job's name or its address; if two are, the job is open without a key only if both are public. Waiting jobs are counted in the same way. A job is no longer reached through another queue of its organisation, which is certainly another queue now that the address is known; rows of earlier versions don't say it and stay reachable to their organisation.

--- a/packages/node/cell/callers/access/changed_queue_test.ts
+++ b/packages/node/cell/callers/access/changed_queue_test.ts
@@ -119,3 +119,60 @@
     }
   });
 });
+
+describe("a job whose queue has another name or address", () => {
+  const RENAMED = [{ name: "renamed", prefix: "/queue/" }];
+  const MOVED = [{ name: "queue", prefix: "/moved/" }];
+
+  // Guards against an accepted job that is answered 410 as its queue has another name.
+  it("is shown, cancelled and counted as waiting", async () => {
+    for (const isPublic of [false, true]) {
+      for (
+        const [queues, prefix] of [[RENAMED, "/queue/"], [
+          MOVED,
+          "/moved/",
+        ]] as const
+      ) {
+        const key = isPublic ? undefined : "owner-key";
+        const entry = createEntry(declare(PRIVATE, KEYS));
+        await entry.call("POST", `/queue/${JOB}`, "owner-key");
+        const declared = queues.map((queue) => ({ ...queue, isPublic }));
+        entry.state = declare(declared, KEYS, 2);
+        expect((await entry.call("GET", prefix, key)).body).to.equal(
+          '{"pending":1}',
+        );
+        expect(await entry.readAndCancel(prefix + JOB, key)).to.deep.equal(
+          [200, 200],
+        );
+        expect((await entry.call("GET", prefix, key)).body).to.equal(
+          '{"pending":0}',
+        );
+      }
+    }
+  });
+
+  it("is shown to its organisation where its row doesn't say the address", async () => {
+    const entry = createEntry(declare(PRIVATE, KEYS));
+    await entry.call("POST", `/queue/${JOB}`, "owner-key");
+    const row = entry.readRow(JOB);
+    if (row?.kind !== "live") throw new Error("not accepted");
+    const { addressTag, ...spec } = row.spec;
+    expect(addressTag).to.be.a("string");
+    await entry.putRow(JOB, { kind: "live", spec });
+    entry.state = declare(RENAMED, KEYS, 2);
+    expect(await entry.readAndCancel(`/queue/${JOB}`, "other-key")).to.deep
+      .equal([410, 410]);
+    expect(await entry.readAndCancel(`/queue/${JOB}`, "owner-key")).to.deep
+      .equal([200, 200]);
+  });
+
+  // Guards against two jobs of one id: a caller's other queue has no job of this id.
+  it("is not reached through another queue of its organisation", async () => {
+    const queues = [...PRIVATE, { name: "another" }];
+    const entry = createEntry(declare(queues, KEYS));
+    await entry.call("POST", `/queue/${JOB}`, "owner-key");
+    expect(await entry.readAndCancel(`/another/${JOB}`, "owner-key")).to.deep
+      .equal([410, 410]);
+    expect(entry.readRow(JOB)).to.include({ kind: "live" });
+  });
+});
--- a/packages/node/cell/callers/access/job_access.ts
+++ b/packages/node/cell/callers/access/job_access.ts
@@ -9,7 +9,11 @@
 import type { JobOrigin } from "@coltsfootpond/policy";
 import type { DeclaredState, QueueDeclaration } from "@coltsfootpond/ports";
 import { findOrganisation } from "../../declared_state_tracker.ts";
-import { computeKeyTag, findOrganisationByTag } from "./key_tags.ts";
+import {
+  computeAddressTag,
+  computeKeyTag,
+  findOrganisationByTag,
+} from "./origin_tags.ts";
 
 /** A call of a queue, and the declared state that was in force when it arrived. */
 export interface QueueCall {
@@ -19,6 +23,12 @@
   readonly key: string | undefined;
 }
 
+/** A queue's name, and where it is called. */
+export type QueueAddress = Pick<
+  QueueDeclaration,
+  "queue" | "host" | "pathPrefix"
+>;
+
 /** `unauthenticated`: the queue asks for a key, and the call has none that is known. */
 export type CallAccess =
   | {
@@ -63,6 +73,7 @@
   const organisation = findOrganisation(state, key);
   return {
     queue: queue.queue,
+    addressTag: computeAddressTag(queue),
     organisation,
     ...(organisation === undefined || key === undefined
       ? {}
@@ -70,40 +81,81 @@
   };
 }
 
+/** `unknown`: the row is of an earlier version, and the queue may have been renamed since. */
+export type QueueRelation = "same" | "another" | "unknown";
+
 /**
- * Whether the call may read and cancel the job. Judged by what is declared now: a job of a queue
- * that is public is open to whoever knows its id, however it was submitted, and a job without an
- * organisation, of a queue that has become private, to each known key. A public queue opens no job
- * of other queues. Besides its organisation, the key by which a job was submitted gives access to
- * it for as long as that key is declared, and shows which organisation is now the owner if the
- * stored name is declared no more.
+ * Whether the job was submitted to the queue: a queue that is renamed is still called at the same
+ * address, and one that is moved to another address keeps its name.
+ */
+export function relateQueue(
+  queue: QueueAddress,
+  job: Pick<JobOrigin, "queue" | "addressTag">,
+): QueueRelation {
+  if (job.queue === queue.queue) return "same";
+  if (job.addressTag === undefined) return "unknown";
+  return job.addressTag === computeAddressTag(queue) ? "same" : "another";
+}
+
+/**
+ * Whether the call may read and cancel the job. Judged by what is declared now: a job is reached
+ * through its queue only. If that is public, the job is open to whoever knows its id, however it
+ * was submitted. A job without an organisation, of a queue that has become private, is open to each
+ * known key. Besides its organisation, the key by which a job was submitted gives access to it for
+ * as long as that key is declared, and shows which organisation is now the owner if the stored name
+ * is declared no more.
  */
 export function decideJobAccess(call: QueueCall, job: JobOrigin): JobAccess {
   const access = decideCallAccess(call);
   if (access.kind === "unauthenticated") {
     return denied(ACCESS_GROUND.UNKNOWN_KEY);
   }
-  const isSameQueue = job.queue === call.queue.queue;
-  if (isSameQueue && call.queue.isPublic) {
-    return granted(ACCESS_GROUND.PUBLIC_QUEUE);
-  }
-  const { organisation } = access;
-  if (organisation !== undefined) {
-    if (organisation === job.organisation) {
-      return granted(ACCESS_GROUND.SAME_ORGANISATION);
-    }
-    if (isSubmittedWith(job, call)) return granted(ACCESS_GROUND.SAME_KEY);
+  switch (relateQueue(call.queue, job)) {
+    case "same":
+      return isOpen(call, job)
+        ? granted(ACCESS_GROUND.PUBLIC_QUEUE)
+        : decideByOwner(call, access.organisation, job);
+    case "another":
+      return denied(ACCESS_GROUND.ANOTHER_QUEUE);
+    case "unknown":
+      return access.organisation !== undefined &&
+          access.organisation === job.organisation
+        ? granted(ACCESS_GROUND.SAME_ORGANISATION)
+        : denied(ACCESS_GROUND.ANOTHER_QUEUE);
   }
-  if (!isSameQueue) return denied(ACCESS_GROUND.ANOTHER_QUEUE);
+}
+
+/**
+ * Whether the job's queue is public. Two queues may count as the job's, one by its name and one by
+ * its address; the job is open if both are public.
+ */
+function isOpen({ state, queue }: QueueCall, job: JobOrigin): boolean {
+  return queue.isPublic &&
+    state.queues.every((other) =>
+      other.isPublic || relateQueue(other, job) !== "same"
+    );
+}
+
+function decideByOwner(
+  { state, key }: QueueCall,
+  organisation: OrganisationName | undefined,
+  job: JobOrigin,
+): JobAccess {
   if (job.organisation === undefined) {
     return granted(ACCESS_GROUND.NO_ORGANISATION);
   }
-  if (isDeclared(call.state, job.organisation)) {
+  if (organisation === job.organisation) {
+    return granted(ACCESS_GROUND.SAME_ORGANISATION);
+  }
+  const { keyTag } = job;
+  const isKeyKnown = key !== undefined && organisation !== undefined;
+  if (isKeyKnown && keyTag === computeKeyTag(key)) {
+    return granted(ACCESS_GROUND.SAME_KEY);
+  }
+  if (isDeclared(state, job.organisation)) {
     return denied(ACCESS_GROUND.ANOTHER_ORGANISATION);
   }
-  const successor = job.keyTag === undefined
-    ? undefined
-    : findOrganisationByTag(call.state, job.keyTag);
+  const successor = keyTag && findOrganisationByTag(state, keyTag);
   if (successor === undefined) {
     return { kind: "undecided", ground: ACCESS_GROUND.UNDECLARED_ORGANISATION };
   }
@@ -112,11 +164,6 @@
     : denied(ACCESS_GROUND.ANOTHER_ORGANISATION);
 }
 
-function isSubmittedWith({ keyTag }: JobOrigin, { key }: QueueCall): boolean {
-  return keyTag !== undefined && key !== undefined &&
-    keyTag === computeKeyTag(key);
-}
-
 /** Also an organisation without a key is declared. */
 function isDeclared(
   { shares, organisationByApiKey }: DeclaredState,
--- a/packages/node/cell/callers/caller_filters.ts
+++ b/packages/node/cell/callers/caller_filters.ts
@@ -148,7 +148,7 @@
       if (subpath !== "" || head.method !== "state" || queue === undefined) {
         return undefined;
       }
-      const count = jobRepository.countWaiting(queue.queue);
+      const count = jobRepository.countWaiting(queue);
       return {
         status: STATUS.OK,
         body: codec.encodeCount(count),
--- a/packages/node/cell/callers/job_repository.ts
+++ b/packages/node/cell/callers/job_repository.ts
@@ -11,7 +11,6 @@
   JOB_STATE,
   type JobOrigin,
   type JobState,
-  type QueueName,
 } from "@coltsfootpond/policy";
 import {
   type StateRow,
@@ -33,7 +32,12 @@
 import { readBegunJobsRow, readJobRow } from "../state_rows/row_readers.ts";
 import type { UnreadableRow } from "../state_rows/unreadable_rows.ts";
 import type { TableFollower } from "../table_follower.ts";
-import { decideJobAccess, type QueueCall } from "./access/job_access.ts";
+import {
+  decideJobAccess,
+  type QueueAddress,
+  type QueueCall,
+} from "./access/job_access.ts";
+import { LiveJobsByQueue } from "./live_jobs_by_queue.ts";
 import type { StoreReadBudget } from "./store_read_budget.ts";
 
 /** Delay between tries within the caller's time-out. */
@@ -117,9 +121,7 @@
 /** Reads and writes the rows of jobs for callers. */
 export class JobRepository {
   readonly #options: JobRepositoryOptions;
-  /** Ids of live jobs by queue, for the count of waiting jobs. */
-  readonly #liveByQueue = new Map<QueueName, Set<CellJobId>>();
-  readonly #queueByJob = new Map<CellJobId, QueueName>();
+  readonly #liveJobs = LiveJobsByQueue.create();
   /** Ids of jobs that have begun, by the key of the row that lists them. */
   readonly #begunByKey = new Map<string, ReadonlySet<CellJobId>>();
   /** When the row of a live job was last read for a caller, on the process's clock. */
@@ -323,10 +325,9 @@
   }
 
   /** Number of accepted jobs of the queue of which no task has begun. */
-  countWaiting(queue: QueueName): number {
-    const jobs = this.#liveByQueue.get(queue);
-    if (jobs === undefined) return 0;
-    return [...jobs].filter((jobId) => !this.#hasBegun(jobId)).length;
+  countWaiting(queue: QueueAddress): number {
+    return this.#liveJobs.list(queue)
+      .filter((jobId) => !this.#hasBegun(jobId)).length;
   }
 
   #hasBegun(jobId: CellJobId): boolean {
@@ -472,18 +473,11 @@
   #applyJobRow(jobId: CellJobId, row: StateRow): void {
     const job = readJobRow(this.#options.follower, jobId, row);
     if (job?.kind === "live") {
-      const { queue } = job.spec;
-      const jobs = this.#liveByQueue.get(queue) ?? new Set();
-      jobs.add(jobId);
-      this.#liveByQueue.set(queue, jobs);
-      this.#queueByJob.set(jobId, queue);
+      this.#liveJobs.add(jobId, getOrigin(job));
       return;
     }
     this.#lastRefreshMs.delete(jobId);
-    const queue = this.#queueByJob.get(jobId);
-    if (queue === undefined) return;
-    this.#liveByQueue.get(queue)?.delete(jobId);
-    this.#queueByJob.delete(jobId);
+    this.#liveJobs.delete(jobId);
   }
 }
 
--- a/packages/node/cell/rows.ts
+++ b/packages/node/cell/rows.ts
@@ -248,9 +248,12 @@
 
 /** What of a job's row says by what call it was submitted. */
 export function getOrigin(row: Exclude<JobRow, { kind: "barred" }>): JobOrigin {
-  const { queue, organisation, keyTag } = row.kind === "live" ? row.spec : row;
+  const { queue, addressTag, organisation, keyTag } = row.kind === "live"
+    ? row.spec
+    : row;
   return {
     queue,
+    ...(addressTag === undefined ? {} : { addressTag }),
     organisation,
     ...(keyTag === undefined ? {} : { keyTag }),
   };
--- a/packages/node/cell/state_rows/job_row.ts
+++ b/packages/node/cell/state_rows/job_row.ts
@@ -86,7 +86,7 @@
 
 function isOrigin(fields: RowFields): boolean {
   return isText(fields.queue) && isOptionalText(fields.organisation) &&
-    isOptionalText(fields.keyTag);
+    isOptionalText(fields.addressTag) && isOptionalText(fields.keyTag);
 }
 
 function isStep(value: unknown, position: number): boolean {
--- a/packages/policy/cell/types.ts
+++ b/packages/policy/cell/types.ts
@@ -60,6 +60,8 @@
 /** By what call a job was submitted; kept in its row also after its end. */
 export interface JobOrigin {
   readonly queue: QueueName;
+  /** Digest of the address at which it was called; missing in rows of earlier versions. */
+  readonly addressTag?: string;
   /** Undefined if the call had no known API key, as public queues admit. */
   readonly organisation: OrganisationName | undefined;
   /** Digest of its known API key; missing in rows of earlier versions. */
