A submission with the id of another caller's job is answered 409

Callers saw: a POST with an id that another organisation, or another queue, has used is answered 200, though nothing of it is stored; the next GET is answered 410 (an accepted job that is then unknown).

Cause: a repeated id counts as the same job, and whose job it is was not looked at.

Change: a submission that finds a stored job is answered 200 if the call may read and cancel that job, by the same decision as for GET and DELETE, and otherwise 409, which says that the id is in use; 504 if the owner can't be told. Repetitions by the job's own caller are accepted as before, also after its queue or organisation was declared otherwise.

--- a/packages/node/cell/callers/caller_filters.ts
+++ b/packages/node/cell/callers/caller_filters.ts
@@ -75,6 +75,7 @@
   UNAUTHENTICATED: 401,
   NOT_FOUND: 404,
   METHOD_NOT_ALLOWED: 405,
+  CONFLICT: 409,
   GONE: 410,
   TOO_LARGE: 413,
   TOO_MANY: 429,
@@ -217,7 +218,9 @@
     : findTooWide(spec);
   if (tooWide !== undefined) {
     const { kind } = await jobRepository.refuse(spec.jobId, deadlineMs);
-    return answerTooWide(kind, tooWide);
+    return kind === "accepted"
+      ? answerStored(request, call, options)
+      : answerTooWide(kind, tooWide);
   }
   const gate = await admission.check(spec, state.guarantees, deadlineMs);
   const outcome = gate.kind === "pass"
@@ -225,7 +228,7 @@
     : gate;
   switch (outcome.kind) {
     case "accepted":
-      return { status: STATUS.OK, body: "{}", reason: "accepted" };
+      return answerStored(request, call, options);
     case "refused":
       return unavailable("the store refused the job");
     case "rejected":
@@ -352,9 +355,35 @@
   return receivedMs + callerTimeoutMs * UNSETTLED_TIMEOUT_SHARE;
 }
 
-/** Refuses the job, unless an earlier try of it is stored or may be. */
+/** A job of this id is stored. It is the caller's, unless the caller may not read and cancel it. */
+function answerStored(
+  request: CallerRequest,
+  call: QueueCall,
+  { jobRepository }: CallerFilterOptions,
+): CallerAnswer {
+  const denial = jobRepository.findDenial(getJobId(request), call);
+  switch (denial?.kind) {
+    case undefined:
+      return { status: STATUS.OK, body: "{}", reason: "accepted" };
+    case "absent":
+      return {
+        status: STATUS.CONFLICT,
+        body: JSON.stringify({ error: "the id is in use" }),
+        reason: `the id is that of another job: ${denial.reason}`,
+        inputs: listAccessInputs(request, denial.origin),
+      };
+    case "undecided":
+      return {
+        status: STATUS.TIMEOUT,
+        reason: `whose job it is cannot be told: ${denial.reason}`,
+        inputs: listAccessInputs(request, denial.origin),
+      };
+  }
+}
+
+/** Refuses the job, unless an earlier try of it may be stored. */
 function answerTooWide(
-  refusal: RefuseOutcome["kind"],
+  refusal: Exclude<RefuseOutcome["kind"], "accepted">,
   unit: TooWideUnit,
 ): CallerAnswer {
   const reason = "a unit is wider than the quota";
@@ -366,8 +395,6 @@
         retryAfterS: TOO_WIDE_RETRY_AFTER_S,
         reason,
       };
-    case "accepted":
-      return { status: STATUS.OK, body: "{}", reason: "accepted" };
     case "unavailable":
       return unavailable("the store refused the job");
     case "unknown":
--- a/packages/node/cell/callers/job_repository.ts
+++ b/packages/node/cell/callers/job_repository.ts
@@ -145,6 +145,22 @@
     return this.#options.follower.get(jobKey(jobId)) !== undefined;
   }
 
+  /**
+   * Whether the id is that of a job which the call may not read and cancel, by this entry's copy;
+   * undefined if not. A call that submits such a job has not submitted its own.
+   */
+  findDenial(
+    jobId: CellJobId,
+    call: QueueCall,
+  ): AbsentOutcome | UndecidedOutcome | undefined {
+    const { follower } = this.#options;
+    const job = readJobRow(follower, jobId, follower.get(jobKey(jobId)));
+    return job === undefined || job.kind === "barred" ||
+        job.kind === "unreadable"
+      ? undefined
+      : findDenial(call, job);
+  }
+
   /**
    * Stores the job. A repeated id is the same job, also after its end. Retries until `deadlineMs`
    * on the process's clock.
