An id cancelled by one caller bars no submission of another one

Callers saw: a DELETE of an id that nobody has submitted is stored, so that a submission which arrives later does not run. It did so for everybody: an organisation's DELETE, or one through a public queue, made another's POST of that id be answered 200 and never run, and GET 410.

Cause: the row of such an id says nothing about who cancelled it.

Change: it holds the queue, the organisation and the two digests of the call, like the row of a job. A POST of another caller is answered 409. Rows of earlier versions bar everyone, as before.

--- a/packages/node/cell/callers/access/known_id_test.ts
+++ b/packages/node/cell/callers/access/known_id_test.ts
@@ -52,3 +52,46 @@
       .to.equal(504);
   });
 });
+
+describe("an id that was cancelled before it was submitted", () => {
+  // Guards against a job that is answered as accepted and never runs, as another caller has
+  // cancelled its id.
+  it("is not accepted from another caller", async () => {
+    for (
+      const [path, key] of [
+        [`/queue/${JOB}`, "other-key"],
+        [`/open/${JOB}`, undefined],
+      ] as const
+    ) {
+      const entry = createEntry();
+      expect((await entry.call("DELETE", path, key)).status).to.equal(410);
+      const answer = await entry.call("POST", `/queue/${JOB}`, "owner-key");
+      expect(answer.status).to.equal(409);
+      expect(entry.readRow(JOB)).to.include({ kind: "barred" });
+    }
+  });
+
+  // Guards against a cancelled job that runs as its submission arrives later.
+  it("does not run when its caller submits it", async () => {
+    const entry = createEntry();
+    await entry.call("DELETE", `/queue/${JOB}`, "owner-key");
+    expect((await entry.call("POST", `/queue/${JOB}`, "owner-key")).status)
+      .to.equal(200);
+    expect(await entry.readAndCancel(`/queue/${JOB}`, "owner-key")).to.deep
+      .equal([410, 410]);
+    entry.state = declare([{ name: "queue", isPublic: true }], KEYS, 2);
+    expect((await entry.call("POST", `/queue/${JOB}`)).status).to.equal(200);
+    expect(entry.readRow(JOB)).to.include({ kind: "barred" });
+  });
+
+  it("does not run where its row doesn't say who cancelled it", async () => {
+    const entry = createEntry();
+    await entry.putRow(JOB, { kind: "barred", endedUnixMs: 0 });
+    for (const key of ["owner-key", "other-key"]) {
+      expect((await entry.call("POST", `/queue/${JOB}`, key)).status)
+        .to.equal(200);
+      expect((await entry.call("GET", `/queue/${JOB}`, key)).status)
+        .to.equal(410);
+    }
+  });
+});
--- a/packages/node/cell/callers/job_repository.ts
+++ b/packages/node/cell/callers/job_repository.ts
@@ -27,12 +27,14 @@
   type JobRow,
   parseBegunKey,
   parseJobKey,
+  pickOrigin,
   refusalKey,
 } from "../rows.ts";
 import { readBegunJobsRow, readJobRow } from "../state_rows/row_readers.ts";
 import type { UnreadableRow } from "../state_rows/unreadable_rows.ts";
 import type { TableFollower } from "../table_follower.ts";
 import {
+  createOrigin,
   decideJobAccess,
   type QueueAddress,
   type QueueCall,
@@ -53,6 +55,7 @@
 const MAXIMUM_CONCURRENT_REFRESHES = 8;
 /** After this time of failures on all paths the store counts as down. */
 const STORE_DOWN_THRESHOLD_MS = 150;
+const CANCELLED_BEFORE = "cancelled before it was submitted";
 
 /**
  * `unknown`: the write may still take effect, or the job has a row that cannot be decoded;
@@ -155,8 +158,7 @@
   ): AbsentOutcome | UndecidedOutcome | undefined {
     const { follower } = this.#options;
     const job = readJobRow(follower, jobId, follower.get(jobKey(jobId)));
-    return job === undefined || job.kind === "barred" ||
-        job.kind === "unreadable"
+    return job === undefined || job.kind === "unreadable"
       ? undefined
       : findDenial(call, job);
   }
@@ -272,7 +274,7 @@
       const job = readJobRow(this.#options.follower, jobId, row);
       // Whose job it is cannot be told.
       if (job?.kind === "unreadable") return job;
-      if (job?.kind === "barred") return absent("cancelled before");
+      if (job?.kind === "barred") return absent(CANCELLED_BEFORE);
       const denial = job && findDenial(call, job);
       if (denial !== undefined) return denial;
       if (job?.kind === "ended") {
@@ -280,7 +282,8 @@
           kind: job.state === JOB_STATE.CANCELLED ? "cancelled" : "ended",
         };
       }
-      const value = encodeRow(createCancelled(job, this.#options.nowUnixMs()));
+      const endedUnixMs = this.#options.nowUnixMs();
+      const value = encodeRow(createCancelled(call, job, endedUnixMs));
       const outcome = await this.#transact({
         conditions: [{ key, version: row?.version ?? 0 }],
         puts: [{ key, value }],
@@ -322,7 +325,7 @@
     const job = readJobRow(this.#options.follower, jobId, row);
     if (job === undefined) return absent("no row");
     if (job.kind === "unreadable") return job;
-    if (job.kind === "barred") return absent("cancelled before");
+    if (job.kind === "barred") return absent(CANCELLED_BEFORE);
     const denial = findDenial(call, job);
     if (denial !== undefined) return denial;
     switch (job.kind) {
@@ -489,7 +492,7 @@
   #applyJobRow(jobId: CellJobId, row: StateRow): void {
     const job = readJobRow(this.#options.follower, jobId, row);
     if (job?.kind === "live") {
-      this.#liveJobs.add(jobId, getOrigin(job));
+      this.#liveJobs.add(jobId, job.spec);
       return;
     }
     this.#lastRefreshMs.delete(jobId);
@@ -509,9 +512,10 @@
 /** Undefined if the call may read and cancel the job. */
 function findDenial(
   call: QueueCall,
-  job: Exclude<JobRow, { kind: "barred" }>,
+  job: JobRow,
 ): AbsentOutcome | UndecidedOutcome | undefined {
   const origin = getOrigin(job);
+  if (origin === undefined) return undefined;
   const { kind, ground } = decideJobAccess(call, origin);
   switch (kind) {
     case "granted":
@@ -524,12 +528,15 @@
 }
 
 function createCancelled(
+  call: QueueCall,
   job: Extract<JobRow, { kind: "live" }> | undefined,
   endedUnixMs: number,
 ): JobRow {
-  if (job === undefined) return { kind: "barred", endedUnixMs };
+  if (job === undefined) {
+    return { kind: "barred", endedUnixMs, origin: createOrigin(call) };
+  }
   return {
-    ...getOrigin(job),
+    ...pickOrigin(job.spec),
     kind: "ended",
     state: JOB_STATE.CANCELLED,
     endedUnixMs,
--- a/packages/node/cell/cell_simulation.ts
+++ b/packages/node/cell/cell_simulation.ts
@@ -24,9 +24,9 @@
 import {
   decodeRow,
   encodeRow,
-  getOrigin,
   jobKey,
   type JobRow,
+  pickOrigin,
   progressKey,
 } from "./rows.ts";
 import { SeenVersion, TableFollower } from "./table_follower.ts";
@@ -185,7 +185,7 @@
   async cancel(spec: CellJobSpec): Promise<void> {
     const { jobId } = spec;
     const value = encodeRow({
-      ...getOrigin({ kind: "live", spec }),
+      ...pickOrigin(spec),
       kind: "ended",
       state: "cancelled",
       endedUnixMs: this.clock.nowMs(),
--- a/packages/node/cell/progress_writer.ts
+++ b/packages/node/cell/progress_writer.ts
@@ -18,9 +18,9 @@
 import {
   encodeRow,
   type EndedState,
-  getOrigin,
   jobKey,
   type JobRow,
+  pickOrigin,
   progressKey,
   progressPartKey,
 } from "./rows.ts";
@@ -505,7 +505,7 @@
   { nowUnixMs }: ProgressWriterOptions,
 ): JobRow {
   return {
-    ...getOrigin({ kind: "live", spec: job.spec }),
+    ...pickOrigin(job.spec),
     kind: "ended",
     state,
     ...(job.failure === undefined ? {} : { reason: job.failure.reason }),
--- a/packages/node/cell/rows.ts
+++ b/packages/node/cell/rows.ts
@@ -29,8 +29,15 @@
 export type JobRow =
   | { readonly kind: "live"; readonly spec: CellJobSpec }
   | EndedJobRow
-  /** Cancelled before it was submitted: a later submit does not run it. */
-  | { readonly kind: "barred"; readonly endedUnixMs: number };
+  | BarredJobRow;
+
+/** Cancelled before it was submitted: a later submit does not run it. */
+export interface BarredJobRow {
+  readonly kind: "barred";
+  readonly endedUnixMs: number;
+  /** Of the call that cancelled it; missing in rows of earlier versions. */
+  readonly origin?: JobOrigin;
+}
 
 /**
  * Marks that submissions of the job were refused for lack of capacity. Each submission is stored on
@@ -246,11 +253,10 @@
   return key.startsWith(PEER_PREFIX);
 }
 
-/** What of a job's row says by what call it was submitted. */
-export function getOrigin(row: Exclude<JobRow, { kind: "barred" }>): JobOrigin {
-  const { queue, addressTag, organisation, keyTag } = row.kind === "live"
-    ? row.spec
-    : row;
+/** What of these fields says by what call the job was submitted. */
+export function pickOrigin(
+  { queue, addressTag, organisation, keyTag }: JobOrigin,
+): JobOrigin {
   return {
     queue,
     ...(addressTag === undefined ? {} : { addressTag }),
@@ -259,6 +265,21 @@
   };
 }
 
+/**
+ * By what call the job was submitted, or cancelled before; undefined in rows of earlier versions of
+ * the latter kind.
+ */
+export function getOrigin(row: JobRow): JobOrigin | undefined {
+  switch (row.kind) {
+    case "live":
+      return pickOrigin(row.spec);
+    case "ended":
+      return pickOrigin(row);
+    case "barred":
+      return row.origin;
+  }
+}
+
 /** Encodes the value of any row. */
 export function encodeRow(
   row:
--- a/packages/node/cell/state_rows/job_row.ts
+++ b/packages/node/cell/state_rows/job_row.ts
@@ -48,7 +48,7 @@
     case "ended":
       return readEnded(row);
     case "barred":
-      return isNumber(row.endedUnixMs) ? row as unknown as JobRow : undefined;
+      return isBarred(row) ? row as unknown as JobRow : undefined;
     default:
       return undefined;
   }
@@ -84,6 +84,11 @@
     countTasks(value as unknown as CellJobSpec) <= MAXIMUM_JOB_TASKS;
 }
 
+function isBarred({ endedUnixMs, origin }: RowFields): boolean {
+  return isNumber(endedUnixMs) &&
+    (origin === undefined || isFields(origin) && isOrigin(origin));
+}
+
 function isOrigin(fields: RowFields): boolean {
   return isText(fields.queue) && isOptionalText(fields.organisation) &&
     isOptionalText(fields.addressTag) && isOptionalText(fields.keyTag);
--- a/packages/node/cell/state_rows/row_decoders_test.ts
+++ b/packages/node/cell/state_rows/row_decoders_test.ts
@@ -272,6 +272,8 @@
         { ...ENDED, state: "completed", addressTag: 1 },
         { ...ENDED, state: "completed", endedUnixMs: undefined },
         { kind: "barred" },
+        { kind: "barred", endedUnixMs: UNIX_MS, origin: 1 },
+        { kind: "barred", endedUnixMs: UNIX_MS, origin: { queue: 1 } },
         { kind: "suspended" },
       ]
     ) expect(decodeJob(pack(row)), JSON.stringify(row)).to.equal(undefined);
