Urgent jobs keep the guarantee of an organisation that has another name

Operators saw: an organisation gets another name and keeps its keys and its guarantee. Its accepted urgent jobs count for no organisation any more and are placed after other urgent work (RECLAIM).

Cause: the guarantee is looked up by the name stored with the job in the declared state in force.

Change: the scheduler looks it up for the organisation that owns the job now (job_origins/find_owner.ts), the same one that may read and cancel it. Quotas and weights still count by the stored name; they are declared nowhere today.

Evidence: with the lookup left out, "keeps the guarantee of its organisation under another name" fails: the other urgent job starts first.

--- a/packages/node/cell/callers/access/changed_organisation_test.ts
+++ b/packages/node/cell/callers/access/changed_organisation_test.ts
@@ -1,9 +1,15 @@
 /** Tests of calls for jobs whose organisation is declared otherwise than when they were accepted. */
 import { createCallerCodec } from "@coltsfootpond/platform";
+import type { OrganisationName } from "@coltsfootpond/common";
 import type { DeclaredState } from "@coltsfootpond/ports";
 import { expect } from "chai";
 import { CellSimulation } from "../../cell_simulation.ts";
-import { createSpec } from "../../test_fixtures.ts";
+import { computeKeyTag } from "../../job_origins/origin_tags.ts";
+import {
+  createDeclaredState,
+  createSpec,
+  createStep,
+} from "../../test_fixtures.ts";
 import { declare, EntryFake } from "./caller_access_fixtures.ts";
 
 const JOB = "00000000000000aa";
@@ -22,6 +28,17 @@
   return entry;
 }
 
+/** The organisation has eight guaranteed accelerators. */
+function guarantee(name: string) {
+  const { organisationByApiKey, shares } = createDeclaredState(
+    [],
+    { [name]: ["key-1"] },
+  );
+  const organisation = name as OrganisationName;
+  const guarantees = [{ organisation, accelerators: 8 }];
+  return { organisationByApiKey, shares, guarantees };
+}
+
 describe("a job whose organisation is declared otherwise", () => {
   // Guards against an accepted job that is answered 410, and whose tasks run on after a DELETE that
   // was acknowledged, as its organisation has another name.
@@ -113,4 +130,31 @@
       keyTag: "tag",
     });
   });
+
+  // Guards against urgent jobs that lose their guarantee as their organisation has another name.
+  it("keeps the guarantee of its organisation under another name", async () => {
+    for (const name of ["before", "after"]) {
+      const simulation = CellSimulation.create(["worker"]);
+      simulation.declareOrganisations(guarantee(name));
+      const urgent = { priority: 0 };
+      const wholeWorker = {
+        need: { cpuMilli: 1_000, memoryMib: 1_000, accelerators: 8 },
+      };
+      const ordinary = createSpec("00000000000000bb", {
+        ...urgent,
+        steps: [createStep({ ...wholeWorker, estimateMs: 500 })],
+      });
+      const guaranteed = createSpec(JOB, {
+        ...urgent,
+        organisation: "before" as OrganisationName,
+        keyTag: computeKeyTag("key-1"),
+        steps: [createStep({ ...wholeWorker, estimateMs: 2_000 })],
+      });
+      await simulation.submit(ordinary);
+      await simulation.submit(guaranteed);
+      simulation.startScheduler();
+      await simulation.clock.advance(3_000);
+      expect(simulation.history[0]?.task.startsWith(JOB), name).to.equal(true);
+    }
+  });
 });
--- a/packages/node/cell/callers/access/job_access.ts
+++ b/packages/node/cell/callers/access/job_access.ts
@@ -9,11 +9,11 @@
 import type { JobOrigin } from "@coltsfootpond/policy";
 import type { DeclaredState, QueueDeclaration } from "@coltsfootpond/ports";
 import { findOrganisation } from "../../declared_state_tracker.ts";
+import { findOwner } from "../../job_origins/find_owner.ts";
 import {
   computeAddressTag,
   computeKeyTag,
-  findOrganisationByTag,
-} from "./origin_tags.ts";
+} from "../../job_origins/origin_tags.ts";
 
 /** A call of a queue, and the declared state that was in force when it arrived. */
 export interface QueueCall {
@@ -147,32 +147,19 @@
   if (organisation === job.organisation) {
     return granted(ACCESS_GROUND.SAME_ORGANISATION);
   }
-  const { keyTag } = job;
   const isKeyKnown = key !== undefined && organisation !== undefined;
-  if (isKeyKnown && keyTag === computeKeyTag(key)) {
+  if (isKeyKnown && job.keyTag === computeKeyTag(key)) {
     return granted(ACCESS_GROUND.SAME_KEY);
   }
-  if (isDeclared(state, job.organisation)) {
-    return denied(ACCESS_GROUND.ANOTHER_ORGANISATION);
-  }
-  const successor = keyTag && findOrganisationByTag(state, keyTag);
-  if (successor === undefined) {
+  const owner = findOwner(state, job);
+  if (owner === undefined) {
     return { kind: "undecided", ground: ACCESS_GROUND.UNDECLARED_ORGANISATION };
   }
-  return successor === organisation
+  return owner === organisation
     ? granted(ACCESS_GROUND.RENAMED_ORGANISATION)
     : denied(ACCESS_GROUND.ANOTHER_ORGANISATION);
 }
 
-/** Also an organisation without a key is declared. */
-function isDeclared(
-  { shares, organisationByApiKey }: DeclaredState,
-  name: OrganisationName,
-): boolean {
-  return shares.some(({ organisation }) => organisation === name) ||
-    [...organisationByApiKey.values()].includes(name);
-}
-
 function granted(ground: AccessGround): JobAccess {
   return { kind: "granted", ground };
 }
--- a/packages/node/cell/callers/access/job_access_test.ts
+++ b/packages/node/cell/callers/access/job_access_test.ts
@@ -3,7 +3,10 @@
 import { expect } from "chai";
 import { declare } from "./caller_access_fixtures.ts";
 import { decideJobAccess } from "./job_access.ts";
-import { computeAddressTag, computeKeyTag } from "./origin_tags.ts";
+import {
+  computeAddressTag,
+  computeKeyTag,
+} from "../../job_origins/origin_tags.ts";
 
 /** Keys of each organisation now; the job was submitted with `old` by the organisation `owner`. */
 const DECLARED = {
--- a/packages/node/cell/callers/live_jobs_by_queue.ts
+++ b/packages/node/cell/callers/live_jobs_by_queue.ts
@@ -1,7 +1,7 @@
 /** Ids of live jobs by the queue that they were submitted to, for the count of waiting jobs. */
 import type { CellJobId, JobOrigin, QueueName } from "@coltsfootpond/policy";
 import type { QueueAddress } from "./access/job_access.ts";
-import { computeAddressTag } from "./access/origin_tags.ts";
+import { computeAddressTag } from "../job_origins/origin_tags.ts";
 
 type QueueOfJob = Pick<JobOrigin, "queue" | "addressTag">;
 
--- a/packages/node/cell/cell_scheduler.ts
+++ b/packages/node/cell/cell_scheduler.ts
@@ -5,7 +5,11 @@
  * reports.
  */
 import type { Clock, Timer, WorkerName } from "@coltsfootpond/common";
-import { planRound, UrgentDemand } from "@coltsfootpond/policy";
+import {
+  type CellJobSpec,
+  planRound,
+  UrgentDemand,
+} from "@coltsfootpond/policy";
 import type {
   CellSettings,
   RecordDecoder,
@@ -38,6 +42,7 @@
   type LeavingRunOptions,
 } from "./draining/leaving_runs.ts";
 import { EndedJobCollector } from "./ended_job_collector.ts";
+import { findOwner } from "./job_origins/find_owner.ts";
 import { JobRegistry } from "./job_registry.ts";
 import {
   describeUnit,
@@ -431,7 +436,8 @@
   #round(): void {
     const { clock, nowUnixMs, declared, canAct, log, settings } = this.#options;
     // Without the declared state, the quotas are not known.
-    if (!canAct() || declared.current === undefined) return;
+    const state = declared.current;
+    if (!canAct() || state === undefined) return;
     const nowMs = clock.nowMs();
     const strayUnits = this.#runs.listStrayUnits();
     const mayStillRun = (unit: Unit) =>
@@ -455,7 +461,8 @@
     this.#circuits.beginRound(jobs, mayStillRun);
     const common = {
       workers: this.#fleet.createUsableWorkerViews(),
-      guarantees: declared.current.guarantees,
+      guarantees: state.guarantees,
+      findOwner: (spec: CellJobSpec) => findOwner(state, spec),
       shares: this.#quotas.createShares(),
       nowMs,
       nowUnixMs: nowUnixMs(),
@@ -490,7 +497,7 @@
     }
     this.#quotaWaits.recordWaits(
       plan.quotaWaits ?? [],
-      declared.current.version,
+      state.version,
     );
     for (const { unit, workers } of plan.placements) {
       this.#guardUnit(SCHEDULE_ROUND, unit, () => this.#place(unit, workers));
--- a/packages/node/cell/cell_simulation.ts
+++ b/packages/node/cell/cell_simulation.ts
@@ -123,6 +123,16 @@
     this.#declare({ shares });
   }
 
+  /** Declares a next version with these organisations; all schedulers read it at once. */
+  declareOrganisations(
+    organisations: Pick<
+      DeclaredState,
+      "organisationByApiKey" | "guarantees" | "shares"
+    >,
+  ): void {
+    this.#declare(organisations);
+  }
+
   /** Declares a next version with these services; all schedulers read it at once. */
   declareServices(services: readonly ServiceName[]): void {
     this.#declare({ services: new Set(services) });
--- a/packages/node/cell/plan_input.ts
+++ b/packages/node/cell/plan_input.ts
@@ -49,6 +49,8 @@
   readonly jobs: readonly LiveJob[];
   readonly workers: readonly WorkerView[];
   readonly guarantees: readonly OrganisationGuarantee[];
+  /** The organisation that a job belongs to now; by default the one that submitted it. */
+  readonly findOwner?: (job: CellJobSpec) => OrganisationName | undefined;
   readonly nowMs: number;
   readonly nowUnixMs: number;
   /** Accelerators that urgent jobs of each service ask for in a second. */
@@ -204,7 +206,12 @@
  * get what the others leave.
  */
 function findGuaranteedJobs(
-  { jobs, guarantees, circuits }: PlanInputOptions,
+  {
+    jobs,
+    guarantees,
+    circuits,
+    findOwner = ({ organisation }) => organisation,
+  }: PlanInputOptions,
 ): ReadonlySet<LiveJob> {
   const remainingByOrganisation = new Map<OrganisationName, number>(
     guarantees.map(({ organisation, accelerators }) => [
@@ -223,7 +230,7 @@
     ...withheld,
   ];
   for (const job of ordered) {
-    const { organisation } = job.spec;
+    const organisation = findOwner(job.spec);
     if (organisation === undefined) continue;
     const remaining = remainingByOrganisation.get(organisation) ?? 0;
     const needed = countAccelerators(job);
