--- a/packages/node/cell/callers/access/caller_access_fixtures.ts
+++ b/packages/node/cell/callers/access/caller_access_fixtures.ts
@@ -9,7 +9,13 @@
   createStoreFake,
   type StoreFake,
 } from "../../test_fixtures.ts";
-import { decodeRow, encodeRow, jobKey, type JobRow } from "../../rows.ts";
+import {
+  decodeRow,
+  encodeRow,
+  jobKey,
+  type JobRow,
+  refusalKey,
+} from "../../rows.ts";
 import type { TableFollower } from "../../table_follower.ts";
 import { type CallerAnswer, createCallerFilters } from "../caller_filters.ts";
 import { JobRepository } from "../job_repository.ts";
@@ -119,11 +125,20 @@
 
   /** Replaces the job's row, as another process does, and follows the store. */
   async putRow(jobId: string, row: JobRow): Promise<void> {
-    await this.store.transact({
-      conditions: [],
-      puts: [{ key: jobKey(jobId as CellJobId), value: encodeRow(row) }],
-      deletes: [],
-    }, 1);
+    await this.#put(jobKey(jobId as CellJobId), encodeRow(row));
+  }
+
+  /** Marks the job's submissions as refused, as another entry does. */
+  async putRefusal(jobId: string): Promise<void> {
+    await this.#put(
+      refusalKey(jobId as CellJobId),
+      encodeRow({ kind: "refused", endedUnixMs: 0 }),
+    );
+  }
+
+  async #put(key: string, value: Uint8Array): Promise<void> {
+    const puts = [{ key, value }];
+    await this.store.transact({ conditions: [], puts, deletes: [] }, 1);
     await this.#follower.reload(0);
   }
 }
--- a/packages/node/cell/callers/access/changed_queue_test.ts
+++ b/packages/node/cell/callers/access/changed_queue_test.ts
@@ -120,6 +120,20 @@
   });
 });
 
+describe("a refused job whose queue becomes public", () => {
+  // Guards against a refusal that counts as a job, or that bars its caller from trying again.
+  it("isn't there, and is accepted when it is submitted again", async () => {
+    const entry = createEntry(declare(PRIVATE, KEYS));
+    await entry.putRefusal(JOB);
+    expect((await entry.call("GET", `/queue/${JOB}`, "owner-key")).status)
+      .to.equal(410);
+    entry.state = declare(PUBLIC, KEYS, 2);
+    expect((await entry.call("GET", `/queue/${JOB}`)).status).to.equal(410);
+    expect((await entry.call("POST", `/queue/${JOB}`)).status).to.equal(200);
+    expect((await entry.call("GET", `/queue/${JOB}`)).status).to.equal(200);
+  });
+});
+
 describe("a job whose queue has another name or address", () => {
   const RENAMED = [{ name: "renamed", prefix: "/queue/" }];
   const MOVED = [{ name: "queue", prefix: "/moved/" }];
