--- a/scripts/mutations/mutations.ts
+++ b/scripts/mutations/mutations.ts
@@ -2,6 +2,7 @@
  * All mutations that `npm run mutations` injects, to show that the tests of the documented promises
  * fail when a promise is broken. This file lists those of jobs, calls, configuration and the table.
  */
+import { ACCESS_MUTATIONS } from "./access_mutations.ts";
 import { ADMISSION_MUTATIONS } from "./admission_mutations.ts";
 import { BACKGROUND_MUTATIONS } from "./background_mutations.ts";
 import { CELL_MUTATIONS } from "./cell_mutations.ts";
@@ -231,6 +232,7 @@
     spec: "packages/policy/placement/engine_properties_test.ts",
     title: "hold after any sequence",
   },
+  ...ACCESS_MUTATIONS,
   ...STATE_MUTATIONS,
   ...CELL_MUTATIONS,
   ...CRASH_MUTATIONS,
