--- a/packages/node/cell/callers/access/changed_queue_test.ts
+++ b/packages/node/cell/callers/access/changed_queue_test.ts
@@ -180,7 +180,7 @@
       .equal([200, 200]);
   });
 
-  // Guards against two jobs of one id: a caller's other queue has no job of this id.
+  // Guards against a job that counts as one of every queue of its organisation.
   it("is not reached through another queue of its organisation", async () => {
     const queues = [...PRIVATE, { name: "another" }];
     const entry = createEntry(declare(queues, KEYS));
